Build the thin whole path from caller to backend server

Cause: nothing existed. Callers, balancers, agents and backend servers had to be connected by real sockets before any part could be measured.

Change: daemon with the roles balancer and agent, command-line tool, table and settings checks, platform client, Geneve adapter for the fabric, UDP delivery per flow, Cap'n Proto messages under a keyed hash, stand-ins for fabric, platform and backend servers, and a demo that changes everything while flows are open.

Flows break when a balancer with an empty cache joins after a drain, because nobody tells the next candidate who owns a flow; imbalance is that of plain rendezvous hashing. Both are the next steps.

--- /dev/null
+++ b/citronwinch/backend_servers/_request_header.py
@@ -0,0 +1,34 @@
+"""The header in front of a payload that carries a request or a part of an answer.
+
+Callers and backend servers that speak it put these bytes at the start of each
+datagram. The payload is never changed on its way; the header is only read.
+"""
+
+from citronwinch.coordination.requests import RequestMetadata
+from citronwinch.fabric import (
+    REQUEST_METADATA_BYTES,
+    MalformedFrameError,
+    decode_request,
+    encode_request,
+)
+
+MAGIC = b"CWR1"
+"""The first bytes of a datagram with a request header."""
+
+HEADER_BYTES = len(MAGIC) + REQUEST_METADATA_BYTES
+"""Length of the header in bytes."""
+
+
+def add_request_header(request: RequestMetadata, body: bytes) -> bytes:
+    """Return a payload with a request header."""
+    return MAGIC + encode_request(request) + body
+
+
+def read_request_header(payload: bytes) -> RequestMetadata | None:
+    """Return the metadata in a payload, None when it has no well-formed header."""
+    if not payload.startswith(MAGIC):
+        return None
+    try:
+        return decode_request(payload[len(MAGIC) : HEADER_BYTES])
+    except MalformedFrameError:
+        return None
--- /dev/null
+++ b/citronwinch/backend_servers/_udp_delivery.py
@@ -0,0 +1,96 @@
+"""Delivery to a backend server over one connected UDP socket per flow."""
+
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from citronwinch.coordination import Endpoint, FlowKey
+
+DATAGRAM_LIMIT = 65_535
+"""The longest datagram that is read, in bytes."""
+
+
+class Reply(NamedTuple):
+    """A datagram from the backend server."""
+
+    flow: FlowKey
+    """The flow whose socket it came in on."""
+
+    payload: bytes
+    """The datagram."""
+
+
+class UdpDelivery:
+    """Sends each flow's datagrams from a socket of its own.
+
+    The backend server answers to that socket, so an answer can only belong to its
+    flow. `on_reply` gets each answer, `on_unreachable` a flow whose server refused.
+    """
+
+    def __init__(
+        self,
+        server: Endpoint,
+        nursery: trio.Nursery,
+        on_reply: Callable[[Reply], None],
+        on_unreachable: Callable[[FlowKey], None],
+    ) -> None:
+        self.server = server
+        self.nursery = nursery
+        self.on_reply = on_reply
+        self.on_unreachable = on_unreachable
+        self.sockets: dict[FlowKey, socket.socket] = {}
+        self.scopes: dict[FlowKey, trio.CancelScope] = {}
+
+    def open(self, flow: FlowKey, local_port: int = 0) -> int:
+        """Open the flow's socket and return its local port.
+
+        With `local_port` the socket takes over the port of a former agent, so that
+        the backend server sees the same peer as before.
+        """
+        family = socket.AF_INET6 if ":" in self.server.ip else socket.AF_INET
+        link = socket.socket(family, socket.SOCK_DGRAM)
+        link.setblocking(False)
+        if local_port:
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            link.bind(("", local_port))
+        link.connect((self.server.ip, self.server.port))
+        scope = trio.CancelScope()
+        self.sockets[flow] = link
+        self.scopes[flow] = scope
+        self.nursery.start_soon(self._receive, flow, link, scope)
+        return int(link.getsockname()[1])
+
+    def send(self, flow: FlowKey, payload: bytes) -> bool:
+        """Send a datagram of the flow; return False when it was not sent."""
+        link = self.sockets.get(flow)
+        if link is None:
+            self.open(flow)
+            link = self.sockets[flow]
+        try:
+            link.send(payload)
+        except OSError:
+            return False
+        return True
+
+    def close(self, flow: FlowKey) -> None:
+        """Close the flow's socket."""
+        link = self.sockets.pop(flow, None)
+        if link is not None:
+            self.scopes.pop(flow).cancel()
+            trio.lowlevel.notify_closing(link)
+            link.close()
+
+    async def _receive(
+        self, flow: FlowKey, link: socket.socket, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            while True:
+                await trio.lowlevel.wait_readable(link)
+                try:
+                    self.on_reply(Reply(flow, link.recv(DATAGRAM_LIMIT)))
+                except BlockingIOError:
+                    continue
+                except ConnectionError:
+                    self.on_unreachable(flow)
--- /dev/null
+++ b/citronwinch/coordination/__init__.py
@@ -0,0 +1,59 @@
+"""The coordination parts, for embedding: pure decisions without sockets.
+
+Everything below this package is a value, a pure function or a small state machine
+that takes its clock and random source as arguments. Nothing in it imports a socket
+or an event loop. This package holds the values that all parts share:
+
+- `citronwinch.coordination.steering` places flows and finds their owners again;
+- `citronwinch.coordination.requests` keeps the promises about requests;
+- `citronwinch.coordination.load` spreads new work evenly and sheds overload;
+- `citronwinch.coordination.spread` keeps membership and the table current.
+"""
+
+from citronwinch.coordination._address import (
+    Endpoint,
+    Flow,
+    FlowKey,
+    TransportProtocol,
+    pack_flow_key,
+    pack_ip,
+    unpack_flow_key,
+)
+from citronwinch.coordination._clock import Clock, ManualClock, MonotonicClock
+from citronwinch.coordination._instances import Instance, InstanceRole, InstanceState
+from citronwinch.coordination._placement import (
+    hash_seed,
+    rank_candidates,
+    score_candidate,
+)
+from citronwinch.coordination._table import (
+    EMPTY_TABLE,
+    Table,
+    TableRow,
+    digest_rows,
+    row_fields,
+)
+
+__all__ = [
+    "Clock",
+    "EMPTY_TABLE",
+    "Endpoint",
+    "Flow",
+    "FlowKey",
+    "Instance",
+    "InstanceRole",
+    "InstanceState",
+    "ManualClock",
+    "MonotonicClock",
+    "Table",
+    "TableRow",
+    "TransportProtocol",
+    "digest_rows",
+    "hash_seed",
+    "pack_flow_key",
+    "pack_ip",
+    "rank_candidates",
+    "row_fields",
+    "score_candidate",
+    "unpack_flow_key",
+]
--- /dev/null
+++ b/citronwinch/coordination/_table.py
@@ -0,0 +1,115 @@
+"""The table of services and backend servers, as a value."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+import orjson
+
+from citronwinch.coordination._address import (
+    Endpoint,
+    FlowKey,
+    TransportProtocol,
+    pack_service_endpoint,
+    service_part,
+)
+
+DIGEST_BYTES = 16
+"""Length of a table digest in bytes."""
+
+
+class TableRow(NamedTuple):
+    """One backend server's assignment to one service."""
+
+    service: str
+    """The service's name."""
+
+    protocol: TransportProtocol
+    """The transport protocol of the service."""
+
+    service_address: Endpoint
+    """The address that callers send to; the same in all rows of a service."""
+
+    backend_server: str
+    """The backend server's name, unique in the table."""
+
+    backend_server_address: Endpoint
+    """Where the backend server listens."""
+
+    availability_zone: str
+    """The availability zone of the backend server."""
+
+    weight: int
+    """The share of new flows relative to the other rows; 0 drains the server."""
+
+    connection_limit: int
+    """The most flows that the backend server may hold at once."""
+
+
+class Table:
+    """All rows at one revision.
+
+    A table never changes: an edit makes another table with a higher revision.
+    Look-ups that the packet path needs are prepared when the table is made.
+    """
+
+    def __init__(self, revision: int, rows: Iterable[TableRow]) -> None:
+        self.revision = revision
+        self.rows: tuple[TableRow, ...] = tuple(
+            sorted(rows, key=lambda row: (row.service, row.backend_server))
+        )
+        self.rows_by_service: Mapping[str, tuple[TableRow, ...]] = _group(self.rows)
+        self.row_by_backend_server: Mapping[str, TableRow] = {
+            row.backend_server: row for row in self.rows
+        }
+        self.service_by_endpoint: Mapping[bytes, str] = {
+            pack_service_endpoint(row.protocol, row.service_address): row.service
+            for row in self.rows
+        }
+        self.digest: bytes = digest_rows(self.rows)
+
+    def service_of(self, key: FlowKey) -> str | None:
+        """Return the service that a flow is addressed to, None when there is none."""
+        return self.service_by_endpoint.get(service_part(key))
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Table):
+            return NotImplemented
+        return self.revision == other.revision and self.rows == other.rows
+
+    def __hash__(self) -> int:
+        return hash((self.revision, self.digest))
+
+    def __repr__(self) -> str:
+        return f"Table(revision={self.revision}, rows={len(self.rows)})"
+
+
+def digest_rows(rows: Iterable[TableRow]) -> bytes:
+    """Return a digest of rows that does not depend on the revision."""
+    encoded = orjson.dumps([row_fields(row) for row in rows])
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
+
+
+def row_fields(row: TableRow) -> list[str | int]:
+    """Return a row as plain values in column order."""
+    return [
+        row.service,
+        row.protocol.name,
+        str(row.service_address),
+        row.backend_server,
+        str(row.backend_server_address),
+        row.availability_zone,
+        row.weight,
+        row.connection_limit,
+    ]
+
+
+def _group(rows: Iterable[TableRow]) -> dict[str, tuple[TableRow, ...]]:
+    groups: dict[str, list[TableRow]] = {}
+    for row in rows:
+        groups.setdefault(row.service, []).append(row)
+    return {service: tuple(members) for service, members in groups.items()}
+
+
+EMPTY_TABLE = Table(0, ())
+"""The table of a process that has not read one yet; revision 0."""
--- /dev/null
+++ b/citronwinch/coordination/spread/__init__.py
@@ -0,0 +1,3 @@
+"""Spread: membership, and the table in force on every process."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/citronwinch/daemon/__main__.py
@@ -0,0 +1,3 @@
+from citronwinch.daemon import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/citronwinch/daemon/_balancer_process.py
@@ -0,0 +1,90 @@
+"""The balancer: takes packets from the fabric and sends them to agents."""
+
+import trio
+
+from citronwinch.coordination import Table
+from citronwinch.coordination.steering import BalancerSteering, Hint
+from citronwinch.daemon._events import Event, FabricBatch, PeerBatch
+from citronwinch.daemon._process import Process
+from citronwinch.daemon._refusals import send_refusal
+from citronwinch.fabric import (
+    MalformedFrameError,
+    MalformedPacketError,
+    decode_frame,
+    parse_packet,
+)
+from citronwinch.network import Datagram, DatagramPort
+from citronwinch.operators import Settings
+
+
+class BalancerProcess(Process):
+    """The daemon in the role of a balancer."""
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
+        assert settings.fabric_address is not None
+        self.fabric = DatagramPort(settings.fabric_address)
+        self.steering = BalancerSteering(settings.name, settings.flow_cache_limit)
+
+    @property
+    def table(self) -> Table:
+        """The table in force."""
+        return self.steering.table
+
+    @property
+    def flow_count(self) -> int:
+        """The flows whose owner is remembered."""
+        return len(self.steering.owners)
+
+    def use_table(self, table: Table) -> None:
+        """Decide by a newer table from now on."""
+        self.steering.accept_table(table)
+
+    def start_role_tasks(self, nursery: trio.Nursery) -> None:
+        """Start receiving from the fabric."""
+        nursery.start_soon(self._receive_fabric)
+
+    def is_drained(self) -> bool:
+        """A balancer keeps nothing that outlives it."""
+        return True
+
+    def handle(self, event: Event) -> None:
+        """React to packets and hints."""
+        if isinstance(event, FabricBatch):
+            for datagram in event.frames:
+                self.handle_frame(datagram)
+        elif isinstance(event, PeerBatch):
+            for envelope in event.envelopes:
+                if isinstance(envelope.message, Hint):
+                    self.steering.accept_hint(envelope.message)
+
+    def handle_frame(self, datagram: Datagram) -> None:
+        """Send one packet to its agent; count and drop what cannot be read."""
+        try:
+            frame = decode_frame(datagram.data)
+            packet = parse_packet(frame.packet)
+        except (MalformedFrameError, MalformedPacketError):
+            self.metrics.count("packets_dropped_total", "malformed")
+            return
+        service = self.table.service_of(packet.flow)
+        routed = self.steering.forward(packet, service) if service else None
+        if routed is None:
+            self.metrics.count("packets_refused_total", "no_service")
+            self.refuse(frame.packet, datagram)
+            return
+        agent, message = routed
+        instance = self.instances.get(agent)
+        if instance is None:
+            self.metrics.count("packets_dropped_total", "unknown_agent")
+            return
+        self.metrics.count("packets_forwarded_total")
+        self.peers.send(message._replace(request=frame.request), instance.address)
+
+    def refuse(self, packet: bytes, datagram: Datagram) -> None:
+        """Tell the caller that nothing was delivered."""
+        frame = decode_frame(datagram.data)
+        send_refusal(self.fabric, self.settings.fabric_return, packet, frame.request)
+
+    async def _receive_fabric(self) -> None:
+        while True:
+            await self.inbox_send.send(FabricBatch(await self.fabric.receive()))
--- /dev/null
+++ b/citronwinch/daemon/_process.py
@@ -0,0 +1,163 @@
+"""What both roles of the daemon have in common."""
+
+import random
+import signal
+import time
+from abc import ABC, abstractmethod
+
+import structlog
+import trio
+
+from citronwinch.coordination import Instance, MonotonicClock, Table
+from citronwinch.daemon._events import (
+    Event,
+    InstancesChanged,
+    PeerBatch,
+    StopRequested,
+    TableChanged,
+    Tick,
+)
+from citronwinch.daemon._peer_port import PeerPort
+from citronwinch.daemon._platform_watch import watch_instances, watch_table
+from citronwinch.daemon._status import Status, StatusPage
+from citronwinch.network import DatagramPort, serve
+from citronwinch.operators import Metrics, Settings
+from citronwinch.peers import KeyRing
+
+INBOX_LIMIT = 256
+"""The most events that wait for the deciding task."""
+
+TICK_MS = 100
+"""How often the deciding task looks at the time, in milliseconds."""
+
+log = structlog.get_logger()
+
+
+class Process(ABC):
+    """A daemon: tasks around sockets, and one task that decides.
+
+    The tasks that own a socket send events to the inbox. The deciding task takes
+    them one at a time and owns all other state.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.clock = MonotonicClock()
+        self.instances: dict[str, Instance] = {}
+        self.state = "starting"
+        self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
+        accepted = [key for key in (settings.key, settings.previous_key) if key]
+        self.peers = PeerPort(
+            DatagramPort(settings.peer_address),
+            settings.name,
+            time.time_ns(),
+            KeyRing(settings.key, tuple(accepted)),
+            self.metrics,
+        )
+        self.peers.read_revision = lambda: self.table.revision
+
+    @property
+    @abstractmethod
+    def table(self) -> Table:
+        """The table in force."""
+
+    @property
+    @abstractmethod
+    def flow_count(self) -> int:
+        """The flows that are held or remembered."""
+
+    @abstractmethod
+    def handle(self, event: Event) -> None:
+        """React to one event of the role."""
+
+    @abstractmethod
+    def is_drained(self) -> bool:
+        """Whether a graceful shutdown is complete."""
+
+    @abstractmethod
+    def start_role_tasks(self, nursery: trio.Nursery) -> None:
+        """Start the tasks that only this role has."""
+
+    async def run(self) -> None:
+        """Run until a graceful shutdown is complete."""
+        source = random.Random(f"{self.settings.name}-{self.peers.incarnation}")
+        platform = (self.inbox_send, self.metrics, source)
+        page = StatusPage(self.metrics, self.read_status)
+        settings = self.settings
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_signals)
+            nursery.start_soon(self._receive_peers)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(serve, settings.http_address, page.handle)
+            nursery.start_soon(watch_table, settings.configuration_service, *platform)
+            nursery.start_soon(watch_instances, settings.instance_service, *platform)
+            self.start_role_tasks(nursery)
+            log.info("started", name=settings.name, role=settings.role.value)
+            await self._decide()
+            nursery.cancel_scope.cancel()
+        log.info("stopped", name=settings.name)
+
+    async def _decide(self) -> None:
+        deadline_ms: int | None = None
+        async for event in self.inbox:
+            self._handle_common(event)
+            self.handle(event)
+            if isinstance(event, StopRequested) and deadline_ms is None:
+                deadline_ms = self.clock.now_ms() + self.settings.stop_timeout_ms
+            if deadline_ms is not None and (
+                self.is_drained() or self.clock.now_ms() >= deadline_ms
+            ):
+                return
+
+    def _handle_common(self, event: Event) -> None:
+        if isinstance(event, InstancesChanged):
+            self.instances = {member.name: member for member in event.instances}
+        elif isinstance(event, TableChanged):
+            self.accept_table(event.table)
+        elif isinstance(event, StopRequested):
+            self.state = "stopping"
+            log.info("stopping", name=self.settings.name)
+
+    def accept_table(self, table: Table) -> None:
+        """Put a table in force and say so."""
+        if table.revision <= self.table.revision:
+            self.metrics.count("tables_ignored_total")
+            return
+        self.use_table(table)
+        self.metrics.set_gauge("table_revision", table.revision)
+        if self.state == "starting":
+            self.state = "ready"
+        log.info("table_in_force", revision=table.revision, rows=len(table.rows))
+
+    @abstractmethod
+    def use_table(self, table: Table) -> None:
+        """Decide by a newer table from now on."""
+
+    def read_status(self) -> Status:
+        """Return what this process says about itself."""
+        return Status(
+            self.settings.name,
+            self.settings.role.value,
+            self.state,
+            self.table.revision,
+            self.table.digest.hex(),
+            self.flow_count,
+            len(self.instances),
+        )
+
+    async def _receive_peers(self) -> None:
+        while True:
+            envelopes = await self.peers.receive()
+            if envelopes:
+                await self.inbox_send.send(PeerBatch(envelopes))
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_MS / 1000)
+            await self.inbox_send.send(Tick(self.clock.now_ms()))
+
+    async def _receive_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                await self.inbox_send.send(StopRequested())
--- /dev/null
+++ b/citronwinch/demo/__init__.py
@@ -0,0 +1,23 @@
+"""A deployment on loopback that shows the whole path under change."""
+
+from citronwinch.demo._demo import DemoOptions, DemoResult, run_demo
+from citronwinch.demo._deployment import (
+    DEPLOYMENTS,
+    DERWENT,
+    NAUTICA,
+    Deployment,
+    DeploymentShape,
+    ServiceShape,
+)
+
+__all__ = [
+    "DEPLOYMENTS",
+    "DERWENT",
+    "Deployment",
+    "DemoOptions",
+    "DemoResult",
+    "DeploymentShape",
+    "NAUTICA",
+    "ServiceShape",
+    "run_demo",
+]
--- /dev/null
+++ b/citronwinch/fabric/tests/test_ip_packet.py
@@ -0,0 +1,67 @@
+"""Tests of reading and building IP packets."""
+
+import dpkt
+import pytest
+
+from citronwinch.coordination import Endpoint, Flow, TransportProtocol, unpack_flow_key
+from citronwinch.fabric import (
+    MalformedPacketError,
+    build_refusal,
+    build_udp,
+    parse_packet,
+    parse_udp,
+)
+
+FLOWS = {
+    "ipv4": Flow(
+        TransportProtocol.UDP, Endpoint("192.0.2.1", 4000), Endpoint("192.0.2.9", 53)
+    ),
+    "ipv6": Flow(
+        TransportProtocol.UDP,
+        Endpoint("2001:db8::1", 4000),
+        Endpoint("2001:db8::9", 53),
+    ),
+}
+
+
+@pytest.fixture(params=FLOWS)
+def flow(request):
+    return FLOWS[request.param]
+
+
+def test_udp_packet_carries_its_flow_and_payload(flow):
+    packet = build_udp(flow, b"level 7", to_caller=False)
+    content = parse_udp(packet)
+    assert unpack_flow_key(content.flow) == flow
+    assert content.payload == b"level 7"
+    assert parse_packet(packet).opens
+
+
+def test_answer_goes_from_service_to_caller(flow):
+    content = parse_udp(build_udp(flow, b"ok", to_caller=True))
+    reverse = unpack_flow_key(content.flow)
+    assert (reverse.caller, reverse.service) == (flow.service, flow.caller)
+
+
+def test_refusal_of_udp_is_port_unreachable(flow):
+    refusal = build_refusal(build_udp(flow, b"x", to_caller=False))
+    if ":" in flow.caller.ip:
+        icmp = dpkt.ip6.IP6(refusal).data
+        assert (icmp.type, icmp.code) == (dpkt.icmp6.ICMP6_DST_UNREACH, 4)
+    else:
+        icmp = dpkt.ip.IP(refusal).data
+        assert (icmp.type, icmp.code) == (dpkt.icmp.ICMP_UNREACH, 3)
+
+
+MALFORMED = {
+    "empty": b"",
+    "version 5": b"\x55" + bytes(30),
+    "short header": b"\x45\x00",
+    "icmp": bytes(dpkt.ip.IP(p=1, data=dpkt.icmp.ICMP())),
+}
+
+
+@pytest.mark.parametrize("data", MALFORMED.values(), ids=MALFORMED.keys())
+def test_malformed_packet_is_reported(data):
+    with pytest.raises(MalformedPacketError):
+        parse_packet(data)
--- /dev/null
+++ b/citronwinch/network/__init__.py
@@ -0,0 +1,14 @@
+"""Sockets and HTTP shared by the adapters."""
+
+from citronwinch.network._datagram_port import Datagram, DatagramPort
+from citronwinch.network._http import HttpError, HttpRequest, HttpResponse, fetch, serve
+
+__all__ = [
+    "Datagram",
+    "DatagramPort",
+    "HttpError",
+    "HttpRequest",
+    "HttpResponse",
+    "fetch",
+    "serve",
+]
--- /dev/null
+++ b/citronwinch/network/_datagram_port.py
@@ -0,0 +1,79 @@
+"""A UDP socket that is read in batches."""
+
+import socket
+from typing import NamedTuple
+
+import trio
+
+from citronwinch.coordination import Endpoint
+
+BATCH_LIMIT = 64
+"""The most datagrams that one read returns."""
+
+DATAGRAM_LIMIT = 65_535
+"""The longest datagram that is read, in bytes."""
+
+BUFFER_BYTES = 4 << 20
+"""The kernel buffer asked for in each direction, in bytes."""
+
+
+class Datagram(NamedTuple):
+    """One received datagram."""
+
+    data: bytes
+    """Its payload."""
+
+    sender: tuple[str, int]
+    """The address and port that it came from."""
+
+
+class DatagramPort:
+    """A bound UDP socket, owned by the one task that receives from it.
+
+    Reading in batches keeps the cost of the event loop off the single packet.
+    Sending never waits: a full kernel buffer drops the datagram, as any link may.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        family = socket.AF_INET6 if ":" in endpoint.ip else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self.socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        self.socket.bind((endpoint.ip, endpoint.port))
+        self.endpoint = Endpoint(*self.socket.getsockname()[:2])
+        self.dropped_sends = 0
+
+    async def receive(self) -> list[Datagram]:
+        """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            if batch := self.receive_nowait():
+                return batch
+
+    def receive_nowait(self) -> list[Datagram]:
+        """Return the datagrams that are there, possibly none."""
+        batch: list[Datagram] = []
+        receive = self.socket.recvfrom
+        while len(batch) < BATCH_LIMIT:
+            try:
+                data, sender = receive(DATAGRAM_LIMIT)
+            except BlockingIOError:
+                break
+            except ConnectionError:
+                continue
+            batch.append(Datagram(data, sender))
+        return batch
+
+    def send(self, data: bytes, receiver: tuple[str, int]) -> bool:
+        """Send a datagram; return False when the kernel did not take it."""
+        try:
+            self.socket.sendto(data, receiver)
+        except OSError:
+            self.dropped_sends += 1
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
--- /dev/null
+++ b/citronwinch/operators/_metrics.py
@@ -0,0 +1,62 @@
+"""Counters and gauges of a daemon, rendered by aioprometheus."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from aioprometheus import Counter as ExportedCounter, Gauge as ExportedGauge, Registry
+from aioprometheus.formats import text
+
+
+class MetricKey(NamedTuple):
+    """One time series."""
+
+    name: str
+    """The metric's name without the `citronwinch_` prefix."""
+
+    reason: str = ""
+    """The value of the label `reason`; empty for a metric without it."""
+
+
+class Metrics:
+    """The counters and gauges of one process.
+
+    The packet path adds to plain integers; the exporter's objects are filled when
+    somebody reads them.
+
+    Example::
+
+        >>> metrics = Metrics()
+        >>> metrics.count("packets_total")
+        >>> metrics.counters[MetricKey("packets_total")]
+        1
+    """
+
+    def __init__(self) -> None:
+        self.counters: Counter[MetricKey] = Counter()
+        self.gauges: dict[MetricKey, float] = {}
+
+    def count(self, name: str, reason: str = "", amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[MetricKey(name, reason)] += amount
+
+    def set_gauge(self, name: str, value: float, reason: str = "") -> None:
+        """Set a gauge."""
+        self.gauges[MetricKey(name, reason)] = value
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        registry = Registry()
+        exported: dict[str, ExportedCounter | ExportedGauge] = {}
+        for kind, values in (
+            (ExportedCounter, self.counters),
+            (ExportedGauge, self.gauges),
+        ):
+            for key, value in sorted(values.items()):
+                if key.name not in exported:
+                    name = f"citronwinch_{key.name}"
+                    doc = key.name.replace("_", " ")
+                    exported[key.name] = kind(name, doc, registry=registry)
+                labels = {"reason": key.reason} if key.reason else {}
+                exported[key.name].set(labels, value)
+        rendered: bytes = text.TextFormatter().marshall(registry)
+        return rendered
--- /dev/null
+++ b/citronwinch/standins/__init__.py
@@ -0,0 +1,22 @@
+"""Stand-ins for what surrounds the system, for the demo and for tests."""
+
+from citronwinch.standins._backend_server import (
+    BackendServerSettings,
+    BackendServerStandin,
+)
+from citronwinch.standins._fabric import FabricStandin, run_fabric
+from citronwinch.standins._platform import (
+    PlatformFaults,
+    PlatformStandin,
+    run_platform,
+)
+
+__all__ = [
+    "BackendServerSettings",
+    "BackendServerStandin",
+    "FabricStandin",
+    "PlatformFaults",
+    "PlatformStandin",
+    "run_fabric",
+    "run_platform",
+]
--- /dev/null
+++ b/citronwinch/standins/_platform.py
@@ -0,0 +1,133 @@
+"""A stand-in for the platform: configuration service and list of instances.
+
+It serves what lies in a directory: `table.csv` and `instances.json`. Each change of
+`table.csv` gets the next revision. It can be made stale, slow or unavailable, and it
+counts reads.
+"""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+import trio
+
+from citronwinch.coordination import Endpoint
+from citronwinch.network import HttpRequest, HttpResponse, serve
+from citronwinch.operators import parse_table
+from citronwinch.platform import split_table
+
+POLL_MS = 50
+"""How often the directory is looked at, in milliseconds."""
+
+
+class PlatformFaults(NamedTuple):
+    """What is wrong with the platform at the moment."""
+
+    unavailable: bool = False
+    """Whether every read fails."""
+
+    frozen: bool = False
+    """Whether changes stay unseen, so that readers get an old state."""
+
+    delay_ms: int = 0
+    """How long each read takes."""
+
+
+class PlatformStandin:
+    """Holds keys and instances, and answers reads and watches."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.revision = 0
+        self.values: dict[str, tuple[int, str]] = {}
+        self.instances: tuple[int, list[dict[str, Any]]] = (0, [])
+        self.faults = PlatformFaults()
+        self.reads = 0
+        self.changed = trio.Event()
+
+    def publish_table(self, text: str) -> list[str]:
+        """Publish CSV text under the next revision; return its mistakes instead."""
+        parsed = parse_table(text, self.revision + 1)
+        if parsed.is_error():
+            return [str(problem) for problem in parsed.error]
+        self.revision += 1
+        for key, value in split_table(parsed.ok).items():
+            self.publish_key(key, value)
+        return []
+
+    def publish_key(self, key: str, value: str) -> None:
+        """Write one key as an operator's pipeline would."""
+        if self.values.get(key, (0, None))[1] != value:
+            self.index += 1
+            self.values[key] = (self.index, value)
+            self.notify()
+
+    def publish_instances(self, instances: list[dict[str, Any]]) -> None:
+        """Replace the list of instances."""
+        self.index += 1
+        self.instances = (self.index, instances)
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake all watches."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one read or watch."""
+        self.reads += 1
+        await trio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.unavailable:
+            return HttpResponse(503, b'{"error":"unavailable"}')
+        after = int(request.query.get("after", "0"))
+        with trio.move_on_after(int(request.query.get("wait_ms", "0")) / 1000):
+            while self.find_index(request.path) <= after:
+                await self.changed.wait()
+        if request.path == "/v1/instances":
+            index, members = self.instances
+            return reply_json({"index": index, "instances": members})
+        if request.path == "/v1/reads":
+            return reply_json({"reads": self.reads})
+        key = request.path.removeprefix("/v1/keys/")
+        if key not in self.values:
+            return HttpResponse(404, b'{"error":"no such key"}')
+        index, value = self.values[key]
+        return reply_json({"index": index, "value": value})
+
+    def find_index(self, path: str) -> int:
+        """Return the index of what a path names, 0 when there is nothing."""
+        if path == "/v1/instances":
+            return self.instances[0]
+        return self.values.get(path.removeprefix("/v1/keys/"), (0, ""))[0]
+
+    async def follow_directory(self, directory: Path) -> None:
+        """Publish the files of a directory whenever they change."""
+        seen: dict[str, bytes] = {}
+        while True:
+            for name in ("table.csv", "instances.json"):
+                path = directory / name
+                data = path.read_bytes() if path.exists() else b""
+                if data and seen.get(name) != data and not self.faults.frozen:
+                    seen[name] = data
+                    self.publish_file(name, data)
+            await trio.sleep(POLL_MS / 1000)
+
+    def publish_file(self, name: str, data: bytes) -> None:
+        """Publish the content of one file."""
+        if name == "table.csv":
+            self.publish_table(data.decode())
+        else:
+            self.publish_instances(orjson.loads(data))
+
+
+def reply_json(body: object) -> HttpResponse:
+    """Return a successful answer."""
+    return HttpResponse(200, orjson.dumps(body))
+
+
+async def run_platform(listen: Endpoint, directory: Path) -> None:
+    """Serve a directory until cancelled."""
+    standin = PlatformStandin()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(standin.follow_directory, directory)
+        nursery.start_soon(serve, listen, standin.handle)
--- /dev/null
+++ b/citronwinch/tool/__main__.py
@@ -0,0 +1,3 @@
+from citronwinch.tool import main
+
+raise SystemExit(main())
