Name the interface between steering and load

Cause: steering and load grow side by side and need one agreed place to meet. Measured: nothing yet; no behaviour changes.

--- a/citronwinch/coordination/load/__init__.py
+++ b/citronwinch/coordination/load/__init__.py
@@ -1,3 +1,5 @@
 """Load: which backend server takes a new flow, and when work is refused."""
 
-__all__: list[str] = []
+from citronwinch.coordination.load._chooser import FirstCandidateChooser, OwnerChooser
+
+__all__ = ["FirstCandidateChooser", "OwnerChooser"]
