Run a request at most once and say "not run" only when that is certain

Cause: an agent delivered every copy, refused without remembering it, and had no notion of deadline, cancellation or a former run.

Change: AgentRequests keeps a duplicate window per flow and request id, bounded in bytes, with a quarter reserved for tombstones; a full window refuses, and without room for a tombstone the caller hears "unknown". Records are kept until deadline plus the longest packet lifetime, counted from the earliest time at which a packet that is still to be handled may have arrived, so that copies in the socket buffer of a paused process still meet their record. A fresh agent answers "unknown" for what its former run may have seen; records and the age of that knowledge can be handed over. A copy that the caller sends anew says how old its request is. A balancer no longer says "not run": another one may have delivered another copy.

An agent says ready only after its grace, 5 s after its start.

--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -1,9 +1,72 @@
-"""Requests: what callers say of them, and what becomes of them."""
+"""Requests: what callers say of them, and what becomes of them.
 
+`AgentRequests` decides at the agent; `CallerRequests` is for the caller's side.
+"""
+
+from citronwinch.coordination.requests._actions import (
+    Discard,
+    EndGuestFlow,
+    PassCancel,
+    RequestAction,
+    RequestArrival,
+    RetryElsewhere,
+    SendPart,
+    StartRequest,
+    TellOutcome,
+)
+from citronwinch.coordination.requests._agent import ALL_FLOWS, AgentRequests
+from citronwinch.coordination.requests._answers import AnswerKeeper
+from citronwinch.coordination.requests._eras import RequestEras
+from citronwinch.coordination.requests._messages import (
+    RequestRecords,
+    RequestsMessage,
+    RetryRequest,
+)
 from citronwinch.coordination.requests._metadata import (
+    PACKET_LIFETIME_MS,
     REQUEST_ID_BYTES,
+    REQUEST_TIMEOUT_LIMIT_MS,
     RequestKind,
     RequestMetadata,
 )
+from citronwinch.coordination.requests._records import (
+    RECORD_BYTES,
+    ExportedRecord,
+    RequestKey,
+    RequestRecord,
+    RequestState,
+)
+from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
+from citronwinch.coordination.requests._window import RequestWindow
 
-__all__ = ["REQUEST_ID_BYTES", "RequestKind", "RequestMetadata"]
+__all__ = [
+    "ALL_FLOWS",
+    "AgentRequests",
+    "AnswerKeeper",
+    "Discard",
+    "EndGuestFlow",
+    "ExportedRecord",
+    "PACKET_LIFETIME_MS",
+    "PassCancel",
+    "RECORD_BYTES",
+    "REQUEST_ID_BYTES",
+    "REQUEST_TIMEOUT_LIMIT_MS",
+    "RequestAction",
+    "RequestArrival",
+    "RequestEras",
+    "RequestKey",
+    "RequestKind",
+    "RequestMetadata",
+    "RequestRecord",
+    "RequestRecords",
+    "RequestState",
+    "RequestWindow",
+    "RequestsMessage",
+    "RetryBudget",
+    "RetryElsewhere",
+    "RetryRequest",
+    "SendPart",
+    "StartRequest",
+    "TellOutcome",
+    "choose_backoff_ms",
+]
--- /dev/null
+++ b/citronwinch/coordination/requests/_messages.py
@@ -0,0 +1,50 @@
+"""Messages between the agents of a service about requests."""
+
+from typing import NamedTuple
+
+from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination.requests._metadata import RequestMetadata
+from citronwinch.coordination.requests._records import ExportedRecord
+
+
+class RetryRequest(NamedTuple):
+    """Asks another agent to run a request that a backend server has shed."""
+
+    flow: FlowKey
+    """The flow on which the request came; answers go to its caller."""
+
+    service: str
+    """The service under which the flow was opened."""
+
+    request: RequestMetadata
+    """The request, with the time that is left now."""
+
+    payload: bytes
+    """The caller's datagram as it goes to the backend server."""
+
+    tried: tuple[str, ...]
+    """The backend servers that have shed it."""
+
+
+class RequestRecords(NamedTuple):
+    """Hands records of requests over to another agent.
+
+    A long hand-over goes in several messages. The receiver counts on it only once
+    it has `total` records, so that a lost message does no harm.
+    """
+
+    flow: FlowKey
+    """The flow whose records these are; empty for all records of an agent."""
+
+    era_age_ms: int
+    """How long ago the sender began to have complete records of its own."""
+
+    total: int
+    """The number of records in all messages of the hand-over."""
+
+    records: tuple[ExportedRecord, ...]
+    """The records in this message."""
+
+
+RequestsMessage = RetryRequest | RequestRecords
+"""Everything that agents say to each other about requests."""
--- a/citronwinch/coordination/requests/_metadata.py
+++ b/citronwinch/coordination/requests/_metadata.py
@@ -6,6 +6,12 @@
 REQUEST_ID_BYTES = 16
 """Length of a request id in bytes."""
 
+PACKET_LIFETIME_MS = 5_000
+"""The longest time from sending a packet until its last copy arrives."""
+
+REQUEST_TIMEOUT_LIMIT_MS = 60_000
+"""The longest timeout of a request; also the timeout of a request without one."""
+
 
 class RequestKind(IntEnum):
     """What a packet with request metadata is."""
@@ -52,3 +58,6 @@
 
     part_count: int = 1
     """The number of parts of the answer."""
+
+    age_ms: int = 0
+    """How long ago the caller first sent the request; 0 in the first copy."""
--- /dev/null
+++ b/citronwinch/coordination/requests/tests/test_agent.py
@@ -0,0 +1,198 @@
+"""What one agent does about one event, in a table of named cases."""
+
+import pytest
+
+from citronwinch.coordination.requests import (
+    PACKET_LIFETIME_MS,
+    RECORD_BYTES,
+    AnswerKeeper,
+    RequestKind,
+    RequestMetadata,
+    RequestWindow,
+    StartRequest,
+)
+from citronwinch.coordination.requests._actions import EndGuestFlow, RetryElsewhere
+from citronwinch.coordination.requests.tests.conftest import (
+    FLOW,
+    START_MS,
+    make_arrival,
+    make_requests,
+)
+
+CASES = {
+    "a new request starts": ("request", "StartRequest"),
+    "a doubled copy is dropped": ("request request", "doubled_request"),
+    "a tombstone answers a late copy": ("refuse request", "not_run tombstone"),
+    "an uncertain refusal is unknown": ("refuse_elsewhere", "unknown full"),
+    "an answer goes to the caller": ("request answer", "SendPart"),
+    "a doubled part is dropped": ("request part part", "doubled_part"),
+    "a part after the whole answer is dropped": ("request answer part", "late_part"),
+    "a part of no request is dropped": ("answer", "foreign_part"),
+    "a copy of an answered request is dropped": (
+        "request answer request",
+        "doubled_request",
+    ),
+    "an answer is sent again when asked again": (
+        "request answer resent",
+        "SendPart",
+    ),
+    "no answer by the deadline is unknown": ("request deadline", "unknown deadline"),
+    "asking again after that is unknown again": (
+        "request deadline resent",
+        "unknown given_up",
+    ),
+    "an answer after the deadline is dropped": (
+        "request deadline answer",
+        "late_part",
+    ),
+    "a request that expired in a pause": ("old_request", "not_run expired"),
+    "a timeout beyond the limit": ("long_request", "not_run timeout_too_long"),
+    "cancelled before it came": ("cancel request", "not_run tombstone"),
+    "cancelled in progress": ("request cancel", "PassCancel"),
+    "cancelled after the answer": ("request answer cancel", "late_cancel"),
+    "shed and not repeatable": ("request shed", "not_run shed"),
+    "shed after a part is dropped": ("request part shed", "late_part"),
+    "a lost connection is unknown": ("request lost", "unknown connection_lost"),
+    "the kernel refused to send": ("request unsent", "not_run undeliverable"),
+    "a stopping agent refuses": ("stop request", "not_run stopping"),
+    "a stopping agent finishes": ("request stop answer", "SendPart"),
+    "a fresh agent cannot know": ("fresh request", "unknown former_run"),
+    "a fresh agent refuses nothing for sure": ("fresh refuse", "unknown full"),
+    "a flow taken over without records": ("flow request", "unknown former_run"),
+}
+
+
+class Table:
+    def __init__(self, clock, agent):
+        self.clock, self.agent = clock, agent
+
+    def play(self, event):
+        agent, clock = self.agent, self.clock
+        match event:
+            case "request":
+                return self.arrive()
+            case "resent":
+                return self.arrive(age_ms=1_000, remaining_ms=1_000)
+            case "old_request":
+                return self.arrive(arrived_ms=START_MS - 2_000)
+            case "long_request":
+                return self.arrive(remaining_ms=90_000)
+            case "cancel":
+                return self.arrive(kind=RequestKind.CANCEL)
+            case "refuse" | "refuse_elsewhere":
+                arrival = make_arrival(clock)
+                return agent.refuse(arrival, "full", is_final=event == "refuse")
+            case "answer" | "part" | "shed":
+                kind = RequestKind.SHED if event == "shed" else RequestKind.ANSWER
+                count = 2 if event == "part" else 1
+                answer = RequestMetadata(kind, make_arrival(clock).key.request_id)
+                return agent.reply(FLOW, answer._replace(part_count=count), b"body")
+            case "deadline":
+                clock.advance(2_000)
+                return agent.advance(clock.now_ms())
+            case "lost":
+                return agent.lose_flow(FLOW)
+            case "unsent":
+                return agent.fail_delivery(make_arrival(clock).key)
+            case "stop":
+                return agent.stop()
+            case "fresh":
+                return agent.eras.begin(clock.now_ms())
+            case "flow":
+                return agent.begin_flow(FLOW)
+        raise AssertionError(event)
+
+    def arrive(self, **fields):
+        arrival = make_arrival(self.clock, **fields)
+        return self.agent.receive(arrival, False) or self.agent.deliver(arrival)
+
+
+def describe(action):
+    kind = f"{action.kind.name.lower()} " if hasattr(action, "kind") else ""
+    return kind + getattr(action, "reason", type(action).__name__)
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_case(name, clock, requests):
+    events, expected = CASES[name]
+    table = Table(clock, requests)
+    actions = [table.play(event) for event in events.split()][-1]
+    assert describe(actions[0]) == expected
+
+
+def test_a_full_window_refuses_and_then_says_unknown(clock):
+    agent = make_requests(clock, window=RequestWindow(clock, 8 * RECORD_BYTES))
+    agent.eras.end_grace()
+    outcomes = []
+    for number in range(10):
+        arrival = make_arrival(clock, number=number)
+        outcomes.append(describe(agent.deliver(arrival)[0]))
+    assert outcomes[:6] == ["StartRequest"] * 6
+    assert outcomes[6:8] == ["not_run window_full"] * 2
+    assert outcomes[8:] == ["unknown no_tombstone"] * 2
+    clock.advance(2_000 + PACKET_LIFETIME_MS)
+    agent.advance(clock.now_ms())
+    first = make_arrival(clock, number=0)
+    assert describe(agent.receive(first, False)[0]) == "doubled_request"
+    clock.advance(1)
+    agent.advance(clock.now_ms())
+    assert agent.window.used_bytes == 0
+
+
+def test_a_shed_request_moves_on_within_the_budget(clock):
+    agent = make_requests(clock, tokens=1.0)
+    agent.eras.end_grace()
+    outcomes = []
+    for number in (1, 2):
+        arrival = make_arrival(clock, number=number, repeatable=True)
+        agent.deliver(arrival, is_guest=True)
+        shed = RequestMetadata(RequestKind.SHED, arrival.key.request_id)
+        outcomes.append([describe(action) for action in agent.reply(FLOW, shed, b"")])
+    assert outcomes == [[], ["not_run shed"]]
+    clock.advance(20)
+    retry, ended = agent.advance(clock.now_ms())
+    assert isinstance(retry, RetryElsewhere)
+    assert retry.arrival.request.remaining_ms <= 2_000
+    assert ended == EndGuestFlow(FLOW)
+    assert describe(agent.fail_retry(retry.arrival.key)[0]) == "not_run shed"
+
+
+def test_a_retry_is_never_due_past_the_deadline(clock):
+    agent = make_requests(clock, tokens=5.0)
+    agent.eras.end_grace()
+    arrival = make_arrival(clock, repeatable=True, remaining_ms=1)
+    agent.source.randrange = lambda _: 1
+    agent.deliver(arrival)
+    shed = RequestMetadata(RequestKind.SHED, arrival.key.request_id)
+    assert describe(agent.reply(FLOW, shed, b"")[0]) == "not_run shed"
+    assert agent.budget.tokens == 5.0
+
+
+def test_kept_answers_are_bounded_and_losing_one_runs_nothing_again(clock):
+    agent = make_requests(clock, keeper=AnswerKeeper(limit_bytes=1_000))
+    agent.eras.end_grace()
+    for number in range(8):
+        arrival = make_arrival(clock, number=number)
+        assert isinstance(agent.deliver(arrival)[0], StartRequest)
+        answer = RequestMetadata(RequestKind.ANSWER, arrival.key.request_id)
+        agent.reply(FLOW, answer, bytes(200))
+        assert agent.keeper.kept_bytes <= 1_000
+    resent = make_arrival(clock, number=0, age_ms=500)
+    assert describe(agent.receive(resent, True)[0]) == "doubled_request"
+
+
+def test_hand_over_ends_the_grace_only_when_whole(clock, requests):
+    for number in range(250):
+        requests.deliver(make_arrival(clock, number=number))
+    first, *others = requests.hand_over()
+    successor = make_requests(clock)
+    for message in (first, first, *others[:-1]):
+        successor.take_over(message)
+    new = make_arrival(clock, number=999)
+    assert describe(successor.deliver(new)[0]) == "unknown former_run"
+    successor.take_over(others[-1])
+    assert describe(successor.deliver(new)[0]) == "StartRequest"
+    late = make_arrival(clock, number=7)
+    assert describe(successor.receive(late, True)[0]) == "doubled_request"
+    answer = RequestMetadata(RequestKind.ANSWER, late.key.request_id)
+    assert describe(successor.reply(FLOW, answer, b"body")[0]) == "SendPart"
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -6,6 +6,7 @@
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._placement import rank_candidates
 from citronwinch.coordination._table import EMPTY_TABLE, Table
+from citronwinch.coordination.requests import RequestMetadata
 from citronwinch.coordination.steering._messages import Forward, Hint
 
 
@@ -18,6 +19,9 @@
     packet: bytes
     """The IP packet."""
 
+    request: RequestMetadata | None = None
+    """What the caller said of its request."""
+
 
 class PassOn(NamedTuple):
     """Send the message to another agent of the service."""
@@ -54,6 +58,12 @@
     retry_after_ms: int
     """When the caller may ask again."""
 
+    request: RequestMetadata | None = None
+    """What the caller said of its request."""
+
+    is_certain: bool = True
+    """Whether no other process can have delivered a copy of the packet."""
+
 
 AgentAction = Deliver | PassOn | TellBalancer | Refuse
 """What an agent does about a message."""
@@ -110,7 +120,9 @@
         if owned.service != message.service:
             return [refuse(message, "wrong_service")]
         self.owned[message.flow] = owned._replace(last_seen_ms=self.clock.now_ms())
-        actions: list[AgentAction] = [Deliver(message.flow, message.packet)]
+        actions: list[AgentAction] = [
+            Deliver(message.flow, message.packet, message.request)
+        ]
         if message.hops or not message.pinned:
             hint = Hint(message.flow, self.backend_server)
             actions.append(TellBalancer(message.balancer, hint))
@@ -141,4 +153,11 @@
 
 def refuse(message: Forward, reason: str) -> Refuse:
     """Return the refusal of a forwarded packet."""
-    return Refuse(message.flow, message.packet, reason, RETRY_AFTER_MS)
+    return Refuse(
+        message.flow,
+        message.packet,
+        reason,
+        RETRY_AFTER_MS,
+        message.request,
+        is_certain=reason == "full",
+    )
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -1,12 +1,13 @@
 """The agent: decides for its backend server and delivers packets to it."""
 
+import random
 from functools import singledispatchmethod
 
 import trio
 
-from citronwinch.backend_servers import Reply, UdpDelivery, read_request_header
+from citronwinch.backend_servers import Reply, UdpDelivery
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
-from citronwinch.coordination.requests import RequestMetadata
+from citronwinch.coordination.requests import RequestRecords, RetryRequest
 from citronwinch.coordination.steering import (
     AgentSteering,
     Deliver,
@@ -15,9 +16,17 @@
     Refuse,
     TellBalancer,
 )
-from citronwinch.daemon._events import Event, PeerBatch, ReplyArrived, Tick
+from citronwinch.daemon._agent_requests import RequestHandler
+from citronwinch.daemon._events import (
+    Event,
+    PeerBatch,
+    ReplyArrived,
+    StopRequested,
+    Tick,
+)
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
+from citronwinch.daemon._status import Status
 from citronwinch.fabric import (
     GeneveFrame,
     MalformedPacketError,
@@ -35,7 +44,7 @@
         self.steering = AgentSteering(settings.name, self.clock)
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
-        self.request: RequestMetadata | None = None
+        self.requests = RequestHandler(self, random.Random(settings.name))
 
     @property
     def table(self) -> Table:
@@ -56,7 +65,7 @@
                 row.backend_server_address,
                 self.nursery,
                 self.queue_reply,
-                self.end_flow,
+                self.lose_flow,
             )
 
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
@@ -64,8 +73,8 @@
         self.nursery = nursery
 
     def is_drained(self) -> bool:
-        """Whether no flow is left."""
-        return not self.steering.owned
+        """Whether no flow is left and no request is in progress."""
+        return not self.steering.owned and self.requests.requests.is_idle()
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -77,17 +86,23 @@
     def handle(self, event: Event) -> None:
         """React to forwarded packets, replies and the passing of time."""
         if isinstance(event, PeerBatch):
+            self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
+                elif isinstance(envelope.message, RetryRequest | RequestRecords):
+                    self.requests.accept(envelope.message)
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
         elif isinstance(event, Tick):
             self.end_idle_flows(event.now_ms)
+        elif isinstance(event, StopRequested):
+            self.requests.requests.stop()
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
-        self.request = message.request
+        if self.requests.intercept(message):
+            return
         for action in self.steering.handle_forward(message):
             self.act(action)
 
@@ -98,6 +113,8 @@
 
     @act.register
     def _(self, action: Deliver) -> None:
+        if self.requests.deliver(action):
+            return
         try:
             payload = parse_udp(action.packet).payload
         except MalformedPacketError:
@@ -123,20 +140,24 @@
 
     @act.register
     def _(self, action: Refuse) -> None:
+        if self.requests.refuse(action):
+            return
         self.metrics.count("packets_refused_total", action.reason)
         send_refusal(
             self.peers.port,
             self.settings.fabric_return,
             action.packet,
-            self.request,
+            None,
             retry_after_ms=action.retry_after_ms,
         )
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        if self.requests.answer(reply):
+            return
         flow = unpack_flow_key(reply.flow)
         packet = build_udp(flow, reply.payload, to_caller=True)
-        frame = GeneveFrame(packet, read_request_header(reply.payload))
+        frame = GeneveFrame(packet)
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
 
@@ -151,6 +172,25 @@
         for flow in idle:
             self.end_flow(flow)
 
+    def lose_flow(self, flow: FlowKey) -> None:
+        """End a flow whose backend server is gone."""
+        self.requests.lose_flow(flow)
+        self.end_flow(flow)
+
+    def can_take_guest(self, service: str) -> bool:
+        """Whether the backend server may get a request of another agent's flow."""
+        row = self.table.row_by_backend_server.get(self.settings.name)
+        if row is None or row.service != service or row.weight == 0:
+            return False
+        return self.flow_count < row.connection_limit
+
+    def read_status(self) -> Status:
+        """Say ready only once every request that is sent from now on is served."""
+        status = super().read_status()
+        if status.state == "ready" and not self.requests.requests.is_settled():
+            return status._replace(state="starting")
+        return status
+
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -3,7 +3,9 @@
 import trio
 
 from citronwinch.coordination import Table
+from citronwinch.coordination.requests import RequestKind
 from citronwinch.coordination.steering import BalancerSteering, Hint
+from citronwinch.daemon._arrivals import WAIT_LIMIT_MS, ArrivalWatch
 from citronwinch.daemon._events import Event, FabricBatch, PeerBatch
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal
@@ -51,21 +53,29 @@
     def handle(self, event: Event) -> None:
         """React to packets and hints."""
         if isinstance(event, FabricBatch):
+            is_late = self.clock.now_ms() - event.arrived_ms > WAIT_LIMIT_MS
             for datagram in event.frames:
-                self.handle_frame(datagram)
+                self.handle_frame(datagram, is_late)
         elif isinstance(event, PeerBatch):
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Hint):
                     self.steering.accept_hint(envelope.message)
 
-    def handle_frame(self, datagram: Datagram) -> None:
-        """Send one packet to its agent; count and drop what cannot be read."""
+    def handle_frame(self, datagram: Datagram, is_late: bool = False) -> None:
+        """Send one packet to its agent; count and drop what cannot be read.
+
+        A request that may have waited here for long is dropped, because agents
+        count on a longest lifetime of its copies.
+        """
         try:
             frame = decode_frame(datagram.data)
             packet = parse_packet(frame.packet)
         except (MalformedFrameError, MalformedPacketError):
             self.metrics.count("packets_dropped_total", "malformed")
             return
+        if is_late and frame.request is not None:
+            self.metrics.count("packets_dropped_total", "late_request")
+            return
         service = self.table.service_of(packet.flow)
         routed = self.steering.forward(packet, service) if service else None
         if routed is None:
@@ -81,10 +91,23 @@
         self.peers.send(message._replace(request=frame.request), instance.address)
 
     def refuse(self, packet: bytes, datagram: Datagram) -> None:
-        """Tell the caller that nothing was delivered."""
-        frame = decode_frame(datagram.data)
-        send_refusal(self.fabric, self.settings.fabric_return, packet, frame.request)
+        """Tell the caller that nothing was delivered.
+
+        Another balancer with a newer table may have delivered another copy of a
+        request, so that its caller hears "unknown".
+        """
+        request = decode_frame(datagram.data).request
+        send_refusal(
+            self.fabric,
+            self.settings.fabric_return,
+            packet,
+            request,
+            RequestKind.UNKNOWN,
+        )
 
     async def _receive_fabric(self) -> None:
+        watch = ArrivalWatch(self.fabric, self.clock)
         while True:
-            await self.inbox_send.send(FabricBatch(await self.fabric.receive()))
+            frames, arrived_ms = await watch.receive(self.fabric.receive)
+            if frames:
+                await self.inbox_send.send(FabricBatch(frames, arrived_ms))
--- a/citronwinch/daemon/_events.py
+++ b/citronwinch/daemon/_events.py
@@ -14,12 +14,18 @@
     frames: list[Datagram]
     """The datagrams, in order of arrival."""
 
+    arrived_ms: int = 0
+    """The earliest time at which these and later datagrams may have arrived."""
+
 
 class PeerBatch(NamedTuple):
     """Messages of the system's other processes."""
 
     envelopes: list[Envelope]
-    """The messages, in order of arrival."""
+    """The messages, in order of arrival; empty when none came for a while."""
+
+    arrived_ms: int = 0
+    """The earliest time at which these and later messages may have arrived."""
 
 
 class ReplyArrived(NamedTuple):
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -9,6 +9,7 @@
 import trio
 
 from citronwinch.coordination import Instance, MonotonicClock, Table
+from citronwinch.daemon._arrivals import ArrivalWatch
 from citronwinch.daemon._events import (
     Event,
     InstancesChanged,
@@ -147,10 +148,10 @@
         )
 
     async def _receive_peers(self) -> None:
+        watch = ArrivalWatch(self.peers.port, self.clock)
         while True:
-            envelopes = await self.peers.receive()
-            if envelopes:
-                await self.inbox_send.send(PeerBatch(envelopes))
+            envelopes, arrived_ms = await watch.receive(self.peers.receive)
+            await self.inbox_send.send(PeerBatch(envelopes, arrived_ms))
 
     async def _tick(self) -> None:
         while True:
--- a/citronwinch/daemon/_refusals.py
+++ b/citronwinch/daemon/_refusals.py
@@ -1,7 +1,7 @@
 """Telling a caller that its packet was not delivered."""
 
-from citronwinch.backend_servers import add_request_header
-from citronwinch.coordination import Endpoint, unpack_flow_key
+from citronwinch.backend_servers import add_request_header, read_request_header
+from citronwinch.coordination import Endpoint, FlowKey, unpack_flow_key
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.fabric import (
     GeneveFrame,
@@ -26,15 +26,34 @@
 ) -> None:
     """Refuse a packet: by its request when it has one, else by RST or ICMP."""
     if request is None:
-        answer = GeneveFrame(build_refusal(packet))
-    else:
-        outcome = RequestMetadata(
-            kind, request.request_id, request.repeatable, retry_after_ms
-        )
-        flow = unpack_flow_key(parse_udp(packet).flow)
-        payload = add_request_header(outcome, b"")
-        answer = GeneveFrame(build_udp(flow, payload, to_caller=True), outcome)
-    send_to_fabric(port, fabric_return, answer)
+        send_to_fabric(port, fabric_return, GeneveFrame(build_refusal(packet)))
+        return
+    outcome = RequestMetadata(
+        kind, request.request_id, request.repeatable, retry_after_ms
+    )
+    send_outcome(port, fabric_return, parse_udp(packet).flow, outcome)
+
+
+def send_outcome(
+    port: DatagramPort,
+    fabric_return: tuple[Endpoint, ...],
+    flow: FlowKey,
+    outcome: RequestMetadata,
+) -> None:
+    """Tell the caller of a flow what became of its request."""
+    send_to_caller(port, fabric_return, flow, add_request_header(outcome, b""))
+
+
+def send_to_caller(
+    port: DatagramPort,
+    fabric_return: tuple[Endpoint, ...],
+    flow: FlowKey,
+    payload: bytes,
+) -> None:
+    """Send a datagram with a request header to the caller of a flow."""
+    packet = build_udp(unpack_flow_key(flow), payload, to_caller=True)
+    frame = GeneveFrame(packet, read_request_header(payload))
+    send_to_fabric(port, fabric_return, frame)
 
 
 def send_to_fabric(
--- /dev/null
+++ b/citronwinch/daemon/tests/test_arrivals.py
@@ -0,0 +1,72 @@
+"""How early a datagram may have arrived, around a pause and under load."""
+
+import socket
+
+import pytest
+import trio
+
+from citronwinch.coordination import Endpoint, ManualClock
+from citronwinch.daemon._arrivals import (
+    WAIT_LIMIT_MS,
+    ArrivalWatch,
+    find_arrival_ms,
+)
+from citronwinch.network import BATCH_LIMIT, DatagramPort
+
+
+@pytest.fixture
+def port():
+    port = DatagramPort(Endpoint("127.0.0.1", 0))
+    yield port
+    port.close()
+
+
+@pytest.fixture
+def sender(port):
+    link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    link.connect(port.endpoint)
+    yield link
+    link.close()
+
+
+def test_what_waited_through_a_pause_counts_from_before_it(port, sender):
+    async def run():
+        clock = ManualClock(1_000)
+        watch = ArrivalWatch(port, clock)
+        assert await watch.receive(port.receive) == ([], 1_000)
+        for _ in range(BATCH_LIMIT + 1):
+            sender.send(b"late copy")
+        clock.advance(9_000)
+        first, first_ms = await watch.receive(port.receive)
+        second, second_ms = await watch.receive(port.receive)
+        assert (len(first), first_ms) == (BATCH_LIMIT, 1_000)
+        assert (len(second), second_ms) == (1, 1_000)
+        sender.send(b"new")
+        assert (await watch.receive(port.receive))[1] == 10_000
+
+    trio.run(run)
+
+
+def test_a_busy_socket_does_not_keep_an_old_time(port, sender):
+    async def run():
+        clock = ManualClock(1_000)
+        watch = ArrivalWatch(port, clock)
+        watch.capacity = 2 * BATCH_LIMIT
+        times = []
+        for _ in range(10):
+            for _ in range(BATCH_LIMIT):
+                sender.send(b"packet")
+            clock.advance(10)
+            _, arrived_ms = await watch.receive(port.receive)
+            times.append(clock.now_ms() - arrived_ms)
+        assert max(times) <= 10 * 2 * (watch.capacity // BATCH_LIMIT + 2)
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "expected_ms"),
+    [(0, 10_000), (WAIT_LIMIT_MS, 10_000), (WAIT_LIMIT_MS + 1, 9_499)],
+)
+def test_only_a_hold_up_moves_the_arrival_time(wait_ms, expected_ms):
+    assert find_arrival_ms(10_000 - wait_ms, 10_000) == expected_ms
--- a/citronwinch/fabric/_geneve.py
+++ b/citronwinch/fabric/_geneve.py
@@ -26,6 +26,9 @@
 REQUEST_OPTION_TYPE = 0x01
 """Option type of request metadata."""
 
+AGE_LIMIT_MS = 0xFFFF
+"""The highest age of a request that can be told, in milliseconds."""
+
 _HEADER = struct.Struct("!BBHI")
 _OPTION = struct.Struct("!HBB")
 _REQUEST = struct.Struct(f"!BBHHHI{REQUEST_ID_BYTES}s")
@@ -104,7 +107,7 @@
         request.repeatable,
         request.part,
         request.part_count,
-        0,
+        min(request.age_ms, AGE_LIMIT_MS),
         request.remaining_ms,
         request.request_id,
     )
@@ -116,15 +119,20 @@
         raise MalformedFrameError(
             f"expected request metadata of {_REQUEST.size} bytes, found {len(body)}"
         )
-    kind, repeatable, part, part_count, _, remaining_ms, request_id = _REQUEST.unpack(
-        body
-    )
+    fields = _REQUEST.unpack(body)
+    kind, repeatable, part, part_count, age_ms, remaining_ms, request_id = fields
     if kind not in _REQUEST_KINDS:
         raise MalformedFrameError(f"unknown request kind {kind}")
     if part >= part_count:
         raise MalformedFrameError(f"part {part} of {part_count}")
     return RequestMetadata(
-        RequestKind(kind), request_id, bool(repeatable), remaining_ms, part, part_count
+        RequestKind(kind),
+        request_id,
+        bool(repeatable),
+        remaining_ms,
+        part,
+        part_count,
+        age_ms,
     )
 
 
--- a/citronwinch/network/__init__.py
+++ b/citronwinch/network/__init__.py
@@ -1,9 +1,10 @@
 """Sockets and HTTP shared by the adapters."""
 
-from citronwinch.network._datagram_port import Datagram, DatagramPort
+from citronwinch.network._datagram_port import BATCH_LIMIT, Datagram, DatagramPort
 from citronwinch.network._http import HttpError, HttpRequest, HttpResponse, fetch, serve
 
 __all__ = [
+    "BATCH_LIMIT",
     "Datagram",
     "DatagramPort",
     "HttpError",
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -43,6 +43,7 @@
         self.socket.bind((endpoint.ip, endpoint.port))
         self.endpoint = Endpoint(*self.socket.getsockname()[:2])
         self.dropped_sends = 0
+        self.was_emptied = False
 
     async def receive(self) -> list[Datagram]:
         """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
@@ -63,6 +64,7 @@
             except ConnectionError:
                 continue
             batch.append(Datagram(data, sender))
+        self.was_emptied = len(batch) < BATCH_LIMIT
         return batch
 
     def send(self, data: bytes, receiver: tuple[str, int]) -> bool:
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -37,6 +37,7 @@
     target.remainingMs = request.remaining_ms
     target.part = request.part
     target.partCount = request.part_count
+    target.ageMs = request.age_ms
 
 
 def read_forward(reader: Any) -> Forward:
@@ -68,4 +69,5 @@
         reader.remainingMs,
         reader.part,
         reader.partCount,
+        reader.ageMs,
     )
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -8,6 +8,7 @@
   remainingMs @3 :UInt32;
   part @4 :UInt16;
   partCount @5 :UInt16;
+  ageMs @6 :UInt32;
 }
 
 struct Forward {
--- /dev/null
+++ b/citronwinch/peers/tests/test_requests_codec.py
@@ -0,0 +1,87 @@
+"""The wire form of messages about requests, and what is rejected."""
+
+import pytest
+
+from citronwinch.coordination import FlowKey
+from citronwinch.coordination.requests import (
+    ALL_FLOWS,
+    ExportedRecord,
+    RequestKey,
+    RequestKind,
+    RequestMetadata,
+    RequestRecords,
+    RequestState,
+    RetryRequest,
+)
+from citronwinch.peers import (
+    Envelope,
+    MalformedMessageError,
+    decode_envelope,
+    encode_envelope,
+)
+from citronwinch.peers._codec import SCHEMA
+
+FLOW = FlowKey(bytes([17]) + bytes(12))
+REQUEST = RequestMetadata(RequestKind.REQUEST, bytes(16), True, 900, age_ms=70_000)
+RETRY = RetryRequest(FLOW, "reporting", REQUEST, b"payload", ("reporting-1",))
+RECORD = ExportedRecord(RequestKey(FLOW, bytes(16)), RequestState.REFUSED, 5, 9, True)
+MESSAGES = {
+    "retry": RETRY,
+    "retry tried nowhere": RETRY._replace(tried=()),
+    "all records": RequestRecords(ALL_FLOWS, 66_000, 2, (RECORD, RECORD)),
+    "records of a flow": RequestRecords(FLOW, 0, 1, (RECORD,)),
+    "no records": RequestRecords(ALL_FLOWS, 0, 0, ()),
+}
+NOT_REPEATABLE = REQUEST._replace(repeatable=False)
+FAULTS = {
+    "retry of what may not be repeated": RETRY._replace(request=NOT_REPEATABLE),
+    "retry of an answer": RETRY._replace(
+        request=REQUEST._replace(kind=RequestKind.ANSWER)
+    ),
+    "retry with a short id": RETRY._replace(
+        request=REQUEST._replace(request_id=b"short")
+    ),
+    "retry with a broken flow": RETRY._replace(flow=FlowKey(b"broken")),
+    "record with a short id": RequestRecords(
+        ALL_FLOWS, 0, 1, (RECORD._replace(key=RequestKey(FLOW, b"short")),)
+    ),
+    "records of a broken flow": RequestRecords(FlowKey(b"broken"), 0, 0, ()),
+}
+
+
+def encode(message):
+    return encode_envelope(Envelope("gauging-1", 1, 2, 3, message))
+
+
+@pytest.mark.parametrize("name", MESSAGES)
+def test_a_message_survives_the_wire(name):
+    assert decode_envelope(encode(MESSAGES[name])).message == MESSAGES[name]
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_a_faulty_message_is_rejected(name):
+    with pytest.raises(MalformedMessageError):
+        decode_envelope(encode(FAULTS[name]))
+
+
+@pytest.mark.parametrize("name", MESSAGES)
+def test_a_truncated_message_is_rejected(name):
+    data = encode(MESSAGES[name])
+    for length in range(0, len(data) - 8, 8):
+        with pytest.raises(MalformedMessageError):
+            decode_envelope(data[:length])
+
+
+def test_a_record_in_no_state_is_rejected():
+    builder = SCHEMA.Envelope.new_message()
+    record = builder.init("requests").init("records").init("records", 1)[0]
+    record.flow, record.requestId, record.state = FLOW, bytes(16), 99
+    with pytest.raises(MalformedMessageError):
+        decode_envelope(builder.to_bytes())
+
+
+def test_a_message_without_content_is_no_retry():
+    builder = SCHEMA.Envelope.new_message()
+    builder.init("requests")
+    with pytest.raises(MalformedMessageError):
+        decode_envelope(builder.to_bytes())
