Put whole answers together in an embeddable caller library

Cause: only the demo's caller knew how to put an answer together, without bounds, and nothing sent a lost request anew. Change: CallerRequests, a state machine without sockets, ends each call once as answered, not run or unknown; sends an unanswered request anew under its id, tries a refused repeatable one again under a new id, both from one budget that answers fill and never past the deadline; bounds calls, parts and planned wakes. A refusal after an attempt that may have run is unknown. The demo's callers use it. The agent's requests in progress move to a module of their own, and a successor counts the requests it took over as in progress.

--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -14,10 +14,19 @@
     StartRequest,
     TellOutcome,
 )
-from citronwinch.coordination.requests._agent import ALL_FLOWS, AgentRequests
+from citronwinch.coordination.requests._agent import AgentRequests
 from citronwinch.coordination.requests._answers import AnswerKeeper
+from citronwinch.coordination.requests._assembly import AnswerAssembly, PartRejected
+from citronwinch.coordination.requests._caller import (
+    CallEnded,
+    CallerAction,
+    CallerRequests,
+    RequestOutcome,
+    SendRequest,
+)
 from citronwinch.coordination.requests._eras import RequestEras
 from citronwinch.coordination.requests._messages import (
+    ALL_FLOWS,
     RequestRecords,
     RequestsMessage,
     RetryRequest,
@@ -42,11 +51,16 @@
 __all__ = [
     "ALL_FLOWS",
     "AgentRequests",
+    "AnswerAssembly",
     "AnswerKeeper",
+    "CallEnded",
+    "CallerAction",
+    "CallerRequests",
     "Discard",
     "EndGuestFlow",
     "ExportedRecord",
     "PACKET_LIFETIME_MS",
+    "PartRejected",
     "PassCancel",
     "RECORD_BYTES",
     "REQUEST_ID_BYTES",
@@ -57,6 +71,7 @@
     "RequestKey",
     "RequestKind",
     "RequestMetadata",
+    "RequestOutcome",
     "RequestRecord",
     "RequestRecords",
     "RequestState",
@@ -66,6 +81,7 @@
     "RetryElsewhere",
     "RetryRequest",
     "SendPart",
+    "SendRequest",
     "StartRequest",
     "TellOutcome",
     "choose_backoff_ms",
--- a/citronwinch/coordination/requests/_actions.py
+++ b/citronwinch/coordination/requests/_actions.py
@@ -6,6 +6,9 @@
 from citronwinch.coordination.requests._metadata import RequestKind, RequestMetadata
 from citronwinch.coordination.requests._records import RequestKey
 
+RETRY_AFTER_MS = 1_000
+"""When a caller whose request was given up on may ask again, in milliseconds."""
+
 
 class RequestArrival(NamedTuple):
     """A caller's packet with request metadata."""
@@ -111,3 +114,17 @@
     | Discard
 )
 """What an agent does about a datagram or the passing of time."""
+
+
+def tell_not_run(
+    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
+) -> TellOutcome:
+    """Return the message that a request was not run and never will be."""
+    return TellOutcome(key, RequestKind.NOT_RUN, reason, retry_after_ms)
+
+
+def tell_unknown(
+    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
+) -> TellOutcome:
+    """Return the message that nobody can tell whether a request was run."""
+    return TellOutcome(key, RequestKind.UNKNOWN, reason, retry_after_ms)
--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -2,11 +2,11 @@
 
 import heapq
 import random
-from typing import NamedTuple
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.requests._actions import (
+    RETRY_AFTER_MS,
     Discard,
     EndGuestFlow,
     PassCancel,
@@ -15,18 +15,25 @@
     RetryElsewhere,
     SendPart,
     StartRequest,
-    TellOutcome,
+    tell_not_run,
+    tell_unknown,
 )
 from citronwinch.coordination.requests._answers import AnswerKeeper
 from citronwinch.coordination.requests._eras import RequestEras
-from citronwinch.coordination.requests._messages import RequestRecords
+from citronwinch.coordination.requests._messages import (
+    ALL_FLOWS,
+    RequestRecords,
+    split_records,
+)
 from citronwinch.coordination.requests._metadata import (
     PACKET_LIFETIME_MS,
     REQUEST_TIMEOUT_LIMIT_MS,
     RequestKind,
     RequestMetadata,
 )
+from citronwinch.coordination.requests._open import OpenRequests
 from citronwinch.coordination.requests._records import (
+    ExportedRecord,
     RequestKey,
     RequestRecord,
     RequestState,
@@ -34,34 +41,12 @@
 from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
 from citronwinch.coordination.requests._window import RequestWindow
 
-RETRY_AFTER_MS = 1_000
-"""When a caller whose request was given up on may ask again, in milliseconds."""
-
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
-RETRY_PAYLOADS_LIMIT_BYTES = 4 << 20
-"""The memory that requests kept for a retry may take, in bytes."""
-
-RECORDS_PER_MESSAGE = 100
-"""The most records in one message, so that it fits a datagram."""
-
-ALL_FLOWS = FlowKey(b"")
-"""Stands for every flow of an agent in a hand-over."""
-
 _OPEN_STATES = (RequestState.STARTED, RequestState.WAITING)
 
 
-class OpenRequest(NamedTuple):
-    """What is needed while a request is open."""
-
-    arrival: RequestArrival
-    """The request; its payload is empty when no retry is possible."""
-
-    is_guest: bool
-    """Whether another agent owns the flow."""
-
-
 class AgentRequests:
     """Decides what becomes of each request at one agent.
 
@@ -88,11 +73,8 @@
         self.keeper = keeper or AnswerKeeper()
         self.budget = budget or RetryBudget()
         self.eras = RequestEras(clock.now_ms())
-        self.open: dict[RequestKey, OpenRequest] = {}
-        self.open_by_flow: dict[FlowKey, set[RequestKey]] = {}
-        self.deadlines: list[tuple[int, RequestKey]] = []
+        self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
-        self.payload_bytes = 0
         self.is_stopping = False
         self.taken_over: set[RequestKey] = set()
         self.has_taken_over = False
@@ -173,7 +155,7 @@
 
     def fail_delivery(self, key: RequestKey) -> list[RequestAction]:
         """React to a datagram that the kernel refused to send: it was not run."""
-        if key not in self.open:
+        if self.open.find(key) is None:
             return []
         ended = self._close(key, RequestState.REFUSED)
         return [tell_not_run(key, "undeliverable"), *ended]
@@ -189,7 +171,7 @@
     def lose_flow(self, flow: FlowKey) -> list[RequestAction]:
         """React to a backend server that is gone: its open requests are unknown."""
         actions: list[RequestAction] = []
-        for key in sorted(self.open_by_flow.get(flow, ())):
+        for key in self.open.of_flow(flow):
             actions += self._give_up(key, "connection_lost")
         return actions
 
@@ -201,8 +183,7 @@
         """
         now_ms = self.clock.now_ms()
         actions: list[RequestAction] = []
-        while self.deadlines and self.deadlines[0][0] <= now_ms:
-            _, key = heapq.heappop(self.deadlines)
+        for key in self.open.due_deadlines(now_ms):
             actions += self._give_up(key, "deadline")
         while self.retries and self.retries[0][0] <= now_ms:
             _, key = heapq.heappop(self.retries)
@@ -222,7 +203,7 @@
 
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
-        return not self.open
+        return not len(self.open)
 
     def is_settled(self) -> bool:
         """Whether every request that is sent from now on will be served."""
@@ -232,15 +213,7 @@
         """Return the records of a flow, or all, for its next owner."""
         records = self.window.export_records(flow or None)
         era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
-        return [
-            RequestRecords(
-                flow,
-                era_age_ms,
-                len(records),
-                tuple(records[start : start + RECORDS_PER_MESSAGE]),
-            )
-            for start in range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
-        ]
+        return split_records(flow, era_age_ms, records)
 
     def take_over(self, message: RequestRecords) -> None:
         """Take over records of a former owner.
@@ -253,9 +226,8 @@
             self.eras.begin(now_ms)
             return
         for item in message.records:
-            if item.state in _OPEN_STATES:
-                deadline_ms = now_ms + item.remaining_ms
-                heapq.heappush(self.deadlines, (deadline_ms, item.key))
+            if item.state in _OPEN_STATES and self.open.find(item.key) is None:
+                self._reopen(item, now_ms)
         if message.flow:
             return
         self.taken_over.update(item.key for item in message.records)
@@ -293,15 +265,18 @@
             request.age_ms,
         )
         self.window.add(arrival.key, record)
-        heapq.heappush(self.deadlines, (deadline_ms, arrival.key))
-        cost = len(arrival.payload)
-        fits = self.payload_bytes + cost <= RETRY_PAYLOADS_LIMIT_BYTES
-        kept = arrival.payload if request.repeatable and fits else b""
-        self.payload_bytes += len(kept)
-        self.open[arrival.key] = OpenRequest(arrival._replace(payload=kept), is_guest)
-        self.open_by_flow.setdefault(arrival.flow, set()).add(arrival.key)
+        self.open.add(arrival, is_guest)
+        self.open.add_deadline(arrival.key, deadline_ms)
         return StartRequest(arrival.key, arrival.payload)
 
+    def _reopen(self, item: ExportedRecord, now_ms: int) -> None:
+        request = RequestMetadata(
+            RequestKind.REQUEST, item.key.request_id, item.repeatable, item.remaining_ms
+        )
+        arrival = RequestArrival(item.key.flow, "", request, b"", now_ms)
+        self.open.add(arrival, is_guest=False)
+        self.open.add_deadline(item.key, now_ms + item.remaining_ms)
+
     def _repeat(
         self, arrival: RequestArrival, record: RequestRecord
     ) -> list[RequestAction]:
@@ -334,7 +309,7 @@
     def _shed(self, key: RequestKey, record: RequestRecord) -> list[RequestAction]:
         if key in self.keeper.progress:
             return [Discard("late_part")]
-        request = self.open.get(key)
+        request = self.open.find(key)
         attempts = len(request.arrival.tried) + 1 if request else ATTEMPT_LIMIT
         due_ms = self.clock.now_ms() + choose_backoff_ms(attempts, self.source)
         may_retry = (
@@ -352,7 +327,7 @@
         return [tell_not_run(key, "shed"), *ended]
 
     def _retry(self, key: RequestKey) -> list[RequestAction]:
-        request = self.open.get(key)
+        request = self.open.find(key)
         record = self.window.find(key)
         if request is None or record is None:
             return []
@@ -379,27 +354,4 @@
 
     def _close(self, key: RequestKey, state: RequestState) -> list[RequestAction]:
         self.window.change(key, state)
-        request = self.open.pop(key, None)
-        if request is None:
-            return []
-        self.payload_bytes -= len(request.arrival.payload)
-        remaining = self.open_by_flow[key.flow]
-        remaining.discard(key)
-        if remaining:
-            return []
-        del self.open_by_flow[key.flow]
-        return [EndGuestFlow(key.flow)] if request.is_guest else []
-
-
-def tell_not_run(
-    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
-) -> TellOutcome:
-    """Return the message that a request was not run and never will be."""
-    return TellOutcome(key, RequestKind.NOT_RUN, reason, retry_after_ms)
-
-
-def tell_unknown(
-    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
-) -> TellOutcome:
-    """Return the message that nobody can tell whether a request was run."""
-    return TellOutcome(key, RequestKind.UNKNOWN, reason, retry_after_ms)
+        return [EndGuestFlow(key.flow)] if self.open.remove(key) else []
--- /dev/null
+++ b/citronwinch/coordination/requests/_caller.py
@@ -0,0 +1,297 @@
+"""The caller's side of requests, for embedding into callers."""
+
+import heapq
+import random
+from collections import Counter
+from enum import Enum
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.requests._assembly import AnswerAssembly
+from citronwinch.coordination.requests._metadata import (
+    REQUEST_ID_BYTES,
+    REQUEST_TIMEOUT_LIMIT_MS,
+    RequestKind,
+    RequestMetadata,
+)
+from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
+
+CALLER_RETRY_SHARE = 0.1
+"""Copies and retries that each answered request of a caller pays for."""
+
+OPEN_CALLS_LIMIT = 1_024
+"""The most calls of one caller that are in progress."""
+
+ASSEMBLY_LIMIT_BYTES = 16 << 20
+"""The memory that all answers in progress may take, in bytes."""
+
+RESEND_AFTER_MS = 300
+"""The wait for an answer before the request is sent anew, in milliseconds."""
+
+WAKES_PER_CALL = 16
+"""The most planned wakes for each call before ended calls' are removed."""
+
+
+class RequestOutcome(Enum):
+    """What became of a request, as far as anybody can tell."""
+
+    ANSWERED = "answered"
+    """It was run, and the whole answer is here."""
+
+    NOT_RUN = "not_run"
+    """It was certainly not run and never will be."""
+
+    UNKNOWN = "unknown"
+    """It may have been run."""
+
+
+class SendRequest(NamedTuple):
+    """Send this to the service, on the caller's one flow."""
+
+    metadata: RequestMetadata
+    """The request header."""
+
+    body: bytes
+    """What follows the header."""
+
+
+class CallEnded(NamedTuple):
+    """The outcome of a call; each call ends once."""
+
+    call: int
+    """The number that `start` returned."""
+
+    outcome: RequestOutcome
+    """What became of it."""
+
+    body: bytes = b""
+    """The whole answer."""
+
+    retry_after_ms: int = 0
+    """When the caller may ask again; 0 when nobody said."""
+
+
+CallerAction = SendRequest | CallEnded
+"""What a caller is told to do, or told."""
+
+
+class Call:
+    """One call in progress."""
+
+    def __init__(
+        self, number: int, body: bytes, repeatable: bool, deadline_ms: int
+    ) -> None:
+        self.number = number
+        self.body = body
+        self.repeatable = repeatable
+        self.deadline_ms = deadline_ms
+        self.request_id = b""
+        self.first_sent_ms = 0
+        self.sent_count = 0
+        self.attempts = 0
+        self.is_cancelled = False
+        self.may_have_run = False
+        self.retry_at_ms: int | None = None
+        self.assembly = AnswerAssembly()
+
+
+class CallerRequests:
+    """Sends requests on one flow and finds out what became of each.
+
+    A copy of a request that got no answer is sent anew with the same id, which the
+    agent's duplicate window makes safe whether or not the request may be repeated.
+    A repeatable request that was refused is tried again under a new id. Both are
+    paid for from one budget that answers fill, and both end with the deadline.
+
+    Example::
+
+        >>> from citronwinch.coordination import ManualClock
+        >>> requests = CallerRequests(ManualClock(), random.Random(1))
+        >>> call, [sent] = requests.start(b"level of tank 7", timeout_ms=500)
+        >>> answer = sent.metadata._replace(kind=RequestKind.ANSWER)
+        >>> requests.receive(answer, b"4.2 m")[0].body
+        b'4.2 m'
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        source: random.Random,
+        budget: RetryBudget | None = None,
+        open_limit: int = OPEN_CALLS_LIMIT,
+        assembly_limit_bytes: int = ASSEMBLY_LIMIT_BYTES,
+    ) -> None:
+        self.clock = clock
+        self.source = source
+        self.budget = budget or RetryBudget(CALLER_RETRY_SHARE)
+        self.open_limit = open_limit
+        self.assembly_limit_bytes = assembly_limit_bytes
+        self.calls: dict[bytes, Call] = {}
+        self.wakes: list[tuple[int, int, bytes]] = []
+        self.assembly_bytes = 0
+        self.last_call = 0
+        self.counters: Counter[str] = Counter()
+
+    def start(
+        self, body: bytes, timeout_ms: int, repeatable: bool = False
+    ) -> tuple[int, list[CallerAction]]:
+        """Begin a call; return its number and what to do."""
+        self.last_call += 1
+        if len(self.calls) >= self.open_limit:
+            self.counters["refused_open_limit"] += 1
+            ended = CallEnded(self.last_call, RequestOutcome.NOT_RUN)
+            return self.last_call, [ended]
+        timeout_ms = min(timeout_ms, REQUEST_TIMEOUT_LIMIT_MS)
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        call = Call(self.last_call, body, repeatable, deadline_ms)
+        return call.number, [self._send_first(call)]
+
+    def cancel(self, number: int) -> list[CallerAction]:
+        """Say that an answer is no longer wanted; the call ends by its outcome."""
+        for call in self.calls.values():
+            if call.number == number and not call.is_cancelled:
+                call.is_cancelled = True
+                if call.retry_at_ms is not None:
+                    return self._end(call, RequestOutcome.NOT_RUN)
+                return [SendRequest(self._describe(call, RequestKind.CANCEL), b"")]
+        return []
+
+    def receive(self, metadata: RequestMetadata, body: bytes) -> list[CallerAction]:
+        """Return what a datagram from the service means."""
+        call = self.calls.get(metadata.request_id)
+        if call is None or call.retry_at_ms is not None:
+            self.counters["foreign_parts"] += 1
+            return []
+        if metadata.kind is RequestKind.ANSWER:
+            return self._accept_part(call, metadata, body)
+        if metadata.kind in (RequestKind.NOT_RUN, RequestKind.SHED):
+            outcome = RequestOutcome.NOT_RUN
+        elif metadata.kind is RequestKind.UNKNOWN:
+            outcome = RequestOutcome.UNKNOWN
+        else:
+            self.counters["unexpected_kind"] += 1
+            return []
+        return self._retry_or_end(call, outcome, metadata.remaining_ms)
+
+    def advance(self) -> list[CallerAction]:
+        """React to the passing of time."""
+        now_ms = self.clock.now_ms()
+        actions: list[CallerAction] = []
+        while self.wakes and self.wakes[0][0] <= now_ms:
+            _, _, request_id = heapq.heappop(self.wakes)
+            call = self.calls.get(request_id)
+            if call is not None:
+                actions += self._wake(call, now_ms)
+        return actions
+
+    def next_wake_ms(self) -> int | None:
+        """Return when to call `advance` next, None when nothing is in progress."""
+        return self.wakes[0][0] if self.calls and self.wakes else None
+
+    def _send_first(self, call: Call) -> SendRequest:
+        call.request_id = self.source.randbytes(REQUEST_ID_BYTES)
+        call.first_sent_ms = self.clock.now_ms()
+        call.sent_count = 1
+        call.attempts += 1
+        call.retry_at_ms = None
+        self.calls[call.request_id] = call
+        self._wake_at(call, call.deadline_ms)
+        self._plan_resend(call)
+        self.counters["sent"] += 1
+        return SendRequest(self._describe(call, RequestKind.REQUEST), call.body)
+
+    def _describe(self, call: Call, kind: RequestKind) -> RequestMetadata:
+        now_ms = self.clock.now_ms()
+        return RequestMetadata(
+            kind,
+            call.request_id,
+            call.repeatable,
+            max(1, call.deadline_ms - now_ms),
+            age_ms=now_ms - call.first_sent_ms,
+        )
+
+    def _plan_resend(self, call: Call) -> None:
+        wait_ms = RESEND_AFTER_MS << min(call.sent_count - 1, 8)
+        jitter_ms = self.source.randrange(wait_ms // 2 + 1)
+        due_ms = self.clock.now_ms() + wait_ms + jitter_ms
+        if due_ms < call.deadline_ms:
+            self._wake_at(call, due_ms)
+
+    def _wake_at(self, call: Call, due_ms: int) -> None:
+        if len(self.wakes) > WAKES_PER_CALL * (len(self.calls) + 1):
+            self.wakes = [wake for wake in self.wakes if wake[2] in self.calls]
+            heapq.heapify(self.wakes)
+        heapq.heappush(self.wakes, (due_ms, call.number, call.request_id))
+
+    def _wake(self, call: Call, now_ms: int) -> list[CallerAction]:
+        if now_ms >= call.deadline_ms:
+            is_refused = call.retry_at_ms is not None
+            return self._end(
+                call, RequestOutcome.NOT_RUN if is_refused else RequestOutcome.UNKNOWN
+            )
+        if call.retry_at_ms is not None:
+            if now_ms < call.retry_at_ms:
+                return []
+            del self.calls[call.request_id]
+            self.counters["retries"] += 1
+            return [self._send_first(call)]
+        if not self.budget.take():
+            self._plan_resend(call)
+            return []
+        call.sent_count += 1
+        self.counters["resent"] += 1
+        self._plan_resend(call)
+        if call.is_cancelled:
+            return [SendRequest(self._describe(call, RequestKind.CANCEL), b"")]
+        return [SendRequest(self._describe(call, RequestKind.REQUEST), call.body)]
+
+    def _accept_part(
+        self, call: Call, metadata: RequestMetadata, body: bytes
+    ) -> list[CallerAction]:
+        before_bytes = call.assembly.used_bytes
+        if self.assembly_bytes + len(body) > self.assembly_limit_bytes:
+            self.counters["assembly_full"] += 1
+            return self._end(call, RequestOutcome.UNKNOWN)
+        rejected = call.assembly.accept(metadata.part, metadata.part_count, body)
+        if rejected is not None:
+            self.counters[rejected.reason] += 1
+            is_too_long = rejected.reason == "answer_too_long"
+            return self._end(call, RequestOutcome.UNKNOWN) if is_too_long else []
+        self.assembly_bytes += call.assembly.used_bytes - before_bytes
+        whole = call.assembly.find_body()
+        if whole is None:
+            return []
+        self.budget.note_answer()
+        return self._end(call, RequestOutcome.ANSWERED, whole)
+
+    def _retry_or_end(
+        self, call: Call, outcome: RequestOutcome, retry_after_ms: int
+    ) -> list[CallerAction]:
+        if outcome is RequestOutcome.UNKNOWN or call.assembly.parts:
+            call.may_have_run = True
+        backoff_ms = choose_backoff_ms(call.attempts, self.source)
+        due_ms = self.clock.now_ms() + retry_after_ms + backoff_ms
+        may_retry = (
+            call.repeatable and not call.is_cancelled and due_ms < call.deadline_ms
+        )
+        if not may_retry or not self.budget.take():
+            return self._end(call, outcome, retry_after_ms=retry_after_ms)
+        call.retry_at_ms = due_ms
+        self.assembly_bytes -= call.assembly.used_bytes
+        call.assembly = AnswerAssembly()
+        self._wake_at(call, due_ms)
+        return []
+
+    def _end(
+        self,
+        call: Call,
+        outcome: RequestOutcome,
+        body: bytes = b"",
+        retry_after_ms: int = 0,
+    ) -> list[CallerAction]:
+        del self.calls[call.request_id]
+        self.assembly_bytes -= call.assembly.used_bytes
+        if outcome is RequestOutcome.NOT_RUN and call.may_have_run:
+            outcome = RequestOutcome.UNKNOWN
+        self.counters[outcome.value] += 1
+        return [CallEnded(call.number, outcome, body, retry_after_ms)]
--- a/citronwinch/coordination/requests/_messages.py
+++ b/citronwinch/coordination/requests/_messages.py
@@ -6,6 +6,12 @@
 from citronwinch.coordination.requests._metadata import RequestMetadata
 from citronwinch.coordination.requests._records import ExportedRecord
 
+RECORDS_PER_MESSAGE = 100
+"""The most records in one message, so that it fits a datagram."""
+
+ALL_FLOWS = FlowKey(b"")
+"""Stands for every flow of an agent in a hand-over."""
+
 
 class RetryRequest(NamedTuple):
     """Asks another agent to run a request that a backend server has shed."""
@@ -48,3 +54,18 @@
 
 RequestsMessage = RetryRequest | RequestRecords
 """Everything that agents say to each other about requests."""
+
+
+def split_records(
+    flow: FlowKey, era_age_ms: int, records: list[ExportedRecord]
+) -> list[RequestRecords]:
+    """Return the messages of a hand-over; one even when there are no records."""
+    return [
+        RequestRecords(
+            flow,
+            era_age_ms,
+            len(records),
+            tuple(records[start : start + RECORDS_PER_MESSAGE]),
+        )
+        for start in range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
+    ]
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -218,7 +218,7 @@
             "request_window_bytes": requests.window.used_bytes,
             "request_window_limit_bytes": requests.window.limit_bytes,
             "request_kept_answer_bytes": requests.keeper.kept_bytes,
-            "request_retry_payload_bytes": requests.payload_bytes,
+            "request_retry_payload_bytes": requests.open.payload_bytes,
             "request_retry_tokens": requests.budget.tokens,
         }
         for name, value in gauges.items():
--- a/citronwinch/demo/_callers.py
+++ b/citronwinch/demo/_callers.py
@@ -3,7 +3,7 @@
 import random
 import socket
 from collections import Counter
-from typing import NamedTuple
+from contextlib import suppress
 
 import trio
 
@@ -12,8 +12,14 @@
     add_request_header,
     read_request_header,
 )
-from citronwinch.coordination import Endpoint
-from citronwinch.coordination.requests import RequestKind, RequestMetadata
+from citronwinch.coordination import Endpoint, MonotonicClock
+from citronwinch.coordination.requests import (
+    CallEnded,
+    CallerAction,
+    CallerRequests,
+    RequestOutcome,
+    SendRequest,
+)
 
 ANSWER_TIMEOUT_MS = 2_000
 """How long a caller waits for an answer, in milliseconds."""
@@ -22,16 +28,6 @@
 """The longest answer part, in bytes."""
 
 
-class Answer(NamedTuple):
-    """What became of one request."""
-
-    kind: RequestKind | None
-    """The outcome; None when nothing came before the timeout."""
-
-    body: bytes
-    """The whole answer, empty without one."""
-
-
 class CallerReport:
     """What all callers saw."""
 
@@ -54,6 +50,7 @@
         self.source = source
         self.report = report
         self.address = address
+        self.requests = CallerRequests(MonotonicClock(), source)
         self.socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.server = ""
         self.is_broken = False
@@ -62,48 +59,44 @@
         """Connect the socket, so that foreign answers are not received."""
         await self.socket.connect((self.address.ip, self.address.port))
 
-    async def request(self, text: str) -> Answer:
-        """Send one request and wait for its whole answer."""
-        request_id = self.source.randbytes(16)
-        metadata = RequestMetadata(
-            RequestKind.REQUEST, request_id, False, ANSWER_TIMEOUT_MS
-        )
+    async def request(self, text: str) -> CallEnded:
+        """Send one request, which may not be repeated, and wait for its outcome."""
         body = f"{self.service} {text}".encode()
         self.report.counters["requests"] += 1
-        try:
-            with trio.move_on_after(ANSWER_TIMEOUT_MS / 1000):
-                await self.socket.send(add_request_header(metadata, body))
-                return await self.collect(request_id)
-        except ConnectionError:
-            return Answer(None, b"")
-        return Answer(None, b"")
-
-    async def collect(self, request_id: bytes) -> Answer:
-        """Put the parts of an answer together, in whatever order they come."""
-        parts: dict[int, bytes] = {}
+        _, actions = self.requests.start(body, ANSWER_TIMEOUT_MS)
         while True:
+            for action in actions:
+                if isinstance(action, CallEnded):
+                    return action
+                await self.send(action)
+            actions = await self.receive() or self.requests.advance()
+
+    async def send(self, action: SendRequest) -> None:
+        """Send a datagram; an error of the socket is a loss like any other."""
+        with suppress(ConnectionError):
+            await self.socket.send(add_request_header(action.metadata, action.body))
+
+    async def receive(self) -> list[CallerAction]:
+        """Wait for a datagram until the library has something to do."""
+        wake_ms = self.requests.next_wake_ms() or 0
+        wait_ms = max(0, wake_ms - self.requests.clock.now_ms())
+        data = b""
+        with trio.move_on_after(wait_ms / 1000), suppress(ConnectionError):
             data = await self.socket.recv(DATAGRAM_LIMIT)
-            metadata = read_request_header(data)
-            if metadata is None or metadata.request_id != request_id:
-                self.report.counters["foreign_parts"] += 1
-                continue
-            if metadata.kind is not RequestKind.ANSWER:
-                return Answer(metadata.kind, b"")
-            parts[metadata.part] = data[HEADER_BYTES:]
-            if len(parts) == metadata.part_count:
-                return Answer(metadata.kind, b"".join(parts[i] for i in sorted(parts)))
+        metadata = read_request_header(data)
+        if metadata is None:
+            return []
+        return self.requests.receive(metadata, data[HEADER_BYTES:])
 
     async def check(self, text: str) -> None:
         """Send a request and count what became of it."""
-        answer = await self.request(text)
-        if answer.kind is RequestKind.ANSWER:
-            self.check_answer(answer.body, text)
-        elif answer.kind is None:
-            self.report.counters["unanswered"] += 1
-            self.note_broken()
-        else:
-            self.report.counters[answer.kind.name.lower()] += 1
-            self.note_broken()
+        ended = await self.request(text)
+        if ended.outcome is RequestOutcome.ANSWERED:
+            self.check_answer(ended.body, text)
+            return
+        name = "not_run" if ended.outcome is RequestOutcome.NOT_RUN else "unanswered"
+        self.report.counters[name] += 1
+        self.note_broken()
 
     def check_answer(self, body: bytes, text: str) -> None:
         """Check that the answer is whole, ours, and from the same backend server."""
