--- a/citronwinch/coordination/_placement.py
+++ b/citronwinch/coordination/_placement.py
@@ -34,3 +34,17 @@
     """Return the row's score for the flow; the lowest wins."""
     digest = xxhash.xxh3_64_intdigest(key, hash_seed(row.backend_server))
     return -math.log((digest + 1) / _HASH_RANGE) / row.weight
+
+
+def find_home(key: FlowKey, rows: Iterable[TableRow]) -> str | None:
+    """Return the backend server whose agent decides for a flow, None without rows.
+
+    It is the first candidate. When no row has a weight, some row still has to know
+    where the established flows are, so that all of them count the same.
+    """
+    members = [row for row in rows if row.weight > 0]
+    if not members:
+        members = [row._replace(weight=1) for row in rows]
+    if not members:
+        return None
+    return min(members, key=lambda row: score_candidate(key, row)).backend_server
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -1,144 +1,365 @@
-"""The decisions of the agent beside a backend server."""
-
-from typing import NamedTuple
+"""The decisions of the agent beside a backend server about packets."""
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._placement import rank_candidates
-from citronwinch.coordination._table import EMPTY_TABLE, Table
-from citronwinch.coordination.steering._messages import Forward, Hint
-
-
-class Deliver(NamedTuple):
-    """Hand the packet to the backend server."""
-
-    flow: FlowKey
-    """The flow, which this agent owns."""
-
-    packet: bytes
-    """The IP packet."""
-
-
-class PassOn(NamedTuple):
-    """Send the message to another agent of the service."""
-
-    agent: str
-    """The backend server beside that agent."""
-
-    message: Forward
-    """What to send."""
-
-
-class TellBalancer(NamedTuple):
-    """Tell a balancer where a flow lives."""
-
-    balancer: str
-    """The balancer."""
-
-    hint: Hint
-    """What to tell."""
-
-
-class Refuse(NamedTuple):
-    """Refuse the packet; it was not delivered."""
-
-    flow: FlowKey
-    """The flow."""
-
-    packet: bytes
-    """The IP packet."""
-
-    reason: str
-    """Why, in a word that is also the metric's label."""
-
-    retry_after_ms: int
-    """When the caller may ask again."""
-
-
-AgentAction = Deliver | PassOn | TellBalancer | Refuse
-"""What an agent does about a message."""
-
-RETRY_AFTER_MS = 1_000
-"""When a refused caller may ask again, in milliseconds."""
-
-
-class OwnedFlow(NamedTuple):
-    """What the agent keeps of a flow that it owns."""
-
-    service: str
-    """The service under which the flow was opened."""
-
-    last_seen_ms: int
-    """When its last packet was seen."""
-
-
-class AgentSteering:
-    """Decides what happens to packets at the agent beside one backend server."""
-
-    def __init__(self, backend_server: str, clock: Clock) -> None:
-        self.backend_server = backend_server
-        self.clock = clock
-        self.table: Table = EMPTY_TABLE
-        self.owned: dict[FlowKey, OwnedFlow] = {}
-        self.passed_on: dict[FlowKey, str] = {}
-
-    def accept_table(self, table: Table) -> None:
-        """Use a table from now on; a lower revision is ignored."""
-        if table.revision > self.table.revision:
-            self.table = table
+from citronwinch.coordination._table import TableRow
+from citronwinch.coordination.load import FirstCandidateChooser, OwnerChooser
+from citronwinch.coordination.steering._actions import (
+    AgentAction,
+    Deliver,
+    EndFlow,
+    PassOn,
+    Refuse,
+    Send,
+    TellBalancer,
+    refuse,
+)
+from citronwinch.coordination.steering._held import QUERY_RETRY_MS, HeldFlow
+from citronwinch.coordination.steering._leases import ServiceLeases
+from citronwinch.coordination.steering._messages import Forward, Hint, Query
+from citronwinch.coordination.steering._owned import OwnedFlow
+from citronwinch.coordination.steering._protocol import AgentProtocol
+from citronwinch.coordination.steering._refusals import RefusedPackets
+from citronwinch.coordination.steering._registrations import Decision
+
+HOPS_LIMIT = 8
+"""How often a packet may be passed on."""
+
+
+class AgentSteering(AgentProtocol):
+    """Decides what happens to packets at the agent beside one backend server.
+
+    An owned flow is delivered. Any other packet goes to the flow's home, which
+    knows its owner, or decides who becomes it.
+    """
+
+    def __init__(
+        self,
+        backend_server: str,
+        clock: Clock,
+        incarnation: int = 1,
+        chooser: OwnerChooser | None = None,
+    ) -> None:
+        super().__init__(backend_server, clock, incarnation)
+        self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
+        self.refused = RefusedPackets(clock)
+
+    @property
+    def owned(self) -> dict[FlowKey, OwnedFlow]:
+        """The flows that this agent owns."""
+        return self.flows.owned
 
     def handle_forward(self, message: Forward) -> list[AgentAction]:
         """Return what to do about a forwarded packet."""
-        owned = self.owned.get(message.flow)
+        owned = self.flows.owned.get(message.flow)
         if owned is not None:
+            if self.is_doubtful(message.flow, owned.service):
+                return self.confirm_owned(message, owned)
             return self.deliver_owned(message, owned)
-        if message.flow in self.passed_on and not message.pinned:
-            return [self.pass_on(message, self.passed_on[message.flow])]
-        row = self.table.row_by_backend_server.get(self.backend_server)
-        if row is None or row.service != message.service:
-            return [refuse(message, "wrong_service")]
-        if not message.opens:
-            return [refuse(message, "no_such_flow")]
-        if row.weight > 0 and len(self.owned) < row.connection_limit:
-            owned = OwnedFlow(message.service, self.clock.now_ms())
-            self.owned[message.flow] = owned
-            return self.deliver_owned(message, owned)
-        return self.pass_to_next(message)
+        if self.table.service_of(message.flow) != message.service:
+            return self.refuse_unknown_service(message)
+        if message.declined and message.decider == self.backend_server:
+            self.forget_owner(message.flow, message.declined[-1])
+        elif message.decision:
+            return self.take(message)
+        elif message.decider:
+            return [self.decline(message)]
+        return self.find_owner(message._replace(pinned=False, decider=""))
+
+    def confirm_owned(self, message: Forward, owned: OwnedFlow) -> list[AgentAction]:
+        """Hold a packet of an owned flow until nobody else can have taken the flow.
+
+        This agent was out of touch for so long that the others may count it as gone.
+        """
+        if owned.service != message.service:
+            return self.refuse_unknown_service(message)
+        leases = self.leases_of(owned.service)
+        held = self.held.hold(message, leases.revision)
+        if held is None:
+            return [refuse(message, "held_full", is_certain=False)]
+        self.counters["packets_held"] += 1
+        return self.query_owner(message.flow, held, leases)
+
+    def accept_owner(self, flow: FlowKey, owner: str) -> list[AgentAction]:
+        """Believe that another agent owns a flow, and own it no longer."""
+        if flow in self.flows.owned:
+            if flow not in self.doubtful:
+                return []
+            self.counters["flows_lost"] += 1
+            self.end_flow(flow)
+            self.registry.remember(flow, owner)
+            return [EndFlow(flow)]
+        self.registry.remember(flow, owner)
+        return []
+
+    def refuse_unknown_service(self, message: Forward) -> list[AgentAction]:
+        """Refuse a packet whose sender has another idea of its service."""
+        self.counters["wrong_service"] += 1
+        return [refuse(message, "wrong_service", is_certain=False)]
 
     def deliver_owned(self, message: Forward, owned: OwnedFlow) -> list[AgentAction]:
         """Deliver a packet of an owned flow and hint its balancer if it went astray."""
         if owned.service != message.service:
-            return [refuse(message, "wrong_service")]
-        self.owned[message.flow] = owned._replace(last_seen_ms=self.clock.now_ms())
-        actions: list[AgentAction] = [Deliver(message.flow, message.packet)]
+            return self.refuse_unknown_service(message)
+        self.flows.touch(message.flow, owned, ends=message.ends)
+        actions: list[AgentAction] = [
+            Deliver(message.flow, message.packet, message.request)
+        ]
         if message.hops or not message.pinned:
             hint = Hint(message.flow, self.backend_server)
             actions.append(TellBalancer(message.balancer, hint))
         return actions
 
-    def pass_to_next(self, message: Forward) -> list[AgentAction]:
-        """Pass a new flow to the next candidate, or refuse it after the last."""
-        rows = self.table.rows_by_service.get(message.service, ())
-        candidates = [
-            row.backend_server
-            for row in rank_candidates(message.flow, rows)
-            if row.backend_server != self.backend_server
-        ]
-        if message.hops >= len(candidates):
-            return [refuse(message, "full")]
-        successor = candidates[message.hops]
-        self.passed_on[message.flow] = successor
-        return [self.pass_on(message, successor)]
+    def find_owner(self, message: Forward) -> list[AgentAction]:
+        """Pass a packet to the owner of its flow or to its home, or decide."""
+        leases = self.leases_of(message.service)
+        owner = self.registry.owners.get(message.flow)
+        if owner is not None:
+            return self.pass_to_owner(message, owner, leases)
+        if message.hops >= HOPS_LIMIT:
+            return [refuse(message, "too_many_hops", is_certain=False)]
+        if leases.is_fenced:
+            return [self.pass_on(message, leases.fenced_by)]
+        home = self.home_of(message.flow, message.service)
+        if home is None:
+            return [refuse(message, "no_home", is_certain=False)]
+        if home != self.backend_server:
+            if leases.is_silent(home):
+                return [refuse(message, "home_unreachable", is_certain=False)]
+            return [self.pass_on(message, home)]
+        return self.decide_when_allowed(message, leases)
+
+    def pass_to_owner(
+        self, message: Forward, owner: str, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Pass a packet to the owner that the home remembers."""
+        if leases.is_gone(owner):
+            self.registry.forget(message.flow)
+            self.counters["owners_gone"] += 1
+            if message.request is not None:
+                return [refuse(message, "owner_gone", is_certain=False)]
+            return [self.refuse_certainly(message, "owner_gone")]
+        if message.hops >= HOPS_LIMIT:
+            return [refuse(message, "too_many_hops", is_certain=False)]
+        decision = self.registry.decision_of(message.flow)
+        passed = message._replace(
+            hops=message.hops + 1,
+            pinned=True,
+            decider=self.backend_server,
+            decision=decision.number,
+            revision=decision.revision,
+        )
+        return [PassOn(owner, passed)]
 
     def pass_on(self, message: Forward, agent: str) -> PassOn:
-        """Return the message as it goes to another agent."""
-        return PassOn(agent, message._replace(hops=message.hops + 1, pinned=True))
-
-    def end_flow(self, flow: FlowKey) -> None:
-        """Forget a flow that has ended."""
-        self.owned.pop(flow, None)
+        """Return the message as it goes to another agent that may know more."""
+        return PassOn(agent, message._replace(hops=message.hops + 1, decision=0))
+
+    def decide_when_allowed(
+        self, message: Forward, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Decide as home, or hold the packet until nobody else can have decided."""
+        if message.flow not in self.held.flows:
+            if not leases.blockers():
+                return self.decide(message, leases)
+            self.counters["packets_held"] += 1
+        held = self.held.hold(message, leases.revision)
+        if held is None:
+            return [refuse(message, "held_full", is_certain=False)]
+        return self.query_owner(message.flow, held, leases)
+
+    def query_owner(
+        self, flow: FlowKey, held: HeldFlow, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Ask the members that may have opened a flow, again after a while."""
+        now_ms = self.clock.now_ms()
+        if held.queried_ms is not None and now_ms - held.queried_ms < QUERY_RETRY_MS:
+            return []
+        held.queried_ms = now_ms
+        query = Query(held.service, flow, leases.revision)
+        asked = [
+            name
+            for name in self.find_askable(flow, leases)
+            if name not in held.answered
+        ]
+        self.counters["queries"] += len(asked)
+        return [Send(name, query) for name in asked]
+
+    def find_askable(self, flow: FlowKey, leases: ServiceLeases) -> list[str]:
+        """Return the members that may know an owner that this agent does not."""
+        if flow not in self.flows.owned:
+            return leases.blockers()
+        return [name for name in leases.others() if not leases.is_gone(name)]
+
+    def retry_flow(self, flow: FlowKey) -> list[AgentAction]:
+        """Decide again about the waiting packets of a flow."""
+        held = self.held.flows[flow]
+        leases = self.leases_of(held.service)
+        if held.revision != leases.revision:
+            held.revision = leases.revision
+            held.answered.clear()
+        if flow in self.flows.owned:
+            return self.retry_owned(flow, held, leases)
+        is_mine = self.home_of(flow, held.service) == self.backend_server
+        if flow in self.registry.owners or not is_mine or leases.is_fenced:
+            return self.replay(flow)
+        if set(leases.blockers()) <= held.answered:
+            return self.decide_held(flow, leases)
+        if self.clock.now_ms() >= held.deadline_ms:
+            messages = self.held.release(flow)
+            return [
+                refuse(message, "home_unreachable", is_certain=False)
+                for message in messages
+            ]
+        return self.query_owner(flow, held, leases)
+
+    def retry_owned(
+        self, flow: FlowKey, held: HeldFlow, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Deliver the waiting packets of an owned flow once it certainly is."""
+        now_ms = self.clock.now_ms()
+        if set(self.find_askable(flow, leases)) <= held.answered:
+            self.doubtful.discard(flow)
+            owned = self.flows.owned[flow]
+            actions: list[AgentAction] = []
+            for message in self.held.release(flow):
+                actions += self.deliver_owned(message, owned)
+            return actions
+        if now_ms >= held.deadline_ms:
+            messages = self.held.release(flow)
+            return [refuse(one, "unconfirmed", is_certain=False) for one in messages]
+        return self.query_owner(flow, held, leases)
+
+    def replay(self, flow: FlowKey) -> list[AgentAction]:
+        """Handle the waiting packets of a flow as if they came now."""
+        actions: list[AgentAction] = []
+        for message in self.held.release(flow):
+            actions += self.find_owner(message)
+        return actions
 
+    def decide_held(self, flow: FlowKey, leases: ServiceLeases) -> list[AgentAction]:
+        """Decide by the first waiting packet; the others follow it."""
+        first, *others = self.held.release(flow)
+        actions = self.decide(first, leases)
+        for message in others:
+            if flow in self.flows.owned or flow in self.registry.owners:
+                actions += self.handle_forward(message)
+            else:
+                actions += self.decide(message, leases)
+        return actions
 
-def refuse(message: Forward, reason: str) -> Refuse:
-    """Return the refusal of a forwarded packet."""
-    return Refuse(message.flow, message.packet, reason, RETRY_AFTER_MS)
+    def decide(self, message: Forward, leases: ServiceLeases) -> list[AgentAction]:
+        """Choose the owner of a flow that certainly has none."""
+        if not message.opens:
+            return [self.refuse_certainly(message, "no_such_flow")]
+        if self.refused.is_refused(message.packet):
+            return [refuse(message, "refused_before")]
+        candidates = self.find_candidates(message, leases)
+        if message.decision:
+            owner = candidates[0].backend_server if candidates else None
+        else:
+            owner = self.chooser.choose_owner(
+                message.service, candidates, len(self.flows.owned)
+            )
+        if owner == self.backend_server and not self.can_take(message.service):
+            others = [row.backend_server for row in candidates]
+            owner = next((name for name in others if name != owner), None)
+        if owner is None:
+            return [self.refuse_certainly(message, "full")]
+        if owner == self.backend_server:
+            return self.open(message, 0)
+        return self.assign(message, owner)
+
+    def find_candidates(
+        self, message: Forward, leases: ServiceLeases
+    ) -> list[TableRow]:
+        """Return the rows that may take a new flow, best placed first."""
+        rows = self.table.rows_by_service.get(message.service, ())
+        ranked = rank_candidates(message.flow, rows)
+        return [row for row in ranked if self.may_take(row, message, leases)]
+
+    def may_take(self, row: TableRow, message: Forward, leases: ServiceLeases) -> bool:
+        """Return whether a backend server may take a new flow."""
+        name = row.backend_server
+        if name in message.declined or name in self.leaving:
+            return False
+        if name == self.backend_server:
+            return not (self.is_leaving or self.is_failing)
+        member = leases.member(name)
+        return not (member.is_leaving or member.has_departed or leases.is_silent(name))
+
+    def can_take(self, service: str) -> bool:
+        """Return whether this agent's backend server may get another flow."""
+        row = self.row
+        return (
+            row is not None
+            and row.service == service
+            and row.weight > 0
+            and not self.is_leaving
+            and not self.is_failing
+            and len(self.flows.owned) < row.connection_limit
+        )
+
+    def assign(self, message: Forward, owner: str) -> list[AgentAction]:
+        """Make another agent the owner of a flow."""
+        if not self.registry.has_room():
+            self.counters["registry_full"] += 1
+            return [self.refuse_certainly(message, "full")]
+        decision = Decision(self.flows.next_decision(), self.table.revision)
+        self.registry.assign(message.flow, owner, decision)
+        assigned = message._replace(
+            hops=message.hops + 1,
+            pinned=True,
+            decider=self.backend_server,
+            decision=decision.number,
+            revision=decision.revision,
+        )
+        return [PassOn(owner, assigned)]
+
+    def take(self, message: Forward) -> list[AgentAction]:
+        """Open a flow that its home assigned to this agent, or decline it."""
+        is_closed = self.flows.is_closed(message.flow, message.decision)
+        if is_closed or not message.opens:
+            return [self.decline(message)]
+        if not self.is_decider(message) or not self.can_take(message.service):
+            self.flows.close(message.flow, message.decision)
+            return [self.decline(message)]
+        return self.open(message, message.decision)
+
+    def is_decider(self, message: Forward) -> bool:
+        """Return whether the sender may decide, as far as this agent promised."""
+        leases = self.leases_of(message.service)
+        if message.revision < leases.fence:
+            return False
+        asker, expires_ms = self.query_grants.get(message.flow, ("", 0))
+        if expires_ms > self.clock.now_ms():
+            return asker == message.decider
+        return leases.is_granted(message.decider)
+
+    def decline(self, message: Forward) -> PassOn:
+        """Return a packet to the home that sent it here."""
+        self.counters["packets_declined"] += 1
+        declined = (*message.declined, self.backend_server)
+        return PassOn(
+            message.decider,
+            message._replace(hops=message.hops + 1, declined=declined),
+        )
+
+    def forget_owner(self, flow: FlowKey, owner: str) -> None:
+        """Forget an owner that does not own the flow after all."""
+        if self.registry.owners.get(flow) == owner:
+            self.registry.forget(flow)
+
+    def open(self, message: Forward, decision: int) -> list[AgentAction]:
+        """Own a flow from now on and deliver its first packet."""
+        self.flows.open(message.flow, message.service, decision)
+        if decision:
+            self.registrations.note_known(message.flow, message.decider)
+        self.place_flow(message.flow, message.service)
+        return self.deliver_owned(message, self.flows.owned[message.flow])
+
+    def refuse_certainly(self, message: Forward, reason: str) -> Refuse:
+        """Refuse a packet as the one that decides; a late copy is refused as well."""
+        is_certain = self.refused.note(message.packet)
+        return refuse(message, reason, is_certain=is_certain)
--- a/citronwinch/coordination/steering/_balancer.py
+++ b/citronwinch/coordination/steering/_balancer.py
@@ -1,12 +1,16 @@
 """The decisions of a balancer."""
 
-from collections import OrderedDict
 from typing import NamedTuple
 
 from citronwinch.coordination._address import FlowKey
-from citronwinch.coordination._placement import rank_candidates
+from citronwinch.coordination._clock import Clock, MonotonicClock
+from citronwinch.coordination._placement import find_home
 from citronwinch.coordination._table import EMPTY_TABLE, Table
 from citronwinch.coordination.steering._messages import Forward, Hint
+from citronwinch.coordination.steering._reachability import AgentReachability
+
+HINT_AGE_MS = 60_000
+"""How long an owner is remembered without use, in milliseconds; at most twice that."""
 
 
 class Packet(NamedTuple):
@@ -35,18 +39,73 @@
     """Whether the balancer knows that agent as the flow's owner."""
 
 
+class OwnerCache:
+    """The owners that agents have told, bounded in number and age.
+
+    It has two halves. A full or old current half becomes the older one and what was
+    in that one is forgotten, so that neither a look-up nor a full cache costs a
+    search.
+    """
+
+    def __init__(self, limit: int, clock: Clock) -> None:
+        self.half_limit = max(1, limit // 2)
+        self.clock = clock
+        self.current: dict[FlowKey, Route] = {}
+        self.older: dict[FlowKey, Route] = {}
+        self.turned_ms = clock.now_ms()
+
+    def __len__(self) -> int:
+        return len(self.current) + len(self.older)
+
+    def find(self, flow: FlowKey) -> Route | None:
+        """Return the route to a flow's owner, None when it is not known."""
+        route = self.current.get(flow)
+        if route is None and self.older:
+            route = self.older.pop(flow, None)
+            if route is not None:
+                self.remember(flow, route)
+        return route
+
+    def remember(self, flow: FlowKey, route: Route) -> None:
+        """Remember the route to a flow's owner."""
+        if len(self.current) >= self.half_limit and flow not in self.current:
+            self.turn()
+        self.older.pop(flow, None)
+        self.current[flow] = route
+
+    def forget(self, flow: FlowKey) -> None:
+        """Forget a flow."""
+        self.current.pop(flow, None)
+        self.older.pop(flow, None)
+
+    def expire(self) -> None:
+        """Forget what has not been used for long."""
+        if self.clock.now_ms() - self.turned_ms >= HINT_AGE_MS:
+            self.turn()
+
+    def turn(self) -> None:
+        """Make the current half the older one."""
+        self.older = self.current
+        self.current = {}
+        self.turned_ms = self.clock.now_ms()
+
+
 class BalancerSteering:
     """Chooses an agent for each packet.
 
     It keeps nothing that cannot be lost: a bounded cache of owners that agents have
-    told, and the current table.
+    told, which agents answer, and the current table.
     """
 
-    def __init__(self, name: str, cache_limit: int = 300_000) -> None:
+    def __init__(
+        self, name: str, cache_limit: int = 300_000, clock: Clock | None = None
+    ) -> None:
         self.name = name
-        self.cache_limit = cache_limit
         self.table: Table = EMPTY_TABLE
-        self.owners: OrderedDict[FlowKey, str] = OrderedDict()
+        self.clock: Clock = clock or MonotonicClock()
+        self.owners = OwnerCache(cache_limit, self.clock)
+        self.reachability = AgentReachability(self.clock)
+        self.routes: dict[str, Route] = {}
 
     def accept_table(self, table: Table) -> None:
         """Use a table from now on; a lower revision is ignored."""
@@ -56,27 +115,38 @@
     def accept_hint(self, hint: Hint) -> None:
         """Remember the owner of a flow, or forget it when the hint names none."""
         if not hint.owner:
-            self.owners.pop(hint.flow, None)
+            self.owners.forget(hint.flow)
             return
-        if hint.flow not in self.owners and len(self.owners) >= self.cache_limit:
-            self.owners.popitem(last=False)
-        self.owners[hint.flow] = hint.owner
+        route = self.routes.get(hint.owner)
+        if route is None:
+            route = self.routes[hint.owner] = Route(hint.owner, pinned=True)
+        self.owners.remember(hint.flow, route)
 
     def route(self, flow: FlowKey, service: str) -> Route | None:
         """Return where a packet of the flow goes, None when no agent can take it."""
-        owner = self.owners.get(flow)
-        if owner is not None:
-            return Route(owner, pinned=True)
-        candidates = rank_candidates(flow, self.table.rows_by_service.get(service, ()))
-        if not candidates:
-            return None
-        return Route(candidates[0].backend_server, pinned=False)
+        route = self.owners.find(flow)
+        if route is not None:
+            if route.agent not in self.reachability.unreachable:
+                return route
+            self.owners.forget(flow)
+        return self.find_home(flow, service)
+
+    def find_home(self, flow: FlowKey, service: str) -> Route | None:
+        """Return the home of a flow as far as this balancer can tell."""
+        rows = self.table.rows_by_service.get(service, ())
+        unreachable = self.reachability.unreachable
+        if unreachable:
+            reachable = [row for row in rows if row.backend_server not in unreachable]
+            rows = tuple(reachable) or rows
+        home = find_home(flow, rows)
+        return None if home is None else Route(home, pinned=False)
 
     def forward(self, packet: Packet, service: str) -> tuple[str, Forward] | None:
         """Return the agent and the message for a packet, None when none can take it."""
         route = self.route(packet.flow, service)
         if route is None:
             return None
+        self.reachability.note_sent(route.agent)
         return route.agent, Forward(
             flow=packet.flow,
             service=service,
@@ -84,4 +154,10 @@
             balancer=self.name,
             opens=packet.opens,
             pinned=route.pinned,
+            ends=packet.ends,
         )
+
+    def tick(self) -> list[str]:
+        """Let time pass, and return the agents to ask for a sign of life."""
+        self.owners.expire()
+        return self.reachability.due_probes()
--- /dev/null
+++ b/citronwinch/coordination/steering/_leases.py
@@ -0,0 +1,285 @@
+"""Leases between the members of a service: who may decide on new flows.
+
+A member decides on a flow alone only while every other member has leased it that
+right, or is known not to decide. A lease is a promise by its grantor: to decide
+nothing by an older revision, and to lease nothing to the members that it names as
+silent. It counts from the sending of its request and is checked against the clock
+at the moment of use, so that a process that was paused finds its leases expired.
+"""
+
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.steering._messages import LeaseAnswer, LeaseRequest
+
+LEASE_MS = 5_000
+"""How long a lease lasts, in milliseconds."""
+
+SILENT_MS = 5_500
+"""How long after its last lease a member counts as silent, in milliseconds.
+
+Longer than a lease by more than two clocks drift apart meanwhile.
+"""
+
+HEARTBEAT_MS = 2_000
+"""How often a lease is renewed, in milliseconds."""
+
+RETRY_MS = 400
+"""How soon an unanswered lease request is sent again, in milliseconds."""
+
+
+NEVER_MS = 1 << 62
+"""A time that does not come, in milliseconds."""
+
+
+class HeldLease(NamedTuple):
+    """A lease that another member granted to this one."""
+
+    expires_ms: int
+    """When it ends."""
+
+    revision: int
+    """The revision for which it holds."""
+
+    is_complete: bool
+    """Whether all flows of the grantor that concern this member are known."""
+
+    silent: tuple[str, ...]
+    """The members that the grantor does not lease to."""
+
+
+class Member:
+    """What one member of a service knows about another."""
+
+    def __init__(self, now_ms: int) -> None:
+        self.lease: HeldLease | None = None
+        self.granted_ms = now_ms
+        self.has_grant = False
+        self.reported_until_ms = 0
+        self.heard_ms = now_ms
+        self.is_leaving = False
+        self.has_departed = False
+        self.requested_ms: int | None = None
+        self.answered_ms: int | None = None
+        self.last_sent_ms = 0
+
+
+class ServiceLeases:
+    """The leases of one service, as one member holds and grants them."""
+
+    def __init__(self, service: str, name: str, clock: Clock) -> None:
+        self.service = service
+        self.name = name
+        self.clock = clock
+        self.started_ms = clock.now_ms()
+        self.revision = 0
+        self.fence = 0
+        self.fenced_by = ""
+        self.rows: frozenset[str] = frozenset()
+        self.former: set[str] = set()
+        self.cleared: set[str] = set()
+        self.confirmed_until_ms = clock.now_ms() + SILENT_MS
+        self.absent: frozenset[str] = frozenset()
+        self.members: dict[str, Member] = {}
+
+    def set_rows(self, revision: int, rows: frozenset[str]) -> None:
+        """Follow a table: who has left stays a former member while it owns flows."""
+        self.former |= self.rows
+        self.former -= rows | {self.name}
+        self.cleared.clear()
+        self.rows = rows
+        self.revision = revision
+        self.raise_fence(revision, "")
+        for name in rows - {self.name}:
+            self.member(name)
+        self.confirm()
+
+    def member(self, name: str) -> Member:
+        """Return what is known about a member."""
+        if name not in self.members:
+            self.members[name] = Member(self.clock.now_ms())
+        return self.members[name]
+
+    def others(self) -> list[str]:
+        """Return the members that have a say in who decides, without this one."""
+        return sorted((self.rows | self.former) - {self.name})
+
+    def raise_fence(self, revision: int, by: str) -> None:
+        """Decide nothing by an older revision from now on."""
+        if revision > self.fence:
+            self.fence = revision
+            self.fenced_by = by
+
+    @property
+    def is_fenced(self) -> bool:
+        """Whether a revision is known that this member does not have yet."""
+        return self.fence > self.revision
+
+    def due_requests(self, is_leaving: bool) -> list[tuple[str, LeaseRequest]]:
+        """Return the lease requests that are due now, with their receivers."""
+        now_ms = self.clock.now_ms()
+        due = [name for name in self.others() if self.is_due(name, now_ms)]
+        request = LeaseRequest(self.service, self.revision, now_ms, is_leaving)
+        for name in due:
+            self.member(name).requested_ms = now_ms
+        return [(name, request) for name in due]
+
+    def is_due(self, name: str, now_ms: int) -> bool:
+        """Return whether a member should be asked for its lease now."""
+        member = self.member(name)
+        if member.requested_ms is None:
+            return True
+        waited_ms = now_ms - member.requested_ms
+        if name in self.absent or self.is_silent(name):
+            return waited_ms >= HEARTBEAT_MS
+        lease = member.lease
+        if lease is None or lease.revision < self.revision or not lease.is_complete:
+            return waited_ms >= RETRY_MS
+        is_answered = (member.answered_ms or 0) >= member.requested_ms
+        return waited_ms >= (HEARTBEAT_MS if is_answered else RETRY_MS)
+
+    def renew_all(self) -> None:
+        """Ask every member again at the next opportunity."""
+        for member in self.members.values():
+            member.requested_ms = None
+
+    def note_sign_of_life(self, name: str) -> bool:
+        """Decide nothing for a member that is back; return whether it was away."""
+        member = self.member(name)
+        was_away = member.has_departed or self.is_silent(name)
+        member.heard_ms = self.clock.now_ms()
+        member.has_departed = False
+        return was_away
+
+    def answer(
+        self, sender: str, request: LeaseRequest, *, is_complete: bool
+    ) -> LeaseAnswer:
+        """Grant a lease, or say why not by the revision in the answer."""
+        now_ms = self.clock.now_ms()
+        member = self.member(sender)
+        member.last_sent_ms = max(member.last_sent_ms, request.sent_ms)
+        member.is_leaving = request.is_leaving
+        is_granted = (
+            request.revision >= self.fence and now_ms >= member.reported_until_ms
+        )
+        if is_granted:
+            self.raise_fence(request.revision, sender)
+            member.granted_ms = now_ms
+            member.has_grant = True
+        silent = self.report_silent(sender) if is_granted else ()
+        return LeaseAnswer(
+            self.service,
+            self.fence,
+            request.sent_ms,
+            is_granted,
+            is_granted and is_complete and request.revision == self.revision,
+            silent=silent,
+            former=tuple(sorted(self.former)),
+        )
+
+    def report_silent(self, receiver: str) -> tuple[str, ...]:
+        """Name the silent members, and lease nothing to them meanwhile."""
+        now_ms = self.clock.now_ms()
+        silent = [
+            name for name in self.others() if name != receiver and self.is_silent(name)
+        ]
+        for name in silent:
+            self.member(name).reported_until_ms = now_ms + SILENT_MS
+        return tuple(silent)
+
+    def accept(self, sender: str, answer: LeaseAnswer) -> None:
+        """Note the answer of a member."""
+        member = self.member(sender)
+        member.is_leaving = answer.is_leaving
+        if answer.has_departed:
+            member.has_departed = answer.sent_ms >= member.last_sent_ms
+            member.lease = None
+            self.raise_fence(answer.revision, sender)
+            return
+        if answer.sent_ms < (member.answered_ms or 0):
+            return
+        member.answered_ms = answer.sent_ms
+        member.has_departed = False
+        self.raise_fence(answer.revision, sender)
+        self.former |= set(answer.former) - self.rows - self.cleared - {self.name}
+        self.confirm()
+        if not answer.is_granted:
+            return
+        member.lease = HeldLease(
+            answer.sent_ms + LEASE_MS,
+            answer.revision,
+            answer.is_complete,
+            answer.silent,
+        )
+        if sender in self.former and answer.is_complete and not answer.holds_flows:
+            self.former.discard(sender)
+            self.cleared.add(sender)
+
+    def confirm(self) -> None:
+        """Work out until when no majority can take this member for silent.
+
+        An owner that passes this time may have lost its flows to others, and has to
+        ask before it delivers again.
+        """
+        others = self.rows - self.dropped() - {self.name}
+        ends = sorted(
+            (self.member(name).answered_ms or self.started_ms) + SILENT_MS
+            for name in others
+        )
+        spare = (len(others) + 1) // 2
+        self.confirmed_until_ms = ends[spare] if spare < len(ends) else NEVER_MS
+
+    def dropped(self) -> set[str]:
+        """Return the silent members that the platform no longer lists."""
+        return {name for name in self.absent - {self.name} if self.is_silent(name)}
+
+    def is_silent(self, name: str) -> bool:
+        """Return whether a member has been quiet so long that it holds no lease."""
+        return self.clock.now_ms() - self.member(name).heard_ms >= SILENT_MS
+
+    def has_valid_lease(self, name: str) -> bool:
+        """Return whether a member's lease to this one holds now."""
+        lease = self.member(name).lease
+        return (
+            lease is not None
+            and lease.revision == self.revision
+            and self.clock.now_ms() < lease.expires_ms
+        )
+
+    def is_leased(self, name: str) -> bool:
+        """Return whether a member leaves decisions to this one and hides no flow."""
+        lease = self.member(name).lease
+        return self.has_valid_lease(name) and lease is not None and lease.is_complete
+
+    def is_granted(self, name: str) -> bool:
+        """Return whether this member's lease to another may still hold."""
+        member = self.member(name)
+        age_ms = self.clock.now_ms() - member.granted_ms
+        return member.has_grant and age_ms < SILENT_MS
+
+    def is_gone(self, name: str) -> bool:
+        """Return whether a member certainly decides nothing now.
+
+        Every member with a valid lease has to name it silent, and with this member
+        they have to be a majority of those that the platform has not dropped.
+        """
+        if self.member(name).has_departed:
+            return True
+        if not self.is_silent(name):
+            return False
+        witnesses = [other for other in self.others() if self.has_valid_lease(other)]
+        for other in witnesses:
+            lease = self.member(other).lease
+            if lease is None or name not in lease.silent:
+                return False
+        counted = self.rows | {self.name}
+        votes = 1 + sum(other in counted for other in witnesses)
+        return 2 * votes > len(counted - self.dropped())
+
+    def blockers(self) -> list[str]:
+        """Return the members that must be asked before a new flow is opened."""
+        return [
+            name
+            for name in self.others()
+            if not self.is_leased(name) and not self.is_gone(name)
+        ]
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -33,6 +33,21 @@
     request: RequestMetadata | None = None
     """What the caller said of its request; None when it said nothing."""
 
+    ends: bool = False
+    """Whether the packet ends the flow: a FIN or RST."""
+
+    decider: str = ""
+    """The agent that decided on the receiver; empty from a balancer."""
+
+    decision: int = 0
+    """The number of the decision that makes the receiver owner; 0 for none."""
+
+    revision: int = 0
+    """The table revision of the decision."""
+
+    declined: tuple[str, ...] = ()
+    """The agents that did not take the flow; a decider gets its packet back so."""
+
 
 class Hint(NamedTuple):
     """The owner of a flow, told to a balancer that sent it elsewhere."""
@@ -44,5 +59,165 @@
     """The backend server whose agent owns it; empty: forget what was known."""
 
 
-SteeringMessage = Forward | Hint
+class LeaseRequest(NamedTuple):
+    """A member of a service asks another for a lease to decide on new flows.
+
+    It is also the heartbeat between the agents of a service.
+    """
+
+    service: str
+    """The service."""
+
+    revision: int
+    """The table revision by which the sender decides."""
+
+    sent_ms: int
+    """When it was sent, by the sender's clock; the lease counts from then."""
+
+    is_leaving: bool = False
+    """Whether the sender takes no new flows."""
+
+
+class LeaseAnswer(NamedTuple):
+    """The answer to a lease request, and a promise as long as the lease lasts."""
+
+    service: str
+    """The service."""
+
+    revision: int
+    """The highest revision that the sender knows of."""
+
+    sent_ms: int
+    """The time in the request."""
+
+    is_granted: bool
+    """Whether the lease is granted."""
+
+    is_complete: bool = False
+    """Whether the receiver knows all flows of the sender that it is home of."""
+
+    holds_flows: bool = False
+    """Whether the sender owns flows of the service."""
+
+    is_leaving: bool = False
+    """Whether the sender takes no new flows."""
+
+    has_departed: bool = False
+    """Whether the sender stops and has promised to decide nothing more."""
+
+    silent: tuple[str, ...] = ()
+    """The members without a lease from the sender while this one lasts."""
+
+    former: tuple[str, ...] = ()
+    """Former members that may still own flows of the service."""
+
+
+class Register(NamedTuple):
+    """An owner tells a home which flows it owns."""
+
+    service: str
+    """The service."""
+
+    number: int
+    """The number of the message, for its acknowledgement."""
+
+    flows: tuple[FlowKey, ...]
+    """Flows that the sender owns."""
+
+    ended: tuple[FlowKey, ...] = ()
+    """Flows that the sender no longer owns."""
+
+
+class RegisterAck(NamedTuple):
+    """The acknowledgement of a registration."""
+
+    number: int
+    """The number of the registration."""
+
+
+class Query(NamedTuple):
+    """A home asks another member whether it knows the owner of a flow."""
+
+    service: str
+    """The service."""
+
+    flow: FlowKey
+    """The flow."""
+
+    revision: int
+    """The revision by which the sender decides."""
+
+
+class QueryAnswer(NamedTuple):
+    """The answer to a query, and a promise not to decide by an older revision."""
+
+    flow: FlowKey
+    """The flow."""
+
+    revision: int
+    """The highest revision that the sender knows of."""
+
+    owner: str
+    """The owner that the sender knows; empty for none."""
+
+
+class FlowRecord(NamedTuple):
+    """What is needed to deliver the packets of a flow."""
+
+    flow: FlowKey
+    """The flow."""
+
+    local_port: int
+    """The port from which the backend server gets its packets."""
+
+
+class HandOver(NamedTuple):
+    """Flow records of an agent that stops, kept by a peer for its successor."""
+
+    agent: str
+    """The agent whose flows these are."""
+
+    service: str
+    """The service under which the flows were opened."""
+
+    number: int
+    """The number of the message, for its acknowledgement."""
+
+    records: tuple[FlowRecord, ...]
+    """The records."""
+
+
+class TakeBack(NamedTuple):
+    """An agent that starts asks a peer for the records of its predecessor."""
+
+    agent: str
+    """The agent."""
+
+    received: int = 0
+    """The highest number of a hand-over that has arrived; 0 for none."""
+
+    is_done: bool = False
+    """Whether all has arrived, so that the peer may forget the records."""
+
+
+class Probe(NamedTuple):
+    """A balancer asks an agent for a sign of life."""
+
+    is_answer: bool
+    """Whether this is the answer."""
+
+
+SteeringMessage = (
+    Forward
+    | Hint
+    | LeaseRequest
+    | LeaseAnswer
+    | Register
+    | RegisterAck
+    | Query
+    | QueryAnswer
+    | HandOver
+    | TakeBack
+    | Probe
+)
 """Everything that balancers and agents say to each other about flows."""
--- /dev/null
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -0,0 +1,381 @@
+"""What an agent says to the other agents of its services, and what it answers."""
+
+from collections import Counter
+from functools import singledispatchmethod
+
+from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination._instances import Instance, InstanceRole, InstanceState
+from citronwinch.coordination._placement import find_home
+from citronwinch.coordination._table import EMPTY_TABLE, Table, TableRow
+from citronwinch.coordination.steering._actions import AgentAction, EndFlow, Send
+from citronwinch.coordination.steering._held import HeldPackets
+from citronwinch.coordination.steering._leases import LEASE_MS, ServiceLeases
+from citronwinch.coordination.steering._messages import (
+    LeaseAnswer,
+    LeaseRequest,
+    Probe,
+    Query,
+    QueryAnswer,
+    Register,
+    RegisterAck,
+)
+from citronwinch.coordination.steering._owned import OwnedFlows
+from citronwinch.coordination.steering._registrations import (
+    FlowRegistry,
+    Registrations,
+)
+
+QUERY_GRANTS_LIMIT = 16_384
+"""The most queried flows whose asker is remembered."""
+
+PAUSE_MS = 1_500
+"""A longer time between two ticks means that the process was paused."""
+
+BACKEND_FAILURE_MS = 2_000
+"""How long no new flows are taken after the backend server was not there."""
+
+
+class AgentProtocol:
+    """Leases, registrations and queries between the agents of a service.
+
+    `handle` takes every message but a packet; `tick` lets time pass. Both return
+    what to do.
+    """
+
+    def __init__(self, backend_server: str, clock: Clock, incarnation: int = 1) -> None:
+        self.backend_server = backend_server
+        self.clock = clock
+        self.table: Table = EMPTY_TABLE
+        self.is_leaving = False
+        self.is_stopping = False
+        self.leaving: frozenset[str] = frozenset()
+        self.absent: frozenset[str] = frozenset()
+        self.flows = OwnedFlows(clock, backend_server, incarnation)
+        self.leases: dict[str, ServiceLeases] = {}
+        self.registrations = Registrations(clock, incarnation)
+        self.registry = FlowRegistry()
+        self.held = HeldPackets(clock)
+        self.query_grants: dict[FlowKey, tuple[str, int]] = {}
+        self.known_silent: frozenset[tuple[str, str]] = frozenset()
+        self.failing_until_ms = clock.now_ms()
+        self.doubtful: set[FlowKey] = set()
+        self.counters: Counter[str] = Counter()
+        self.ticked_ms = clock.now_ms()
+
+    @property
+    def row(self) -> TableRow | None:
+        """The assignment of this agent's backend server."""
+        return self.table.row_by_backend_server.get(self.backend_server)
+
+    def accept_table(self, table: Table) -> list[AgentAction]:
+        """Use a table from now on; a lower revision is ignored."""
+        if table.revision <= self.table.revision:
+            return []
+        self.table = table
+        if self.row is not None:
+            self.leases_of(self.row.service)
+        for service, leases in self.leases.items():
+            rows = table.rows_by_service.get(service, ())
+            names = frozenset(row.backend_server for row in rows)
+            leases.set_rows(table.revision, names)
+            leases.renew_all()
+        self.place_owned()
+        return self.tick()
+
+    def begin_stop(self) -> None:
+        """Take no new flows from now on, because the process stops."""
+        self.is_stopping = True
+        self.is_leaving = True
+        for leases in self.leases.values():
+            leases.renew_all()
+
+    def accept_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Use the platform's list of instances from now on."""
+        agents = [one for one in instances if one.role is InstanceRole.AGENT]
+        self.leaving = frozenset(
+            one.name for one in agents if one.state is InstanceState.LEAVING
+        )
+        self.is_leaving = self.is_stopping or self.backend_server in self.leaving
+        listed = {one.name for one in agents}
+        names = {row.backend_server for row in self.table.rows}
+        for leases in self.leases.values():
+            names |= leases.former
+        self.absent = frozenset(names - listed)
+        for leases in self.leases.values():
+            leases.absent = self.absent
+
+    def leases_of(self, service: str) -> ServiceLeases:
+        """Return the leases of a service, begun when it is first met."""
+        leases = self.leases.get(service)
+        if leases is None:
+            leases = ServiceLeases(service, self.backend_server, self.clock)
+            leases.absent = self.absent
+            self.leases[service] = leases
+            rows = self.table.rows_by_service.get(service, ())
+            names = frozenset(row.backend_server for row in rows)
+            leases.set_rows(self.table.revision, names)
+        return leases
+
+    def home_of(self, flow: FlowKey, service: str) -> str | None:
+        """Return the agent that decides for a flow, None when the service has none."""
+        leases = self.leases_of(service)
+        rows = self.table.rows_by_service.get(service, ())
+        present = [
+            row
+            for row in rows
+            if row.backend_server == self.backend_server
+            or not leases.is_gone(row.backend_server)
+        ]
+        return find_home(flow, present)
+
+    def place_owned(self) -> None:
+        """See to it that the homes of all owned flows know their owner."""
+        for flow, owned in self.flows.owned.items():
+            self.place_flow(flow, owned.service)
+
+    def place_flow(self, flow: FlowKey, service: str) -> None:
+        """See to it that the home of an owned flow knows its owner."""
+        leases = self.leases_of(service)
+        rows = self.table.rows_by_service.get(service, ())
+        present = [
+            row
+            for row in rows
+            if row.backend_server == self.backend_server
+            or not leases.is_silent(row.backend_server)
+        ]
+        home = find_home(flow, present)
+        if home is None or home == self.backend_server:
+            self.registrations.forget(service, flow)
+        else:
+            self.registrations.set_home(service, flow, home)
+
+    def holds_flows(self, service: str) -> bool:
+        """Return whether this agent owns flows of a service."""
+        return self.flows.counts[service] > 0
+
+    @singledispatchmethod
+    def handle(self, message: object, sender: str) -> list[AgentAction]:
+        """Return what to do about a message of another process."""
+        self.counters["unexpected_messages"] += 1
+        return []
+
+    @handle.register
+    def _(self, message: LeaseRequest, sender: str) -> list[AgentAction]:
+        leases = self.leases_of(message.service)
+        if leases.note_sign_of_life(sender):
+            self.place_owned()
+        is_complete = self.registrations.is_complete(sender, message.service)
+        answer = leases.answer(sender, message, is_complete=is_complete)
+        answer = answer._replace(
+            is_leaving=self.is_leaving or self.is_failing,
+            holds_flows=self.holds_flows(message.service),
+        )
+        return [Send(sender, answer)]
+
+    @handle.register
+    def _(self, message: LeaseAnswer, sender: str) -> list[AgentAction]:
+        self.find_doubtful()
+        self.leases_of(message.service).accept(sender, message)
+        return self.retry_held()
+
+    @handle.register
+    def _(self, message: Register, sender: str) -> list[AgentAction]:
+        if not self.registry.accept(sender, message):
+            self.counters["registry_full"] += 1
+            return []
+        actions: list[AgentAction] = [Send(sender, RegisterAck(message.number))]
+        fence = self.leases_of(message.service).fence
+        for flow in message.flows:
+            if flow in self.flows.owned:
+                self.counters["owner_conflicts"] += 1
+                self.registry.forget(flow)
+                conflict = QueryAnswer(flow, fence, self.backend_server)
+                actions.append(Send(sender, conflict))
+        for flow in message.flows:
+            if flow in self.held.flows:
+                actions += self.retry_flow(flow)
+        return actions
+
+    @handle.register
+    def _(self, message: RegisterAck, sender: str) -> list[AgentAction]:
+        self.registrations.acknowledge(sender, message.number)
+        return []
+
+    @handle.register
+    def _(self, message: Query, sender: str) -> list[AgentAction]:
+        leases = self.leases_of(message.service)
+        leases.note_sign_of_life(sender)
+        if message.revision >= leases.fence:
+            leases.raise_fence(message.revision, sender)
+        owner = ""
+        if message.flow in self.flows.owned:
+            owner = self.backend_server
+        elif message.flow in self.registry.owners:
+            owner = self.registry.owners[message.flow]
+        if not owner and not self.note_query(message.flow, sender):
+            return []
+        return [Send(sender, QueryAnswer(message.flow, leases.fence, owner))]
+
+    def note_query(self, flow: FlowKey, sender: str) -> bool:
+        """Remember who decides for a queried flow; return False when full."""
+        now_ms = self.clock.now_ms()
+        known = self.query_grants.pop(flow, None)
+        if known is not None and known[0] != sender and known[1] > now_ms:
+            self.query_grants[flow] = known
+            return False
+        if len(self.query_grants) >= QUERY_GRANTS_LIMIT:
+            self.counters["query_grants_full"] += 1
+            return False
+        self.query_grants[flow] = (sender, now_ms + LEASE_MS)
+        return True
+
+    @handle.register
+    def _(self, message: QueryAnswer, sender: str) -> list[AgentAction]:
+        held = self.held.flows.get(message.flow)
+        if held is None:
+            return self.accept_loss(message.flow, message.owner)
+        leases = self.leases_of(held.service)
+        leases.raise_fence(message.revision, sender)
+        if held.revision != leases.revision or message.revision > held.revision:
+            return []
+        has_declined = message.owner in held.messages[0].declined
+        if message.owner in ("", self.backend_server) or has_declined:
+            held.answered.add(sender)
+        else:
+            actions = self.accept_owner(message.flow, message.owner)
+            return actions + self.retry_flow(message.flow)
+        return self.retry_flow(message.flow)
+
+    def accept_loss(self, flow: FlowKey, owner: str) -> list[AgentAction]:
+        """End a doubtful flow that another agent says it owns."""
+        if owner in ("", self.backend_server) or flow not in self.doubtful:
+            return []
+        return self.accept_owner(flow, owner)
+
+    def find_doubtful(self) -> None:
+        """Note the flows that others may have taken while nobody heard this agent."""
+        now_ms = self.clock.now_ms()
+        lost = {
+            service
+            for service, leases in self.leases.items()
+            if self.flows.counts[service] and now_ms >= leases.confirmed_until_ms
+        }
+        for flow, owned in self.flows.owned.items() if lost else ():
+            if owned.service in lost:
+                self.doubtful.add(flow)
+
+    def is_doubtful(self, flow: FlowKey, service: str) -> bool:
+        """Return whether others may have taken an owned flow."""
+        if self.clock.now_ms() >= self.leases[service].confirmed_until_ms:
+            self.doubtful.add(flow)
+        return flow in self.doubtful
+
+    def accept_owner(self, flow: FlowKey, owner: str) -> list[AgentAction]:
+        """Believe that another agent owns a flow."""
+        raise NotImplementedError
+
+    @handle.register
+    def _(self, message: Probe, sender: str) -> list[AgentAction]:
+        return [] if message.is_answer else [Send(sender, Probe(True))]
+
+    def tick(self) -> list[AgentAction]:
+        """Return what is due: renewals, repetitions, and packets that waited enough."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.ticked_ms > PAUSE_MS:
+            self.counters["pauses"] += 1
+            for leases in self.leases.values():
+                leases.renew_all()
+        self.ticked_ms = now_ms
+        self.find_doubtful()
+        self.expire(now_ms)
+        self.flows.expire()
+        actions = self.send_requests()
+        self.follow_silence()
+        actions += [Send(home, message) for home, message in self.registrations.due()]
+        return actions + self.retry_held()
+
+    def send_requests(self) -> list[AgentAction]:
+        """Return the lease requests for all services with a part in them."""
+        row = self.row
+        services = {service for service, count in self.flows.counts.items() if count}
+        if row is not None:
+            services.add(row.service)
+        is_leaving = (
+            self.is_leaving or self.is_failing or row is None or row.weight == 0
+        )
+        return [
+            Send(name, request)
+            for service in sorted(services)
+            for name, request in self.leases_of(service).due_requests(is_leaving)
+        ]
+
+    def follow_silence(self) -> None:
+        """Place flows anew when members fall silent, and forget those that are gone."""
+        silent = frozenset(
+            (service, name)
+            for service, leases in self.leases.items()
+            for name in leases.others()
+            if leases.is_silent(name)
+        )
+        self.registry.forget_owners(
+            name for service, name in silent if self.leases[service].is_gone(name)
+        )
+        if silent == self.known_silent:
+            return
+        for _, name in silent - self.known_silent:
+            self.registrations.drop_home(name)
+        self.known_silent = silent
+        self.place_owned()
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the answers to old queries."""
+        old = [flow for flow, (_, end) in self.query_grants.items() if end <= now_ms]
+        for flow in old:
+            del self.query_grants[flow]
+
+    def retry_held(self) -> list[AgentAction]:
+        """Decide again about all waiting packets."""
+        actions: list[AgentAction] = []
+        for flow in list(self.held.flows):
+            actions += self.retry_flow(flow)
+        return actions
+
+    def retry_flow(self, flow: FlowKey) -> list[AgentAction]:
+        """Decide again about the waiting packets of a flow."""
+        raise NotImplementedError
+
+    def note_backend_failure(self) -> None:
+        """Take no new flows for a while, because the backend server is not there."""
+        self.failing_until_ms = self.clock.now_ms() + BACKEND_FAILURE_MS
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the backend server was not there a short while ago."""
+        return self.clock.now_ms() < self.failing_until_ms
+
+    def read_gauges(self) -> dict[str, int]:
+        """Return how full everything bounded is, by metric name."""
+        return {
+            "flows_owned": len(self.flows.owned),
+            "flows_registered_here": len(self.registry.owners),
+            "flows_held": self.held.count.flows,
+            "held_bytes": self.held.count.size_bytes,
+            "flow_tombstones": len(self.flows.tombstones),
+            "query_grants": len(self.query_grants),
+            "registrations_unacknowledged": len(self.registrations.sent),
+        }
+
+    def end_flow(self, flow: FlowKey) -> None:
+        """Forget a flow that has ended, here and at its home."""
+        owned = self.flows.end(flow)
+        self.doubtful.discard(flow)
+        if owned is not None:
+            self.registrations.forget(owned.service, flow)
+
+    def end_idle_flows(self, idle_ms: int) -> list[AgentAction]:
+        """End the flows without packets for a time, and say which."""
+        idle = self.flows.find_idle(idle_ms)
+        for flow in idle:
+            self.end_flow(flow)
+        return [EndFlow(flow) for flow in idle]
--- /dev/null
+++ b/citronwinch/coordination/steering/_reachability.py
@@ -0,0 +1,96 @@
+"""Which agents answer a balancer."""
+
+from citronwinch.coordination._clock import Clock
+
+PROBE_AFTER_MS = 1_000
+"""How long an agent may be quiet before it is asked for a sign of life."""
+
+PROBE_TIMEOUT_MS = 300
+"""How long an answer to a probe may take, in milliseconds."""
+
+PROBES_UNANSWERED = 3
+"""After how many unanswered probes an agent counts as unreachable."""
+
+PROBES_PER_TICK = 20
+"""The most probes that are sent at once, which bounds their rate."""
+
+
+class AgentContact:
+    """What a balancer knows of its contact with one agent."""
+
+    def __init__(self) -> None:
+        self.sent_since_heard = False
+        self.heard_ms = 0
+        self.probed_ms = 0
+        self.unanswered = 0
+
+
+class AgentReachability:
+    """Probes agents that were sent to and have been quiet since.
+
+    The first unanswered probe is followed by one from a new socket, because
+    something between may have lost track of the old one; `wants_new_link` says when.
+    Only then is the agent judged unreachable, and it is probed further on.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.contacts: dict[str, AgentContact] = {}
+        self.unreachable: set[str] = set()
+        self.wants_new_link = False
+
+    def note_sent(self, agent: str) -> None:
+        """Note that something was sent to an agent."""
+        contact = self.contacts.get(agent)
+        if contact is None:
+            contact = self.contacts[agent] = AgentContact()
+            contact.heard_ms = self.clock.now_ms()
+        contact.sent_since_heard = True
+
+    def note_heard(self, agent: str) -> None:
+        """Note a message of an agent."""
+        contact = self.contacts.get(agent)
+        if contact is None:
+            return
+        contact.heard_ms = self.clock.now_ms()
+        contact.sent_since_heard = False
+        contact.unanswered = 0
+        self.unreachable.discard(agent)
+
+    def due_probes(self) -> list[str]:
+        """Return the agents to probe now, and judge those that stayed quiet."""
+        now_ms = self.clock.now_ms()
+        due: list[str] = []
+        for agent, contact in self.contacts.items():
+            if len(due) >= PROBES_PER_TICK:
+                break
+            if self.is_due(contact, now_ms):
+                self.judge(agent, contact)
+                contact.probed_ms = now_ms
+                contact.unanswered += 1
+                due.append(agent)
+        return due
+
+    def is_due(self, contact: AgentContact, now_ms: int) -> bool:
+        """Return whether an agent should be probed now."""
+        if contact.unanswered:
+            limit_ms = (
+                PROBE_AFTER_MS
+                if contact.unanswered > PROBES_UNANSWERED
+                else PROBE_TIMEOUT_MS
+            )
+            return now_ms - contact.probed_ms >= limit_ms
+        is_quiet = now_ms - contact.heard_ms >= PROBE_AFTER_MS
+        return contact.sent_since_heard and is_quiet
+
+    def judge(self, agent: str, contact: AgentContact) -> None:
+        """Ask for a new link after one unanswered probe, give up after some."""
+        if contact.unanswered == 1:
+            self.wants_new_link = True
+        if contact.unanswered >= PROBES_UNANSWERED:
+            self.unreachable.add(agent)
+
+    def take_link_wish(self) -> bool:
+        """Return whether a new link is wanted, once."""
+        wish, self.wants_new_link = self.wants_new_link, False
+        return wish
--- /dev/null
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -0,0 +1,228 @@
+"""Telling homes which flows this agent owns, and remembering what owners told."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.steering._messages import Register
+
+REGISTER_FLOWS = 64
+"""The most flows in one registration."""
+
+REGISTER_RETRY_MS = 500
+"""How soon an unacknowledged registration is sent again, in milliseconds."""
+
+REGISTER_BURST_BYTES = 65_536
+"""How many bytes of registrations may be sent at once after a quiet time."""
+
+REGISTER_BYTES_PER_SECOND = 1_000
+"""How many bytes of registrations a second are sent beyond the burst."""
+
+REGISTER_OVERHEAD_BYTES = 200
+"""The bytes of a registration besides its flows."""
+
+REGISTRY_LIMIT = 65_536
+"""The most flows of other owners that a home remembers."""
+
+
+class Batch(NamedTuple):
+    """A registration that waits for its acknowledgement."""
+
+    home: str
+    """The home that it goes to."""
+
+    message: Register
+    """What was sent."""
+
+    sent_ms: int
+    """When it was sent last."""
+
+
+class Registrations:
+    """What the homes of the owned flows have been told.
+
+    Batches are sent again until they are acknowledged, at a limited rate.
+    """
+
+    def __init__(self, clock: Clock, first_number: int = 1) -> None:
+        self.clock = clock
+        self.number = first_number
+        self.homes: dict[FlowKey, str] = {}
+        self.waiting: dict[tuple[str, str], dict[FlowKey, bool]] = {}
+        self.sent: dict[int, Batch] = {}
+        self.budget_bytes = REGISTER_BURST_BYTES
+        self.budget_ms = clock.now_ms()
+
+    def set_home(self, service: str, flow: FlowKey, home: str) -> None:
+        """See to it that a flow's home knows its owner, and its former home forgets."""
+        known = self.homes.get(flow)
+        if known == home:
+            return
+        if known is not None:
+            self.forget(service, flow)
+        self.homes[flow] = home
+        self.waiting.setdefault((home, service), {})[flow] = True
+
+    def note_known(self, flow: FlowKey, home: str) -> None:
+        """Note a home that knows the owner because it decided on it."""
+        self.homes[flow] = home
+
+    def forget(self, service: str, flow: FlowKey) -> None:
+        """Tell the home of a flow that this agent no longer owns it."""
+        home = self.homes.pop(flow, None)
+        if home is not None:
+            self.waiting.setdefault((home, service), {})[flow] = False
+
+    def drop_home(self, home: str) -> None:
+        """Send nothing more to a home that is gone."""
+        for key in [key for key in self.waiting if key[0] == home]:
+            del self.waiting[key]
+        for number in [n for n, batch in self.sent.items() if batch.home == home]:
+            del self.sent[number]
+        for flow in [flow for flow, known in self.homes.items() if known == home]:
+            del self.homes[flow]
+
+    def is_complete(self, home: str, service: str) -> bool:
+        """Return whether a home has acknowledged everything it should know."""
+        if self.waiting.get((home, service)):
+            return False
+        return not any(
+            batch.home == home and batch.message.service == service
+            for batch in self.sent.values()
+        )
+
+    def acknowledge(self, sender: str, number: int) -> None:
+        """Note that a registration has arrived."""
+        batch = self.sent.get(number)
+        if batch is not None and batch.home == sender:
+            del self.sent[number]
+
+    def due(self) -> list[tuple[str, Register]]:
+        """Return the registrations to send now, with their receivers."""
+        self.refill()
+        now_ms = self.clock.now_ms()
+        sending: list[tuple[str, Register]] = []
+        for number, batch in list(self.sent.items()):
+            if now_ms - batch.sent_ms >= REGISTER_RETRY_MS and self.spend(
+                batch.message
+            ):
+                self.sent[number] = batch._replace(sent_ms=now_ms)
+                sending.append((batch.home, batch.message))
+        for home, service in list(self.waiting):
+            sending += self.send_waiting(home, service)
+        return sending
+
+    def send_waiting(self, home: str, service: str) -> list[tuple[str, Register]]:
+        """Return what waits for one home, as far as the rate allows."""
+        waiting = self.waiting[home, service]
+        sending: list[tuple[str, Register]] = []
+        while waiting:
+            part = list(waiting.items())[:REGISTER_FLOWS]
+            flows = tuple(flow for flow, is_owned in part if is_owned)
+            ended = tuple(flow for flow, is_owned in part if not is_owned)
+            message = Register(service, self.number, flows, ended)
+            if not self.spend(message):
+                return sending
+            self.number += 1
+            self.sent[message.number] = Batch(home, message, self.clock.now_ms())
+            sending.append((home, message))
+            for flow, _ in part:
+                del waiting[flow]
+        del self.waiting[home, service]
+        return sending
+
+    def refill(self) -> None:
+        """Add to the budget what the passed time allows."""
+        now_ms = self.clock.now_ms()
+        gained = (now_ms - self.budget_ms) * REGISTER_BYTES_PER_SECOND // 1_000
+        if gained > 0:
+            self.budget_ms = now_ms
+            self.budget_bytes = min(REGISTER_BURST_BYTES, self.budget_bytes + gained)
+
+    def spend(self, message: Register) -> bool:
+        """Take a message from the budget; return False when there is not enough."""
+        size = REGISTER_OVERHEAD_BYTES + sum(map(len, message.flows + message.ended))
+        if size > self.budget_bytes:
+            return False
+        self.budget_bytes -= size
+        return True
+
+
+class Decision(NamedTuple):
+    """What made another agent the owner of a flow."""
+
+    number: int
+    """The decider's number for it; 0 when the owner registered by itself."""
+
+    revision: int
+    """The table revision by which it was taken."""
+
+
+NO_DECISION = Decision(0, 0)
+"""The decision behind an owner that registered by itself."""
+
+
+class FlowRegistry:
+    """The owners of flows that this agent is home of and does not own itself."""
+
+    def __init__(self, limit: int = REGISTRY_LIMIT) -> None:
+        self.limit = limit
+        self.owners: dict[FlowKey, str] = {}
+        self.numbers: dict[FlowKey, int] = {}
+        self.decisions: dict[FlowKey, Decision] = {}
+        self.counts: Counter[str] = Counter()
+
+    def has_room(self, count: int = 1) -> bool:
+        """Return whether so many more flows can be remembered."""
+        return len(self.owners) + count <= self.limit
+
+    def remember(self, flow: FlowKey, owner: str, number: int = 0) -> None:
+        """Remember the owner of a flow, and which registration told it."""
+        self.forget(flow)
+        self.owners[flow] = owner
+        self.numbers[flow] = number
+        self.counts[owner] += 1
+
+    def assign(self, flow: FlowKey, owner: str, decision: Decision) -> None:
+        """Remember the owner that this agent decided on."""
+        self.remember(flow, owner)
+        self.decisions[flow] = decision
+
+    def decision_of(self, flow: FlowKey) -> Decision:
+        """Return the decision that the owner may not have heard of yet."""
+        return self.decisions.get(flow, NO_DECISION)
+
+    def forget(self, flow: FlowKey) -> None:
+        """Forget a flow."""
+        owner = self.owners.pop(flow, None)
+        if owner is not None:
+            del self.numbers[flow]
+            self.decisions.pop(flow, None)
+            self.counts[owner] -= 1
+
+    def accept(self, sender: str, message: Register) -> bool:
+        """Take a registration; return False when it does not fit."""
+        new = [flow for flow in message.flows if flow not in self.owners]
+        if not self.has_room(len(new)):
+            return False
+        for flow in message.flows:
+            if not self.is_newer(sender, flow, message.number):
+                self.remember(flow, sender, message.number)
+        for flow in message.ended:
+            is_same = self.owners.get(flow) == sender
+            if is_same and not self.is_newer(sender, flow, message.number):
+                self.forget(flow)
+        return True
+
+    def is_newer(self, sender: str, flow: FlowKey, number: int) -> bool:
+        """Return whether a later registration of the same owner came before."""
+        return self.owners.get(flow) == sender and self.numbers[flow] > number
+
+    def forget_owners(self, gone: Iterable[str]) -> None:
+        """Forget the flows of owners that are gone."""
+        names = {name for name in gone if self.counts[name]}
+        if names:
+            for flow in [f for f, owner in self.owners.items() if owner in names]:
+                self.forget(flow)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -6,16 +6,27 @@
 
 from citronwinch.backend_servers import Reply, UdpDelivery, read_request_header
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
-from citronwinch.coordination.requests import RequestMetadata
+from citronwinch.coordination.requests import RequestKind
 from citronwinch.coordination.steering import (
+    AgentAction,
     AgentSteering,
     Deliver,
+    EndFlow,
     Forward,
     PassOn,
     Refuse,
+    Send,
+    SteeringMessage,
     TellBalancer,
 )
-from citronwinch.daemon._events import Event, PeerBatch, ReplyArrived, Tick
+from citronwinch.daemon._events import (
+    Event,
+    InstancesChanged,
+    PeerBatch,
+    ReplyArrived,
+    StopRequested,
+    Tick,
+)
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
 from citronwinch.fabric import (
@@ -32,10 +43,9 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
-        self.steering = AgentSteering(settings.name, self.clock)
+        self.steering = AgentSteering(settings.name, self.clock, self.peers.incarnation)
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
-        self.request: RequestMetadata | None = None
 
     @property
     def table(self) -> Table:
@@ -49,15 +59,16 @@
 
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
-        self.steering.accept_table(table)
+        actions = self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         if row is not None and self.delivery is None and self.nursery is not None:
             self.delivery = UdpDelivery(
                 row.backend_server_address,
                 self.nursery,
                 self.queue_reply,
-                self.end_flow,
+                self.end_unreachable,
             )
+        self.act_all(actions)
 
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
         """Keep the nursery for the tasks of the flows."""
@@ -75,22 +86,43 @@
             self.metrics.count("replies_dropped_total")
 
     def handle(self, event: Event) -> None:
-        """React to forwarded packets, replies and the passing of time."""
+        """React to messages, replies, changes and the passing of time."""
         if isinstance(event, PeerBatch):
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
+                elif isinstance(envelope.message, SteeringMessage):
+                    self.act_all(
+                        self.steering.handle(envelope.message, envelope.sender)
+                    )
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
+        elif isinstance(event, InstancesChanged):
+            self.steering.accept_instances(event.instances)
+        elif isinstance(event, StopRequested):
+            self.steering.begin_stop()
         elif isinstance(event, Tick):
-            self.end_idle_flows(event.now_ms)
+            self.act_all(self.steering.tick())
+            self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
+            self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
-        self.request = message.request
-        for action in self.steering.handle_forward(message):
+        self.act_all(self.steering.handle_forward(message))
+
+    def act_all(self, actions: list[AgentAction]) -> None:
+        """Carry out actions in their order."""
+        for action in actions:
             self.act(action)
 
+    def export_metrics(self) -> None:
+        """Show the counters and bounds of the steering."""
+        for name, value in self.steering.read_gauges().items():
+            self.metrics.set_gauge(name, value)
+        for name, count in self.steering.counters.items():
+            self.metrics.count("steering_events_total", name, count)
+        self.steering.counters.clear()
+
     @singledispatchmethod
     def act(self, action: object) -> None:
         """Carry out one action."""
@@ -115,6 +147,19 @@
         self.metrics.count("packets_passed_on_total")
         self.peers.send(action.message, instance.address)
 
+    @act.register
+    def _(self, action: Send) -> None:
+        instance = self.instances.get(action.receiver)
+        if instance is None:
+            self.metrics.count("messages_dropped_total", "unknown_instance")
+            return
+        self.peers.send(action.message, instance.address)
+
+    @act.register
+    def _(self, action: EndFlow) -> None:
+        if self.delivery is not None:
+            self.delivery.close(action.flow)
+
     @act.register
     def _(self, action: TellBalancer) -> None:
         instance = self.instances.get(action.balancer)
@@ -124,12 +169,16 @@
     @act.register
     def _(self, action: Refuse) -> None:
         self.metrics.count("packets_refused_total", action.reason)
+        if not action.is_certain and action.request is None:
+            return
+        kind = RequestKind.NOT_RUN if action.is_certain else RequestKind.UNKNOWN
         send_refusal(
             self.peers.port,
             self.settings.fabric_return,
             action.packet,
-            self.request,
-            retry_after_ms=action.retry_after_ms,
+            action.request,
+            kind,
+            action.retry_after_ms,
         )
 
     def answer(self, reply: Reply) -> None:
@@ -140,16 +189,13 @@
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
 
-    def end_idle_flows(self, now_ms: int) -> None:
-        """End the flows that have seen no packet for the idle time."""
-        limit_ms = now_ms - self.settings.flow_idle_ms
-        idle = [
-            flow
-            for flow, owned in self.steering.owned.items()
-            if owned.last_seen_ms < limit_ms
-        ]
-        for flow in idle:
-            self.end_flow(flow)
+    def end_unreachable(self, flow: FlowKey) -> None:
+        """End a flow whose backend server is not there, and let its caller know."""
+        self.metrics.count("flows_unreachable_total")
+        self.steering.note_backend_failure()
+        self.end_flow(flow)
+        packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
+        send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
 
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -3,8 +3,8 @@
 import trio
 
 from citronwinch.coordination import Table
-from citronwinch.coordination.steering import BalancerSteering, Hint
-from citronwinch.daemon._events import Event, FabricBatch, PeerBatch
+from citronwinch.coordination.steering import BalancerSteering, Hint, Probe
+from citronwinch.daemon._events import Event, FabricBatch, PeerBatch, Tick
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal
 from citronwinch.fabric import (
@@ -24,7 +24,9 @@
         super().__init__(settings)
         assert settings.fabric_address is not None
         self.fabric = DatagramPort(settings.fabric_address)
-        self.steering = BalancerSteering(settings.name, settings.flow_cache_limit)
+        self.steering = BalancerSteering(
+            settings.name, settings.flow_cache_limit, self.clock
+        )
 
     @property
     def table(self) -> Table:
@@ -55,8 +57,22 @@
                 self.handle_frame(datagram)
         elif isinstance(event, PeerBatch):
             for envelope in event.envelopes:
+                self.steering.reachability.note_heard(envelope.sender)
                 if isinstance(envelope.message, Hint):
                     self.steering.accept_hint(envelope.message)
+        elif isinstance(event, Tick):
+            self.probe_agents()
+
+    def probe_agents(self) -> None:
+        """Ask quiet agents for a sign of life, and show how many do not answer."""
+        for agent in self.steering.tick():
+            instance = self.instances.get(agent)
+            if instance is not None:
+                self.metrics.count("probes_total")
+                self.peers.send(Probe(is_answer=False), instance.address)
+        unreachable = len(self.steering.reachability.unreachable)
+        self.metrics.set_gauge("agents_unreachable", unreachable)
+        self.metrics.set_gauge("owners_cached", len(self.steering.owners))
 
     def handle_frame(self, datagram: Datagram) -> None:
         """Send one packet to its agent; count and drop what cannot be read."""
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -7,7 +7,11 @@
 
 from citronwinch.coordination.steering import SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
-from citronwinch.peers._steering_codec import read_forward, read_hint
+from citronwinch.peers._steering_codec import (
+    read_forward,
+    read_hint,
+    read_steering,
+)
 
 PeerMessage = SteeringMessage
 """Everything that the system's processes say to each other."""
@@ -63,4 +67,5 @@
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
+    "steering": read_steering,
 }
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -1,10 +1,25 @@
 """Encoding of messages about flows."""
 
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
-from citronwinch.coordination.steering import Forward, Hint
+from citronwinch.coordination.steering import (
+    FlowRecord,
+    Forward,
+    HandOver,
+    Hint,
+    LeaseAnswer,
+    LeaseRequest,
+    Probe,
+    Query,
+    QueryAnswer,
+    Register,
+    RegisterAck,
+    SteeringMessage,
+    TakeBack,
+)
 from citronwinch.peers._codec import fill_message
 
 
@@ -18,6 +33,12 @@
     target.hops = message.hops
     target.opens = message.opens
     target.pinned = message.pinned
+    target.ends = message.ends
+    if message.decider:
+        target.decider = message.decider
+        target.decision = message.decision
+        target.revision = message.revision
+        target.declined = list(message.declined)
     if message.request is not None:
         fill_request(message.request, target.init("request"))
 
@@ -51,6 +72,11 @@
         reader.opens,
         reader.pinned,
         request,
+        reader.ends,
+        reader.decider,
+        reader.decision,
+        reader.revision,
+        tuple(reader.declined),
     )
 
 
@@ -69,3 +95,172 @@
         reader.part,
         reader.partCount,
     )
+
+
+@fill_message.register
+def _(message: LeaseRequest, envelope: Any) -> None:
+    target = envelope.init("steering").init("leaseRequest")
+    target.service = message.service
+    target.revision = message.revision
+    target.sentMs = message.sent_ms
+    target.isLeaving = message.is_leaving
+
+
+@fill_message.register
+def _(message: LeaseAnswer, envelope: Any) -> None:
+    target = envelope.init("steering").init("leaseAnswer")
+    target.service = message.service
+    target.revision = message.revision
+    target.sentMs = message.sent_ms
+    target.isGranted = message.is_granted
+    target.isComplete = message.is_complete
+    target.holdsFlows = message.holds_flows
+    target.isLeaving = message.is_leaving
+    target.hasDeparted = message.has_departed
+    target.silent = list(message.silent)
+    target.former = list(message.former)
+
+
+@fill_message.register
+def _(message: Register, envelope: Any) -> None:
+    target = envelope.init("steering").init("register")
+    target.service = message.service
+    target.number = message.number
+    target.flows = pack_keys(message.flows)
+    target.ended = pack_keys(message.ended)
+
+
+@fill_message.register
+def _(message: RegisterAck, envelope: Any) -> None:
+    envelope.init("steering").init("registerAck").number = message.number
+
+
+@fill_message.register
+def _(message: Query, envelope: Any) -> None:
+    target = envelope.init("steering").init("query")
+    target.service = message.service
+    target.flow = message.flow
+    target.revision = message.revision
+
+
+@fill_message.register
+def _(message: QueryAnswer, envelope: Any) -> None:
+    target = envelope.init("steering").init("queryAnswer")
+    target.flow = message.flow
+    target.revision = message.revision
+    target.owner = message.owner
+
+
+@fill_message.register
+def _(message: HandOver, envelope: Any) -> None:
+    target = envelope.init("steering").init("handOver")
+    target.agent = message.agent
+    target.service = message.service
+    target.number = message.number
+    target.flows = pack_keys(record.flow for record in message.records)
+    target.ports = [record.local_port for record in message.records]
+
+
+@fill_message.register
+def _(message: TakeBack, envelope: Any) -> None:
+    target = envelope.init("steering").init("takeBack")
+    target.agent = message.agent
+    target.received = message.received
+    target.isDone = message.is_done
+
+
+@fill_message.register
+def _(message: Probe, envelope: Any) -> None:
+    envelope.init("steering").init("probe").isAnswer = message.is_answer
+
+
+def pack_keys(keys: Iterable[FlowKey]) -> bytes:
+    """Return flow keys, each behind its length in one byte.
+
+    Example::
+
+        >>> unpack_keys(pack_keys([FlowKey(bytes(13)), FlowKey(bytes(37))])) == (
+        ...     bytes(13),
+        ...     bytes(37),
+        ... )
+        True
+    """
+    return b"".join(bytes([len(key)]) + key for key in keys)
+
+
+def unpack_keys(data: bytes) -> tuple[FlowKey, ...]:
+    """Return the flow keys in packed bytes; raise ValueError when they are cut off."""
+    keys: list[FlowKey] = []
+    position = 0
+    while position < len(data):
+        end = position + 1 + data[position]
+        if end > len(data):
+            raise ValueError("a flow key runs past the end of the message")
+        keys.append(FlowKey(data[position + 1 : end]))
+        position = end
+    return tuple(keys)
+
+
+def read_lease_request(reader: Any) -> LeaseRequest:
+    """Return the lease request in a reader."""
+    return LeaseRequest(
+        reader.service, reader.revision, reader.sentMs, reader.isLeaving
+    )
+
+
+def read_lease_answer(reader: Any) -> LeaseAnswer:
+    """Return the lease answer in a reader."""
+    return LeaseAnswer(
+        reader.service,
+        reader.revision,
+        reader.sentMs,
+        reader.isGranted,
+        reader.isComplete,
+        reader.holdsFlows,
+        reader.isLeaving,
+        reader.hasDeparted,
+        tuple(reader.silent),
+        tuple(reader.former),
+    )
+
+
+def read_register(reader: Any) -> Register:
+    """Return the registration in a reader."""
+    return Register(
+        reader.service,
+        reader.number,
+        unpack_keys(bytes(reader.flows)),
+        unpack_keys(bytes(reader.ended)),
+    )
+
+
+def read_hand_over(reader: Any) -> HandOver:
+    """Return the flow records in a reader."""
+    flows = unpack_keys(bytes(reader.flows))
+    records = tuple(
+        FlowRecord(flow, port) for flow, port in zip(flows, reader.ports, strict=True)
+    )
+    return HandOver(reader.agent, reader.service, reader.number, records)
+
+
+def read_steering(reader: Any) -> SteeringMessage:
+    """Return the message in the union of steering messages."""
+    kind = str(reader.which())
+    return _READERS[kind](getattr(reader, kind))
+
+
+_READERS: dict[str, Callable[[Any], SteeringMessage]] = {
+    "leaseRequest": read_lease_request,
+    "leaseAnswer": read_lease_answer,
+    "register": read_register,
+    "registerAck": lambda reader: RegisterAck(reader.number),
+    "query": lambda reader: Query(
+        reader.service, FlowKey(bytes(reader.flow)), reader.revision
+    ),
+    "queryAnswer": lambda reader: QueryAnswer(
+        FlowKey(bytes(reader.flow)), reader.revision, reader.owner
+    ),
+    "handOver": read_hand_over,
+    "takeBack": lambda reader: TakeBack(reader.agent, reader.received, reader.isDone),
+    "probe": lambda reader: Probe(reader.isAnswer),
+}
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -19,6 +19,11 @@
   opens @5 :Bool;
   pinned @6 :Bool;
   request @7 :RequestMetadata;
+  ends @8 :Bool;
+  decider @9 :Text;
+  decision @10 :UInt64;
+  revision @11 :UInt64;
+  declined @12 :List(Text);
 }
 
 struct Hint {
@@ -26,5 +31,77 @@
   owner @1 :Text;
 }
 
+struct LeaseRequest {
+  service @0 :Text;
+  revision @1 :UInt64;
+  sentMs @2 :UInt64;
+  isLeaving @3 :Bool;
+}
+
+struct LeaseAnswer {
+  service @0 :Text;
+  revision @1 :UInt64;
+  sentMs @2 :UInt64;
+  isGranted @3 :Bool;
+  isComplete @4 :Bool;
+  holdsFlows @5 :Bool;
+  isLeaving @6 :Bool;
+  hasDeparted @7 :Bool;
+  silent @8 :List(Text);
+  former @9 :List(Text);
+}
+
+struct Register {
+  service @0 :Text;
+  number @1 :UInt64;
+  flows @2 :Data;       # flow keys, each behind its length in one byte
+  ended @3 :Data;       # likewise
+}
+
+struct RegisterAck {
+  number @0 :UInt64;
+}
+
+struct Query {
+  service @0 :Text;
+  flow @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct QueryAnswer {
+  flow @0 :Data;
+  revision @1 :UInt64;
+  owner @2 :Text;
+}
+
+struct HandOver {
+  agent @0 :Text;
+  service @1 :Text;
+  number @2 :UInt64;
+  flows @3 :Data;       # flow keys, each behind its length in one byte
+  ports @4 :List(UInt16);
+}
+
+struct TakeBack {
+  agent @0 :Text;
+  received @1 :UInt64;
+  isDone @2 :Bool;
+}
+
+struct Probe {
+  isAnswer @0 :Bool;
+}
+
 struct SteeringMessage {
+  union {
+    leaseRequest @0 :LeaseRequest;
+    leaseAnswer @1 :LeaseAnswer;
+    register @2 :Register;
+    registerAck @3 :RegisterAck;
+    query @4 :Query;
+    queryAnswer @5 :QueryAnswer;
+    handOver @6 :HandOver;
+    takeBack @7 :TakeBack;
+    probe @8 :Probe;
+  }
 }
