--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -1,12 +1,13 @@
 """The agent: decides for its backend server and delivers packets to it."""
 
+import random
 from functools import singledispatchmethod
 
 import trio
 
-from citronwinch.backend_servers import Reply, UdpDelivery, read_request_header
+from citronwinch.backend_servers import Reply, UdpDelivery
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
-from citronwinch.coordination.requests import RequestKind
+from citronwinch.coordination.requests import RequestRecords, RetryRequest
 from citronwinch.coordination.steering import (
     AgentAction,
     AgentSteering,
@@ -19,6 +20,7 @@
     SteeringMessage,
     TellBalancer,
 )
+from citronwinch.daemon._agent_requests import RequestHandler
 from citronwinch.daemon._events import (
     Event,
     InstancesChanged,
@@ -29,6 +31,7 @@
 )
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
+from citronwinch.daemon._status import Status
 from citronwinch.fabric import (
     GeneveFrame,
     MalformedPacketError,
@@ -46,6 +49,7 @@
         self.steering = AgentSteering(settings.name, self.clock, self.peers.incarnation)
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
+        self.requests = RequestHandler(self, random.Random(settings.name))
 
     @property
     def table(self) -> Table:
@@ -75,8 +79,8 @@
         self.nursery = nursery
 
     def is_drained(self) -> bool:
-        """Whether no flow is left."""
-        return not self.steering.owned
+        """Whether no flow is left and no request is in progress."""
+        return not self.steering.owned and self.requests.requests.is_idle()
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -88,6 +92,7 @@
     def handle(self, event: Event) -> None:
         """React to messages, replies, changes and the passing of time."""
         if isinstance(event, PeerBatch):
+            self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
@@ -95,12 +100,15 @@
                     self.act_all(
                         self.steering.handle(envelope.message, envelope.sender)
                     )
+                elif isinstance(envelope.message, RetryRequest | RequestRecords):
+                    self.requests.accept(envelope.message)
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
         elif isinstance(event, InstancesChanged):
             self.steering.accept_instances(event.instances)
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
+            self.requests.requests.stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
@@ -108,6 +116,8 @@
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
+        if self.requests.intercept(message):
+            return
         self.act_all(self.steering.handle_forward(message))
 
     def act_all(self, actions: list[AgentAction]) -> None:
@@ -130,6 +140,8 @@
 
     @act.register
     def _(self, action: Deliver) -> None:
+        if self.requests.deliver(action):
+            return
         try:
             payload = parse_udp(action.packet).payload
         except MalformedPacketError:
@@ -168,35 +180,52 @@
 
     @act.register
     def _(self, action: Refuse) -> None:
+        if self.requests.refuse(action):
+            return
         self.metrics.count("packets_refused_total", action.reason)
-        if not action.is_certain and action.request is None:
+        if not action.is_certain:
             return
-        kind = RequestKind.NOT_RUN if action.is_certain else RequestKind.UNKNOWN
         send_refusal(
             self.peers.port,
             self.settings.fabric_return,
             action.packet,
-            action.request,
-            kind,
-            action.retry_after_ms,
+            None,
+            retry_after_ms=action.retry_after_ms,
         )
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        if self.requests.answer(reply):
+            return
         flow = unpack_flow_key(reply.flow)
         packet = build_udp(flow, reply.payload, to_caller=True)
-        frame = GeneveFrame(packet, read_request_header(reply.payload))
+        frame = GeneveFrame(packet)
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
 
     def end_unreachable(self, flow: FlowKey) -> None:
         """End a flow whose backend server is not there, and let its caller know."""
         self.metrics.count("flows_unreachable_total")
+        self.requests.lose_flow(flow)
         self.steering.note_backend_failure()
         self.end_flow(flow)
         packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
         send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
 
+    def can_take_guest(self, service: str) -> bool:
+        """Whether the backend server may get a request of another agent's flow."""
+        row = self.table.row_by_backend_server.get(self.settings.name)
+        if row is None or row.service != service or row.weight == 0:
+            return False
+        return self.flow_count < row.connection_limit
+
+    def read_status(self) -> Status:
+        """Say ready only once every request that is sent from now on is served."""
+        status = super().read_status()
+        if status.state == "ready" and not self.requests.requests.is_settled():
+            return status._replace(state="starting")
+        return status
+
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
