--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -2,15 +2,17 @@
 
 from citronwinch.operators._logging import configure_logging
 from citronwinch.operators._metrics import MetricKey, Metrics
+from citronwinch.operators._objectives import Objective
 from citronwinch.operators._settings import (
     SETTING_SPECS,
     Settings,
     SettingsProblem,
     parse_settings,
 )
+from citronwinch.operators._table_conflicts import TableProblem
 from citronwinch.operators._table_csv import (
     COLUMNS,
-    TableProblem,
+    decode_table,
     format_table,
     parse_table,
 )
@@ -19,11 +21,13 @@
     "COLUMNS",
     "MetricKey",
     "Metrics",
+    "Objective",
     "SETTING_SPECS",
     "Settings",
     "SettingsProblem",
     "TableProblem",
     "configure_logging",
+    "decode_table",
     "format_table",
     "parse_settings",
     "parse_table",
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -1,15 +1,34 @@
 """Settings of a daemon: INI, checked whole before anything opens."""
 
-import configparser
+import re
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
 from citronwinch.coordination import Endpoint, InstanceRole
+from citronwinch.operators._ini_file import IniFile, parse_ini
+from citronwinch.operators._objectives import (
+    OBJECTIVE_KEYS,
+    OBJECTIVE_PREFIX,
+    Objective,
+)
+from citronwinch.operators._setting_values import (
+    SettingValueError,
+    parse_device,
+    parse_endpoint,
+    parse_endpoints,
+    parse_key,
+    parse_log_format,
+    parse_name,
+    parse_number,
+    parse_role,
+)
 
-KEY_HEX_DIGITS = 64
-"""Length of a shared key in hexadecimal digits."""
+FOUND_LENGTH_LIMIT = 80
+"""The most characters of a value that a message shows."""
+
+_KEY_DIGITS = re.compile("[0-9A-Fa-f]{16,}")
 
 
 class SettingsProblem(NamedTuple):
@@ -86,59 +105,16 @@
     log_format: str
     """`json` or `console`."""
 
+    tun_device: str = ""
+    """The layer-3 device that delivers TCP segments; empty without one."""
 
-class _ValueError(Exception):
-    pass
-
-
-def _text(value: str) -> str:
-    if not value:
-        raise _ValueError("a name")
-    return value
-
-
-def _role(value: str) -> InstanceRole:
-    try:
-        return InstanceRole(value)
-    except ValueError:
-        raise _ValueError("balancer or agent") from None
-
-
-def _endpoint(value: str) -> Endpoint:
-    try:
-        return Endpoint.parse(value)
-    except ValueError as error:
-        raise _ValueError(f"an address such as 192.0.2.1:80 ({error})") from None
-
-
-def _endpoints(value: str) -> tuple[Endpoint, ...]:
-    return tuple(_endpoint(part) for part in value.split(",") if part.strip())
-
-
-def _key(value: str) -> bytes:
-    try:
-        key = bytes.fromhex(value)
-    except ValueError:
-        key = b""
-    if len(key) * 2 != KEY_HEX_DIGITS:
-        raise _ValueError(f"{KEY_HEX_DIGITS} hexadecimal digits")
-    return key
-
-
-def _number(low: int, high: int, unit: str) -> Callable[[str], int]:
-    def parse(value: str) -> int:
-        digits = value.isascii() and value.isdigit() and len(value) <= 12
-        if not digits or not low <= int(value) <= high:
-            raise _ValueError(f"a whole number of {unit} from {low} to {high}")
-        return int(value)
-
-    return parse
-
+    objectives: tuple[Objective, ...] = ()
+    """What the services promise."""
 
-def _log_format(value: str) -> str:
-    if value not in ("json", "console"):
-        raise _ValueError("json or console")
-    return value
+    def __repr__(self) -> str:
+        """Return the settings without their keys."""
+        shown = self._asdict() | {"key": "(hidden)", "previous_key": "(hidden)"}
+        return f"Settings({shown})"
 
 
 class SettingSpec(NamedTuple):
@@ -161,121 +137,153 @@
 
 
 SETTING_SPECS = (
-    SettingSpec("instance", "name", "name", _text),
-    SettingSpec("instance", "role", "role", _role),
-    SettingSpec("instance", "availability_zone", "availability_zone", _text),
-    SettingSpec("instance", "region", "region", _text, ""),
-    SettingSpec("listen", "peers", "peer_address", _endpoint),
-    SettingSpec("listen", "http", "http_address", _endpoint),
-    SettingSpec("listen", "fabric", "fabric_address", _endpoint, None),
-    SettingSpec("platform", "configuration", "configuration_service", _endpoint),
-    SettingSpec("platform", "instances", "instance_service", _endpoint),
-    SettingSpec("fabric", "return", "fabric_return", _endpoints),
-    SettingSpec("keys", "current", "key", _key),
-    SettingSpec("keys", "previous", "previous_key", _key, None),
+    SettingSpec("instance", "name", "name", parse_name),
+    SettingSpec("instance", "role", "role", parse_role),
+    SettingSpec("instance", "availability_zone", "availability_zone", parse_name),
+    SettingSpec("instance", "region", "region", parse_name, ""),
+    SettingSpec("listen", "peers", "peer_address", parse_endpoint),
+    SettingSpec("listen", "http", "http_address", parse_endpoint),
+    SettingSpec("listen", "fabric", "fabric_address", parse_endpoint, None),
+    SettingSpec("platform", "configuration", "configuration_service", parse_endpoint),
+    SettingSpec("platform", "instances", "instance_service", parse_endpoint),
+    SettingSpec("fabric", "return", "fabric_return", parse_endpoints),
+    SettingSpec("keys", "current", "key", parse_key),
+    SettingSpec("keys", "previous", "previous_key", parse_key, None),
     SettingSpec(
         "flows",
         "idle_ms",
         "flow_idle_ms",
-        _number(1_000, 86_400_000, "milliseconds"),
+        parse_number(1_000, 86_400_000, "milliseconds"),
         300_000,
     ),
     SettingSpec(
         "flows",
         "cache_limit",
         "flow_cache_limit",
-        _number(1, 10_000_000, "flows"),
+        parse_number(1, 10_000_000, "flows"),
         300_000,
     ),
     SettingSpec(
         "stop",
         "timeout_ms",
         "stop_timeout_ms",
-        _number(0, 86_400_000, "milliseconds"),
+        parse_number(0, 86_400_000, "milliseconds"),
         30_000,
     ),
-    SettingSpec("log", "format", "log_format", _log_format, "json"),
+    SettingSpec("delivery", "tun_device", "tun_device", parse_device, ""),
+    SettingSpec("log", "format", "log_format", parse_log_format, "json"),
 )
-"""Every setting there is."""
+"""Every setting there is, but for the objectives of services."""
 
 
 def parse_settings(text: str, file: str) -> Result[Settings, list[SettingsProblem]]:
     """Return the settings in INI text, or every mistake in it."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
-    parser.optionxform = str  # type: ignore[assignment,method-assign]
-    try:
-        parser.read_string(text, source=file)
-    except configparser.Error as error:
-        line = int(getattr(error, "lineno", 0) or 0)
-        reason = str(error).splitlines()[0]
-        return Error([SettingsProblem(file, line, "file", reason, "well-formed INI")])
-    lines = _find_lines(text)
-    problems = _find_unknown(parser, file, lines)
+    ini = parse_ini(text.removeprefix("\ufeff"))
+    problems = [
+        SettingsProblem(file, problem.line, "file", problem.found, problem.expected)
+        for problem in ini.problems
+    ]
+    problems += _find_unknown(ini, file)
     values: dict[str, Any] = {}
     for spec in SETTING_SPECS:
-        place = f"[{spec.section}] {spec.key}"
-        raw = parser.get(spec.section, spec.key, fallback=None)
-        if raw is None:
-            if spec.default is ...:
-                problems.append(SettingsProblem(file, 0, place, "nothing", "a value"))
-            values[spec.field] = spec.default
-            continue
-        try:
-            values[spec.field] = spec.parse(raw.strip())
-        except _ValueError as error:
-            line = lines.get((spec.section, spec.key), 0)
-            shown = "(hidden)" if spec.section == "keys" else raw
-            problems.append(SettingsProblem(file, line, place, shown, str(error)))
-    if not problems:
-        problems = _find_role_problems(values, file)
+        values[spec.field] = _read_setting(spec, ini, file, problems)
+    objectives = _read_objectives(ini, file, problems)
+    problems += _find_role_problems(values, ini, file)
     if problems:
+        problems = [_hide_keys(problem) for problem in problems]
         return Error(sorted(problems, key=lambda problem: problem.line))
-    return Ok(Settings(**values))
-
-
-def _find_role_problems(values: dict[str, Any], file: str) -> list[SettingsProblem]:
-    is_balancer = values["role"] is InstanceRole.BALANCER
-    if is_balancer == (values["fabric_address"] is not None):
-        return []
-    found, expected = (
-        ("nothing", "the address where the fabric hands packets over")
-        if is_balancer
-        else (str(values["fabric_address"]), "nothing: an agent takes no packets there")
-    )
-    return [SettingsProblem(file, 0, "[listen] fabric", found, expected)]
+    return Ok(Settings(**values, objectives=objectives))
+
+
+def _hide_keys(problem: SettingsProblem) -> SettingsProblem:
+    """Hide what may be a shared key that stands in a wrong place."""
+    hidden = (_KEY_DIGITS.sub("(hidden)", text) for text in problem[2:])
+    return SettingsProblem(problem.file, problem.line, *hidden)
+
+
+def _read_setting(
+    spec: SettingSpec, ini: IniFile, file: str, problems: list[SettingsProblem]
+) -> Any:
+    """Return a setting's value, None after a mistake, which is noted."""
+    place = f"[{spec.section}] {spec.key}"
+    raw = ini.values.get(spec.section, {}).get(spec.key)
+    if raw is None:
+        if spec.default is not ...:
+            return spec.default
+        problems.append(SettingsProblem(file, 0, place, "nothing", "a value"))
+        return None
+    try:
+        return spec.parse(raw.strip())
+    except SettingValueError as error:
+        line = ini.find_line(spec.section, spec.key)
+        shown = "(hidden)" if spec.section == "keys" else raw[:FOUND_LENGTH_LIMIT]
+        problems.append(SettingsProblem(file, line, place, shown, str(error)))
+        return None
+
+
+def _read_objectives(
+    ini: IniFile, file: str, problems: list[SettingsProblem]
+) -> tuple[Objective, ...]:
+    objectives = []
+    for section in ini.values:
+        if not section.startswith(OBJECTIVE_PREFIX):
+            continue
+        values = {
+            key: _read_setting(
+                SettingSpec(section, key, key, parse, None), ini, file, problems
+            )
+            for key, parse in OBJECTIVE_KEYS.items()
+        }
+        service = section.removeprefix(OBJECTIVE_PREFIX).strip()
+        objectives.append(Objective(service, **values))
+    return tuple(objectives)
+
+
+def _find_role_problems(
+    values: dict[str, Any], ini: IniFile, file: str
+) -> list[SettingsProblem]:
+    """Find settings that do not fit the role or each other."""
+    problems = []
+    role, fabric = values["role"], values["fabric_address"]
+    line = ini.find_line("listen", "fabric")
+    if role is InstanceRole.BALANCER and not line:
+        expected = "the address where the fabric hands packets over"
+        problems.append(
+            SettingsProblem(file, 0, "[listen] fabric", "nothing", expected)
+        )
+    if role is InstanceRole.AGENT and fabric is not None:
+        expected = "nothing: an agent takes no packets there"
+        problems.append(
+            SettingsProblem(file, line, "[listen] fabric", str(fabric), expected)
+        )
+    if fabric is not None and fabric.port and fabric == values["peer_address"]:
+        expected = "an address other than [listen] peers"
+        problems.append(
+            SettingsProblem(file, line, "[listen] fabric", str(fabric), expected)
+        )
+    return problems
 
 
-def _find_unknown(
-    parser: configparser.ConfigParser, file: str, lines: dict[tuple[str, str], int]
-) -> list[SettingsProblem]:
+def _find_unknown(ini: IniFile, file: str) -> list[SettingsProblem]:
     known: dict[str, list[str]] = {}
     for spec in SETTING_SPECS:
         known.setdefault(spec.section, []).append(spec.key)
     problems = []
-    for section in parser.sections():
-        if section not in known:
-            line = lines.get((section, ""), 0)
-            expected = f"one of {', '.join(known)}"
-            problems.append(SettingsProblem(file, line, "section", section, expected))
+    for section, values in ini.values.items():
+        keys = known.get(section)
+        if section.startswith(OBJECTIVE_PREFIX):
+            keys = list(OBJECTIVE_KEYS)
+        if keys is None:
+            line = ini.find_line(section)
+            expected = f"one of {', '.join(known)}, objective SERVICE"
+            found = section[:FOUND_LENGTH_LIMIT]
+            problems.append(SettingsProblem(file, line, "section", found, expected))
             continue
-        for key in parser[section]:
-            if key not in known[section]:
-                line = lines.get((section, key), 0)
-                expected = f"one of {', '.join(known[section])}"
+        for key in values:
+            if key not in keys:
+                line = ini.find_line(section, key)
+                expected = f"one of {', '.join(keys)}"
                 place = f"[{section}] key"
-                problems.append(SettingsProblem(file, line, place, key, expected))
+                found = "(hidden)" if section == "keys" else key[:FOUND_LENGTH_LIMIT]
+                problems.append(SettingsProblem(file, line, place, found, expected))
     return problems
-
-
-def _find_lines(text: str) -> dict[tuple[str, str], int]:
-    lines: dict[tuple[str, str], int] = {}
-    section = ""
-    for number, line in enumerate(text.splitlines(), 1):
-        stripped = line.strip()
-        if stripped.startswith("[") and "]" in stripped:
-            section = stripped[1 : stripped.index("]")]
-            lines[section, ""] = number
-        elif stripped and stripped[0] not in "#;":
-            key = stripped.replace(":", "=", 1).split("=", 1)[0].strip()
-            lines.setdefault((section, key), number)
-    return lines
