--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -15,6 +15,7 @@
     Refuse,
     TellBalancer,
 )
+from citronwinch.daemon._agent_service_levels import AgentServiceLevels
 from citronwinch.daemon._events import Event, PeerBatch, ReplyArrived, Tick
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
@@ -36,6 +37,7 @@
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.request: RequestMetadata | None = None
+        self.levels = AgentServiceLevels(self.metrics.service_levels, self.clock)
 
     @property
     def table(self) -> Table:
@@ -47,16 +49,23 @@
         """The flows that this agent owns."""
         return len(self.steering.owned)
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return this backend server for a flow that it holds, or who was passed it."""
+        if flow in self.steering.owned:
+            return self.settings.name
+        return self.steering.passed_on.get(flow, "")
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
+        self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
             self.delivery = UdpDelivery(
                 row.backend_server_address,
                 self.nursery,
                 self.queue_reply,
-                self.end_flow,
+                self.break_flow,
             )
 
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
@@ -84,6 +93,7 @@
             self.answer(event.reply)
         elif isinstance(event, Tick):
             self.end_idle_flows(event.now_ms)
+            self.levels.tick(self.flow_count)
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
@@ -105,6 +115,7 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
+            self.levels.packet_delivered(self.request)
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -124,6 +135,7 @@
     @act.register
     def _(self, action: Refuse) -> None:
         self.metrics.count("packets_refused_total", action.reason)
+        self.levels.packet_refused(self.request)
         send_refusal(
             self.peers.port,
             self.settings.fabric_return,
@@ -137,6 +149,7 @@
         flow = unpack_flow_key(reply.flow)
         packet = build_udp(flow, reply.payload, to_caller=True)
         frame = GeneveFrame(packet, read_request_header(reply.payload))
+        self.levels.reply_sent(frame.request)
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
 
@@ -149,8 +162,14 @@
             if owned.last_seen_ms < limit_ms
         ]
         for flow in idle:
+            self.levels.flow_ended()
             self.end_flow(flow)
 
+    def break_flow(self, flow: FlowKey) -> None:
+        """End a flow whose backend server refuses its datagrams."""
+        self.levels.flow_broken()
+        self.end_flow(flow)
+
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
--- /dev/null
+++ b/citronwinch/daemon/_agent_service_levels.py
@@ -0,0 +1,66 @@
+"""What an agent counts towards its service's objectives."""
+
+from citronwinch.coordination import Clock
+from citronwinch.coordination.requests import RequestKind, RequestMetadata
+from citronwinch.operators import Outcome, ServiceLevels
+
+_FAILURE_KINDS = (RequestKind.NOT_RUN, RequestKind.UNKNOWN, RequestKind.SHED)
+
+
+class AgentServiceLevels:
+    """Counts the outcomes of the flows and requests of one backend server."""
+
+    def __init__(self, levels: ServiceLevels, clock: Clock) -> None:
+        self.levels = levels
+        self.clock = clock
+        self.service = ""
+        self.parts_sent: dict[bytes, int] = {}
+
+    def packet_delivered(self, request: RequestMetadata | None) -> None:
+        """Begin to take the time of a request."""
+        if request is not None and request.kind is RequestKind.REQUEST:
+            self.levels.request_delivered(
+                self.service,
+                request.request_id,
+                request.remaining_ms,
+                self.clock.now_ms(),
+            )
+
+    def packet_refused(self, request: RequestMetadata | None) -> None:
+        """Count a request that was refused."""
+        if request is not None and request.kind is RequestKind.REQUEST:
+            self.levels.request_failed(
+                self.service, request.request_id, self.clock.now_ms()
+            )
+
+    def reply_sent(self, answer: RequestMetadata | None) -> None:
+        """Count a request when the last part of its answer has left."""
+        if answer is None or answer.request_id not in self.levels.pending:
+            return
+        if answer.kind in _FAILURE_KINDS:
+            self.levels.request_failed(
+                self.service, answer.request_id, self.clock.now_ms()
+            )
+        elif answer.kind is RequestKind.ANSWER:
+            parts = self.parts_sent.pop(answer.request_id, 0) + 1
+            if parts < answer.part_count:
+                self.parts_sent[answer.request_id] = parts
+            else:
+                self.levels.request_answered(answer.request_id, self.clock.now_ms())
+
+    def flow_ended(self) -> None:
+        """Count a flow that ended without harm."""
+        self.levels.count(self.service, Outcome.FLOW_ENDED, self.clock.now_ms())
+
+    def flow_broken(self) -> None:
+        """Count an established flow that could not go on."""
+        self.levels.count(self.service, Outcome.FLOW_BROKEN, self.clock.now_ms())
+
+    def tick(self, flow_count: int) -> None:
+        """Note the open flows and give up on requests that are late."""
+        if self.service:
+            self.levels.open_flows[self.service] = flow_count
+        self.levels.expire_requests(self.clock.now_ms())
+        if len(self.parts_sent) > len(self.levels.pending):
+            pending = self.levels.pending
+            self.parts_sent = {k: v for k, v in self.parts_sent.items() if k in pending}
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from citronwinch.coordination import Table
+from citronwinch.coordination import FlowKey, Table
 from citronwinch.coordination.steering import BalancerSteering, Hint
 from citronwinch.daemon._events import Event, FabricBatch, PeerBatch
 from citronwinch.daemon._process import Process
@@ -36,6 +36,10 @@
         """The flows whose owner is remembered."""
         return len(self.steering.owners)
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return the owner that an agent has told."""
+        return self.steering.owners.get(flow, "")
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         self.steering.accept_table(table)
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from citronwinch.coordination import Instance, MonotonicClock, Table
+from citronwinch.coordination import FlowKey, Instance, MonotonicClock, Table
 from citronwinch.daemon._events import (
     Event,
     InstancesChanged,
@@ -46,6 +46,8 @@
         self.clock = MonotonicClock()
         self.instances: dict[str, Instance] = {}
         self.state = "starting"
+        self.decided_ms = self.clock.now_ms()
+        self.metrics.service_levels.configure(settings.objectives, self.decided_ms)
         self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
         accepted = [key for key in (settings.key, settings.previous_key) if key]
         self.peers = PeerPort(
@@ -67,6 +69,10 @@
     def flow_count(self) -> int:
         """The flows that are held or remembered."""
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return the owner of a flow, empty when this process does not know it."""
+        return ""
+
     @abstractmethod
     def handle(self, event: Event) -> None:
         """React to one event of the role."""
@@ -83,7 +89,7 @@
         """Run until a graceful shutdown is complete."""
         source = random.Random(f"{self.settings.name}-{self.peers.incarnation}")
         platform = (self.inbox_send, self.metrics, source)
-        page = StatusPage(self.metrics, self.read_status)
+        page = StatusPage(self.metrics, self.read_status, self.find_owner)
         settings = self.settings
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_signals)
@@ -101,6 +107,7 @@
     async def _decide(self) -> None:
         deadline_ms: int | None = None
         async for event in self.inbox:
+            self.decided_ms = self.clock.now_ms()
             self._handle_common(event)
             self.handle(event)
             if isinstance(event, StopRequested) and deadline_ms is None:
@@ -144,6 +151,7 @@
             self.table.digest.hex(),
             self.flow_count,
             len(self.instances),
+            self.clock.now_ms() - self.decided_ms,
         )
 
     async def _receive_peers(self) -> None:
--- a/citronwinch/daemon/_status.py
+++ b/citronwinch/daemon/_status.py
@@ -5,9 +5,20 @@
 
 import orjson
 
+from citronwinch.coordination import (
+    Clock,
+    Endpoint,
+    Flow,
+    FlowKey,
+    MonotonicClock,
+    TransportProtocol,
+)
 from citronwinch.network import HttpRequest, HttpResponse
 from citronwinch.operators import Metrics
 
+STALLED_MS = 5_000
+"""How long the deciding task may take no event, in milliseconds."""
+
 
 class Status(NamedTuple):
     """What a daemon says about itself."""
@@ -33,26 +44,81 @@
     instances: int
     """The instances that are known."""
 
+    idle_ms: int = 0
+    """The time since the deciding task took its last event."""
 
-class StatusPage:
-    """Answers the requests of operators and scrapers."""
 
-    def __init__(self, metrics: Metrics, read_status: Callable[[], Status]) -> None:
+class StatusPage:
+    """Answers the requests of operators and scrapers.
+
+    `find_owner` gives the owner of a flow as far as the process knows it.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        read_status: Callable[[], Status],
+        find_owner: Callable[[FlowKey], str] = lambda flow: "",
+        clock: Clock | None = None,
+    ) -> None:
         self.metrics = metrics
         self.read_status = read_status
+        self.find_owner = find_owner
+        self.clock = clock or MonotonicClock()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
+        self.metrics.count("http_requests_total")
+        if request.method not in ("GET", "HEAD"):
+            return HttpResponse(405, b'{"error":"only GET"}')
         if request.path == "/metrics":
             content_type = "text/plain; version=0.0.4; charset=utf-8"
             return HttpResponse(200, self.metrics.render(), content_type)
-        if request.path == "/healthz":
-            return HttpResponse(200, b'{"healthy":true}')
+        if request.path == "/service-levels":
+            report = self.metrics.service_levels.report(self.clock.now_ms())
+            return HttpResponse(200, orjson.dumps(report))
+        if request.path == "/flow":
+            return self.answer_flow(request.query)
+        return self.answer_status(request.path)
+
+    def answer_status(self, path: str) -> HttpResponse:
+        """Answer a read of health, readiness or status."""
         status = self.read_status()
-        if request.path == "/readyz":
-            ready = status.state == "ready"
-            body = orjson.dumps({"ready": ready, "state": status.state})
-            return HttpResponse(200 if ready else 503, body)
-        if request.path == "/status":
+        if path == "/healthz":
+            healthy = status.idle_ms < STALLED_MS
+            body = orjson.dumps({"healthy": healthy, "idle_ms": status.idle_ms})
+            return HttpResponse(200 if healthy else 503, body)
+        if path == "/readyz":
+            reason = find_unready_reason(status)
+            answer = {"ready": not reason, "state": status.state, "reason": reason}
+            return HttpResponse(503 if reason else 200, orjson.dumps(answer))
+        if path == "/status":
             return HttpResponse(200, orjson.dumps(status._asdict()))
         return HttpResponse(404, b'{"error":"no such page"}')
+
+    def answer_flow(self, query: dict[str, str]) -> HttpResponse:
+        """Say who owns the flow that a query names."""
+        try:
+            flow = Flow(
+                TransportProtocol[query["protocol"].upper()],
+                Endpoint.parse(query["caller"]),
+                Endpoint.parse(query["service"]),
+            )
+            owner = self.find_owner(flow.key)
+        except (KeyError, ValueError):
+            expected = b'{"error":"expected protocol, caller and service"}'
+            return HttpResponse(400, expected)
+        return HttpResponse(200, orjson.dumps({"owner": owner}))
+
+
+def find_unready_reason(status: Status) -> str:
+    """Return why a process takes no traffic, empty when it does."""
+    if status.state != "ready":
+        return "no table yet" if status.state == "starting" else status.state
+    if not status.revision:
+        return "no table yet"
+    if status.role == "balancer" and not status.instances:
+        return "no instances known"
+    if status.idle_ms >= STALLED_MS:
+        return "the deciding task is stalled"
+    return ""
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -3,6 +3,11 @@
 from citronwinch.operators._logging import configure_logging
 from citronwinch.operators._metrics import MetricKey, Metrics
 from citronwinch.operators._objectives import Objective
+from citronwinch.operators._service_levels import (
+    SLOT_MS,
+    Outcome,
+    ServiceLevels,
+)
 from citronwinch.operators._settings import (
     SETTING_SPECS,
     Settings,
@@ -22,7 +27,10 @@
     "MetricKey",
     "Metrics",
     "Objective",
+    "Outcome",
     "SETTING_SPECS",
+    "SLOT_MS",
+    "ServiceLevels",
     "Settings",
     "SettingsProblem",
     "TableProblem",
--- a/citronwinch/operators/_metrics.py
+++ b/citronwinch/operators/_metrics.py
@@ -6,6 +6,8 @@
 from aioprometheus import Counter as ExportedCounter, Gauge as ExportedGauge, Registry
 from aioprometheus.formats import text
 
+from citronwinch.operators._service_levels import ServiceLevels
+
 
 class MetricKey(NamedTuple):
     """One time series."""
@@ -34,10 +36,13 @@
     def __init__(self) -> None:
         self.counters: Counter[MetricKey] = Counter()
         self.gauges: dict[MetricKey, float] = {}
+        self.service_levels = ServiceLevels()
 
     def count(self, name: str, reason: str = "", amount: int = 1) -> None:
         """Add to a counter."""
-        self.counters[MetricKey(name, reason)] += amount
+        # A plain tuple equals its MetricKey and is made faster on the packet path.
+        key = (name, reason)
+        self.counters[key] += amount  # type: ignore[index]
 
     def set_gauge(self, name: str, value: float, reason: str = "") -> None:
         """Set a gauge."""
@@ -52,11 +57,14 @@
             (ExportedGauge, self.gauges),
         ):
             for key, value in sorted(values.items()):
+                key = MetricKey(*key)
                 if key.name not in exported:
                     name = f"citronwinch_{key.name}"
                     doc = key.name.replace("_", " ")
                     exported[key.name] = kind(name, doc, registry=registry)
                 labels = {"reason": key.reason} if key.reason else {}
                 exported[key.name].set(labels, value)
-        rendered: bytes = text.TextFormatter().marshall(registry)
+        formatter = text.TextFormatter()
+        levels = formatter.marshall(self.service_levels.registry)
+        rendered: bytes = formatter.marshall(registry) + levels
         return rendered
