--- a/citronwinch/demo/_deployment.py
+++ b/citronwinch/demo/_deployment.py
@@ -135,6 +135,7 @@
                     "availability_zone": self.zone_of(name),
                     "address": f"{ip}:{self.base_port}",
                     "fabric_address": f"{ip}:{self.base_port + 2}",
+                    "http_address": str(self.http_address(name)),
                     "state": state,
                 }
             )
@@ -145,6 +146,7 @@
                     "role": "agent",
                     "availability_zone": self.zone_of(name),
                     "address": str(self.agent_address(name)),
+                    "http_address": str(self.http_address(name)),
                     "state": state,
                 }
             )
--- a/citronwinch/network/__init__.py
+++ b/citronwinch/network/__init__.py
@@ -1,9 +1,10 @@
 """Sockets and HTTP shared by the adapters."""
 
-from citronwinch.network._datagram_port import Datagram, DatagramPort
+from citronwinch.network._datagram_port import BUFFER_BYTES, Datagram, DatagramPort
 from citronwinch.network._http import HttpError, HttpRequest, HttpResponse, fetch, serve
 
 __all__ = [
+    "BUFFER_BYTES",
     "Datagram",
     "DatagramPort",
     "HttpError",
--- a/citronwinch/tool/_main.py
+++ b/citronwinch/tool/_main.py
@@ -1,23 +1,30 @@
 """The entry point of the command-line tool."""
 
 import argparse
+import os
 import sys
 from collections.abc import Callable
-from pathlib import Path
 
-import orjson
-
-from citronwinch.demo import DEPLOYMENTS, DemoOptions, run_demo
-from citronwinch.operators import parse_settings, parse_table
-
-EXIT_OK = 0
-"""Everything is as it should be."""
-
-EXIT_FINDING = 1
-"""The command ran and found something wrong."""
-
-EXIT_USAGE = 2
-"""The command could not run: bad arguments or an unreadable file."""
+from citronwinch.tool._daemons import ToolError
+from citronwinch.tool._demo_command import add_demo_command
+from citronwinch.tool._exit_codes import (
+    EXIT_CODES_TEXT,
+    EXIT_FINDING,
+    EXIT_INTERRUPTED,
+    EXIT_USAGE,
+)
+from citronwinch.tool._explain_command import add_explain_command
+from citronwinch.tool._settings_commands import add_settings_commands
+from citronwinch.tool._status_command import add_status_command
+from citronwinch.tool._table_commands import add_table_commands
+
+_EXAMPLES = """\
+examples:
+  citronwinchctl table check table.csv
+  citronwinchctl settings check balancer-1.ini
+  citronwinchctl status --settings balancer-1.ini
+  citronwinchctl explain --table table.csv gauging 203.0.113.5:40000
+"""
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -27,66 +34,32 @@
     command: Callable[[argparse.Namespace], int] = options.command
     try:
         return command(options)
+    except ToolError as error:
+        print(f"citronwinchctl: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    except BrokenPipeError:
+        # The reader has closed the pipe; nothing more can be printed.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FINDING
     except OSError as error:
         print(f"citronwinchctl: {error}", file=sys.stderr)
         return EXIT_USAGE
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser with all commands."""
     parser = argparse.ArgumentParser(
-        prog="citronwinchctl", description="Check, watch and try out citronwinch."
+        prog="citronwinchctl",
+        description="Check, watch and try out citronwinch.",
+        epilog=_EXAMPLES + EXIT_CODES_TEXT,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    groups = parser.add_subparsers(required=True)
-    settings = groups.add_parser("settings", help="work on settings files")
-    settings_commands = settings.add_subparsers(required=True)
-    check = settings_commands.add_parser("check", help="check settings files")
-    check.add_argument("files", type=Path, nargs="+")
-    check.set_defaults(command=check_settings)
-    table = groups.add_parser("table", help="work on tables")
-    table_commands = table.add_subparsers(required=True)
-    check = table_commands.add_parser("check", help="check a table")
-    check.add_argument("file", type=Path)
-    check.set_defaults(command=check_table)
-    demo = groups.add_parser("demo", help="run the whole path on loopback")
-    demo.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="derwent")
-    demo.add_argument("--seed", type=int, default=1)
-    demo.add_argument("--json", action="store_true", help="print the result as JSON")
-    demo.set_defaults(command=show_demo)
+    groups = parser.add_subparsers(required=True, metavar="COMMAND")
+    add_settings_commands(groups)
+    add_table_commands(groups)
+    add_status_command(groups)
+    add_explain_command(groups)
+    add_demo_command(groups)
     return parser
-
-
-def check_settings(options: argparse.Namespace) -> int:
-    """Check settings files and print every mistake."""
-    exit_code = EXIT_OK
-    for file in options.files:
-        parsed = parse_settings(file.read_text(), str(file))
-        if parsed.is_error():
-            exit_code = EXIT_FINDING
-            for problem in parsed.error:
-                print(problem)
-    return exit_code
-
-
-def check_table(options: argparse.Namespace) -> int:
-    """Check a table and print every mistake."""
-    parsed = parse_table(options.file.read_text(), 1)
-    if parsed.is_error():
-        for problem in parsed.error:
-            print(f"{options.file}: {problem}")
-        return EXIT_FINDING
-    print(f"{options.file}: {len(parsed.ok.rows)} rows, no mistakes")
-    return EXIT_OK
-
-
-def show_demo(options: argparse.Namespace) -> int:
-    """Run the demo and print what happened."""
-    shape = DEPLOYMENTS[options.deployment]
-    result = run_demo(shape, DemoOptions(seed=options.seed))
-    if options.json:
-        print(orjson.dumps(result._asdict()).decode())
-    else:
-        for name, value in result._asdict().items():
-            print(f"{name.replace('_', ' '):<16} {value}")
-    is_sound = not (result.broken_flows or result.doubled or result.misdirected)
-    return EXIT_OK if is_sound else EXIT_FINDING
--- /dev/null
+++ b/citronwinch/tool/_status_command.py
@@ -0,0 +1,98 @@
+"""The command `status`."""
+
+import argparse
+from typing import Any
+
+import trio
+
+from citronwinch.tool._daemons import (
+    DaemonAnswer,
+    add_deployment_arguments,
+    find_daemons,
+    find_deployment,
+    read_daemons,
+)
+from citronwinch.tool._exit_codes import (
+    EXIT_CODES_TEXT,
+    EXIT_FINDING,
+    EXIT_NO_DATA,
+    EXIT_OK,
+)
+from citronwinch.tool._output import print_columns, print_json
+
+_EXAMPLES = """\
+examples:
+  citronwinchctl status --settings balancer-1.ini
+  citronwinchctl status --platform 192.0.2.9:80 --json
+  citronwinchctl status --daemon 192.0.2.1:7001 --daemon 192.0.2.2:7001
+"""
+
+_COLUMNS = ("name", "role", "state", "revision", "flows", "instances")
+
+
+def add_status_command(groups: Any) -> None:
+    """Add the command to the parser of the tool."""
+    parser = groups.add_parser(
+        "status",
+        help="show every daemon: state, table revision, flows",
+        epilog=_EXAMPLES + EXIT_CODES_TEXT,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    add_deployment_arguments(parser)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.set_defaults(command=show_status)
+
+
+def show_status(options: argparse.Namespace) -> int:
+    """Print the status of every daemon and what is odd about them together."""
+    answers = trio.run(_read_status, options)
+    findings = find_oddities(answers)
+    if options.json:
+        daemons = [
+            {"address": str(answer.daemon.address), "error": answer.error}
+            | (answer.body or {"name": answer.daemon.name})
+            for answer in answers
+        ]
+        print_json({"daemons": daemons, "findings": findings})
+    else:
+        print_columns(_COLUMNS, [_make_cells(answer) for answer in answers])
+        for finding in findings:
+            print(f"note: {finding}")
+    if any(answer.error for answer in answers):
+        return EXIT_NO_DATA
+    return EXIT_FINDING if findings else EXIT_OK
+
+
+async def _read_status(options: argparse.Namespace) -> list[DaemonAnswer]:
+    daemons = await find_daemons(find_deployment(options))
+    return await read_daemons(daemons, "/status")
+
+
+def _make_cells(answer: DaemonAnswer) -> list[str]:
+    if answer.error:
+        unknown = ["-"] * (len(_COLUMNS) - 3)
+        return [answer.daemon.name, answer.daemon.role or "-", "no answer", *unknown]
+    return [str(answer.body.get(column, "-")) for column in _COLUMNS]
+
+
+def find_oddities(answers: list[DaemonAnswer]) -> list[str]:
+    """Return what an operator should look at."""
+    known = [answer.body for answer in answers if not answer.error]
+    findings = [
+        f"{answer.daemon.name} at {answer.daemon.address}: {answer.error}"
+        for answer in answers
+        if answer.error
+    ]
+    findings += [
+        f"{body['name']} is {body['state']}"
+        for body in known
+        if body["state"] != "ready"
+    ]
+    highest = max((body["revision"] for body in known), default=0)
+    behind = [body["name"] for body in known if body["revision"] < highest]
+    if behind:
+        findings.append(f"behind revision {highest}: {', '.join(behind)}")
+    digests = {body["digest"] for body in known if body["revision"] == highest}
+    if len(digests) > 1:
+        findings.append(f"revision {highest} has {len(digests)} different contents")
+    return findings
