Report how fast services burn their error budgets

report burn reads the counts of all daemons, computes burn over four windows and over an observation time, and says what data is lacking instead of zero: windows without events, windows that no daemon covers, daemons without an answer.

The demo prints elapsed seconds and ends all processes under one deadline; before, one run took 55 s of which 30 s were the end.

--- a/citronwinch/demo/_demo.py
+++ b/citronwinch/demo/_demo.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -23,7 +24,7 @@
 """How often each long flow sends a request, in milliseconds."""
 
 STOP_TIMEOUT_SECONDS = 5
-"""How long a process may take to end when the demo is over."""
+"""How long the processes may take together to end when the demo is over."""
 
 
 LOG_LINES = 12
@@ -100,6 +101,7 @@
         self.balancers = {f"balancer-{i}": "live" for i in (1, 2, 3)}
         self.agents = {row.backend_server: "live" for row in self.deployment.rows}
         self.report = CallerReport()
+        self.progress = ProgressLines()
         self.source = random.Random(options.seed)
 
     def start(self, name: str, *arguments: str) -> None:
@@ -169,7 +171,7 @@
         self.start_standins()
         for name in [*self.balancers, *self.agents]:
             self.start_daemon(name)
-        say("starting", f"{len(self.processes)} processes")
+        self.progress.say("starting", f"{len(self.processes)} processes")
         await self.wait_all_ready()
         done = trio.Event()
         async with trio.open_nursery() as nursery:
@@ -225,7 +227,7 @@
         """Say what happened and let traffic flow."""
         self.check_processes()
         counters = self.report.counters
-        say(event, f"requests={counters['requests']}")
+        self.progress.say(event, f"requests={counters['requests']}")
         await trio.sleep(self.options.step_ms / 1000)
 
     async def summarize(self) -> DemoResult:
@@ -269,9 +271,10 @@
         """End every process that the demo started."""
         for process in self.processes.values():
             process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_SECONDS
         for process in self.processes.values():
             try:
-                process.wait(STOP_TIMEOUT_SECONDS)
+                process.wait(max(0.0, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
@@ -284,9 +287,16 @@
     return counters
 
 
-def say(event: str, detail: str) -> None:
-    """Print a progress line."""
-    print(f"{event:<50} {detail}", file=sys.stderr, flush=True)
+class ProgressLines:
+    """Prints lines that begin with the seconds since the start."""
+
+    def __init__(self) -> None:
+        self.started = time.monotonic()
+
+    def say(self, event: str, detail: str) -> None:
+        """Print one line."""
+        elapsed = time.monotonic() - self.started
+        print(f"{elapsed:5.1f} s  {event:<46} {detail}", file=sys.stderr, flush=True)
 
 
 def run_demo(shape: DeploymentShape, options: DemoOptions) -> DemoResult:
--- a/citronwinch/tool/_daemons.py
+++ b/citronwinch/tool/_daemons.py
@@ -153,7 +153,13 @@
         raise ToolError(f"the list of instances cannot be read: {error}") from None
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         raise ToolError(f"the list of instances is malformed: {error!r}") from None
-    return sorted(daemon for daemon in found if daemon is not None)
+    daemons = sorted(daemon for daemon in found if daemon is not None)
+    if not daemons:
+        raise ToolError(
+            f"the list names {len(found)} instances and no HTTP address of a daemon; "
+            "give --settings or --daemon"
+        )
+    return daemons
 
 
 def parse_daemon(item: dict[str, Any], http_port: int) -> DaemonAddress | None:
--- a/citronwinch/tool/_demo_command.py
+++ b/citronwinch/tool/_demo_command.py
@@ -24,6 +24,14 @@
     )
     parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="derwent")
     parser.add_argument("--seed", type=int, default=1, help="seeds the traffic")
+    parser.add_argument(
+        "--base-port",
+        type=int,
+        choices=range(1_024, 65_000),
+        default=DemoOptions().base_port,
+        metavar="PORT",
+        help="first port that is used on 127.0.0.0/16 (default: %(default)s)",
+    )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(command=show_demo)
 
@@ -31,7 +39,7 @@
 def show_demo(options: argparse.Namespace) -> int:
     """Run the demo and print what happened."""
     shape = DEPLOYMENTS[options.deployment]
-    result = run_demo(shape, DemoOptions(seed=options.seed))
+    result = run_demo(shape, DemoOptions(options.seed, options.base_port))
     if options.json:
         print_json(result._asdict())
     else:
--- a/citronwinch/tool/_main.py
+++ b/citronwinch/tool/_main.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable
 
+from citronwinch.tool._burn_command import add_report_commands
 from citronwinch.tool._daemons import ToolError
 from citronwinch.tool._demo_command import add_demo_command
 from citronwinch.tool._exit_codes import (
@@ -24,6 +25,7 @@
   citronwinchctl settings check balancer-1.ini
   citronwinchctl status --settings balancer-1.ini
   citronwinchctl explain --table table.csv gauging 203.0.113.5:40000
+  citronwinchctl report burn --settings balancer-1.ini
 """
 
 
@@ -61,5 +63,6 @@
     add_table_commands(groups)
     add_status_command(groups)
     add_explain_command(groups)
+    add_report_commands(groups)
     add_demo_command(groups)
     return parser
