--- /dev/null
+++ b/citronwinch/benches/_path_setup.py
@@ -0,0 +1,175 @@
+"""A whole balancer on loopback, with sockets in place of fabric and agents."""
+
+import random
+import socket
+
+import trio
+
+from citronwinch.coordination import (
+    Endpoint,
+    Flow,
+    Instance,
+    InstanceRole,
+    Table,
+    TableRow,
+    TransportProtocol,
+)
+from citronwinch.coordination.steering import Hint
+from citronwinch.daemon import BalancerProcess
+from citronwinch.fabric import GeneveFrame, build_udp, encode_frame
+from citronwinch.network import DatagramPort, serve
+from citronwinch.operators import Settings, configure_logging, format_table
+from citronwinch.peers import Envelope, KeyRing, encode_envelope
+from citronwinch.platform import format_instance
+from citronwinch.standins import PlatformStandin
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+"""Any free port on loopback."""
+
+FRAME_PAYLOAD_BYTES = 128
+"""The payload of each packet, in bytes."""
+
+MARKER = b"path-bench-packet"
+"""The start of each payload, by which forwarded packets are counted."""
+
+KEY = bytes(range(32))
+"""The shared key of the bench."""
+
+SERVICE = Endpoint("192.0.2.10", 5000)
+"""The address of the service."""
+
+BACKEND_SERVERS = 7
+"""The backend servers of the service."""
+
+READY_TIMEOUT_SECONDS = 10
+"""How long the balancer may take to become ready, in seconds."""
+
+
+class FrameSource:
+    """Makes flows and the frames of their packets."""
+
+    def __init__(self, source: random.Random, warm_flows: int, first_flow: int) -> None:
+        self.next_flow = first_flow
+        self.payload = MARKER + source.randbytes(FRAME_PAYLOAD_BYTES - len(MARKER))
+        self.warm = [self.make_frame(self.make_flow(i)) for i in range(warm_flows)]
+        self.position = 0
+
+    def make_flow(self, number: int | None = None) -> Flow:
+        """Return the flow of a number, or the next one."""
+        if number is None:
+            number = self.next_flow
+            self.next_flow += 1
+        ip = f"10.{number >> 20 & 255}.{number >> 12 & 255}.{number >> 4 & 255}"
+        caller = Endpoint(ip, 20_000 + (number & 15))
+        return Flow(TransportProtocol.UDP, caller, SERVICE)
+
+    def make_frame(self, flow: Flow) -> bytes:
+        """Return the frame of a packet of a flow."""
+        packet = build_udp(flow, self.payload, to_caller=False)
+        return encode_frame(GeneveFrame(packet, None))
+
+    def take(self, count: int) -> list[bytes]:
+        """Return the next frames of the warm flows."""
+        start = self.position % len(self.warm)
+        self.position += count
+        doubled = self.warm[start:] + self.warm
+        return doubled[:count]
+
+
+def make_frames(
+    source: random.Random, warm_flows: int, first_flow: int = 0
+) -> FrameSource:
+    """Return a source of frames with some flows that have been seen before."""
+    return FrameSource(source, warm_flows, first_flow)
+
+
+class PathSetup:
+    """The balancer and all sockets around it."""
+
+    def __init__(self) -> None:
+        self.loopback = LOOPBACK
+        self.sinks = [DatagramPort(LOOPBACK) for _ in range(BACKEND_SERVERS)]
+        self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.platform = PlatformStandin()
+        self.platform_endpoint = find_free_port()
+        self.balancer = BalancerProcess(self.make_settings())
+        self.sequence = 0
+
+    def make_settings(self) -> Settings:
+        """Return the balancer's settings."""
+        return Settings(
+            name="balancer-1",
+            role=InstanceRole.BALANCER,
+            availability_zone="tas-south-a",
+            region="",
+            peer_address=LOOPBACK,
+            http_address=LOOPBACK,
+            configuration_service=self.platform_endpoint,
+            instance_service=self.platform_endpoint,
+            fabric_address=LOOPBACK,
+            fabric_return=(self.sinks[0].endpoint,),
+            key=KEY,
+            previous_key=None,
+            flow_idle_ms=300_000,
+            flow_cache_limit=310_000,
+            stop_timeout_ms=0,
+            log_format="json",
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the balancer and wait until it has the table and the instances."""
+        configure_logging("json")
+        rows = [
+            TableRow(
+                "gauging",
+                TransportProtocol.UDP,
+                SERVICE,
+                f"gauging-{i + 1}",
+                Endpoint(f"10.20.1.{i + 1}", 5000),
+                "tas-south-a",
+                100,
+                2_000,
+            )
+            for i in range(BACKEND_SERVERS)
+        ]
+        self.platform.publish_table(format_table(Table(1, rows).rows))
+        agents = [
+            Instance(
+                row.backend_server, InstanceRole.AGENT, "tas-south-a", sink.endpoint
+            )
+            for row, sink in zip(rows, self.sinks, strict=True)
+        ]
+        self.platform.publish_instances([format_instance(agent) for agent in agents])
+        nursery.start_soon(serve, self.platform_endpoint, self.platform.handle)
+        nursery.start_soon(self.balancer.run)
+        with trio.fail_after(READY_TIMEOUT_SECONDS):
+            while not (self.balancer.table.revision and self.balancer.instances):
+                await trio.sleep(0.05)
+
+    def drain(self) -> int:
+        """Read the agents' sockets and return the packets that arrived."""
+        count = 0
+        for sink in self.sinks:
+            while batch := sink.receive_nowait():
+                count += sum(MARKER in datagram.data for datagram in batch)
+        return count
+
+    def send_hint(self, hint: Hint) -> None:
+        """Send a hint as the agent of the first backend server."""
+        self.sequence += 1
+        envelope = Envelope("gauging-1", 1, self.sequence, 1, hint)
+        keys = KeyRing(KEY, (KEY,))
+        peers = self.balancer.peers.port.endpoint
+        self.sender.sendto(keys.seal(encode_envelope(envelope)), peers)
+
+
+def make_setup() -> PathSetup:
+    """Return a balancer that has not been started."""
+    return PathSetup()
+
+
+def find_free_port() -> Endpoint:
+    """Return an endpoint on loopback that was free a moment ago."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind((LOOPBACK.ip, 0))
+        return Endpoint(LOOPBACK.ip, int(probe.getsockname()[1]))
