Encode forwarded packets behind their message

The packet and its flow now follow the encoded message, so that packets of the same kind share one encoding, and plain IPv4 UDP packets are read at fixed places while dpkt reads all others; a test compares both.

--- a/citronwinch/fabric/_ip_packet.py
+++ b/citronwinch/fabric/_ip_packet.py
@@ -1,5 +1,6 @@
 """Reading and building IP packets, with the formats left to dpkt."""
 
+import struct
 from typing import NamedTuple
 
 import dpkt
@@ -9,6 +10,11 @@
 
 _TCP_END_FLAGS = dpkt.tcp.TH_FIN | dpkt.tcp.TH_RST
 _HOP_LIMIT = 64
+_PLAIN_IPV4 = b"\x45"
+_UDP = b"\x11"
+_PLAIN_UDP_BYTES = 28
+_PLAIN_LENGTHS = struct.Struct("!2xH2xH16xH")
+_FRAGMENT_BITS = 0x3FFF
 _ICMP_PORT_UNREACHABLE = 3
 _ICMP6_PORT_UNREACHABLE = 4
 
@@ -33,6 +39,10 @@
     Fragments are malformed here: a later fragment carries no ports, so the fabric
     has to reassemble.
     """
+    if data[:1] == _PLAIN_IPV4 and data[9:10] == _UDP and len(data) >= _PLAIN_UDP_BYTES:
+        packet = _read_plain_udp(data)
+        if packet is not None:
+            return packet
     packet = _unpack(data)
     segment = packet.data
     if isinstance(segment, dpkt.udp.UDP):
@@ -50,6 +60,10 @@
 
 def parse_udp(data: bytes) -> UdpContent:
     """Return flow and payload of a UDP packet; raise MalformedPacketError otherwise."""
+    if data[:1] == _PLAIN_IPV4 and data[9:10] == _UDP and len(data) >= _PLAIN_UDP_BYTES:
+        plain = _read_plain_udp(data)
+        if plain is not None:
+            return UdpContent(plain.flow, data[_PLAIN_UDP_BYTES:])
     packet = _unpack(data)
     segment = packet.data
     if not isinstance(segment, dpkt.udp.UDP):
@@ -60,6 +74,19 @@
     return UdpContent(key, bytes(segment.data))
 
 
+def _read_plain_udp(data: bytes) -> Packet | None:
+    """Return a UDP packet behind an IPv4 header without options.
+
+    Most packets are of this kind, and their fields stand at fixed places. All other
+    packets, and those that are odd in any way, are left to dpkt: None.
+    """
+    length, fragment, udp_length = _PLAIN_LENGTHS.unpack_from(data)
+    if length != len(data) or udp_length != length - 20 or fragment & _FRAGMENT_BITS:
+        return None
+    key = data[9:10] + data[12:16] + data[20:22] + data[16:20] + data[22:24]
+    return Packet(FlowKey(key), data, True)
+
+
 def build_udp(flow: Flow, payload: bytes, *, to_caller: bool) -> bytes:
     """Return a UDP packet of the flow, towards the caller or the service."""
     source, destination = (
--- a/citronwinch/fabric/tests/test_ip_packet.py
+++ b/citronwinch/fabric/tests/test_ip_packet.py
@@ -2,8 +2,15 @@
 
 import dpkt
 import pytest
+from hypothesis import example, given, settings, strategies as st
 
-from citronwinch.coordination import Endpoint, Flow, TransportProtocol, unpack_flow_key
+from citronwinch.coordination import (
+    Endpoint,
+    Flow,
+    TransportProtocol,
+    pack_flow_key,
+    unpack_flow_key,
+)
 from citronwinch.fabric import (
     MalformedPacketError,
     build_refusal,
@@ -11,6 +18,7 @@
     parse_packet,
     parse_udp,
 )
+from citronwinch.fabric._ip_packet import _read_plain_udp
 
 FLOWS = {
     "ipv4": Flow(
@@ -65,3 +73,36 @@
 def test_malformed_packet_is_reported(data):
     with pytest.raises(MalformedPacketError):
         parse_packet(data)
+
+
+PLAIN_PACKET = build_udp(FLOWS["ipv4"], b"level 7", to_caller=False)
+
+
+@settings(max_examples=400, derandomize=True, deadline=None, database=None)
+@given(st.integers(0, 27), st.integers(0, 255), st.binary(max_size=4))
+@example(6, 0x20, b"")
+@example(6, 0x40, b"")
+@example(3, 0x20, b"")
+def test_plain_packets_are_read_as_dpkt_reads_them(position, value, tail):
+    data = bytearray(PLAIN_PACKET + tail)
+    data[position] = value
+    fast = _read_plain_udp(bytes(data))
+    if data[0] != 0x45 or data[9] != 17 or fast is None:
+        return
+    slow = dpkt.ip.IP(bytes(data))
+    assert (slow.mf, slow.offset, slow.len) == (0, 0, len(data))
+    expected = pack_flow_key(17, slow.src, slow.data.sport, slow.dst, slow.data.dport)
+    assert fast.flow == expected
+    assert bytes(slow.data.data) == data[28:]
+
+
+@settings(max_examples=400, derandomize=True, deadline=None, database=None)
+@given(st.binary(max_size=80), st.sampled_from(sorted(FLOWS)), st.integers(0, 60))
+def test_random_and_mutated_bytes_are_read_or_malformed(noise, name, position):
+    packet = build_udp(FLOWS[name], b"level 7", to_caller=False)
+    for data in (noise, packet[:position] + noise, packet[:position] + noise + packet):
+        for read in (parse_packet, parse_udp, build_refusal):
+            try:
+                read(data)
+            except MalformedPacketError:
+                continue
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -1,11 +1,14 @@
 """Encoding of the envelope around each message."""
 
+import functools
+import struct
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import capnp
 
-from citronwinch.coordination.steering import SteeringMessage
+from citronwinch.coordination import FlowKey
+from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
 from citronwinch.peers._steering_codec import read_forward, read_hint
 
@@ -13,6 +16,24 @@
 """Everything that the system's processes say to each other."""
 
 
+KIND_CACHE_LIMIT = 1_024
+"""The most encoded messages without their packets that are kept."""
+
+FLOW_KEY_LENGTHS = (13, 37)
+"""The lengths of flow keys of both IP versions, in bytes."""
+
+_PREFIX = struct.Struct("!QQI")
+_FLOW_LENGTH = [bytes([length]) for length in range(256)]
+_READ_ERRORS = (
+    capnp.KjException,
+    ValueError,
+    KeyError,
+    OverflowError,
+    IndexError,
+    AttributeError,
+)
+
+
 class Envelope(NamedTuple):
     """A message with what every message carries."""
 
@@ -33,33 +54,77 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the bytes of an envelope."""
+    """Return the bytes of an envelope.
+
+    The packet that a message carries follows the encoded message, so that all
+    packets of the same kind share one encoded message, which is made once.
+    """
+    message = envelope.message
+    if not isinstance(message, Forward):
+        header, payload = (
+            _encode_header(envelope.sender, envelope.incarnation, message),
+            b"",
+        )
+    else:
+        kind = message[1:2] + message[3:]
+        encode = _encode_kind if message.request is None else _encode_kind.__wrapped__
+        header = encode(envelope.sender, envelope.incarnation, kind)
+        payload = _FLOW_LENGTH[len(message.flow)] + message.flow + message.packet
+    prefix = _PREFIX.pack(envelope.sequence, envelope.revision, len(header))
+    return prefix + header + payload
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the envelope in the bytes; raise MalformedMessageError otherwise."""
+    if len(data) < _PREFIX.size:
+        raise MalformedMessageError(f"message of {len(data)} bytes is too short")
+    sequence, revision, length = _PREFIX.unpack_from(data)
+    end = _PREFIX.size + length
+    header = data[_PREFIX.size : end]
+    if len(data) == end:
+        sender, incarnation, message = _decode_header(header)
+        if isinstance(message, Forward):
+            raise MalformedMessageError("a packet is expected behind the message")
+        return Envelope(sender, incarnation, sequence, revision, message)
+    sender, incarnation, message = _decode_kind(header)
+    if len(data) < end or not isinstance(message, Forward):
+        raise MalformedMessageError("no packet is expected behind the message")
+    start = end + 1 + data[end]
+    flow, packet = FlowKey(data[end + 1 : start]), data[start:]
+    if len(flow) != data[end] or len(flow) not in FLOW_KEY_LENGTHS:
+        raise MalformedMessageError(f"flow key of {len(flow)} bytes")
+    forward = Forward._make((flow, message[1], packet, *message[3:]))
+    return Envelope(sender, incarnation, sequence, revision, forward)
+
+
+def _encode_header(sender: str, incarnation: int, message: PeerMessage) -> bytes:
     builder = SCHEMA.Envelope.new_message()
-    builder.sender = envelope.sender
-    builder.incarnation = envelope.incarnation
-    builder.sequence = envelope.sequence
-    builder.revision = envelope.revision
-    fill_message(envelope.message, builder)
+    builder.sender = sender
+    builder.incarnation = incarnation
+    fill_message(message, builder)
     encoded: bytes = builder.to_bytes()
     return encoded
 
 
-def decode_envelope(data: bytes) -> Envelope:
-    """Return the envelope in the bytes; raise MalformedMessageError otherwise."""
+@functools.lru_cache(maxsize=KIND_CACHE_LIMIT)
+def _encode_kind(sender: str, incarnation: int, kind: tuple[Any, ...]) -> bytes:
+    """Encode a forwarded packet without the packet and its flow."""
+    message = Forward._make((FlowKey(b""), kind[0], b"", *kind[1:]))
+    return _encode_header(sender, incarnation, message)
+
+
+def _decode_header(header: bytes) -> tuple[str, int, PeerMessage]:
     try:
-        with SCHEMA.Envelope.from_bytes(data) as reader:
+        with SCHEMA.Envelope.from_bytes(header) as reader:
             kind = str(reader.which())
-            return Envelope(
-                reader.sender,
-                reader.incarnation,
-                reader.sequence,
-                reader.revision,
-                _READERS[kind](getattr(reader, kind)),
-            )
-    except (capnp.KjException, ValueError, KeyError) as error:
+            message = _READERS[kind](getattr(reader, kind))
+            return reader.sender, reader.incarnation, message
+    except _READ_ERRORS as error:
         raise MalformedMessageError(str(error).partition("\n")[0]) from error
 
 
+_decode_kind = functools.lru_cache(maxsize=KIND_CACHE_LIMIT)(_decode_header)
+
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
