--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -21,6 +21,7 @@
     TellBalancer,
 )
 from citronwinch.daemon._agent_requests import RequestHandler
+from citronwinch.daemon._agent_service_levels import AgentServiceLevels
 from citronwinch.daemon._events import (
     Event,
     InstancesChanged,
@@ -50,6 +51,7 @@
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.requests = RequestHandler(self, random.Random(settings.name))
+        self.levels = AgentServiceLevels(self.metrics.service_levels, self.clock)
 
     @property
     def table(self) -> Table:
@@ -61,10 +63,17 @@
         """The flows that this agent owns."""
         return len(self.steering.owned)
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return this backend server for a flow that it holds, or who was passed it."""
+        if flow in self.steering.owned:
+            return self.settings.name
+        return self.steering.registry.owners.get(flow, "")
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         actions = self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
+        self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
             self.delivery = UdpDelivery(
                 row.backend_server_address,
@@ -112,6 +121,7 @@
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
+            self.levels.tick(self.flow_count)
             self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
@@ -169,6 +179,7 @@
 
     @act.register
     def _(self, action: EndFlow) -> None:
+        self.levels.flow_ended()
         if self.delivery is not None:
             self.delivery.close(action.flow)
 
@@ -206,6 +217,7 @@
     def end_unreachable(self, flow: FlowKey) -> None:
         """End a flow whose backend server is not there, and let its caller know."""
         self.metrics.count("flows_unreachable_total")
+        self.levels.flow_broken()
         self.requests.lose_flow(flow)
         self.steering.note_backend_failure()
         self.end_flow(flow)
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -13,6 +13,7 @@
     PassCancel,
     RequestAction,
     RequestArrival,
+    RequestKind,
     RequestMetadata,
     RequestRecords,
     RequestsMessage,
@@ -75,6 +76,7 @@
             return False
         arrival = self.find_arrival(action.flow, "", action.packet, action.request)
         if arrival is not None:
+            self.process.levels.packet_delivered(action.request)
             self.act_all(self.requests.deliver(arrival))
         return True
 
@@ -96,6 +98,8 @@
         answer = read_request_header(reply.payload)
         if answer is None:
             return False
+        if answer.kind is RequestKind.ANSWER:
+            self.process.levels.reply_sent(answer)
         self.act_all(self.requests.reply(reply.flow, answer, reply.payload))
         return True
 
@@ -167,6 +171,7 @@
 
     @act.register
     def _(self, action: TellOutcome) -> None:
+        self.process.levels.request_failed(action.key.request_id)
         metric = f"requests_{action.kind.name.lower()}_total"
         self.process.metrics.count(metric, action.reason)
         outcome = RequestMetadata(
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from citronwinch.coordination import Table
+from citronwinch.coordination import FlowKey, Table
 from citronwinch.coordination.requests import RequestKind
 from citronwinch.coordination.steering import BalancerSteering, Hint, Probe
 from citronwinch.daemon._arrivals import WAIT_LIMIT_MS, ArrivalWatch
@@ -40,6 +40,11 @@
         """The flows whose owner is remembered."""
         return len(self.steering.owners)
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return the owner that an agent has told."""
+        route = self.steering.owners.find(flow)
+        return route.agent if route is not None else ""
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         self.steering.accept_table(table)
