--- a/citronwinch/coordination/spread/__init__.py
+++ b/citronwinch/coordination/spread/__init__.py
@@ -1,3 +1,15 @@
 """Spread: membership, and the table in force on every process."""
 
-__all__: list[str] = []
+from citronwinch.coordination.spread._budget import (
+    CONTROL_BURST_BYTES,
+    CONTROL_BYTES_PER_SECOND,
+    ControlBudget,
+    ControlPriority,
+)
+
+__all__ = [
+    "CONTROL_BURST_BYTES",
+    "CONTROL_BYTES_PER_SECOND",
+    "ControlBudget",
+    "ControlPriority",
+]
