Guard requests when a member of the service is lost, and hand records over on stop

Cause: a home that replaces a lost one knows none of its flows and opens them anew, so that a copy sent anew of a request that ran there would run again; a planned stop refused the requests of established flows at once and left no records behind. Change: an agent notes when a member is gone without its records; on flows opened since, a request that may be older is answered "unknown". A stopping agent serves open flows until 5 s before its time is up, then refuses, and gives its records to the other agents as it ends. Requests taken for other agents' flows count against the connection limit.

--- a/citronwinch/benches/_requests_baseline.py
+++ b/citronwinch/benches/_requests_baseline.py
@@ -4,7 +4,6 @@
 
 from citronwinch.coordination import Clock, FlowKey
 from citronwinch.coordination.requests import (
-    ALL_FLOWS,
     CallEnded,
     CallerAction,
     PassCancel,
@@ -55,7 +54,7 @@
         """Do nothing."""
         return []
 
-    def hand_over(self, flow: FlowKey = ALL_FLOWS) -> list[RequestRecords]:
+    def hand_over(self, flow: FlowKey | None = None) -> list[RequestRecords]:
         """Return nothing: there is nothing to hand over."""
         return []
 
--- a/citronwinch/benches/_requests_model.py
+++ b/citronwinch/benches/_requests_model.py
@@ -111,7 +111,7 @@
         """Create agents, backend servers and callers."""
         self.faults = faults
         self.nodes = {
-            name: AgentNode(name, self.queue, self.make_requests, self)
+            name: AgentNode(name, self.queue, partial(self.make_requests, name), self)
             for name in AGENTS
         }
         for node in self.nodes.values():
@@ -125,7 +125,7 @@
         self.callers = [self.make_caller(self.queue.clock) for _ in self.flows]
         self.calls = [{} for _ in self.flows]
 
-    def make_requests(self) -> AgentRequests | ThinAgentRequests:
+    def make_requests(self, name: str) -> AgentRequests | ThinAgentRequests:
         """Return the decisions of a fresh agent."""
         if self.is_baseline:
             return ThinAgentRequests()
@@ -133,7 +133,7 @@
         window = RequestWindow(clock)
         if self.faults.window_records:
             window = RequestWindow(clock, self.faults.window_records * RECORD_BYTES)
-        return AgentRequests(clock, self.source, window)
+        return AgentRequests(name, clock, self.source, window)
 
     def make_caller(self, clock: Clock) -> Caller:
         """Return the decisions of a caller."""
--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -26,7 +26,6 @@
 )
 from citronwinch.coordination.requests._eras import RequestEras
 from citronwinch.coordination.requests._messages import (
-    ALL_FLOWS,
     RequestRecords,
     RequestsMessage,
     RetryRequest,
@@ -49,7 +48,6 @@
 from citronwinch.coordination.requests._window import RequestWindow
 
 __all__ = [
-    "ALL_FLOWS",
     "AgentRequests",
     "AnswerAssembly",
     "AnswerKeeper",
--- a/citronwinch/coordination/requests/_actions.py
+++ b/citronwinch/coordination/requests/_actions.py
@@ -31,6 +31,9 @@
     tried: tuple[str, ...] = ()
     """The backend servers that have shed the request already."""
 
+    opened_ms: int | None = None
+    """When this agent opened the flow; None when it does not own it."""
+
     @property
     def key(self) -> RequestKey:
         """The request that the packet is about."""
--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -21,7 +21,6 @@
 from citronwinch.coordination.requests._answers import AnswerKeeper
 from citronwinch.coordination.requests._eras import RequestEras
 from citronwinch.coordination.requests._messages import (
-    ALL_FLOWS,
     RequestRecords,
     split_records,
 )
@@ -61,12 +60,14 @@
 
     def __init__(
         self,
+        name: str,
         clock: Clock,
         source: random.Random,
         window: RequestWindow | None = None,
         keeper: AnswerKeeper | None = None,
         budget: RetryBudget | None = None,
     ) -> None:
+        self.name = name
         self.clock = clock
         self.source = source
         self.window = window or RequestWindow(clock)
@@ -76,8 +77,8 @@
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
         self.is_stopping = False
-        self.taken_over: set[RequestKey] = set()
-        self.has_taken_over = False
+        self.receiving: dict[str, set[RequestKey]] = {}
+        self.handed_over: set[str] = set()
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
@@ -209,17 +210,21 @@
         """Whether every request that is sent from now on will be served."""
         return self.eras.is_settled(self.clock.now_ms())
 
-    def hand_over(self, flow: FlowKey = ALL_FLOWS) -> list[RequestRecords]:
+    def note_loss(self) -> None:
+        """Note that a member of the service is gone and its records with it."""
+        self.eras.note_loss(self.clock.now_ms())
+
+    def hand_over(self, flow: FlowKey | None = None) -> list[RequestRecords]:
         """Return the records of a flow, or all, for its next owner."""
-        records = self.window.export_records(flow or None)
+        records = self.window.export_records(flow)
         era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
-        return split_records(flow, era_age_ms, records)
+        return split_records(self.name if flow is None else "", era_age_ms, records)
 
     def take_over(self, message: RequestRecords) -> None:
         """Take over records of a former owner.
 
-        With all records of this agent's former run it serves at once, from where
-        that run's knowledge began. Records that do not fit begin an era instead.
+        With all records of its own former run an agent serves at once, from where
+        that run's knowledge began. Records that do not fit are as good as lost.
         """
         now_ms = self.clock.now_ms()
         if not self.window.import_records(message.records):
@@ -228,16 +233,26 @@
         for item in message.records:
             if item.state in _OPEN_STATES and self.open.find(item.key) is None:
                 self._reopen(item, now_ms)
-        if message.flow:
+        if not message.agent or message.agent in self.handed_over:
+            return
+        received = self.receiving.setdefault(message.agent, set())
+        received.update(item.key for item in message.records)
+        if len(received) < message.total:
             return
-        self.taken_over.update(item.key for item in message.records)
-        if len(self.taken_over) >= message.total and not self.has_taken_over:
-            self.has_taken_over = True
-            self.taken_over.clear()
+        del self.receiving[message.agent]
+        self.handed_over.add(message.agent)
+        if message.agent == self.name:
             self.eras.end_grace(now_ms - message.era_age_ms)
 
+    def note_member(self, name: str) -> None:
+        """Note that a member runs; what it handed over before is complete no more."""
+        self.handed_over.discard(name)
+        self.receiving.pop(name, None)
+
     def _is_former(self, arrival: RequestArrival) -> bool:
-        return self.eras.is_former(arrival.flow, arrival.request, arrival.arrived_ms)
+        return self.eras.is_former(
+            arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
+        )
 
     def _find_refusal(self, arrival: RequestArrival) -> str:
         """Return why a new request is not started, empty when it is."""
--- a/citronwinch/coordination/requests/_eras.py
+++ b/citronwinch/coordination/requests/_eras.py
@@ -10,6 +10,12 @@
 FLOW_ERA_LIMIT = 10_000
 """The most flows for which an own start is remembered."""
 
+LOSS_LIMIT = 64
+"""The most lost members that are remembered one by one."""
+
+LOSS_SKEW_MS = 2_500
+"""How much earlier another member may notice a loss, in milliseconds."""
+
 ERA_AGE_LIMIT_MS = PACKET_LIFETIME_MS + REQUEST_TIMEOUT_LIMIT_MS + 1_000
 """The age from which on an era rules out every former request."""
 
@@ -20,11 +26,13 @@
 class RequestEras:
     """Tells requests that are certainly new from those sent in a former era.
 
-    An era begins when an agent starts without the records of its former run, or
-    takes over a flow without the records of its former owner. A copy arrives at
-    most `PACKET_LIFETIME_MS` after it was sent and says how long before that its
-    request was first sent, so that the agent can tell whether the former process
-    may have seen the request.
+    An era begins when an agent starts without the records of its former run, when
+    it takes over a flow without the records of its former owner, and, for flows that
+    are opened later, when a member of the service is lost with its records.
+
+    A copy arrives at most `PACKET_LIFETIME_MS` after it was sent and says how long
+    before that its request was first sent, so that the agent can tell whether
+    another process may have decided about the request.
 
     Example::
 
@@ -41,6 +49,7 @@
     def __init__(self, started_ms: int) -> None:
         self.started_ms = started_ms
         self.flow_started_ms: dict[FlowKey, int] = {}
+        self.losses: list[int] = []
 
     def begin(self, started_ms: int) -> None:
         """Begin an era for every flow."""
@@ -50,9 +59,16 @@
         """Go on with the era of a former run whose records are all here."""
         self.started_ms = started_ms
 
+    def note_loss(self, now_ms: int) -> None:
+        """Note that a member of the service is gone and its records with it."""
+        if len(self.losses) >= LOSS_LIMIT:
+            self.begin(self.losses.pop(0))
+        self.losses.append(now_ms)
+
     def find_age_ms(self, now_ms: int) -> int:
         """Return how long ago the latest era began."""
-        latest_ms = max(self.started_ms, *self.flow_started_ms.values(), NO_ERA_MS)
+        starts = [*self.flow_started_ms.values(), *self.losses]
+        latest_ms = max(self.started_ms, *starts, NO_ERA_MS)
         return min(now_ms - latest_ms, ERA_AGE_LIMIT_MS)
 
     def begin_flow(self, flow: FlowKey, now_ms: int) -> None:
@@ -66,12 +82,23 @@
         self.flow_started_ms[flow] = now_ms
 
     def is_former(
-        self, flow: FlowKey, request: RequestMetadata, arrived_ms: int
+        self,
+        flow: FlowKey,
+        request: RequestMetadata,
+        arrived_ms: int,
+        opened_ms: int | None = None,
     ) -> bool:
-        """Whether the request may have been sent first before this era."""
+        """Whether another process may have decided about the request.
+
+        `opened_ms` is when this agent opened the flow, None when it does not own
+        it. A member that was lost after that cannot have owned the flow.
+        """
         first_sent_ms = arrived_ms - PACKET_LIFETIME_MS - request.age_ms
-        started_ms = max(self.started_ms, self.flow_started_ms.get(flow, NO_ERA_MS))
-        return first_sent_ms <= started_ms
+        starts = [self.started_ms, self.flow_started_ms.get(flow, NO_ERA_MS)]
+        for lost_ms in self.losses:
+            if opened_ms is None or lost_ms <= opened_ms + LOSS_SKEW_MS:
+                starts.append(lost_ms)
+        return first_sent_ms <= max(starts)
 
     def is_settled(self, now_ms: int) -> bool:
         """Whether every request that is sent from now on is certainly new."""
@@ -80,6 +107,8 @@
     def expire(self, now_ms: int) -> None:
         """Forget the eras that no copy can fall before any more."""
         horizon_ms = now_ms - PACKET_LIFETIME_MS - REQUEST_TIMEOUT_LIMIT_MS
+        while self.losses and self.losses[0] < horizon_ms:
+            del self.losses[0]
         while self.flow_started_ms:
             flow = next(iter(self.flow_started_ms))
             if self.flow_started_ms[flow] >= horizon_ms:
--- a/citronwinch/coordination/requests/_messages.py
+++ b/citronwinch/coordination/requests/_messages.py
@@ -9,9 +9,6 @@
 RECORDS_PER_MESSAGE = 100
 """The most records in one message, so that it fits a datagram."""
 
-ALL_FLOWS = FlowKey(b"")
-"""Stands for every flow of an agent in a hand-over."""
-
 
 class RetryRequest(NamedTuple):
     """Asks another agent to run a request that a backend server has shed."""
@@ -39,8 +36,8 @@
     it has `total` records, so that a lost message does no harm.
     """
 
-    flow: FlowKey
-    """The flow whose records these are; empty for all records of an agent."""
+    agent: str
+    """The agent all of whose records these are; empty for those of one flow."""
 
     era_age_ms: int
     """How long ago the sender began to have complete records of its own."""
@@ -57,12 +54,12 @@
 
 
 def split_records(
-    flow: FlowKey, era_age_ms: int, records: list[ExportedRecord]
+    agent: str, era_age_ms: int, records: list[ExportedRecord]
 ) -> list[RequestRecords]:
     """Return the messages of a hand-over; one even when there are no records."""
     return [
         RequestRecords(
-            flow,
+            agent,
             era_age_ms,
             len(records),
             tuple(records[start : start + RECORDS_PER_MESSAGE]),
--- a/citronwinch/coordination/requests/tests/conftest.py
+++ b/citronwinch/coordination/requests/tests/conftest.py
@@ -16,18 +16,25 @@
 
 
 def make_arrival(
-    clock, kind=RequestKind.REQUEST, number=1, arrived_ms=None, **metadata
+    clock,
+    kind=RequestKind.REQUEST,
+    number=1,
+    arrived_ms=None,
+    opened_ms=None,
+    **metadata,
 ):
     fields = {"remaining_ms": 2_000, **metadata}
     request = RequestMetadata(kind, number.to_bytes(16, "big"), **fields)
     arrived_ms = clock.now_ms() if arrived_ms is None else arrived_ms
-    return RequestArrival(FLOW, "gauging", request, b"payload", arrived_ms)
+    return RequestArrival(
+        FLOW, "gauging", request, b"payload", arrived_ms, opened_ms=opened_ms
+    )
 
 
 def make_requests(clock, share=0.0, tokens=0.0, **parts):
     budget = RetryBudget(share)
     budget.tokens = tokens
-    return AgentRequests(clock, random.Random(1), budget=budget, **parts)
+    return AgentRequests("gauging-1", clock, random.Random(1), budget=budget, **parts)
 
 
 @pytest.fixture
--- a/citronwinch/coordination/requests/tests/test_agent.py
+++ b/citronwinch/coordination/requests/tests/test_agent.py
@@ -59,6 +59,8 @@
     "a fresh agent cannot know": ("fresh request", "unknown former_run"),
     "a fresh agent refuses nothing for sure": ("fresh refuse", "unknown full"),
     "a flow taken over without records": ("flow request", "unknown former_run"),
+    "a new flow after a member was lost": ("loss request", "unknown former_run"),
+    "a flow that was open before the loss": ("loss open_request", "StartRequest"),
 }
 
 
@@ -98,6 +100,10 @@
                 return agent.stop()
             case "fresh":
                 return agent.eras.begin(clock.now_ms())
+            case "loss":
+                return agent.note_loss()
+            case "open_request":
+                return self.arrive(opened_ms=START_MS - 10_000)
             case "flow":
                 return agent.begin_flow(FLOW)
         raise AssertionError(event)
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -44,6 +44,7 @@
         super().__init__(backend_server, clock, incarnation)
         self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
         self.refused = RefusedPackets(clock)
+        self.guest_count = 0
 
     @property
     def owned(self) -> dict[FlowKey, OwnedFlow]:
@@ -298,7 +299,7 @@
             and row.weight > 0
             and not self.is_leaving
             and not self.is_failing
-            and len(self.flows.owned) < row.connection_limit
+            and len(self.flows.owned) + self.guest_count < row.connection_limit
         )
 
     def assign(self, message: Forward, owner: str) -> list[AgentAction]:
--- a/citronwinch/coordination/steering/_owned.py
+++ b/citronwinch/coordination/steering/_owned.py
@@ -31,6 +31,9 @@
     is_closing: bool = False
     """Whether a FIN or RST was seen."""
 
+    opened_ms: int = 0
+    """When this agent began to own it."""
+
 
 class Tombstone(NamedTuple):
     """A decision that must not open its flow again."""
@@ -60,14 +63,15 @@
 
     def open(self, flow: FlowKey, service: str, decision: int = 0) -> None:
         """Own a flow from now on."""
-        self.owned[flow] = OwnedFlow(service, self.clock.now_ms(), decision)
+        now_ms = self.clock.now_ms()
+        self.owned[flow] = OwnedFlow(service, now_ms, decision, opened_ms=now_ms)
         self.counts[service] += 1
 
     def touch(self, flow: FlowKey, owned: OwnedFlow, *, ends: bool) -> None:
         """Note a packet of an owned flow."""
         is_closing = owned.is_closing or ends
-        self.owned[flow] = OwnedFlow(
-            owned.service, self.clock.now_ms(), owned.decision, is_closing
+        self.owned[flow] = owned._replace(
+            last_seen_ms=self.clock.now_ms(), is_closing=is_closing
         )
 
     def end(self, flow: FlowKey) -> OwnedFlow | None:
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -89,7 +89,7 @@
 
     def is_drained(self) -> bool:
         """Whether no flow is left and no request is in progress."""
-        return not self.steering.owned and self.requests.requests.is_idle()
+        return self.requests.finish(has_flows=bool(self.steering.owned))
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -117,7 +117,7 @@
             self.steering.accept_instances(event.instances)
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
-            self.requests.requests.stop()
+            self.requests.begin_stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
@@ -224,13 +224,6 @@
         packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
         send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
 
-    def can_take_guest(self, service: str) -> bool:
-        """Whether the backend server may get a request of another agent's flow."""
-        row = self.table.row_by_backend_server.get(self.settings.name)
-        if row is None or row.service != service or row.weight == 0:
-            return False
-        return self.flow_count < row.connection_limit
-
     def read_status(self) -> Status:
         """Say ready only once every request that is sent from now on is served."""
         status = super().read_status()
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -31,6 +31,12 @@
 if TYPE_CHECKING:
     from citronwinch.daemon._agent_process import AgentProcess
 
+STOP_MARGIN_MS = 5_000
+"""How long before the end of a graceful shutdown new requests are refused."""
+
+HAND_OVER_MARGIN_DIVISOR = 5
+"""The part of that time that is left when the records are handed over."""
+
 
 class RequestHandler:
     """Stands between steering and delivery for packets with request metadata.
@@ -42,22 +48,82 @@
 
     def __init__(self, process: "AgentProcess", source: random.Random) -> None:
         self.process = process
-        self.requests = AgentRequests(process.clock, source)
+        self.requests = AgentRequests(process.settings.name, process.clock, source)
         self.arrived_ms = process.clock.now_ms()
+        self.gone: set[str] = set()
+        self.refuse_from_ms: int | None = None
+        self.hand_over_from_ms: int | None = None
+        self.has_handed_over = False
 
     def begin_batch(self, arrived_ms: int) -> None:
         """Note when the messages that come next may have arrived, and let time pass."""
         self.arrived_ms = arrived_ms
+        self.note_members()
         self.act_all(self.requests.advance(arrived_ms))
         self.export_gauges()
 
+    def note_members(self) -> None:
+        """Note the members of the service that are gone without their records."""
+        steering = self.process.steering
+        row = steering.row
+        if row is None:
+            return
+        leases = steering.leases_of(row.service)
+        gone = {name for name in leases.others() if leases.is_gone(name)}
+        lost = gone - self.gone - self.requests.handed_over
+        if lost:
+            self.process.metrics.count("request_records_lost_total", amount=len(lost))
+            self.requests.note_loss()
+        for name in self.gone - gone:
+            self.requests.note_member(name)
+        self.gone = gone
+
+    def begin_stop(self) -> None:
+        """Go on with the requests of open flows until shortly before the end."""
+        timeout_ms = self.process.settings.stop_timeout_ms
+        margin_ms = min(STOP_MARGIN_MS, timeout_ms // 2)
+        end_ms = self.process.clock.now_ms() + timeout_ms
+        self.refuse_from_ms = end_ms - margin_ms
+        self.hand_over_from_ms = end_ms - margin_ms // HAND_OVER_MARGIN_DIVISOR
+
+    def finish(self, has_flows: bool) -> bool:
+        """Return whether the process may end; hand the records over before it does."""
+        now_ms = self.process.clock.now_ms()
+        if not has_flows or now_ms >= (self.refuse_from_ms or now_ms):
+            self.requests.stop()
+        if not self.requests.is_stopping or not self.requests.is_idle():
+            return False
+        is_ending = now_ms >= (self.hand_over_from_ms or now_ms)
+        if not self.has_handed_over and (is_ending or not has_flows):
+            self.has_handed_over = True
+            self.hand_over()
+        return not has_flows
+
+    def hand_over(self) -> None:
+        """Give all records to the other agents of the service.
+
+        From then on this agent refuses nothing for sure, because no record of it
+        would be handed over.
+        """
+        messages = self.requests.hand_over()
+        self.requests.eras.begin(self.process.clock.now_ms())
+        steering = self.process.steering
+        row = steering.row
+        names = steering.leases_of(row.service).others() if row else []
+        for name in names:
+            instance = self.process.instances.get(name)
+            if instance is None:
+                continue
+            for message in messages:
+                self.process.peers.send(message, instance.address)
+        amount = len(self.requests.window.records)
+        self.process.metrics.count("request_records_handed_over_total", amount=amount)
+
     def intercept(self, message: Forward) -> bool:
         """Handle a packet without steering where that is possible."""
         if message.request is None:
             return False
-        arrival = self.find_arrival(
-            message.flow, message.service, message.packet, message.request
-        )
+        arrival = self.find_arrival(message.flow, message.packet, message.request)
         if arrival is None:
             return True
         steering = self.process.steering
@@ -74,7 +140,7 @@
         """Handle a packet that steering delivers; return whether it was a request."""
         if action.request is None:
             return False
-        arrival = self.find_arrival(action.flow, "", action.packet, action.request)
+        arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
             self.process.levels.packet_delivered(action.request)
             self.act_all(self.requests.deliver(arrival))
@@ -84,7 +150,7 @@
         """Handle a packet that steering refuses; return whether it was a request."""
         if action.request is None:
             return False
-        arrival = self.find_arrival(action.flow, "", action.packet, action.request)
+        arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
             self.act_all(
                 self.requests.refuse(
@@ -125,14 +191,14 @@
             message.tried,
         )
         actions = self.requests.receive(arrival, is_known_flow=True)
-        if not actions and self.process.can_take_guest(message.service):
+        if not actions and self.process.steering.can_take(message.service):
             actions = self.requests.deliver(arrival, is_guest=True)
         elif not actions:
             actions = self.requests.refuse(arrival, "full")
         self.act_all(actions)
 
     def find_arrival(
-        self, flow: FlowKey, service: str, packet: bytes, request: RequestMetadata
+        self, flow: FlowKey, packet: bytes, request: RequestMetadata
     ) -> RequestArrival | None:
         """Return a packet as an arrival; count and drop a malformed one."""
         try:
@@ -141,13 +207,24 @@
             self.process.metrics.count("packets_dropped_total", "malformed")
             return None
         arrived_ms = find_arrival_ms(self.arrived_ms, self.process.clock.now_ms())
-        service = service or self.process.table.service_of(flow) or ""
+        owned = self.process.steering.owned.get(flow)
+        if owned is not None:
+            return RequestArrival(
+                flow,
+                owned.service,
+                request,
+                payload,
+                arrived_ms,
+                opened_ms=owned.opened_ms,
+            )
+        service = self.process.table.service_of(flow) or ""
         return RequestArrival(flow, service, request, payload, arrived_ms)
 
     def act_all(self, actions: list[RequestAction]) -> None:
         """Carry out actions in order."""
         for action in actions:
             self.act(action)
+        self.process.steering.guest_count = self.requests.open.guest_count
 
     @singledispatchmethod
     def act(self, action: object) -> None:
--- a/citronwinch/peers/_requests_codec.py
+++ b/citronwinch/peers/_requests_codec.py
@@ -4,7 +4,6 @@
 
 from citronwinch.coordination import FlowKey, unpack_flow_key
 from citronwinch.coordination.requests import (
-    ALL_FLOWS,
     REQUEST_ID_BYTES,
     ExportedRecord,
     RequestKey,
@@ -31,7 +30,7 @@
 @fill_message.register
 def _(message: RequestRecords, envelope: Any) -> None:
     target = envelope.init("requests").init("records")
-    target.flow = message.flow
+    target.agent = message.agent
     target.eraAgeMs = message.era_age_ms
     target.total = message.total
     builders = target.init("records", len(message.records))
@@ -54,7 +53,7 @@
 def read_records(reader: Any) -> RequestRecords:
     """Return the hand-over in a reader; raise ValueError when it is malformed."""
     return RequestRecords(
-        read_flow(reader.flow) if reader.flow else ALL_FLOWS,
+        reader.agent,
         reader.eraAgeMs,
         reader.total,
         tuple(read_record(record) for record in reader.records),
--- a/citronwinch/peers/requests.capnp
+++ b/citronwinch/peers/requests.capnp
@@ -21,7 +21,7 @@
 }
 
 struct RequestRecords {
-  flow @0 :Data;
+  agent @0 :Text;
   eraAgeMs @1 :UInt32;
   total @2 :UInt32;
   records @3 :List(RequestRecord);
--- a/citronwinch/peers/tests/test_requests_codec.py
+++ b/citronwinch/peers/tests/test_requests_codec.py
@@ -4,7 +4,6 @@
 
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.requests import (
-    ALL_FLOWS,
     ExportedRecord,
     RequestKey,
     RequestKind,
@@ -28,9 +27,9 @@
 MESSAGES = {
     "retry": RETRY,
     "retry tried nowhere": RETRY._replace(tried=()),
-    "all records": RequestRecords(ALL_FLOWS, 66_000, 2, (RECORD, RECORD)),
-    "records of a flow": RequestRecords(FLOW, 0, 1, (RECORD,)),
-    "no records": RequestRecords(ALL_FLOWS, 0, 0, ()),
+    "all records": RequestRecords("gauging-2", 66_000, 2, (RECORD, RECORD)),
+    "records of a flow": RequestRecords("", 0, 1, (RECORD,)),
+    "no records": RequestRecords("gauging-2", 0, 0, ()),
 }
 NOT_REPEATABLE = REQUEST._replace(repeatable=False)
 FAULTS = {
@@ -43,9 +42,11 @@
     ),
     "retry with a broken flow": RETRY._replace(flow=FlowKey(b"broken")),
     "record with a short id": RequestRecords(
-        ALL_FLOWS, 0, 1, (RECORD._replace(key=RequestKey(FLOW, b"short")),)
+        "gauging-2", 0, 1, (RECORD._replace(key=RequestKey(FLOW, b"short")),)
+    ),
+    "record of a broken flow": RequestRecords(
+        "", 0, 1, (RECORD._replace(key=RequestKey(FlowKey(b"broken"), bytes(16))),)
     ),
-    "records of a broken flow": RequestRecords(FlowKey(b"broken"), 0, 0, ()),
 }
 
 
