--- /dev/null
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -0,0 +1,275 @@
+"""Requests through an agent's process, from forwarded packet to sent datagram."""
+
+import pytest
+
+from citronwinch.backend_servers import (
+    HEADER_BYTES,
+    Reply,
+    add_request_header,
+    read_request_header,
+)
+from citronwinch.coordination import (
+    Endpoint,
+    Flow,
+    Instance,
+    InstanceRole,
+    ManualClock,
+    Table,
+    TableRow,
+    TransportProtocol,
+)
+from citronwinch.coordination.requests import (
+    RequestKind,
+    RequestMetadata,
+    RequestRecords,
+    RetryRequest,
+)
+from citronwinch.coordination.steering import Forward
+from citronwinch.daemon import AgentProcess
+from citronwinch.daemon._events import PeerBatch, ReplyArrived, StopRequested
+from citronwinch.fabric import (
+    MalformedFrameError,
+    build_udp,
+    decode_frame,
+    parse_udp,
+)
+from citronwinch.operators import parse_settings
+from citronwinch.operators._metrics import MetricKey
+from citronwinch.peers import Envelope, decode_envelope
+
+SETTINGS = """
+[instance]
+name = gauging-1
+role = agent
+availability_zone = tas-south-a
+[listen]
+peers = 127.0.0.1:0
+http = 127.0.0.1:0
+[platform]
+configuration = 127.0.0.1:1
+instances = 127.0.0.1:1
+[fabric]
+return = 127.0.0.1:9
+[keys]
+current = {key}
+""".format(key="5a" * 32)
+
+SERVICE = Endpoint("192.0.2.9", 7_000)
+FLOW = Flow(TransportProtocol.UDP, Endpoint("192.0.2.1", 40_000), SERVICE)
+PEER = Instance(
+    "gauging-2", InstanceRole.AGENT, "tas-south-b", Endpoint("127.0.0.1", 8)
+)
+
+
+class FakeDelivery:
+    def __init__(self):
+        self.sent = []
+        self.closed = []
+        self.is_working = True
+
+    def send(self, flow, payload):
+        if self.is_working:
+            self.sent.append(payload)
+        return self.is_working
+
+    def close(self, flow):
+        self.closed.append(flow)
+
+
+def make_row(name):
+    address = Endpoint("127.0.0.1", 10)
+    return TableRow(
+        "gauging",
+        TransportProtocol.UDP,
+        SERVICE,
+        name,
+        address,
+        "tas-south-a",
+        100,
+        10,
+    )
+
+
+class Desk:
+    """An agent's process without a loop, and what it sent."""
+
+    def __init__(self, process):
+        self.process = process
+        self.clock = process.clock
+        self.delivery = process.delivery = FakeDelivery()
+        self.datagrams = []
+        process.peers.port.send = self.note_datagram
+
+    def note_datagram(self, data, receiver):
+        self.datagrams.append(data)
+        return True
+
+    def forward(
+        self, kind=RequestKind.REQUEST, arrived_ms=None, request_id=bytes(16), **fields
+    ):
+        fields = {"remaining_ms": 2_000, **fields}
+        request = RequestMetadata(kind, request_id, **fields)
+        packet = build_udp(FLOW, add_request_header(request, b"x"), to_caller=False)
+        forward = Forward(
+            FLOW.key, "gauging", packet, "balancer-1", opens=True, request=request
+        )
+        self.take(forward, arrived_ms)
+
+    def take(self, message, arrived_ms=None):
+        arrived_ms = self.clock.now_ms() if arrived_ms is None else arrived_ms
+        envelope = Envelope("gauging-2", 1, 1, 1, message)
+        self.process.handle(PeerBatch([envelope], arrived_ms))
+
+    def reply(self, kind, part=0, part_count=1):
+        answer = RequestMetadata(kind, bytes(16), part=part, part_count=part_count)
+        payload = add_request_header(answer, b"part")
+        self.process.handle(ReplyArrived(Reply(FLOW.key, payload)))
+
+    def pass_time(self, duration_ms):
+        self.clock.advance(duration_ms)
+        self.process.handle(PeerBatch([], self.clock.now_ms()))
+
+    def told(self):
+        """Return the kinds of everything that the caller was sent."""
+        kinds = []
+        for data in self.datagrams:
+            try:
+                payload = parse_udp(decode_frame(data).packet).payload
+            except MalformedFrameError:
+                continue
+            if (header := read_request_header(payload)) is not None:
+                kinds.append(header.kind.name)
+        return kinds
+
+    def messages(self):
+        """Return what other agents were sent about requests."""
+        found = []
+        for data in self.datagrams:
+            opened = self.process.peers.keys.open(data)
+            if opened is not None:
+                found.append(decode_envelope(opened).message)
+        return found
+
+    def count(self, name, reason=""):
+        return self.process.metrics.counters[MetricKey(name, reason)]
+
+
+@pytest.fixture
+def desk(monkeypatch):
+    monkeypatch.setattr(
+        "citronwinch.daemon._process.MonotonicClock", lambda: ManualClock(100_000)
+    )
+    process = AgentProcess(parse_settings(SETTINGS, "test.ini").ok)
+    process.use_table(Table(1, [make_row("gauging-1")]))
+    desk = Desk(process)
+    desk.pass_time(6_000)
+    yield desk
+    process.peers.port.close()
+
+
+def test_two_copies_are_delivered_once_and_each_part_once(desk):
+    desk.forward()
+    desk.forward()
+    for part in (1, 1, 0):
+        desk.reply(RequestKind.ANSWER, part, 2)
+    desk.reply(RequestKind.ANSWER, 0, 2)
+    assert [payload[HEADER_BYTES:] for payload in desk.delivery.sent] == [b"x"]
+    assert desk.told() == ["ANSWER", "ANSWER"]
+    assert desk.count("request_packets_discarded_total", "doubled_request") == 1
+
+
+def test_a_fresh_process_is_not_ready_and_answers_unknown(desk):
+    desk.process.requests.requests.eras.begin(desk.clock.now_ms())
+    desk.process.state = "ready"
+    desk.forward()
+    assert (desk.told(), desk.delivery.sent) == (["UNKNOWN"], [])
+    assert desk.process.read_status().state == "starting"
+    desk.pass_time(5_001)
+    assert desk.process.read_status().state == "ready"
+
+
+def test_what_expired_during_a_pause_is_not_delivered(desk):
+    desk.forward(request_id=b"opens the flow..")
+    before_ms = desk.clock.now_ms()
+    desk.clock.advance(3_000)
+    desk.forward(arrived_ms=before_ms)
+    desk.forward()
+    assert desk.told() == ["UNKNOWN", "NOT_RUN", "NOT_RUN"]
+    assert len(desk.delivery.sent) == 1
+
+
+def test_what_waited_long_is_not_passed_on(desk):
+    desk.clock.advance(600)
+    desk.forward(arrived_ms=desk.clock.now_ms() - 600)
+    assert (desk.told(), desk.delivery.sent) == ([], [])
+    assert desk.count("request_packets_discarded_total", "late_request") == 1
+
+
+def test_no_answer_by_the_deadline_is_unknown_then(desk):
+    desk.forward()
+    desk.pass_time(1_999)
+    assert desk.told() == []
+    desk.pass_time(1)
+    assert desk.told() == ["UNKNOWN"]
+
+
+def test_a_datagram_that_was_not_sent_was_not_run(desk):
+    desk.delivery.is_working = False
+    desk.forward()
+    desk.delivery.is_working = True
+    desk.forward()
+    assert (desk.told(), desk.delivery.sent) == (["NOT_RUN", "NOT_RUN"], [])
+
+
+def test_a_cancellation_is_passed_on_or_answered(desk):
+    desk.forward()
+    desk.forward(RequestKind.CANCEL)
+    request, cancel = (read_request_header(sent) for sent in desk.delivery.sent)
+    assert request is not None and request.kind is RequestKind.REQUEST
+    assert cancel is not None and cancel.kind is RequestKind.CANCEL
+
+
+def test_a_shed_request_goes_to_another_agent(desk):
+    process = desk.process
+    process.requests.requests.budget.tokens = 1.0
+    desk.forward(repeatable=True)
+    process.use_table(Table(2, [make_row("gauging-1"), make_row("gauging-2")]))
+    process.instances = {"gauging-2": PEER}
+    desk.reply(RequestKind.SHED)
+    desk.pass_time(100)
+    [retry] = [m for m in desk.messages() if isinstance(m, RetryRequest)]
+    assert retry.tried == ("gauging-1",)
+    assert 0 < retry.request.remaining_ms <= 2_000
+    assert desk.told() == []
+
+
+def test_a_guest_is_served_closed_and_counted_against_the_limit(desk):
+    metadata = RequestMetadata(RequestKind.REQUEST, bytes(16), True, 2_000)
+    retry = RetryRequest(FLOW.key, "gauging", metadata, b"payload", ("gauging-2",))
+    desk.take(retry)
+    assert desk.delivery.sent == [b"payload"]
+    assert desk.process.steering.guest_count == 1
+    desk.reply(RequestKind.ANSWER)
+    assert desk.process.steering.guest_count == 0
+    assert desk.delivery.closed == [FLOW.key]
+    full = make_row("gauging-1")._replace(connection_limit=0)
+    desk.process.use_table(Table(2, [full]))
+    other = metadata._replace(request_id=bytes(15) + b"1")
+    desk.take(retry._replace(request=other))
+    assert desk.told() == ["ANSWER", "NOT_RUN"]
+
+
+def test_a_stop_finishes_requests_and_hands_the_records_over(desk):
+    process = desk.process
+    desk.forward()
+    process.handle(StopRequested())
+    assert not process.is_drained()
+    process.use_table(Table(2, [make_row("gauging-1"), make_row("gauging-2")]))
+    process.instances = {"gauging-2": PEER}
+    process.steering.end_flow(FLOW.key)
+    assert not process.is_drained()
+    desk.reply(RequestKind.ANSWER)
+    assert process.is_drained()
+    [records] = [m for m in desk.messages() if isinstance(m, RequestRecords)]
+    assert (records.agent, records.total, len(records.records)) == ("gauging-1", 1, 1)
+    assert desk.told() == ["ANSWER"]
