--- /dev/null
+++ b/citronwinch/benches/_steering_callers.py
@@ -0,0 +1,178 @@
+"""Callers that keep flows open through any balancer and check what becomes of them."""
+
+import random
+import struct
+from collections import Counter
+
+from citronwinch.benches._steering_fleet import Fleet
+from citronwinch.coordination import Endpoint, Flow, FlowKey, TransportProtocol
+from citronwinch.coordination.steering import Packet, Refuse
+
+PACKET_INTERVAL_MS = 500
+"""How often a flow sends a packet."""
+
+UNDELIVERED_LIMIT = 5
+"""After how many undelivered packets in a row a flow counts as broken."""
+
+COPY_SHARE = 0.3
+"""The share of first packets of which a copy comes through another balancer."""
+
+CLOSING_SHARE = 0.01
+"""The share of packets after which their flow ends and another begins."""
+
+
+class CallerFlow:
+    """One flow, as its caller knows it."""
+
+    def __init__(self, number: int, service: str, key: FlowKey, is_udp: bool) -> None:
+        self.number = number
+        self.service = service
+        self.key = key
+        self.is_udp = is_udp
+        self.server = ""
+        self.servers: list[str] = []
+        self.sequence = 0
+        self.undelivered = 0
+        self.is_broken = False
+        self.is_over = False
+        self.is_doubled = False
+
+
+class Callers:
+    """All flows of a fleet and what was seen of them."""
+
+    def __init__(self, fleet: Fleet, source: random.Random) -> None:
+        self.fleet = fleet
+        self.interval_ms = PACKET_INTERVAL_MS
+        self.source = source
+        self.flows: list[CallerFlow] = []
+        self.by_key: dict[FlowKey, CallerFlow] = {}
+        self.endpoints = {row.service: row.service_address for row in fleet.rows}
+        self.assigned: dict[str, set[str]] = {}
+        self.lost_servers: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        self.hops: Counter[int] = Counter()
+        self.opened_ms: dict[str, int] = {}
+        self.lost_ended_ms: list[int] = []
+        self.lost_ms = 0
+        fleet.observer = self
+
+    def note_assignments(self) -> None:
+        """Remember which backend servers each service has had."""
+        for row in self.fleet.rows:
+            self.assigned.setdefault(row.backend_server, set()).add(row.service)
+
+    def open_flow(self, service: str) -> None:
+        """Begin a flow."""
+        number = len(self.flows)
+        is_udp = number % 2 == 0
+        protocol = TransportProtocol.UDP
+        caller = Endpoint(f"203.0.113.{number % 250 + 1}", 1024 + number // 250)
+        key = Flow(protocol, caller, self.endpoints[service]).key
+        flow = CallerFlow(number, service, key, is_udp)
+        self.flows.append(flow)
+        self.by_key[key] = flow
+        self.send(flow)
+
+    def send(self, flow: CallerFlow) -> None:
+        """Send the next packet of a flow, again and again."""
+        if flow.is_broken or flow.is_over:
+            return
+        if flow.undelivered >= UNDELIVERED_LIMIT and flow.server:
+            self.break_flow(flow, "silent")
+            return
+        flow.sequence += 1
+        flow.undelivered += 1
+        data = struct.pack("!II", flow.number, flow.sequence)
+        opens = flow.is_udp or not flow.server
+        is_last = bool(flow.server) and self.source.random() < CLOSING_SHARE
+        packet = Packet(flow.key, data, opens, is_last)
+        balancers = self.fleet.balancers()
+        copies = 2 if not flow.server and self.source.random() < COPY_SHARE else 1
+        for balancer in self.source.sample(balancers, min(copies, len(balancers))):
+            self.fleet.enter(balancer, packet, flow.service)
+        self.counts["packets"] += 1
+        if is_last:
+            self.finish(flow)
+            return
+        interval_ms = round(self.interval_ms * self.source.uniform(0.8, 1.2))
+        self.fleet.queue.call_after(interval_ms, lambda: self.send(flow))
+
+    def finish(self, flow: CallerFlow) -> None:
+        """End a flow and begin another."""
+        flow.is_over = True
+
+        def forget() -> None:
+            node = self.fleet.nodes[flow.server]
+            if node.agent is not None and node.is_alive:
+                node.agent.end_flow(flow.key)
+
+        self.fleet.queue.call_after(500, forget)
+        self.open_flow(flow.service)
+
+    def see_delivery(self, agent: str, flow: FlowKey, packet: bytes) -> None:
+        """Check that a packet reached the right backend server."""
+        known = self.by_key[flow]
+        self.hops[self.fleet.hops.pop(packet, 0)] += 1
+        if known.service not in self.assigned[agent]:
+            self.counts["misdirected_packets"] += 1
+        if known.is_over:
+            return
+        known.undelivered = 0
+        if agent not in known.servers:
+            self.check_open(known, agent)
+        elif agent != known.servers[-1]:
+            self.double(known)
+        if not known.server:
+            known.server = agent
+        elif known.server != agent:
+            self.break_flow(known, "moved")
+
+    def check_open(self, flow: CallerFlow, agent: str) -> None:
+        """Check that no other backend server has the flow that is opened here.
+
+        An agent that asks before it delivers another packet of the flow no longer
+        has it for certain and does not count; if it delivers, `see_delivery` counts.
+        """
+        flow.servers.append(agent)
+        self.opened_ms[agent] = self.fleet.now_ms
+        self.counts["opens"] += 1
+        if any(self.has_flow(other, flow) for other in flow.servers[:-1]):
+            self.double(flow)
+
+    def has_flow(self, name: str, flow: CallerFlow) -> bool:
+        """Return whether an agent runs and would deliver packets of a flow."""
+        node = self.fleet.nodes[name]
+        is_running = node.is_alive and self.fleet.now_ms >= node.paused_until_ms
+        if not is_running or node.agent is None or flow.key not in node.agent.owned:
+            return False
+        return not node.agent.is_doubtful(flow.key, flow.service)
+
+    def double(self, flow: CallerFlow) -> None:
+        """Count a flow as opened twice, once."""
+        if not flow.is_doubled:
+            flow.is_doubled = True
+            self.counts["doubled_opens"] += 1
+
+    def see_refusal(self, agent: str, action: Refuse) -> None:
+        """Note a refusal that reaches the caller."""
+        flow = self.by_key[action.flow]
+        self.counts[f"refused_{action.reason}"] += 1
+        if not action.is_certain or flow.is_over:
+            return
+        if flow.server:
+            self.break_flow(flow, "refused")
+        else:
+            self.counts["refused_new"] += 1
+            flow.is_over = True
+
+    def break_flow(self, flow: CallerFlow, how: str) -> None:
+        """Count a flow as broken, once."""
+        if flow.is_broken:
+            return
+        flow.is_broken = True
+        self.counts["broken_flows"] += 1
+        self.counts[f"broken_{how}"] += 1
+        if flow.server in self.lost_servers:
+            self.counts["broken_of_lost_server"] += 1
+            self.lost_ended_ms.append(self.fleet.now_ms - self.lost_ms)
--- /dev/null
+++ b/citronwinch/benches/_steering_fleet.py
@@ -0,0 +1,420 @@
+"""Balancers and agents with their real decisions, behind fake links."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Container
+from typing import NamedTuple, Protocol
+
+from citronwinch.benches._fakes import EventQueue, FakeLink, LinkFaults
+from citronwinch.coordination import (
+    Clock,
+    Endpoint,
+    FlowKey,
+    Instance,
+    InstanceRole,
+    InstanceState,
+    Table,
+    TableRow,
+    TransportProtocol,
+)
+from citronwinch.coordination.steering import (
+    AgentAction,
+    AgentSteering,
+    BalancerSteering,
+    Deliver,
+    EndFlow,
+    Forward,
+    Hint,
+    MemberSilent,
+    Packet,
+    PassOn,
+    Probe,
+    Refuse,
+    Send,
+    SteeringMessage,
+    TellBalancer,
+)
+from citronwinch.peers import Envelope, encode_envelope
+from citronwinch.peers._authentication import TAG_BYTES
+
+TICK_MS = 100
+"""How often time passes for a process, as in the daemon."""
+
+LOCAL_DELAY_MS = 0
+"""The delay within an availability zone, in whole milliseconds."""
+
+IP_UDP_BYTES = 28
+"""The bytes of the headers around each message."""
+
+
+class FleetShape(NamedTuple):
+    """The size of a deployment."""
+
+    name: str
+    """Its name."""
+
+    zone_delay_ms: int
+    """The delay between two availability zones, one way."""
+
+    services: tuple[tuple[str, int], ...]
+    """Each service with the number of its backend servers."""
+
+    balancers: int
+    """The number of balancers."""
+
+
+class AgentDecisions(Protocol):
+    """What the fleet needs of an agent's decisions."""
+
+    @property
+    def owned(self) -> Container[FlowKey]:
+        """The owned flows."""
+
+    def is_doubtful(self, flow: FlowKey, service: str) -> bool:
+        """Return whether an owned flow is not delivered until others were asked."""
+
+    def accept_table(self, table: Table) -> list[AgentAction]:
+        """Use a table."""
+
+    def accept_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Use a list of instances."""
+
+    def handle_forward(self, message: Forward) -> list[AgentAction]:
+        """Return what to do about a packet."""
+
+    def handle(self, message: object, sender: str) -> list[AgentAction]:
+        """Return what to do about another message."""
+
+    def tick(self) -> list[AgentAction]:
+        """Let time pass."""
+
+    def end_flow(self, flow: FlowKey) -> None:
+        """Forget a flow."""
+
+
+class BalancerDecisions(Protocol):
+    """What the fleet needs of a balancer's decisions."""
+
+    def accept_table(self, table: Table) -> None:
+        """Use a table."""
+
+    def accept_hint(self, hint: Hint) -> None:
+        """Remember an owner."""
+
+    def note_heard(self, agent: str) -> None:
+        """Note a sign of life of an agent."""
+
+    def note_silent(self, agent: str) -> None:
+        """Note that the other agents of its service miss an agent."""
+
+    def forward(self, packet: Packet, service: str) -> tuple[str, Forward] | None:
+        """Return the agent and the message for a packet."""
+
+    def tick(self) -> list[str]:
+        """Return the agents to probe."""
+
+
+class SteeredBalancer(BalancerSteering):
+    """The real balancer, with the interface of the fleet."""
+
+    def note_heard(self, agent: str) -> None:
+        """Note a sign of life of an agent."""
+        self.reachability.note_heard(agent)
+
+    def note_silent(self, agent: str) -> None:
+        """Note that the other agents of its service miss an agent."""
+        self.reachability.note_silent(agent)
+
+
+class Design(NamedTuple):
+    """How the processes of a fleet decide."""
+
+    name: str
+    """Its name."""
+
+    create_agent: Callable[[str, Clock, int], AgentDecisions]
+    """Makes the decisions of an agent."""
+
+    create_balancer: Callable[[str, Clock], BalancerDecisions]
+    """Makes the decisions of a balancer."""
+
+
+STEERED = Design(
+    "steering",
+    AgentSteering,
+    lambda name, clock: SteeredBalancer(name, 100_000, clock),
+)
+"""The design that the daemons use."""
+
+
+class Node:
+    """One process of the fleet."""
+
+    def __init__(self, name: str, zone: int) -> None:
+        self.name = name
+        self.zone = zone
+        self.is_alive = True
+        self.paused_until_ms = 0
+        self.backlog: list[Callable[[], None]] = []
+        self.agent: AgentDecisions | None = None
+        self.balancer: BalancerDecisions | None = None
+
+
+class Observer(Protocol):
+    """Who sees what the agents do with packets."""
+
+    def see_delivery(self, agent: str, flow: FlowKey, packet: bytes) -> None:
+        """A packet reached a backend server."""
+
+    def see_refusal(self, agent: str, action: Refuse) -> None:
+        """A packet was refused."""
+
+
+class Fleet:
+    """Runs processes on one event queue and carries their messages."""
+
+    def __init__(self, shape: FleetShape, design: Design, seed: int) -> None:
+        self.shape = shape
+        self.design = design
+        self.queue = EventQueue()
+        self.queue.clock.advance(1_000)
+        self.source = random.Random(f"{shape.name}-{design.name}-{seed}")
+        self.link = FakeLink(self.queue, self.source)
+        self.faults = LinkFaults()
+        self.cut_zones: frozenset[int] = frozenset()
+        self.nodes: dict[str, Node] = {}
+        self.observer: Observer | None = None
+        self.rows = create_rows(shape)
+        self.table = Table(1, self.rows)
+        self.states: dict[str, InstanceState] = {}
+        self.incarnation = 0
+        self.control_messages = 0
+        self.control_bytes = 0
+        self.bytes_by_type: Counter[str] = Counter()
+        self.hops: dict[bytes, int] = {}
+        for row in self.rows:
+            self.start_agent(row.backend_server)
+        for number in range(shape.balancers):
+            self.start_balancer(f"balancer-{number + 1}", number % 3)
+        for node in self.nodes.values():
+            self.give_instances(node)
+
+    @property
+    def now_ms(self) -> int:
+        """The time."""
+        return self.queue.clock.now_ms()
+
+    def start_agent(self, name: str) -> Node:
+        """Start an agent without any memory."""
+        self.incarnation += 1_000_000_000
+        row = next(row for row in self.rows if row.backend_server == name)
+        node = Node(name, int(row.availability_zone[-1]))
+        node.agent = self.design.create_agent(name, self.queue.clock, self.incarnation)
+        self.states[name] = InstanceState.LIVE
+        self.add(node)
+        return node
+
+    def start_balancer(self, name: str, zone: int) -> Node:
+        """Start a balancer without any memory."""
+        node = Node(name, zone)
+        node.balancer = self.design.create_balancer(name, self.queue.clock)
+        self.add(node)
+        return node
+
+    def add(self, node: Node) -> None:
+        """Let a process take part."""
+        self.nodes[node.name] = node
+        self.give_table(node, self.table)
+        self.give_instances(node)
+        offset_ms = self.source.randrange(TICK_MS)
+        self.queue.call_after(offset_ms, lambda: self.tick(node))
+
+    def balancers(self) -> list[str]:
+        """Return the balancers that the fabric uses."""
+        return [
+            node.name
+            for node in self.nodes.values()
+            if node.balancer is not None and node.is_alive
+        ]
+
+    def publish(self, rows: list[TableRow], lag_ms: Callable[[Node], int]) -> None:
+        """Put a new table in force, which reaches each process after its lag."""
+        self.rows = rows
+        self.table = Table(self.table.revision + 1, rows)
+        table = self.table
+        for node in list(self.nodes.values()):
+            self.call_node(node, lag_ms(node), lambda n: self.give_table(n, table))
+
+    def publish_instances(self, lag_ms: Callable[[Node], int]) -> None:
+        """Let each process read the list of instances after its lag."""
+        for node in list(self.nodes.values()):
+            self.call_node(node, lag_ms(node), self.give_instances)
+
+    def give_table(self, node: Node, table: Table) -> None:
+        """Hand a table to a process."""
+        if node.balancer is not None:
+            node.balancer.accept_table(table)
+        if node.agent is not None:
+            self.act(node, node.agent.accept_table(table))
+
+    def give_instances(self, node: Node) -> None:
+        """Hand the list of instances to a process."""
+        if node.agent is not None:
+            node.agent.accept_instances(self.list_instances())
+        if isinstance(node.balancer, SteeredBalancer):
+            node.balancer.reachability.balancers = len(self.balancers())
+
+    def list_instances(self) -> tuple[Instance, ...]:
+        """Return the platform's list of instances."""
+        address = Endpoint("192.0.2.1", 1)
+        agents = [
+            Instance(name, InstanceRole.AGENT, "", address, state)
+            for name, state in self.states.items()
+        ]
+        balancers = [
+            Instance(name, InstanceRole.BALANCER, "", address)
+            for name in self.balancers()
+        ]
+        return (*agents, *balancers)
+
+    def call_node(
+        self, node: Node, delay_ms: int, call: Callable[[Node], None]
+    ) -> None:
+        """Run a call at a process after a delay, later while it is paused."""
+
+        def run() -> None:
+            if not node.is_alive:
+                return
+            if self.now_ms < node.paused_until_ms:
+                node.backlog.append(lambda: call(node))
+                return
+            call(node)
+
+        self.queue.call_after(delay_ms, run)
+
+    def pause(self, node: Node, duration_ms: int) -> None:
+        """Stop a process; what arrives meanwhile is handled when it wakes up."""
+        node.paused_until_ms = self.now_ms + duration_ms
+
+        def wake() -> None:
+            backlog, node.backlog = node.backlog, []
+            for call in backlog:
+                if node.is_alive:
+                    call()
+
+        self.queue.call_after(duration_ms, wake)
+
+    def crash(self, name: str) -> None:
+        """End a process at once."""
+        self.nodes[name].is_alive = False
+
+    def tick(self, node: Node) -> None:
+        """Let time pass for a process, again and again."""
+        if not node.is_alive:
+            return
+        self.queue.call_after(TICK_MS, lambda: self.tick(node))
+        if self.now_ms < node.paused_until_ms:
+            return
+        if node.agent is not None:
+            self.act(node, node.agent.tick())
+        if node.balancer is not None:
+            for agent in node.balancer.tick():
+                self.send(node, agent, Probe(is_answer=False))
+
+    def enter(self, balancer: str, packet: Packet, service: str) -> None:
+        """Hand a packet from the fabric to a balancer."""
+
+        def take(node: Node) -> None:
+            assert node.balancer is not None
+            routed = node.balancer.forward(packet, service)
+            if routed is not None:
+                self.send(node, *routed)
+
+        self.call_node(self.nodes[balancer], 0, take)
+
+    def send(self, sender: Node, receiver: str, message: SteeringMessage) -> None:
+        """Carry a message between two processes."""
+        if not isinstance(message, Forward):
+            size = measure(sender.name, message)
+            self.control_messages += 1
+            self.control_bytes += size
+            self.bytes_by_type[type(message).__name__] += size
+        node = self.nodes.get(receiver)
+        if node is None:
+            return
+        is_cut = (sender.zone in self.cut_zones) != (node.zone in self.cut_zones)
+        is_local = sender.zone == node.zone
+        delay_ms = LOCAL_DELAY_MS if is_local else self.shape.zone_delay_ms
+        faults = self.faults._replace(delay_ms=delay_ms, is_cut=is_cut)
+        name = sender.name
+        self.link.carry(
+            faults,
+            lambda: self.call_node(node, 0, lambda n: self.receive(n, name, message)),
+        )
+
+    def receive(self, node: Node, sender: str, message: SteeringMessage) -> None:
+        """Hand a message to the decisions of a process."""
+        if node.balancer is not None:
+            node.balancer.note_heard(sender)
+            if isinstance(message, Hint):
+                node.balancer.accept_hint(message)
+            elif isinstance(message, MemberSilent):
+                node.balancer.note_silent(message.agent)
+        elif node.agent is not None:
+            if isinstance(message, Forward):
+                self.hops[message.packet] = message.hops
+                self.act(node, node.agent.handle_forward(message))
+            else:
+                self.act(node, node.agent.handle(message, sender))
+
+    def act(self, node: Node, actions: list[AgentAction]) -> None:
+        """Carry out what an agent decided."""
+        for action in actions:
+            if isinstance(action, PassOn):
+                self.send(node, action.agent, action.message)
+            elif isinstance(action, Send):
+                self.send(node, action.receiver, action.message)
+            elif isinstance(action, TellBalancer):
+                self.send(node, action.balancer, action.hint)
+            elif self.observer is None or isinstance(action, EndFlow):
+                continue
+            elif isinstance(action, Deliver):
+                self.observer.see_delivery(node.name, action.flow, action.packet)
+            elif isinstance(action, Refuse):
+                self.observer.see_refusal(node.name, action)
+
+
+def create_rows(shape: FleetShape) -> list[TableRow]:
+    """Return the rows of a deployment, its servers spread over three zones."""
+    rows: list[TableRow] = []
+    for index, (service, count) in enumerate(shape.services):
+        for number in range(count):
+            rows.append(
+                TableRow(
+                    service,
+                    TransportProtocol.UDP,
+                    Endpoint(f"192.0.2.{index + 1}", 9000),
+                    f"{service}-{number + 1}",
+                    Endpoint(f"198.51.100.{len(rows) + 1}", 9000),
+                    f"zone-{number % 3}",
+                    100,
+                    4_000,
+                )
+            )
+    return rows
+
+
+SIZES: dict[tuple[object, ...], int] = {}
+"""The sizes of messages that were encoded before, by what their size depends on."""
+
+
+def measure(sender: str, message: SteeringMessage) -> int:
+    """Return the bytes of a message on the wire."""
+    lengths = [
+        len(part) if isinstance(part, (str, bytes, tuple)) else 0 for part in message
+    ]
+    key = (type(message), len(sender), *lengths)
+    if key not in SIZES:
+        encoded = encode_envelope(Envelope(sender, 1, 1, 1, message))
+        SIZES[key] = len(encoded) + TAG_BYTES + IP_UDP_BYTES
+    return SIZES[key]
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -15,6 +15,7 @@
     TellBalancer,
     refuse,
 )
+from citronwinch.coordination.steering._budget import ByteBudget
 from citronwinch.coordination.steering._held import QUERY_RETRY_MS, HeldFlow
 from citronwinch.coordination.steering._leases import ServiceLeases
 from citronwinch.coordination.steering._messages import Forward, Hint, Query
@@ -26,6 +27,15 @@
 HOPS_LIMIT = 8
 """How often a packet may be passed on."""
 
+HINT_BYTES = 150
+"""The bytes of a hint on the wire."""
+
+HINT_BURST_BYTES = 65_536
+"""How many bytes of hints may be sent at once after a quiet time."""
+
+HINT_BYTES_PER_SECOND = 400
+"""How many bytes of hints a second are sent beyond the burst."""
+
 
 class AgentSteering(AgentProtocol):
     """Decides what happens to packets at the agent beside one backend server.
@@ -44,6 +54,7 @@
         super().__init__(backend_server, clock, incarnation)
         self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
         self.refused = RefusedPackets(clock)
+        self.hint_budget = ByteBudget(clock, HINT_BURST_BYTES, HINT_BYTES_PER_SECOND)
 
     @property
     def owned(self) -> dict[FlowKey, OwnedFlow]:
@@ -106,7 +117,7 @@
         actions: list[AgentAction] = [
             Deliver(message.flow, message.packet, message.request)
         ]
-        if message.hops or not message.pinned:
+        if message.hops and self.hint_budget.spend(HINT_BYTES):
             hint = Hint(message.flow, self.backend_server)
             actions.append(TellBalancer(message.balancer, hint))
         return actions
@@ -125,6 +136,8 @@
         if home is None:
             return [refuse(message, "no_home", is_certain=False)]
         if home != self.backend_server:
+            if home in message.declined and not message.hops:
+                return self.search_owner(message, leases)
             if leases.is_silent(home):
                 return [refuse(message, "home_unreachable", is_certain=False)]
             return [self.pass_on(message, home)]
@@ -156,6 +169,33 @@
         """Return the message as it goes to another agent that may know more."""
         return PassOn(agent, message._replace(hops=message.hops + 1, decision=0))
 
+    def search_owner(
+        self, message: Forward, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Ask all members who owns a flow whose home the balancer cannot reach."""
+        held = self.held.hold(message, leases.revision)
+        if held is None:
+            return [refuse(message, "held_full", is_certain=False)]
+        held.is_search = True
+        self.counters["searches"] += 1
+        return self.query_owner(message.flow, held, leases)
+
+    def retry_search(
+        self, flow: FlowKey, held: HeldFlow, leases: ServiceLeases, home: str
+    ) -> list[AgentAction]:
+        """Go on searching until the owner or the home is heard of."""
+        if home in held.answered:
+            messages = self.held.release(flow)
+            return [self.pass_on(message, home) for message in messages]
+        if self.clock.now_ms() >= held.deadline_ms:
+            return self.give_up(flow, "home_unreachable")
+        return self.query_owner(flow, held, leases)
+
+    def give_up(self, flow: FlowKey, reason: str) -> list[AgentAction]:
+        """Refuse the waiting packets of a flow without knowing of other copies."""
+        messages = self.held.release(flow)
+        return [refuse(message, reason, is_certain=False) for message in messages]
+
     def decide_when_allowed(
         self, message: Forward, leases: ServiceLeases
     ) -> list[AgentAction]:
@@ -188,7 +228,9 @@
 
     def find_askable(self, flow: FlowKey, leases: ServiceLeases) -> list[str]:
         """Return the members that may know an owner that this agent does not."""
-        if flow not in self.flows.owned:
+        held = self.held.flows.get(flow)
+        is_search = held is not None and held.is_search
+        if flow not in self.flows.owned and not is_search:
             return leases.blockers()
         return [name for name in leases.others() if not leases.is_gone(name)]
 
@@ -201,17 +243,16 @@
             held.answered.clear()
         if flow in self.flows.owned:
             return self.retry_owned(flow, held, leases)
-        is_mine = self.home_of(flow, held.service) == self.backend_server
-        if flow in self.registry.owners or not is_mine or leases.is_fenced:
+        home = self.home_of(flow, held.service)
+        is_known = flow in self.registry.owners or leases.is_fenced
+        if held.is_search and not is_known and home not in (None, self.backend_server):
+            return self.retry_search(flow, held, leases, home or "")
+        if is_known or home != self.backend_server:
             return self.replay(flow)
         if set(leases.blockers()) <= held.answered:
             return self.decide_held(flow, leases)
         if self.clock.now_ms() >= held.deadline_ms:
-            messages = self.held.release(flow)
-            return [
-                refuse(message, "home_unreachable", is_certain=False)
-                for message in messages
-            ]
+            return self.give_up(flow, "home_unreachable")
         return self.query_owner(flow, held, leases)
 
     def retry_owned(
@@ -227,8 +268,7 @@
                 actions += self.deliver_owned(message, owned)
             return actions
         if now_ms >= held.deadline_ms:
-            messages = self.held.release(flow)
-            return [refuse(one, "unconfirmed", is_certain=False) for one in messages]
+            return self.give_up(flow, "unconfirmed")
         return self.query_owner(flow, held, leases)
 
     def replay(self, flow: FlowKey) -> list[AgentAction]:
--- a/citronwinch/coordination/steering/_balancer.py
+++ b/citronwinch/coordination/steering/_balancer.py
@@ -78,6 +78,11 @@
         self.current.pop(flow, None)
         self.older.pop(flow, None)
 
+    def clear(self) -> None:
+        """Forget everything."""
+        self.current.clear()
+        self.older.clear()
+
     def expire(self) -> None:
         """Forget what has not been used for long."""
         if self.clock.now_ms() - self.turned_ms >= HINT_AGE_MS:
@@ -103,7 +108,8 @@
         self.name = name
         self.table: Table = EMPTY_TABLE
         self.clock: Clock = clock or MonotonicClock()
-        self.owners = OwnerCache(cache_limit, self.clock)
+        self.owners = OwnerCache(cache_limit // 2, self.clock)
+        self.homes = OwnerCache(cache_limit // 2, self.clock)
         self.reachability = AgentReachability(self.clock)
         self.routes: dict[str, Route] = {}
 
@@ -111,6 +117,7 @@
         """Use a table from now on; a lower revision is ignored."""
         if table.revision > self.table.revision:
             self.table = table
+            self.homes.clear()
 
     def accept_hint(self, hint: Hint) -> None:
         """Remember the owner of a flow, or forget it when the hint names none."""
@@ -129,6 +136,9 @@
             if route.agent not in self.reachability.unreachable:
                 return route
             self.owners.forget(flow)
+        route = self.homes.find(flow)
+        if route is not None and route.agent not in self.reachability.unreachable:
+            return route
         return self.find_home(flow, service)
 
     def find_home(self, flow: FlowKey, service: str) -> Route | None:
@@ -139,7 +149,12 @@
             reachable = [row for row in rows if row.backend_server not in unreachable]
             rows = tuple(reachable) or rows
         home = find_home(flow, rows)
-        return None if home is None else Route(home, pinned=False)
+        if home is None:
+            return None
+        route = Route(home, pinned=False)
+        if not unreachable:
+            self.homes.remember(flow, route)
+        return route
 
     def forward(self, packet: Packet, service: str) -> tuple[str, Forward] | None:
         """Return the agent and the message for a packet, None when none can take it."""
@@ -155,9 +170,20 @@
             opens=packet.opens,
             pinned=route.pinned,
             ends=packet.ends,
+            declined=self.find_skipped(packet.flow, service, route),
         )
 
+    def find_skipped(
+        self, flow: FlowKey, service: str, route: Route
+    ) -> tuple[str, ...]:
+        """Return the unreachable home in whose place another agent is asked."""
+        if route.pinned or not self.reachability.unreachable:
+            return ()
+        home = find_home(flow, self.table.rows_by_service.get(service, ()))
+        return () if home is None or home == route.agent else (home,)
+
     def tick(self) -> list[str]:
         """Let time pass, and return the agents to ask for a sign of life."""
         self.owners.expire()
+        self.homes.expire()
         return self.reachability.due_probes()
--- /dev/null
+++ b/citronwinch/coordination/steering/_budget.py
@@ -0,0 +1,43 @@
+"""A limit on the bytes that are sent for one purpose."""
+
+from citronwinch.coordination._clock import Clock
+
+
+class ByteBudget:
+    """Allows a burst of bytes after a quiet time, and a steady rate beyond it.
+
+    Example::
+
+        >>> from citronwinch.coordination import ManualClock
+        >>> clock = ManualClock()
+        >>> budget = ByteBudget(clock, burst_bytes=100, bytes_per_second=10)
+        >>> budget.spend(100), budget.spend(1)
+        (True, False)
+        >>> clock.advance(1_000)
+        >>> budget.spend(10)
+        True
+    """
+
+    def __init__(self, clock: Clock, burst_bytes: int, bytes_per_second: int) -> None:
+        self.clock = clock
+        self.burst_bytes = burst_bytes
+        self.bytes_per_second = bytes_per_second
+        self.left_bytes = burst_bytes
+        self.refilled_ms = clock.now_ms()
+
+    def spend(self, size_bytes: int) -> bool:
+        """Take bytes from the budget; return False when there are not enough."""
+        if self.left_bytes < size_bytes:
+            self.refill()
+        if self.left_bytes < size_bytes:
+            return False
+        self.left_bytes -= size_bytes
+        return True
+
+    def refill(self) -> None:
+        """Add what the passed time allows."""
+        now_ms = self.clock.now_ms()
+        gained = (now_ms - self.refilled_ms) * self.bytes_per_second // 1_000
+        if gained > 0:
+            self.refilled_ms = now_ms
+            self.left_bytes = min(self.burst_bytes, self.left_bytes + gained)
--- a/citronwinch/coordination/steering/_held.py
+++ b/citronwinch/coordination/steering/_held.py
@@ -32,6 +32,7 @@
         self.messages: list[Forward] = []
         self.answered: set[str] = set()
         self.queried_ms: int | None = None
+        self.is_search = False
 
 
 class HeldCount(NamedTuple):
--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -27,6 +27,8 @@
 RETRY_MS = 400
 """How soon an unanswered lease request is sent again, in milliseconds."""
 
+REQUESTS_UNANSWERED = 3
+"""How many requests a member may leave unanswered before balancers hear of it."""
 
 NEVER_MS = 1 << 62
 """A time that does not come, in milliseconds."""
@@ -61,6 +63,7 @@
         self.has_departed = False
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
+        self.unanswered = 0
         self.last_sent_ms = 0
 
 
@@ -122,6 +125,7 @@
         request = LeaseRequest(self.service, self.revision, now_ms, is_leaving)
         for name in due:
             self.member(name).requested_ms = now_ms
+            self.member(name).unanswered += 1
         return [(name, request) for name in due]
 
     def is_due(self, name: str, now_ms: int) -> bool:
@@ -138,6 +142,14 @@
         is_answered = (member.answered_ms or 0) >= member.requested_ms
         return waited_ms >= (HEARTBEAT_MS if is_answered else RETRY_MS)
 
+    def unanswering(self) -> list[str]:
+        """Return the members that have left several requests unanswered."""
+        return [
+            name
+            for name in self.others()
+            if self.member(name).unanswered > REQUESTS_UNANSWERED
+        ]
+
     def renew_all(self) -> None:
         """Ask every member again at the next opportunity."""
         for member in self.members.values():
@@ -199,6 +211,7 @@
         if answer.sent_ms < (member.answered_ms or 0):
             return
         member.answered_ms = answer.sent_ms
+        member.unanswered = 0
         member.has_departed = False
         self.raise_fence(answer.revision, sender)
         self.former |= set(answer.former) - self.rows - self.cleared - {self.name}
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -46,7 +46,7 @@
     """The table revision of the decision."""
 
     declined: tuple[str, ...] = ()
-    """The agents that did not take the flow; a decider gets its packet back so."""
+    """The agents that did not take the flow, or that a balancer cannot reach."""
 
 
 class Hint(NamedTuple):
@@ -207,6 +207,13 @@
     """Whether this is the answer."""
 
 
+class MemberSilent(NamedTuple):
+    """An agent tells a balancer that another one does not answer it."""
+
+    agent: str
+    """The other agent."""
+
+
 SteeringMessage = (
     Forward
     | Hint
@@ -219,5 +226,6 @@
     | HandOver
     | TakeBack
     | Probe
+    | MemberSilent
 )
 """Everything that balancers and agents say to each other about flows."""
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -14,6 +14,7 @@
 from citronwinch.coordination.steering._messages import (
     LeaseAnswer,
     LeaseRequest,
+    MemberSilent,
     Probe,
     Query,
     QueryAnswer,
@@ -58,6 +59,8 @@
         self.held = HeldPackets(clock)
         self.query_grants: dict[FlowKey, tuple[str, int]] = {}
         self.known_silent: frozenset[tuple[str, str]] = frozenset()
+        self.told_silent: frozenset[str] = frozenset()
+        self.balancers: tuple[str, ...] = ()
         self.failing_until_ms = clock.now_ms()
         self.doubtful: set[FlowKey] = set()
         self.counters: Counter[str] = Counter()
@@ -92,6 +95,9 @@
 
     def accept_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use the platform's list of instances from now on."""
+        self.balancers = tuple(
+            sorted(one.name for one in instances if one.role is InstanceRole.BALANCER)
+        )
         agents = [one for one in instances if one.role is InstanceRole.AGENT]
         self.leaving = frozenset(
             one.name for one in agents if one.state is InstanceState.LEAVING
@@ -292,6 +298,7 @@
         self.flows.expire()
         actions = self.send_requests()
         self.follow_silence()
+        actions += self.tell_silent()
         actions += [Send(home, message) for home, message in self.registrations.due()]
         return actions + self.retry_held()
 
@@ -328,6 +335,19 @@
         self.known_silent = silent
         self.place_owned()
 
+    def tell_silent(self) -> list[AgentAction]:
+        """Tell the balancers which members have stopped to answer."""
+        silent = {
+            name for leases in self.leases.values() for name in leases.unanswering()
+        }
+        new = sorted(silent - self.told_silent)
+        self.told_silent = frozenset(silent)
+        return [
+            Send(balancer, MemberSilent(name))
+            for name in new
+            for balancer in self.balancers
+        ]
+
     def expire(self, now_ms: int) -> None:
         """Forget the answers to old queries."""
         old = [flow for flow, (_, end) in self.query_grants.items() if end <= now_ms]
--- a/citronwinch/coordination/steering/_reachability.py
+++ b/citronwinch/coordination/steering/_reachability.py
@@ -3,9 +3,12 @@
 from citronwinch.coordination._clock import Clock
 
 PROBE_AFTER_MS = 1_000
-"""How long an agent may be quiet before it is asked for a sign of life."""
+"""How long an agent may at least be quiet before it is asked for a sign of life."""
 
-PROBE_TIMEOUT_MS = 300
+PROBE_AFTER_MS_PER_BALANCER = 500
+"""How much longer it may be for each balancer that asks it, in milliseconds."""
+
+PROBE_TIMEOUT_MS = 200
 """How long an answer to a probe may take, in milliseconds."""
 
 PROBES_UNANSWERED = 3
@@ -38,6 +41,19 @@
         self.contacts: dict[str, AgentContact] = {}
         self.unreachable: set[str] = set()
         self.wants_new_link = False
+        self.balancers = 1
+
+    @property
+    def probe_after_ms(self) -> int:
+        """How long an agent may be quiet before it is asked for a sign of life."""
+        return max(PROBE_AFTER_MS, PROBE_AFTER_MS_PER_BALANCER * self.balancers)
+
+    def note_silent(self, agent: str) -> None:
+        """Note that an agent does not answer the others; it is probed at once."""
+        contact = self.contacts.setdefault(agent, AgentContact())
+        contact.unanswered = PROBES_UNANSWERED + 1
+        contact.probed_ms = self.clock.now_ms() - self.probe_after_ms
+        self.unreachable.add(agent)
 
     def note_sent(self, agent: str) -> None:
         """Note that something was sent to an agent."""
@@ -75,12 +91,12 @@
         """Return whether an agent should be probed now."""
         if contact.unanswered:
             limit_ms = (
-                PROBE_AFTER_MS
+                self.probe_after_ms
                 if contact.unanswered > PROBES_UNANSWERED
                 else PROBE_TIMEOUT_MS
             )
             return now_ms - contact.probed_ms >= limit_ms
-        is_quiet = now_ms - contact.heard_ms >= PROBE_AFTER_MS
+        is_quiet = now_ms - contact.heard_ms >= self.probe_after_ms
         return contact.sent_since_heard and is_quiet
 
     def judge(self, agent: str, contact: AgentContact) -> None:
--- a/citronwinch/coordination/steering/_registrations.py
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -6,6 +6,7 @@
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.steering._budget import ByteBudget
 from citronwinch.coordination.steering._messages import Register
 
 REGISTER_FLOWS = 64
@@ -14,6 +15,9 @@
 REGISTER_RETRY_MS = 500
 """How soon an unacknowledged registration is sent again, in milliseconds."""
 
+ENDED_DELAY_MS = 5_000
+"""How long the ends of flows wait for others to go with them, in milliseconds."""
+
 REGISTER_BURST_BYTES = 65_536
 """How many bytes of registrations may be sent at once after a quiet time."""
 
@@ -52,8 +56,8 @@
         self.homes: dict[FlowKey, str] = {}
         self.waiting: dict[tuple[str, str], dict[FlowKey, bool]] = {}
         self.sent: dict[int, Batch] = {}
-        self.budget_bytes = REGISTER_BURST_BYTES
-        self.budget_ms = clock.now_ms()
+        self.told_ms: dict[str, int] = {}
+        self.budget = ByteBudget(clock, REGISTER_BURST_BYTES, REGISTER_BYTES_PER_SECOND)
 
     def set_home(self, service: str, flow: FlowKey, home: str) -> None:
         """See to it that a flow's home knows its owner, and its former home forgets."""
@@ -86,10 +90,12 @@
 
     def is_complete(self, home: str, service: str) -> bool:
         """Return whether a home has acknowledged everything it should know."""
-        if self.waiting.get((home, service)):
+        if any(self.waiting.get((home, service), {}).values()):
             return False
         return not any(
-            batch.home == home and batch.message.service == service
+            batch.home == home
+            and batch.message.service == service
+            and batch.message.flows
             for batch in self.sent.values()
         )
 
@@ -101,7 +107,6 @@
 
     def due(self) -> list[tuple[str, Register]]:
         """Return the registrations to send now, with their receivers."""
-        self.refill()
         now_ms = self.clock.now_ms()
         sending: list[tuple[str, Register]] = []
         for number, batch in list(self.sent.items()):
@@ -117,6 +122,9 @@
     def send_waiting(self, home: str, service: str) -> list[tuple[str, Register]]:
         """Return what waits for one home, as far as the rate allows."""
         waiting = self.waiting[home, service]
+        if not self.is_urgent(home, waiting):
+            return []
+        self.told_ms[home] = self.clock.now_ms()
         sending: list[tuple[str, Register]] = []
         while waiting:
             part = list(waiting.items())[:REGISTER_FLOWS]
@@ -133,21 +141,16 @@
         del self.waiting[home, service]
         return sending
 
-    def refill(self) -> None:
-        """Add to the budget what the passed time allows."""
-        now_ms = self.clock.now_ms()
-        gained = (now_ms - self.budget_ms) * REGISTER_BYTES_PER_SECOND // 1_000
-        if gained > 0:
-            self.budget_ms = now_ms
-            self.budget_bytes = min(REGISTER_BURST_BYTES, self.budget_bytes + gained)
+    def is_urgent(self, home: str, waiting: dict[FlowKey, bool]) -> bool:
+        """Return whether to send now; ends alone wait until they fill a message."""
+        if len(waiting) >= REGISTER_FLOWS or any(waiting.values()):
+            return True
+        return self.clock.now_ms() - self.told_ms.get(home, 0) >= ENDED_DELAY_MS
 
     def spend(self, message: Register) -> bool:
         """Take a message from the budget; return False when there is not enough."""
         size = REGISTER_OVERHEAD_BYTES + sum(map(len, message.flows + message.ended))
-        if size > self.budget_bytes:
-            return False
-        self.budget_bytes -= size
-        return True
+        return self.budget.spend(size)
 
 
 class Decision(NamedTuple):
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -2,9 +2,20 @@
 
 import trio
 
-from citronwinch.coordination import Table
-from citronwinch.coordination.steering import BalancerSteering, Hint, Probe
-from citronwinch.daemon._events import Event, FabricBatch, PeerBatch, Tick
+from citronwinch.coordination import InstanceRole, Table
+from citronwinch.coordination.steering import (
+    BalancerSteering,
+    Hint,
+    MemberSilent,
+    Probe,
+)
+from citronwinch.daemon._events import (
+    Event,
+    FabricBatch,
+    InstancesChanged,
+    PeerBatch,
+    Tick,
+)
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal
 from citronwinch.fabric import (
@@ -60,6 +71,12 @@
                 self.steering.reachability.note_heard(envelope.sender)
                 if isinstance(envelope.message, Hint):
                     self.steering.accept_hint(envelope.message)
+                elif isinstance(envelope.message, MemberSilent):
+                    self.steering.reachability.note_silent(envelope.message.agent)
+        elif isinstance(event, InstancesChanged):
+            self.steering.reachability.balancers = sum(
+                one.role is InstanceRole.BALANCER for one in event.instances
+            )
         elif isinstance(event, Tick):
             self.probe_agents()
 
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -12,6 +12,7 @@
     Hint,
     LeaseAnswer,
     LeaseRequest,
+    MemberSilent,
     Probe,
     Query,
     QueryAnswer,
@@ -38,6 +39,7 @@
         target.decider = message.decider
         target.decision = message.decision
         target.revision = message.revision
+    if message.declined:
         target.declined = list(message.declined)
     if message.request is not None:
         fill_request(message.request, target.init("request"))
@@ -174,6 +176,11 @@
     envelope.init("steering").init("probe").isAnswer = message.is_answer
 
 
+@fill_message.register
+def _(message: MemberSilent, envelope: Any) -> None:
+    envelope.init("steering").init("memberSilent").agent = message.agent
+
+
 def pack_keys(keys: Iterable[FlowKey]) -> bytes:
     """Return flow keys, each behind its length in one byte.
 
@@ -263,4 +270,5 @@
     "handOver": read_hand_over,
     "takeBack": lambda reader: TakeBack(reader.agent, reader.received, reader.isDone),
     "probe": lambda reader: Probe(reader.isAnswer),
+    "memberSilent": lambda reader: MemberSilent(reader.agent),
 }
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -92,6 +92,10 @@
   isAnswer @0 :Bool;
 }
 
+struct MemberSilent {
+  agent @0 :Text;
+}
+
 struct SteeringMessage {
   union {
     leaseRequest @0 :LeaseRequest;
@@ -103,5 +107,6 @@
     handOver @6 :HandOver;
     takeBack @7 :TakeBack;
     probe @8 :Probe;
+    memberSilent @9 :MemberSilent;
   }
 }
