Exchange load reports between agents and choose owners by them

Plain rendezvous hashing leaves the load to chance, and load endpoints lag or lie. Outcomes of delivered requests take work from servers that fail, shed or are slow; a joining server grows to its share over 30 s.

The agent daemon exchanges reports and follows requests. Steering does not ask the chooser yet.

--- /dev/null
+++ b/citronwinch/coordination/load/_agent_load.py
@@ -0,0 +1,146 @@
+"""All decisions about load at one agent."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination._table import EMPTY_TABLE, Table, TableRow
+from citronwinch.coordination.load._load_aware import LoadAwareChooser
+from citronwinch.coordination.load._outcomes import OutcomeSummary, OutcomeTracker
+from citronwinch.coordination.load._outlier import OutlierPolicy
+from citronwinch.coordination.load._ramp import ColdStartRamp
+from citronwinch.coordination.load._report import (
+    FULL_SHARE_THOUSANDTHS,
+    LoadReport,
+    ServerState,
+)
+from citronwinch.coordination.load._schedule import ReportSchedule
+from citronwinch.coordination.load._view import LoadView, ReportOrigin
+
+JUDGE_INTERVAL_MS = 500
+"""How often the own backend server is judged, in milliseconds."""
+
+
+class ReportTo(NamedTuple):
+    """A report that is to be sent."""
+
+    agent: str
+    """The backend server beside the agent that gets it."""
+
+    report: LoadReport
+    """The report."""
+
+
+class AgentLoad:
+    """Watches the own backend server, exchanges reports and chooses owners.
+
+    It is an `OwnerChooser`. The agent tells it of tables, reports, deliveries and
+    answers, and calls `tick` a few times a second to learn which reports to send.
+    """
+
+    def __init__(
+        self, backend_server: str, availability_zone: str, clock: Clock
+    ) -> None:
+        self.backend_server = backend_server
+        self.clock = clock
+        self.table: Table = EMPTY_TABLE
+        self.view = LoadView(clock)
+        self.chooser = LoadAwareChooser(
+            backend_server, availability_zone, self.view, clock
+        )
+        self.outcomes = OutcomeTracker(clock)
+        self.outlier = OutlierPolicy(clock)
+        self.ramp = ColdStartRamp(clock)
+        self.schedule = ReportSchedule(clock)
+        self.summary = OutcomeSummary()
+        self.judged_ms = clock.now_ms()
+
+    def accept_table(self, table: Table) -> None:
+        """Use a table from now on."""
+        former = self.find_row()
+        self.table = table
+        row = self.find_row()
+        if row is not None and (former is None or former.service != row.service):
+            self.ramp.restart()
+        self.view.keep_only(set(self.find_peers(row)))
+
+    def find_row(self) -> TableRow | None:
+        """Return the row of the own backend server, None when it has none."""
+        return self.table.row_by_backend_server.get(self.backend_server)
+
+    def find_peers(self, row: TableRow | None) -> list[str]:
+        """Return the other backend servers of the row's service."""
+        if row is None:
+            return []
+        return [
+            peer.backend_server
+            for peer in self.table.rows_by_service.get(row.service, ())
+            if peer.backend_server != self.backend_server
+        ]
+
+    def accept_report(self, origin: ReportOrigin, report: LoadReport) -> bool:
+        """Take a peer's report in; return False when it was too late or not for us."""
+        row = self.table.row_by_backend_server.get(origin.sender)
+        if row is None or row.service != report.service:
+            return False
+        known = self.view.peers.get(origin.sender)
+        if known is None or known.origin.incarnation < origin.incarnation:
+            self.schedule.ask_soon(origin.sender)
+        return self.view.accept_report(origin, report)
+
+    def choose_owner(
+        self, service: str, candidates: Sequence[TableRow], own_flows: int
+    ) -> str | None:
+        """Return the backend server that should take a new flow, None to refuse it."""
+        self.chooser.own_report = self.make_report(own_flows)
+        return self.chooser.choose_owner(service, candidates, own_flows)
+
+    def tick(self, own_flows: int) -> list[ReportTo]:
+        """Judge the own backend server and return the reports that are due."""
+        self.outcomes.sweep()
+        if self.clock.now_ms() - self.judged_ms >= JUDGE_INTERVAL_MS:
+            self.judged_ms = self.clock.now_ms()
+            self.judge_outcomes()
+        report = self.make_report(own_flows)
+        if report is None:
+            return []
+        peers = self.find_peers(self.find_row())
+        return [
+            ReportTo(peer, report) for peer in self.schedule.take_due(peers, report)
+        ]
+
+    def judge_outcomes(self) -> None:
+        """Set the own share by what became of the delivered requests."""
+        row = self.find_row()
+        if row is None:
+            return
+        self.summary = self.outcomes.summarize()
+        latency_ms = self.view.find_service_latency_ms(
+            row.service, self.summary.latency_ms
+        )
+        if self.outlier.update(self.summary, latency_ms):
+            self.outcomes.forget_past()
+
+    def make_report(self, own_flows: int) -> LoadReport | None:
+        """Return the own load, None without a row in the table."""
+        row = self.find_row()
+        if row is None:
+            return None
+        share = min(self.outlier.share, self.ramp.find_share())
+        return LoadReport(
+            row.service,
+            own_flows,
+            row.connection_limit,
+            self.outcomes.in_progress,
+            self.summary.latency_ms,
+            round(share * FULL_SHARE_THOUSANDTHS),
+            self.find_state(row),
+        )
+
+    def find_state(self, row: TableRow) -> ServerState:
+        """Return whether the own backend server takes new flows."""
+        if row.weight == 0:
+            return ServerState.DRAINING
+        if self.outlier.is_ejected:
+            return ServerState.EJECTED
+        return ServerState.TAKING
--- /dev/null
+++ b/citronwinch/coordination/load/_outcomes.py
@@ -0,0 +1,185 @@
+"""What became of the requests that an agent delivered to its backend server."""
+
+from collections import OrderedDict, deque
+from enum import Enum
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+
+UNANSWERED_MS = 2_000
+"""After this time without an answer a request counts as failed, in milliseconds."""
+
+WINDOW_MS = 5_000
+"""How long an outcome is remembered, in milliseconds."""
+
+OUTCOME_LIMIT = 256
+"""The most outcomes that are remembered."""
+
+LATENCY_SAMPLES = 16
+"""The number of latest answers whose median is the latency."""
+
+IN_PROGRESS_LIMIT = 10_000
+"""The most requests that are followed; further ones are not."""
+
+PAUSE_MS = 1_000
+"""A gap between two sweeps this long means that this process itself stood still."""
+
+
+class Outcome(Enum):
+    """How a delivered request ended."""
+
+    ANSWERED = "answered"
+    """The backend server answered."""
+
+    SHED = "shed"
+    """The backend server refused the request."""
+
+    FAILED = "failed"
+    """The backend server gave no answer, or was not there."""
+
+
+class OutcomeSummary(NamedTuple):
+    """The outcomes of the last seconds."""
+
+    answered: int = 0
+    """Requests that were answered."""
+
+    shed: int = 0
+    """Requests that the backend server refused."""
+
+    failed: int = 0
+    """Requests without an answer."""
+
+    consecutive_failures: int = 0
+    """Requests without an answer since the last answer or refusal."""
+
+    latency_ms: int = 0
+    """The median time to an answer; 0 without an answer."""
+
+    @property
+    def total(self) -> int:
+        """All requests that ended."""
+        return self.answered + self.shed + self.failed
+
+
+class PastOutcome(NamedTuple):
+    """One request that ended."""
+
+    ended_ms: int
+    """When."""
+
+    outcome: Outcome
+    """How."""
+
+    latency_ms: int
+    """How long after its delivery."""
+
+
+class OutcomeTracker:
+    """Follows requests from delivery to answer.
+
+    It only watches the traffic that passes; it sends no probes and believes nothing
+    that the backend server says about itself.
+
+    Example::
+
+        >>> from citronwinch.coordination import ManualClock
+        >>> clock = ManualClock()
+        >>> tracker = OutcomeTracker(clock)
+        >>> tracker.note_delivered(b"request-1")
+        >>> clock.advance(30)
+        >>> tracker.note_ended(b"request-1", Outcome.ANSWERED)
+        30
+        >>> tracker.summarize().latency_ms
+        30
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.delivered_ms: OrderedDict[bytes, int] = OrderedDict()
+        self.past: deque[PastOutcome] = deque(maxlen=OUTCOME_LIMIT)
+        self.consecutive_failures = 0
+        self.swept_ms = clock.now_ms()
+        self.grace_until_ms = clock.now_ms()
+
+    @property
+    def in_progress(self) -> int:
+        """The requests that are followed and have not ended."""
+        return len(self.delivered_ms)
+
+    def note_delivered(self, request_id: bytes) -> None:
+        """Follow a request from now on; a second delivery changes nothing."""
+        if len(self.delivered_ms) < IN_PROGRESS_LIMIT:
+            self.delivered_ms.setdefault(request_id, self.clock.now_ms())
+
+    def note_ended(self, request_id: bytes, outcome: Outcome) -> int | None:
+        """Note the end of a request; return its time in milliseconds if it was known.
+
+        The later parts of an answer find the request ended already and change nothing.
+        """
+        delivered_ms = self.delivered_ms.pop(request_id, None)
+        if delivered_ms is None:
+            return None
+        latency_ms = self.clock.now_ms() - delivered_ms
+        self.add(outcome, latency_ms)
+        return latency_ms
+
+    def note_cancelled(self, request_id: bytes) -> None:
+        """Stop following a request whose caller no longer waits."""
+        self.delivered_ms.pop(request_id, None)
+
+    def note_unreachable(self) -> None:
+        """Note that the backend server's port is closed."""
+        self.add(Outcome.FAILED, 0)
+
+    def add(self, outcome: Outcome, latency_ms: int) -> None:
+        """Remember an outcome."""
+        self.past.append(PastOutcome(self.clock.now_ms(), outcome, latency_ms))
+        is_failure = outcome is Outcome.FAILED
+        self.consecutive_failures = self.consecutive_failures + 1 if is_failure else 0
+
+    def sweep(self) -> None:
+        """Count the requests that have waited too long as failed.
+
+        After a pause of this process the answers may still lie in its sockets, so
+        they get time to be read before anything counts as unanswered.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms - self.swept_ms >= PAUSE_MS:
+            self.grace_until_ms = now_ms + PAUSE_MS
+        self.swept_ms = now_ms
+        while self.past and self.past[0].ended_ms < now_ms - WINDOW_MS:
+            self.past.popleft()
+        if now_ms < self.grace_until_ms:
+            return
+        while self.delivered_ms:
+            request_id, delivered_ms = next(iter(self.delivered_ms.items()))
+            if now_ms - delivered_ms < UNANSWERED_MS:
+                return
+            self.note_ended(request_id, Outcome.FAILED)
+
+    def summarize(self) -> OutcomeSummary:
+        """Return the outcomes of the last seconds."""
+        horizon_ms = self.clock.now_ms() - WINDOW_MS
+        recent = [past for past in self.past if past.ended_ms >= horizon_ms]
+        latencies = [
+            past.latency_ms for past in recent if past.outcome is Outcome.ANSWERED
+        ]
+        shed = sum(1 for past in recent if past.outcome is Outcome.SHED)
+        return OutcomeSummary(
+            len(latencies),
+            shed,
+            len(recent) - len(latencies) - shed,
+            self.consecutive_failures,
+            find_median(latencies[-LATENCY_SAMPLES:]),
+        )
+
+    def forget_past(self) -> None:
+        """Judge by new outcomes only."""
+        self.past.clear()
+        self.consecutive_failures = 0
+
+
+def find_median(latencies: list[int]) -> int:
+    """Return the upper median, at least 1 ms; 0 for an empty list."""
+    return max(1, sorted(latencies)[len(latencies) // 2]) if latencies else 0
--- /dev/null
+++ b/citronwinch/coordination/load/tests/test_agent_load.py
@@ -0,0 +1,91 @@
+"""Tests of the parts together: ramp, state and reports of one agent."""
+
+import pytest
+
+from citronwinch.coordination import Table
+from citronwinch.coordination.load import (
+    AgentLoad,
+    LoadReport,
+    ReportOrigin,
+    ServerState,
+)
+
+
+@pytest.fixture
+def agent(clock, make_row):
+    agent = AgentLoad("server-1", "zone-1", clock)
+    agent.accept_table(Table(1, [make_row(1), make_row(2), make_row(3)]))
+    return agent
+
+
+def find_share(agent):
+    return agent.make_report(0).share_thousandths
+
+
+def test_share_of_a_joining_server_grows_over_the_ramp(agent, clock):
+    shares = []
+    for _ in range(4):
+        shares.append(find_share(agent))
+        clock.advance(10_000)
+    assert shares == [100, 400, 700, 1_000]
+
+
+def test_ramp_begins_again_with_another_service(agent, clock, make_row):
+    clock.advance(60_000)
+    agent.accept_table(Table(2, [make_row(1, weight=50), make_row(2)]))
+    assert find_share(agent) == 1_000
+    agent.accept_table(Table(3, [make_row(1, service="reporting"), make_row(2)]))
+    assert find_share(agent) == 100
+
+
+def test_joining_server_is_neither_flooded_nor_starved(clock, make_row):
+    agent = AgentLoad("server-1", "zone-1", clock)
+    rows = [make_row(1), make_row(2), make_row(3)]
+    agent.accept_table(Table(1, rows))
+    clock.advance(60_000)
+    flows = 1_000
+    joined: list[int] = []
+    for step in range(600):
+        clock.advance(50)
+        share = min(1_000, 100 + step * 30 // 20)
+        newcomer = LoadReport("gauging", len(joined), 2_000, share_thousandths=share)
+        agent.accept_report(ReportOrigin("server-2", 1, step), newcomer)
+        steady = LoadReport("gauging", 1_000, 2_000)
+        agent.accept_report(ReportOrigin("server-3", 1, step), steady)
+        if agent.choose_owner("gauging", rows, flows) == "server-2":
+            joined.append(step)
+    early = sum(1 for step in joined if step < 200)
+    assert 50 <= early <= 400
+    assert len(joined) > early
+
+
+def test_drained_server_reports_it_and_gets_nothing(agent, clock, make_row):
+    agent.accept_table(Table(2, [make_row(1, weight=0), make_row(2), make_row(3)]))
+    assert agent.make_report(5).state is ServerState.DRAINING
+    clock.advance(300)
+    assert {told.agent for told in agent.tick(5)} == {"server-2", "server-3"}
+
+
+def test_black_hole_is_ejected_within_three_seconds(agent, clock):
+    for number in range(30):
+        for part in range(2):
+            agent.outcomes.note_delivered(bytes([number, part]))
+        clock.advance(100)
+        agent.tick(5)
+    assert agent.make_report(5).state is ServerState.EJECTED
+
+
+def test_reports_of_strangers_and_removed_peers_are_dropped(agent, make_row):
+    report = LoadReport("gauging", 5, 2_000)
+    assert not agent.accept_report(ReportOrigin("server-9", 1, 1), report)
+    assert agent.accept_report(ReportOrigin("server-3", 1, 1), report)
+    other = report._replace(service="reporting")
+    assert not agent.accept_report(ReportOrigin("server-2", 1, 1), other)
+    agent.accept_table(Table(2, [make_row(1), make_row(2)]))
+    assert agent.view.peers == {}
+
+
+def test_agent_without_a_row_says_nothing(clock):
+    agent = AgentLoad("server-1", "zone-1", clock)
+    assert agent.make_report(0) is None
+    assert agent.tick(0) == []
--- /dev/null
+++ b/citronwinch/coordination/load/tests/test_view.py
@@ -0,0 +1,78 @@
+"""Contract tests of load reports under faults of the network."""
+
+from typing import NamedTuple
+
+import pytest
+
+from citronwinch.coordination.load import LoadReport, ReportOrigin
+
+
+class Arrival(NamedTuple):
+    """A report as it arrives."""
+
+    incarnation: int
+    sequence: int
+    flows: int
+    wait_ms: int = 0
+
+
+class Fault(NamedTuple):
+    """What arrives, and what is believed afterwards."""
+
+    arrivals: tuple[Arrival, ...]
+    flows: int | None
+    ignored: int = 0
+
+
+FAULTS = {
+    "in order": Fault((Arrival(1, 1, 10), Arrival(1, 2, 20)), 20),
+    "one lost": Fault((Arrival(1, 1, 10), Arrival(1, 3, 30)), 30),
+    "doubled": Fault((Arrival(1, 1, 10), Arrival(1, 1, 10)), 10, ignored=1),
+    "reordered": Fault((Arrival(1, 2, 20), Arrival(1, 1, 10)), 20, ignored=1),
+    "from a former run": Fault((Arrival(2, 1, 5), Arrival(1, 9, 90)), 5, ignored=1),
+    "from a later run": Fault((Arrival(1, 9, 90), Arrival(2, 1, 5)), 5),
+    "fresh": Fault((Arrival(1, 1, 10, 5_999),), 10),
+    "stale": Fault((Arrival(1, 1, 10, 15_000),), None),
+    "stale, then heard again": Fault(
+        (Arrival(1, 1, 10, 60_000), Arrival(1, 2, 20)), 20
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS)
+def test_belief_after_fault(fault, clock, view):
+    ignored = 0
+    for arrival in fault.arrivals:
+        origin = ReportOrigin("server-2", arrival.incarnation, arrival.sequence)
+        report = LoadReport("gauging", arrival.flows, 2_000)
+        ignored += not view.accept_report(origin, report)
+        clock.advance(arrival.wait_ms)
+    peer = view.find_peer("server-2", "gauging")
+    assert (peer.report.flows if peer else None) == fault.flows
+    assert ignored == fault.ignored
+
+
+def test_report_about_another_service_says_nothing(view, tell):
+    tell(2, 10)
+    assert view.find_peer("server-2", "reporting") is None
+
+
+def test_report_includes_the_choices_before_it_but_not_those_in_flight(
+    clock, view, tell
+):
+    tell(2, 10)
+    view.note_choice("server-2")
+    clock.advance(500)
+    view.note_choice("server-2")
+    clock.advance(5)
+    tell(2, 11)
+    assert len(view.peers["server-2"].chosen_ms) == 1
+
+
+def test_confidence_falls_between_fresh_and_expired(clock, view, tell):
+    tell(2, 10)
+    confidences = []
+    for _ in range(4):
+        confidences.append(view.peers["server-2"].find_confidence(clock.now_ms()))
+        clock.advance(5_000)
+    assert confidences == [1.0, 1.0, pytest.approx(5 / 9), 0.0]
--- /dev/null
+++ b/citronwinch/daemon/_agent_load.py
@@ -0,0 +1,90 @@
+"""Ties the decisions about load to the sockets and counters of an agent."""
+
+from collections.abc import Mapping
+
+from citronwinch.backend_servers import read_request_header
+from citronwinch.coordination import Clock, Instance
+from citronwinch.coordination.load import (
+    FULL_SHARE_THOUSANDTHS,
+    AgentLoad,
+    LoadReport,
+    Outcome,
+    ReportOrigin,
+)
+from citronwinch.coordination.requests import RequestKind
+from citronwinch.daemon._peer_port import PeerPort
+from citronwinch.operators import Metrics, Settings
+from citronwinch.peers import Envelope
+
+OUTCOMES_BY_KIND = {
+    RequestKind.ANSWER: Outcome.ANSWERED,
+    RequestKind.SHED: Outcome.SHED,
+}
+"""What the first part of each kind of reply says about its request."""
+
+
+class LoadExchange:
+    """Sends and takes load reports, and watches requests and their answers.
+
+    The deciding task of the agent owns it and calls it; `load` is the chooser that
+    steering asks.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Clock, peers: PeerPort, metrics: Metrics
+    ) -> None:
+        self.load = AgentLoad(settings.name, settings.availability_zone, clock)
+        self.peers = peers
+        self.metrics = metrics
+
+    def accept_report(self, envelope: Envelope, report: LoadReport) -> None:
+        """Take in the report of another agent."""
+        origin = ReportOrigin(envelope.sender, envelope.incarnation, envelope.sequence)
+        if not self.load.accept_report(origin, report):
+            self.metrics.count("load_reports_ignored_total")
+
+    def tick(self, own_flows: int, instances: Mapping[str, Instance]) -> None:
+        """Judge the own backend server and send the reports that are due."""
+        for agent, report in self.load.tick(own_flows):
+            instance = instances.get(agent)
+            if instance is not None and self.peers.send(report, instance.address):
+                self.metrics.count("load_reports_sent_total")
+        self.show(own_flows)
+
+    def show(self, own_flows: int) -> None:
+        """Set the gauges."""
+        report = self.load.make_report(own_flows)
+        if report is None:
+            return
+        share = report.share_thousandths / FULL_SHARE_THOUSANDTHS
+        self.metrics.set_gauge("load_flows", report.flows)
+        self.metrics.set_gauge("load_share", share)
+        self.metrics.set_gauge("load_state", report.state)
+        self.metrics.set_gauge("load_requests_in_progress", report.in_progress)
+        self.metrics.set_gauge("load_latency_ms", report.latency_ms)
+        self.metrics.set_gauge("load_peers_known", len(self.load.view.peers))
+        self.metrics.set_gauge("load_panic", self.load.chooser.is_panicking)
+
+    def note_delivered(self, payload: bytes) -> None:
+        """Follow the request in a payload that the backend server was given."""
+        request = read_request_header(payload)
+        if request is None:
+            return
+        if request.kind is RequestKind.REQUEST:
+            self.load.outcomes.note_delivered(request.request_id)
+        elif request.kind is RequestKind.CANCEL:
+            self.load.outcomes.note_cancelled(request.request_id)
+
+    def note_reply(self, payload: bytes) -> None:
+        """Note the outcome of the request that a reply belongs to."""
+        answer = read_request_header(payload)
+        outcome = OUTCOMES_BY_KIND.get(answer.kind) if answer is not None else None
+        if answer is None or outcome is None:
+            return
+        if self.load.outcomes.note_ended(answer.request_id, outcome) is not None:
+            self.metrics.count("load_requests_ended_total", outcome.value)
+
+    def note_unreachable(self) -> None:
+        """Note that the backend server's port is closed."""
+        self.load.outcomes.note_unreachable()
+        self.metrics.count("load_requests_ended_total", "unreachable")
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -6,6 +6,7 @@
 
 from citronwinch.backend_servers import Reply, UdpDelivery, read_request_header
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
+from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestMetadata
 from citronwinch.coordination.steering import (
     AgentSteering,
@@ -15,6 +16,7 @@
     Refuse,
     TellBalancer,
 )
+from citronwinch.daemon._agent_load import LoadExchange
 from citronwinch.daemon._events import Event, PeerBatch, ReplyArrived, Tick
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
@@ -33,6 +35,7 @@
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
         self.steering = AgentSteering(settings.name, self.clock)
+        self.load = LoadExchange(settings, self.clock, self.peers, self.metrics)
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.request: RequestMetadata | None = None
@@ -50,13 +53,14 @@
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         self.steering.accept_table(table)
+        self.load.load.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         if row is not None and self.delivery is None and self.nursery is not None:
             self.delivery = UdpDelivery(
                 row.backend_server_address,
                 self.nursery,
                 self.queue_reply,
-                self.end_flow,
+                self.end_unreachable,
             )
 
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
@@ -80,10 +84,13 @@
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
+                elif isinstance(envelope.message, LoadReport):
+                    self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
         elif isinstance(event, Tick):
             self.end_idle_flows(event.now_ms)
+            self.load.tick(self.flow_count, self.instances)
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
@@ -105,6 +112,7 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
+            self.load.note_delivered(payload)
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -134,6 +142,7 @@
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        self.load.note_reply(reply.payload)
         flow = unpack_flow_key(reply.flow)
         packet = build_udp(flow, reply.payload, to_caller=True)
         frame = GeneveFrame(packet, read_request_header(reply.payload))
@@ -151,6 +160,11 @@
         for flow in idle:
             self.end_flow(flow)
 
+    def end_unreachable(self, flow: FlowKey) -> None:
+        """End a flow whose backend server refused its datagram."""
+        self.load.note_unreachable()
+        self.end_flow(flow)
+
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
