Shed work before delivery and show recovery from an overload

Without shedding, queues in the backend servers outlast the callers' patience: servers work on requests that nobody waits for, callers ask again, and goodput stays low after the load has fallen. Agents now learn how many requests their server can have in progress and shed first new flows, then the rest.

The agent process does not ask the guard yet.

--- /dev/null
+++ b/citronwinch/benches/tests/test_balance.py
@@ -0,0 +1,47 @@
+"""Tests of the balance and overload benchmarks at a small size."""
+
+import pytest
+
+from citronwinch.benches import _case_balance, _case_overload
+from citronwinch.benches._overload_world import Phase
+
+SMALL = {
+    scenario.name.partition(" derwent")[0]: scenario._replace(
+        flows_per_server=100,
+        lifetime_ms=20_000,
+        fault_ms=30_000,
+        end_ms=60_000,
+        growth=1.0,
+    )
+    for scenario in _case_balance.make_scenarios()
+    if scenario.name.endswith("derwent gauging")
+}
+
+
+@pytest.mark.parametrize("scenario", SMALL.values(), ids=SMALL)
+def test_small_case_breaks_no_limit_and_beats_the_baselines(scenario):
+    figures = _case_balance.run_scenario(scenario, seed=7)
+    assert figures["limit_violations"] == 0
+    assert figures["refused_with_capacity_free"] == 0
+    for baseline in figures["baselines"]:
+        assert figures["max_over_mean"] < baseline["max_over_mean"], baseline["name"]
+
+
+def test_same_seed_gives_the_same_figures():
+    scenario = SMALL["black hole"]
+    first = _case_balance.run_scenario(scenario, seed=3)
+    assert _case_balance.run_scenario(scenario, seed=3) == first
+
+
+def test_goodput_returns_after_an_overload_only_with_the_policy(monkeypatch):
+    phases = (Phase(5_000, 0.8), Phase(35_000, 1.5), Phase(50_000, 0.8))
+    monkeypatch.setattr(_case_overload, "PHASES", phases)
+    with_policy, without_policy = (
+        _case_overload.measure(variant, seed=11)
+        for variant in _case_overload.VARIANTS[:3:2]
+    )
+    assert with_policy["recovery_ms"] is not None
+    assert with_policy["recovery_ms"] <= 5_000
+    assert with_policy["goodput_in_overload"] > 0.9
+    assert with_policy["answered_share_established"] > with_policy["answered_share_new"]
+    assert without_policy["recovery_ms"] is None
--- a/citronwinch/coordination/load/__init__.py
+++ b/citronwinch/coordination/load/__init__.py
@@ -9,11 +9,18 @@
 from citronwinch.coordination.load._chooser import FirstCandidateChooser, OwnerChooser
 from citronwinch.coordination.load._load_aware import LoadAwareChooser
 from citronwinch.coordination.load._outcomes import (
+    EndedRequest,
     Outcome,
     OutcomeSummary,
     OutcomeTracker,
 )
 from citronwinch.coordination.load._outlier import OutlierPolicy
+from citronwinch.coordination.load._overload import (
+    RETRY_AFTER_MS,
+    ConcurrencyLimit,
+    OverloadGuard,
+    OverloadLevel,
+)
 from citronwinch.coordination.load._ramp import ColdStartRamp
 from citronwinch.coordination.load._report import (
     FULL_SHARE_THOUSANDTHS,
@@ -26,6 +33,8 @@
 __all__ = [
     "AgentLoad",
     "ColdStartRamp",
+    "ConcurrencyLimit",
+    "EndedRequest",
     "FULL_SHARE_THOUSANDTHS",
     "FirstCandidateChooser",
     "LoadAwareChooser",
@@ -35,7 +44,10 @@
     "OutcomeSummary",
     "OutcomeTracker",
     "OutlierPolicy",
+    "OverloadGuard",
+    "OverloadLevel",
     "OwnerChooser",
+    "RETRY_AFTER_MS",
     "ReportOrigin",
     "ReportSchedule",
     "ReportTo",
--- a/citronwinch/coordination/load/_agent_load.py
+++ b/citronwinch/coordination/load/_agent_load.py
@@ -6,8 +6,13 @@
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._table import EMPTY_TABLE, Table, TableRow
 from citronwinch.coordination.load._load_aware import LoadAwareChooser
-from citronwinch.coordination.load._outcomes import OutcomeSummary, OutcomeTracker
+from citronwinch.coordination.load._outcomes import (
+    Outcome,
+    OutcomeSummary,
+    OutcomeTracker,
+)
 from citronwinch.coordination.load._outlier import OutlierPolicy
+from citronwinch.coordination.load._overload import OverloadGuard, OverloadLevel
 from citronwinch.coordination.load._ramp import ColdStartRamp
 from citronwinch.coordination.load._report import (
     FULL_SHARE_THOUSANDTHS,
@@ -50,6 +55,7 @@
         )
         self.outcomes = OutcomeTracker(clock)
         self.outlier = OutlierPolicy(clock)
+        self.guard = OverloadGuard(clock)
         self.ramp = ColdStartRamp(clock)
         self.schedule = ReportSchedule(clock)
         self.summary = OutcomeSummary()
@@ -95,9 +101,25 @@
         self.chooser.own_report = self.make_report(own_flows)
         return self.chooser.choose_owner(service, candidates, own_flows)
 
+    def admits(self, is_established: bool) -> bool:
+        """Return whether a request may be delivered, or is shed to save the others."""
+        return self.guard.admits(self.outcomes.in_progress, is_established)
+
+    def note_delivered(self, request_id: bytes) -> None:
+        """Follow a request that was delivered."""
+        self.outcomes.note_delivered(request_id)
+
+    def note_ended(self, request_id: bytes, outcome: Outcome) -> bool:
+        """Learn from the end of a request; return False when it is unknown."""
+        ended = self.outcomes.note_ended(request_id, outcome)
+        if ended is not None and outcome is Outcome.ANSWERED:
+            self.guard.concurrency.note_answer(ended)
+        return ended is not None
+
     def tick(self, own_flows: int) -> list[ReportTo]:
         """Judge the own backend server and return the reports that are due."""
         self.outcomes.sweep()
+        self.guard.update(self.outcomes.in_progress)
         if self.clock.now_ms() - self.judged_ms >= JUDGE_INTERVAL_MS:
             self.judged_ms = self.clock.now_ms()
             self.judge_outcomes()
@@ -143,4 +165,6 @@
             return ServerState.DRAINING
         if self.outlier.is_ejected:
             return ServerState.EJECTED
+        if self.guard.level is not OverloadLevel.NONE:
+            return ServerState.OVERLOADED
         return ServerState.TAKING
--- a/citronwinch/coordination/load/_outcomes.py
+++ b/citronwinch/coordination/load/_outcomes.py
@@ -75,6 +75,26 @@
     """How long after its delivery."""
 
 
+class Delivery(NamedTuple):
+    """A request that is in progress."""
+
+    delivered_ms: int
+    """When it was delivered."""
+
+    ahead: int
+    """The requests that were in progress then."""
+
+
+class EndedRequest(NamedTuple):
+    """What is learned from a request that ended."""
+
+    latency_ms: int
+    """The time from its delivery to its end."""
+
+    ahead: int
+    """The requests that were in progress when it was delivered."""
+
+
 class OutcomeTracker:
     """Follows requests from delivery to answer.
 
@@ -89,14 +109,14 @@
         >>> tracker.note_delivered(b"request-1")
         >>> clock.advance(30)
         >>> tracker.note_ended(b"request-1", Outcome.ANSWERED)
-        30
+        EndedRequest(latency_ms=30, ahead=0)
         >>> tracker.summarize().latency_ms
         30
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.delivered_ms: OrderedDict[bytes, int] = OrderedDict()
+        self.deliveries: OrderedDict[bytes, Delivery] = OrderedDict()
         self.past: deque[PastOutcome] = deque(maxlen=OUTCOME_LIMIT)
         self.consecutive_failures = 0
         self.swept_ms = clock.now_ms()
@@ -105,28 +125,30 @@
     @property
     def in_progress(self) -> int:
         """The requests that are followed and have not ended."""
-        return len(self.delivered_ms)
+        return len(self.deliveries)
 
     def note_delivered(self, request_id: bytes) -> None:
         """Follow a request from now on; a second delivery changes nothing."""
-        if len(self.delivered_ms) < IN_PROGRESS_LIMIT:
-            self.delivered_ms.setdefault(request_id, self.clock.now_ms())
+        ahead = len(self.deliveries)
+        if ahead < IN_PROGRESS_LIMIT:
+            delivery = Delivery(self.clock.now_ms(), ahead)
+            self.deliveries.setdefault(request_id, delivery)
 
-    def note_ended(self, request_id: bytes, outcome: Outcome) -> int | None:
-        """Note the end of a request; return its time in milliseconds if it was known.
+    def note_ended(self, request_id: bytes, outcome: Outcome) -> EndedRequest | None:
+        """Note the end of a request; return what is learned, None if it is unknown.
 
         The later parts of an answer find the request ended already and change nothing.
         """
-        delivered_ms = self.delivered_ms.pop(request_id, None)
-        if delivered_ms is None:
+        delivery = self.deliveries.pop(request_id, None)
+        if delivery is None:
             return None
-        latency_ms = self.clock.now_ms() - delivered_ms
+        latency_ms = self.clock.now_ms() - delivery.delivered_ms
         self.add(outcome, latency_ms)
-        return latency_ms
+        return EndedRequest(latency_ms, delivery.ahead)
 
     def note_cancelled(self, request_id: bytes) -> None:
         """Stop following a request whose caller no longer waits."""
-        self.delivered_ms.pop(request_id, None)
+        self.deliveries.pop(request_id, None)
 
     def note_unreachable(self) -> None:
         """Note that the backend server's port is closed."""
@@ -152,9 +174,9 @@
             self.past.popleft()
         if now_ms < self.grace_until_ms:
             return
-        while self.delivered_ms:
-            request_id, delivered_ms = next(iter(self.delivered_ms.items()))
-            if now_ms - delivered_ms < UNANSWERED_MS:
+        while self.deliveries:
+            request_id, delivery = next(iter(self.deliveries.items()))
+            if now_ms - delivery.delivered_ms < UNANSWERED_MS:
                 return
             self.note_ended(request_id, Outcome.FAILED)
 
--- a/citronwinch/coordination/load/tests/test_outcomes.py
+++ b/citronwinch/coordination/load/tests/test_outcomes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from citronwinch.coordination.load import (
+    EndedRequest,
     Outcome,
     OutcomeSummary,
     OutcomeTracker,
@@ -34,7 +35,7 @@
     clock.advance(10)
     tracker.note_delivered(b"a")
     clock.advance(10)
-    assert tracker.note_ended(b"a", Outcome.ANSWERED) == 20
+    assert tracker.note_ended(b"a", Outcome.ANSWERED) == EndedRequest(20, 0)
     assert tracker.note_ended(b"a", Outcome.ANSWERED) is None
     assert tracker.summarize().answered == 1
 
--- /dev/null
+++ b/citronwinch/coordination/load/tests/test_overload.py
@@ -0,0 +1,93 @@
+"""Tests of shedding before delivery."""
+
+from typing import NamedTuple
+
+import pytest
+
+from citronwinch.coordination.load import (
+    ConcurrencyLimit,
+    EndedRequest,
+    OverloadGuard,
+    OverloadLevel,
+)
+
+NONE, NEW, ALL = OverloadLevel
+
+
+class Step(NamedTuple):
+    """A number of requests in progress and the level it leads to."""
+
+    in_progress: int
+    level: OverloadLevel
+
+
+LEVELS = {
+    "quiet": (Step(0, NONE), Step(47, NONE)),
+    "new flows are shed first": (Step(48, NEW), Step(63, NEW)),
+    "established ones at the limit": (Step(64, ALL), Step(500, ALL)),
+    "all: left below nine tenths": (Step(64, ALL), Step(58, ALL), Step(57, NEW)),
+    "new: left below the half": (Step(48, NEW), Step(32, NEW), Step(31, NONE)),
+    "from all to nothing at once": (Step(64, ALL), Step(5, NONE)),
+    "near the threshold": (Step(48, NEW), Step(47, NEW), Step(48, NEW)),
+}
+
+
+@pytest.mark.parametrize("steps", LEVELS.values(), ids=LEVELS)
+def test_level_follows_load_with_hysteresis(steps, clock):
+    guard = OverloadGuard(clock)
+    assert [guard.update(step.in_progress) for step in steps] == [
+        step.level for step in steps
+    ]
+
+
+ADMISSIONS = {
+    "quiet, new": (0, False, True),
+    "quiet, established": (0, True, True),
+    "busy, new": (50, False, False),
+    "busy, established": (50, True, True),
+    "at the limit, established": (64, True, False),
+}
+
+
+@pytest.mark.parametrize(
+    ("in_progress", "is_established", "admitted"), ADMISSIONS.values(), ids=ADMISSIONS
+)
+def test_admission(in_progress, is_established, admitted, clock):
+    assert OverloadGuard(clock).admits(in_progress, is_established) is admitted
+
+
+def answer_for(limit, clock, seconds, latency_ms, ahead):
+    """Note a hundred answers a second."""
+    for _ in range(seconds * 100):
+        clock.advance(10)
+        limit.note_answer(EndedRequest(latency_ms, ahead))
+
+
+def test_limit_shrinks_to_the_queue_that_keeps_a_server_busy(clock):
+    limit = ConcurrencyLimit(clock)
+    answer_for(limit, clock, 1, latency_ms=10, ahead=0)
+    for _ in range(200):
+        ahead = int(limit.limit)
+        answer_for(limit, clock, 1, latency_ms=10 * (ahead + 1), ahead=ahead)
+    assert 6 <= limit.limit <= 14
+
+
+def test_limit_of_a_wide_server_grows_with_what_it_does(clock):
+    limit = ConcurrencyLimit(clock)
+    for _ in range(100):
+        answer_for(limit, clock, 1, latency_ms=10, ahead=int(limit.limit))
+    assert limit.limit > 200
+
+
+def test_slow_answers_without_a_queue_do_not_shrink_the_limit(clock):
+    limit = ConcurrencyLimit(clock)
+    answer_for(limit, clock, 1, latency_ms=10, ahead=0)
+    answer_for(limit, clock, 10, latency_ms=50, ahead=1)
+    assert limit.limit == 64
+
+
+def test_limit_never_blocks_everything(clock):
+    limit = ConcurrencyLimit(clock)
+    answer_for(limit, clock, 1, latency_ms=1, ahead=0)
+    answer_for(limit, clock, 300, latency_ms=2_000, ahead=60)
+    assert limit.limit == 4
--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -63,6 +63,9 @@
         self.metrics.set_gauge("load_requests_in_progress", report.in_progress)
         self.metrics.set_gauge("load_latency_ms", report.latency_ms)
         self.metrics.set_gauge("load_peers_known", len(self.load.view.peers))
+        self.metrics.set_gauge("load_shedding_level", self.load.guard.level)
+        limit = self.load.guard.concurrency.limit
+        self.metrics.set_gauge("load_concurrency_limit", limit)
         self.metrics.set_gauge("load_panic", self.load.chooser.is_panicking)
 
     def note_delivered(self, payload: bytes) -> None:
@@ -71,7 +74,7 @@
         if request is None:
             return
         if request.kind is RequestKind.REQUEST:
-            self.load.outcomes.note_delivered(request.request_id)
+            self.load.note_delivered(request.request_id)
         elif request.kind is RequestKind.CANCEL:
             self.load.outcomes.note_cancelled(request.request_id)
 
@@ -81,7 +84,7 @@
         outcome = OUTCOMES_BY_KIND.get(answer.kind) if answer is not None else None
         if answer is None or outcome is None:
             return
-        if self.load.outcomes.note_ended(answer.request_id, outcome) is not None:
+        if self.load.note_ended(answer.request_id, outcome):
             self.metrics.count("load_requests_ended_total", outcome.value)
 
     def note_unreachable(self) -> None:
