--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -160,6 +160,7 @@
         if delivery is None or not delivery.send(action.key.flow, action.payload):
             self.act_all(self.requests.fail_delivery(action.key))
             return
+        self.process.load.note_delivered(action.payload)
         self.process.metrics.count("packets_delivered_total")
         self.process.metrics.count("requests_started_total")
 
--- a/citronwinch/peers/envelope.capnp
+++ b/citronwinch/peers/envelope.capnp
@@ -1,5 +1,7 @@
 @0xcdd12a93dbb3f0f7;
-# What every message between the system's own processes carries.
+# What every message between the system's own processes carries. Sequence number and
+# table revision stand in front of the encoded message, because they differ from one
+# message to the next while the rest is the same for many packets.
 
 using Load = import "load.capnp";
 using Requests = import "requests.capnp";
@@ -9,14 +11,12 @@
 struct Envelope {
   sender @0 :Text;
   incarnation @1 :UInt64;
-  sequence @2 :UInt64;
-  revision @3 :UInt64;
   union {
-    forward @4 :Steering.Forward;
-    hint @5 :Steering.Hint;
-    steering @6 :Steering.SteeringMessage;
-    requests @7 :Requests.RequestsMessage;
-    load @8 :Load.LoadMessage;
-    spread @9 :Spread.SpreadMessage;
+    forward @2 :Steering.Forward;
+    hint @3 :Steering.Hint;
+    steering @4 :Steering.SteeringMessage;
+    requests @5 :Requests.RequestsMessage;
+    load @6 :Load.LoadMessage;
+    spread @7 :Spread.SpreadMessage;
   }
 }
