--- a/citronwinch/demo/__init__.py
+++ b/citronwinch/demo/__init__.py
@@ -1,6 +1,6 @@
 """A deployment on loopback that shows the whole path under change."""
 
-from citronwinch.demo._demo import DemoOptions, DemoResult, run_demo
+from citronwinch.demo._demo import Demo, DemoOptions, DemoResult, run_demo
 from citronwinch.demo._deployment import (
     DEPLOYMENTS,
     DERWENT,
@@ -13,6 +13,7 @@
 __all__ = [
     "DEPLOYMENTS",
     "DERWENT",
+    "Demo",
     "Deployment",
     "DemoOptions",
     "DemoResult",
