--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -237,6 +237,7 @@
         if delivery is None or not delivery.send(action.key.flow, action.payload):
             self.act_all(self.requests.fail_delivery(action.key))
             return
+        self.process.load.note_delivered(action.payload)
         self.process.metrics.count("packets_delivered_total")
         self.process.metrics.count("requests_started_total")
 
@@ -244,6 +245,7 @@
     def _(self, action: PassCancel) -> None:
         delivery = self.process.delivery
         if delivery is not None and delivery.send(action.flow, action.payload):
+            self.process.load.note_delivered(action.payload)
             self.process.metrics.count("request_cancels_passed_total")
 
     @act.register
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -8,9 +8,11 @@
 import capnp
 
 from citronwinch.coordination import FlowKey
+from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
+from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
 from citronwinch.peers._steering_codec import (
     read_forward,
@@ -18,7 +20,7 @@
     read_steering,
 )
 
-PeerMessage = SteeringMessage | RequestsMessage
+PeerMessage = SteeringMessage | RequestsMessage | LoadReport
 """Everything that the system's processes say to each other."""
 
 
@@ -136,4 +138,5 @@
     "hint": read_hint,
     "steering": read_steering,
     "requests": read_requests,
+    "load": read_load,
 }
