--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -6,6 +6,7 @@
 
 from citronwinch.backend_servers import Reply, read_request_header
 from citronwinch.coordination import FlowKey, rank_candidates
+from citronwinch.coordination.load import ServerState
 from citronwinch.coordination.requests import (
     AgentRequests,
     Discard,
@@ -274,8 +275,11 @@
         tried = (*arrival.tried, self.process.settings.name)
         rows = self.process.table.rows_by_service.get(arrival.service, ())
         for row in rank_candidates(arrival.flow, rows):
-            instance = self.process.instances.get(row.backend_server)
-            if row.backend_server in tried or instance is None:
+            name = row.backend_server
+            instance = self.process.instances.get(name)
+            if instance is None or name in tried:
+                continue
+            if not self.can_carry(name, arrival.service):
                 continue
             self.process.metrics.count("request_retries_total")
             message = RetryRequest(
@@ -294,6 +298,13 @@
     def _(self, action: Discard) -> None:
         self.process.metrics.count("request_packets_discarded_total", action.reason)
 
+    def can_carry(self, backend_server: str, service: str) -> bool:
+        """Whether nothing is known against a retry at another backend server."""
+        peer = self.process.load.load.view.find_peer(backend_server, service)
+        if peer is None:
+            return True
+        return peer.report.state is ServerState.TAKING and not peer.report.is_full
+
     def export_gauges(self) -> None:
         """Publish how much of each bound is used."""
         requests = self.requests
--- a/citronwinch/daemon/tests/test_agent_requests.py
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -18,6 +18,7 @@
     TableRow,
     TransportProtocol,
 )
+from citronwinch.coordination.load import LoadReport, ServerState
 from citronwinch.coordination.requests import (
     RequestKind,
     RequestMetadata,
@@ -243,6 +244,19 @@
     assert desk.told() == []
 
 
+def test_a_shed_request_is_not_sent_where_it_would_be_shed_again(desk):
+    process = desk.process
+    process.requests.requests.budget.tokens = 1.0
+    desk.forward(repeatable=True)
+    process.use_table(Table(2, [make_row("gauging-1"), make_row("gauging-2")]))
+    process.instances = {"gauging-2": PEER}
+    desk.take(LoadReport("gauging", 1, 10, state=ServerState.OVERLOADED))
+    desk.reply(RequestKind.SHED)
+    desk.pass_time(100)
+    assert not [m for m in desk.messages() if isinstance(m, RetryRequest)]
+    assert desk.told() == ["NOT_RUN"]
+
+
 def test_a_guest_is_served_closed_and_counted_against_the_limit(desk):
     metadata = RequestMetadata(RequestKind.REQUEST, bytes(16), True, 2_000)
     retry = RetryRequest(FLOW.key, "gauging", metadata, b"payload", ("gauging-2",))
