Give an agent that is restarted its records back, from a majority of its peers

Cause: a planned restart cost 5 s of "unknown" though the records were with the peers. Two majorities share a peer, so that no later run takes over records from before a run that has served. The exchange has modules of its own in the decisions and the daemon.

--- a/citronwinch/benches/_requests_baseline.py
+++ b/citronwinch/benches/_requests_baseline.py
@@ -26,6 +26,11 @@
 class ThinAgentRequests:
     """An agent that remembers nothing about requests."""
 
+    @property
+    def records(self) -> "ThinAgentRequests":
+        """Itself: there is nothing to hand over."""
+        return self
+
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
     ) -> list[RequestAction]:
--- a/citronwinch/benches/_requests_fakes.py
+++ b/citronwinch/benches/_requests_fakes.py
@@ -209,8 +209,8 @@
         """Lose everything, or hand it over to the next run."""
         former, self.requests = self.requests, self.make_requests()
         if is_planned:
-            for message in former.hand_over():
-                self.requests.take_over(message)
+            for message in former.records.hand_over():
+                self.requests.records.take_over(message)
             return
         self.run += 1
         self.buffer.clear()
@@ -247,7 +247,7 @@
 
     @handle.register
     def _(self, item: RequestRecords, arrived_ms: int) -> None:
-        self.requests.take_over(item)
+        self.requests.records.take_over(item)
 
     @handle.register
     def _(self, item: RetryRequest, arrived_ms: int) -> None:
--- a/citronwinch/benches/_requests_model.py
+++ b/citronwinch/benches/_requests_model.py
@@ -197,8 +197,8 @@
         """Change the owner of a flow, with its records or without."""
         former, taker = self.nodes[self.owners[flow]], self.nodes[owner]
         if is_planned:
-            for message in former.requests.hand_over(flow):
-                taker.requests.take_over(message)
+            for message in former.requests.records.hand_over(flow):
+                taker.requests.records.take_over(message)
         else:
             taker.requests.begin_flow(flow)
         self.owners[flow] = owner
--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -26,6 +26,7 @@
 )
 from citronwinch.coordination.requests._eras import RequestEras
 from citronwinch.coordination.requests._messages import (
+    RecordsQuery,
     RequestRecords,
     RequestsMessage,
     RetryRequest,
@@ -61,6 +62,7 @@
     "PartRejected",
     "PassCancel",
     "RECORD_BYTES",
+    "RecordsQuery",
     "REQUEST_ID_BYTES",
     "REQUEST_TIMEOUT_LIMIT_MS",
     "RequestAction",
--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -20,10 +20,7 @@
 )
 from citronwinch.coordination.requests._answers import AnswerKeeper
 from citronwinch.coordination.requests._eras import RequestEras
-from citronwinch.coordination.requests._messages import (
-    RequestRecords,
-    split_records,
-)
+from citronwinch.coordination.requests._hand_over import RecordExchange
 from citronwinch.coordination.requests._metadata import (
     PACKET_LIFETIME_MS,
     REQUEST_TIMEOUT_LIMIT_MS,
@@ -32,7 +29,7 @@
 )
 from citronwinch.coordination.requests._open import OpenRequests
 from citronwinch.coordination.requests._records import (
-    ExportedRecord,
+    OPEN_STATES,
     RequestKey,
     RequestRecord,
     RequestState,
@@ -43,8 +40,6 @@
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
-_OPEN_STATES = (RequestState.STARTED, RequestState.WAITING)
-
 
 class AgentRequests:
     """Decides what becomes of each request at one agent.
@@ -77,8 +72,7 @@
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
         self.is_stopping = False
-        self.receiving: dict[str, set[RequestKey]] = {}
-        self.handed_over: set[str] = set()
+        self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
@@ -214,41 +208,6 @@
         """Note that a member of the service is gone and its records with it."""
         self.eras.note_loss(self.clock.now_ms())
 
-    def hand_over(self, flow: FlowKey | None = None) -> list[RequestRecords]:
-        """Return the records of a flow, or all, for its next owner."""
-        records = self.window.export_records(flow)
-        era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
-        return split_records(self.name if flow is None else "", era_age_ms, records)
-
-    def take_over(self, message: RequestRecords) -> None:
-        """Take over records of a former owner.
-
-        With all records of its own former run an agent serves at once, from where
-        that run's knowledge began. Records that do not fit are as good as lost.
-        """
-        now_ms = self.clock.now_ms()
-        if not self.window.import_records(message.records):
-            self.eras.begin(now_ms)
-            return
-        for item in message.records:
-            if item.state in _OPEN_STATES and self.open.find(item.key) is None:
-                self._reopen(item, now_ms)
-        if not message.agent or message.agent in self.handed_over:
-            return
-        received = self.receiving.setdefault(message.agent, set())
-        received.update(item.key for item in message.records)
-        if len(received) < message.total:
-            return
-        del self.receiving[message.agent]
-        self.handed_over.add(message.agent)
-        if message.agent == self.name:
-            self.eras.end_grace(now_ms - message.era_age_ms)
-
-    def note_member(self, name: str) -> None:
-        """Note that a member runs; what it handed over before is complete no more."""
-        self.handed_over.discard(name)
-        self.receiving.pop(name, None)
-
     def _is_former(self, arrival: RequestArrival) -> bool:
         return self.eras.is_former(
             arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
@@ -284,14 +243,6 @@
         self.open.add_deadline(arrival.key, deadline_ms)
         return StartRequest(arrival.key, arrival.payload)
 
-    def _reopen(self, item: ExportedRecord, now_ms: int) -> None:
-        request = RequestMetadata(
-            RequestKind.REQUEST, item.key.request_id, item.repeatable, item.remaining_ms
-        )
-        arrival = RequestArrival(item.key.flow, "", request, b"", now_ms)
-        self.open.add(arrival, is_guest=False)
-        self.open.add_deadline(item.key, now_ms + item.remaining_ms)
-
     def _repeat(
         self, arrival: RequestArrival, record: RequestRecord
     ) -> list[RequestAction]:
@@ -359,7 +310,7 @@
 
     def _give_up(self, key: RequestKey, reason: str) -> list[RequestAction]:
         record = self.window.find(key)
-        if record is None or record.state not in _OPEN_STATES:
+        if record is None or record.state not in OPEN_STATES:
             return []
         if record.state is RequestState.WAITING:
             ended = self._close(key, RequestState.REFUSED)
--- a/citronwinch/coordination/requests/_messages.py
+++ b/citronwinch/coordination/requests/_messages.py
@@ -49,7 +49,14 @@
     """The records in this message."""
 
 
-RequestsMessage = RetryRequest | RequestRecords
+class RecordsQuery(NamedTuple):
+    """A fresh agent asks for the records that its former run handed over."""
+
+    agent: str
+    """The agent."""
+
+
+RequestsMessage = RetryRequest | RequestRecords | RecordsQuery
 """Everything that agents say to each other about requests."""
 
 
--- a/citronwinch/coordination/requests/_records.py
+++ b/citronwinch/coordination/requests/_records.py
@@ -31,6 +31,10 @@
     """Another agent has been asked to run it."""
 
 
+OPEN_STATES = (RequestState.STARTED, RequestState.WAITING)
+"""The states of a request whose outcome is not decided."""
+
+
 class RequestKey(NamedTuple):
     """Names one request: ids are unique within their flow."""
 
--- a/citronwinch/coordination/requests/tests/conftest.py
+++ b/citronwinch/coordination/requests/tests/conftest.py
@@ -31,10 +31,10 @@
     )
 
 
-def make_requests(clock, share=0.0, tokens=0.0, **parts):
+def make_requests(clock, share=0.0, tokens=0.0, name="gauging-1", **parts):
     budget = RetryBudget(share)
     budget.tokens = tokens
-    return AgentRequests("gauging-1", clock, random.Random(1), budget=budget, **parts)
+    return AgentRequests(name, clock, random.Random(1), budget=budget, **parts)
 
 
 @pytest.fixture
--- a/citronwinch/coordination/requests/tests/test_agent.py
+++ b/citronwinch/coordination/requests/tests/test_agent.py
@@ -190,13 +190,13 @@
 def test_hand_over_ends_the_grace_only_when_whole(clock, requests):
     for number in range(250):
         requests.deliver(make_arrival(clock, number=number))
-    first, *others = requests.hand_over()
+    first, *others = requests.records.hand_over()
     successor = make_requests(clock)
     for message in (first, first, *others[:-1]):
-        successor.take_over(message)
+        successor.records.take_over(message)
     new = make_arrival(clock, number=999)
     assert describe(successor.deliver(new)[0]) == "unknown former_run"
-    successor.take_over(others[-1])
+    successor.records.take_over(others[-1])
     assert describe(successor.deliver(new)[0]) == "StartRequest"
     late = make_arrival(clock, number=7)
     assert describe(successor.receive(late, True)[0]) == "doubled_request"
--- a/citronwinch/coordination/requests/tests/test_interleavings.py
+++ b/citronwinch/coordination/requests/tests/test_interleavings.py
@@ -80,9 +80,9 @@
                 self.note(self.agent.advance(self.arrived_ms))
         elif event in ("restart", "hand_over"):
             old, self.agent = self.agent, self.make_agent(self.clock)
-            if event == "hand_over" and hasattr(old, "hand_over"):
-                for message in old.hand_over():
-                    self.agent.take_over(message)
+            if event == "hand_over" and hasattr(old, "records"):
+                for message in old.records.hand_over():
+                    self.agent.records.take_over(message)
         elif event in ("answer", "shed"):
             kind = RequestKind.ANSWER if event == "answer" else RequestKind.SHED
             if not self.runs:
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -8,7 +8,7 @@
 from citronwinch.backend_servers import Reply, UdpDelivery
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
 from citronwinch.coordination.load import LoadReport
-from citronwinch.coordination.requests import RequestRecords, RetryRequest
+from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import (
     AgentAction,
     AgentSteering,
@@ -109,14 +109,15 @@
         if isinstance(event, PeerBatch):
             self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
+                self.requests.records.note_sender(envelope)
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
                 elif isinstance(envelope.message, SteeringMessage):
                     self.act_all(
                         self.steering.handle(envelope.message, envelope.sender)
                     )
-                elif isinstance(envelope.message, RetryRequest | RequestRecords):
-                    self.requests.accept(envelope.message)
+                elif isinstance(envelope.message, RequestsMessage):
+                    self.requests.accept(envelope, envelope.message)
                 elif isinstance(envelope.message, LoadReport):
                     self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
--- /dev/null
+++ b/citronwinch/daemon/_agent_records.py
@@ -0,0 +1,116 @@
+"""Exchange of request records with the other agents of the service."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from citronwinch.coordination.requests import (
+    AgentRequests,
+    RecordsQuery,
+    RequestRecords,
+    RequestsMessage,
+)
+from citronwinch.peers import Envelope
+
+if TYPE_CHECKING:
+    from citronwinch.daemon._agent_process import AgentProcess
+
+QUERY_WAIT_MS = 2_000
+"""How long an agent that runs again may take to ask, in milliseconds.
+
+It is shorter than the time in which a fresh agent takes no requests, so that nobody
+gives records back to a later run of an agent that has taken requests since.
+"""
+
+
+class RecordKeeper:
+    """Hands records over at the end, asks for them at the start, and gives them back.
+
+    It belongs to the deciding task of the agent.
+    """
+
+    def __init__(self, process: "AgentProcess", requests: AgentRequests) -> None:
+        self.process = process
+        self.requests = requests
+        self.gone: set[str] = set()
+        self.incarnations: dict[str, int] = {}
+        self.back_since_ms: dict[str, int] = {}
+        self.has_asked = False
+        self.has_handed_over = False
+
+    def find_peers(self) -> list[str]:
+        """Return the other agents of the service."""
+        steering = self.process.steering
+        row = steering.row
+        return list(steering.leases_of(row.service).others()) if row else []
+
+    def send_all(self, agent: str, messages: Sequence[RequestsMessage]) -> None:
+        """Send messages to an agent, if it is known where it is."""
+        instance = self.process.instances.get(agent)
+        if instance is None:
+            return
+        for message in messages:
+            self.process.peers.send(message, instance.address)
+
+    def hand_over(self) -> None:
+        """Give all records to the other agents of the service, once.
+
+        From then on this agent refuses nothing for sure, because no record of it
+        would be handed over.
+        """
+        if self.has_handed_over:
+            return
+        self.has_handed_over = True
+        messages = self.requests.records.hand_over()
+        self.requests.eras.begin(self.process.clock.now_ms())
+        for name in self.find_peers():
+            self.send_all(name, messages)
+        amount = len(self.requests.window.records)
+        self.process.metrics.count("request_records_handed_over_total", amount=amount)
+
+    def accept(
+        self, envelope: Envelope, message: RequestRecords | RecordsQuery
+    ) -> None:
+        """Handle records, or a question for records."""
+        sender = envelope.sender
+        if isinstance(message, RequestRecords):
+            peer_count = len(self.find_peers())
+            self.requests.records.take_over(message, sender, peer_count)
+            self.incarnations[sender] = envelope.incarnation
+            self.back_since_ms.pop(sender, None)
+        elif message.agent == sender:
+            self.send_all(sender, self.requests.records.give_back(sender))
+
+    def ask(self) -> None:
+        """Ask once for what the former run handed over."""
+        peers = self.find_peers()
+        if self.has_asked or not peers or not self.process.instances:
+            return
+        self.has_asked = True
+        for name in peers:
+            self.send_all(name, [RecordsQuery(self.process.settings.name)])
+
+    def note_sender(self, envelope: Envelope) -> None:
+        """Note that an agent which handed its records over runs again."""
+        former = self.incarnations.get(envelope.sender)
+        if former is not None and envelope.incarnation > former:
+            now_ms = self.process.clock.now_ms()
+            self.back_since_ms.setdefault(envelope.sender, now_ms)
+
+    def note_members(self) -> None:
+        """Note who is gone without records, and who is back without asking."""
+        now_ms = self.process.clock.now_ms()
+        for name, since_ms in list(self.back_since_ms.items()):
+            if now_ms - since_ms > QUERY_WAIT_MS:
+                self.requests.records.note_member(name)
+                del self.back_since_ms[name]
+                del self.incarnations[name]
+        row = self.process.steering.row
+        if row is None:
+            return
+        leases = self.process.steering.leases_of(row.service)
+        gone = {name for name in leases.others() if leases.is_gone(name)}
+        lost = gone - self.gone - self.requests.records.complete.keys()
+        if lost:
+            self.process.metrics.count("request_records_lost_total", amount=len(lost))
+            self.requests.note_loss()
+        self.gone = gone
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -16,7 +16,6 @@
     RequestArrival,
     RequestKind,
     RequestMetadata,
-    RequestRecords,
     RequestsMessage,
     RetryElsewhere,
     RetryRequest,
@@ -25,9 +24,11 @@
     TellOutcome,
 )
 from citronwinch.coordination.steering import Deliver, Forward, Refuse
+from citronwinch.daemon._agent_records import RecordKeeper
 from citronwinch.daemon._arrivals import WAIT_LIMIT_MS, find_arrival_ms
 from citronwinch.daemon._refusals import send_outcome, send_to_caller
 from citronwinch.fabric import MalformedPacketError, parse_udp
+from citronwinch.peers import Envelope
 
 if TYPE_CHECKING:
     from citronwinch.daemon._agent_process import AgentProcess
@@ -51,34 +52,18 @@
         self.process = process
         self.requests = AgentRequests(process.settings.name, process.clock, source)
         self.arrived_ms = process.clock.now_ms()
-        self.gone: set[str] = set()
+        self.records = RecordKeeper(process, self.requests)
         self.refuse_from_ms: int | None = None
         self.hand_over_from_ms: int | None = None
-        self.has_handed_over = False
 
     def begin_batch(self, arrived_ms: int) -> None:
         """Note when the messages that come next may have arrived, and let time pass."""
         self.arrived_ms = arrived_ms
-        self.note_members()
+        self.records.note_members()
+        self.records.ask()
         self.act_all(self.requests.advance(arrived_ms))
         self.export_gauges()
 
-    def note_members(self) -> None:
-        """Note the members of the service that are gone without their records."""
-        steering = self.process.steering
-        row = steering.row
-        if row is None:
-            return
-        leases = steering.leases_of(row.service)
-        gone = {name for name in leases.others() if leases.is_gone(name)}
-        lost = gone - self.gone - self.requests.handed_over
-        if lost:
-            self.process.metrics.count("request_records_lost_total", amount=len(lost))
-            self.requests.note_loss()
-        for name in self.gone - gone:
-            self.requests.note_member(name)
-        self.gone = gone
-
     def begin_stop(self) -> None:
         """Go on with the requests of open flows until shortly before the end."""
         timeout_ms = self.process.settings.stop_timeout_ms
@@ -95,31 +80,10 @@
         if not self.requests.is_stopping or not self.requests.is_idle():
             return False
         is_ending = now_ms >= (self.hand_over_from_ms or now_ms)
-        if not self.has_handed_over and (is_ending or not has_flows):
-            self.has_handed_over = True
-            self.hand_over()
+        if is_ending or not has_flows:
+            self.records.hand_over()
         return not has_flows
 
-    def hand_over(self) -> None:
-        """Give all records to the other agents of the service.
-
-        From then on this agent refuses nothing for sure, because no record of it
-        would be handed over.
-        """
-        messages = self.requests.hand_over()
-        self.requests.eras.begin(self.process.clock.now_ms())
-        steering = self.process.steering
-        row = steering.row
-        names = steering.leases_of(row.service).others() if row else []
-        for name in names:
-            instance = self.process.instances.get(name)
-            if instance is None:
-                continue
-            for message in messages:
-                self.process.peers.send(message, instance.address)
-        amount = len(self.requests.window.records)
-        self.process.metrics.count("request_records_handed_over_total", amount=amount)
-
     def intercept(self, message: Forward) -> bool:
         """Handle a packet without steering where that is possible."""
         if message.request is None:
@@ -170,12 +134,12 @@
         self.act_all(self.requests.reply(reply.flow, answer, reply.payload))
         return True
 
-    def accept(self, message: RequestsMessage) -> None:
+    def accept(self, envelope: Envelope, message: RequestsMessage) -> None:
         """Handle a message of another agent."""
-        if isinstance(message, RequestRecords):
-            self.requests.take_over(message)
-        else:
+        if isinstance(message, RetryRequest):
             self.run_retry(message)
+        else:
+            self.records.accept(envelope, message)
 
     def lose_flow(self, flow: FlowKey) -> None:
         """Tell callers of a flow whose backend server is gone."""
--- a/citronwinch/daemon/tests/test_agent_requests.py
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -20,6 +20,7 @@
 )
 from citronwinch.coordination.load import LoadReport, ServerState
 from citronwinch.coordination.requests import (
+    RecordsQuery,
     RequestKind,
     RequestMetadata,
     RequestRecords,
@@ -116,9 +117,9 @@
         )
         self.take(forward, arrived_ms)
 
-    def take(self, message, arrived_ms=None):
+    def take(self, message, arrived_ms=None, incarnation=1):
         arrived_ms = self.clock.now_ms() if arrived_ms is None else arrived_ms
-        envelope = Envelope("gauging-2", 1, 1, 1, message)
+        envelope = Envelope("gauging-2", incarnation, 1, 1, message)
         self.process.handle(PeerBatch([envelope], arrived_ms))
 
     def reply(self, kind, part=0, part_count=1):
@@ -287,3 +288,43 @@
     [records] = [m for m in desk.messages() if isinstance(m, RequestRecords)]
     assert (records.agent, records.total, len(records.records)) == ("gauging-1", 1, 1)
     assert desk.told() == ["ANSWER"]
+
+
+def start_with_peer(desk):
+    process = desk.process
+    process.use_table(Table(2, [make_row("gauging-1"), make_row("gauging-2")]))
+    process.instances = {"gauging-2": PEER}
+    desk.pass_time(1)
+
+
+def test_a_fresh_process_asks_for_its_records_and_serves_with_them(desk):
+    desk.process.requests.requests.eras.begin(desk.clock.now_ms())
+    start_with_peer(desk)
+    start_with_peer(desk)
+    asked = [m for m in desk.messages() if isinstance(m, RecordsQuery)]
+    assert asked == [RecordsQuery("gauging-1")]
+    assert not desk.process.requests.requests.is_settled()
+    desk.take(RequestRecords("gauging-1", 66_000, 0, ()))
+    assert desk.process.requests.requests.is_settled()
+
+
+@pytest.mark.parametrize(
+    ("heard", "wait_ms", "given_back"),
+    [
+        ("nothing", 1, 1),
+        ("later run", 1, 1),
+        ("later run", 3_000, 0),
+        ("same run", 3_000, 1),
+    ],
+)
+def test_records_are_kept_for_the_next_run_that_asks(desk, heard, wait_ms, given_back):
+    start_with_peer(desk)
+    desk.take(RequestRecords("gauging-2", 66_000, 0, ()))
+    if heard != "nothing":
+        run = 2 if heard == "later run" else 1
+        desk.take(LoadReport("gauging", 1, 10), incarnation=run)
+    desk.pass_time(wait_ms)
+    desk.take(RecordsQuery("gauging-2"), incarnation=2)
+    desk.take(RecordsQuery("gauging-2"), incarnation=2)
+    found = [m for m in desk.messages() if isinstance(m, RequestRecords)]
+    assert len(found) == given_back
--- a/citronwinch/peers/_requests_codec.py
+++ b/citronwinch/peers/_requests_codec.py
@@ -6,6 +6,7 @@
 from citronwinch.coordination.requests import (
     REQUEST_ID_BYTES,
     ExportedRecord,
+    RecordsQuery,
     RequestKey,
     RequestKind,
     RequestRecords,
@@ -43,10 +44,18 @@
         builder.repeatable = record.repeatable
 
 
+@fill_message.register
+def _(message: RecordsQuery, envelope: Any) -> None:
+    envelope.init("requests").init("query").agent = message.agent
+
+
 def read_requests(reader: Any) -> RequestsMessage:
     """Return the message about requests in a reader; raise ValueError otherwise."""
-    if str(reader.which()) == "retry":
+    kind = str(reader.which())
+    if kind == "retry":
         return read_retry(reader.retry)
+    if kind == "query":
+        return RecordsQuery(reader.query.agent)
     return read_records(reader.records)
 
 
--- a/citronwinch/peers/requests.capnp
+++ b/citronwinch/peers/requests.capnp
@@ -27,9 +27,14 @@
   records @3 :List(RequestRecord);
 }
 
+struct RecordsQuery {
+  agent @0 :Text;
+}
+
 struct RequestsMessage {
   union {
     retry @0 :RetryRequest;
     records @1 :RequestRecords;
+    query @2 :RecordsQuery;
   }
 }
--- a/citronwinch/peers/tests/test_requests_codec.py
+++ b/citronwinch/peers/tests/test_requests_codec.py
@@ -5,6 +5,7 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.requests import (
     ExportedRecord,
+    RecordsQuery,
     RequestKey,
     RequestKind,
     RequestMetadata,
@@ -29,6 +30,7 @@
     "retry tried nowhere": RETRY._replace(tried=()),
     "all records": RequestRecords("gauging-2", 66_000, 2, (RECORD, RECORD)),
     "records of a flow": RequestRecords("", 0, 1, (RECORD,)),
+    "query": RecordsQuery("gauging-2"),
     "no records": RequestRecords("gauging-2", 0, 0, ()),
 }
 NOT_REPEATABLE = REQUEST._replace(repeatable=False)
