--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -1,25 +1,40 @@
 """The agent: decides for its backend server and delivers packets to it."""
 
+import random
 from functools import singledispatchmethod
 
 import trio
 
-from citronwinch.backend_servers import Reply, UdpDelivery, read_request_header
+from citronwinch.backend_servers import Reply, UdpDelivery
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
 from citronwinch.coordination.load import LoadReport
-from citronwinch.coordination.requests import RequestMetadata
+from citronwinch.coordination.requests import RequestRecords, RetryRequest
 from citronwinch.coordination.steering import (
+    AgentAction,
     AgentSteering,
     Deliver,
+    EndFlow,
     Forward,
     PassOn,
     Refuse,
+    Send,
+    SteeringMessage,
     TellBalancer,
 )
 from citronwinch.daemon._agent_load import LoadExchange
-from citronwinch.daemon._events import Event, PeerBatch, ReplyArrived, Tick
+from citronwinch.daemon._agent_requests import RequestHandler
+from citronwinch.daemon._agent_service_levels import AgentServiceLevels
+from citronwinch.daemon._events import (
+    Event,
+    InstancesChanged,
+    PeerBatch,
+    ReplyArrived,
+    StopRequested,
+    Tick,
+)
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal, send_to_fabric
+from citronwinch.daemon._status import Status
 from citronwinch.fabric import (
     GeneveFrame,
     MalformedPacketError,
@@ -34,11 +49,14 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
-        self.steering = AgentSteering(settings.name, self.clock)
         self.load = LoadExchange(settings, self.clock, self.peers, self.metrics)
+        self.steering = AgentSteering(
+            settings.name, self.clock, self.peers.incarnation, self.load.load
+        )
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
-        self.request: RequestMetadata | None = None
+        self.requests = RequestHandler(self, random.Random(settings.name))
+        self.levels = AgentServiceLevels(self.metrics.service_levels, self.clock)
 
     @property
     def table(self) -> Table:
@@ -50,11 +68,18 @@
         """The flows that this agent owns."""
         return len(self.steering.owned)
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return this backend server for a flow that it holds, or who was passed it."""
+        if flow in self.steering.owned:
+            return self.settings.name
+        return self.steering.registry.owners.get(flow, "")
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
-        self.steering.accept_table(table)
         self.load.load.accept_table(table)
+        actions = self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
+        self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
             self.delivery = UdpDelivery(
                 row.backend_server_address,
@@ -62,14 +87,15 @@
                 self.queue_reply,
                 self.end_unreachable,
             )
+        self.act_all(actions)
 
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
         """Keep the nursery for the tasks of the flows."""
         self.nursery = nursery
 
     def is_drained(self) -> bool:
-        """Whether no flow is left."""
-        return not self.steering.owned
+        """Whether no flow is left and no request is in progress."""
+        return not self.steering.owned and self.requests.requests.is_idle()
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -79,25 +105,53 @@
             self.metrics.count("replies_dropped_total")
 
     def handle(self, event: Event) -> None:
-        """React to forwarded packets, replies and the passing of time."""
+        """React to messages, replies, changes and the passing of time."""
         if isinstance(event, PeerBatch):
+            self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
+                elif isinstance(envelope.message, SteeringMessage):
+                    self.act_all(
+                        self.steering.handle(envelope.message, envelope.sender)
+                    )
+                elif isinstance(envelope.message, RetryRequest | RequestRecords):
+                    self.requests.accept(envelope.message)
                 elif isinstance(envelope.message, LoadReport):
                     self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
+        elif isinstance(event, InstancesChanged):
+            self.steering.accept_instances(event.instances)
+        elif isinstance(event, StopRequested):
+            self.steering.begin_stop()
+            self.requests.requests.stop()
         elif isinstance(event, Tick):
-            self.end_idle_flows(event.now_ms)
+            self.act_all(self.steering.tick())
+            self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
             self.load.tick(self.flow_count, self.instances)
+            self.levels.tick(self.flow_count)
+            self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
         """Carry out what the steering decides about a packet."""
-        self.request = message.request
-        for action in self.steering.handle_forward(message):
+        if self.requests.intercept(message):
+            return
+        self.act_all(self.steering.handle_forward(message))
+
+    def act_all(self, actions: list[AgentAction]) -> None:
+        """Carry out actions in their order."""
+        for action in actions:
             self.act(action)
 
+    def export_metrics(self) -> None:
+        """Show the counters and bounds of the steering."""
+        for name, value in self.steering.read_gauges().items():
+            self.metrics.set_gauge(name, value)
+        for name, count in self.steering.counters.items():
+            self.metrics.count("steering_events_total", name, count)
+        self.steering.counters.clear()
+
     @singledispatchmethod
     def act(self, action: object) -> None:
         """Carry out one action."""
@@ -105,6 +159,8 @@
 
     @act.register
     def _(self, action: Deliver) -> None:
+        if self.requests.deliver(action):
+            return
         try:
             payload = parse_udp(action.packet).payload
         except MalformedPacketError:
@@ -112,7 +168,6 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
-            self.load.note_delivered(payload)
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -123,6 +178,20 @@
         self.metrics.count("packets_passed_on_total")
         self.peers.send(action.message, instance.address)
 
+    @act.register
+    def _(self, action: Send) -> None:
+        instance = self.instances.get(action.receiver)
+        if instance is None:
+            self.metrics.count("messages_dropped_total", "unknown_instance")
+            return
+        self.peers.send(action.message, instance.address)
+
+    @act.register
+    def _(self, action: EndFlow) -> None:
+        self.levels.flow_ended()
+        if self.delivery is not None:
+            self.delivery.close(action.flow)
+
     @act.register
     def _(self, action: TellBalancer) -> None:
         instance = self.instances.get(action.balancer)
@@ -131,39 +200,53 @@
 
     @act.register
     def _(self, action: Refuse) -> None:
+        if self.requests.refuse(action):
+            return
         self.metrics.count("packets_refused_total", action.reason)
+        if not action.is_certain:
+            return
         send_refusal(
             self.peers.port,
             self.settings.fabric_return,
             action.packet,
-            self.request,
+            None,
             retry_after_ms=action.retry_after_ms,
         )
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
-        self.load.note_reply(reply.payload)
+        if self.requests.answer(reply):
+            return
         flow = unpack_flow_key(reply.flow)
         packet = build_udp(flow, reply.payload, to_caller=True)
-        frame = GeneveFrame(packet, read_request_header(reply.payload))
+        frame = GeneveFrame(packet)
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
 
-    def end_idle_flows(self, now_ms: int) -> None:
-        """End the flows that have seen no packet for the idle time."""
-        limit_ms = now_ms - self.settings.flow_idle_ms
-        idle = [
-            flow
-            for flow, owned in self.steering.owned.items()
-            if owned.last_seen_ms < limit_ms
-        ]
-        for flow in idle:
-            self.end_flow(flow)
-
     def end_unreachable(self, flow: FlowKey) -> None:
-        """End a flow whose backend server refused its datagram."""
+        """End a flow whose backend server is not there, and let its caller know."""
+        self.metrics.count("flows_unreachable_total")
         self.load.note_unreachable()
+        self.levels.flow_broken()
+        self.requests.lose_flow(flow)
+        self.steering.note_backend_failure()
         self.end_flow(flow)
+        packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
+        send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
+
+    def can_take_guest(self, service: str) -> bool:
+        """Whether the backend server may get a request of another agent's flow."""
+        row = self.table.row_by_backend_server.get(self.settings.name)
+        if row is None or row.service != service or row.weight == 0:
+            return False
+        return self.flow_count < row.connection_limit and self.load.admits_guest()
+
+    def read_status(self) -> Status:
+        """Say ready only once every request that is sent from now on is served."""
+        status = super().read_status()
+        if status.state == "ready" and not self.requests.requests.is_settled():
+            return status._replace(state="starting")
+        return status
 
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -2,15 +2,22 @@
 
 from citronwinch.operators._logging import configure_logging
 from citronwinch.operators._metrics import MetricKey, Metrics
+from citronwinch.operators._objectives import Objective
+from citronwinch.operators._service_levels import (
+    SLOT_MS,
+    Outcome,
+    ServiceLevels,
+)
 from citronwinch.operators._settings import (
     SETTING_SPECS,
     Settings,
     SettingsProblem,
     parse_settings,
 )
+from citronwinch.operators._table_conflicts import TableProblem
 from citronwinch.operators._table_csv import (
     COLUMNS,
-    TableProblem,
+    decode_table,
     format_table,
     parse_table,
 )
@@ -19,11 +26,16 @@
     "COLUMNS",
     "MetricKey",
     "Metrics",
+    "Objective",
+    "Outcome",
     "SETTING_SPECS",
+    "SLOT_MS",
+    "ServiceLevels",
     "Settings",
     "SettingsProblem",
     "TableProblem",
     "configure_logging",
+    "decode_table",
     "format_table",
     "parse_settings",
     "parse_table",
