Let the ramp of a peer go on between its reports

Servers that started together judged each other by shares of different age: the own share was always the newest, so each kept too many of its own flows. A report now tells the age of the server, and the chooser works out the ramp at the moment of choice.

--- a/citronwinch/coordination/load/_agent_load.py
+++ b/citronwinch/coordination/load/_agent_load.py
@@ -148,15 +148,15 @@
         row = self.find_row()
         if row is None:
             return None
-        share = min(self.outlier.share, self.ramp.find_share())
         return LoadReport(
             row.service,
             own_flows,
             row.connection_limit,
             self.outcomes.in_progress,
             self.summary.latency_ms,
-            round(share * FULL_SHARE_THOUSANDTHS),
+            round(self.outlier.share * FULL_SHARE_THOUSANDTHS),
             self.find_state(row),
+            self.ramp.find_age_ms(),
         )
 
     def find_state(self, row: TableRow) -> ServerState:
--- a/citronwinch/coordination/load/_load_aware.py
+++ b/citronwinch/coordination/load/_load_aware.py
@@ -5,11 +5,7 @@
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._table import TableRow
-from citronwinch.coordination.load._report import (
-    FULL_SHARE_THOUSANDTHS,
-    LoadReport,
-    ServerState,
-)
+from citronwinch.coordination.load._report import LoadReport, ServerState
 from citronwinch.coordination.load._view import LoadView, PeerLoad
 
 EVENNESS_MARGIN = 0.005
@@ -130,10 +126,9 @@
         """Return the exact load of the own backend server."""
         report = self.own_report
         state = report.state if report else ServerState.TAKING
+        share = report.find_share() if report else 1.0
         is_full = own_flows >= row.connection_limit
-        return CandidateLoad(
-            row, own_flows, find_capacity(row, report), state, is_full, 1.0
-        )
+        return CandidateLoad(row, own_flows, row.weight * share, state, is_full, 1.0)
 
     def estimate_peer(
         self, row: TableRow, peer: PeerLoad | None, homes: int
@@ -148,15 +143,17 @@
                 row, 0.0, float(row.weight), ServerState.TAKING, False, 0.0
             )
         report = peer.report
+        now_ms = self.clock.now_ms()
+        share = report.find_share(now_ms - peer.received_ms)
         chosen = len(peer.chosen_ms)
         limit = min(row.connection_limit, report.connection_limit)
         return CandidateLoad(
             row,
             report.flows + chosen * homes,
-            find_capacity(row, report),
+            row.weight * share,
             report.state,
             report.flows + chosen >= limit,
-            peer.find_confidence(self.clock.now_ms()),
+            peer.find_confidence(now_ms),
         )
 
     def ignore_ejection_in_panic(
@@ -179,13 +176,6 @@
         ]
 
 
-def find_capacity(row: TableRow, report: LoadReport | None) -> float:
-    """Return the weight of a row times the share that its server can carry."""
-    if report is None:
-        return float(row.weight)
-    return row.weight * report.share_thousandths / FULL_SHARE_THOUSANDTHS
-
-
 def find_even_level(loads: Sequence[CandidateLoad]) -> float:
     """Return the load relative to capacity that an even service would have.
 
--- a/citronwinch/coordination/load/_ramp.py
+++ b/citronwinch/coordination/load/_ramp.py
@@ -10,16 +10,16 @@
 
 
 class ColdStartRamp:
-    """Grows the share of a server that joins from a tenth to the whole.
+    """Knows how long a server has worked for its service.
 
     Example::
 
         >>> from citronwinch.coordination import ManualClock
         >>> clock = ManualClock()
         >>> ramp = ColdStartRamp(clock)
-        >>> clock.advance(RAMP_MS // 2)
-        >>> round(ramp.find_share(), 2)
-        0.55
+        >>> clock.advance(60_000)
+        >>> ramp.find_age_ms() == RAMP_MS
+        True
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -30,7 +30,17 @@
         """Begin again, because the server was assigned to another service."""
         self.started_ms = self.clock.now_ms()
 
-    def find_share(self) -> float:
-        """Return the share of its weight that the server should carry now."""
-        grown = (self.clock.now_ms() - self.started_ms) / RAMP_MS
-        return min(1.0, FIRST_SHARE + (1 - FIRST_SHARE) * grown)
+    def find_age_ms(self) -> int:
+        """Return the time since the start, at most the length of the ramp."""
+        return min(RAMP_MS, self.clock.now_ms() - self.started_ms)
+
+
+def find_ramp_share(age_ms: int) -> float:
+    """Return the share of its weight that a server of this age should carry.
+
+    Example::
+
+        >>> [round(find_ramp_share(age_ms), 2) for age_ms in (0, 15_000, 30_000)]
+        [0.1, 0.55, 1.0]
+    """
+    return min(1.0, FIRST_SHARE + (1 - FIRST_SHARE) * age_ms / RAMP_MS)
--- a/citronwinch/coordination/load/_report.py
+++ b/citronwinch/coordination/load/_report.py
@@ -3,6 +3,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from citronwinch.coordination.load._ramp import RAMP_MS, find_ramp_share
+
 FULL_SHARE_THOUSANDTHS = 1_000
 """The share of a backend server that works as its weight says."""
 
@@ -46,12 +48,24 @@
     """The usual time from delivery to answer; 0 when there was no answer lately."""
 
     share_thousandths: int = FULL_SHARE_THOUSANDTHS
-    """The part of its weight that the server can carry now."""
+    """The part of its weight that the server gets done, judged by its answers."""
 
     state: ServerState = ServerState.TAKING
     """Whether it takes new flows."""
 
+    age_ms: int = RAMP_MS
+    """How long the server has worked for the service, at most the ramp's length."""
+
     @property
     def is_full(self) -> bool:
         """Whether the connection limit is reached."""
         return self.flows >= self.connection_limit
+
+    def find_share(self, report_age_ms: int = 0) -> float:
+        """Return the part of its weight that the server should carry now.
+
+        The ramp goes on after the report, so that servers which started together
+        count as equal however old their reports are.
+        """
+        judged = self.share_thousandths / FULL_SHARE_THOUSANDTHS
+        return min(judged, find_ramp_share(self.age_ms + report_age_ms))
--- a/citronwinch/coordination/load/tests/test_agent_load.py
+++ b/citronwinch/coordination/load/tests/test_agent_load.py
@@ -19,7 +19,7 @@
 
 
 def find_share(agent):
-    return agent.make_report(0).share_thousandths
+    return round(agent.make_report(0).find_share() * 1_000)
 
 
 def test_share_of_a_joining_server_grows_over_the_ramp(agent, clock):
@@ -47,8 +47,7 @@
     joined: list[int] = []
     for step in range(600):
         clock.advance(50)
-        share = min(1_000, 100 + step * 30 // 20)
-        newcomer = LoadReport("gauging", len(joined), 2_000, share_thousandths=share)
+        newcomer = LoadReport("gauging", len(joined), 2_000, age_ms=step * 50)
         agent.accept_report(ReportOrigin("server-2", 1, step), newcomer)
         steady = LoadReport("gauging", 1_000, 2_000)
         agent.accept_report(ReportOrigin("server-3", 1, step), steady)
--- a/citronwinch/coordination/load/tests/test_load_aware.py
+++ b/citronwinch/coordination/load/tests/test_load_aware.py
@@ -161,6 +161,17 @@
     assert chooser.choose_owner("gauging", rows, 1_100) == "server-3"
 
 
+def test_servers_that_started_together_count_as_equal(clock, view, make_row, tell):
+    rows = [make_row(1), make_row(2), make_row(3)]
+    tell(2, 10, age_ms=5_000)
+    clock.advance(2_000)
+    tell(3, 10, age_ms=7_000)
+    chooser = LoadAwareChooser("server-1", "zone-1", view, clock)
+    chooser.own_report = LoadReport("gauging", 10, 2_000, age_ms=7_000)
+    loads = chooser.estimate_loads("gauging", rows, 10)
+    assert len({round(load.relative, 9) for load in loads}) == 1
+
+
 REPORTS = st.builds(
     LoadReport,
     st.just("gauging"),
@@ -170,6 +181,7 @@
     st.integers(0, 2**32 - 1),
     st.integers(0, 1_000),
     st.sampled_from(ServerState),
+    st.integers(0, 2**16 - 1),
 )
 
 
--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -5,7 +5,6 @@
 from citronwinch.backend_servers import read_request_header
 from citronwinch.coordination import Clock, FlowKey, Instance
 from citronwinch.coordination.load import (
-    FULL_SHARE_THOUSANDTHS,
     AgentLoad,
     LoadReport,
     Outcome,
@@ -60,17 +59,16 @@
         report = self.load.make_report(own_flows)
         if report is None:
             return
-        share = report.share_thousandths / FULL_SHARE_THOUSANDTHS
         self.metrics.set_gauge("load_flows", report.flows)
-        self.metrics.set_gauge("load_share", share)
-        self.metrics.set_gauge("load_state", report.state)
+        self.metrics.set_gauge("load_share", report.find_share())
+        self.metrics.set_gauge("load_state", int(report.state))
         self.metrics.set_gauge("load_requests_in_progress", report.in_progress)
         self.metrics.set_gauge("load_latency_ms", report.latency_ms)
         self.metrics.set_gauge("load_peers_known", len(self.load.view.peers))
-        self.metrics.set_gauge("load_shedding_level", self.load.guard.level)
+        self.metrics.set_gauge("load_shedding_level", int(self.load.guard.level))
         limit = self.load.guard.concurrency.limit
         self.metrics.set_gauge("load_concurrency_limit", limit)
-        self.metrics.set_gauge("load_panic", self.load.chooser.is_panicking)
+        self.metrics.set_gauge("load_panic", int(self.load.chooser.is_panicking))
 
     def admits_request(self) -> bool:
         """Return whether a request of an owned flow may be delivered."""
--- a/citronwinch/peers/_load_codec.py
+++ b/citronwinch/peers/_load_codec.py
@@ -20,6 +20,7 @@
     target.latencyMs = message.latency_ms
     target.shareThousandths = message.share_thousandths
     target.state = int(message.state)
+    target.ageMs = message.age_ms
 
 
 def read_load(reader: Any) -> LoadReport:
@@ -34,4 +35,5 @@
         reader.latencyMs,
         reader.shareThousandths,
         ServerState(reader.state),
+        reader.ageMs,
     )
--- a/citronwinch/peers/load.capnp
+++ b/citronwinch/peers/load.capnp
@@ -9,4 +9,5 @@
   latencyMs @4 :UInt32;
   shareThousandths @5 :UInt16;
   state @6 :UInt8;
+  ageMs @7 :UInt16;
 }
--- a/citronwinch/peers/tests/test_load_codec.py
+++ b/citronwinch/peers/tests/test_load_codec.py
@@ -21,7 +21,7 @@
 
 REPORTS = {
     "least": LoadReport("g", 0, 0),
-    "usual": LoadReport("gauging", 2_000, 2_000, 12, 40, 550, ServerState.EJECTED),
+    "usual": LoadReport("gauging", 2_000, 2_000, 12, 40, 550, ServerState.EJECTED, 9),
     "most": LoadReport(
         "s" * 200, 2**32 - 1, 2**32 - 1, 2**32 - 1, 2**32 - 1, 1_000, ServerState(3)
     ),
