--- a/citronwinch/coordination/load/__init__.py
+++ b/citronwinch/coordination/load/__init__.py
@@ -27,7 +27,7 @@
     LoadReport,
     ServerState,
 )
-from citronwinch.coordination.load._schedule import ReportSchedule
+from citronwinch.coordination.load._schedule import REPORT_INTERVAL_MS, ReportSchedule
 from citronwinch.coordination.load._view import LoadView, ReportOrigin
 
 __all__ = [
@@ -47,6 +47,7 @@
     "OverloadGuard",
     "OverloadLevel",
     "OwnerChooser",
+    "REPORT_INTERVAL_MS",
     "RETRY_AFTER_MS",
     "ReportOrigin",
     "ReportSchedule",
--- a/citronwinch/coordination/load/_schedule.py
+++ b/citronwinch/coordination/load/_schedule.py
@@ -5,7 +5,7 @@
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.load._report import FULL_SHARE_THOUSANDTHS, LoadReport
 
-REPORT_INTERVAL_MS = 300
+REPORT_INTERVAL_MS = 400
 """How often one peer gets a report, in milliseconds."""
 
 URGENT_INTERVAL_MS = 3_000
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -76,8 +76,8 @@
 
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
-        actions = self.steering.accept_table(table)
         self.load.load.accept_table(table)
+        actions = self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
@@ -130,8 +130,8 @@
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
-            self.levels.tick(self.flow_count)
             self.load.tick(self.flow_count, self.instances)
+            self.levels.tick(self.flow_count)
             self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
@@ -169,7 +169,6 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
-            self.load.note_delivered(payload)
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -217,7 +216,6 @@
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
-        self.load.note_reply(reply.payload)
         if self.requests.answer(reply):
             return
         flow = unpack_flow_key(reply.flow)
@@ -229,8 +227,8 @@
     def end_unreachable(self, flow: FlowKey) -> None:
         """End a flow whose backend server is not there, and let its caller know."""
         self.metrics.count("flows_unreachable_total")
-        self.levels.flow_broken()
         self.load.note_unreachable()
+        self.levels.flow_broken()
         self.requests.lose_flow(flow)
         self.steering.note_backend_failure()
         self.end_flow(flow)
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -108,7 +108,11 @@
         arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
             self.process.levels.packet_delivered(action.request)
-            self.act_all(self.requests.deliver(arrival))
+            is_request = action.request.kind is RequestKind.REQUEST
+            if is_request and not self.process.load.admits_request():
+                self.act_all(self.requests.refuse(arrival, "overloaded"))
+            else:
+                self.act_all(self.requests.deliver(arrival))
         return True
 
     def refuse(self, action: Refuse) -> bool:
@@ -129,6 +133,7 @@
         answer = read_request_header(reply.payload)
         if answer is None:
             return False
+        self.process.load.note_reply(reply.flow, answer)
         if answer.kind is RequestKind.ANSWER:
             self.process.levels.reply_sent(answer)
         self.act_all(self.requests.reply(reply.flow, answer, reply.payload))
@@ -156,12 +161,17 @@
             message.tried,
         )
         actions = self.requests.receive(arrival, is_known_flow=True)
-        if not actions and self.process.steering.can_take(message.service):
+        if not actions and self.can_take_guest(message.service):
             actions = self.requests.deliver(arrival, is_guest=True)
         elif not actions:
             actions = self.requests.refuse(arrival, "full")
         self.act_all(actions)
 
+    def can_take_guest(self, service: str) -> bool:
+        """Return whether the backend server may get a request of another's flow."""
+        process = self.process
+        return process.steering.can_take(service) and process.load.admits_guest()
+
     def find_arrival(
         self, flow: FlowKey, packet: bytes, request: RequestMetadata
     ) -> RequestArrival | None:
@@ -202,9 +212,9 @@
         if delivery is None or not delivery.send(action.key.flow, action.payload):
             self.act_all(self.requests.fail_delivery(action.key))
             return
-        self.process.load.note_delivered(action.payload)
         self.process.metrics.count("packets_delivered_total")
         self.process.metrics.count("requests_started_total")
+        self.process.load.note_delivered(action.key)
 
     @act.register
     def _(self, action: PassCancel) -> None:
@@ -212,6 +222,7 @@
         if delivery is not None and delivery.send(action.flow, action.payload):
             self.process.load.note_delivered(action.payload)
             self.process.metrics.count("request_cancels_passed_total")
+            self.process.load.note_cancelled(action.flow, action.payload)
 
     @act.register
     def _(self, action: TellOutcome) -> None:
--- a/citronwinch/peers/tests/test_load_codec.py
+++ b/citronwinch/peers/tests/test_load_codec.py
@@ -2,18 +2,26 @@
 
 import pytest
 
-from citronwinch.coordination.load import LoadReport, ServerState
+from citronwinch.coordination.load import (
+    REPORT_INTERVAL_MS,
+    LoadReport,
+    ServerState,
+)
 from citronwinch.peers import (
     Envelope,
     MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
+from citronwinch.peers._authentication import TAG_BYTES
 from citronwinch.peers._codec import SCHEMA
 
+UDP_AND_IP_BYTES = 28
+BUDGET_BYTES_PER_SECOND = 600
+
 REPORTS = {
     "least": LoadReport("g", 0, 0),
-    "usual": LoadReport("gauging", 2_000, 2_000, 12, 40, 550, ServerState.EJECTED),
+    "usual": LoadReport("gauging", 2_000, 2_000, 12, 40, 550, ServerState.EJECTED, 9),
     "most": LoadReport(
         "s" * 200, 2**32 - 1, 2**32 - 1, 2**32 - 1, 2**32 - 1, 1_000, ServerState(3)
     ),
@@ -40,6 +48,7 @@
         decode_envelope(builder.to_bytes())
 
 
-def test_usual_report_is_small():
+def test_reports_fit_into_their_part_of_the_control_budget():
     encoded = encode_envelope(Envelope("gauging-1", 7, 8, 9, REPORTS["usual"]))
-    assert len(encoded) <= 128
+    size = len(encoded) + TAG_BYTES + UDP_AND_IP_BYTES
+    assert size * 1_000 / REPORT_INTERVAL_MS <= BUDGET_BYTES_PER_SECOND
