Survive bad input at every port

Random and mutated bytes at the ports of running daemons found five ways to end one, each with a test now: a HEAD request, a request whose packet cannot be read, a flow key with an unknown protocol, a flow closed before its receiving task ran, and any error of a socket other than a refused connection. A failing handler ends its own connection, an event that cannot be handled is counted and logged, and a RST or a packet without a single sender is never answered.

--- a/citronwinch/backend_servers/_udp_delivery.py
+++ b/citronwinch/backend_servers/_udp_delivery.py
@@ -47,15 +47,10 @@
         """Open the flow's socket and return its local port.
 
         With `local_port` the socket takes over the port of a former agent, so that
-        the backend server sees the same peer as before.
+        the backend server sees the same peer as before. Raise OSError when the
+        system gives no socket.
         """
-        family = socket.AF_INET6 if ":" in self.server.ip else socket.AF_INET
-        link = socket.socket(family, socket.SOCK_DGRAM)
-        link.setblocking(False)
-        if local_port:
-            link.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            link.bind(("", local_port))
-        link.connect((self.server.ip, self.server.port))
+        link = self._connect(local_port)
         scope = trio.CancelScope()
         self.sockets[flow] = link
         self.scopes[flow] = scope
@@ -64,12 +59,10 @@
 
     def send(self, flow: FlowKey, payload: bytes) -> bool:
         """Send a datagram of the flow; return False when it was not sent."""
-        link = self.sockets.get(flow)
-        if link is None:
-            self.open(flow)
-            link = self.sockets[flow]
         try:
-            link.send(payload)
+            if flow not in self.sockets:
+                self.open(flow)
+            self.sockets[flow].send(payload)
         except OSError:
             return False
         return True
@@ -82,15 +75,31 @@
             trio.lowlevel.notify_closing(link)
             link.close()
 
+    def _connect(self, local_port: int) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self.server.ip else socket.AF_INET
+        link = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            link.setblocking(False)
+            if local_port:
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                link.bind(("", local_port))
+            link.connect((self.server.ip, self.server.port))
+        except OSError:
+            link.close()
+            raise
+        return link
+
     async def _receive(
         self, flow: FlowKey, link: socket.socket, scope: trio.CancelScope
     ) -> None:
         with scope:
-            while True:
+            # A flow may be closed before its task runs for the first time.
+            while link.fileno() >= 0:
                 await trio.lowlevel.wait_readable(link)
                 try:
                     self.on_reply(Reply(flow, link.recv(DATAGRAM_LIMIT)))
                 except BlockingIOError:
                     continue
-                except ConnectionError:
+                except OSError:
+                    # The backend server, or a router before it, refused a datagram.
                     self.on_unreachable(flow)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -116,6 +116,8 @@
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
             self.levels.packet_delivered(self.request)
+        else:
+            self.metrics.count("packets_dropped_total", "not_delivered")
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -147,7 +149,11 @@
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
         flow = unpack_flow_key(reply.flow)
-        packet = build_udp(flow, reply.payload, to_caller=True)
+        try:
+            packet = build_udp(flow, reply.payload, to_caller=True)
+        except MalformedPacketError:
+            self.metrics.count("replies_dropped_total", "too_long")
+            return
         frame = GeneveFrame(packet, read_request_header(reply.payload))
         self.levels.reply_sent(frame.request)
         self.metrics.count("replies_total")
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -95,7 +95,8 @@
             nursery.start_soon(self._receive_signals)
             nursery.start_soon(self._receive_peers)
             nursery.start_soon(self._tick)
-            nursery.start_soon(serve, settings.http_address, page.handle)
+            http = (settings.http_address, page.handle, page.count_error)
+            nursery.start_soon(serve, *http)
             nursery.start_soon(watch_table, settings.configuration_service, *platform)
             nursery.start_soon(watch_instances, settings.instance_service, *platform)
             self.start_role_tasks(nursery)
@@ -109,7 +110,12 @@
         async for event in self.inbox:
             self.decided_ms = self.clock.now_ms()
             self._handle_common(event)
-            self.handle(event)
+            try:
+                self.handle(event)
+            except Exception:
+                # Ending here would break every flow for the sake of one event.
+                self.metrics.count("internal_errors_total", type(event).__name__)
+                log.exception("event_not_handled", kind=type(event).__name__)
             if isinstance(event, StopRequested) and deadline_ms is None:
                 deadline_ms = self.clock.now_ms() + self.settings.stop_timeout_ms
             if deadline_ms is not None and (
--- a/citronwinch/daemon/_refusals.py
+++ b/citronwinch/daemon/_refusals.py
@@ -5,6 +5,7 @@
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.fabric import (
     GeneveFrame,
+    MalformedPacketError,
     build_refusal,
     build_udp,
     encode_frame,
@@ -24,16 +25,22 @@
     kind: RequestKind = RequestKind.NOT_RUN,
     retry_after_ms: int = RETRY_AFTER_MS,
 ) -> None:
-    """Refuse a packet: by its request when it has one, else by RST or ICMP."""
-    if request is None:
-        answer = GeneveFrame(build_refusal(packet))
-    else:
-        outcome = RequestMetadata(
-            kind, request.request_id, request.repeatable, retry_after_ms
-        )
-        flow = unpack_flow_key(parse_udp(packet).flow)
-        payload = add_request_header(outcome, b"")
-        answer = GeneveFrame(build_udp(flow, payload, to_caller=True), outcome)
+    """Refuse a packet: by its request when it has one, else by RST or ICMP.
+
+    A packet that cannot be read, or that must not be answered, gets no refusal.
+    """
+    try:
+        if request is None:
+            answer = GeneveFrame(build_refusal(packet))
+        else:
+            outcome = RequestMetadata(
+                kind, request.request_id, request.repeatable, retry_after_ms
+            )
+            flow = unpack_flow_key(parse_udp(packet).flow)
+            payload = add_request_header(outcome, b"")
+            answer = GeneveFrame(build_udp(flow, payload, to_caller=True), outcome)
+    except MalformedPacketError:
+        return
     send_to_fabric(port, fabric_return, answer)
 
 
--- a/citronwinch/daemon/_status.py
+++ b/citronwinch/daemon/_status.py
@@ -81,6 +81,10 @@
             return self.answer_flow(request.query)
         return self.answer_status(request.path)
 
+    def count_error(self, reason: str) -> None:
+        """Count a request that could not be answered."""
+        self.metrics.count("http_errors_total", reason)
+
     def answer_status(self, path: str) -> HttpResponse:
         """Answer a read of health, readiness or status."""
         status = self.read_status()
--- /dev/null
+++ b/citronwinch/daemon/tests/test_bad_input.py
@@ -0,0 +1,141 @@
+"""Tests of random and mutated bytes at every port of running daemons."""
+
+import random
+import socket
+
+import orjson
+import trio
+
+from citronwinch.coordination import Endpoint, Flow, TransportProtocol
+from citronwinch.coordination.requests import RequestKind, RequestMetadata
+from citronwinch.coordination.steering import Forward, Hint
+from citronwinch.daemon.tests._whole_path import KEY_HEX, PathCaller, run_whole_path
+from citronwinch.fabric import GeneveFrame, build_udp, encode_frame
+from citronwinch.network import fetch
+from citronwinch.peers import Envelope, KeyRing, PeerMessage, encode_envelope
+
+SEED = 1
+DATAGRAMS = 1_000
+KEYS = KeyRing(bytes.fromhex(KEY_HEX), (bytes.fromhex(KEY_HEX),))
+
+HTTP_INPUT = {
+    "binary": bytes(range(256)) * 4,
+    "no line end": b"GET /status",
+    "huge header": b"GET / HTTP/1.1\r\nX: " + b"x" * 200_000 + b"\r\n\r\n",
+    "bad target": b"GET http://[ HTTP/1.1\r\nHost: a\r\n\r\n",
+    "bad version": b"GET /status HTTP/9.9\r\n\r\n",
+    "HEAD": b"HEAD /status HTTP/1.1\r\nHost: a\r\n\r\n",
+    "POST": b"POST /status HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab",
+    "bad flow": (
+        b"GET /flow?protocol=udp&caller=%00&service=x HTTP/1.1\r\nHost: a\r\n\r\n"
+    ),
+    "mixed flow": (
+        b"GET /flow?protocol=udp&caller=1.2.3.4:5&service=[::1]:5 HTTP/1.1\r\n"
+        b"Host: a\r\n\r\n"
+    ),
+    "bad query": b"GET /status?\xff=%zz&&== HTTP/1.1\r\nHost: a\r\n\r\n",
+}
+
+
+def mutate(source, data):
+    """Return bytes that are random, or a sample with a few bytes changed."""
+    if source.random() < 0.2:
+        return source.randbytes(source.randrange(200))
+    changed = bytearray(data)
+    for _ in range(source.randrange(1, 5)):
+        changed[source.randrange(len(changed))] = source.randrange(256)
+    return bytes(changed[: source.randrange(1, len(changed) + 1)])
+
+
+def make_samples(path):
+    """Return well-formed input for the fabric port and the peer ports."""
+    service = path.service_addresses["gauging"]
+    flow = Flow(TransportProtocol.UDP, Endpoint("127.0.0.1", 9), service)
+    packet = build_udp(flow, b"CWR1" + bytes(40), to_caller=False)
+    request = RequestMetadata(RequestKind.REQUEST, bytes(16), False, 100)
+    frames = [
+        encode_frame(GeneveFrame(packet, metadata)) for metadata in (None, request)
+    ]
+    messages: list[PeerMessage] = [
+        Forward(flow.key, "gauging", packet, "balancer-1", opens=True),
+        Forward(flow.key, "gauging", packet, "balancer-1", request=request),
+        Hint(flow.key, "gauging-1"),
+    ]
+    envelopes = [
+        encode_envelope(Envelope("balancer-1", 1, i, 1, message))
+        for i, message in enumerate(messages)
+    ]
+    return frames, envelopes
+
+
+async def send_noise(path, source):
+    """Send mutated datagrams to every UDP port of the deployment."""
+    frames, envelopes = make_samples(path)
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for i in range(DATAGRAMS):
+        for name, (peers, _, fabric) in path.addresses.items():
+            sealed = KEYS.seal(mutate(source, source.choice(envelopes)))
+            for data in (sealed, mutate(source, sealed)):
+                sender.sendto(data, peers)
+            if name.startswith("balancer"):
+                sender.sendto(mutate(source, source.choice(frames)), fabric)
+        for address in (path.return_address, *path.service_addresses.values()):
+            sender.sendto(mutate(source, source.choice(frames)), address)
+        # One event loop carries all daemons, so that it must not be overrun.
+        if i % 5 == 0:
+            await trio.sleep(0.01)
+
+
+async def send_http(endpoint, data):
+    """Send bytes to an HTTP port and read what comes back."""
+    stream = await trio.open_tcp_stream(endpoint.ip, endpoint.port)
+    async with stream:
+        try:
+            await stream.send_all(data)
+            await stream.send_eof()
+            with trio.move_on_after(1):
+                while await stream.receive_some(65_536):
+                    pass
+        except trio.BrokenResourceError:
+            return
+
+
+def test_bad_datagrams_harm_no_established_flow():
+    async def check():
+        async with run_whole_path() as path:
+            callers = [PathCaller(path, "gauging") for _ in range(5)]
+            before = [await caller.ask("before") for caller in callers]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_noise, path, random.Random(SEED))
+                for _ in range(10):
+                    during = [await caller.ask("during") for caller in callers]
+                    await trio.sleep(0.02)
+            after = [await caller.ask("before") for caller in callers]
+            assert after == before
+            assert during == [text.replace("before", "during") for text in before]
+            assert path.count("packets_dropped_total") > DATAGRAMS
+            assert path.count("peer_rejected_total") > DATAGRAMS
+            assert path.count("internal_errors_total") == 0
+            assert path.is_ready()
+
+    trio.run(check)
+
+
+def test_bad_http_requests_harm_nothing():
+    async def check():
+        async with run_whole_path() as path:
+            endpoints = [addresses[1] for addresses in path.addresses.values()]
+            for endpoint in [*endpoints, path.platform_address]:
+                for data in HTTP_INPUT.values():
+                    await send_http(endpoint, data)
+            for endpoint in endpoints:
+                status = orjson.loads((await fetch(endpoint, "/readyz", 2_000)).body)
+                assert status["ready"]
+            answer = await fetch(path.platform_address, "/v1/instances?after=x", 2_000)
+            assert answer.status == 400
+            assert path.count("http_errors_total") > 0
+            assert await PathCaller(path, "reporting").ask("x") == (
+                "reporting-1 reporting x"
+            )
+
+    trio.run(check)
--- /dev/null
+++ b/citronwinch/daemon/tests/test_whole_path.py
@@ -0,0 +1,20 @@
+"""Tests of the whole path from caller to backend server and back."""
+
+import pytest
+import trio
+
+from citronwinch.daemon.tests._whole_path import PathCaller, run_whole_path
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"], ids=["ipv4", "ipv6"])
+def test_answers_come_back_whole_from_the_right_service(host):
+    async def check():
+        async with run_whole_path(host) as path:
+            for service in path.service_addresses:
+                caller = PathCaller(path, service)
+                answers = [await caller.ask(f"entry {i}") for i in range(20)]
+                server = answers[0].partition(" ")[0]
+                assert server.startswith(service)
+                assert answers == [f"{server} {service} entry {i}" for i in range(20)]
+
+    trio.run(check)
--- a/citronwinch/fabric/_ip_packet.py
+++ b/citronwinch/fabric/_ip_packet.py
@@ -1,5 +1,6 @@
 """Reading and building IP packets, with the formats left to dpkt."""
 
+import ipaddress
 import struct
 from typing import NamedTuple
 
@@ -8,6 +9,10 @@
 from citronwinch.coordination import Flow, FlowKey, pack_flow_key, pack_ip
 from citronwinch.coordination.steering import Packet
 
+UDP_PAYLOAD_LIMIT = 65_507
+"""The longest payload of a UDP packet over IPv4, in bytes."""
+
+_BROADCAST = b"\xff" * 4
 _TCP_END_FLAGS = dpkt.tcp.TH_FIN | dpkt.tcp.TH_RST
 _HOP_LIMIT = 64
 _PLAIN_IPV4 = b"\x45"
@@ -88,10 +93,15 @@
 
 
 def build_udp(flow: Flow, payload: bytes, *, to_caller: bool) -> bytes:
-    """Return a UDP packet of the flow, towards the caller or the service."""
+    """Return a UDP packet of the flow, towards the caller or the service.
+
+    Raise MalformedPacketError when the payload does not fit.
+    """
     source, destination = (
         (flow.service, flow.caller) if to_caller else (flow.caller, flow.service)
     )
+    if len(payload) > UDP_PAYLOAD_LIMIT:
+        raise MalformedPacketError(f"payload of {len(payload)} bytes is too long")
     segment = dpkt.udp.UDP(
         sport=source.port, dport=destination.port, data=payload, ulen=8 + len(payload)
     )
@@ -99,10 +109,19 @@
 
 
 def build_refusal(data: bytes) -> bytes:
-    """Return the packet that refuses `data`: a TCP RST or an ICMP port unreachable."""
+    """Return the packet that refuses `data`: a TCP RST or an ICMP port unreachable.
+
+    Raise MalformedPacketError for a packet that must not be answered: a RST, or one
+    whose sender is no single instance.
+    """
     packet = _unpack(data)
     segment = packet.data
+    sender = ipaddress.ip_address(packet.src)
+    if sender.is_multicast or sender.is_unspecified or packet.src == _BROADCAST:
+        raise MalformedPacketError(f"expected one instance as sender, found {sender}")
     if isinstance(segment, dpkt.tcp.TCP):
+        if segment.flags & dpkt.tcp.TH_RST:
+            raise MalformedPacketError("a RST is not refused")
         return _build_reset(packet, segment)
     if isinstance(packet, dpkt.ip6.IP6):
         body = dpkt.icmp6.ICMP6.Unreach(data=data[:1232])
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -43,6 +43,7 @@
         self.socket.bind((endpoint.ip, endpoint.port))
         self.endpoint = Endpoint(*self.socket.getsockname()[:2])
         self.dropped_sends = 0
+        self.receive_errors = 0
 
     async def receive(self) -> list[Datagram]:
         """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
@@ -60,8 +61,10 @@
                 data, sender = receive(DATAGRAM_LIMIT)
             except BlockingIOError:
                 break
-            except ConnectionError:
-                continue
+            except OSError:
+                # An earlier datagram was refused; the socket itself is sound.
+                self.receive_errors += 1
+                break
             batch.append(Datagram(data, sender))
         return batch
 
--- a/citronwinch/network/_http.py
+++ b/citronwinch/network/_http.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
+import structlog
 import trio
 
 from citronwinch.coordination import Endpoint
@@ -55,30 +56,93 @@
         self.reason = reason
 
 
+CONNECTION_LIMIT = 4_096
+"""The most connections that a server has open at once."""
+
+log = structlog.get_logger()
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 """Answers one request."""
 
 
-async def serve(endpoint: Endpoint, handler: Handler) -> None:
-    """Serve HTTP on an endpoint until cancelled."""
+def ignore_error(reason: str) -> None:
+    """Do nothing about a request that could not be answered."""
+
+
+async def serve(
+    endpoint: Endpoint,
+    handler: Handler,
+    on_error: Callable[[str], None] = ignore_error,
+) -> None:
+    """Serve HTTP on an endpoint until cancelled.
+
+    Whatever a client sends, and whatever goes wrong in the handler, ends that one
+    connection only. `on_error` is told the reason: `malformed`, `connection`,
+    `handler`, `timeout` or `limit`.
+    """
+    open_connections = 0
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
-            await _serve_one(stream, handler)
+        nonlocal open_connections
+        if open_connections >= CONNECTION_LIMIT:
+            on_error("limit")
+            await trio.aclose_forcefully(stream)
+            return
+        open_connections += 1
+        with trio.move_on_after(REQUEST_TIMEOUT_SECONDS) as scope:
+            await _serve_one(stream, handler, on_error)
+        open_connections -= 1
+        if scope.cancelled_caught:
+            on_error("timeout")
 
     await trio.serve_tcp(serve_connection, endpoint.port, host=endpoint.ip)
 
 
-async def _serve_one(stream: trio.SocketStream, handler: Handler) -> None:
+async def _serve_one(
+    stream: trio.SocketStream, handler: Handler, on_error: Callable[[str], None]
+) -> None:
     connection = h11.Connection(h11.SERVER)
     try:
         async with stream:
-            event = await _next_event(connection, stream)
-            if isinstance(event, h11.Request):
-                response = await handler(_parse_request(event))
-                await stream.send_all(_encode_response(connection, response))
-    except (h11.RemoteProtocolError, trio.BrokenResourceError, ValueError):
-        return
+            request = await _read_request(connection, stream)
+            if request is not None:
+                response = await _call_handler(handler, request, on_error)
+                is_head = request.method == "HEAD"
+                data = _encode_response(connection, response, with_body=not is_head)
+                await stream.send_all(data)
+    except (h11.ProtocolError, ValueError):
+        on_error("malformed")
+    except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        on_error("connection")
+
+
+async def _read_request(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> HttpRequest | None:
+    """Return the next request, None when the client closes or sends none.
+
+    A malformed request is answered before the error is raised.
+    """
+    try:
+        event = await _next_event(connection, stream)
+        return _parse_request(event) if isinstance(event, h11.Request) else None
+    except (h11.RemoteProtocolError, ValueError):
+        if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = HttpResponse(400, b'{"error":"malformed request"}')
+            data = _encode_response(connection, response, with_body=True)
+            await stream.send_all(data)
+        raise
+
+
+async def _call_handler(
+    handler: Handler, request: HttpRequest, on_error: Callable[[str], None]
+) -> HttpResponse:
+    try:
+        return await handler(request)
+    except Exception:
+        on_error("handler")
+        log.exception("http_handler_failed", path=request.path)
+        return HttpResponse(500, b'{"error":"internal error"}')
 
 
 def _parse_request(event: h11.Request) -> HttpRequest:
@@ -87,18 +151,19 @@
     return HttpRequest(event.method.decode("ascii"), parts.path, query)
 
 
-def _encode_response(connection: h11.Connection, response: HttpResponse) -> bytes:
+def _encode_response(
+    connection: h11.Connection, response: HttpResponse, *, with_body: bool
+) -> bytes:
     headers = [
         ("Content-Type", response.content_type),
         ("Content-Length", str(len(response.body))),
         ("Connection", "close"),
     ]
-    events = (
-        h11.Response(status_code=response.status, headers=headers),
-        h11.Data(data=response.body),
-        h11.EndOfMessage(),
-    )
-    return b"".join(connection.send(event) or b"" for event in events)
+    head = h11.Response(status_code=response.status, headers=headers)
+    data = connection.send(head) or b""
+    if with_body:
+        data += connection.send(h11.Data(data=response.body)) or b""
+    return data + (connection.send(h11.EndOfMessage()) or b"")
 
 
 async def fetch(endpoint: Endpoint, target: str, timeout_ms: int) -> HttpResponse:
@@ -110,7 +175,13 @@
                 return await _exchange(stream, endpoint, target)
     except trio.TooSlowError:
         raise HttpError("read", endpoint, f"no answer in {timeout_ms} ms") from None
-    except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+    except (
+        OSError,
+        ValueError,
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+        h11.ProtocolError,
+    ) as error:
         raise HttpError("read", endpoint, str(error) or "failed") from error
 
 
@@ -127,9 +198,14 @@
         event = await _next_event(connection, stream)
         if isinstance(event, h11.Response):
             status = event.status_code
-            content_type = dict(event.headers).get(b"content-type", b"").decode()
+            raw_type = dict(event.headers).get(b"content-type", b"")
+            content_type = raw_type.decode("latin-1")
         elif isinstance(event, h11.Data):
             body += event.data
+        elif isinstance(event, h11.InformationalResponse):
+            continue
+        elif not isinstance(event, h11.EndOfMessage):
+            raise HttpError("read", endpoint, "the connection ended early")
         else:
             return HttpResponse(status, bytes(body), content_type)
         if len(body) > BODY_LIMIT_BYTES:
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -7,7 +7,7 @@
 
 import capnp
 
-from citronwinch.coordination import FlowKey
+from citronwinch.coordination import FlowKey, TransportProtocol
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
 from citronwinch.peers._steering_codec import read_forward, read_hint
@@ -22,6 +22,7 @@
 FLOW_KEY_LENGTHS = (13, 37)
 """The lengths of flow keys of both IP versions, in bytes."""
 
+_PROTOCOLS = frozenset(TransportProtocol)
 _PREFIX = struct.Struct("!QQI")
 _FLOW_LENGTH = [bytes([length]) for length in range(256)]
 _READ_ERRORS = (
@@ -91,8 +92,9 @@
         raise MalformedMessageError("no packet is expected behind the message")
     start = end + 1 + data[end]
     flow, packet = FlowKey(data[end + 1 : start]), data[start:]
-    if len(flow) != data[end] or len(flow) not in FLOW_KEY_LENGTHS:
-        raise MalformedMessageError(f"flow key of {len(flow)} bytes")
+    is_known = len(flow) in FLOW_KEY_LENGTHS and flow[0] in _PROTOCOLS
+    if len(flow) != data[end] or not is_known:
+        raise MalformedMessageError(f"malformed flow key of {len(flow)} bytes")
     forward = Forward._make((flow, message[1], packet, *message[3:]))
     return Envelope(sender, incarnation, sequence, revision, forward)
 
--- a/citronwinch/platform/_client.py
+++ b/citronwinch/platform/_client.py
@@ -16,6 +16,16 @@
 """The key that names the table's revision and its services."""
 
 
+MALFORMED_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+"""What reading an answer of another shape raises."""
+
+
 class PlatformError(NamedTuple):
     """A read that failed; nothing is known to have changed."""
 
@@ -61,7 +71,7 @@
     try:
         body = answer.ok
         return Ok(KeyValue(int(body["index"]), str(body["value"]).encode()))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         return Error(PlatformError(step, service, f"malformed answer: {error!r}"))
 
 
@@ -78,7 +88,7 @@
         body = answer.ok
         members = tuple(parse_instance(item) for item in body["instances"])
         return Ok(InstanceList(int(body["index"]), members))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         return Error(PlatformError(step, service, f"malformed answer: {error!r}"))
 
 
