--- a/citronwinch/daemon/_agent_service_levels.py
+++ b/citronwinch/daemon/_agent_service_levels.py
@@ -26,21 +26,16 @@
                 self.clock.now_ms(),
             )
 
-    def packet_refused(self, request: RequestMetadata | None) -> None:
-        """Count a request that was refused."""
-        if request is not None and request.kind is RequestKind.REQUEST:
-            self.levels.request_failed(
-                self.service, request.request_id, self.clock.now_ms()
-            )
+    def request_failed(self, request_id: bytes) -> None:
+        """Count a request whose caller is told that it has no answer."""
+        self.levels.request_failed(self.service, request_id, self.clock.now_ms())
 
     def reply_sent(self, answer: RequestMetadata | None) -> None:
         """Count a request when the last part of its answer has left."""
         if answer is None or answer.request_id not in self.levels.pending:
             return
         if answer.kind in _FAILURE_KINDS:
-            self.levels.request_failed(
-                self.service, answer.request_id, self.clock.now_ms()
-            )
+            self.request_failed(answer.request_id)
         elif answer.kind is RequestKind.ANSWER:
             parts = self.parts_sent.pop(answer.request_id, 0) + 1
             if parts < answer.part_count:
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -3,8 +3,10 @@
 import trio
 
 from citronwinch.coordination import FlowKey, Table
-from citronwinch.coordination.steering import BalancerSteering, Hint
-from citronwinch.daemon._events import Event, FabricBatch, PeerBatch
+from citronwinch.coordination.requests import RequestKind
+from citronwinch.coordination.steering import BalancerSteering, Hint, Probe
+from citronwinch.daemon._arrivals import WAIT_LIMIT_MS, ArrivalWatch
+from citronwinch.daemon._events import Event, FabricBatch, PeerBatch, Tick
 from citronwinch.daemon._process import Process
 from citronwinch.daemon._refusals import send_refusal
 from citronwinch.fabric import (
@@ -24,7 +26,9 @@
         super().__init__(settings)
         assert settings.fabric_address is not None
         self.fabric = DatagramPort(settings.fabric_address)
-        self.steering = BalancerSteering(settings.name, settings.flow_cache_limit)
+        self.steering = BalancerSteering(
+            settings.name, settings.flow_cache_limit, self.clock
+        )
 
     @property
     def table(self) -> Table:
@@ -38,7 +42,8 @@
 
     def find_owner(self, flow: FlowKey) -> str:
         """Return the owner that an agent has told."""
-        return self.steering.owners.get(flow, "")
+        route = self.steering.owners.find(flow)
+        return route.agent if route is not None else ""
 
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
@@ -55,21 +60,43 @@
     def handle(self, event: Event) -> None:
         """React to packets and hints."""
         if isinstance(event, FabricBatch):
+            is_late = self.clock.now_ms() - event.arrived_ms > WAIT_LIMIT_MS
             for datagram in event.frames:
-                self.handle_frame(datagram)
+                self.handle_frame(datagram, is_late)
         elif isinstance(event, PeerBatch):
             for envelope in event.envelopes:
+                self.steering.reachability.note_heard(envelope.sender)
                 if isinstance(envelope.message, Hint):
                     self.steering.accept_hint(envelope.message)
+        elif isinstance(event, Tick):
+            self.probe_agents()
 
-    def handle_frame(self, datagram: Datagram) -> None:
-        """Send one packet to its agent; count and drop what cannot be read."""
+    def probe_agents(self) -> None:
+        """Ask quiet agents for a sign of life, and show how many do not answer."""
+        for agent in self.steering.tick():
+            instance = self.instances.get(agent)
+            if instance is not None:
+                self.metrics.count("probes_total")
+                self.peers.send(Probe(is_answer=False), instance.address)
+        unreachable = len(self.steering.reachability.unreachable)
+        self.metrics.set_gauge("agents_unreachable", unreachable)
+        self.metrics.set_gauge("owners_cached", len(self.steering.owners))
+
+    def handle_frame(self, datagram: Datagram, is_late: bool = False) -> None:
+        """Send one packet to its agent; count and drop what cannot be read.
+
+        A request that may have waited here for long is dropped, because agents
+        count on a longest lifetime of its copies.
+        """
         try:
             frame = decode_frame(datagram.data)
             packet = parse_packet(frame.packet)
         except (MalformedFrameError, MalformedPacketError):
             self.metrics.count("packets_dropped_total", "malformed")
             return
+        if is_late and frame.request is not None:
+            self.metrics.count("packets_dropped_total", "late_request")
+            return
         service = self.table.service_of(packet.flow)
         routed = self.steering.forward(packet, service) if service else None
         if routed is None:
@@ -85,10 +112,23 @@
         self.peers.send(message._replace(request=frame.request), instance.address)
 
     def refuse(self, packet: bytes, datagram: Datagram) -> None:
-        """Tell the caller that nothing was delivered."""
-        frame = decode_frame(datagram.data)
-        send_refusal(self.fabric, self.settings.fabric_return, packet, frame.request)
+        """Tell the caller that nothing was delivered.
+
+        Another balancer with a newer table may have delivered another copy of a
+        request, so that its caller hears "unknown".
+        """
+        request = decode_frame(datagram.data).request
+        send_refusal(
+            self.fabric,
+            self.settings.fabric_return,
+            packet,
+            request,
+            RequestKind.UNKNOWN,
+        )
 
     async def _receive_fabric(self) -> None:
+        watch = ArrivalWatch(self.fabric, self.clock)
         while True:
-            await self.inbox_send.send(FabricBatch(await self.fabric.receive()))
+            frames, arrived_ms = await watch.receive(self.fabric.receive)
+            if frames:
+                await self.inbox_send.send(FabricBatch(frames, arrived_ms))
--- a/citronwinch/daemon/tests/_whole_path.py
+++ b/citronwinch/daemon/tests/_whole_path.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
+from unittest import mock
 
 import trio
 
@@ -15,8 +16,13 @@
     TableRow,
     TransportProtocol,
 )
-from citronwinch.coordination.requests import RequestKind, RequestMetadata
+from citronwinch.coordination.requests import (
+    PACKET_LIFETIME_MS,
+    RequestKind,
+    RequestMetadata,
+)
 from citronwinch.daemon import create_process
+from citronwinch.daemon._status import find_unready_reason
 from citronwinch.network import serve
 from citronwinch.operators import format_table, parse_settings
 from citronwinch.standins import (
@@ -28,6 +34,7 @@
 
 KEY_HEX = "5a" * 32
 READY_TIMEOUT_SECONDS = 10
+SETTLING_MS = PACKET_LIFETIME_MS + 1_000
 ANSWER_TIMEOUT_SECONDS = 2
 SERVICES = {"gauging": ("gauging-1", "gauging-2"), "reporting": ("reporting-1",)}
 BALANCERS = ("balancer-1", "balancer-2")
@@ -139,7 +146,7 @@
 
     def is_ready(self) -> bool:
         return bool(self.fabric.balancers) and all(
-            process.state == "ready" and process.instances
+            not find_unready_reason(process.read_status())
             for process in self.processes.values()
         )
 
@@ -178,10 +185,17 @@
 async def run_whole_path(host: str = "127.0.0.1") -> AsyncIterator[WholePath]:
     """Run a deployment until the block ends."""
     path = WholePath(host)
-    async with trio.open_nursery() as nursery:
-        await path.start(nursery)
-        yield path
-        nursery.cancel_scope.cancel()
+    read_time = MonotonicClock.now_ms
+
+    def read_later_time(clock: MonotonicClock) -> int:
+        return read_time(clock) + SETTLING_MS
+
+    # The time in which a process may have had a predecessor lies behind these.
+    with mock.patch.object(MonotonicClock, "now_ms", read_later_time):
+        async with trio.open_nursery() as nursery:
+            await path.start(nursery)
+            yield path
+            nursery.cancel_scope.cancel()
 
 
 def find_free_endpoints(host: str, count: int) -> list[Endpoint]:
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -44,6 +44,7 @@
         self.endpoint = Endpoint(*self.socket.getsockname()[:2])
         self.dropped_sends = 0
         self.receive_errors = 0
+        self.was_emptied = False
 
     async def receive(self) -> list[Datagram]:
         """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
@@ -66,6 +67,7 @@
                 self.receive_errors += 1
                 break
             batch.append(Datagram(data, sender))
+        self.was_emptied = len(batch) < BATCH_LIMIT
         return batch
 
     def send(self, data: bytes, receiver: tuple[str, int]) -> bool:
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -8,11 +8,17 @@
 import capnp
 
 from citronwinch.coordination import FlowKey, TransportProtocol
+from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
-from citronwinch.peers._steering_codec import read_forward, read_hint
+from citronwinch.peers._requests_codec import read_requests
+from citronwinch.peers._steering_codec import (
+    read_forward,
+    read_hint,
+    read_steering,
+)
 
-PeerMessage = SteeringMessage
+PeerMessage = SteeringMessage | RequestsMessage
 """Everything that the system's processes say to each other."""
 
 
@@ -130,4 +136,6 @@
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
+    "steering": read_steering,
+    "requests": read_requests,
 }
