--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -56,18 +56,19 @@
     def receive_nowait(self) -> list[Datagram]:
         """Return the datagrams that are there, possibly none."""
         batch: list[Datagram] = []
+        self.was_emptied = False
         receive = self.socket.recvfrom
         while len(batch) < BATCH_LIMIT:
             try:
                 data, sender = receive(DATAGRAM_LIMIT)
             except BlockingIOError:
+                self.was_emptied = True
                 break
             except OSError:
                 # An earlier datagram was refused; the socket itself is sound.
                 self.receive_errors += 1
                 break
             batch.append(Datagram(data, sender))
-        self.was_emptied = len(batch) < BATCH_LIMIT
         return batch
 
     def send(self, data: bytes, receiver: tuple[str, int]) -> bool:
