--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -7,6 +7,7 @@
 
 from citronwinch.backend_servers import Reply, UdpDelivery
 from citronwinch.coordination import FlowKey, Table, unpack_flow_key
+from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestRecords, RetryRequest
 from citronwinch.coordination.steering import (
     AgentAction,
@@ -20,6 +21,7 @@
     SteeringMessage,
     TellBalancer,
 )
+from citronwinch.daemon._agent_load import LoadExchange
 from citronwinch.daemon._agent_requests import RequestHandler
 from citronwinch.daemon._agent_service_levels import AgentServiceLevels
 from citronwinch.daemon._events import (
@@ -47,7 +49,10 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
-        self.steering = AgentSteering(settings.name, self.clock, self.peers.incarnation)
+        self.load = LoadExchange(settings, self.clock, self.peers, self.metrics)
+        self.steering = AgentSteering(
+            settings.name, self.clock, self.peers.incarnation, self.load.load
+        )
         self.delivery: UdpDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.requests = RequestHandler(self, random.Random(settings.name))
@@ -72,6 +77,7 @@
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         actions = self.steering.accept_table(table)
+        self.load.load.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
@@ -111,6 +117,8 @@
                     )
                 elif isinstance(envelope.message, RetryRequest | RequestRecords):
                     self.requests.accept(envelope.message)
+                elif isinstance(envelope.message, LoadReport):
+                    self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
             self.answer(event.reply)
         elif isinstance(event, InstancesChanged):
@@ -122,6 +130,7 @@
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
             self.levels.tick(self.flow_count)
+            self.load.tick(self.flow_count, self.instances)
             self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
@@ -159,6 +168,7 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
+            self.load.note_delivered(payload)
         else:
             self.metrics.count("packets_dropped_total", "not_delivered")
 
@@ -208,6 +218,7 @@
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        self.load.note_reply(reply.payload)
         if self.requests.answer(reply):
             return
         flow = unpack_flow_key(reply.flow)
@@ -224,6 +235,7 @@
         """End a flow whose backend server is not there, and let its caller know."""
         self.metrics.count("flows_unreachable_total")
         self.levels.flow_broken()
+        self.load.note_unreachable()
         self.requests.lose_flow(flow)
         self.steering.note_backend_failure()
         self.end_flow(flow)
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -160,6 +160,7 @@
         if delivery is None or not delivery.send(action.key.flow, action.payload):
             self.act_all(self.requests.fail_delivery(action.key))
             return
+        self.process.load.note_delivered(action.payload)
         self.process.metrics.count("packets_delivered_total")
         self.process.metrics.count("requests_started_total")
 
@@ -223,7 +224,7 @@
             "request_window_bytes": requests.window.used_bytes,
             "request_window_limit_bytes": requests.window.limit_bytes,
             "request_kept_answer_bytes": requests.keeper.kept_bytes,
-            "request_retry_payload_bytes": requests.payload_bytes,
+            "request_retry_payload_bytes": requests.open.payload_bytes,
             "request_retry_tokens": requests.budget.tokens,
         }
         for name, value in gauges.items():
