--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CASE ?= path
 SEED ?= 1
 
-.PHONY: help install demo test bench format lint types check clean
+.PHONY: help install demo test bench golden format lint types check clean
 
 help:  ## List the commands.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -26,6 +26,9 @@
 bench: install  ## Print one benchmark as JSON: make -s bench CASE=path SEED=1
 	@$(BIN)/python -m citronwinch.benches --case $(CASE) --seed $(SEED)
 
+golden: install  ## Write the golden session files anew, after a change of behaviour.
+	@$(BIN)/python -m citronwinch.coordination.tests._session_script
+
 format: install  ## Format the code.
 	@$(BIN)/ruff format citronwinch
 	@$(BIN)/ruff check --fix citronwinch
