Deliver TCP segments through a layer-3 device

One interface, two ways: a connected UDP socket per flow, and a TUN device for TCP where the settings name one. A segment keeps its caller's address; the service address is replaced and put back with fresh checksums.

--- a/citronwinch/backend_servers/__init__.py
+++ b/citronwinch/backend_servers/__init__.py
@@ -1,15 +1,22 @@
 """Backend servers as a peer: delivery and the request header."""
 
+from citronwinch.backend_servers._delivery import Delivery, Reply
 from citronwinch.backend_servers._request_header import (
     HEADER_BYTES,
     add_request_header,
     read_request_header,
 )
-from citronwinch.backend_servers._udp_delivery import Reply, UdpDelivery
+from citronwinch.backend_servers._tun_delivery import TunDelivery
+from citronwinch.backend_servers._tun_device import PacketDevice, TunDevice
+from citronwinch.backend_servers._udp_delivery import UdpDelivery
 
 __all__ = [
+    "Delivery",
     "HEADER_BYTES",
+    "PacketDevice",
     "Reply",
+    "TunDelivery",
+    "TunDevice",
     "UdpDelivery",
     "add_request_header",
     "read_request_header",
--- a/citronwinch/backend_servers/_udp_delivery.py
+++ b/citronwinch/backend_servers/_udp_delivery.py
@@ -2,26 +2,16 @@
 
 import socket
 from collections.abc import Callable
-from typing import NamedTuple
 
 import trio
 
+from citronwinch.backend_servers._delivery import Reply
 from citronwinch.coordination import Endpoint, FlowKey
 
 DATAGRAM_LIMIT = 65_535
 """The longest datagram that is read, in bytes."""
 
 
-class Reply(NamedTuple):
-    """A datagram from the backend server."""
-
-    flow: FlowKey
-    """The flow whose socket it came in on."""
-
-    payload: bytes
-    """The datagram."""
-
-
 class UdpDelivery:
     """Sends each flow's datagrams from a socket of its own.
 
@@ -57,12 +47,12 @@
         self.nursery.start_soon(self._receive, flow, link, scope)
         return int(link.getsockname()[1])
 
-    def send(self, flow: FlowKey, payload: bytes) -> bool:
+    def send(self, flow: FlowKey, data: bytes) -> bool:
         """Send a datagram of the flow; return False when it was not sent."""
         try:
             if flow not in self.sockets:
                 self.open(flow)
-            self.sockets[flow].send(payload)
+            self.sockets[flow].send(data)
         except OSError:
             return False
         return True
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -3,10 +3,23 @@
 import random
 from functools import singledispatchmethod
 
+import structlog
 import trio
 
-from citronwinch.backend_servers import Reply, UdpDelivery
-from citronwinch.coordination import FlowKey, Table, unpack_flow_key
+from citronwinch.backend_servers import (
+    Delivery,
+    Reply,
+    TunDelivery,
+    TunDevice,
+    UdpDelivery,
+)
+from citronwinch.coordination import (
+    Endpoint,
+    FlowKey,
+    Table,
+    TransportProtocol,
+    unpack_flow_key,
+)
 from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestRecords, RetryRequest
 from citronwinch.coordination.steering import (
@@ -43,6 +56,8 @@
 )
 from citronwinch.operators import Settings
 
+log = structlog.get_logger()
+
 
 class AgentProcess(Process):
     """The daemon in the role of an agent."""
@@ -54,6 +69,7 @@
             settings.name, self.clock, self.peers.incarnation, self.load.load
         )
         self.delivery: UdpDelivery | None = None
+        self.segments: TunDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.requests = RequestHandler(self, random.Random(settings.name))
         self.levels = AgentServiceLevels(self.metrics.service_levels, self.clock)
@@ -87,8 +103,22 @@
                 self.queue_reply,
                 self.end_unreachable,
             )
+            self.open_segment_delivery(row.backend_server_address, self.nursery)
         self.act_all(actions)
 
+    def open_segment_delivery(self, server: Endpoint, nursery: trio.Nursery) -> None:
+        """Open the layer-3 device for TCP services, where the settings name one."""
+        if not self.settings.tun_device:
+            return
+        try:
+            device = TunDevice(self.settings.tun_device)
+        except OSError as error:
+            self.metrics.count("tun_device_errors_total")
+            log.error("tun_device_not_opened", reason=str(error), step="open")
+            return
+        self.segments = TunDelivery(server, device, self.queue_reply)
+        nursery.start_soon(self.segments.run)
+
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
         """Keep the nursery for the tasks of the flows."""
         self.nursery = nursery
@@ -159,6 +189,9 @@
 
     @act.register
     def _(self, action: Deliver) -> None:
+        if action.flow[0] == TransportProtocol.TCP:
+            self.deliver_segment(action)
+            return
         if self.requests.deliver(action):
             return
         try:
@@ -172,6 +205,18 @@
         else:
             self.metrics.count("packets_dropped_total", "not_delivered")
 
+    def deliver_segment(self, action: Deliver) -> None:
+        """Hand a TCP segment over, or reset a flow that cannot be delivered at all."""
+        if self.segments is not None and self.segments.send(action.flow, action.packet):
+            self.metrics.count("packets_delivered_total")
+            return
+        self.metrics.count("packets_dropped_total", "not_delivered")
+        if self.segments is None or action.flow not in self.segments.service_of:
+            self.end_flow(action.flow)
+            send_refusal(
+                self.peers.port, self.settings.fabric_return, action.packet, None
+            )
+
     @act.register
     def _(self, action: PassOn) -> None:
         instance = self.instances.get(action.agent)
@@ -192,8 +237,7 @@
     @act.register
     def _(self, action: EndFlow) -> None:
         self.levels.flow_ended()
-        if self.delivery is not None:
-            self.delivery.close(action.flow)
+        self.close_delivery(action.flow)
 
     @act.register
     def _(self, action: TellBalancer) -> None:
@@ -218,6 +262,11 @@
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        if reply.flow[0] == TransportProtocol.TCP:
+            self.metrics.count("replies_total")
+            frame = GeneveFrame(reply.payload)
+            send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
+            return
         self.load.note_reply(reply.payload)
         if self.requests.answer(reply):
             return
@@ -259,5 +308,11 @@
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
-        if self.delivery is not None:
-            self.delivery.close(flow)
+        self.close_delivery(flow)
+
+    def close_delivery(self, flow: FlowKey) -> None:
+        """Close whatever delivers a flow."""
+        deliveries: tuple[Delivery | None, ...] = (self.delivery, self.segments)
+        for delivery in deliveries:
+            if delivery is not None:
+                delivery.close(flow)
--- /dev/null
+++ b/citronwinch/demo/_kernel_tcp.py
@@ -0,0 +1,230 @@
+"""Real kernel TCP through the whole path, in two network namespaces of its own.
+
+Run it by hand as root: `python -m citronwinch.demo._kernel_tcp`. The caller's kernel
+is in one namespace and the backend server's in another; packets of the connections
+cross from one to the other only through the daemons. Half-way the table is edited
+and the fabric stops using one balancer.
+"""
+
+import ctypes
+import hashlib
+import json
+import os
+import random
+import socket
+import subprocess
+import threading
+from typing import Any
+
+import trio
+
+from citronwinch.backend_servers import TunDevice
+from citronwinch.coordination import Endpoint, TableRow, TransportProtocol
+from citronwinch.daemon import create_process
+from citronwinch.fabric import GeneveFrame, decode_frame, encode_frame
+from citronwinch.network import DatagramPort, serve
+from citronwinch.operators import format_table, parse_settings
+from citronwinch.standins import PlatformStandin
+
+CALLER_IP = "203.0.113.5"
+SERVICE = Endpoint("192.0.2.10", 5_000)
+SERVER = Endpoint("10.20.1.10", 5_001)
+LOOPBACK = "127.0.0.1"
+PLATFORM = Endpoint(LOOPBACK, 8_080)
+FABRIC_RETURN = Endpoint(LOOPBACK, 8_081)
+CONNECTIONS = 4
+TRANSFER_BYTES = 1 << 20
+CHUNK_BYTES = 16_384
+TIMEOUT_SECONDS = 60
+NAMES = ("balancer-1", "balancer-2", "gauging-1")
+
+_CLONE_NEWNET = 0x40000000
+
+
+def enter_new_namespace() -> None:
+    """Move this thread into a network namespace that nothing else is in."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    if libc.unshare(_CLONE_NEWNET):
+        raise OSError(ctypes.get_errno(), "no network namespace (run it as root)")
+    run_ip("link set lo up")
+
+
+def run_ip(command: str) -> None:
+    """Run one command of the ip tool in the namespace of this thread."""
+    subprocess.run(["ip", *command.split()], check=True)
+
+
+def make_settings(name: str, number: int) -> str:
+    """Return the settings file of a daemon."""
+    is_agent = name.startswith("gauging")
+    port = 9_000 + 10 * number
+    return f"""
+[instance]
+name = {name}
+role = {"agent" if is_agent else "balancer"}
+availability_zone = tas-south-a
+[listen]
+peers = {LOOPBACK}:{port}
+http = {LOOPBACK}:{port + 1}
+{"" if is_agent else f"fabric = {LOOPBACK}:{port + 2}"}
+[platform]
+configuration = {PLATFORM}
+instances = {PLATFORM}
+[fabric]
+return = {FABRIC_RETURN}
+[keys]
+current = {"5a" * 32}
+[delivery]
+{"tun_device = tun0" if is_agent else ""}
+"""
+
+
+def echo(listener: socket.socket) -> None:
+    """Send back what each connection sends, until it ends."""
+
+    def serve_one(link: socket.socket) -> None:
+        with link:
+            while data := link.recv(CHUNK_BYTES):
+                link.sendall(data)
+
+    while True:
+        link, _ = listener.accept()
+        threading.Thread(target=serve_one, args=(link,), daemon=True).start()
+
+
+def transfer(link: socket.socket, seed: int) -> bool:
+    """Send bytes through a connection and say whether the same came back."""
+    data = random.Random(seed).randbytes(TRANSFER_BYTES)
+    link.settimeout(TIMEOUT_SECONDS)
+    link.connect((SERVICE.ip, SERVICE.port))
+    sender = threading.Thread(target=lambda: link.sendall(data), daemon=True)
+    sender.start()
+    received = bytearray()
+    while len(received) < TRANSFER_BYTES:
+        chunk = link.recv(CHUNK_BYTES)
+        if not chunk:
+            return False
+        received += chunk
+    link.close()
+    return hashlib.sha256(received).digest() == hashlib.sha256(data).digest()
+
+
+class KernelTcp:
+    """The daemons, the platform and a fabric between two kernels."""
+
+    def __init__(self, device: TunDevice, links: list[socket.socket]) -> None:
+        self.device = device
+        self.links = links
+        self.source = random.Random(1)
+        self.return_port = DatagramPort(FABRIC_RETURN)
+        self.platform = PlatformStandin()
+        self.processes: dict[str, Any] = {
+            name: create_process(parse_settings(make_settings(name, i), name).ok)
+            for i, name in enumerate(NAMES)
+        }
+        self.balancers = ["balancer-1", "balancer-2"]
+        self.results: list[bool] = []
+
+    async def spray(self) -> None:
+        """Give each packet of the caller's kernel to any balancer."""
+        while True:
+            for packet in await self.device.receive():
+                balancer = self.processes[self.source.choice(self.balancers)]
+                frame = encode_frame(GeneveFrame(packet))
+                self.return_port.send(frame, balancer.fabric.endpoint)
+
+    async def give_back(self) -> None:
+        """Give the daemons' packets to the caller's kernel."""
+        while True:
+            for datagram in await self.return_port.receive():
+                self.device.send(decode_frame(datagram.data).packet)
+
+    def publish(self, connection_limit: int) -> None:
+        """Publish the table."""
+        tcp = TransportProtocol.TCP
+        row = TableRow(
+            "gauging", tcp, SERVICE, "gauging-1", SERVER, "a", 100, connection_limit
+        )
+        problems = self.platform.publish_table(format_table([row]))
+        assert not problems, problems
+
+    async def run(self) -> dict[str, Any]:
+        """Run all transfers and return what came of them."""
+        instances = [
+            {
+                "name": name,
+                "role": "agent" if name.startswith("gauging") else "balancer",
+                "availability_zone": "a",
+                "address": str(process.peers.port.endpoint),
+                "state": "live",
+            }
+            for name, process in self.processes.items()
+        ]
+        self.platform.publish_instances(instances)
+        self.publish(2_000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, PLATFORM, self.platform.handle)
+            for process in self.processes.values():
+                nursery.start_soon(process.run)
+            nursery.start_soon(self.spray)
+            nursery.start_soon(self.give_back)
+            await self.wait_ready()
+            async with trio.open_nursery() as transfers:
+                for i, link in enumerate(self.links):
+                    transfers.start_soon(self.transfer, link, i)
+                await trio.sleep(0.2)
+                self.publish(1_000)
+                self.balancers.remove("balancer-1")
+            counters = self.processes["gauging-1"].metrics.counters
+            segments = counters[("packets_delivered_total", "")]
+            nursery.cancel_scope.cancel()
+        return {
+            "connections": len(self.links),
+            "whole": sum(self.results),
+            "bytes_each_way": TRANSFER_BYTES,
+            "segments_to_backend_server": segments,
+            "table_revision": self.platform.revision,
+        }
+
+    async def wait_ready(self) -> None:
+        """Wait until every daemon serves."""
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while any(
+                process.read_status().state != "ready" or not process.instances
+                for process in self.processes.values()
+            ):
+                await trio.sleep(0.05)
+
+    async def transfer(self, link: socket.socket, seed: int) -> None:
+        """Run one transfer in a thread."""
+        self.results.append(await trio.to_thread.run_sync(transfer, link, seed))
+
+
+def main() -> int:
+    """Run the proof; print what came of it as JSON."""
+    enter_new_namespace()
+    device = TunDevice("fab0")
+    for command in (
+        f"addr add {CALLER_IP}/32 dev fab0",
+        "link set fab0 up mtu 1400",
+        "route add default dev fab0",
+    ):
+        run_ip(command)
+    links = [socket.socket(socket.AF_INET) for _ in range(CONNECTIONS)]
+    enter_new_namespace()
+    for command in (
+        f"addr add {SERVER.ip}/32 dev lo",
+        "tuntap add dev tun0 mode tun",
+        "link set tun0 up mtu 1400",
+        "route add default dev tun0",
+    ):
+        run_ip(command)
+    listener = socket.create_server((SERVER.ip, SERVER.port))
+    threading.Thread(target=echo, args=(listener,), daemon=True).start()
+    result = trio.run(KernelTcp(device, links).run)
+    print(json.dumps(result, indent=2))
+    return os.EX_OK if result["whole"] == result["connections"] else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/citronwinch/fabric/__init__.py
+++ b/citronwinch/fabric/__init__.py
@@ -16,6 +16,8 @@
     build_udp,
     parse_packet,
     parse_udp,
+    replace_destination,
+    replace_source,
 )
 
 __all__ = [
@@ -32,4 +34,6 @@
     "encode_request",
     "parse_packet",
     "parse_udp",
+    "replace_destination",
+    "replace_source",
 ]
--- a/citronwinch/fabric/_ip_packet.py
+++ b/citronwinch/fabric/_ip_packet.py
@@ -2,11 +2,11 @@
 
 import ipaddress
 import struct
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import dpkt
 
-from citronwinch.coordination import Flow, FlowKey, pack_flow_key, pack_ip
+from citronwinch.coordination import Endpoint, Flow, FlowKey, pack_flow_key, pack_ip
 from citronwinch.coordination.steering import Packet
 
 UDP_PAYLOAD_LIMIT = 65_507
@@ -108,6 +108,36 @@
     return _build(pack_ip(source.ip), pack_ip(destination.ip), segment, 17)
 
 
+def replace_destination(data: bytes, endpoint: Endpoint) -> bytes:
+    """Return a TCP packet with another destination and fresh checksums."""
+    packet = _unpack_tcp(data, endpoint)
+    packet.dst, packet.data.dport = pack_ip(endpoint.ip), endpoint.port
+    return _pack_again(packet)
+
+
+def replace_source(data: bytes, endpoint: Endpoint) -> bytes:
+    """Return a TCP packet with another source and fresh checksums."""
+    packet = _unpack_tcp(data, endpoint)
+    packet.src, packet.data.sport = pack_ip(endpoint.ip), endpoint.port
+    return _pack_again(packet)
+
+
+def _unpack_tcp(data: bytes, endpoint: Endpoint) -> Any:
+    packet = _unpack(data)
+    if not isinstance(packet.data, dpkt.tcp.TCP):
+        raise MalformedPacketError("expected a TCP segment")
+    if len(packet.dst) != len(pack_ip(endpoint.ip)):
+        raise MalformedPacketError("expected addresses of one IP version")
+    return packet
+
+
+def _pack_again(packet: Any) -> bytes:
+    packet.data.sum = 0
+    if isinstance(packet, dpkt.ip.IP):
+        packet.sum = 0
+    return bytes(packet)
+
+
 def build_refusal(data: bytes) -> bytes:
     """Return the packet that refuses `data`: a TCP RST or an ICMP port unreachable.
 
