--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/platform/_table_keys.py
@@ -12,7 +12,10 @@
 
 from citronwinch.coordination import Table, digest_rows
 from citronwinch.operators import TableProblem, format_table, parse_table
-from citronwinch.platform._client import MANIFEST_KEY
+from citronwinch.platform._client import MALFORMED_ERRORS, MANIFEST_KEY
+
+REVISION_LIMIT = (1 << 63) - 1
+"""The highest revision, so that it fits every message."""
 
 SERVICE_KEY_PREFIX = "table/services/"
 """Prefix of the keys that hold the rows of one service each."""
@@ -48,8 +51,11 @@
     try:
         body = orjson.loads(value)
         digests = {str(name): str(text) for name, text in body["services"].items()}
-        return Ok(Manifest(int(body["revision"]), digests))
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
+        revision = int(body["revision"])
+        if not 0 < revision <= REVISION_LIMIT:
+            return Error(f"expected a revision from 1 to {REVISION_LIMIT}")
+        return Ok(Manifest(revision, digests))
+    except MALFORMED_ERRORS:
         return Error("expected JSON with revision and services")
 
 
