--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -56,6 +56,10 @@
         route = self.steering.owners.find(flow)
         return route.agent if route is not None else ""
 
+    def list_ports(self) -> list[DatagramPort]:
+        """Return the UDP sockets of this process."""
+        return [self.peers.port, self.fabric]
+
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
         self.steering.accept_table(table)
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -124,8 +124,22 @@
             ):
                 return
 
+    def list_ports(self) -> list[DatagramPort]:
+        """Return the UDP sockets of this process."""
+        return [self.peers.port]
+
+    def export_port_errors(self) -> None:
+        """Show what the sockets lost."""
+        ports = self.list_ports()
+        not_sent = sum(port.dropped_sends for port in ports)
+        self.metrics.set_gauge("datagrams_not_sent", not_sent)
+        errors = sum(port.receive_errors for port in ports)
+        self.metrics.set_gauge("receive_errors", errors)
+
     def _handle_common(self, event: Event) -> None:
-        if isinstance(event, InstancesChanged):
+        if isinstance(event, Tick):
+            self.export_port_errors()
+        elif isinstance(event, InstancesChanged):
             self.instances = {member.name: member for member in event.instances}
         elif isinstance(event, TableChanged):
             self.accept_table(event.table)
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -1,6 +1,7 @@
 """Operators as a peer: the table, settings, metrics and logs."""
 
 from citronwinch.operators._logging import configure_logging
+from citronwinch.operators._metric_help import METRIC_HELP
 from citronwinch.operators._metrics import MetricKey, Metrics
 from citronwinch.operators._objectives import Objective
 from citronwinch.operators._service_levels import (
@@ -24,6 +25,7 @@
 
 __all__ = [
     "COLUMNS",
+    "METRIC_HELP",
     "MetricKey",
     "Metrics",
     "Objective",
--- a/citronwinch/operators/_metrics.py
+++ b/citronwinch/operators/_metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus import Counter as ExportedCounter, Gauge as ExportedGauge, Registry
 from aioprometheus.formats import text
 
+from citronwinch.operators._metric_help import METRIC_HELP
 from citronwinch.operators._service_levels import ServiceLevels
 
 
@@ -60,7 +61,7 @@
                 key = MetricKey(*key)
                 if key.name not in exported:
                     name = f"citronwinch_{key.name}"
-                    doc = key.name.replace("_", " ")
+                    doc = METRIC_HELP.get(key.name, key.name.replace("_", " "))
                     exported[key.name] = kind(name, doc, registry=registry)
                 labels = {"reason": key.reason} if key.reason else {}
                 exported[key.name].set(labels, value)
--- a/citronwinch/operators/_table_conflicts.py
+++ b/citronwinch/operators/_table_conflicts.py
@@ -36,7 +36,10 @@
 
 
 def find_conflicts(rows: list[tuple[int, TableRow]]) -> list[TableProblem]:
-    """Return the conflicts between rows, each given with its line number."""
+    """Return the conflicts between rows, each given with its line number.
+
+    A cell that could not be read is None and conflicts with nothing.
+    """
     problems: list[TableProblem] = []
     seen = _Seen({}, {}, {}, {}, {})
     for number, row in rows:
@@ -56,13 +59,13 @@
 ) -> list[TableProblem]:
     problems: list[TableProblem] = []
     first = seen.names.setdefault(row.backend_server, number)
-    if first != number:
+    if first != number and row.backend_server is not None:
         expected = f"a name used once (also in row {first})"
         problems.append(
             TableProblem(number, "backend_server", row.backend_server, expected)
         )
     first = seen.addresses.setdefault(row.backend_server_address, number)
-    if first != number:
+    if first != number and row.backend_server_address is not None:
         found = str(row.backend_server_address)
         expected = f"an address used once (also in row {first})"
         problems.append(TableProblem(number, "backend_server_address", found, expected))
@@ -73,15 +76,19 @@
     number: int, row: TableRow, seen: _Seen
 ) -> list[TableProblem]:
     problems: list[TableProblem] = []
+    if row.service is None:
+        return problems
     first, sample = seen.services.setdefault(row.service, (number, row))
-    if row.protocol != sample.protocol:
+    if _differ(row.protocol, sample.protocol):
         expected = f"{sample.protocol.name.lower()} as in row {first}"
         found = row.protocol.name.lower()
         problems.append(TableProblem(number, "protocol", found, expected))
-    if row.service_address != sample.service_address:
+    if _differ(row.service_address, sample.service_address):
         expected = f"{sample.service_address} as in row {first}"
         found = str(row.service_address)
         problems.append(TableProblem(number, "service_address", found, expected))
+    if row.protocol is None or row.service_address is None:
+        return problems
     endpoint = (row.protocol, row.service_address)
     first, owner = seen.endpoints.setdefault(endpoint, (number, row.service))
     if owner != row.service:
@@ -91,12 +98,19 @@
     return problems
 
 
+def _differ(one: object, other: object) -> bool:
+    """Return whether two cells differ, as far as both could be read."""
+    return one is not None and other is not None and one != other
+
+
 def _find_family_conflicts(number: int, row: TableRow) -> list[TableProblem]:
     """Find a TCP row whose two addresses are of different IP versions.
 
     TCP segments reach the backend server as packets of the caller's IP version,
     while UDP payloads travel in datagrams of the agent's own.
     """
+    if None in (row.protocol, row.service_address, row.backend_server_address):
+        return []
     is_ipv6 = ":" in row.service_address.ip
     if row.protocol is TransportProtocol.UDP or is_ipv6 == (
         ":" in row.backend_server_address.ip
--- a/citronwinch/operators/_table_csv.py
+++ b/citronwinch/operators/_table_csv.py
@@ -82,8 +82,7 @@
     problems: list[TableProblem] = []
     rows: list[tuple[int, TableRow]] = []
     for number, cells in lines[1:]:
-        row = _parse_row(number, cells, problems)
-        if row is not None:
+        if (row := _parse_row(number, cells, problems)) is not None:
             rows.append((number, row))
     problems.extend(find_conflicts(rows))
     if problems:
@@ -132,21 +131,23 @@
 def _parse_row(
     number: int, cells: list[str], problems: list[TableProblem]
 ) -> TableRow | None:
+    """Return a row, with None in place of a cell that is a mistake.
+
+    A row with a mistake is still compared with the others.
+    """
     cells = _drop_empty_end(cells)
     if len(cells) != len(COLUMNS):
         expected = f"{len(COLUMNS)} cells"
         problems.append(TableProblem(number, "", f"{len(cells)} cells", expected))
         return None
     values = {}
-    before = len(problems)
     for column, cell in zip(COLUMNS, cells, strict=True):
         try:
             values[column] = parse_cell(column, cell)
         except CellError as error:
+            values[column] = None
             found = _shorten(cell)
             problems.append(TableProblem(number, column, found, error.expected))
-    if len(problems) > before:
-        return None
     return TableRow(**values)
 
 
--- a/citronwinch/operators/tests/test_table_csv.py
+++ b/citronwinch/operators/tests/test_table_csv.py
@@ -96,6 +96,17 @@
     assert [problem[:2] for problem in problems] == [(2, "protocol"), (3, "weight")]
 
 
+def test_row_with_a_mistake_is_still_compared_with_the_others():
+    spoilt = ROW.replace(",10,", ",x,").replace("udp", "x")
+    text = f"{HEADER}\n{spoilt}\n{SECOND.replace('g2', 'g1')}\n"
+    problems = parse_table(text, 1).error
+    assert [problem[:2] for problem in problems] == [
+        (2, "protocol"),
+        (2, "weight"),
+        (3, "backend_server"),
+    ]
+
+
 def test_row_number_counts_lines_within_quotes():
     text = f'{HEADER}\n"gau\nging",{ROW.partition(",")[2]}\n{SECOND},x\n'
     assert [problem.row for problem in parse_table(text, 1).error] == [2, 4]
