--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -220,7 +220,6 @@
     def _(self, action: PassCancel) -> None:
         delivery = self.process.delivery
         if delivery is not None and delivery.send(action.flow, action.payload):
-            self.process.load.note_delivered(action.payload)
             self.process.metrics.count("request_cancels_passed_total")
             self.process.load.note_cancelled(action.flow, action.payload)
 
