--- a/citronwinch/coordination/_instances.py
+++ b/citronwinch/coordination/_instances.py
@@ -19,6 +19,10 @@
     LIVE = "live"
     LEAVING = "leaving"
 
+    UNREACHABLE = "unreachable"
+    """Its peers get no answer: it takes no new work, but established flows are still
+    tried, since a wrong verdict must not break them."""
+
 
 class Instance(NamedTuple):
     """One process of the system, as the platform lists it."""
--- /dev/null
+++ b/citronwinch/coordination/spread/_delta.py
@@ -0,0 +1,107 @@
+"""Versions of the table and the changes between them."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from citronwinch.coordination._table import Table, TableRow, digest_rows
+
+SPREAD_DIGEST_BYTES = 8
+"""Length in bytes of the table digest that messages carry."""
+
+
+class TableVersion(NamedTuple):
+    """A revision with the digest of everything in it."""
+
+    revision: int
+    """The revision."""
+
+    digest: bytes
+    """The digest over the digests of all services."""
+
+
+class TableDelta(NamedTuple):
+    """The rows that differ between two revisions."""
+
+    since: TableVersion
+    """What it applies to."""
+
+    until: TableVersion
+    """What it leads to."""
+
+    rows: tuple[TableRow, ...]
+    """Rows that are new or changed, and all rows of services that gained a row."""
+
+    removed: tuple[str, ...]
+    """Backend servers that have no row any more."""
+
+    service_digests: dict[str, bytes]
+    """The digest of each service that changed; empty for one that is gone."""
+
+
+def digest_services(digests: Mapping[str, bytes]) -> bytes:
+    """Return the digest of a table from the digests of its services.
+
+    Example::
+
+        >>> one = digest_services({"dock": b"1", "gallery": b"2"})
+        >>> one == digest_services({"gallery": b"2", "dock": b"1"})
+        True
+    """
+    state = hashlib.blake2b(digest_size=SPREAD_DIGEST_BYTES)
+    for service in sorted(digests):
+        name = service.encode()
+        state.update(len(name).to_bytes(2, "big") + name + digests[service])
+    return state.digest()
+
+
+def digest_each_service(table: Table) -> dict[str, bytes]:
+    """Return the digest of the rows of each service."""
+    return {
+        service: digest_rows(rows) for service, rows in table.rows_by_service.items()
+    }
+
+
+def make_delta(
+    old: Table,
+    old_digests: Mapping[str, bytes],
+    new: Table,
+    new_digests: Mapping[str, bytes],
+) -> TableDelta:
+    """Return what leads from one whole table to another.
+
+    A service that gained a backend server is sent whole, so that the agent of that
+    backend server knows its new service without asking.
+    """
+    changed = {
+        service: new_digests.get(service, b"")
+        for service in {*old_digests, *new_digests}
+        if old_digests.get(service) != new_digests.get(service)
+    }
+    rows: list[TableRow] = []
+    for service in sorted(changed):
+        before = old.rows_by_service.get(service, ())
+        after = new.rows_by_service.get(service, ())
+        known = {row.backend_server for row in before}
+        gained = any(row.backend_server not in known for row in after)
+        unchanged = frozenset() if gained else frozenset(before)
+        rows.extend(row for row in after if row not in unchanged)
+    removed = old.row_by_backend_server.keys() - new.row_by_backend_server.keys()
+    return TableDelta(
+        TableVersion(old.revision, digest_services(old_digests)),
+        TableVersion(new.revision, digest_services(new_digests)),
+        tuple(rows),
+        tuple(sorted(removed)),
+        dict(sorted(changed.items())),
+    )
+
+
+def apply_delta_rows(
+    rows: Iterable[TableRow], delta: TableDelta
+) -> dict[str, TableRow]:
+    """Return the rows after a delta, by backend server."""
+    result = {row.backend_server: row for row in rows}
+    for name in delta.removed:
+        result.pop(name, None)
+    result.update((row.backend_server, row) for row in delta.rows)
+    return result
--- /dev/null
+++ b/citronwinch/coordination/spread/_failure_detector.py
@@ -0,0 +1,251 @@
+"""Finds members that do not answer, without acting on old verdicts after a pause."""
+
+import random
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.spread._budget import ControlPriority
+from citronwinch.coordination.spread._membership import Membership
+from citronwinch.coordination.spread._messages import (
+    MemberFact,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    SendMessage,
+)
+
+PROBE_INTERVAL_MS = 1_000
+"""How often a member probes another one, in milliseconds."""
+
+DIRECT_TIMEOUT_MS = 400
+"""How long a direct probe may take before others are asked, in milliseconds."""
+
+PROBE_TIMEOUT_MS = 1_000
+"""How long a probe may take in all before its target is suspected."""
+
+SUSPICION_MS = 4_000
+"""How long a suspected member may take to refute that, in milliseconds."""
+
+SILENCE_MS = 3_000
+"""After this long without any message the silence is taken as this process's own."""
+
+HELPERS = 3
+"""How many members are asked to probe one that did not answer."""
+
+RELAY_LIMIT = 128
+"""The most probes on behalf of others that are remembered."""
+
+UNREACHABLE_PROBE_SHARE = 8
+"""One in so many probes goes to a member that is held to be unreachable."""
+
+PAUSE_INTERVALS = 3
+"""A tick that comes later than this many probe intervals follows a pause."""
+
+FAR_SCHEDULE = (0, 0, 1, 0, 0, 2, 0, 1)
+"""Which part of the view is probed in turn: 0 own zone, 1 own region, 2 others."""
+
+
+class PendingProbe(NamedTuple):
+    """A probe without an answer so far."""
+
+    target: str
+    """The member."""
+
+    sent_ms: int
+    """When it was sent."""
+
+    is_relayed: bool
+    """Whether others were asked."""
+
+
+class Relay(NamedTuple):
+    """A probe on behalf of another member."""
+
+    origin: str
+    """Who asked."""
+
+    number: int
+    """The number that it used."""
+
+
+class TableState(NamedTuple):
+    """What each probe says of the sender's table."""
+
+    digest: bytes
+    """Its digest."""
+
+    age_ms: int
+    """How long ago it was compared with the service by anyone known."""
+
+
+class FailureDetector:
+    """Probes members in turn, suspects the silent ones and lets them refute it.
+
+    A member is unreachable when it answered neither a direct probe nor those of
+    helpers, and did not refute the suspicion. No verdict is passed by a process
+    that itself hears nobody, and a pause discards everything that was pending.
+    """
+
+    def __init__(
+        self, membership: Membership, clock: Clock, source: random.Random
+    ) -> None:
+        self.membership = membership
+        self.clock = clock
+        self.source = source
+        self.interval_ms = PROBE_INTERVAL_MS
+        self.number = 0
+        self.turn = 0
+        self.positions = [0, 0, 0]
+        self.pending: dict[int, PendingProbe] = {}
+        self.suspected_ms: dict[str, int] = {}
+        self.relays: dict[int, Relay] = {}
+        now_ms = clock.now_ms()
+        self.due_ms = now_ms + source.randrange(PROBE_INTERVAL_MS)
+        self.ticked_ms = now_ms
+        self.heard_ms = now_ms
+        self.pause_count = 0
+
+    def hear(self, sender: str) -> None:
+        """Note a sign of life, which settles what was pending about the sender."""
+        self.heard_ms = self.clock.now_ms()
+        if self.pending:
+            for number, probe in list(self.pending.items()):
+                if probe.target == sender:
+                    del self.pending[number]
+        self.suspected_ms.pop(sender, None)
+
+    def tick(self, state: TableState) -> list[SendMessage]:
+        """Return the probes that are due; pass the verdicts that are due."""
+        now_ms = self.clock.now_ms()
+        elapsed_ms, self.ticked_ms = now_ms - self.ticked_ms, now_ms
+        if elapsed_ms > PAUSE_INTERVALS * self.interval_ms:
+            self.wake()
+        sends: list[SendMessage] = []
+        if self.pending:
+            sends += self._follow_up(now_ms, state)
+        if self.suspected_ms:
+            self._pass_verdicts(now_ms)
+        if now_ms >= self.due_ms:
+            self.due_ms = now_ms + self.interval_ms
+            target = self._choose_target()
+            if target is not None:
+                sends.append(self.probe(target, state))
+        return sends
+
+    def wake(self) -> None:
+        """Discard what was pending before a pause of this process."""
+        self.pause_count += 1
+        self.pending.clear()
+        self.suspected_ms.clear()
+        self.relays.clear()
+        self.heard_ms = self.clock.now_ms()
+        self.due_ms = self.clock.now_ms()
+
+    def probe(self, target: str, state: TableState) -> SendMessage:
+        """Return a probe of a member and await its answer."""
+        self.number += 1
+        now_ms = self.clock.now_ms()
+        self.pending[self.number] = PendingProbe(target, now_ms, False)
+        return self._send_probe(target, self.number, state)
+
+    def handle_probe(
+        self, sender: str, probe: Probe, state: TableState
+    ) -> list[SendMessage]:
+        """Answer a probe, or pass it on to the member that it is for."""
+        own = self.membership.own.name
+        if not probe.target or probe.target == own:
+            return [self._answer(sender, probe.number, state)]
+        if probe.target not in self.membership.members:
+            return []
+        self.number += 1
+        if len(self.relays) >= RELAY_LIMIT:
+            self.relays.pop(next(iter(self.relays)))
+        self.relays[self.number] = Relay(sender, probe.number)
+        return [self._send_probe(probe.target, self.number, state)]
+
+    def handle_answer(
+        self, sender: str, answer: ProbeAnswer, state: TableState
+    ) -> list[SendMessage]:
+        """Settle a probe, or tell the member on whose behalf it was sent."""
+        pending = self.pending.pop(answer.number, None)
+        if pending is not None:
+            self.suspected_ms.pop(pending.target, None)
+        relay = self.relays.pop(answer.number, None)
+        if relay is None:
+            return []
+        return [self._answer(relay.origin, relay.number, state)]
+
+    def _send_probe(self, target: str, number: int, state: TableState) -> SendMessage:
+        facts = self.membership.take_facts(target)
+        message = Probe(number, state.digest, state.age_ms, "", facts)
+        return SendMessage(target, message, ControlPriority.MEMBERSHIP)
+
+    def _answer(self, receiver: str, number: int, state: TableState) -> SendMessage:
+        facts = self.membership.take_facts(receiver)
+        message = ProbeAnswer(number, state.digest, state.age_ms, facts)
+        return SendMessage(receiver, message, ControlPriority.MEMBERSHIP)
+
+    def _follow_up(self, now_ms: int, state: TableState) -> list[SendMessage]:
+        sends: list[SendMessage] = []
+        for number, probe in list(self.pending.items()):
+            waited_ms = now_ms - probe.sent_ms
+            if waited_ms >= PROBE_TIMEOUT_MS:
+                del self.pending[number]
+                self._suspect(probe.target)
+            elif waited_ms >= DIRECT_TIMEOUT_MS and not probe.is_relayed:
+                self.pending[number] = probe._replace(is_relayed=True)
+                sends += self._ask_helpers(number, probe.target, state)
+        return sends
+
+    def _ask_helpers(
+        self, number: int, target: str, state: TableState
+    ) -> list[SendMessage]:
+        view = self.membership.view
+        names = [n for n in (*view.own_zone, *view.own_region) if n != target]
+        helpers = self.source.sample(names, min(HELPERS, len(names)))
+        message = Probe(number, state.digest, state.age_ms, target)
+        return [
+            SendMessage(helper, message, ControlPriority.MEMBERSHIP)
+            for helper in helpers
+        ]
+
+    def _suspect(self, target: str) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self.heard_ms > SILENCE_MS:
+            return
+        member = self.membership.members.get(target)
+        if member is None or member.status is MemberStatus.UNREACHABLE:
+            return
+        self.suspected_ms.setdefault(target, now_ms)
+        if member.status is MemberStatus.LIVE:
+            self._state(member.instance.name, MemberStatus.SUSPECT)
+
+    def _pass_verdicts(self, now_ms: int) -> None:
+        if now_ms - self.heard_ms > SILENCE_MS:
+            return
+        for name, since_ms in list(self.suspected_ms.items()):
+            member = self.membership.members.get(name)
+            if member is None or member.status is MemberStatus.LIVE:
+                del self.suspected_ms[name]
+            elif now_ms - since_ms >= SUSPICION_MS:
+                del self.suspected_ms[name]
+                self._state(name, MemberStatus.UNREACHABLE)
+
+    def _state(self, name: str, status: MemberStatus) -> None:
+        member = self.membership.members[name]
+        fact = MemberFact(member.instance, member.incarnation, status)
+        self.membership.accept_fact(fact)
+
+    def _choose_target(self) -> str | None:
+        self.turn += 1
+        membership = self.membership
+        if membership.unreachable and self.turn % UNREACHABLE_PROBE_SHARE == 0:
+            return self.source.choice(sorted(membership.unreachable))
+        view = membership.view
+        wanted = FAR_SCHEDULE[self.turn % len(FAR_SCHEDULE)]
+        for part in (wanted, 0, 1, 2):
+            names = view[part]
+            if names:
+                self.positions[part] += 1
+                return names[self.positions[part] % len(names)]
+        return None
--- /dev/null
+++ b/citronwinch/coordination/spread/_history.py
@@ -0,0 +1,46 @@
+"""Recent changes of the table, kept to bring peers up to date."""
+
+from collections import OrderedDict
+
+from citronwinch.coordination.spread._delta import TableDelta
+
+HISTORY_DELTAS = 512
+"""The most deltas that are kept."""
+
+HISTORY_ROWS = 4_096
+"""The most rows in all deltas that are kept."""
+
+
+class DeltaHistory:
+    """The newest deltas, by the revision that they apply to."""
+
+    def __init__(
+        self, delta_limit: int = HISTORY_DELTAS, row_limit: int = HISTORY_ROWS
+    ) -> None:
+        self.delta_limit = delta_limit
+        self.row_limit = row_limit
+        self.deltas: OrderedDict[int, TableDelta] = OrderedDict()
+        self.row_count = 0
+
+    def add(self, delta: TableDelta) -> None:
+        """Keep a delta; drop the oldest ones beyond the limits."""
+        known = self.deltas.pop(delta.since.revision, None)
+        if known is not None:
+            self.row_count -= len(known.rows)
+        self.deltas[delta.since.revision] = delta
+        self.row_count += len(delta.rows)
+        while len(self.deltas) > self.delta_limit or self.row_count > self.row_limit:
+            _, oldest = self.deltas.popitem(last=False)
+            self.row_count -= len(oldest.rows)
+
+    def find_chain(self, since: int, until: int) -> tuple[TableDelta, ...]:
+        """Return the deltas from one revision to another, none when one is missing."""
+        chain: list[TableDelta] = []
+        revision = since
+        while revision < until:
+            delta = self.deltas.get(revision)
+            if delta is None or delta.until.revision > until:
+                return ()
+            chain.append(delta)
+            revision = delta.until.revision
+        return tuple(chain)
--- /dev/null
+++ b/citronwinch/coordination/spread/_node.py
@@ -0,0 +1,208 @@
+"""All decisions of one process about membership and the table, in one place."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from functools import singledispatchmethod
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination._instances import Instance, InstanceRole
+from citronwinch.coordination._table import EMPTY_TABLE, Table
+from citronwinch.coordination.spread._delta import TableVersion
+from citronwinch.coordination.spread._failure_detector import (
+    FailureDetector,
+    TableState,
+)
+from citronwinch.coordination.spread._join_gate import JoinGate
+from citronwinch.coordination.spread._membership import Membership, is_usable
+from citronwinch.coordination.spread._messages import (
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    SendMessage,
+    TableChunk,
+    TablePull,
+)
+from citronwinch.coordination.spread._read_schedule import ReadSchedule
+from citronwinch.coordination.spread._scope import TableScope
+from citronwinch.coordination.spread._table_spread import TableSpread
+
+JOIN_PROBE_INTERVAL_MS = 300
+"""How often a joining process asks its peers, in milliseconds."""
+
+JOIN_PEERS = 4
+"""How many peers a joining or waking process asks at once."""
+
+LEAVING_RECEIVERS = 6
+"""How many peers are told at once that this process is leaving."""
+
+
+class SpreadNode:
+    """One process's part in membership and in the spread of the table.
+
+    The caller hands over every authentic message, calls `tick` often, sends what is
+    returned as far as the control budget allows, and reads from the platform when
+    `schedule` says so.
+
+    Example::
+
+        >>> from citronwinch.coordination import Endpoint, ManualClock
+        >>> own = Instance("b-1", InstanceRole.BALANCER, "a", Endpoint("192.0.2.1", 1))
+        >>> node = SpreadNode(own, 1, ManualClock(), random.Random(1))
+        >>> node.is_ready, node.served_table.revision
+        (False, 0)
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        incarnation: int,
+        clock: Clock,
+        source: random.Random,
+        expected_instances: int = 1,
+    ) -> None:
+        self.own = own
+        self.clock = clock
+        self.membership = Membership(own, incarnation, clock, source)
+        self.detector = FailureDetector(self.membership, clock, source)
+        is_agent = own.role is InstanceRole.AGENT
+        scope = TableScope(own.name if is_agent else "")
+        self.spread = TableSpread(scope, self.membership, clock, source)
+        self.schedule = ReadSchedule(own, clock, source, expected_instances)
+        self.gate = JoinGate(clock)
+        self.join_probe_ms = clock.now_ms()
+        self.fleet_change_count = -1
+        self.pause_count = 0
+
+    @property
+    def counts(self) -> Counter[str]:
+        """What happened to the tables that were offered."""
+        return self.spread.counts
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process may serve."""
+        return self.gate.is_open
+
+    @property
+    def served_table(self) -> Table:
+        """The table to decide by; empty until the process may serve."""
+        return self.spread.table if self.gate.is_open else EMPTY_TABLE
+
+    @property
+    def state(self) -> TableState:
+        """What messages say of the own table."""
+        return TableState(self.spread.version.digest, self.schedule.stated_age_ms)
+
+    def hear(self, sender: str, revision: int) -> None:
+        """Note the envelope of any authentic message."""
+        self.detector.hear(sender)
+        self.spread.hear(sender, revision)
+
+    def accept_list(self, instances: Iterable[Instance]) -> None:
+        """Take the platform's newest list of instances."""
+        self.membership.accept_list(instances)
+
+    def accept_read(
+        self, table: Table, service_digests: Mapping[str, bytes], digest: bytes
+    ) -> bool:
+        """Take a table that was read from the service; return whether it is newer."""
+        return self.spread.accept_read(table, service_digests, digest)
+
+    def note_compared(self, version: TableVersion) -> None:
+        """Note that the service was asked and said which version it has."""
+        own = self.spread.version
+        if version.revision < own.revision:
+            self.counts["lower_revision"] += 1
+            return
+        if version.revision == own.revision and version.digest != own.digest:
+            self.counts["digest_conflict"] += 1
+        self.schedule.note_checked(0)
+
+    def tick(self) -> list[SendMessage]:
+        """Return the messages that are due."""
+        sends = self.detector.tick(self.state)
+        if self.detector.pause_count != self.pause_count:
+            self.pause_count = self.detector.pause_count
+            sends += self._ask_peers()
+        if not self.gate.is_open:
+            sends += self._join()
+        sends += self.spread.tick()
+        if self.fleet_change_count != self.membership.change_count:
+            self.fleet_change_count = self.membership.change_count
+            self.schedule.update_fleet(self.membership.list_instances().values())
+        if self.membership.unreachable:
+            self.membership.forget_gone()
+        return sends
+
+    def leave(self) -> list[SendMessage]:
+        """Say that this process is leaving."""
+        self.membership.state_change(MemberStatus.LEAVING)
+        return self._ask_peers(LEAVING_RECEIVERS)
+
+    @singledispatchmethod
+    def handle(
+        self, message: object, sender: str, version: TableVersion
+    ) -> list[SendMessage]:
+        """React to a message of a peer whose envelope was given to `hear`."""
+        raise TypeError(f"no such message: {type(message).__name__}")
+
+    @handle.register
+    def _(
+        self, message: Probe, sender: str, version: TableVersion
+    ) -> list[SendMessage]:
+        self._hear_state(message, sender, version)
+        return self.detector.handle_probe(sender, message, self.state)
+
+    @handle.register
+    def _(
+        self, message: ProbeAnswer, sender: str, version: TableVersion
+    ) -> list[SendMessage]:
+        self._hear_state(message, sender, version)
+        return self.detector.handle_answer(sender, message, self.state)
+
+    @handle.register
+    def _(
+        self, message: TablePull, sender: str, version: TableVersion
+    ) -> list[SendMessage]:
+        return self.spread.handle_pull(sender, message)
+
+    @handle.register
+    def _(
+        self, message: TableChunk, sender: str, version: TableVersion
+    ) -> list[SendMessage]:
+        return self.spread.handle_chunk(message)
+
+    def _hear_state(
+        self, message: Probe | ProbeAnswer, sender: str, version: TableVersion
+    ) -> None:
+        stated = TableVersion(version.revision, message.digest)
+        self.spread.hear(sender, stated.revision, stated.digest)
+        if stated.revision >= self.spread.version.revision:
+            self.schedule.note_checked(message.age_ms)
+        self.gate.hear(sender, self.membership.zone_of(sender), stated)
+        for fact in message.facts:
+            self.membership.accept_fact(fact)
+
+    def _join(self) -> list[SendMessage]:
+        members = [m for m in self.membership.members.values() if is_usable(m)]
+        zones = {member.instance.availability_zone for member in members}
+        self.gate.update(
+            self.spread.version,
+            self.spread.highest_heard,
+            len(members),
+            len(zones),
+        )
+        if self.gate.is_open:
+            return []
+        if self.gate.is_contradicted(self.spread.version):
+            self.spread.discard()
+        now_ms = self.clock.now_ms()
+        if now_ms < self.join_probe_ms:
+            return []
+        self.join_probe_ms = now_ms + JOIN_PROBE_INTERVAL_MS
+        return self._ask_peers()
+
+    def _ask_peers(self, count: int = JOIN_PEERS) -> list[SendMessage]:
+        names = self.membership.choose_join_peers(count)
+        return [self.detector.probe(name, self.state) for name in names]
--- /dev/null
+++ b/citronwinch/coordination/spread/_read_schedule.py
@@ -0,0 +1,160 @@
+"""When a process reads from the platform, so that the fleet keeps to its rate."""
+
+import random
+from collections.abc import Iterable
+
+import xxhash
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination._instances import (
+    Instance,
+    InstanceRole,
+    InstanceState,
+)
+from citronwinch.coordination._placement import hash_seed
+
+WATCHERS_PER_ZONE = 3
+"""How many balancers of an availability zone watch the service."""
+
+WATCHER_READS_PER_SECOND = 500
+"""The most reads a second by all watchers together."""
+
+FALLBACK_READS_PER_SECOND = 1_000
+"""The most reads a second by all other processes together."""
+
+UNCHECKED_LIMIT_MS = 60_000
+"""How old the last known comparison with the service may be, in milliseconds."""
+
+JOIN_READ_DELAY_MS = 2_000
+"""How long a joining process waits for its peers before it reads by itself."""
+
+AGE_UNKNOWN_MS = 0xFFFFFFFF
+"""The age that a process states when it knows of no comparison with the service."""
+
+FAILURE_LIMIT = 5
+"""How often the wait after a failed read doubles."""
+
+
+class ReadSchedule:
+    """Spaces the reads of one process by the size of the fleet.
+
+    A few balancers of each availability zone watch the service. All others read only
+    when nobody they know of has compared the table with the service for long, and
+    then no more often than their share of the rate allows. Until the list of
+    instances is known, the fleet is taken to be as large as the settings say.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        clock: Clock,
+        source: random.Random,
+        expected_instances: int,
+    ) -> None:
+        self.own = own
+        self.clock = clock
+        self.source = source
+        self.expected_instances = expected_instances
+        self.fleet_size = expected_instances
+        self.watcher_count = 0
+        self.is_watcher = False
+        self.failures = 0
+        now_ms = clock.now_ms()
+        self.started_ms = now_ms
+        self.checked_ms: int | None = None
+        self.next_read_ms = now_ms + round(source.random() * self.gap_ms)
+        patience = 0.5 + source.random()
+        self.patience_ms = round(UNCHECKED_LIMIT_MS * patience)
+
+    @property
+    def gap_ms(self) -> float:
+        """The shortest time between two reads of this process."""
+        if self.is_watcher:
+            return self.watcher_count * 1000 / WATCHER_READS_PER_SECOND
+        return self.fleet_size * 1000 / FALLBACK_READS_PER_SECOND
+
+    @property
+    def age_ms(self) -> int:
+        """How long ago anyone known compared the table with the service."""
+        checked_ms = self.started_ms if self.checked_ms is None else self.checked_ms
+        return self.clock.now_ms() - checked_ms
+
+    @property
+    def stated_age_ms(self) -> int:
+        """The age for messages to peers."""
+        if self.checked_ms is None:
+            return AGE_UNKNOWN_MS
+        return min(self.age_ms, AGE_UNKNOWN_MS - 1)
+
+    def update_fleet(self, instances: Iterable[Instance]) -> None:
+        """Take the members that are known now."""
+        names: dict[str, list[str]] = {}
+        count = 0
+        for instance in instances:
+            count += 1
+            if (
+                instance.role is InstanceRole.BALANCER
+                and instance.state is InstanceState.LIVE
+            ):
+                names.setdefault(instance.availability_zone, []).append(instance.name)
+        self.fleet_size = max(count, self.expected_instances)
+        self.watcher_count = sum(
+            min(WATCHERS_PER_ZONE, len(members)) for members in names.values()
+        )
+        zone = self.own.availability_zone
+        seed = hash_seed(zone)
+        ranked = sorted(
+            names.get(zone, ()),
+            key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed),
+        )
+        was_watcher = self.is_watcher
+        self.is_watcher = self.own.name in ranked[:WATCHERS_PER_ZONE]
+        if self.is_watcher and not was_watcher:
+            soon_ms = self.clock.now_ms() + round(self.source.random() * self.gap_ms)
+            self.next_read_ms = min(self.next_read_ms, soon_ms)
+
+    def note_checked(self, age_ms: int) -> None:
+        """Note that someone compared the table with the service."""
+        if age_ms >= AGE_UNKNOWN_MS:
+            return
+        checked_ms = self.clock.now_ms() - age_ms
+        if self.checked_ms is None or checked_ms > self.checked_ms:
+            self.checked_ms = checked_ms
+
+    def may_read(self) -> bool:
+        """Return whether the rate allows this process a read now."""
+        return self.clock.now_ms() >= self.next_read_ms
+
+    def wants_check(self, has_table: bool, is_behind: bool) -> bool:
+        """Return whether the table should be compared with the service now."""
+        if self.is_watcher:
+            return True
+        waited_ms = self.clock.now_ms() - self.started_ms
+        if not has_table:
+            return waited_ms >= JOIN_READ_DELAY_MS
+        return self.age_ms >= self.patience_ms
+
+    def note_read(self) -> None:
+        """Note that a read was sent; the next one has to wait its turn."""
+        jitter = 1 if self.is_watcher else 0.75 + self.source.random() / 2
+        self.next_read_ms = self.clock.now_ms() + round(self.gap_ms * jitter)
+
+    def note_success(self) -> None:
+        """Note that a read was answered."""
+        self.failures = 0
+
+    def note_failure(self) -> None:
+        """Wait longer after each failure, with jitter."""
+        factor = 2 ** min(self.failures, FAILURE_LIMIT) * (0.5 + self.source.random())
+        self.failures += 1
+        wait_ms = max(self.gap_ms, 200.0) * factor
+        self.next_read_ms = self.clock.now_ms() + round(wait_ms)
+
+    def note_finished_check(self) -> None:
+        """Note that a comparison is over; others start with fresh patience."""
+        self.patience_ms = round(UNCHECKED_LIMIT_MS * (0.5 + self.source.random()))
+        if not self.is_watcher:
+            pause_ms = max(UNCHECKED_LIMIT_MS / 4, self.gap_ms)
+            self.next_read_ms = self.clock.now_ms() + round(
+                pause_ms * (0.5 + self.source.random())
+            )
--- /dev/null
+++ b/citronwinch/coordination/spread/_scope.py
@@ -0,0 +1,106 @@
+"""Which rows a process keeps: a balancer all, an agent those of its services."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination._table import Table, TableRow, digest_rows
+from citronwinch.coordination.spread._delta import (
+    TableDelta,
+    apply_delta_rows,
+    digest_services,
+)
+from citronwinch.coordination.spread._transfer import (
+    MalformedTransferError,
+    TableImage,
+)
+
+FORMER_SERVICES = 2
+"""How many services an agent keeps after its backend server has left them."""
+
+
+class TableScope(NamedTuple):
+    """The rows that a process keeps.
+
+    An agent keeps the rows of its backend server's service and of the services that
+    it has lately left, since flows of those may still be open.
+    """
+
+    backend_server: str = ""
+    """The backend server of an agent; empty for a balancer, which keeps all rows."""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all rows are kept."""
+        return not self.backend_server
+
+    def cut_image(
+        self, table: Table, service_digests: Mapping[str, bytes], scope: str
+    ) -> TableImage | None:
+        """Return the rows that a peer asks for, None when they are not all here."""
+        if not self.is_whole:
+            return None
+        if not scope:
+            return TableImage(table.rows, dict(service_digests))
+        row = table.row_by_backend_server.get(scope)
+        if row is None:
+            return TableImage((), {})
+        rows = table.rows_by_service[row.service]
+        return TableImage(rows, {row.service: service_digests[row.service]})
+
+    def apply_deltas(
+        self,
+        table: Table,
+        service_digests: Mapping[str, bytes],
+        deltas: Sequence[TableDelta],
+    ) -> TableImage:
+        """Return the rows after deltas; raise MalformedTransferError if they differ.
+
+        The rows are checked against the digests that the last delta leads to.
+        """
+        rows: Iterable[TableRow] = table.rows
+        services = list(service_digests)
+        expected: dict[str, bytes] = {}
+        for delta in deltas:
+            kept = apply_delta_rows(rows, delta)
+            if not self.is_whole:
+                services = self._follow_services(services, kept)
+            rows = kept.values()
+            expected.update(delta.service_digests)
+        wanted = None if self.is_whole else set(services)
+        grouped = _group_rows(rows, wanted)
+        digests = dict(service_digests)
+        for service, digest in expected.items():
+            members = grouped.get(service, ())
+            if wanted is not None and service not in wanted:
+                continue
+            if members:
+                digests[service] = digest_rows(members)
+            else:
+                digests.pop(service, None)
+            if digests.get(service, b"") != digest:
+                raise MalformedTransferError(f"rows of {service} differ")
+        digests = {name: value for name, value in digests.items() if name in grouped}
+        if self.is_whole and digest_services(digests) != deltas[-1].until.digest:
+            raise MalformedTransferError("table does not match its digest")
+        return TableImage(
+            tuple(row for members in grouped.values() for row in members), digests
+        )
+
+    def _follow_services(
+        self, services: list[str], rows: Mapping[str, TableRow]
+    ) -> list[str]:
+        own = rows.get(self.backend_server)
+        if own is None:
+            return services
+        others = [name for name in services if name != own.service]
+        return [*others[-FORMER_SERVICES:], own.service]
+
+
+def _group_rows(
+    rows: Iterable[TableRow], wanted: set[str] | None
+) -> dict[str, list[TableRow]]:
+    groups: dict[str, list[TableRow]] = {}
+    for row in sorted(rows, key=lambda row: (row.service, row.backend_server)):
+        if wanted is None or row.service in wanted:
+            groups.setdefault(row.service, []).append(row)
+    return groups
--- a/citronwinch/daemon/_events.py
+++ b/citronwinch/daemon/_events.py
@@ -2,10 +2,12 @@
 
 from typing import NamedTuple
 
+from expression import Result
+
 from citronwinch.backend_servers import Reply
-from citronwinch.coordination import Instance, Table
 from citronwinch.network import Datagram
 from citronwinch.peers import Envelope
+from citronwinch.platform import InstanceList, KeyRequest, KeyValue, TableRead
 
 
 class FabricBatch(NamedTuple):
@@ -29,18 +31,28 @@
     """The answer."""
 
 
-class TableChanged(NamedTuple):
-    """A table was read and found valid."""
+class KeyWasRead(NamedTuple):
+    """A key of the configuration service was read, or could not be."""
+
+    request: KeyRequest
+    """What was asked for."""
+
+    result: Result[KeyValue, str]
+    """The value, or why there is none."""
+
+
+class TableWasJoined(NamedTuple):
+    """The keys of a table were put together and checked."""
 
-    table: Table
-    """The table."""
+    result: Result[TableRead | None, str]
+    """The table, None when it is not newer, or what is wrong with it."""
 
 
-class InstancesChanged(NamedTuple):
-    """The list of instances was read."""
+class ListWasRead(NamedTuple):
+    """The list of instances was read, or could not be."""
 
-    instances: tuple[Instance, ...]
-    """The instances."""
+    result: Result[InstanceList, str]
+    """The list, or why there is none."""
 
 
 class Tick(NamedTuple):
@@ -58,8 +70,9 @@
     FabricBatch
     | PeerBatch
     | ReplyArrived
-    | TableChanged
-    | InstancesChanged
+    | KeyWasRead
+    | TableWasJoined
+    | ListWasRead
     | Tick
     | StopRequested
 )
--- a/citronwinch/daemon/_peer_port.py
+++ b/citronwinch/daemon/_peer_port.py
@@ -3,6 +3,11 @@
 from collections.abc import Callable
 
 from citronwinch.coordination import Endpoint
+from citronwinch.coordination.spread import (
+    ControlBudget,
+    ControlPriority,
+    ReplayWindow,
+)
 from citronwinch.network import Datagram, DatagramPort
 from citronwinch.operators import Metrics
 from citronwinch.peers import (
@@ -25,22 +30,38 @@
         incarnation: int,
         keys: KeyRing,
         metrics: Metrics,
+        budget: ControlBudget,
     ) -> None:
         self.port = port
         self.name = name
         self.incarnation = incarnation
         self.keys = keys
         self.metrics = metrics
+        self.budget = budget
+        self.replays = ReplayWindow()
         self.sequence = 0
         self.read_revision: Callable[[], int] = lambda: 0
 
     def send(self, message: PeerMessage, receiver: Endpoint) -> bool:
         """Send a message; return False when the kernel did not take it."""
+        return self.port.send(self.seal(message), receiver)
+
+    def send_control(
+        self, message: PeerMessage, receiver: Endpoint, priority: ControlPriority
+    ) -> bool:
+        """Send a message if the control budget allows; return whether it was sent."""
+        datagram = self.seal(message)
+        if not self.budget.try_spend(priority, len(datagram)):
+            return False
+        return self.port.send(datagram, receiver)
+
+    def seal(self, message: PeerMessage) -> bytes:
+        """Return the datagram for a message."""
         self.sequence += 1
         envelope = Envelope(
             self.name, self.incarnation, self.sequence, self.read_revision(), message
         )
-        return self.port.send(self.keys.seal(encode_envelope(envelope)), receiver)
+        return self.keys.seal(encode_envelope(envelope))
 
     async def receive(self) -> list[Envelope]:
         """Wait for messages and return those that are authentic and well-formed."""
@@ -57,7 +78,13 @@
             self.metrics.count("peer_rejected_total", "authentication")
             return None
         try:
-            return decode_envelope(data)
+            envelope = decode_envelope(data)
         except MalformedMessageError:
             self.metrics.count("peer_rejected_total", "malformed")
             return None
+        if not self.replays.accept(
+            envelope.sender, envelope.incarnation, envelope.sequence
+        ):
+            self.metrics.count("peer_rejected_total", "replay")
+            return None
+        return envelope
--- a/citronwinch/daemon/_platform_watch.py
+++ b/citronwinch/daemon/_platform_watch.py
@@ -1,118 +1,62 @@
-"""Tasks that follow the platform."""
+"""Tasks that read from the platform what the deciding task asks for."""
 
-import random
+from typing import NamedTuple
 
-import structlog
 import trio
-from expression import Error, Ok, Result
+from expression import Result
 
-from citronwinch.coordination import Endpoint, Table
-from citronwinch.daemon._events import Event, InstancesChanged, TableChanged
-from citronwinch.operators import Metrics
+from citronwinch.coordination import Endpoint
+from citronwinch.daemon._events import Event, KeyWasRead, ListWasRead, TableWasJoined
 from citronwinch.platform import (
-    MANIFEST_KEY,
-    SERVICE_KEY_PREFIX,
-    join_table,
-    parse_manifest,
+    InstanceList,
+    KeyRequest,
+    KeyValue,
+    ListRequest,
+    TableReader,
     read_instances,
     read_key,
 )
 
-WATCH_WAIT_MS = 20_000
-"""How long one watch waits at the service, in milliseconds."""
+REQUEST_LIMIT = 4
+"""The most requests that wait for a task; the deciding task keeps one in flight."""
 
-RETRY_BASE_MS = 200
-"""The shortest wait after a failed read, in milliseconds."""
 
-RETRY_LIMIT_MS = 5_000
-"""The longest wait after failed reads, in milliseconds."""
+class JoinTable(NamedTuple):
+    """A table is complete and shall be parsed outside the deciding task."""
 
-log = structlog.get_logger()
+    reader: TableReader
+    """The reader that holds it; nobody else uses it meanwhile."""
 
 
-class Backoff:
-    """Waits longer after each failure, with jitter."""
-
-    def __init__(self, source: random.Random) -> None:
-        self.source = source
-        self.failures = 0
-
-    def succeeded(self) -> None:
-        """Start again from the shortest wait."""
-        self.failures = 0
-
-    async def failed(self) -> None:
-        """Wait for a random time below a limit that doubles with each failure."""
-        ceiling = min(RETRY_LIMIT_MS, RETRY_BASE_MS * 2**self.failures)
-        self.failures = min(self.failures + 1, 16)
-        await trio.sleep(self.source.uniform(ceiling / 2, ceiling) / 1000)
-
-
-async def read_table(
-    service: Endpoint, after_index: int
-) -> Result[tuple[int, Table], str]:
-    """Wait for a manifest above `after_index` and return its index and its table."""
-    value = await read_key(service, MANIFEST_KEY, after_index, WATCH_WAIT_MS)
-    if value.is_error():
-        return Error(value.error.reason)
-    manifest = parse_manifest(value.ok.value)
-    if manifest.is_error():
-        return Error(manifest.error)
-    parts: dict[str, str] = {}
-    for name in manifest.ok.digests:
-        part = await read_key(service, SERVICE_KEY_PREFIX + name)
-        if part.is_error():
-            return Error(part.error.reason)
-        parts[name] = part.ok.value.decode("utf-8", "replace")
-    table = join_table(manifest.ok, parts)
-    if table.is_error():
-        return Error("; ".join(str(problem) for problem in table.error))
-    return Ok((value.ok.change_index, table.ok))
-
-
-async def watch_table(
+async def read_table_keys(
     service: Endpoint,
+    requests: trio.MemoryReceiveChannel[KeyRequest | JoinTable],
     inbox: trio.MemorySendChannel[Event],
-    metrics: Metrics,
-    source: random.Random,
 ) -> None:
-    """Send each new table to the inbox."""
-    index = 0
-    known_reason = ""
-    backoff = Backoff(source)
-    while True:
-        result = await read_table(service, index)
-        if result.is_error():
-            metrics.count("platform_errors_total", "table")
-            if result.error != known_reason:
-                known_reason = result.error
-                log.warning("table_not_read", reason=known_reason, peer=str(service))
-            await backoff.failed()
+    """Read keys and put tables together, one request at a time."""
+    async for request in requests:
+        if isinstance(request, JoinTable):
+            joined = await trio.to_thread.run_sync(request.reader.finish)
+            await inbox.send(TableWasJoined(joined))
             continue
-        known_reason = ""
-        backoff.succeeded()
-        found_index, table = result.ok
-        if found_index != index:
-            index = found_index
-            await inbox.send(TableChanged(table))
+        value = await read_key(
+            service, request.key, request.after_index, request.wait_ms
+        )
+        result: Result[KeyValue, str] = value.map_error(
+            lambda error: f"{error.step}: {error.reason}"
+        )
+        await inbox.send(KeyWasRead(request, result))
 
 
-async def watch_instances(
+async def read_instance_lists(
     service: Endpoint,
+    requests: trio.MemoryReceiveChannel[ListRequest],
     inbox: trio.MemorySendChannel[Event],
-    metrics: Metrics,
-    source: random.Random,
 ) -> None:
-    """Send each new list of instances to the inbox."""
-    index = 0
-    backoff = Backoff(source)
-    while True:
-        result = await read_instances(service, index, WATCH_WAIT_MS)
-        if result.is_error():
-            metrics.count("platform_errors_total", "instances")
-            await backoff.failed()
-            continue
-        backoff.succeeded()
-        if result.ok.change_index != index:
-            index = result.ok.change_index
-            await inbox.send(InstancesChanged(result.ok.instances))
+    """Read the list of instances whenever it is asked for."""
+    async for request in requests:
+        found = await read_instances(service, request.after_index, request.wait_ms)
+        result: Result[InstanceList, str] = found.map_error(
+            lambda error: f"{error.step}: {error.reason}"
+        )
+        await inbox.send(ListWasRead(result))
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -1,6 +1,5 @@
 """What both roles of the daemon have in common."""
 
-import random
 import signal
 import time
 from abc import ABC, abstractmethod
@@ -9,16 +8,10 @@
 import trio
 
 from citronwinch.coordination import Instance, MonotonicClock, Table
-from citronwinch.daemon._events import (
-    Event,
-    InstancesChanged,
-    PeerBatch,
-    StopRequested,
-    TableChanged,
-    Tick,
-)
+from citronwinch.coordination.spread import ControlBudget
+from citronwinch.daemon._events import Event, PeerBatch, StopRequested, Tick
 from citronwinch.daemon._peer_port import PeerPort
-from citronwinch.daemon._platform_watch import watch_instances, watch_table
+from citronwinch.daemon._spread_task import SpreadDriver
 from citronwinch.daemon._status import Status, StatusPage
 from citronwinch.network import DatagramPort, serve
 from citronwinch.operators import Metrics, Settings
@@ -44,6 +37,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.clock = MonotonicClock()
+        self.budget = ControlBudget(self.clock)
         self.instances: dict[str, Instance] = {}
         self.state = "starting"
         self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
@@ -54,8 +48,12 @@
             time.time_ns(),
             KeyRing(settings.key, tuple(accepted)),
             self.metrics,
+            self.budget,
+        )
+        self.peers.read_revision = lambda: self.spread.node.spread.version.revision
+        self.spread = SpreadDriver(
+            settings, self.clock, self.peers, self.budget, self.metrics
         )
-        self.peers.read_revision = lambda: self.table.revision
 
     @property
     @abstractmethod
@@ -81,8 +79,6 @@
 
     async def run(self) -> None:
         """Run until a graceful shutdown is complete."""
-        source = random.Random(f"{self.settings.name}-{self.peers.incarnation}")
-        platform = (self.inbox_send, self.metrics, source)
         page = StatusPage(self.metrics, self.read_status)
         settings = self.settings
         async with trio.open_nursery() as nursery:
@@ -90,8 +86,7 @@
             nursery.start_soon(self._receive_peers)
             nursery.start_soon(self._tick)
             nursery.start_soon(serve, settings.http_address, page.handle)
-            nursery.start_soon(watch_table, settings.configuration_service, *platform)
-            nursery.start_soon(watch_instances, settings.instance_service, *platform)
+            self.spread.start_tasks(nursery, self.inbox_send)
             self.start_role_tasks(nursery)
             log.info("started", name=settings.name, role=settings.role.value)
             await self._decide()
@@ -111,19 +106,19 @@
                 return
 
     def _handle_common(self, event: Event) -> None:
-        if isinstance(event, InstancesChanged):
-            self.instances = {member.name: member for member in event.instances}
-        elif isinstance(event, TableChanged):
-            self.accept_table(event.table)
+        self.spread.handle(event)
+        if isinstance(event, Tick):
+            self.spread.tick()
         elif isinstance(event, StopRequested):
             self.state = "stopping"
+            self.spread.leave()
             log.info("stopping", name=self.settings.name)
+        self.instances = self.spread.read_instances()
+        if self.spread.table.revision > self.table.revision:
+            self.accept_table(self.spread.table)
 
     def accept_table(self, table: Table) -> None:
         """Put a table in force and say so."""
-        if table.revision <= self.table.revision:
-            self.metrics.count("tables_ignored_total")
-            return
         self.use_table(table)
         self.metrics.set_gauge("table_revision", table.revision)
         if self.state == "starting":
--- /dev/null
+++ b/citronwinch/daemon/_spread_task.py
@@ -0,0 +1,185 @@
+"""Membership and the table in a daemon: connects decisions, peers and platform."""
+
+import random
+
+import structlog
+import trio
+
+from citronwinch.coordination import Clock, Instance, Table
+from citronwinch.coordination.spread import (
+    ControlBudget,
+    ControlPriority,
+    Probe,
+    ProbeAnswer,
+    SendMessage,
+    SpreadNode,
+    TableChunk,
+    TablePull,
+    TableVersion,
+)
+from citronwinch.daemon._events import (
+    Event,
+    KeyWasRead,
+    ListWasRead,
+    PeerBatch,
+    TableWasJoined,
+)
+from citronwinch.daemon._peer_port import PeerPort
+from citronwinch.daemon._platform_watch import (
+    REQUEST_LIMIT,
+    JoinTable,
+    read_instance_lists,
+    read_table_keys,
+)
+from citronwinch.operators import Metrics, Settings
+from citronwinch.peers import Envelope
+from citronwinch.platform import KeyRequest, ListRequest, PlatformFollower
+
+log = structlog.get_logger()
+
+
+class SpreadDriver:
+    """The part of the deciding task that keeps members and table current."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        peers: PeerPort,
+        budget: ControlBudget,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.peers = peers
+        self.budget = budget
+        self.metrics = metrics
+        own = Instance(
+            settings.name,
+            settings.role,
+            settings.availability_zone,
+            settings.peer_address,
+            region=settings.region,
+        )
+        source = random.Random(f"{settings.name}-{peers.incarnation}")
+        self.node = SpreadNode(
+            own, peers.incarnation, clock, source, settings.expected_instances
+        )
+        self.follower = PlatformFollower(self.node, clock)
+        self.instances: dict[str, Instance] = {}
+        self.member_change_count = -1
+        self.known_reason = ""
+        self.key_send, self.key_receive = trio.open_memory_channel[
+            KeyRequest | JoinTable
+        ](REQUEST_LIMIT)
+        self.list_send, self.list_receive = trio.open_memory_channel[ListRequest](
+            REQUEST_LIMIT
+        )
+
+    def start_tasks(
+        self, nursery: trio.Nursery, inbox: trio.MemorySendChannel[Event]
+    ) -> None:
+        """Start the tasks that read from the platform."""
+        settings = self.settings
+        nursery.start_soon(
+            read_table_keys, settings.configuration_service, self.key_receive, inbox
+        )
+        nursery.start_soon(
+            read_instance_lists, settings.instance_service, self.list_receive, inbox
+        )
+
+    @property
+    def table(self) -> Table:
+        """The table to decide by."""
+        return self.node.served_table
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process may serve."""
+        return self.node.is_ready
+
+    def handle(self, event: Event) -> None:
+        """React to messages of peers and answers of the platform."""
+        if isinstance(event, PeerBatch):
+            for envelope in event.envelopes:
+                self.handle_envelope(envelope)
+        elif isinstance(event, KeyWasRead):
+            if event.result.is_error():
+                self.metrics.count("platform_errors_total", "table")
+            if self.follower.accept_key(event.request, event.result):
+                self.key_send.send_nowait(JoinTable(self.follower.reader))
+            self.note_reason()
+        elif isinstance(event, TableWasJoined):
+            self.follower.accept_table(event.result)
+            self.note_reason()
+        elif isinstance(event, ListWasRead) and not self.follower.accept_list(
+            event.result
+        ):
+            self.metrics.count("platform_errors_total", "instances")
+
+    def handle_envelope(self, envelope: Envelope) -> None:
+        """Note who sent a message and with which revision; answer those to spread."""
+        self.node.hear(envelope.sender, envelope.revision)
+        message = envelope.message
+        if isinstance(message, Probe | ProbeAnswer | TablePull | TableChunk):
+            version = TableVersion(envelope.revision, b"")
+            self.send_all(self.node.handle(message, envelope.sender, version))
+
+    def tick(self) -> None:
+        """Do what is due, then bring instances and metrics up to date."""
+        self.send_all(self.node.tick())
+        for request in self.follower.take_requests():
+            self.metrics.count("platform_reads_total")
+            if isinstance(request, ListRequest):
+                self.list_send.send_nowait(request)
+            else:
+                self.key_send.send_nowait(request)
+        self.update_metrics()
+
+    def leave(self) -> None:
+        """Tell peers that this process is leaving."""
+        self.send_all(self.node.leave())
+
+    def read_instances(self) -> dict[str, Instance]:
+        """Return the instances as list and peers describe them."""
+        if self.member_change_count != self.node.membership.change_count:
+            self.member_change_count = self.node.membership.change_count
+            self.instances = self.node.membership.list_instances()
+        return self.instances
+
+    def send_all(self, sends: list[SendMessage]) -> None:
+        """Send what the budget allows; the rest is repeated by its own timers."""
+        for receiver, message, priority in sends:
+            member = self.node.membership.members.get(receiver)
+            if member is not None:
+                self.peers.send_control(message, member.instance.address, priority)
+
+    def note_reason(self) -> None:
+        """Log why the table cannot be read when that changes."""
+        reason = self.follower.reason
+        if reason != self.known_reason:
+            self.known_reason = reason
+            peer = str(self.settings.configuration_service)
+            if reason:
+                log.warning("table_not_read", reason=reason, peer=peer)
+            else:
+                log.info("table_read_again", peer=peer)
+
+    def update_metrics(self) -> None:
+        """Bring the metrics about spread up to date."""
+        metrics = self.metrics
+        for reason, count in self.node.counts.items():
+            metrics.set_gauge("table_offers", count, reason)
+        for priority in ControlPriority:
+            name = priority.name.lower()
+            metrics.set_gauge(
+                "control_bytes_sent", self.budget.spent_bytes[priority], name
+            )
+            metrics.set_gauge(
+                "control_bytes_refused", self.budget.refused_bytes[priority], name
+            )
+        metrics.set_gauge("control_budget_bytes", self.budget.available_bytes)
+        metrics.set_gauge("table_age_ms", self.node.schedule.age_ms)
+        metrics.set_gauge("table_is_watcher", int(self.node.schedule.is_watcher))
+        metrics.set_gauge("members", len(self.node.membership.members))
+        metrics.set_gauge("members_unreachable", len(self.node.membership.unreachable))
+        metrics.set_gauge("pauses", self.node.detector.pause_count)
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -62,6 +62,9 @@
     instance_service: Endpoint
     """The platform's list of instances."""
 
+    expected_instances: int
+    """How many instances may start at once; spaces the first reads of the platform."""
+
     fabric_address: Endpoint | None
     """Where the fabric hands packets to a balancer; None for an agent."""
 
@@ -170,6 +173,13 @@
     SettingSpec("listen", "fabric", "fabric_address", _endpoint, None),
     SettingSpec("platform", "configuration", "configuration_service", _endpoint),
     SettingSpec("platform", "instances", "instance_service", _endpoint),
+    SettingSpec(
+        "platform",
+        "expected_instances",
+        "expected_instances",
+        _number(1, 1_000_000, "instances"),
+        100,
+    ),
     SettingSpec("fabric", "return", "fabric_return", _endpoints),
     SettingSpec("keys", "current", "key", _key),
     SettingSpec("keys", "previous", "previous_key", _key, None),
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -5,11 +5,13 @@
 
 import capnp
 
+from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
+from citronwinch.peers._spread_codec import read_spread
 from citronwinch.peers._steering_codec import read_forward, read_hint
 
-PeerMessage = SteeringMessage
+PeerMessage = SteeringMessage | SpreadMessage
 """Everything that the system's processes say to each other."""
 
 
@@ -63,4 +65,5 @@
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
+    "spread": read_spread,
 }
--- a/citronwinch/platform/__init__.py
+++ b/citronwinch/platform/__init__.py
@@ -10,22 +10,39 @@
     read_instances,
     read_key,
 )
+from citronwinch.platform._follower import (
+    KeyRequest,
+    ListRequest,
+    PlatformFollower,
+    PlatformRequest,
+)
 from citronwinch.platform._table_keys import (
+    INDEX_KEY_PREFIX,
     SERVICE_KEY_PREFIX,
     Manifest,
+    index_key,
     join_table,
     parse_manifest,
     split_table,
 )
+from citronwinch.platform._table_reader import TableRead, TableReader
 
 __all__ = [
+    "INDEX_KEY_PREFIX",
     "InstanceList",
+    "KeyRequest",
     "KeyValue",
+    "ListRequest",
     "MANIFEST_KEY",
     "Manifest",
     "PlatformError",
+    "PlatformFollower",
+    "PlatformRequest",
     "SERVICE_KEY_PREFIX",
+    "TableRead",
+    "TableReader",
     "format_instance",
+    "index_key",
     "join_table",
     "parse_instance",
     "parse_manifest",
--- /dev/null
+++ b/citronwinch/platform/_follower.py
@@ -0,0 +1,177 @@
+"""Which reads a process does next, and what becomes of their answers."""
+
+from typing import NamedTuple
+
+from expression import Result
+
+from citronwinch.coordination import Clock, InstanceRole
+from citronwinch.coordination.spread import SpreadNode
+from citronwinch.platform._client import MANIFEST_KEY, InstanceList, KeyValue
+from citronwinch.platform._table_reader import TableRead, TableReader
+
+WATCH_WAIT_MS = 20_000
+"""How long one watch waits at the service, in milliseconds."""
+
+LIST_INTERVAL_MS = 60_000
+"""How often a process that does not watch reads the list of instances."""
+
+LIST_RETRY_MS = 2_000
+"""How long after a failed read of the list it is tried again, in milliseconds."""
+
+
+class KeyRequest(NamedTuple):
+    """A key to read."""
+
+    key: str
+    """The key."""
+
+    after_index: int = 0
+    """The change counter above which the value is wanted."""
+
+    wait_ms: int = 0
+    """How long to wait for it."""
+
+
+class ListRequest(NamedTuple):
+    """The list of instances is to be read."""
+
+    after_index: int = 0
+    """The change counter above which the list is wanted."""
+
+    wait_ms: int = 0
+    """How long to wait for it."""
+
+
+PlatformRequest = KeyRequest | ListRequest
+"""A read, to be done by the task that owns the connection."""
+
+
+class PlatformFollower:
+    """Follows table and list of instances without reading itself.
+
+    `take_requests` returns the reads that are due; the caller does them and gives the
+    answers to `accept_key` and `accept_list`. When `accept_key` returns True the
+    table is complete, and the caller runs `reader.finish()`, which parses it and may
+    take long, and gives the outcome to `accept_table`.
+    """
+
+    def __init__(self, node: SpreadNode, clock: Clock) -> None:
+        self.node = node
+        self.clock = clock
+        is_agent = node.own.role is InstanceRole.AGENT
+        self.reader = TableReader(node.own.name if is_agent else "")
+        self.is_reading = False
+        self.is_key_in_flight = False
+        self.is_list_in_flight = False
+        self.table_index = 0
+        self.manifest_index = 0
+        self.list_index = 0
+        self.list_due_ms = clock.now_ms()
+        self.reason = ""
+
+    def take_requests(self) -> list[PlatformRequest]:
+        """Return the reads that are due and that the rate allows."""
+        requests: list[PlatformRequest] = []
+        schedule = self.node.schedule
+        now_ms = self.clock.now_ms()
+        if (
+            not self.is_list_in_flight
+            and now_ms >= self.list_due_ms
+            and schedule.may_read()
+        ):
+            self.is_list_in_flight = True
+            schedule.note_read()
+            wait_ms = WATCH_WAIT_MS if schedule.is_watcher and self.list_index else 0
+            requests.append(ListRequest(self.list_index if wait_ms else 0, wait_ms))
+        if not self.is_key_in_flight and schedule.may_read():
+            request = self._next_key_request()
+            if request is not None:
+                self.is_key_in_flight = True
+                schedule.note_read()
+                requests.append(request)
+        return requests
+
+    def accept_list(self, result: Result[InstanceList, str]) -> bool:
+        """Take the answer to a read of the list; return whether it succeeded."""
+        self.is_list_in_flight = False
+        schedule = self.node.schedule
+        now_ms = self.clock.now_ms()
+        if result.is_error():
+            wait_ms = max(LIST_RETRY_MS, schedule.gap_ms)
+            self.list_due_ms = now_ms + round(wait_ms * self._jitter())
+            return False
+        if result.ok.change_index != self.list_index:
+            self.list_index = result.ok.change_index
+            self.node.accept_list(result.ok.instances)
+        wait_ms = 0 if schedule.is_watcher else LIST_INTERVAL_MS
+        self.list_due_ms = now_ms + round(wait_ms * self._jitter())
+        return True
+
+    def accept_key(self, request: KeyRequest, result: Result[KeyValue, str]) -> bool:
+        """Take the answer to a read; return whether the table is complete."""
+        self.is_key_in_flight = False
+        schedule = self.node.schedule
+        if result.is_error():
+            self._fail(result.error)
+            return False
+        schedule.note_success()
+        if request.key == MANIFEST_KEY:
+            self.manifest_index = result.ok.change_index
+        accepted = self.reader.accept(request.key, result.ok.value)
+        if accepted.is_error():
+            self._fail(accepted.error)
+            return False
+        version = self.reader.version
+        if request.key == MANIFEST_KEY and version is not None:
+            self.node.note_compared(version)
+        if not self.reader.is_finished:
+            return False
+        if version is not None and version.revision > self.node.spread.version.revision:
+            self.is_key_in_flight = True
+            return True
+        self._end()
+        return False
+
+    def accept_table(self, result: Result[TableRead | None, str]) -> bool:
+        """Take a table that was put together; return whether it is newer."""
+        self.is_key_in_flight = False
+        if result.is_error():
+            self._fail(result.error)
+            return False
+        self._end()
+        read = result.ok
+        if read is None:
+            return False
+        return self.node.accept_read(read.table, read.service_digests, read.digest)
+
+    def _next_key_request(self) -> KeyRequest | None:
+        spread, schedule = self.node.spread, self.node.schedule
+        if self.is_reading:
+            version = self.reader.version
+            if version is None or version.revision > spread.version.revision:
+                return KeyRequest(self.reader.next_key)
+            self._end()
+        has_table = spread.version.revision > 0
+        if not schedule.wants_check(has_table, spread.is_behind):
+            return None
+        self.is_reading = True
+        self.reader.begin(
+            spread.table, dict(spread.service_digests), spread.version.revision
+        )
+        if schedule.is_watcher and has_table and self.table_index:
+            return KeyRequest(MANIFEST_KEY, self.table_index, WATCH_WAIT_MS)
+        return KeyRequest(MANIFEST_KEY)
+
+    def _end(self) -> None:
+        self.is_reading = False
+        self.reason = ""
+        self.table_index = self.manifest_index
+        self.node.schedule.note_finished_check()
+
+    def _fail(self, reason: str) -> None:
+        self.is_reading = False
+        self.reason = reason
+        self.node.schedule.note_failure()
+
+    def _jitter(self) -> float:
+        return 0.75 + self.node.schedule.source.random() / 2
--- /dev/null
+++ b/citronwinch/platform/_table_reader.py
@@ -0,0 +1,156 @@
+"""Reads a table key by key, only what the reader lacks, without doing the reads."""
+
+from typing import NamedTuple
+
+import orjson
+from expression import Error, Ok, Result
+
+from citronwinch.coordination import EMPTY_TABLE, Table, digest_rows
+from citronwinch.coordination.spread import TableVersion, digest_services
+from citronwinch.operators import format_table, parse_table
+from citronwinch.platform._client import MANIFEST_KEY
+from citronwinch.platform._table_keys import (
+    SERVICE_KEY_PREFIX,
+    Manifest,
+    digest_index,
+    index_key,
+    join_table,
+    parse_manifest,
+)
+
+
+class TableRead(NamedTuple):
+    """A table that was read whole, or as far as the reader needs it."""
+
+    table: Table
+    """The rows that the reader needs."""
+
+    service_digests: dict[str, bytes]
+    """The digests of the services in it."""
+
+    digest: bytes
+    """The digest of the whole table."""
+
+
+class TableReader:
+    """Decides which key is read next and puts the values together.
+
+    A balancer reads the services whose digests changed. An agent reads the manifest,
+    one index key and its own service. The caller reads `next_key` until `is_finished`
+    and then takes `finish()`.
+    """
+
+    def __init__(self, backend_server: str = "") -> None:
+        self.backend_server = backend_server
+        self.known: Table = EMPTY_TABLE
+        self.known_digests: dict[str, bytes] = {}
+        self.known_revision = 0
+        self.manifest: Manifest | None = None
+        self.wanted: list[str] = []
+        self.values: dict[str, str] = {}
+
+    def begin(
+        self, known: Table, known_digests: dict[str, bytes], known_revision: int
+    ) -> None:
+        """Start again, given what the reader has."""
+        self.known = known
+        self.known_digests = known_digests
+        self.known_revision = known_revision
+        self.manifest = None
+        self.wanted = []
+        self.values = {}
+
+    @property
+    def next_key(self) -> str:
+        """The key to read next; the manifest comes first."""
+        return self.wanted[0] if self.wanted else MANIFEST_KEY
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether nothing is left to read."""
+        return self.manifest is not None and not self.wanted
+
+    @property
+    def version(self) -> TableVersion | None:
+        """What the manifest says, None before it was read."""
+        if self.manifest is None:
+            return None
+        digests = {
+            name: bytes.fromhex(text) for name, text in self.manifest.digests.items()
+        }
+        return TableVersion(self.manifest.revision, digest_services(digests))
+
+    def accept(self, key: str, value: bytes) -> Result[None, str]:
+        """Take the value of `next_key`; an error means to begin again."""
+        if key == MANIFEST_KEY:
+            return self._accept_manifest(value)
+        self.wanted.remove(key)
+        if not key.startswith(SERVICE_KEY_PREFIX):
+            return self._accept_index(key, value)
+        service = key.removeprefix(SERVICE_KEY_PREFIX)
+        self.values[service] = value.decode("utf-8", "replace")
+        return Ok(None)
+
+    def finish(self) -> Result[TableRead | None, str]:
+        """Return the table, None when it is not newer; check it as a whole."""
+        manifest, version = self.manifest, self.version
+        if manifest is None or version is None:
+            return Error("no manifest")
+        if manifest.revision <= self.known_revision:
+            return Ok(None)
+        if self.backend_server:
+            return self._finish_agent(manifest, version)
+        values = dict(self.values)
+        for service, rows in self.known.rows_by_service.items():
+            if service in manifest.digests and service not in values:
+                values[service] = format_table(rows)
+        joined = join_table(manifest, values)
+        if joined.is_error():
+            return Error("; ".join(str(problem) for problem in joined.error[:3]))
+        digests = {name: bytes.fromhex(text) for name, text in manifest.digests.items()}
+        return Ok(TableRead(joined.ok, digests, version.digest))
+
+    def _accept_manifest(self, value: bytes) -> Result[None, str]:
+        parsed = parse_manifest(value)
+        if parsed.is_error():
+            return Error(parsed.error)
+        self.manifest = parsed.ok
+        if parsed.ok.revision <= self.known_revision:
+            return Ok(None)
+        if self.backend_server:
+            key = index_key(self.backend_server)
+            self.wanted = [key] if key in parsed.ok.index_digests else []
+            return Ok(None)
+        self.wanted = [
+            SERVICE_KEY_PREFIX + service
+            for service, digest in parsed.ok.digests.items()
+            if self.known_digests.get(service, b"").hex() != digest
+        ]
+        return Ok(None)
+
+    def _accept_index(self, key: str, value: bytes) -> Result[None, str]:
+        assert self.manifest is not None
+        if digest_index(value) != self.manifest.index_digests[key]:
+            return Error(f"{key} does not match the manifest")
+        try:
+            service = orjson.loads(value).get(self.backend_server)
+        except (orjson.JSONDecodeError, AttributeError):
+            return Error(f"{key} is malformed")
+        if service is not None:
+            self.wanted = [SERVICE_KEY_PREFIX + str(service)]
+        return Ok(None)
+
+    def _finish_agent(
+        self, manifest: Manifest, version: TableVersion
+    ) -> Result[TableRead | None, str]:
+        if not self.values:
+            empty = Table(manifest.revision, ())
+            return Ok(TableRead(empty, {}, version.digest))
+        service, text = next(iter(self.values.items()))
+        parsed = parse_table(text, manifest.revision)
+        if parsed.is_error():
+            return Error("; ".join(str(problem) for problem in parsed.error[:3]))
+        digest = digest_rows(parsed.ok.rows)
+        if digest.hex() != manifest.digests.get(service):
+            return Error(f"the rows of {service} do not match the manifest")
+        return Ok(TableRead(parsed.ok, {service: digest}, version.digest))
