Measure the spread of edits on a fleet of fakes

Each new member was announced by everybody although the list had it, which used up the budget; probes that the budget refused counted as unanswered; and parsing the whole table on each edit took most of the time of a watcher.

Change: facts that only confirm the list are not passed on; a refused probe is forgotten; a suspected member is asked again until the verdict; only changed services are parsed, and a reader without a table reads bundles of services.

--- /dev/null
+++ b/citronwinch/benches/_case_spread.py
@@ -0,0 +1,352 @@
+"""How fast an edit is in force everywhere, and what that costs.
+
+Every daemon runs the real decisions; links and platform are fakes. Bytes are those
+of encoded and sealed messages, without IP and UDP headers. `coverage` is the time
+from an accepted edit to the moment a daemon has it, over all edits and daemons; it
+counts from when a daemon started or could be reached again, or from when the service
+could be read again. `control_bytes_per_second_max` is the busiest daemon in its
+busiest 10 s. A waiting watch counts as one read in each second that it waits.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from citronwinch.benches._spread_fleet import (
+    SHAPES,
+    WINDOW_MS,
+    FakeDaemon,
+    Fleet,
+    FleetShape,
+)
+from citronwinch.coordination import (
+    Endpoint,
+    InstanceRole,
+    Table,
+    TableRow,
+    TransportProtocol,
+)
+from citronwinch.coordination.spread import MemberStatus
+
+LOSSES = (0.0, 0.05, 0.2)
+"""The shares of lost messages that are measured."""
+
+FAULT_LOSS = 0.05
+"""The share of lost messages in the cases with a fault."""
+
+WARM_UP_MS = 20_000
+"""How long a fleet runs before it is measured, in milliseconds."""
+
+EDIT_INTERVAL_MS = 5_000
+"""The time between two edits, in milliseconds."""
+
+SERVERS_PER_SERVICE = 10
+"""How many backend servers a service has."""
+
+
+class Trial:
+    """One fleet through one course of events."""
+
+    def __init__(self, shape: FleetShape, loss: float, seed: int) -> None:
+        self.fleet = Fleet(shape, loss, seed)
+        self.edits: dict[int, int] = {}
+        self.rows = self.make_rows()
+        self.begin_ms = 0
+
+    def make_rows(self) -> list[TableRow]:
+        """Return a table with a row for each agent."""
+        agents = self.fleet.shape.daemons - self.fleet.shape.balancers
+        return [
+            TableRow(
+                f"service-{i // SERVERS_PER_SERVICE:04d}",
+                TransportProtocol.UDP,
+                Endpoint(f"203.0.113.{i // SERVERS_PER_SERVICE + 1}", 5_000),
+                f"a-{i:04d}",
+                Endpoint(f"198.51.{100 + i // 250}.{i % 250 + 1}", 6_000),
+                f"zone-{i % self.fleet.shape.zones:02d}",
+                100,
+                2_000,
+            )
+            for i in range(agents)
+        ]
+
+    def start_all(self) -> None:
+        """Publish the table, then start every daemon at once."""
+        self.publish()
+        for instance in self.fleet.make_instances():
+            self.fleet.start(instance)
+        self.fleet.publish_list()
+
+    def warm_up(self) -> None:
+        """Run until the fleet is settled; forget what was measured so far."""
+        self.start_all()
+        self.fleet.run(WARM_UP_MS)
+        self.edits.clear()
+        self.begin_ms = self.fleet.queue.clock.now_ms()
+
+    def publish(self, revision: int | None = None) -> Table:
+        """Publish the rows and note when."""
+        table = self.fleet.platform.publish(self.rows, revision)
+        self.edits[table.revision] = self.fleet.queue.clock.now_ms()
+        return table
+
+    def edit(self) -> None:
+        """Change a weight; every third edit also moves a row to another service."""
+        source = self.fleet.source
+        i = source.randrange(len(self.rows))
+        row = self.rows[i]
+        self.rows[i] = row._replace(weight=source.randrange(1, 1_000))
+        if len(self.edits) % 3 == 2:
+            other = source.choice(self.rows)
+            self.rows[i] = self.rows[i]._replace(
+                service=other.service, service_address=other.service_address
+            )
+        self.publish()
+
+    def run_edits(self, count: int) -> None:
+        """Edit at intervals."""
+        for _ in range(count):
+            self.edit()
+            self.fleet.run(EDIT_INTERVAL_MS)
+
+    def report(self, name: str) -> dict[str, Any]:
+        """Return the figures of the trial."""
+        fleet = self.fleet
+        coverage = sorted(self.measure_coverage())
+        daemons = fleet.all_daemons
+        end_ms = fleet.queue.clock.now_ms()
+        lifetimes = [
+            (daemon.ended_ms or end_ms) - max(self.begin_ms, daemon.started_ms)
+            for daemon in daemons
+        ]
+        first_window = self.begin_ms // WINDOW_MS
+        sent = [
+            sum(n for w, n in daemon.bytes_by_window.items() if w >= first_window)
+            for daemon in daemons
+        ]
+        busiest = max(
+            count
+            for daemon in daemons
+            for window, count in daemon.bytes_by_window.items()
+            if window >= first_window
+        )
+        reads = fleet.platform.reads_by_second
+        running = list(fleet.daemons.values())
+        ready = [d.ready_ms - d.started_ms for d in daemons if d.ready_ms is not None]
+        return {
+            "name": name,
+            "daemons": fleet.shape.daemons,
+            "zones": fleet.shape.zones,
+            "loss": fleet.loss,
+            "edits": len(self.edits),
+            "coverage_p50_ms": quantile(coverage, 0.5),
+            "coverage_p99_ms": quantile(coverage, 0.99),
+            "coverage_max_ms": coverage[-1] if coverage else 0,
+            "not_covered": self.count_uncovered(),
+            "reverts": sum(daemon.reverts for daemon in daemons),
+            "wrong_tables": sum(not self.has_right_rows(d) for d in running),
+            "wrong_verdicts": count_wrong_verdicts(running),
+            "not_ready": sum(daemon.ready_ms is None for daemon in running),
+            "ready_max_ms": max(ready, default=0),
+            "control_bytes_per_second_mean": round(
+                1_000 * sum(sent) / max(1, sum(lifetimes)), 1
+            ),
+            "control_bytes_per_second_max": round(1_000 * busiest / WINDOW_MS, 1),
+            "reads_per_second_max": max(reads.values(), default=0),
+            "lower_revisions_ignored": sum_counts(daemons, "lower_revision"),
+            "digest_conflicts": sum_counts(daemons, "digest_conflict"),
+        }
+
+    def measure_coverage(self) -> list[int]:
+        """Return how long each edit took to each daemon that could have it."""
+        found: list[int] = []
+        for daemon in self.fleet.all_daemons:
+            learnt = sorted(daemon.learnt_ms.items())
+            for revision, edited_ms in self.edits.items():
+                times = [at_ms for known, at_ms in learnt if known >= revision]
+                if times:
+                    since_ms = max(edited_ms, daemon.started_ms)
+                    if times[0] > daemon.reachable_ms:
+                        since_ms = max(since_ms, daemon.reachable_ms)
+                    found.append(max(0, times[0] - since_ms))
+        return found
+
+    def count_uncovered(self) -> int:
+        """Return how many running daemons lack the newest edit."""
+        newest = max(self.edits, default=0)
+        return sum(d.version.revision < newest for d in self.fleet.daemons.values())
+
+    def has_right_rows(self, daemon: FakeDaemon) -> bool:
+        """Return whether a daemon has the rows of its revision that it needs."""
+        table = daemon.node.spread.table
+        newest = self.fleet.platform.newest.table
+        if table.revision != newest.revision:
+            return True
+        if daemon.instance.role is InstanceRole.BALANCER:
+            return table.rows == newest.rows
+        row = newest.row_by_backend_server.get(daemon.instance.name)
+        if row is None:
+            return daemon.instance.name not in table.row_by_backend_server
+        service = row.service
+        return table.rows_by_service.get(service) == newest.rows_by_service[service]
+
+
+def sum_counts(daemons: list[FakeDaemon], name: str) -> int:
+    """Return a count over all daemons."""
+    return sum(daemon.node.counts[name] for daemon in daemons)
+
+
+def count_wrong_verdicts(running: list[FakeDaemon]) -> int:
+    """Return how often a running member is held to be unreachable."""
+    names = {daemon.instance.name for daemon in running}
+    return sum(
+        member.status is MemberStatus.UNREACHABLE and name in names
+        for daemon in running
+        for name, member in daemon.node.membership.members.items()
+    )
+
+
+def quantile(ordered: list[int], share: float) -> int:
+    """Return the value below which a share of an ordered list lies."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0
+
+
+def run_steady(trial: Trial) -> None:
+    """Edits without a fault."""
+    trial.warm_up()
+    trial.run_edits(6)
+    trial.fleet.run(5_000)
+
+
+def run_stale_replica(trial: Trial) -> None:
+    """One replica of the service stops at an old state, then catches up."""
+    trial.warm_up()
+    trial.fleet.platform.stale_replicas = frozenset({1})
+    trial.run_edits(4)
+    trial.fleet.platform.refresh()
+    trial.run_edits(2)
+
+
+def run_paused_peers(trial: Trial) -> None:
+    """Some daemons are paused through several edits and wake with an old view."""
+    trial.warm_up()
+    paused = list(trial.fleet.daemons.values())[:: max(4, len(trial.rows) // 12)]
+    for daemon in paused:
+        daemon.is_paused = True
+    trial.run_edits(4)
+    for daemon in paused:
+        daemon.wake()
+    trial.fleet.run(8_000)
+    trial.run_edits(1)
+
+
+def run_partition(trial: Trial) -> None:
+    """A third of the zones is cut off for an hour with edits on the other side."""
+    trial.warm_up()
+    fleet = trial.fleet
+    last_zone = f"zone-{fleet.shape.zones * 2 // 3:02d}"
+    fleet.cut(
+        [d for d in fleet.daemons.values() if d.instance.availability_zone >= last_zone]
+    )
+    trial.run_edits(3)
+    fleet.step_coarsely(3_600_000)
+    trial.run_edits(2)
+    fleet.heal()
+    fleet.run(15_000)
+    trial.run_edits(1)
+
+
+def run_all_replaced(trial: Trial) -> None:
+    """Every balancer is replaced by a new one within a minute."""
+    trial.warm_up()
+    fleet = trial.fleet
+    old = [d for d in fleet.daemons.values() if d.node.spread.scope.is_whole]
+    for i, daemon in enumerate(old):
+        fleet.start(fleet.make_instance(f"c-{i:04d}", InstanceRole.BALANCER, i))
+        fleet.stop(daemon.instance.name, is_planned=i % 4 != 0)
+        fleet.publish_list(lag_ms=3_000)
+        if i % max(1, len(old) // 5) == 0:
+            trial.edit()
+        fleet.run(60_000 // len(old))
+    fleet.run(15_000)
+
+
+def run_service_down(trial: Trial) -> None:
+    """The service is down for long; daemons join meanwhile, and it comes back."""
+    trial.warm_up()
+    fleet = trial.fleet
+    fleet.platform.go_down()
+    fleet.run(10_000)
+    for i in range(3):
+        fleet.start(fleet.make_instance(f"c-{i:04d}", InstanceRole.BALANCER, i))
+    fleet.publish_list(lag_ms=2_000)
+    fleet.run(10_000)
+    fleet.step_coarsely(3_600_000)
+    fleet.run(20_000)
+    fleet.platform.is_down = False
+    trial.run_edits(2)
+
+
+def run_restored(trial: Trial) -> None:
+    """The service comes back from an old copy and counts revisions again."""
+    trial.warm_up()
+    trial.run_edits(3)
+    first = trial.fleet.platform.newest.table.revision
+    measured = dict(trial.edits)
+    for revision in range(first - 2, first + 3):
+        i = revision % len(trial.rows)
+        trial.rows[i] = trial.rows[i]._replace(weight=500 + revision)
+        trial.publish(revision)
+        trial.fleet.run(EDIT_INTERVAL_MS)
+    newer = {r: at_ms for r, at_ms in trial.edits.items() if r > first}
+    trial.edits = {**measured, **newer}
+
+
+def run_all_start(trial: Trial) -> None:
+    """Every daemon starts at the same moment."""
+    trial.start_all()
+    trial.fleet.run(25_000)
+
+
+FAULTS: dict[str, Callable[[Trial], None]] = {
+    "stale_replica": run_stale_replica,
+    "paused_peers": run_paused_peers,
+    "partition_of_an_hour": run_partition,
+    "all_balancers_replaced": run_all_replaced,
+    "service_down_for_an_hour": run_service_down,
+    "service_restored_from_old_copy": run_restored,
+    "all_start_at_once": run_all_start,
+}
+"""The courses of events with a fault."""
+
+
+def run_trial(
+    name: str, run: Callable[[Trial], None], shape: FleetShape, loss: float, seed: int
+) -> dict[str, Any]:
+    """Run one case and return its figures."""
+    trial = Trial(shape, loss, seed)
+    run(trial)
+    return trial.report(name)
+
+
+def run_case(seed: int) -> dict[str, Any]:
+    """Measure all sizes, losses and faults."""
+    cases = [
+        run_trial("steady", run_steady, shape, loss, seed)
+        for shape in SHAPES
+        for loss in LOSSES
+    ]
+    cases += [
+        run_trial(name, run, shape, FAULT_LOSS, seed)
+        for shape in SHAPES
+        for name, run in FAULTS.items()
+    ]
+    return {
+        "coverage_max_ms": max(case["coverage_max_ms"] for case in cases),
+        "reverts": sum(case["reverts"] for case in cases),
+        "not_covered": sum(case["not_covered"] for case in cases),
+        "control_bytes_per_second_mean": max(
+            case["control_bytes_per_second_mean"] for case in cases
+        ),
+        "reads_per_second_max": max(case["reads_per_second_max"] for case in cases),
+        "cases": cases,
+    }
--- a/citronwinch/coordination/spread/_failure_detector.py
+++ b/citronwinch/coordination/spread/_failure_detector.py
@@ -26,6 +26,9 @@
 SUSPICION_MS = 4_000
 """How long a suspected member may take to refute that, in milliseconds."""
 
+SUSPECT_PROBE_INTERVAL_MS = 700
+"""How often a suspected member is told so and asked again, in milliseconds."""
+
 SILENCE_MS = 3_000
 """After this long without any message the silence is taken as this process's own."""
 
@@ -58,6 +61,16 @@
     """Whether others were asked."""
 
 
+class Suspicion(NamedTuple):
+    """A member that did not answer and may still refute the suspicion."""
+
+    since_ms: int
+    """When it was suspected."""
+
+    asked_ms: int
+    """When it was last told and asked again."""
+
+
 class Relay(NamedTuple):
     """A probe on behalf of another member."""
 
@@ -97,7 +110,7 @@
         self.turn = 0
         self.positions = [0, 0, 0]
         self.pending: dict[int, PendingProbe] = {}
-        self.suspected_ms: dict[str, int] = {}
+        self.suspicions: dict[str, Suspicion] = {}
         self.relays: dict[int, Relay] = {}
         now_ms = clock.now_ms()
         self.due_ms = now_ms + source.randrange(PROBE_INTERVAL_MS)
@@ -112,7 +125,7 @@
             for number, probe in list(self.pending.items()):
                 if probe.target == sender:
                     del self.pending[number]
-        self.suspected_ms.pop(sender, None)
+        self.suspicions.pop(sender, None)
 
     def tick(self, state: TableState) -> list[SendMessage]:
         """Return the probes that are due; pass the verdicts that are due."""
@@ -123,8 +136,8 @@
         sends: list[SendMessage] = []
         if self.pending:
             sends += self._follow_up(now_ms, state)
-        if self.suspected_ms:
-            self._pass_verdicts(now_ms)
+        if self.suspicions:
+            sends += self._review_suspicions(now_ms, state)
         if now_ms >= self.due_ms:
             self.due_ms = now_ms + self.interval_ms
             target = self._choose_target()
@@ -136,7 +149,7 @@
         """Discard what was pending before a pause of this process."""
         self.pause_count += 1
         self.pending.clear()
-        self.suspected_ms.clear()
+        self.suspicions.clear()
         self.relays.clear()
         self.heard_ms = self.clock.now_ms()
         self.due_ms = self.clock.now_ms()
@@ -148,6 +161,10 @@
         self.pending[self.number] = PendingProbe(target, now_ms, False)
         return self._send_probe(target, self.number, state)
 
+    def note_unsent(self, probe: Probe) -> None:
+        """Expect no answer to a probe that the budget did not allow."""
+        self.pending.pop(probe.number, None)
+
     def handle_probe(
         self, sender: str, probe: Probe, state: TableState
     ) -> list[SendMessage]:
@@ -169,7 +186,7 @@
         """Settle a probe, or tell the member on whose behalf it was sent."""
         pending = self.pending.pop(answer.number, None)
         if pending is not None:
-            self.suspected_ms.pop(pending.target, None)
+            self.suspicions.pop(pending.target, None)
         relay = self.relays.pop(answer.number, None)
         if relay is None:
             return []
@@ -194,6 +211,7 @@
                 self._suspect(probe.target)
             elif waited_ms >= DIRECT_TIMEOUT_MS and not probe.is_relayed:
                 self.pending[number] = probe._replace(is_relayed=True)
+                sends.append(self._send_probe(probe.target, number, state))
                 sends += self._ask_helpers(number, probe.target, state)
         return sends
 
@@ -216,20 +234,26 @@
         member = self.membership.members.get(target)
         if member is None or member.status is MemberStatus.UNREACHABLE:
             return
-        self.suspected_ms.setdefault(target, now_ms)
+        self.suspicions.setdefault(target, Suspicion(now_ms, 0))
         if member.status is MemberStatus.LIVE:
             self._state(member.instance.name, MemberStatus.SUSPECT)
 
-    def _pass_verdicts(self, now_ms: int) -> None:
+    def _review_suspicions(self, now_ms: int, state: TableState) -> list[SendMessage]:
         if now_ms - self.heard_ms > SILENCE_MS:
-            return
-        for name, since_ms in list(self.suspected_ms.items()):
+            return []
+        sends: list[SendMessage] = []
+        for name, (since_ms, asked_ms) in list(self.suspicions.items()):
             member = self.membership.members.get(name)
             if member is None or member.status is MemberStatus.LIVE:
-                del self.suspected_ms[name]
+                del self.suspicions[name]
             elif now_ms - since_ms >= SUSPICION_MS:
-                del self.suspected_ms[name]
+                del self.suspicions[name]
                 self._state(name, MemberStatus.UNREACHABLE)
+            elif now_ms - asked_ms >= SUSPECT_PROBE_INTERVAL_MS:
+                self.suspicions[name] = Suspicion(since_ms, now_ms)
+                self.number += 1
+                sends.append(self._send_probe(name, self.number, state))
+        return sends
 
     def _state(self, name: str, status: MemberStatus) -> None:
         member = self.membership.members[name]
--- a/citronwinch/coordination/spread/_membership.py
+++ b/citronwinch/coordination/spread/_membership.py
@@ -152,7 +152,8 @@
             self.unreachable.discard(name)
         if known is None or known.status != fact.status or known.instance != instance:
             self.change_count += 1
-        self.spread_fact(fact)
+        if known is None or known.status != fact.status:
+            self.spread_fact(fact)
         return True
 
     def refute(self, fact: MemberFact) -> bool:
--- a/citronwinch/coordination/spread/_node.py
+++ b/citronwinch/coordination/spread/_node.py
@@ -33,6 +33,9 @@
 JOIN_PEERS = 4
 """How many peers a joining or waking process asks at once."""
 
+FLEET_INTERVAL_MS = 1_000
+"""How often the fleet is looked at as a whole, in milliseconds."""
+
 LEAVING_RECEIVERS = 6
 """How many peers are told at once that this process is leaving."""
 
@@ -72,6 +75,7 @@
         self.gate = JoinGate(clock)
         self.join_probe_ms = clock.now_ms()
         self.fleet_change_count = -1
+        self.fleet_due_ms = clock.now_ms()
         self.pause_count = 0
 
     @property
@@ -128,13 +132,14 @@
         if not self.gate.is_open:
             sends += self._join()
         sends += self.spread.tick()
-        if self.fleet_change_count != self.membership.change_count:
-            self.fleet_change_count = self.membership.change_count
-            self.schedule.update_fleet(self.membership.list_instances().values())
-        if self.membership.unreachable:
-            self.membership.forget_gone()
+        self._update_fleet()
         return sends
 
+    def note_unsent(self, send: SendMessage) -> None:
+        """Note that the budget did not allow a message that was returned."""
+        if isinstance(send.message, Probe):
+            self.detector.note_unsent(send.message)
+
     def leave(self) -> list[SendMessage]:
         """Say that this process is leaving."""
         self.membership.state_change(MemberStatus.LEAVING)
@@ -173,6 +178,16 @@
     ) -> list[SendMessage]:
         return self.spread.handle_chunk(message)
 
+    def _update_fleet(self) -> None:
+        now_ms = self.clock.now_ms()
+        changed = self.fleet_change_count != self.membership.change_count
+        if not changed or now_ms < self.fleet_due_ms:
+            return
+        self.fleet_due_ms = now_ms + FLEET_INTERVAL_MS
+        self.membership.forget_gone()
+        self.fleet_change_count = self.membership.change_count
+        self.schedule.update_fleet(self.membership.list_instances().values())
+
     def _hear_state(
         self, message: Probe | ProbeAnswer, sender: str, version: TableVersion
     ) -> None:
--- a/citronwinch/coordination/spread/_read_schedule.py
+++ b/citronwinch/coordination/spread/_read_schedule.py
@@ -16,7 +16,7 @@
 WATCHERS_PER_ZONE = 3
 """How many balancers of an availability zone watch the service."""
 
-WATCHER_READS_PER_SECOND = 500
+WATCHER_READS_PER_SECOND = 600
 """The most reads a second by all watchers together."""
 
 FALLBACK_READS_PER_SECOND = 1_000
@@ -31,7 +31,7 @@
 AGE_UNKNOWN_MS = 0xFFFFFFFF
 """The age that a process states when it knows of no comparison with the service."""
 
-FAILURE_LIMIT = 5
+FAILURE_LIMIT = 3
 """How often the wait after a failed read doubles."""
 
 
--- a/citronwinch/daemon/_spread_task.py
+++ b/citronwinch/daemon/_spread_task.py
@@ -148,10 +148,12 @@
 
     def send_all(self, sends: list[SendMessage]) -> None:
         """Send what the budget allows; the rest is repeated by its own timers."""
-        for receiver, message, priority in sends:
-            member = self.node.membership.members.get(receiver)
-            if member is not None:
-                self.peers.send_control(message, member.instance.address, priority)
+        for send in sends:
+            member = self.node.membership.members.get(send.receiver)
+            if member is not None and not self.peers.send_control(
+                send.message, member.instance.address, send.priority
+            ):
+                self.node.note_unsent(send)
 
     def note_reason(self) -> None:
         """Log why the table cannot be read when that changes."""
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -11,6 +11,7 @@
 from citronwinch.operators._table_csv import (
     COLUMNS,
     TableProblem,
+    find_conflicts,
     format_table,
     parse_table,
 )
@@ -24,6 +25,7 @@
     "SettingsProblem",
     "TableProblem",
     "configure_logging",
+    "find_conflicts",
     "format_table",
     "parse_settings",
     "parse_table",
--- a/citronwinch/operators/_table_csv.py
+++ b/citronwinch/operators/_table_csv.py
@@ -102,6 +102,14 @@
     return Ok(Table(revision, (row for _, row in rows)))
 
 
+def find_conflicts(rows: Iterable[TableRow]) -> list[TableProblem]:
+    """Return what rows that are valid one by one contradict each other in.
+
+    Rows are numbered as `format_table` would write them.
+    """
+    return sorted(_find_conflicts(list(enumerate(rows, 2))))
+
+
 def format_table(rows: Iterable[TableRow]) -> str:
     """Return rows as CSV text with a header."""
     output = io.StringIO()
--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/platform/_table_keys.py
@@ -1,6 +1,7 @@
 """How a table is split over keys of the configuration service.
 
-One key per service holds that service's rows as CSV. A fixed number of index keys
+One key per service holds that service's rows as CSV. Bundle keys hold the rows of
+many services each, for a reader that has no table yet. A fixed number of index keys
 name the service of each backend server, so that an agent finds its own service
 without reading any other. A manifest names the revision and the digests of all other
 keys, so that a reader can tell a half-written table from a whole one.
@@ -13,8 +14,13 @@
 import xxhash
 from expression import Error, Ok, Result
 
-from citronwinch.coordination import Table, digest_rows
-from citronwinch.operators import TableProblem, format_table, parse_table
+from citronwinch.coordination import EMPTY_TABLE, Table, TableRow, digest_rows
+from citronwinch.operators import (
+    TableProblem,
+    find_conflicts,
+    format_table,
+    parse_table,
+)
 from citronwinch.platform._client import MANIFEST_KEY
 
 SERVICE_KEY_PREFIX = "table/services/"
@@ -26,6 +32,12 @@
 INDEX_KEYS = 64
 """How many keys the index of backend servers is split over."""
 
+BUNDLE_KEY_PREFIX = "table/bundles/"
+"""Prefix of the keys that hold the rows of many services each."""
+
+BUNDLE_ROWS = 400
+"""How many rows a bundle has on average."""
+
 
 class Manifest(NamedTuple):
     """What the manifest key says."""
@@ -39,6 +51,9 @@
     index_digests: dict[str, str] = {}
     """The digest of each index key's value, in hexadecimal, by key."""
 
+    bundle_count: int = 0
+    """How many bundles there are."""
+
 
 def index_key(backend_server: str) -> str:
     """Return the index key that names the service of a backend server.
@@ -52,6 +67,12 @@
     return f"{INDEX_KEY_PREFIX}{number:02d}"
 
 
+def bundle_key(service: str, bundle_count: int) -> str:
+    """Return the key of the bundle that holds a service's rows."""
+    number = xxhash.xxh3_64_intdigest(service.encode()) % bundle_count
+    return f"{BUNDLE_KEY_PREFIX}{number:03d}"
+
+
 def digest_index(value: bytes) -> str:
     """Return the digest of an index key's value."""
     return hashlib.blake2b(value, digest_size=8).hexdigest()
@@ -67,6 +88,11 @@
         service: digest_rows(rows).hex()
         for service, rows in table.rows_by_service.items()
     }
+    bundle_count = -(-len(table.rows) // BUNDLE_ROWS)
+    bundles: dict[str, list[TableRow]] = {}
+    for service, rows in table.rows_by_service.items():
+        bundles.setdefault(bundle_key(service, bundle_count), []).extend(rows)
+    values.update((key, format_table(rows)) for key, rows in sorted(bundles.items()))
     index: dict[str, dict[str, str]] = {}
     for row in table.rows:
         entries = index.setdefault(index_key(row.backend_server), {})
@@ -77,6 +103,7 @@
         "revision": table.revision,
         "services": digests,
         "index": {key: digest_index(value) for key, value in index_values.items()},
+        "bundles": bundle_count,
     }
     values[MANIFEST_KEY] = orjson.dumps(manifest).decode()
     return values
@@ -89,36 +116,40 @@
         digests = {str(name): str(text) for name, text in body["services"].items()}
         index = body.get("index", {}).items()
         index_digests = {str(key): str(text) for key, text in index}
-        return Ok(Manifest(int(body["revision"]), digests, index_digests))
+        bundle_count = int(body.get("bundles", 0))
+        return Ok(Manifest(int(body["revision"]), digests, index_digests, bundle_count))
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
         return Error("expected JSON with revision and services")
 
 
 def join_table(
-    manifest: Manifest, values: dict[str, str]
+    manifest: Manifest, values: dict[str, str], known: Table = EMPTY_TABLE
 ) -> Result[Table, list[TableProblem]]:
     """Return the table of a manifest from the values of its service keys.
 
-    Rows are validated as a whole, so that a conflict between two services is found
-    however the table was split.
+    Services without a value are taken from `known`, a table that was valid before.
+    Conflicts are looked for in all rows, however the table was split.
     """
     problems: list[TableProblem] = []
-    bodies: list[str] = []
+    rows: list[TableRow] = []
     for service, digest in manifest.digests.items():
-        text = values.get(service)
-        if text is None:
-            problems.append(TableProblem(0, service, "no value", "the service's rows"))
-            continue
-        header, _, body = text.partition("\n")
-        bodies.append(body)
-        part = parse_table(text, manifest.revision)
+        part = _read_part(service, manifest.revision, values, known)
         if part.is_error():
             problems.extend(part.error)
-        elif part.ok.digest.hex() != digest:
-            found = part.ok.digest.hex()
+            continue
+        if service in values and digest_rows(part.ok).hex() != digest:
+            found = digest_rows(part.ok).hex()
             problems.append(TableProblem(0, service, found, f"the digest {digest}"))
-    if problems:
-        return Error(problems)
-    if not bodies:
-        return Ok(Table(manifest.revision, ()))
-    return parse_table(header + "\n" + "".join(bodies), manifest.revision)
+        rows.extend(part.ok)
+    problems = problems or find_conflicts(rows)
+    return Error(problems) if problems else Ok(Table(manifest.revision, rows))
+
+
+def _read_part(
+    service: str, revision: int, values: dict[str, str], known: Table
+) -> Result[tuple[TableRow, ...], list[TableProblem]]:
+    if service in values:
+        return parse_table(values[service], revision).map(lambda table: table.rows)
+    if service in known.rows_by_service:
+        return Ok(known.rows_by_service[service])
+    return Error([TableProblem(0, service, "no value", "the service's rows")])
--- a/citronwinch/platform/_table_reader.py
+++ b/citronwinch/platform/_table_reader.py
@@ -1,5 +1,6 @@
 """Reads a table key by key, only what the reader lacks, without doing the reads."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import orjson
@@ -10,14 +11,20 @@
 from citronwinch.operators import format_table, parse_table
 from citronwinch.platform._client import MANIFEST_KEY
 from citronwinch.platform._table_keys import (
+    BUNDLE_KEY_PREFIX,
+    INDEX_KEY_PREFIX,
     SERVICE_KEY_PREFIX,
     Manifest,
+    bundle_key,
     digest_index,
     index_key,
     join_table,
     parse_manifest,
 )
 
+BUNDLE_THRESHOLD = 3
+"""From how many changed services on their bundle is read in place of their keys."""
+
 
 class TableRead(NamedTuple):
     """A table that was read whole, or as far as the reader needs it."""
@@ -85,8 +92,10 @@
         if key == MANIFEST_KEY:
             return self._accept_manifest(value)
         self.wanted.remove(key)
-        if not key.startswith(SERVICE_KEY_PREFIX):
+        if key.startswith(INDEX_KEY_PREFIX):
             return self._accept_index(key, value)
+        if key.startswith(BUNDLE_KEY_PREFIX):
+            return self._accept_bundle(key, value)
         service = key.removeprefix(SERVICE_KEY_PREFIX)
         self.values[service] = value.decode("utf-8", "replace")
         return Ok(None)
@@ -100,11 +109,7 @@
             return Ok(None)
         if self.backend_server:
             return self._finish_agent(manifest, version)
-        values = dict(self.values)
-        for service, rows in self.known.rows_by_service.items():
-            if service in manifest.digests and service not in values:
-                values[service] = format_table(rows)
-        joined = join_table(manifest, values)
+        joined = join_table(manifest, self.values, self.known)
         if joined.is_error():
             return Error("; ".join(str(problem) for problem in joined.error[:3]))
         digests = {name: bytes.fromhex(text) for name, text in manifest.digests.items()}
@@ -121,11 +126,21 @@
             key = index_key(self.backend_server)
             self.wanted = [key] if key in parsed.ok.index_digests else []
             return Ok(None)
-        self.wanted = [
-            SERVICE_KEY_PREFIX + service
+        changed = [
+            service
             for service, digest in parsed.ok.digests.items()
             if self.known_digests.get(service, b"").hex() != digest
         ]
+        self.wanted = choose_keys(changed, parsed.ok.bundle_count)
+        return Ok(None)
+
+    def _accept_bundle(self, key: str, value: bytes) -> Result[None, str]:
+        assert self.manifest is not None
+        parsed = parse_table(value.decode("utf-8", "replace"), self.manifest.revision)
+        if parsed.is_error():
+            return Error(f"{key} is malformed")
+        for service, rows in parsed.ok.rows_by_service.items():
+            self.values[service] = format_table(rows)
         return Ok(None)
 
     def _accept_index(self, key: str, value: bytes) -> Result[None, str]:
@@ -154,3 +169,26 @@
         if digest.hex() != manifest.digests.get(service):
             return Error(f"the rows of {service} do not match the manifest")
         return Ok(TableRead(parsed.ok, {service: digest}, version.digest))
+
+
+def choose_keys(services: Sequence[str], bundle_count: int) -> list[str]:
+    """Return the keys that hold the rows of services, in as few reads as sensible.
+
+    Example::
+
+        >>> choose_keys(["dock", "gallery"], 1)
+        ['table/services/dock', 'table/services/gallery']
+        >>> choose_keys(["dock", "gallery", "gauging"], 1)
+        ['table/bundles/000']
+    """
+    groups: dict[str, list[str]] = {}
+    for service in services:
+        key = bundle_key(service, bundle_count) if bundle_count else ""
+        groups.setdefault(key, []).append(service)
+    keys: list[str] = []
+    for key, members in groups.items():
+        if key and len(members) >= BUNDLE_THRESHOLD:
+            keys.append(key)
+        else:
+            keys += [SERVICE_KEY_PREFIX + service for service in members]
+    return keys
