--- a/citronwinch/daemon/_events.py
+++ b/citronwinch/daemon/_events.py
@@ -5,6 +5,7 @@
 from expression import Result
 
 from citronwinch.backend_servers import Reply
+from citronwinch.coordination import Instance
 from citronwinch.network import Datagram
 from citronwinch.peers import Envelope
 from citronwinch.platform import InstanceList, KeyRequest, KeyValue, TableRead
@@ -16,12 +17,18 @@
     frames: list[Datagram]
     """The datagrams, in order of arrival."""
 
+    arrived_ms: int = 0
+    """The earliest time at which these and later datagrams may have arrived."""
+
 
 class PeerBatch(NamedTuple):
     """Messages of the system's other processes."""
 
     envelopes: list[Envelope]
-    """The messages, in order of arrival."""
+    """The messages, in order of arrival; empty when none came for a while."""
+
+    arrived_ms: int = 0
+    """The earliest time at which these and later messages may have arrived."""
 
 
 class ReplyArrived(NamedTuple):
@@ -55,6 +62,13 @@
     """The list, or why there is none."""
 
 
+class InstancesChanged(NamedTuple):
+    """The list of instances was read, or peers stated something new about one."""
+
+    instances: tuple[Instance, ...]
+    """The instances."""
+
+
 class Tick(NamedTuple):
     """Time has passed."""
 
@@ -73,6 +87,7 @@
     | KeyWasRead
     | TableWasJoined
     | ListWasRead
+    | InstancesChanged
     | Tick
     | StopRequested
 )
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -7,9 +7,16 @@
 import structlog
 import trio
 
-from citronwinch.coordination import Instance, MonotonicClock, Table
+from citronwinch.coordination import FlowKey, Instance, MonotonicClock, Table
 from citronwinch.coordination.spread import ControlBudget
-from citronwinch.daemon._events import Event, PeerBatch, StopRequested, Tick
+from citronwinch.daemon._arrivals import ArrivalWatch
+from citronwinch.daemon._events import (
+    Event,
+    InstancesChanged,
+    PeerBatch,
+    StopRequested,
+    Tick,
+)
 from citronwinch.daemon._peer_port import PeerPort
 from citronwinch.daemon._spread_task import SpreadDriver
 from citronwinch.daemon._status import Status, StatusPage
@@ -40,6 +47,8 @@
         self.budget = ControlBudget(self.clock)
         self.instances: dict[str, Instance] = {}
         self.state = "starting"
+        self.decided_ms = self.clock.now_ms()
+        self.metrics.service_levels.configure(settings.objectives, self.decided_ms)
         self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
         accepted = [key for key in (settings.key, settings.previous_key) if key]
         self.peers = PeerPort(
@@ -65,6 +74,10 @@
     def flow_count(self) -> int:
         """The flows that are held or remembered."""
 
+    def find_owner(self, flow: FlowKey) -> str:
+        """Return the owner of a flow, empty when this process does not know it."""
+        return ""
+
     @abstractmethod
     def handle(self, event: Event) -> None:
         """React to one event of the role."""
@@ -79,7 +92,7 @@
 
     async def run(self) -> None:
         """Run until a graceful shutdown is complete."""
-        page = StatusPage(self.metrics, self.read_status)
+        page = StatusPage(self.metrics, self.read_status, self.find_owner)
         settings = self.settings
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_signals)
@@ -96,6 +109,7 @@
     async def _decide(self) -> None:
         deadline_ms: int | None = None
         async for event in self.inbox:
+            self.decided_ms = self.clock.now_ms()
             self._handle_common(event)
             self.handle(event)
             if isinstance(event, StopRequested) and deadline_ms is None:
@@ -113,10 +127,16 @@
             self.state = "stopping"
             self.spread.leave()
             log.info("stopping", name=self.settings.name)
-        self.instances = self.spread.read_instances()
+        self._follow_instances()
         if self.spread.table.revision > self.table.revision:
             self.accept_table(self.spread.table)
 
+    def _follow_instances(self) -> None:
+        instances = self.spread.read_instances()
+        if instances is not self.instances:
+            self.instances = instances
+            self.handle(InstancesChanged(tuple(instances.values())))
+
     def accept_table(self, table: Table) -> None:
         """Put a table in force and say so."""
         self.use_table(table)
@@ -139,13 +159,14 @@
             self.table.digest.hex(),
             self.flow_count,
             len(self.instances),
+            self.clock.now_ms() - self.decided_ms,
         )
 
     async def _receive_peers(self) -> None:
+        watch = ArrivalWatch(self.peers.port, self.clock)
         while True:
-            envelopes = await self.peers.receive()
-            if envelopes:
-                await self.inbox_send.send(PeerBatch(envelopes))
+            envelopes, arrived_ms = await watch.receive(self.peers.receive)
+            await self.inbox_send.send(PeerBatch(envelopes, arrived_ms))
 
     async def _tick(self) -> None:
         while True:
--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/platform/_table_keys.py
@@ -141,7 +141,7 @@
             found = digest_rows(part.ok).hex()
             problems.append(TableProblem(0, service, found, f"the digest {digest}"))
         rows.extend(part.ok)
-    problems = problems or find_conflicts(rows)
+    problems = problems or find_conflicts(list(enumerate(rows, 2)))
     return Error(problems) if problems else Ok(Table(manifest.revision, rows))
 
 
