Test spread, membership, replay and the reads from the platform

The test of a whole reader showed a fault: when a read of the instance list is answered at once again and again, the keys of the table were never read. Reads of both kinds now take turns.

--- a/citronwinch/benches/_case_spread.py
+++ b/citronwinch/benches/_case_spread.py
@@ -165,7 +165,7 @@
                 times = [at_ms for known, at_ms in learnt if known >= revision]
                 if times:
                     since_ms = max(edited_ms, daemon.started_ms)
-                    if times[0] > daemon.reachable_ms:
+                    if times[0] >= daemon.reachable_ms:
                         since_ms = max(since_ms, daemon.reachable_ms)
                     found.append(max(0, times[0] - since_ms))
         return found
--- a/citronwinch/benches/_spread_fleet.py
+++ b/citronwinch/benches/_spread_fleet.py
@@ -285,9 +285,12 @@
 def shape_of(message: SpreadMessage) -> tuple[object, ...]:
     """Return what the encoded size of a message depends on."""
     if isinstance(message, Probe):
-        return Probe, len(message.target), len(message.facts), len(message.digest)
+        described = sum(fact.instance is not None for fact in message.facts)
+        count = len(message.facts)
+        return Probe, len(message.target), count, described, len(message.digest)
     if isinstance(message, ProbeAnswer):
-        return ProbeAnswer, len(message.facts), len(message.digest)
+        described = sum(fact.instance is not None for fact in message.facts)
+        return ProbeAnswer, len(message.facts), described, len(message.digest)
     if isinstance(message, TablePull):
         return TablePull, len(message.scope), len(message.missing)
     assert isinstance(message, TableChunk)
--- /dev/null
+++ b/citronwinch/benches/tests/test_case_spread.py
@@ -0,0 +1,55 @@
+"""Tests of the spread of edits on a small fleet, through each named fault."""
+
+from collections.abc import Callable
+
+import pytest
+
+from citronwinch.benches._case_spread import (
+    FAULTS,
+    LOSSES,
+    Trial,
+    run_steady,
+    run_trial,
+)
+from citronwinch.benches._spread_fleet import SHAPES
+
+COVERAGE_LIMIT_MS = 5_000
+CONTROL_LIMIT_BYTES_PER_SECOND = 2_000
+READS_LIMIT_PER_SECOND = 2_000
+
+Course = Callable[[Trial], None]
+CASES: list[tuple[str, Course, float, int]] = [
+    ("steady", run_steady, loss, 1) for loss in LOSSES
+]
+CASES += [(name, run, 0.05, 1) for name, run in FAULTS.items()]
+CASES += [(name, run, 0.2, 2) for name, run in FAULTS.items()]
+
+
+def name_case(value):
+    return value if isinstance(value, str) else None
+
+
+@pytest.mark.parametrize(("name", "run", "loss", "seed"), CASES, ids=name_case)
+def test_an_edit_reaches_everyone_and_never_reverts(name, run, loss, seed):
+    figures = run_trial(name, run, SHAPES[0], loss, seed)
+    assert figures["reverts"] == 0
+    assert figures["not_covered"] == 0
+    assert figures["wrong_tables"] == 0
+    assert figures["not_ready"] == 0
+    assert figures["coverage_max_ms"] <= COVERAGE_LIMIT_MS
+    assert figures["control_bytes_per_second_mean"] <= CONTROL_LIMIT_BYTES_PER_SECOND
+    assert figures["reads_per_second_max"] <= READS_LIMIT_PER_SECOND
+
+
+def test_the_same_seed_gives_the_same_figures():
+    first, second = (
+        run_trial("steady", run_steady, SHAPES[0], 0.2, 3) for _ in range(2)
+    )
+    assert first == second
+
+
+def test_a_restored_copy_raises_an_alarm():
+    name = "service_restored_from_old_copy"
+    figures = run_trial(name, FAULTS[name], SHAPES[0], 0.0, 1)
+    assert figures["digest_conflicts"] > 0
+    assert figures["lower_revisions_ignored"] > 0
--- a/citronwinch/coordination/spread/_failure_detector.py
+++ b/citronwinch/coordination/spread/_failure_detector.py
@@ -257,7 +257,7 @@
 
     def _state(self, name: str, status: MemberStatus) -> None:
         member = self.membership.members[name]
-        fact = MemberFact(member.instance, member.incarnation, status)
+        fact = MemberFact(name, member.incarnation, status)
         self.membership.accept_fact(fact)
 
     def _choose_target(self) -> str | None:
--- a/citronwinch/coordination/spread/_membership.py
+++ b/citronwinch/coordination/spread/_membership.py
@@ -27,7 +27,7 @@
 FACTS_PER_MESSAGE = 4
 """The most facts that one probe or answer carries."""
 
-FACT_REPEATS_PER_DOUBLING = 4
+FACT_REPEATS_PER_DOUBLING = 3
 """How often a fact is repeated for each doubling of the fleet."""
 
 FORGET_UNLISTED_MS = 60_000
@@ -93,6 +93,8 @@
         self.own = own
         self.incarnation = incarnation
         self.own_status = MemberStatus.LIVE
+        self.is_listed_leaving = False
+        self.is_stopping = False
         self.clock = clock
         self.source = source
         self.members: dict[str, Member] = {}
@@ -106,7 +108,10 @@
 
     def accept_list(self, instances: Iterable[Instance]) -> None:
         """Take the platform's newest list."""
-        listed = {item.name: item for item in instances if item.name != self.own.name}
+        listed = {item.name: item for item in instances}
+        own = listed.pop(self.own.name, None)
+        if own is not None:
+            self._follow_own_state(own.state)
         now_ms = self.clock.now_ms()
         for name, instance in listed.items():
             known = self.members.get(name)
@@ -126,23 +131,43 @@
             else:
                 self.forget(name)
 
+    def _follow_own_state(self, listed: InstanceState) -> None:
+        is_listed_leaving = listed is InstanceState.LEAVING
+        if is_listed_leaving == self.is_listed_leaving:
+            return
+        self.is_listed_leaving = is_listed_leaving
+        if is_listed_leaving:
+            self.state_change(MemberStatus.LEAVING)
+        elif not self.is_stopping:
+            self.incarnation += 1
+            self.state_change(MemberStatus.LIVE)
+
+    def begin_stop(self) -> None:
+        """Say from now on that this process is leaving."""
+        self.is_stopping = True
+        self.state_change(MemberStatus.LEAVING)
+
     def accept_fact(self, fact: MemberFact) -> bool:
         """Take a statement; return whether it was news."""
-        name = fact.instance.name
+        name = fact.name
         if name == self.own.name:
             return self.refute(fact)
         known = self.members.get(name)
+        described = fact.instance
         if known is not None and (fact.incarnation, fact.status) <= (
             known.incarnation,
             known.status,
         ):
             return False
-        if known is None and not self._has_room():
+        if known is None and (described is None or not self._has_room()):
             return False
         is_listed = known is not None and known.is_listed
-        instance = known.instance if known and is_listed else fact.instance
-        if known is not None and fact.incarnation > known.incarnation:
-            instance = fact.instance
+        is_later_run = known is None or fact.incarnation > known.incarnation
+        if described is not None and (is_later_run or not is_listed):
+            instance = described
+        else:
+            assert known is not None
+            instance = known.instance
         self.members[name] = Member(
             instance, fact.incarnation, fact.status, is_listed, self.clock.now_ms()
         )
@@ -169,18 +194,17 @@
     def state_change(self, status: MemberStatus) -> None:
         """Spread this process's own status."""
         self.own_status = status
+        self.change_count += 1
         self.spread_fact(self.own_fact())
 
     def own_fact(self) -> MemberFact:
         """Return the statement of this process about itself."""
-        return MemberFact(self.own, self.incarnation, self.own_status)
+        return MemberFact(self.own.name, self.incarnation, self.own_status, self.own)
 
     def spread_fact(self, fact: MemberFact) -> None:
         """Let a fact ride on the next messages; it replaces an older one."""
         rounds = max(2, len(self.members).bit_length())
-        self.rumors[fact.instance.name] = Rumor(
-            fact, FACT_REPEATS_PER_DOUBLING * rounds
-        )
+        self.rumors[fact.name] = Rumor(fact, FACT_REPEATS_PER_DOUBLING * rounds)
 
     def take_facts(self, receiver: str) -> tuple[MemberFact, ...]:
         """Return the facts for one message, the least sent first.
@@ -193,15 +217,15 @@
             MemberStatus.SUSPECT,
             MemberStatus.UNREACHABLE,
         ):
-            facts.append(MemberFact(known.instance, known.incarnation, known.status))
+            facts.append(MemberFact(receiver, known.incarnation, known.status))
         if not self.rumors:
             return tuple(facts)
         chosen = sorted(
             self.rumors.values(),
-            key=lambda rumor: (-rumor.sends_left, rumor.fact.instance.name),
+            key=lambda rumor: (-rumor.sends_left, rumor.fact.name),
         )
         for rumor in chosen[: FACTS_PER_MESSAGE - len(facts)]:
-            name = rumor.fact.instance.name
+            name = rumor.fact.name
             if name != receiver:
                 facts.append(rumor.fact)
             if rumor.sends_left <= 1:
--- a/citronwinch/coordination/spread/_messages.py
+++ b/citronwinch/coordination/spread/_messages.py
@@ -26,8 +26,8 @@
 class MemberFact(NamedTuple):
     """A statement about one member, spread by all members."""
 
-    instance: Instance
-    """The member."""
+    name: str
+    """The member's name."""
 
     incarnation: int
     """The member's run, raised by the member itself to refute a suspicion."""
@@ -35,6 +35,9 @@
     status: MemberStatus
     """What is stated."""
 
+    instance: Instance | None = None
+    """The member, when it describes itself; others are known from list or facts."""
+
 
 class Probe(NamedTuple):
     """Asks the receiver for a sign of life, its own or that of another member."""
--- a/citronwinch/coordination/spread/_node.py
+++ b/citronwinch/coordination/spread/_node.py
@@ -16,7 +16,6 @@
 from citronwinch.coordination.spread._join_gate import JoinGate
 from citronwinch.coordination.spread._membership import Membership, is_usable
 from citronwinch.coordination.spread._messages import (
-    MemberStatus,
     Probe,
     ProbeAnswer,
     SendMessage,
@@ -142,7 +141,7 @@
 
     def leave(self) -> list[SendMessage]:
         """Say that this process is leaving."""
-        self.membership.state_change(MemberStatus.LEAVING)
+        self.membership.begin_stop()
         return self._ask_peers(LEAVING_RECEIVERS)
 
     @singledispatchmethod
--- /dev/null
+++ b/citronwinch/coordination/spread/tests/test_membership.py
@@ -0,0 +1,178 @@
+"""Tests of membership: lists, facts, verdicts and pauses."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from citronwinch.coordination import InstanceState, ManualClock
+from citronwinch.coordination.spread import (
+    FailureDetector,
+    MemberFact,
+    Membership,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    TableState,
+)
+from citronwinch.coordination.spread.tests.conftest import make_instance
+
+STATE = TableState(b"12345678", 0)
+LIVE, SUSPECT, LEAVING, UNREACHABLE = MemberStatus
+NAMES = ("m-1", "m-2", "m-3", "m-4")
+
+
+@pytest.fixture
+def membership(clock, source):
+    result = Membership(make_instance("own"), 100, clock, source)
+    result.accept_list([make_instance(name) for name in ("own", *NAMES)])
+    return result
+
+
+@pytest.fixture
+def detector(membership, clock, source):
+    return FailureDetector(membership, clock, source)
+
+
+def run(detector, clock, duration_ms, answering=()):
+    """Let time pass; the members in `answering` answer what they are asked."""
+    for _ in range(duration_ms // 100):
+        clock.advance(100)
+        for receiver, message, _ in detector.tick(STATE):
+            if receiver in answering and not message.target:
+                detector.hear(receiver)
+                answer = ProbeAnswer(message.number, b"", 0)
+                detector.handle_answer(receiver, answer, STATE)
+
+
+ORDER = {
+    "a higher status of the same run wins": ((5, LIVE), (5, SUSPECT), SUSPECT),
+    "a lower status of the same run loses": ((5, UNREACHABLE), (5, LIVE), UNREACHABLE),
+    "a later run wins over a verdict": ((5, UNREACHABLE), (6, LIVE), LIVE),
+    "an earlier run loses": ((6, LIVE), (5, UNREACHABLE), LIVE),
+    "leaving outlives a suspicion": ((5, LEAVING), (5, SUSPECT), LEAVING),
+}
+
+
+@pytest.mark.parametrize("case", ORDER)
+def test_order_of_facts(membership, case):
+    first, second, expected = ORDER[case]
+    for incarnation, status in (first, second):
+        membership.accept_fact(MemberFact("m-1", incarnation, status))
+    assert membership.members["m-1"].status is expected
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(NAMES), st.integers(1, 4), st.sampled_from(LIVE.__class__)
+        ),
+        max_size=12,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_facts_in_any_order_lead_to_the_same_members(facts, shuffler):
+    outcomes = []
+    for _ in range(2):
+        membership = Membership(
+            make_instance("own"), 1, ManualClock(), random.Random(1)
+        )
+        membership.accept_list([make_instance(name) for name in NAMES])
+        for fact in facts:
+            membership.accept_fact(MemberFact(*fact))
+        outcomes.append({n: m[1:3] for n, m in membership.members.items()})
+        facts = list(facts)
+        shuffler.shuffle(facts)
+    assert outcomes[0] == outcomes[1]
+
+
+def test_a_silent_member_is_unreachable_but_still_listed(detector, membership, clock):
+    run(detector, clock, 15_000, answering=NAMES[1:])
+    assert membership.members["m-1"].status is UNREACHABLE
+    instances = membership.list_instances()
+    assert instances["m-1"].state is InstanceState.UNREACHABLE
+    assert all(instances[name].state is InstanceState.LIVE for name in NAMES[1:])
+
+
+def test_a_process_that_hears_nobody_passes_no_verdict(detector, membership, clock):
+    run(detector, clock, 60_000)
+    assert all(m.status is not UNREACHABLE for m in membership.members.values())
+
+
+def test_helpers_save_a_member_whose_link_is_broken(detector, membership, clock):
+    for _ in range(150):
+        clock.advance(100)
+        for receiver, message, _ in detector.tick(STATE):
+            if receiver == "m-1" and not message.target:
+                continue
+            detector.hear(receiver)
+            answer = ProbeAnswer(message.number, b"", 0)
+            detector.handle_answer(receiver, answer, STATE)
+    assert membership.members["m-1"].status is LIVE
+
+
+def test_a_helper_passes_the_answer_back(detector):
+    [asked] = detector.handle_probe("m-2", Probe(9, b"", 0, "m-1"), STATE)
+    assert asked.receiver == "m-1"
+    answer = ProbeAnswer(asked.message.number, b"", 0)
+    [passed] = detector.handle_answer("m-1", answer, STATE)
+    assert (passed.receiver, passed.message.number) == ("m-2", 9)
+
+
+def test_a_pause_discards_suspicions(detector, membership, clock):
+    run(detector, clock, 5_000, answering=NAMES[1:])
+    assert detector.suspicions
+    clock.advance(3_600_000)
+    detector.tick(STATE)
+    assert not detector.suspicions
+    assert detector.pause_count == 1
+    assert membership.members["m-1"].status is not UNREACHABLE
+
+
+def test_a_suspected_process_refutes_with_a_higher_incarnation(membership):
+    assert membership.accept_fact(MemberFact("own", 100, SUSPECT))
+    assert membership.own_fact()[1:3] == (101, LIVE)
+    assert membership.rumors["own"].fact == membership.own_fact()
+
+
+def test_leaving_is_a_fact_that_a_suspicion_does_not_undo(membership):
+    membership.begin_stop()
+    membership.accept_fact(MemberFact("own", 100, UNREACHABLE))
+    assert membership.own_fact()[1:3] == (101, LEAVING)
+
+
+LISTS = {
+    "an unlisted member that peers know stays": (True, LIVE, True),
+    "an unlisted member that nobody knows goes": (False, LIVE, False),
+    "an unlisted member that is unreachable goes": (True, UNREACHABLE, False),
+}
+
+
+@pytest.mark.parametrize("case", LISTS)
+def test_a_list_that_lacks_a_member(membership, case):
+    is_known, status, stays = LISTS[case]
+    if is_known:
+        membership.accept_fact(MemberFact("m-1", 5, status))
+    membership.accept_list([make_instance(name) for name in NAMES[1:]])
+    assert ("m-1" in membership.members) is stays
+
+
+def test_a_joining_member_is_known_before_the_list_has_it(membership):
+    fact = MemberFact("new-1", 5, LIVE, make_instance("new-1", "b"))
+    assert membership.accept_fact(fact)
+    assert membership.list_instances()["new-1"].availability_zone == "b"
+    assert not membership.accept_fact(MemberFact("new-2", 5, SUSPECT))
+
+
+def test_a_view_is_bounded_and_mostly_near(clock, source):
+    membership = Membership(make_instance("own"), 1, clock, source)
+    zones = [("a", "r"), ("b", "r"), ("c", "s"), ("d", "t")]
+    membership.accept_list(
+        make_instance(f"m-{zone}-{i}", zone, region)
+        for zone, region in zones
+        for i in range(200)
+    )
+    view = membership.view
+    assert [len(part) for part in view] == [24, 6, 4]
+    assert len(membership.choose_push_targets(3)) == 3
--- a/citronwinch/peers/_spread_codec.py
+++ b/citronwinch/peers/_spread_codec.py
@@ -1,9 +1,10 @@
 """Encoding of messages about membership and the table."""
 
+import ipaddress
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from citronwinch.coordination import Endpoint, Instance, InstanceRole
+from citronwinch.coordination import Endpoint, Instance, InstanceRole, pack_ip
 from citronwinch.coordination.spread import (
     MemberFact,
     MemberStatus,
@@ -71,15 +72,20 @@
         return
     builders = target.init("facts", len(facts))
     for builder, fact in zip(builders, facts, strict=True):
-        instance = fact.instance
-        builder.name = instance.name
-        builder.role = ROLE_NUMBERS[instance.role]
-        builder.availabilityZone = instance.availability_zone
-        builder.region = instance.region
-        builder.ip = instance.address.ip
-        builder.port = instance.address.port
+        builder.name = fact.name
         builder.incarnation = fact.incarnation
         builder.status = int(fact.status)
+        if fact.instance is not None:
+            fill_instance(fact.instance, builder.init("instance"))
+
+
+def fill_instance(instance: Instance, target: Any) -> None:
+    """Write what describes an instance, but for its name and state."""
+    target.role = ROLE_NUMBERS[instance.role]
+    target.port = instance.address.port
+    target.ip = pack_ip(instance.address.ip)
+    target.availabilityZone = instance.availability_zone
+    target.region = instance.region
 
 
 def read_spread(reader: Any) -> SpreadMessage:
@@ -92,20 +98,27 @@
     """Return the facts in a list reader."""
     return tuple(
         MemberFact(
-            Instance(
-                item.name,
-                ROLES[item.role],
-                item.availabilityZone,
-                Endpoint(item.ip, item.port),
-                region=item.region,
-            ),
+            item.name,
             item.incarnation,
             MemberStatus(item.status),
+            read_instance(item.name, item.instance) if item._has("instance") else None,
         )
         for item in reader
     )
 
 
+def read_instance(name: str, reader: Any) -> Instance:
+    """Return the described instance; raise ValueError when its address is wrong."""
+    ip = str(ipaddress.ip_address(bytes(reader.ip)))
+    return Instance(
+        name,
+        ROLES[reader.role],
+        reader.availabilityZone,
+        Endpoint(ip, reader.port),
+        region=reader.region,
+    )
+
+
 def read_probe(reader: Any) -> Probe:
     """Return the probe in a reader."""
     return Probe(
--- a/citronwinch/peers/spread.capnp
+++ b/citronwinch/peers/spread.capnp
@@ -1,15 +1,19 @@
 @0xe6214f9d07b35ac5;
 # Messages about membership and the table, between all processes.
 
+struct InstanceDescription {
+  role @0 :UInt8;
+  port @1 :UInt16;
+  ip @2 :Data;
+  availabilityZone @3 :Text;
+  region @4 :Text;
+}
+
 struct MemberFact {
   name @0 :Text;
-  role @1 :UInt8;
-  availabilityZone @2 :Text;
-  region @3 :Text;
-  ip @4 :Text;
-  port @5 :UInt16;
-  incarnation @6 :UInt64;
-  status @7 :UInt8;
+  incarnation @1 :UInt64;
+  status @2 :UInt8;
+  instance @3 :InstanceDescription;
 }
 
 struct Probe {
--- a/citronwinch/platform/_follower.py
+++ b/citronwinch/platform/_follower.py
@@ -66,28 +66,22 @@
         self.table_index = 0
         self.manifest_index = 0
         self.list_index = 0
+        self.has_list = False
+        self.was_list_last = False
         self.list_due_ms = clock.now_ms()
         self.reason = ""
 
     def take_requests(self) -> list[PlatformRequest]:
         """Return the reads that are due and that the rate allows."""
+        makers = [self._next_list_request, self._next_key_request]
+        if self.was_list_last:
+            makers.reverse()
         requests: list[PlatformRequest] = []
-        schedule = self.node.schedule
-        now_ms = self.clock.now_ms()
-        if (
-            not self.is_list_in_flight
-            and now_ms >= self.list_due_ms
-            and schedule.may_read()
-        ):
-            self.is_list_in_flight = True
-            schedule.note_read()
-            wait_ms = WATCH_WAIT_MS if schedule.is_watcher and self.list_index else 0
-            requests.append(ListRequest(self.list_index if wait_ms else 0, wait_ms))
-        if not self.is_key_in_flight and schedule.may_read():
-            request = self._next_key_request()
+        for make in makers:
+            request = make() if self.node.schedule.may_read() else None
             if request is not None:
-                self.is_key_in_flight = True
-                schedule.note_read()
+                self.was_list_last = isinstance(request, ListRequest)
+                self.node.schedule.note_read()
                 requests.append(request)
         return requests
 
@@ -100,7 +94,8 @@
             wait_ms = max(LIST_RETRY_MS, schedule.gap_ms)
             self.list_due_ms = now_ms + round(wait_ms * self._jitter())
             return False
-        if result.ok.change_index != self.list_index:
+        if not self.has_list or result.ok.change_index != self.list_index:
+            self.has_list = True
             self.list_index = result.ok.change_index
             self.node.accept_list(result.ok.instances)
         wait_ms = 0 if schedule.is_watcher else LIST_INTERVAL_MS
@@ -144,7 +139,22 @@
             return False
         return self.node.accept_read(read.table, read.service_digests, read.digest)
 
+    def _next_list_request(self) -> ListRequest | None:
+        if self.is_list_in_flight or self.clock.now_ms() < self.list_due_ms:
+            return None
+        self.is_list_in_flight = True
+        if self.node.schedule.is_watcher and self.has_list:
+            return ListRequest(self.list_index, WATCH_WAIT_MS)
+        return ListRequest()
+
     def _next_key_request(self) -> KeyRequest | None:
+        if self.is_key_in_flight:
+            return None
+        request = self._plan_key_request()
+        self.is_key_in_flight = request is not None
+        return request
+
+    def _plan_key_request(self) -> KeyRequest | None:
         spread, schedule = self.node.spread, self.node.schedule
         if self.is_reading:
             version = self.reader.version
--- /dev/null
+++ b/citronwinch/platform/tests/test_follower.py
@@ -0,0 +1,207 @@
+"""Contract tests of following the platform, against the stand-in on loopback."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from citronwinch.coordination import (
+    Endpoint,
+    Instance,
+    InstanceRole,
+    ManualClock,
+    TableRow,
+    TransportProtocol,
+)
+from citronwinch.coordination.spread import SpreadNode
+from citronwinch.network import serve
+from citronwinch.operators import format_table
+from citronwinch.platform import (
+    MANIFEST_KEY,
+    KeyRequest,
+    ListRequest,
+    PlatformFollower,
+    read_instances,
+    read_key,
+)
+from citronwinch.standins._platform import PlatformFaults, PlatformStandin
+
+PORT = 28_431
+
+
+def make_rows(weight=100):
+    return [
+        TableRow(
+            f"service-{i % 4}",
+            TransportProtocol.UDP,
+            Endpoint(f"192.0.2.{i % 4 + 1}", 5_000),
+            f"g-{i}",
+            Endpoint("198.51.100.1", 1_000 + i),
+            "a",
+            weight,
+            2_000,
+        )
+        for i in range(12)
+    ]
+
+
+class Reader:
+    """A process that follows the stand-in over HTTP with a clock of its own."""
+
+    def __init__(self, name="b-1", role=InstanceRole.BALANCER):
+        self.clock = ManualClock(1_000)
+        own = Instance(name, role, "a", Endpoint("192.0.2.200", 1))
+        self.node = SpreadNode(own, 1, self.clock, random.Random(1))
+        self.follower = PlatformFollower(self.node, self.clock)
+        self.keys = []
+
+    async def follow(self, steps=60):
+        service = Endpoint("127.0.0.1", PORT)
+        for _ in range(steps):
+            self.clock.advance(200)
+            self.node.tick()
+            for request in self.follower.take_requests():
+                if isinstance(request, ListRequest):
+                    found = await read_instances(service)
+                    self.follower.accept_list(found.map_error(lambda e: e.reason))
+                    continue
+                self.keys.append(request.key)
+                value = await read_key(service, request.key)
+                result = value.map_error(lambda error: error.reason)
+                if self.follower.accept_key(KeyRequest(request.key), result):
+                    self.follower.accept_table(self.follower.reader.finish())
+
+    @property
+    def revision(self):
+        return self.node.spread.version.revision
+
+
+@pytest.fixture
+def standin():
+    result = PlatformStandin()
+    result.publish_table(format_table(make_rows()))
+    result.publish_instances(
+        [
+            {
+                "name": "b-1",
+                "role": "balancer",
+                "availability_zone": "a",
+                "address": "192.0.2.200:1",
+            }
+        ]
+    )
+    return result
+
+
+def run_with(standin, action):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, Endpoint("127.0.0.1", PORT), standin.handle)
+            await trio.testing.wait_all_tasks_blocked()
+            await action()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_balancer_reads_bundles_first_and_then_only_what_changed(standin):
+    reader = Reader()
+
+    async def action():
+        await reader.follow()
+        assert reader.revision == 1
+        assert reader.keys[:2] == [MANIFEST_KEY, "table/bundles/000"]
+        reader.keys.clear()
+        rows = make_rows()
+        rows[5] = rows[5]._replace(weight=7)
+        standin.publish_table(format_table(rows))
+        await reader.follow()
+        assert reader.node.spread.table.row_by_backend_server["g-5"].weight == 7
+        assert {key for key in reader.keys if key != MANIFEST_KEY} == {
+            "table/services/service-1"
+        }
+
+    run_with(standin, action)
+
+
+def test_an_agent_reads_its_own_service_only(standin):
+    reader = Reader("g-6", InstanceRole.AGENT)
+
+    async def action():
+        await reader.follow()
+        assert reader.revision == 1
+        services = set(reader.node.spread.table.rows_by_service)
+        assert services == {"service-2"}
+        assert len(reader.keys) == 3
+
+    run_with(standin, action)
+
+
+FAULTS = {
+    "down": PlatformFaults(unavailable=True),
+    "slow": PlatformFaults(delay_ms=30),
+}
+
+
+@pytest.mark.parametrize("case", FAULTS)
+def test_a_fault_keeps_the_table_and_ends_with_the_newest(standin, case):
+    reader = Reader()
+
+    async def action():
+        await reader.follow()
+        standin.faults = FAULTS[case]
+        standin.publish_table(format_table(make_rows(50)))
+        await reader.follow(20)
+        assert reader.revision in ((1,) if case == "down" else (1, 2))
+        standin.faults = PlatformFaults()
+        await reader.follow(120)
+        assert reader.revision == 2
+
+    run_with(standin, action)
+
+
+def break_manifest(standin):
+    standin.publish_key(MANIFEST_KEY, '{"revision": 2')
+
+
+def break_service(standin):
+    standin.publish_table(format_table(make_rows(50)))
+    standin.publish_key("table/bundles/000", "no table")
+    standin.publish_key("table/services/service-1", "no table")
+
+
+def half_write(standin):
+    before = dict(standin.values)
+    standin.publish_table(format_table(make_rows(50)))
+    manifest = standin.values[MANIFEST_KEY]
+    standin.values = {**before, MANIFEST_KEY: manifest}
+
+
+def restore_old_copy(standin):
+    standin.publish_table(format_table(make_rows(50)))
+    standin.revision = -1
+    standin.publish_table(format_table(make_rows(60)))
+
+
+MISTAKES = {
+    "malformed manifest": break_manifest,
+    "malformed rows": break_service,
+    "half written": half_write,
+    "restored with a lower revision": restore_old_copy,
+}
+
+
+@pytest.mark.parametrize("case", MISTAKES)
+def test_what_is_not_a_whole_newer_table_changes_nothing(standin, case):
+    reader = Reader()
+
+    async def action():
+        await reader.follow()
+        before = reader.node.spread.table
+        assert before.revision == 1
+        MISTAKES[case](standin)
+        await reader.follow(40)
+        assert reader.node.spread.table is before
+
+    run_with(standin, action)
