--- a/citronwinch/coordination/tests/_session.py
+++ b/citronwinch/coordination/tests/_session.py
@@ -266,7 +266,9 @@
         self.steering = AgentSteering(name, session.clock)
         # A few answers pay for a retry, so that a short session shows one.
         budget = RetryBudget(share=RETRY_SHARE)
-        self.requests = AgentRequests(session.clock, session.source, budget=budget)
+        self.requests = AgentRequests(
+            name, session.clock, session.source, budget=budget
+        )
         self.sheds: set[bytes] = set()
         self.silent = False
         self.executed: Counter[bytes] = Counter()
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -108,6 +108,9 @@
     tun_device: str = ""
     """The layer-3 device that delivers TCP segments; empty without one."""
 
+    expected_instances: int = 100
+    """How many instances may start at once; spaces the first reads of the platform."""
+
     objectives: tuple[Objective, ...] = ()
     """What the services promise."""
 
@@ -146,6 +149,13 @@
     SettingSpec("listen", "fabric", "fabric_address", parse_endpoint, None),
     SettingSpec("platform", "configuration", "configuration_service", parse_endpoint),
     SettingSpec("platform", "instances", "instance_service", parse_endpoint),
+    SettingSpec(
+        "platform",
+        "expected_instances",
+        "expected_instances",
+        parse_number(1, 1_000_000, "instances"),
+        100,
+    ),
     SettingSpec("fabric", "return", "fabric_return", parse_endpoints),
     SettingSpec("keys", "current", "key", parse_key),
     SettingSpec("keys", "previous", "previous_key", parse_key, None),
