--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -75,6 +75,7 @@
         self.name = name
         self.clock = clock
         self.started_ms = clock.now_ms()
+        self.asked_ms = clock.now_ms() - SILENT_MS
         self.revision = 0
         self.fence = 0
         self.fenced_by = ""
@@ -87,6 +88,8 @@
 
     def set_rows(self, revision: int, rows: frozenset[str]) -> None:
         """Follow a table: who has left stays a former member while it owns flows."""
+        if self.name in rows and self.name not in self.rows:
+            self.forget_silence()
         self.former |= self.rows
         self.former -= rows | {self.name}
         self.cleared.clear()
@@ -97,6 +100,17 @@
             self.member(name)
         self.confirm()
 
+    @property
+    def takes_part(self) -> bool:
+        """Whether the members ask this agent, because it is one or owns flows."""
+        now_ms = self.clock.now_ms()
+        return self.name in self.rows or now_ms - self.asked_ms < SILENT_MS
+
+    def forget_silence(self) -> None:
+        """Begin anew to wait for signs of life."""
+        for member in self.members.values():
+            member.heard_ms = self.clock.now_ms()
+
     def member(self, name: str) -> Member:
         """Return what is known about a member."""
         if name not in self.members:
@@ -159,7 +173,7 @@
         """Decide nothing for a member that is back; return whether it was away."""
         member = self.member(name)
         was_away = member.has_departed or self.is_silent(name)
-        member.heard_ms = self.clock.now_ms()
+        member.heard_ms = self.asked_ms = self.clock.now_ms()
         member.has_departed = False
         return was_away
 
@@ -247,7 +261,12 @@
         return {name for name in self.absent - {self.name} if self.is_silent(name)}
 
     def is_silent(self, name: str) -> bool:
-        """Return whether a member has been quiet so long that it holds no lease."""
+        """Return whether a member has been quiet so long that it holds no lease.
+
+        Members ask only one another, so that an agent outside cannot tell.
+        """
+        if not self.takes_part:
+            return False
         return self.clock.now_ms() - self.member(name).heard_ms >= SILENT_MS
 
     def has_valid_lease(self, name: str) -> bool:
--- /dev/null
+++ b/citronwinch/coordination/steering/tests/test_agent.py
@@ -0,0 +1,247 @@
+"""What an agent does with packets under every change."""
+
+import pytest
+
+from citronwinch.coordination import Table
+from citronwinch.coordination.steering import Forward
+from citronwinch.coordination.steering._owned import CLOSING_IDLE_MS
+from citronwinch.coordination.steering.tests.conftest import (
+    NAMES,
+    make_key,
+    make_row,
+)
+
+
+def drain(rows, name):
+    return [r._replace(weight=0) if r.backend_server == name else r for r in rows]
+
+
+def lighten(rows, name):
+    return [r._replace(weight=5) if r.backend_server == name else r for r in rows]
+
+
+def remove(rows, name):
+    return [r for r in rows if r.backend_server != name]
+
+
+def move(rows, name):
+    moved = make_row(name, "reporting")
+    return [moved if r.backend_server == name else r for r in rows]
+
+
+CHANGES = {"drain": drain, "lighten": lighten, "remove": remove, "move": move}
+
+
+@pytest.mark.parametrize("change", CHANGES)
+@pytest.mark.parametrize("knowing", ["all", "home only", "owner only"])
+def test_established_flows_survive_a_change(group, rows, change, knowing):
+    flows = [make_key(n) for n in range(30)]
+    for flow in flows:
+        group.packet(group.home(flow), flow)
+    group.flush()
+    owner_of = {flow: group.owners(flow)[0] for flow in flows}
+    only = {"all": list(group.agents), "home only": NAMES[1:], "owner only": NAMES[:1]}
+    group.publish(CHANGES[change](rows, NAMES[0]), list(only[knowing]))
+    for flow in flows:
+        for name in NAMES:
+            group.packet(name, flow)
+    group.settle()
+    assert {f: group.owners(f) for f in flows} == {f: [o] for f, o in owner_of.items()}
+    assert {(n, f) for n, f in group.delivered} == {(o, f) for f, o in owner_of.items()}
+    assert group.delivered.count((owner_of[flows[0]], flows[0])) == 1 + len(NAMES)
+
+
+def test_drained_server_gets_no_new_flow(group, rows):
+    group.publish(drain(rows, NAMES[0]))
+    group.settle(300)
+    for n in range(60):
+        group.packet(NAMES[n % 3], make_key(n))
+    group.settle()
+    assert len(group.delivered) == 60
+    assert not group.agents[NAMES[0]].owned
+
+
+def test_full_server_passes_flows_on_and_the_last_refuses(group, rows):
+    limited = [r._replace(connection_limit=2) for r in rows]
+    group.publish(limited)
+    group.settle(300)
+    for n in range(8):
+        group.packet(group.home(make_key(n)), make_key(n))
+        group.flush()
+    assert [len(group.agents[name].owned) for name in NAMES] == [2, 2, 2]
+    assert [r.reason for _, r in group.refused] == ["full", "full"]
+
+
+def test_refused_packet_is_not_delivered_later(group, rows):
+    group.publish([r._replace(connection_limit=0) for r in rows])
+    group.settle(300)
+    flow = make_key(1)
+    group.packet(group.home(flow), flow)
+    group.flush()
+    group.publish(rows)
+    group.settle(300)
+    group.packet(group.home(flow), flow)
+    group.flush()
+    assert [r.reason for _, r in group.refused] == ["full", "refused_before"]
+    assert not group.delivered
+
+
+def test_packet_for_another_service_is_never_delivered(group):
+    flow = make_key(1)
+    group.packet(NAMES[0], flow, service="reporting")
+    group.flush()
+    assert not group.delivered
+    assert [(r.reason, r.is_certain) for _, r in group.refused] == [
+        ("wrong_service", False)
+    ]
+
+
+def test_moved_row_keeps_both_services_apart(group, rows):
+    old = group.find_flow(NAMES[0])
+    group.packet(NAMES[0], old)
+    group.publish(move(rows, NAMES[0]))
+    group.settle()
+    new = next(
+        key
+        for n in range(200)
+        if group.home(key := make_key(n, "reporting"), "reporting") == NAMES[0]
+    )
+    group.packet(NAMES[0], new, service="reporting")
+    group.packet(NAMES[0], old)
+    group.packet(NAMES[0], old, service="reporting")
+    late = group.find_flow(NAMES[1], 100)
+    group.packet(NAMES[0], late)
+    group.flush()
+    owned = group.agents[NAMES[0]].owned
+    assert {f: o.service for f, o in owned.items()} == {
+        old: "gauging",
+        new: "reporting",
+    }
+    assert group.delivered[1:] == [
+        (NAMES[0], new),
+        (NAMES[0], old),
+        (NAMES[1], late),
+    ]
+
+
+def test_agent_of_another_service_passes_packets_on_at_any_time(group):
+    flow = group.find_flow(NAMES[0])
+    group.packet("reporting-1", flow)
+    group.settle(8_000)
+    group.packet("reporting-1", flow)
+    group.settle()
+    assert group.delivered == [(NAMES[0], flow)] * 2
+
+
+def test_copies_of_a_first_packet_end_at_one_owner(group, rows):
+    group.publish(lighten(rows, NAMES[0]), [NAMES[1]])
+    for n in range(40):
+        for name in NAMES:
+            group.packet(name, make_key(n))
+    group.give_table(NAMES[2])
+    group.flush()
+    group.give_table(NAMES[0])
+    group.settle()
+    assert all(len(group.owners(make_key(n))) == 1 for n in range(40))
+    assert len(group.delivered) == 120
+
+
+def test_overtaken_assignment_does_not_open_twice(group, rows):
+    limited = [
+        r._replace(connection_limit=0) if r.backend_server == NAMES[0] else r
+        for r in rows
+    ]
+    group.publish(limited)
+    group.settle(300)
+    flow = group.find_flow(NAMES[0])
+    group.packet(NAMES[0], flow)
+    group.packet(NAMES[0], flow)
+    first, second = [w for w in group.wires if isinstance(w.message, Forward)]
+    group.wires.clear()
+    group.receive(second)
+    group.receive(first)
+    group.flush()
+    assert len(group.owners(flow)) == 1
+    assert len(group.delivered) == 2
+
+
+def test_lost_agent_is_replaced_as_home_only_after_its_lease(group):
+    flow = group.find_flow(NAMES[0])
+    lost = group.agents.pop(NAMES[0])
+    for _ in range(20):
+        group.tick()
+        group.flush()
+        group.packet(NAMES[1], flow, declined=(NAMES[0],))
+        assert not group.delivered
+    group.settle(6_000)
+    group.packet(group.home(flow, seen_by=NAMES[1]), flow)
+    group.flush()
+    assert len(group.owners(flow)) == 1
+    group.agents[NAMES[0]] = lost
+    group.packet(NAMES[0], flow)
+    assert len(group.owners(flow)) == 1
+    group.settle()
+    assert len(group.owners(flow)) == 1
+
+
+def test_owner_that_wakes_late_gives_up_a_flow_that_moved(group):
+    flow = group.find_flow(NAMES[0])
+    group.packet(NAMES[0], flow)
+    for _ in range(70):
+        group.tick(paused=frozenset([NAMES[0]]))
+        group.wires = [w for w in group.wires if w.receiver != NAMES[0]]
+        group.flush()
+    group.packet(group.home(flow, seen_by=NAMES[1]), flow)
+    group.flush()
+    successor = group.owners(flow)
+    assert successor != [NAMES[0]]
+    assert len(successor) == 1
+    group.packet(NAMES[0], flow)
+    assert group.owners(flow) == successor
+    group.settle()
+    assert group.owners(flow) == successor
+    assert flow not in group.agents[NAMES[0]].owned
+
+
+def test_owner_that_wakes_late_keeps_a_flow_that_nobody_took(group):
+    flow = group.find_flow(NAMES[0])
+    group.packet(NAMES[0], flow)
+    for _ in range(70):
+        group.tick(paused=frozenset([NAMES[0]]))
+        group.flush()
+    group.packet(NAMES[0], flow)
+    group.settle()
+    group.packet(NAMES[0], flow)
+    group.settle()
+    assert group.owners(flow) == [NAMES[0]]
+    assert group.delivered == [(NAMES[0], flow)] * 3
+
+
+def test_flows_of_a_restarted_agent_end_visibly(group):
+    flow = group.find_flow(NAMES[0])
+    group.packet(NAMES[0], flow, opens=False, packet=b"first")
+    group.packet(NAMES[0], flow)
+    group.start(NAMES[0])
+    group.settle(300)
+    group.packet(NAMES[0], flow, opens=False, packet=b"second")
+    group.flush()
+    assert [r.reason for _, r in group.refused] == ["no_such_flow"] * 2
+    assert all(r.is_certain for _, r in group.refused)
+    assert group.delivered == [(NAMES[0], flow)]
+
+
+def test_flow_with_an_end_is_kept_for_a_short_while(group):
+    agent = group.agents[NAMES[0]]
+    ended, open_flow = group.find_flow(NAMES[0]), group.find_flow(NAMES[0], 300)
+    group.packet(NAMES[0], ended, ends=True)
+    group.packet(NAMES[0], ended, ends=True)
+    group.packet(NAMES[0], open_flow)
+    group.clock.advance(CLOSING_IDLE_MS + 1)
+    assert [one.flow for one in agent.end_idle_flows(300_000)] == [ended]
+    assert list(agent.owned) == [open_flow]
+
+
+def test_lower_revision_is_ignored(group, rows):
+    group.publish(drain(rows, NAMES[0]))
+    group.agents[NAMES[0]].accept_table(Table(1, rows))
+    assert group.agents[NAMES[0]].table.revision == 2
