--- a/citronwinch/coordination/steering/tests/conftest.py
+++ b/citronwinch/coordination/steering/tests/conftest.py
@@ -1,7 +1,7 @@
 """A few agents whose messages a test delivers in any order it likes."""
 
 import pickle
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -59,9 +59,13 @@
     return Flow(TransportProtocol.UDP, caller, ADDRESSES[service]).key
 
 
-def make_forward(flow: FlowKey, service: str = "gauging", **fields) -> Forward:
+def make_forward(flow: FlowKey, service: str = "gauging", **fields: Any) -> Forward:
     """Return a packet as a balancer forwards it."""
-    values = {"packet": b"%d" % hash(flow), "balancer": "balancer-1", "opens": True}
+    values: dict[str, Any] = {
+        "packet": b"%d" % hash(flow),
+        "balancer": "balancer-1",
+        "opens": True,
+    }
     return Forward(flow, service, **{**values, **fields})
 
 
@@ -120,11 +124,13 @@
         else:
             self.act(wire.receiver, agent.handle(wire.message, wire.sender))
 
-    def packet(self, name: str, flow: FlowKey, **fields) -> None:
+    def packet(self, name: str, flow: FlowKey, **fields: Any) -> None:
         """Let a packet of a balancer arrive at an agent."""
         self.receive(Wire("balancer-1", name, make_forward(flow, **fields)))
 
-    def tick(self, duration_ms: int = 100, paused: frozenset[str] = frozenset()):
+    def tick(
+        self, duration_ms: int = 100, paused: frozenset[str] = frozenset()
+    ) -> None:
         """Let time pass for all agents but the paused ones."""
         self.clock.advance(duration_ms)
         for name, agent in self.agents.items():
@@ -169,7 +175,8 @@
 
     def copy(self) -> "Group":
         """Return an independent copy."""
-        return pickle.loads(pickle.dumps(self))
+        copy: Group = pickle.loads(pickle.dumps(self))
+        return copy
 
 
 NAMES = ("gauging-1", "gauging-2", "gauging-3")
--- a/citronwinch/coordination/steering/tests/test_protocol.py
+++ b/citronwinch/coordination/steering/tests/test_protocol.py
@@ -29,7 +29,7 @@
         super().__init__()
         self.rows = [make_row(name, name.partition("-")[0]) for name in SERVERS]
         self.group = Group(self.rows)
-        self.paused = frozenset()
+        self.paused: frozenset[str] = frozenset()
         self.assigned = {row.backend_server: {row.service} for row in self.rows}
         self.checked = 0
         self.packets = 0
