Tell a restarted home of all flows again

Cause: random runs found that an owner took a home for informed after the home had been restarted, so that the flow was opened a second time elsewhere. Change: lease requests carry the run of their sender; owners register anew with a home that was started anew, and a message of an earlier run is ignored. One more failure of long random runs (a stray packet that vanishes after a pause) is not mended yet.

--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -65,6 +65,7 @@
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
         self.unanswered = 0
+        self.incarnation = 0
         self.last_sent_ms = 0
 
 
@@ -134,11 +135,26 @@
         """Whether a revision is known that this member does not have yet."""
         return self.fence > self.revision
 
-    def due_requests(self, is_leaving: bool) -> list[tuple[str, LeaseRequest]]:
+    def note_incarnation(self, name: str, incarnation: int) -> bool | None:
+        """Return whether a member has been started anew, None for an older run."""
+        member = self.member(name)
+        known, member.incarnation = (
+            member.incarnation,
+            max(incarnation, member.incarnation),
+        )
+        if incarnation < known:
+            return None
+        return known not in (0, incarnation)
+
+    def due_requests(
+        self, is_leaving: bool, incarnation: int
+    ) -> list[tuple[str, LeaseRequest]]:
         """Return the lease requests that are due now, with their receivers."""
         now_ms = self.clock.now_ms()
         due = [name for name in self.others() if self.is_due(name, now_ms)]
-        request = LeaseRequest(self.service, self.revision, now_ms, is_leaving)
+        request = LeaseRequest(
+            self.service, self.revision, now_ms, is_leaving, incarnation
+        )
         for name in due:
             self.member(name).requested_ms = now_ms
             self.member(name).unanswered += 1
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -77,6 +77,9 @@
     is_leaving: bool = False
     """Whether the sender takes no new flows."""
 
+    incarnation: int = 0
+    """Which run of the sender this is; a later run remembers nothing of it."""
+
 
 class LeaseAnswer(NamedTuple):
     """The answer to a lease request, and a promise as long as the lease lasts."""
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -47,6 +47,7 @@
     def __init__(self, backend_server: str, clock: Clock, incarnation: int = 1) -> None:
         self.backend_server = backend_server
         self.clock = clock
+        self.incarnation = incarnation
         self.table: Table = EMPTY_TABLE
         self.is_leaving = False
         self.is_stopping = False
@@ -170,7 +171,13 @@
     @handle.register
     def _(self, message: LeaseRequest, sender: str) -> list[AgentAction]:
         leases = self.leases_of(message.service)
-        if leases.note_sign_of_life(sender):
+        is_new = leases.note_incarnation(sender, message.incarnation)
+        if is_new is None:
+            return []
+        if is_new:
+            self.registrations.drop_home(sender)
+            self.registry.forget_owners([sender])
+        if leases.note_sign_of_life(sender) or is_new:
             self.place_owned()
         is_complete = self.registrations.is_complete(sender, message.service)
         answer = leases.answer(sender, message, is_complete=is_complete)
@@ -315,7 +322,9 @@
         return [
             Send(name, request)
             for service in sorted(services)
-            for name, request in self.leases_of(service).due_requests(is_leaving)
+            for name, request in self.leases_of(service).due_requests(
+                is_leaving, self.incarnation
+            )
         ]
 
     def follow_silence(self) -> None:
--- a/citronwinch/coordination/steering/tests/test_agent.py
+++ b/citronwinch/coordination/steering/tests/test_agent.py
@@ -217,6 +217,22 @@
     assert group.delivered == [(NAMES[0], flow)] * 3
 
 
+def test_restarted_home_hears_of_all_flows_again(group, rows):
+    flows = [make_key(n) for n in range(20)]
+    for flow in flows:
+        group.packet(group.home(flow), flow)
+    group.publish(drain(rows, NAMES[0]))
+    group.settle()
+    owner_of = {flow: group.owners(flow) for flow in flows}
+    group.start(NAMES[1])
+    group.settle(400)
+    kept = [flow for flow in flows if owner_of[flow] != [NAMES[1]]]
+    for flow in kept:
+        group.packet(NAMES[1], flow)
+    group.settle()
+    assert {f: group.owners(f) for f in kept} == {f: owner_of[f] for f in kept}
+
+
 def test_flows_of_a_restarted_agent_end_visibly(group):
     flow = group.find_flow(NAMES[0])
     group.packet(NAMES[0], flow, opens=False, packet=b"first")
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -108,6 +108,7 @@
     target.revision = message.revision
     target.sentMs = message.sent_ms
     target.isLeaving = message.is_leaving
+    target.incarnation = message.incarnation
 
 
 @fill_message.register
@@ -213,7 +214,11 @@
 def read_lease_request(reader: Any) -> LeaseRequest:
     """Return the lease request in a reader."""
     return LeaseRequest(
-        reader.service, reader.revision, reader.sentMs, reader.isLeaving
+        reader.service,
+        reader.revision,
+        reader.sentMs,
+        reader.isLeaving,
+        reader.incarnation,
     )
 
 
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -37,6 +37,7 @@
   revision @1 :UInt64;
   sentMs @2 :UInt64;
   isLeaving @3 :Bool;
+  incarnation @4 :UInt64;
 }
 
 struct LeaseAnswer {
