Run a request once when steering held several copies of it

Steering holds packets of a flow while it asks for the owner. Each held copy passed the duplicate check when it came, before any of them had a record; released together, each was started. A copy that was refused after another had started was answered 'not run' as well. Change: the decision itself looks for a record first, in deliver and in refuse.

--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -90,7 +90,12 @@
     def deliver(
         self, arrival: RequestArrival, is_guest: bool = False
     ) -> list[RequestAction]:
-        """Return what to do about a packet that steering gives to this agent."""
+        """Return what to do about a packet that steering gives to this agent.
+
+        Steering may have held several copies, so that a record can be here by now.
+        """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         if arrival.request.kind is RequestKind.CANCEL:
             return self.refuse(arrival, "cancelled")
         if arrival.request.kind is not RequestKind.REQUEST:
@@ -115,6 +120,8 @@
         Elsewhere a copy may be running, as it may be when a former run of this agent
         saw the request, or when no tombstone fits: then the caller hears "unknown".
         """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         request = arrival.request
         if not is_final or self._is_former(arrival):
             return [tell_unknown(arrival.key, reason, retry_after_ms)]
