Remember as many flows as the cache limit says

Cause: the limit of 300,000 was halved twice, for two kinds of entries and for two generations, so that a full cache held 145,000 flows; the benchmark divided its memory by 300,000. Change: the limit is what a balancer remembers at least; the figure is per flow held.

--- a/citronwinch/benches/_case_path.py
+++ b/citronwinch/benches/_case_path.py
@@ -131,7 +131,7 @@
     growth = after - before
     return {
         "cached_flows": balancer.flow_count,
-        "bytes_per_cached_flow": round(growth / CACHED_FLOWS),
+        "bytes_per_cached_flow": round(growth / balancer.flow_count),
         "cached_flows_mb": round(growth / 1e6, 1),
         "cached_flows_within_limit": growth <= MEMORY_LIMIT_MB * 1e6,
         "resident_mb": round(after / 1e6, 1),
--- a/citronwinch/coordination/steering/_balancer.py
+++ b/citronwinch/coordination/steering/_balancer.py
@@ -42,13 +42,13 @@
 class OwnerCache:
     """The owners that agents have told, bounded in number and age.
 
-    It has two halves. A full or old current half becomes the older one and what was
-    in that one is forgotten, so that neither a look-up nor a full cache costs a
-    search.
+    It has two generations. A full or old current generation becomes the older one
+    and what was in that one is forgotten, so that neither a look-up nor a full cache
+    costs a search. The flows used last, up to `limit`, are always remembered.
     """
 
     def __init__(self, limit: int, clock: Clock) -> None:
-        self.half_limit = max(1, limit // 2)
+        self.limit = max(1, limit)
         self.clock = clock
         self.current: dict[FlowKey, Route] = {}
         self.older: dict[FlowKey, Route] = {}
@@ -68,7 +68,7 @@
 
     def remember(self, flow: FlowKey, route: Route) -> None:
         """Remember the route to a flow's owner."""
-        if len(self.current) >= self.half_limit and flow not in self.current:
+        if len(self.current) >= self.limit and flow not in self.current:
             self.turn()
         self.older.pop(flow, None)
         self.current[flow] = route
@@ -108,8 +108,8 @@
         self.name = name
         self.table: Table = EMPTY_TABLE
         self.clock: Clock = clock or MonotonicClock()
-        self.owners = OwnerCache(cache_limit // 2, self.clock)
-        self.homes = OwnerCache(cache_limit // 2, self.clock)
+        self.owners = OwnerCache(cache_limit, self.clock)
+        self.homes = OwnerCache(cache_limit, self.clock)
         self.reachability = AgentReachability(self.clock)
         self.routes: dict[str, Route] = {}
 
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -97,7 +97,7 @@
     """How long a flow without packets is kept."""
 
     flow_cache_limit: int
-    """The most owners that a balancer remembers."""
+    """The flows whose agent a balancer remembers at least; up to four times as many."""
 
     stop_timeout_ms: int
     """How long a graceful shutdown may take."""
