--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -37,6 +37,9 @@
 from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
 from citronwinch.coordination.requests._window import RequestWindow
 
+STOP_MARGIN_MS = 5_000
+"""The time that a stopping agent leaves to a request with a longer timeout."""
+
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
@@ -71,7 +74,7 @@
         self.eras = RequestEras(clock.now_ms())
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
-        self.is_stopping = False
+        self.stops_at_ms: int | None = None
         self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
 
     def receive(
@@ -192,9 +195,9 @@
         """Note that a flow was taken over without its former owner's records."""
         self.eras.begin_flow(flow, self.clock.now_ms())
 
-    def stop(self) -> None:
-        """Refuse new requests from now on; open ones go on."""
-        self.is_stopping = True
+    def stop(self, at_ms: int) -> None:
+        """Refuse requests that may not be finished at a time; open ones go on."""
+        self.stops_at_ms = at_ms
 
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
@@ -220,12 +223,17 @@
             return "timeout_too_long"
         if timeout_ms and self.clock.now_ms() >= arrival.arrived_ms + timeout_ms:
             return "expired"
-        if self.is_stopping:
+        if self._ends_too_late(timeout_ms):
             return "stopping"
         if not self.window.has_room(RequestState.STARTED):
             return "window_full"
         return ""
 
+    def _ends_too_late(self, timeout_ms: int) -> bool:
+        needed_ms = min(timeout_ms or STOP_MARGIN_MS, STOP_MARGIN_MS)
+        at_ms = self.stops_at_ms
+        return at_ms is not None and self.clock.now_ms() + needed_ms > at_ms
+
     def _start(self, arrival: RequestArrival, is_guest: bool) -> StartRequest:
         request = arrival.request
         timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
--- a/citronwinch/coordination/requests/tests/test_agent.py
+++ b/citronwinch/coordination/requests/tests/test_agent.py
@@ -54,6 +54,10 @@
     "shed after a part is dropped": ("request part shed", "late_part"),
     "a lost connection is unknown": ("request lost", "unknown connection_lost"),
     "the kernel refused to send": ("request unsent", "not_run undeliverable"),
+    "a stopping agent starts what can be finished": (
+        "stop short_request",
+        "StartRequest",
+    ),
     "a stopping agent refuses": ("stop request", "not_run stopping"),
     "a stopping agent finishes": ("request stop answer", "SendPart"),
     "a fresh agent cannot know": ("fresh request", "unknown former_run"),
@@ -79,6 +83,8 @@
                 return self.arrive(arrived_ms=START_MS - 2_000)
             case "long_request":
                 return self.arrive(remaining_ms=90_000)
+            case "short_request":
+                return self.arrive(remaining_ms=1_500)
             case "cancel":
                 return self.arrive(kind=RequestKind.CANCEL)
             case "refuse" | "refuse_elsewhere":
@@ -97,7 +103,7 @@
             case "unsent":
                 return agent.fail_delivery(make_arrival(clock).key)
             case "stop":
-                return agent.stop()
+                return agent.stop(START_MS + 1_999)
             case "fresh":
                 return agent.eras.begin(clock.now_ms())
             case "loss":
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -33,11 +33,8 @@
 if TYPE_CHECKING:
     from citronwinch.daemon._agent_process import AgentProcess
 
-STOP_MARGIN_MS = 5_000
-"""How long before the end of a graceful shutdown new requests are refused."""
-
-HAND_OVER_MARGIN_DIVISOR = 5
-"""The part of that time that is left when the records are handed over."""
+HAND_OVER_MARGIN_MS = 1_000
+"""How long before the end of a graceful shutdown records are handed over."""
 
 
 class RequestHandler:
@@ -53,8 +50,7 @@
         self.requests = AgentRequests(process.settings.name, process.clock, source)
         self.arrived_ms = process.clock.now_ms()
         self.records = RecordKeeper(process, self.requests)
-        self.refuse_from_ms: int | None = None
-        self.hand_over_from_ms: int | None = None
+        self.hand_over_ms: int | None = None
 
     def begin_batch(self, arrived_ms: int) -> None:
         """Note when the messages that come next may have arrived, and let time pass."""
@@ -65,21 +61,17 @@
         self.export_gauges()
 
     def begin_stop(self) -> None:
-        """Go on with the requests of open flows until shortly before the end."""
+        """Go on with the requests of open flows that can be finished in time."""
         timeout_ms = self.process.settings.stop_timeout_ms
-        margin_ms = min(STOP_MARGIN_MS, timeout_ms // 2)
-        end_ms = self.process.clock.now_ms() + timeout_ms
-        self.refuse_from_ms = end_ms - margin_ms
-        self.hand_over_from_ms = end_ms - margin_ms // HAND_OVER_MARGIN_DIVISOR
+        margin_ms = min(HAND_OVER_MARGIN_MS, timeout_ms // 2)
+        self.hand_over_ms = self.process.clock.now_ms() + timeout_ms - margin_ms
+        self.requests.stop(self.hand_over_ms)
 
     def finish(self, has_flows: bool) -> bool:
         """Return whether the process may end; hand the records over before it does."""
-        now_ms = self.process.clock.now_ms()
-        if not has_flows or now_ms >= (self.refuse_from_ms or now_ms):
-            self.requests.stop()
-        if not self.requests.is_stopping or not self.requests.is_idle():
+        if not self.requests.is_idle():
             return False
-        is_ending = now_ms >= (self.hand_over_from_ms or now_ms)
+        is_ending = self.process.clock.now_ms() >= (self.hand_over_ms or 0)
         if is_ending or not has_flows:
             self.records.hand_over()
         return not has_flows
