Keep both promises for copies that steering held, and refusals in constant memory

Cause: steering holds packets while it asks for a flow's owner. Each held copy had passed the window before any was started, so that all were started, or one was told "not run" while another ran. Change: the window is looked at again when steering decides, and a refusal is only certain while a record of an earlier copy could not have been dropped.

Change: a refusal without a place in the window goes into a rotating pair of Bloom filters of 1 MiB; a false hit only refuses a new request, truthfully. A hand-over tells when the last such refusal was, and its receivers treat what may be older as unknown; before, a peer counted on a hand-over whatever its sender's own gaps were.

--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -34,6 +34,7 @@
     RequestRecord,
     RequestState,
 )
+from citronwinch.coordination.requests._refusals import RefusalFilter
 from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
 from citronwinch.coordination.requests._window import RequestWindow
 
@@ -74,18 +75,19 @@
         self.eras = RequestEras(clock.now_ms())
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
+        self.refusals = RefusalFilter(clock)
         self.stops_at_ms: int | None = None
-        self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
+        self.records = RecordExchange(
+            name, clock, self.window, self.open, self.eras, self.refusals
+        )
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
     ) -> list[RequestAction]:
         """Return what to do about a packet by itself; nothing: steering decides."""
-        record = self.window.find(arrival.key)
-        if record is not None:
-            if arrival.request.kind is RequestKind.CANCEL:
-                return self._cancel_known(arrival, record)
-            return self._repeat(arrival, record)
+        known = self._find_known(arrival)
+        if known:
+            return known
         if not is_known_flow and self._is_former(arrival):
             return [tell_unknown(arrival.key, "former_run")]
         return []
@@ -93,7 +95,13 @@
     def deliver(
         self, arrival: RequestArrival, is_guest: bool = False
     ) -> list[RequestAction]:
-        """Return what to do about a packet that steering gives to this agent."""
+        """Return what to do about a packet that steering gives to this agent.
+
+        Steering may have held the packet while another copy was handled.
+        """
+        known = self._find_known(arrival)
+        if known:
+            return known
         if arrival.request.kind is RequestKind.CANCEL:
             return self.refuse(arrival, "cancelled")
         if arrival.request.kind is not RequestKind.REQUEST:
@@ -116,16 +124,24 @@
 
         `is_final` says that steering refused as the one that decides for the flow.
         Elsewhere a copy may be running, as it may be when a former run of this agent
-        saw the request, or when no tombstone fits: then the caller hears "unknown".
+        saw the request, when steering held it for so long that its record may be
+        gone, or when no tombstone fits: then the caller hears "unknown".
         """
+        known = self._find_known(arrival)
+        if known:
+            return known
         request = arrival.request
-        if not is_final or self._is_former(arrival):
+        timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
+        is_forgotten = self.window.forgot_until_ms > arrival.arrived_ms + timeout_ms
+        if not is_final or is_forgotten or self._is_former(arrival):
             return [tell_unknown(arrival.key, reason, retry_after_ms)]
         now_ms = self.clock.now_ms()
-        timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
         expires_ms = now_ms + timeout_ms + PACKET_LIFETIME_MS
         tombstone = RequestRecord(RequestState.REFUSED, now_ms, expires_ms)
-        if not self.window.add(arrival.key, tombstone):
+        is_remembered = self.window.add(arrival.key, tombstone)
+        if not is_remembered and timeout_ms <= REQUEST_TIMEOUT_LIMIT_MS:
+            is_remembered = self.refusals.add(arrival.key)
+        if not is_remembered:
             return [tell_unknown(arrival.key, "no_tombstone", retry_after_ms)]
         return [tell_not_run(arrival.key, reason, retry_after_ms)]
 
@@ -188,6 +204,7 @@
             actions += self._retry(key)
         for key in self.window.expire(arrived_ms):
             self.keeper.forget(key)
+        self.refusals.expire(arrived_ms)
         self.eras.expire(now_ms)
         return actions
 
@@ -211,6 +228,17 @@
         """Note that a member of the service is gone and its records with it."""
         self.eras.note_loss(self.clock.now_ms())
 
+    def _find_known(self, arrival: RequestArrival) -> list[RequestAction]:
+        """Return what to do about a request that was decided; nothing: it is new."""
+        record = self.window.find(arrival.key)
+        if record is not None:
+            if arrival.request.kind is RequestKind.CANCEL:
+                return self._cancel_known(arrival, record)
+            return self._repeat(arrival, record)
+        if self.refusals.contains(arrival.key):
+            return [tell_not_run(arrival.key, "tombstone")]
+        return []
+
     def _is_former(self, arrival: RequestArrival) -> bool:
         return self.eras.is_former(
             arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
--- a/citronwinch/coordination/requests/_eras.py
+++ b/citronwinch/coordination/requests/_eras.py
@@ -1,5 +1,7 @@
 """Which requests a former process may already have decided about."""
 
+import bisect
+
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination.requests._metadata import (
     PACKET_LIFETIME_MS,
@@ -59,11 +61,11 @@
         """Go on with the era of a former run whose records are all here."""
         self.started_ms = started_ms
 
-    def note_loss(self, now_ms: int) -> None:
-        """Note that a member of the service is gone and its records with it."""
+    def note_loss(self, lost_ms: int) -> None:
+        """Note that a member of the service is gone, and its records up to a time."""
         if len(self.losses) >= LOSS_LIMIT:
             self.begin(self.losses.pop(0))
-        self.losses.append(now_ms)
+        bisect.insort(self.losses, lost_ms)
 
     def find_age_ms(self, now_ms: int) -> int:
         """Return how long ago the latest era began."""
--- a/citronwinch/coordination/requests/_hand_over.py
+++ b/citronwinch/coordination/requests/_hand_over.py
@@ -14,6 +14,7 @@
     ExportedRecord,
     RequestKey,
 )
+from citronwinch.coordination.requests._refusals import RefusalFilter
 from citronwinch.coordination.requests._window import RequestWindow
 
 GIVE_BACK_LIMIT_MS = 30_000
@@ -48,12 +49,14 @@
         window: RequestWindow,
         open_requests: OpenRequests,
         eras: RequestEras,
+        refusals: RefusalFilter,
     ) -> None:
         self.name = name
         self.clock = clock
         self.window = window
         self.open = open_requests
         self.eras = eras
+        self.refusals = refusals
         self.receiving: dict[tuple[str, str], set[RequestKey]] = {}
         self.complete: dict[str, HandedOver] = {}
         self.givers: set[str] = set()
@@ -61,7 +64,10 @@
     def hand_over(self, flow: FlowKey | None = None) -> list[RequestRecords]:
         """Return the records of a flow, or all, for its next owner."""
         records = self.window.export_records(flow)
-        era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        era_age_ms = self.eras.find_age_ms(now_ms)
+        if self.refusals.last_added_ms is not None:
+            era_age_ms = min(era_age_ms, now_ms - self.refusals.last_added_ms)
         return split_records(self.name if flow is None else "", era_age_ms, records)
 
     def take_over(
@@ -119,6 +125,8 @@
 
     def _finish(self, message: RequestRecords, sender: str, now_ms: int) -> None:
         """Keep a complete hand-over of another agent."""
+        if message.era_age_ms < ERA_AGE_LIMIT_MS:
+            self.eras.note_loss(now_ms - message.era_age_ms)
         keys = frozenset(self.receiving.pop((message.agent, sender)))
         era_started_ms = now_ms - message.era_age_ms
         self.complete[message.agent] = HandedOver(keys, era_started_ms, now_ms)
--- a/citronwinch/coordination/requests/_window.py
+++ b/citronwinch/coordination/requests/_window.py
@@ -43,6 +43,7 @@
         self.limit_bytes = limit_bytes
         self.records: dict[RequestKey, RequestRecord] = {}
         self.expiries: list[tuple[int, RequestKey]] = []
+        self.forgot_until_ms = clock.now_ms()
 
     @property
     def used_bytes(self) -> int:
@@ -87,6 +88,7 @@
         handled may have arrived. After a pause that is before the pause, so that a
         copy which waited in the socket buffer still meets its record.
         """
+        self.forgot_until_ms = max(self.forgot_until_ms, arrived_ms)
         expired = []
         while self.expiries and self.expiries[0][0] < arrived_ms:
             _, key = heapq.heappop(self.expiries)
--- a/citronwinch/coordination/requests/tests/test_hand_over.py
+++ b/citronwinch/coordination/requests/tests/test_hand_over.py
@@ -96,3 +96,16 @@
     [something] = requests.records.hand_over(make_arrival(clock).flow)
     assert (len(nothing.records), len(something.records)) == (0, 1)
     assert something.agent == ""
+
+
+def test_what_a_hand_over_cannot_tell_is_unknown_to_its_receivers(clock, requests):
+    requests.window.limit_bytes = 0
+    requests.refuse(make_arrival(clock), "full")
+    assert requests.receive(make_arrival(clock), is_known_flow=True)
+    clock.advance(100)
+    peer = make_requests(clock, name="gauging-2")
+    peer.eras.end_grace()
+    assert serves(peer, clock)
+    for message in requests.records.hand_over():
+        peer.records.take_over(message, "gauging-1", 1)
+    assert not serves(peer, clock)
--- a/citronwinch/coordination/requests/tests/test_interleavings.py
+++ b/citronwinch/coordination/requests/tests/test_interleavings.py
@@ -31,6 +31,9 @@
     "pause",
     "restart",
     "hand_over",
+    "hold_copy",
+    "release_held",
+    "refuse_held",
 )
 
 
@@ -70,6 +73,7 @@
         self.arrived_ms = START_MS
         self.runs = 0
         self.told_not_run = False
+        self.held = []
 
     def play(self, event):
         """Let one event happen; return False when it cannot happen now."""
@@ -80,6 +84,7 @@
                 self.note(self.agent.advance(self.arrived_ms))
         elif event in ("restart", "hand_over"):
             old, self.agent = self.agent, self.make_agent(self.clock)
+            self.held = []
             if event == "hand_over" and hasattr(old, "records"):
                 for message in old.records.hand_over():
                     self.agent.records.take_over(message)
@@ -90,10 +95,22 @@
             self.runs -= event == "shed"
             metadata = RequestMetadata(kind, make_arrival(self.clock).key.request_id)
             self.note(self.agent.reply(FLOW, metadata, b"answer"))
+        elif event in ("release_held", "refuse_held"):
+            return self.release(event)
         else:
             return self.arrive(event)
         return True
 
+    def release(self, event):
+        """Let steering decide about what it held."""
+        held, self.held = self.held, []
+        for arrival in held:
+            if event == "release_held":
+                self.note(self.agent.deliver(arrival))
+            else:
+                self.note(self.agent.refuse(arrival, "full"))
+        return bool(held)
+
     def arrive(self, event):
         sent_ms = START_MS + (RESENT_AGE_MS if event == "resent_copy" else 0)
         latest_ms = sent_ms + PACKET_LIFETIME_MS
@@ -110,6 +127,9 @@
         )
         self.note(self.agent.advance(self.arrived_ms))
         actions = self.agent.receive(arrival, is_known_flow=False)
+        if event == "hold_copy" and not actions:
+            self.held.append(arrival)
+            return True
         if not actions and event == "refused_copy":
             actions = self.agent.refuse(arrival, "full")
         self.note(actions or self.agent.deliver(arrival))
@@ -140,6 +160,11 @@
     ("copy", "restart", "hand_over", "copy"),
     ("copy", "copy", "restart", "hand_over", "refused_copy"),
     ("copy", "cancel", "restart", "hand_over", "copy"),
+    ("hold_copy", "hold_copy", "release_held"),
+    ("hold_copy", "copy", "release_held"),
+    ("hold_copy", "copy", "refuse_held"),
+    ("hold_copy", "copy", "pause", "wait", "release_held"),
+    ("hold_copy", "copy", "pause", "wait", "refuse_held"),
 )
 """Orders that once broke a promise."""
 
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -268,6 +268,8 @@
             "requests_open": len(requests.open),
             "request_window_bytes": requests.window.used_bytes,
             "request_window_limit_bytes": requests.window.limit_bytes,
+            "request_refusal_filter_bytes": requests.refusals.used_bytes,
+            "request_refusals_remembered": requests.refusals.count,
             "request_kept_answer_bytes": requests.keeper.kept_bytes,
             "request_retry_payload_bytes": requests.open.payload_bytes,
             "request_retry_tokens": requests.budget.tokens,
