--- a/citronwinch/coordination/load/tests/test_schedule.py
+++ b/citronwinch/coordination/load/tests/test_schedule.py
@@ -2,11 +2,16 @@
 
 import pytest
 
-from citronwinch.coordination.load import LoadReport, ReportSchedule, ServerState
+from citronwinch.coordination.load import (
+    REPORT_INTERVAL_MS,
+    LoadReport,
+    ReportSchedule,
+    ServerState,
+)
 
 PEERS = [f"server-{number}" for number in range(2, 11)]
 
-REPORT_BYTES = 164
+REPORT_BYTES = 184
 """A report of the demo's size as an IP packet, in bytes."""
 
 STEADY = LoadReport("gauging", 1_000, 2_000)
@@ -58,7 +63,7 @@
     schedule = ReportSchedule(clock)
     send_for(schedule, clock, 10_000, lambda step: STEADY)
     schedule.ask_soon("server-7")
-    clock.advance(300)
+    clock.advance(REPORT_INTERVAL_MS)
     assert schedule.take_due(PEERS, STEADY) == ["server-7"]
 
 
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -1,7 +1,7 @@
 """What an agent says to the other agents of its services, and what it answers."""
 
 from collections import Counter
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
@@ -47,6 +47,7 @@
     def __init__(self, backend_server: str, clock: Clock, incarnation: int = 1) -> None:
         self.backend_server = backend_server
         self.clock = clock
+        self.incarnation = incarnation
         self.table: Table = EMPTY_TABLE
         self.is_leaving = False
         self.is_stopping = False
@@ -115,7 +116,12 @@
         """Return the leases of a service, begun when it is first met."""
         leases = self.leases.get(service)
         if leases is None:
-            leases = ServiceLeases(service, self.backend_server, self.clock)
+            leases = ServiceLeases(
+                service,
+                self.backend_server,
+                self.clock,
+                partial(self.flows.holds, service),
+            )
             leases.absent = self.absent
             self.leases[service] = leases
             rows = self.table.rows_by_service.get(service, ())
@@ -156,10 +162,6 @@
         else:
             self.registrations.set_home(service, flow, home)
 
-    def holds_flows(self, service: str) -> bool:
-        """Return whether this agent owns flows of a service."""
-        return self.flows.counts[service] > 0
-
     @singledispatchmethod
     def handle(self, message: object, sender: str) -> list[AgentAction]:
         """Return what to do about a message of another process."""
@@ -169,13 +171,19 @@
     @handle.register
     def _(self, message: LeaseRequest, sender: str) -> list[AgentAction]:
         leases = self.leases_of(message.service)
-        if leases.note_sign_of_life(sender):
+        is_new = leases.note_incarnation(sender, message.incarnation)
+        if is_new is None:
+            return []
+        if is_new:
+            self.registrations.drop_home(sender)
+            self.registry.forget_owners([sender])
+        if leases.note_sign_of_life(sender) or is_new:
             self.place_owned()
         is_complete = self.registrations.is_complete(sender, message.service)
         answer = leases.answer(sender, message, is_complete=is_complete)
         answer = answer._replace(
             is_leaving=self.is_leaving or self.is_failing,
-            holds_flows=self.holds_flows(message.service),
+            holds_flows=self.flows.holds(message.service),
         )
         return [Send(sender, answer)]
 
@@ -314,7 +322,9 @@
         return [
             Send(name, request)
             for service in sorted(services)
-            for name, request in self.leases_of(service).due_requests(is_leaving)
+            for name, request in self.leases_of(service).due_requests(
+                is_leaving, self.incarnation
+            )
         ]
 
     def follow_silence(self) -> None:
--- a/citronwinch/daemon/_events.py
+++ b/citronwinch/daemon/_events.py
@@ -2,10 +2,13 @@
 
 from typing import NamedTuple
 
+from expression import Result
+
 from citronwinch.backend_servers import Reply
-from citronwinch.coordination import Instance, Table
+from citronwinch.coordination import Instance
 from citronwinch.network import Datagram
 from citronwinch.peers import Envelope
+from citronwinch.platform import InstanceList, KeyRequest, KeyValue, TableRead
 
 
 class FabricBatch(NamedTuple):
@@ -35,15 +38,32 @@
     """The answer."""
 
 
-class TableChanged(NamedTuple):
-    """A table was read and found valid."""
+class KeyWasRead(NamedTuple):
+    """A key of the configuration service was read, or could not be."""
+
+    request: KeyRequest
+    """What was asked for."""
+
+    result: Result[KeyValue, str]
+    """The value, or why there is none."""
+
+
+class TableWasJoined(NamedTuple):
+    """The keys of a table were put together and checked."""
+
+    result: Result[TableRead | None, str]
+    """The table, None when it is not newer, or what is wrong with it."""
+
+
+class ListWasRead(NamedTuple):
+    """The list of instances was read, or could not be."""
 
-    table: Table
-    """The table."""
+    result: Result[InstanceList, str]
+    """The list, or why there is none."""
 
 
 class InstancesChanged(NamedTuple):
-    """The list of instances was read."""
+    """The list of instances was read, or peers stated something new about one."""
 
     instances: tuple[Instance, ...]
     """The instances."""
@@ -64,7 +84,9 @@
     FabricBatch
     | PeerBatch
     | ReplyArrived
-    | TableChanged
+    | KeyWasRead
+    | TableWasJoined
+    | ListWasRead
     | InstancesChanged
     | Tick
     | StopRequested
--- a/citronwinch/daemon/_refusals.py
+++ b/citronwinch/daemon/_refusals.py
@@ -5,6 +5,7 @@
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.fabric import (
     GeneveFrame,
+    MalformedPacketError,
     build_refusal,
     build_udp,
     encode_frame,
@@ -24,14 +25,21 @@
     kind: RequestKind = RequestKind.NOT_RUN,
     retry_after_ms: int = RETRY_AFTER_MS,
 ) -> None:
-    """Refuse a packet: by its request when it has one, else by RST or ICMP."""
-    if request is None:
-        send_to_fabric(port, fabric_return, GeneveFrame(build_refusal(packet)))
+    """Refuse a packet: by its request when it has one, else by RST or ICMP.
+
+    A packet that cannot be read, or that must not be answered, gets no refusal.
+    """
+    try:
+        if request is None:
+            send_to_fabric(port, fabric_return, GeneveFrame(build_refusal(packet)))
+            return
+        flow = parse_udp(packet).flow
+    except MalformedPacketError:
         return
     outcome = RequestMetadata(
         kind, request.request_id, request.repeatable, retry_after_ms
     )
-    send_outcome(port, fabric_return, parse_udp(packet).flow, outcome)
+    send_outcome(port, fabric_return, flow, outcome)
 
 
 def send_outcome(
@@ -51,7 +59,10 @@
     payload: bytes,
 ) -> None:
     """Send a datagram with a request header to the caller of a flow."""
-    packet = build_udp(unpack_flow_key(flow), payload, to_caller=True)
+    try:
+        packet = build_udp(unpack_flow_key(flow), payload, to_caller=True)
+    except MalformedPacketError:
+        return
     frame = GeneveFrame(packet, read_request_header(payload))
     send_to_fabric(port, fabric_return, frame)
 
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -1,6 +1,7 @@
 """Operators as a peer: the table, settings, metrics and logs."""
 
 from citronwinch.operators._logging import configure_logging
+from citronwinch.operators._metric_help import METRIC_HELP
 from citronwinch.operators._metrics import MetricKey, Metrics
 from citronwinch.operators._objectives import Objective
 from citronwinch.operators._service_levels import (
@@ -14,7 +15,7 @@
     SettingsProblem,
     parse_settings,
 )
-from citronwinch.operators._table_conflicts import TableProblem
+from citronwinch.operators._table_conflicts import TableProblem, find_conflicts
 from citronwinch.operators._table_csv import (
     COLUMNS,
     decode_table,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "COLUMNS",
+    "METRIC_HELP",
     "MetricKey",
     "Metrics",
     "Objective",
@@ -36,6 +38,7 @@
     "TableProblem",
     "configure_logging",
     "decode_table",
+    "find_conflicts",
     "format_table",
     "parse_settings",
     "parse_table",
