--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -34,9 +34,13 @@
     RequestRecord,
     RequestState,
 )
+from citronwinch.coordination.requests._refusals import RefusalFilter
 from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
 from citronwinch.coordination.requests._window import RequestWindow
 
+STOP_MARGIN_MS = 5_000
+"""The time that a stopping agent leaves to a request with a longer timeout."""
+
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
@@ -71,18 +75,19 @@
         self.eras = RequestEras(clock.now_ms())
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
-        self.is_stopping = False
-        self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
+        self.refusals = RefusalFilter(clock)
+        self.stops_at_ms: int | None = None
+        self.records = RecordExchange(
+            name, clock, self.window, self.open, self.eras, self.refusals
+        )
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
     ) -> list[RequestAction]:
         """Return what to do about a packet by itself; nothing: steering decides."""
-        record = self.window.find(arrival.key)
-        if record is not None:
-            if arrival.request.kind is RequestKind.CANCEL:
-                return self._cancel_known(arrival, record)
-            return self._repeat(arrival, record)
+        known = self._find_known(arrival)
+        if known:
+            return known
         if not is_known_flow and self._is_former(arrival):
             return [tell_unknown(arrival.key, "former_run")]
         return []
@@ -92,10 +97,11 @@
     ) -> list[RequestAction]:
         """Return what to do about a packet that steering gives to this agent.
 
-        Steering may have held several copies, so that a record can be here by now.
+        Steering may have held the packet while another copy was handled.
         """
-        if arrival.key in self.window.records:
-            return self.receive(arrival, is_known_flow=True)
+        known = self._find_known(arrival)
+        if known:
+            return known
         if arrival.request.kind is RequestKind.CANCEL:
             return self.refuse(arrival, "cancelled")
         if arrival.request.kind is not RequestKind.REQUEST:
@@ -118,18 +124,24 @@
 
         `is_final` says that steering refused as the one that decides for the flow.
         Elsewhere a copy may be running, as it may be when a former run of this agent
-        saw the request, or when no tombstone fits: then the caller hears "unknown".
+        saw the request, when steering held it for so long that its record may be
+        gone, or when no tombstone fits: then the caller hears "unknown".
         """
-        if arrival.key in self.window.records:
-            return self.receive(arrival, is_known_flow=True)
+        known = self._find_known(arrival)
+        if known:
+            return known
         request = arrival.request
-        if not is_final or self._is_former(arrival):
+        timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
+        is_forgotten = self.window.forgot_until_ms > arrival.arrived_ms + timeout_ms
+        if not is_final or is_forgotten or self._is_former(arrival):
             return [tell_unknown(arrival.key, reason, retry_after_ms)]
         now_ms = self.clock.now_ms()
-        timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
         expires_ms = now_ms + timeout_ms + PACKET_LIFETIME_MS
         tombstone = RequestRecord(RequestState.REFUSED, now_ms, expires_ms)
-        if not self.window.add(arrival.key, tombstone):
+        is_remembered = self.window.add(arrival.key, tombstone)
+        if not is_remembered and timeout_ms <= REQUEST_TIMEOUT_LIMIT_MS:
+            is_remembered = self.refusals.add(arrival.key)
+        if not is_remembered:
             return [tell_unknown(arrival.key, "no_tombstone", retry_after_ms)]
         return [tell_not_run(arrival.key, reason, retry_after_ms)]
 
@@ -192,6 +204,7 @@
             actions += self._retry(key)
         for key in self.window.expire(arrived_ms):
             self.keeper.forget(key)
+        self.refusals.expire(arrived_ms)
         self.eras.expire(now_ms)
         return actions
 
@@ -199,9 +212,9 @@
         """Note that a flow was taken over without its former owner's records."""
         self.eras.begin_flow(flow, self.clock.now_ms())
 
-    def stop(self) -> None:
-        """Refuse new requests from now on; open ones go on."""
-        self.is_stopping = True
+    def stop(self, at_ms: int) -> None:
+        """Refuse requests that may not be finished at a time; open ones go on."""
+        self.stops_at_ms = at_ms
 
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
@@ -215,6 +228,17 @@
         """Note that a member of the service is gone and its records with it."""
         self.eras.note_loss(self.clock.now_ms())
 
+    def _find_known(self, arrival: RequestArrival) -> list[RequestAction]:
+        """Return what to do about a request that was decided; nothing: it is new."""
+        record = self.window.find(arrival.key)
+        if record is not None:
+            if arrival.request.kind is RequestKind.CANCEL:
+                return self._cancel_known(arrival, record)
+            return self._repeat(arrival, record)
+        if self.refusals.contains(arrival.key):
+            return [tell_not_run(arrival.key, "tombstone")]
+        return []
+
     def _is_former(self, arrival: RequestArrival) -> bool:
         return self.eras.is_former(
             arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
@@ -227,12 +251,17 @@
             return "timeout_too_long"
         if timeout_ms and self.clock.now_ms() >= arrival.arrived_ms + timeout_ms:
             return "expired"
-        if self.is_stopping:
+        if self._ends_too_late(timeout_ms):
             return "stopping"
         if not self.window.has_room(RequestState.STARTED):
             return "window_full"
         return ""
 
+    def _ends_too_late(self, timeout_ms: int) -> bool:
+        needed_ms = min(timeout_ms or STOP_MARGIN_MS, STOP_MARGIN_MS)
+        at_ms = self.stops_at_ms
+        return at_ms is not None and self.clock.now_ms() + needed_ms > at_ms
+
     def _start(self, arrival: RequestArrival, is_guest: bool) -> StartRequest:
         request = arrival.request
         timeout_ms = request.remaining_ms or REQUEST_TIMEOUT_LIMIT_MS
--- a/citronwinch/coordination/requests/tests/test_agent.py
+++ b/citronwinch/coordination/requests/tests/test_agent.py
@@ -54,6 +54,10 @@
     "shed after a part is dropped": ("request part shed", "late_part"),
     "a lost connection is unknown": ("request lost", "unknown connection_lost"),
     "the kernel refused to send": ("request unsent", "not_run undeliverable"),
+    "a stopping agent starts what can be finished": (
+        "stop short_request",
+        "StartRequest",
+    ),
     "a stopping agent refuses": ("stop request", "not_run stopping"),
     "a stopping agent finishes": ("request stop answer", "SendPart"),
     "a fresh agent cannot know": ("fresh request", "unknown former_run"),
@@ -79,6 +83,8 @@
                 return self.arrive(arrived_ms=START_MS - 2_000)
             case "long_request":
                 return self.arrive(remaining_ms=90_000)
+            case "short_request":
+                return self.arrive(remaining_ms=1_500)
             case "cancel":
                 return self.arrive(kind=RequestKind.CANCEL)
             case "refuse" | "refuse_elsewhere":
@@ -97,7 +103,7 @@
             case "unsent":
                 return agent.fail_delivery(make_arrival(clock).key)
             case "stop":
-                return agent.stop()
+                return agent.stop(START_MS + 1_999)
             case "fresh":
                 return agent.eras.begin(clock.now_ms())
             case "loss":
@@ -129,17 +135,19 @@
 def test_a_full_window_refuses_and_then_says_unknown(clock):
     agent = make_requests(clock, window=RequestWindow(clock, 8 * RECORD_BYTES))
     agent.eras.end_grace()
+    agent.refusals.limit = 2
     outcomes = []
-    for number in range(10):
+    for number in range(12):
         arrival = make_arrival(clock, number=number)
         outcomes.append(describe(agent.deliver(arrival)[0]))
     assert outcomes[:6] == ["StartRequest"] * 6
-    assert outcomes[6:8] == ["not_run window_full"] * 2
-    assert outcomes[8:] == ["unknown no_tombstone"] * 2
+    assert outcomes[6:10] == ["not_run window_full"] * 4
+    assert outcomes[10:] == ["unknown no_tombstone"] * 2
     clock.advance(2_000 + PACKET_LIFETIME_MS)
     agent.advance(clock.now_ms())
-    first = make_arrival(clock, number=0)
-    assert describe(agent.receive(first, False)[0]) == "doubled_request"
+    late = [make_arrival(clock, number=number) for number in (0, 7, 9)]
+    told = [describe(agent.receive(arrival, False)[0]) for arrival in late]
+    assert told == ["doubled_request", "not_run tombstone", "not_run tombstone"]
     clock.advance(1)
     agent.advance(clock.now_ms())
     assert agent.window.used_bytes == 0
