--- a/citronwinch/coordination/load/_load_aware.py
+++ b/citronwinch/coordination/load/_load_aware.py
@@ -8,7 +8,7 @@
 from citronwinch.coordination.load._report import LoadReport, ServerState
 from citronwinch.coordination.load._view import LoadView, PeerLoad
 
-EVENNESS_MARGIN = 0.005
+EVENNESS_MARGIN = 0.0025
 """How far above its even share a server may be and still keep its own flows."""
 
 OUTLYING_LOAD = 1.25
--- a/citronwinch/coordination/load/_view.py
+++ b/citronwinch/coordination/load/_view.py
@@ -48,8 +48,14 @@
 
     def find_confidence(self, now_ms: int) -> float:
         """Return how much the report still counts: 1 when fresh, 0 when expired."""
-        left_ms = EXPIRED_MS - (now_ms - self.received_ms)
-        return min(1.0, max(0.0, left_ms / (EXPIRED_MS - FRESH_MS)))
+        age_ms = now_ms - self.received_ms
+        if age_ms <= FRESH_MS:
+            return 1.0
+        return max(0.0, (EXPIRED_MS - age_ms) / (EXPIRED_MS - FRESH_MS))
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Return whether the report counts for nothing any more."""
+        return now_ms - self.received_ms >= EXPIRED_MS
 
 
 class LoadView:
@@ -86,7 +92,7 @@
         peer = self.peers.get(backend_server)
         if peer is None or peer.report.service != service:
             return None
-        return peer if peer.find_confidence(self.clock.now_ms()) > 0 else None
+        return None if peer.is_expired(self.clock.now_ms()) else peer
 
     def keep_only(self, backend_servers: set[str]) -> None:
         """Forget the peers that are no longer in the service."""
@@ -99,7 +105,7 @@
         known = [
             peer.report.latency_ms
             for peer in self.peers.values()
-            if peer.report.service == service and peer.find_confidence(now_ms) > 0
+            if peer.report.service == service and not peer.is_expired(now_ms)
         ]
         latencies = sorted(ms for ms in [own_latency_ms, *known] if ms > 0)
         return latencies[(len(latencies) - 1) // 2] if latencies else 0
