--- a/citronwinch/coordination/load/_agent_load.py
+++ b/citronwinch/coordination/load/_agent_load.py
@@ -60,6 +60,7 @@
         self.schedule = ReportSchedule(clock)
         self.summary = OutcomeSummary()
         self.judged_ms = clock.now_ms()
+        self.is_stopping = False
 
     def accept_table(self, table: Table) -> None:
         """Use a table from now on."""
@@ -116,6 +117,10 @@
             self.guard.concurrency.note_answer(ended)
         return ended is not None
 
+    def begin_stop(self) -> None:
+        """Take no new flows any more, because the agent is stopping."""
+        self.is_stopping = True
+
     def tick(self, own_flows: int) -> list[ReportTo]:
         """Judge the own backend server and return the reports that are due."""
         self.outcomes.sweep()
@@ -161,7 +166,7 @@
 
     def find_state(self, row: TableRow) -> ServerState:
         """Return whether the own backend server takes new flows."""
-        if row.weight == 0:
+        if row.weight == 0 or self.is_stopping:
             return ServerState.DRAINING
         if self.outlier.is_ejected:
             return ServerState.EJECTED
--- a/citronwinch/coordination/load/_schedule.py
+++ b/citronwinch/coordination/load/_schedule.py
@@ -9,36 +9,45 @@
 """How often one peer gets a report, in milliseconds."""
 
 URGENT_INTERVAL_MS = 3_000
-"""How often all peers may get a report at once, in milliseconds."""
+"""How often all peers may get a report at once in the long run, in milliseconds."""
+
+URGENT_BURST = 3
+"""How often all peers may get a report at once after a quiet time."""
 
 URGENT_SHARE_CHANGE = FULL_SHARE_THOUSANDTHS // 4
 """The change of the share that all peers are told at once."""
 
+URGENT_FLOW_CHANGE = 0.2
+"""The relative change of the flows that all peers are told at once."""
+
+LEAST_FLOW_CHANGE = 2
+"""The least change of the flows that all peers are told at once."""
+
 
 class ReportSchedule:
     """Spends a fixed budget of messages on reports.
 
     One peer after the other gets a report, the one that has waited longest first.
-    When a server starts or stops taking flows, all peers are told at once, though not
-    again before `URGENT_INTERVAL_MS`, so that a server that changes its mind all the
-    time costs no more than that.
+    When a server starts or stops taking flows, or its flows change much, all peers are
+    told at once. That is possible `URGENT_BURST` times and then once in
+    `URGENT_INTERVAL_MS`, so that a server that changes all the time costs no more.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.sent_ms: dict[str, int] = {}
         self.last_ms = clock.now_ms() - REPORT_INTERVAL_MS
-        self.last_urgent_ms = clock.now_ms() - URGENT_INTERVAL_MS
+        self.urgent_left = float(URGENT_BURST)
+        self.refilled_ms = clock.now_ms()
         self.last_told: LoadReport | None = None
 
     def take_due(self, peers: Collection[str], report: LoadReport) -> list[str]:
         """Return the peers that get the report now."""
         now_ms = self.clock.now_ms()
         self.forget_absent(peers)
-        if self.is_urgent(report) and now_ms - self.last_urgent_ms >= (
-            URGENT_INTERVAL_MS
-        ):
-            self.last_urgent_ms = now_ms
+        self.refill(now_ms)
+        if self.urgent_left >= 1 and self.is_urgent(report):
+            self.urgent_left -= 1
             self.last_told = report
             return self.note_sent(sorted(peers), now_ms)
         if not peers or now_ms - self.last_ms < REPORT_INTERVAL_MS:
@@ -47,17 +56,26 @@
         longest = min(peers, key=lambda peer: (self.sent_ms.get(peer, never_ms), peer))
         return self.note_sent([longest], now_ms)
 
+    def refill(self, now_ms: int) -> None:
+        """Let the budget for reports to all peers grow with time."""
+        earned = (now_ms - self.refilled_ms) / URGENT_INTERVAL_MS
+        self.urgent_left = min(float(URGENT_BURST), self.urgent_left + earned)
+        self.refilled_ms = now_ms
+
     def is_urgent(self, report: LoadReport) -> bool:
         """Return whether the report changes whether others choose this server."""
         told = self.last_told
         if told is None:
             return True
         share_change = abs(report.share_thousandths - told.share_thousandths)
+        flow_change = abs(report.flows - told.flows)
+        least_change = max(LEAST_FLOW_CHANGE, told.flows * URGENT_FLOW_CHANGE)
         return (
             report.state is not told.state
             or report.is_full != told.is_full
             or report.service != told.service
             or share_change >= URGENT_SHARE_CHANGE
+            or flow_change >= least_change
         )
 
     def ask_soon(self, peer: str) -> None:
--- a/citronwinch/coordination/load/tests/test_agent_load.py
+++ b/citronwinch/coordination/load/tests/test_agent_load.py
@@ -58,8 +58,20 @@
     assert len(joined) > early
 
 
-def test_drained_server_reports_it_and_gets_nothing(agent, clock, make_row):
+def drain_by_table(agent, make_row):
     agent.accept_table(Table(2, [make_row(1, weight=0), make_row(2), make_row(3)]))
+
+
+def drain_by_stop(agent, make_row):
+    agent.begin_stop()
+
+
+@pytest.mark.parametrize("drain", [drain_by_table, drain_by_stop])
+def test_leaving_server_reports_it_and_gets_nothing(drain, agent, clock, make_row):
+    agent.tick(5)
+    drain(agent, make_row)
+    rows = [make_row(1), make_row(2), make_row(3)]
+    assert agent.choose_owner("gauging", rows, 5) == "server-2"
     assert agent.make_report(5).state is ServerState.DRAINING
     clock.advance(300)
     assert {told.agent for told in agent.tick(5)} == {"server-2", "server-3"}
--- a/citronwinch/coordination/load/tests/test_schedule.py
+++ b/citronwinch/coordination/load/tests/test_schedule.py
@@ -9,7 +9,7 @@
     ServerState,
 )
 
-PEERS = [f"server-{number}" for number in range(2, 11)]
+PEERS = sorted(f"server-{number}" for number in range(2, 11))
 
 REPORT_BYTES = 184
 """A report of the demo's size as an IP packet, in bytes."""
@@ -48,6 +48,7 @@
     "draining": STEADY._replace(state=ServerState.DRAINING),
     "full": STEADY._replace(flows=2_000),
     "another service": STEADY._replace(service="reporting"),
+    "many more flows": STEADY._replace(flows=1_200),
     "much smaller share": STEADY._replace(share_thousandths=500),
 }
 
@@ -59,6 +60,15 @@
     assert schedule.take_due(PEERS, report) == sorted(PEERS)
 
 
+def test_burst_of_new_flows_is_told_while_it_lasts(clock):
+    schedule = ReportSchedule(clock)
+    flows = [0, 0, 3, 6, 8, 8, 8, 8]
+    sent = send_for(
+        schedule, clock, 800, lambda step: STEADY._replace(flows=flows[step])
+    )
+    assert [names == PEERS for names in sent[:4]] == [True, False, True, True]
+
+
 def test_peer_that_starts_is_next(clock):
     schedule = ReportSchedule(clock)
     send_for(schedule, clock, 10_000, lambda step: STEADY)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -126,6 +126,7 @@
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
             self.requests.requests.stop()
+            self.load.load.begin_stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
