Count the flows that are on their way to the own server

When callers open flows within a few milliseconds, a home that passes flows on knows nothing of those that others pass to it, and kept about half of its own.

--- a/citronwinch/coordination/load/_load_aware.py
+++ b/citronwinch/coordination/load/_load_aware.py
@@ -123,12 +123,17 @@
         return self.ignore_ejection_in_panic(loads)
 
     def estimate_own(self, row: TableRow, own_flows: int) -> CandidateLoad:
-        """Return the exact load of the own backend server."""
+        """Return the load of the own backend server.
+
+        Its flows are known exactly. While this agent passes flows on, the others pass
+        as many to it, and those of the last moment have not arrived yet.
+        """
         report = self.own_report
         state = report.state if report else ServerState.TAKING
         share = report.find_share() if report else 1.0
         is_full = own_flows >= row.connection_limit
-        return CandidateLoad(row, own_flows, row.weight * share, state, is_full, 1.0)
+        flows = own_flows + self.view.count_choices_in_flight()
+        return CandidateLoad(row, flows, row.weight * share, state, is_full, 1.0)
 
     def estimate_peer(
         self, row: TableRow, peer: PeerLoad | None, homes: int
--- a/citronwinch/coordination/load/_view.py
+++ b/citronwinch/coordination/load/_view.py
@@ -68,6 +68,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.peers: dict[str, PeerLoad] = {}
+        self.recent_ms: deque[int] = deque()
 
     def accept_report(self, origin: ReportOrigin, report: LoadReport) -> bool:
         """Take a report in; return False when a later one is known already."""
@@ -83,9 +84,18 @@
 
     def note_choice(self, backend_server: str) -> None:
         """Count a flow that was passed to a peer."""
+        now_ms = self.clock.now_ms()
+        self.recent_ms.append(now_ms)
         peer = self.peers.get(backend_server)
         if peer is not None:
-            peer.chosen_ms.append(self.clock.now_ms())
+            peer.chosen_ms.append(now_ms)
+
+    def count_choices_in_flight(self) -> int:
+        """Return the choices so recent that the peers may not have heard of them."""
+        horizon_ms = self.clock.now_ms() - IN_FLIGHT_MS
+        while self.recent_ms and self.recent_ms[0] < horizon_ms:
+            self.recent_ms.popleft()
+        return len(self.recent_ms)
 
     def find_peer(self, backend_server: str, service: str) -> PeerLoad | None:
         """Return an unexpired report about the service, None when there is none."""
