--- a/citronwinch/coordination/load/_view.py
+++ b/citronwinch/coordination/load/_view.py
@@ -48,8 +48,14 @@
 
     def find_confidence(self, now_ms: int) -> float:
         """Return how much the report still counts: 1 when fresh, 0 when expired."""
-        left_ms = EXPIRED_MS - (now_ms - self.received_ms)
-        return min(1.0, max(0.0, left_ms / (EXPIRED_MS - FRESH_MS)))
+        age_ms = now_ms - self.received_ms
+        if age_ms <= FRESH_MS:
+            return 1.0
+        return max(0.0, (EXPIRED_MS - age_ms) / (EXPIRED_MS - FRESH_MS))
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Return whether the report counts for nothing any more."""
+        return now_ms - self.received_ms >= EXPIRED_MS
 
 
 class LoadView:
@@ -62,6 +68,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.peers: dict[str, PeerLoad] = {}
+        self.recent_ms: deque[int] = deque()
 
     def accept_report(self, origin: ReportOrigin, report: LoadReport) -> bool:
         """Take a report in; return False when a later one is known already."""
@@ -77,16 +84,25 @@
 
     def note_choice(self, backend_server: str) -> None:
         """Count a flow that was passed to a peer."""
+        now_ms = self.clock.now_ms()
+        self.recent_ms.append(now_ms)
         peer = self.peers.get(backend_server)
         if peer is not None:
-            peer.chosen_ms.append(self.clock.now_ms())
+            peer.chosen_ms.append(now_ms)
+
+    def count_choices_in_flight(self) -> int:
+        """Return the choices so recent that the peers may not have heard of them."""
+        horizon_ms = self.clock.now_ms() - IN_FLIGHT_MS
+        while self.recent_ms and self.recent_ms[0] < horizon_ms:
+            self.recent_ms.popleft()
+        return len(self.recent_ms)
 
     def find_peer(self, backend_server: str, service: str) -> PeerLoad | None:
         """Return an unexpired report about the service, None when there is none."""
         peer = self.peers.get(backend_server)
         if peer is None or peer.report.service != service:
             return None
-        return peer if peer.find_confidence(self.clock.now_ms()) > 0 else None
+        return None if peer.is_expired(self.clock.now_ms()) else peer
 
     def keep_only(self, backend_servers: set[str]) -> None:
         """Forget the peers that are no longer in the service."""
@@ -99,7 +115,7 @@
         known = [
             peer.report.latency_ms
             for peer in self.peers.values()
-            if peer.report.service == service and peer.find_confidence(now_ms) > 0
+            if peer.report.service == service and not peer.is_expired(now_ms)
         ]
         latencies = sorted(ms for ms in [own_latency_ms, *known] if ms > 0)
         return latencies[(len(latencies) - 1) // 2] if latencies else 0
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -157,6 +157,7 @@
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
             self.requests.begin_stop()
+            self.load.load.begin_stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
