Carry request metadata behind the message and tell new packets from old

Cause: a packet with a request was encoded field by field, and the path bench with requests stopped because the balancer dropped new requests as late: under bursts of whole batches the time at which its socket was last empty never moved. Change: request metadata follows the encoded message; a read that begins on an empty socket notes the time; the bench answers probes, fills both caches and sends requests as well. cache_limit is 600,000, so that 300,000 flows are held for sure.

--- a/citronwinch/benches/_case_path.py
+++ b/citronwinch/benches/_case_path.py
@@ -24,6 +24,7 @@
     FRAME_PAYLOAD_BYTES,
     PathSetup,
     make_frames,
+    make_request_frames,
     make_setup,
 )
 from citronwinch.coordination.steering import Hint
@@ -57,6 +58,9 @@
 POLL_SECONDS = 0.001
 """How often the agents' sockets are read, in seconds."""
 
+CATCH_UP_SECONDS = 1
+"""The time between filling the cache and the first measurement, in seconds."""
+
 BURST_TIMEOUT_SECONDS = 5
 """How long one burst may take, in seconds."""
 
@@ -86,6 +90,7 @@
         await setup.start(nursery)
         figures |= fill_cache(setup.balancer, source)
         frames = make_frames(source, WARM_FLOWS)
+        requests = make_request_frames(source, WARM_FLOWS)
         bare = DatagramPort(setup.loopback)
         batched = DatagramPort(setup.loopback)
         nursery.start_soon(relay_singly, bare, setup.sinks[0])
@@ -95,7 +100,10 @@
             Way("bare_relay", bare.endpoint),
             Way("batched_relay", batched.endpoint),
         )
+        # A balancer that was held up drops requests, so it gets time to catch up.
+        await trio.sleep(CATCH_UP_SECONDS)
         rates = await measure_rates(setup, ways, frames)
+        request_rates = await measure_rates(setup, ways[:1], requests)
         latencies = [await measure_latency(setup, way, frames) for way in ways]
         figures |= await measure_new_flows(setup, ways[0], source)
         nursery.cancel_scope.cancel()
@@ -110,6 +118,11 @@
         figures[f"added_latency_{percentile}"] = round(
             by_name["balancer"][percentile] - by_name["bare_relay"][percentile], 1
         )
+    with_requests = median(request_rates["balancer"])
+    figures["packets_per_second_with_requests"] = round(with_requests)
+    figures["ratio_to_relay_with_requests"] = round(
+        with_requests / rate["bare_relay"], 3
+    )
     figures["payload_bytes"] = FRAME_PAYLOAD_BYTES
     figures["cases"] = [
         case | {"packets_per_second": round(rate[case["name"]])} for case in latencies
@@ -118,20 +131,28 @@
 
 
 def fill_cache(balancer: BalancerProcess, source: random.Random) -> dict[str, Any]:
-    """Fill the balancer's cache of owners and return what that costs."""
+    """Fill the balancer's cache and return what that costs.
+
+    Half of the flows are where they belong, of the others an agent has told so.
+    """
     frames = make_frames(source, 0)
     gc.collect()
     before = read_resident_bytes()
     names = [f"gauging-{i + 1}" for i in range(7)]
+    steering = balancer.steering
     for i in range(CACHED_FLOWS):
         flow = frames.make_flow(i)
-        balancer.steering.accept_hint(Hint(flow.key, names[i % len(names)]))
+        if i % 2:
+            steering.accept_hint(Hint(flow.key, names[i % len(names)]))
+        else:
+            steering.route(flow.key, "gauging")
     gc.collect()
     after = read_resident_bytes()
     growth = after - before
+    cached = len(steering.owners) + len(steering.homes)
     return {
-        "cached_flows": balancer.flow_count,
-        "bytes_per_cached_flow": round(growth / CACHED_FLOWS),
+        "cached_flows": cached,
+        "bytes_per_cached_flow": round(growth / cached),
         "cached_flows_mb": round(growth / 1e6, 1),
         "cached_flows_within_limit": growth <= MEMORY_LIMIT_MB * 1e6,
         "resident_mb": round(after / 1e6, 1),
@@ -198,7 +219,7 @@
             setup.sender.sendto(frames.make_frame(flow), way.entry)
         worked += await wait_forwarded(setup, per_burst)
         for flow in flows:
-            setup.send_hint(Hint(flow.key, "gauging-1"))
+            setup.send_as_agent(0, Hint(flow.key, "gauging-1"))
         started = time.thread_time()
         await trio.sleep(10 * POLL_SECONDS)
         worked += time.thread_time() - started
--- a/citronwinch/benches/_path_setup.py
+++ b/citronwinch/benches/_path_setup.py
@@ -14,12 +14,17 @@
     TableRow,
     TransportProtocol,
 )
-from citronwinch.coordination.steering import Hint
+from citronwinch.coordination.requests import (
+    REQUEST_ID_BYTES,
+    RequestKind,
+    RequestMetadata,
+)
+from citronwinch.coordination.steering import Probe
 from citronwinch.daemon import BalancerProcess
 from citronwinch.fabric import GeneveFrame, build_udp, encode_frame
 from citronwinch.network import DatagramPort, serve
 from citronwinch.operators import Settings, configure_logging, format_table
-from citronwinch.peers import Envelope, KeyRing, encode_envelope
+from citronwinch.peers import Envelope, KeyRing, PeerMessage, encode_envelope
 from citronwinch.platform import format_instance
 from citronwinch.standins import PlatformStandin
 
@@ -38,6 +43,9 @@
 SERVICE = Endpoint("192.0.2.10", 5000)
 """The address of the service."""
 
+FLOW_CACHE_LIMIT = 600_000
+"""The limit of the balancer's cache, the default of the settings, in flows."""
+
 BACKEND_SERVERS = 7
 """The backend servers of the service."""
 
@@ -83,6 +91,18 @@
     return FrameSource(source, warm_flows, first_flow)
 
 
+def make_request_frames(source: random.Random, warm_flows: int) -> FrameSource:
+    """Return a source of frames that each carry a request of its own."""
+    frames = FrameSource(source, 0, 0)
+    for number in range(warm_flows):
+        packet = build_udp(frames.make_flow(number), frames.payload, to_caller=False)
+        request = RequestMetadata(
+            RequestKind.REQUEST, source.randbytes(REQUEST_ID_BYTES), False, 2_000
+        )
+        frames.warm.append(encode_frame(GeneveFrame(packet, request)))
+    return frames
+
+
 class PathSetup:
     """The balancer and all sockets around it."""
 
@@ -111,7 +131,7 @@
             key=KEY,
             previous_key=None,
             flow_idle_ms=300_000,
-            flow_cache_limit=310_000,
+            flow_cache_limit=FLOW_CACHE_LIMIT,
             stop_timeout_ms=0,
             log_format="json",
         )
@@ -147,17 +167,24 @@
                 await trio.sleep(0.05)
 
     def drain(self) -> int:
-        """Read the agents' sockets and return the packets that arrived."""
+        """Read the agents' sockets and return the packets that arrived.
+
+        Anything else is the balancer's question for a sign of life.
+        """
         count = 0
-        for sink in self.sinks:
+        for i, sink in enumerate(self.sinks):
             while batch := sink.receive_nowait():
-                count += sum(MARKER in datagram.data for datagram in batch)
+                packets = sum(MARKER in datagram.data for datagram in batch)
+                count += packets
+                if packets < len(batch):
+                    self.send_as_agent(i, Probe(is_answer=True))
         return count
 
-    def send_hint(self, hint: Hint) -> None:
-        """Send a hint as the agent of the first backend server."""
+    def send_as_agent(self, number: int, message: PeerMessage) -> None:
+        """Send the balancer a message of the agent beside a backend server."""
         self.sequence += 1
-        envelope = Envelope("gauging-1", 1, self.sequence, 1, hint)
+        name = f"gauging-{number + 1}"
+        envelope = Envelope(name, 1, self.sequence, 1, message)
         keys = KeyRing(KEY, (KEY,))
         peers = self.balancer.peers.port.endpoint
         self.sender.sendto(keys.seal(encode_envelope(envelope)), peers)
--- a/citronwinch/daemon/_arrivals.py
+++ b/citronwinch/daemon/_arrivals.py
@@ -51,6 +51,9 @@
         items: list[Item] = []
         with trio.move_on_after(WAKE_INTERVAL_MS / 1000) as scope:
             items = await read()
+        if self.port.was_idle:
+            arrived_ms = began_ms
+            self._mark(began_ms, began_ms)
         if scope.cancelled_caught or self.port.was_emptied:
             self._mark(began_ms, began_ms)
             return items, arrived_ms
--- a/citronwinch/daemon/tests/test_arrivals.py
+++ b/citronwinch/daemon/tests/test_arrivals.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from citronwinch.coordination import Endpoint, ManualClock
 from citronwinch.daemon._arrivals import (
@@ -64,6 +65,31 @@
     trio.run(run)
 
 
+def test_full_batches_with_idle_times_between_them_are_not_late(port, sender):
+    async def run():
+        clock = ManualClock(1_000)
+        watch = ArrivalWatch(port, clock)
+        watch.capacity = 1_000_000
+        times = []
+
+        async def receive_one():
+            items, arrived_ms = await watch.receive(port.receive)
+            assert len(items) == BATCH_LIMIT
+            times.append(clock.now_ms() - arrived_ms)
+
+        for _ in range(100):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(receive_one)
+                await trio.testing.wait_all_tasks_blocked()
+                clock.advance(20)
+                for _ in range(2 * BATCH_LIMIT):
+                    sender.send(b"packet")
+            await receive_one()
+        assert max(times) == 20
+
+    trio.run(run)
+
+
 @pytest.mark.parametrize(
     ("wait_ms", "expected_ms"),
     [(0, 10_000), (WAIT_LIMIT_MS, 10_000), (WAIT_LIMIT_MS + 1, 9_499)],
--- a/citronwinch/fabric/_geneve.py
+++ b/citronwinch/fabric/_geneve.py
@@ -32,7 +32,7 @@
 _HEADER = struct.Struct("!BBHI")
 _OPTION = struct.Struct("!HBB")
 _REQUEST = struct.Struct(f"!BBHHHI{REQUEST_ID_BYTES}s")
-_REQUEST_KINDS = frozenset(RequestKind)
+_REQUEST_KINDS = {kind.value: kind for kind in RequestKind}
 _PLAIN_IPV4_HEADER = _HEADER.pack(0, 0, ETHERTYPE_IPV4, 0)
 _PLAIN_IPV6_HEADER = _HEADER.pack(0, 0, ETHERTYPE_IPV6, 0)
 
@@ -121,12 +121,13 @@
         )
     fields = _REQUEST.unpack(body)
     kind, repeatable, part, part_count, age_ms, remaining_ms, request_id = fields
-    if kind not in _REQUEST_KINDS:
+    known_kind = _REQUEST_KINDS.get(kind)
+    if known_kind is None:
         raise MalformedFrameError(f"unknown request kind {kind}")
     if part >= part_count:
         raise MalformedFrameError(f"part {part} of {part_count}")
     return RequestMetadata(
-        RequestKind(kind),
+        known_kind,
         request_id,
         bool(repeatable),
         remaining_ms,
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -32,6 +32,8 @@
 
     Reading in batches keeps the cost of the event loop off the single packet.
     Sending never waits: a full kernel buffer drops the datagram, as any link may.
+    `was_idle` tells whether the last `receive` found the socket empty when it began,
+    `was_emptied` whether it left it empty.
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
@@ -45,13 +47,17 @@
         self.dropped_sends = 0
         self.receive_errors = 0
         self.was_emptied = False
+        self.was_idle = False
 
     async def receive(self) -> list[Datagram]:
         """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
-        while True:
+        await trio.lowlevel.checkpoint()
+        batch = self.receive_nowait()
+        self.was_idle = not batch
+        while not batch:
             await trio.lowlevel.wait_readable(self.socket)
-            if batch := self.receive_nowait():
-                return batch
+            batch = self.receive_nowait()
+        return batch
 
     def receive_nowait(self) -> list[Datagram]:
         """Return the datagrams that are there, possibly none."""
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -161,7 +161,7 @@
         "cache_limit",
         "flow_cache_limit",
         parse_number(1, 10_000_000, "flows"),
-        300_000,
+        600_000,
     ),
     SettingSpec(
         "stop",
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -11,6 +11,7 @@
 from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
+from citronwinch.fabric import MalformedFrameError, decode_request, encode_request
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
 from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
@@ -32,7 +33,6 @@
 
 _PROTOCOLS = frozenset(TransportProtocol)
 _PREFIX = struct.Struct("!QQI")
-_FLOW_LENGTH = [bytes([length]) for length in range(256)]
 _READ_ERRORS = (
     capnp.KjException,
     ValueError,
@@ -69,16 +69,13 @@
     packets of the same kind share one encoded message, which is made once.
     """
     message = envelope.message
-    if not isinstance(message, Forward):
-        header, payload = (
-            _encode_header(envelope.sender, envelope.incarnation, message),
-            b"",
-        )
+    if isinstance(message, Forward):
+        kind = (*message[1:2], *message[3:7], None, *message[8:])
+        header = _encode_kind(envelope.sender, envelope.incarnation, kind)
+        payload = _join_payload(message)
     else:
-        kind = message[1:2] + message[3:]
-        encode = _encode_kind if message.request is None else _encode_kind.__wrapped__
-        header = encode(envelope.sender, envelope.incarnation, kind)
-        payload = _FLOW_LENGTH[len(message.flow)] + message.flow + message.packet
+        header = _encode_header(envelope.sender, envelope.incarnation, message)
+        payload = b""
     prefix = _PREFIX.pack(envelope.sequence, envelope.revision, len(header))
     return prefix + header + payload
 
@@ -98,15 +95,41 @@
     sender, incarnation, message = _decode_kind(header)
     if len(data) < end or not isinstance(message, Forward):
         raise MalformedMessageError("no packet is expected behind the message")
-    start = end + 1 + data[end]
-    flow, packet = FlowKey(data[end + 1 : start]), data[start:]
-    is_known = len(flow) in FLOW_KEY_LENGTHS and flow[0] in _PROTOCOLS
-    if len(flow) != data[end] or not is_known:
-        raise MalformedMessageError(f"malformed flow key of {len(flow)} bytes")
-    forward = Forward._make((flow, message[1], packet, *message[3:]))
+    forward = _split_payload(message, data, end)
     return Envelope(sender, incarnation, sequence, revision, forward)
 
 
+def _join_payload(message: Forward) -> bytes:
+    """Return what differs between packets of one kind: flow, request and packet."""
+    flow, request = message.flow, b""
+    if message.request is not None:
+        request = encode_request(message.request)
+    return bytes((len(flow), len(request))) + flow + request + message.packet
+
+
+def _split_payload(message: Forward, data: bytes, start: int) -> Forward:
+    """Return a message with the flow, request and packet that follow it."""
+    flow_start = start + 2
+    lengths = data[start:flow_start]
+    request_start = flow_start + lengths[0]
+    packet_start = request_start + lengths[-1]
+    flow = FlowKey(data[flow_start:request_start])
+    if len(flow) not in FLOW_KEY_LENGTHS or flow[0] not in _PROTOCOLS:
+        raise MalformedMessageError(f"malformed flow key of {len(flow)} bytes")
+    if packet_start > len(data):
+        raise MalformedMessageError("the message ends before its packet")
+    request = None
+    if packet_start > request_start:
+        try:
+            request = decode_request(data[request_start:packet_start])
+        except MalformedFrameError as error:
+            raise MalformedMessageError(str(error)) from error
+    packet = data[packet_start:]
+    return Forward._make(
+        (flow, message[1], packet, *message[3:7], request, *message[8:])
+    )
+
+
 def _encode_header(sender: str, incarnation: int, message: PeerMessage) -> bytes:
     builder = SCHEMA.Envelope.new_message()
     builder.sender = sender
@@ -118,7 +141,7 @@
 
 @functools.lru_cache(maxsize=KIND_CACHE_LIMIT)
 def _encode_kind(sender: str, incarnation: int, kind: tuple[Any, ...]) -> bytes:
-    """Encode a forwarded packet without the packet and its flow."""
+    """Encode a forwarded packet without what differs between packets."""
     message = Forward._make((FlowKey(b""), kind[0], b"", *kind[1:]))
     return _encode_header(sender, incarnation, message)
 
--- a/citronwinch/peers/tests/test_envelope.py
+++ b/citronwinch/peers/tests/test_envelope.py
@@ -53,6 +53,11 @@
     assert decoded == [first, second]
 
 
+def test_fields_that_follow_the_message_stand_where_the_encoding_expects_them():
+    positions = [Forward._fields.index(name) for name in ("flow", "packet", "request")]
+    assert positions == [0, 2, 7]
+
+
 def test_truncated_envelope_is_malformed_or_a_shorter_packet(envelope):
     data = encode_envelope(envelope)
     for length in range(len(data) - len(getattr(envelope.message, "packet", b""))):
