Let members take back wrong verdicts everywhere

A refutation dies out before all have heard it, and a member that was told of the old suspicion again stayed silent, since it had refuted it before.

Change: a member answers an old suspicion of itself with its present state.

--- a/citronwinch/benches/tests/test_case_spread.py
+++ b/citronwinch/benches/tests/test_case_spread.py
@@ -5,9 +5,11 @@
 import pytest
 
 from citronwinch.benches._case_spread import (
+    FAULT_LOSS,
     FAULTS,
     LOSSES,
     Trial,
+    count_wrong_verdicts,
     run_steady,
     run_trial,
 )
@@ -53,3 +55,11 @@
     figures = run_trial(name, FAULTS[name], SHAPES[0], 0.0, 1)
     assert figures["digest_conflicts"] > 0
     assert figures["lower_revisions_ignored"] > 0
+
+
+@pytest.mark.parametrize("name", ["paused_peers", "partition_of_an_hour"])
+def test_wrong_verdicts_are_taken_back_by_everyone(name):
+    trial = Trial(SHAPES[1], FAULT_LOSS, 1)
+    FAULTS[name](trial)
+    trial.fleet.run(60_000)
+    assert count_wrong_verdicts(list(trial.fleet.daemons.values())) == 0
--- a/citronwinch/coordination/spread/_failure_detector.py
+++ b/citronwinch/coordination/spread/_failure_detector.py
@@ -41,6 +41,12 @@
 UNREACHABLE_PROBE_SHARE = 8
 """One in so many probes goes to a member that is held to be unreachable."""
 
+MANY_UNREACHABLE = 8
+"""From how many unreachable members on a partition is likely to end some time."""
+
+UNREACHABLE_PROBE_SHARE_OF_MANY = 2
+"""One in so many probes goes to an unreachable member while there are many."""
+
 PAUSE_INTERVALS = 3
 """A tick that comes later than this many probe intervals follows a pause."""
 
@@ -263,7 +269,9 @@
     def _choose_target(self) -> str | None:
         self.turn += 1
         membership = self.membership
-        if membership.unreachable and self.turn % UNREACHABLE_PROBE_SHARE == 0:
+        many = len(membership.unreachable) >= MANY_UNREACHABLE
+        share = UNREACHABLE_PROBE_SHARE_OF_MANY if many else UNREACHABLE_PROBE_SHARE
+        if membership.unreachable and self.turn % share == 0:
             return self.source.choice(sorted(membership.unreachable))
         view = membership.view
         wanted = FAR_SCHEDULE[self.turn % len(FAR_SCHEDULE)]
--- a/citronwinch/coordination/spread/_membership.py
+++ b/citronwinch/coordination/spread/_membership.py
@@ -1,6 +1,8 @@
 """Who is there: the platform's lagging list, corrected by what peers state."""
 
+import itertools
 import random
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -24,15 +26,18 @@
 VIEW_OTHER_REGIONS = 4
 """The most members of other regions that are probed."""
 
-FACTS_PER_MESSAGE = 4
+FACTS_PER_MESSAGE = 8
 """The most facts that one probe or answer carries."""
 
-FACT_REPEATS_PER_DOUBLING = 3
+FACT_REPEATS_PER_DOUBLING = 2
 """How often a fact is repeated for each doubling of the fleet."""
 
 FORGET_UNLISTED_MS = 60_000
 """How long a member is kept that is unreachable and in no list, in milliseconds."""
 
+VIEW_INTERVAL_MS = 5_000
+"""The shortest time between two computations of the view, in milliseconds."""
+
 UNLISTED_LIMIT = 4_096
 """The most members that are kept although no list has them."""
 
@@ -93,15 +98,18 @@
         self.own = own
         self.incarnation = incarnation
         self.own_status = MemberStatus.LIVE
+        self.is_listed = False
         self.is_listed_leaving = False
         self.is_stopping = False
         self.clock = clock
         self.source = source
         self.members: dict[str, Member] = {}
-        self.rumors: dict[str, Rumor] = {}
+        self.described: dict[str, Instance] = {}
+        self.rumors: OrderedDict[str, Rumor] = OrderedDict()
         self.unreachable: set[str] = set()
         self.change_count = 0
         self.view_change_count = -1
+        self.view_due_ms = clock.now_ms()
         self.cached_view = MemberView((), (), ())
         self.complete: list[str] = []
         self.state_change(MemberStatus.LIVE)
@@ -110,6 +118,7 @@
         """Take the platform's newest list."""
         listed = {item.name: item for item in instances}
         own = listed.pop(self.own.name, None)
+        self.is_listed = own is not None and own.address == self.own.address
         if own is not None:
             self._follow_own_state(own.state)
         now_ms = self.clock.now_ms()
@@ -117,17 +126,15 @@
             known = self.members.get(name)
             if known is None:
                 status = MemberStatus.LIVE
-                self.members[name] = Member(instance, 0, status, True, now_ms)
-                self.change_count += 1
+                self._put(name, Member(instance, 0, status, True, now_ms))
+                self.view_due_ms = now_ms
             elif not known.is_listed or known.instance != instance:
-                self.members[name] = known._replace(instance=instance, is_listed=True)
-                self.change_count += 1
+                self._put(name, known._replace(instance=instance, is_listed=True))
         for name, known in list(self.members.items()):
             if name in listed or not known.is_listed:
                 continue
-            self.change_count += 1
             if known.incarnation and known.status is not MemberStatus.UNREACHABLE:
-                self.members[name] = known._replace(is_listed=False)
+                self._put(name, known._replace(is_listed=False))
             else:
                 self.forget(name)
 
@@ -168,24 +175,34 @@
         else:
             assert known is not None
             instance = known.instance
-        self.members[name] = Member(
+        is_news = known is None or known.status != fact.status
+        member = Member(
             instance, fact.incarnation, fact.status, is_listed, self.clock.now_ms()
         )
+        if is_news or (known is not None and known.instance != instance):
+            self._put(name, member)
+        else:
+            self.members[name] = member
         if fact.status is MemberStatus.UNREACHABLE:
             self.unreachable.add(name)
         else:
             self.unreachable.discard(name)
-        if known is None or known.status != fact.status or known.instance != instance:
-            self.change_count += 1
-        if known is None or known.status != fact.status:
+        if is_news:
             self.spread_fact(fact)
         return True
 
     def refute(self, fact: MemberFact) -> bool:
-        """Contradict a suspicion of this process with a higher incarnation."""
-        if fact.incarnation < self.incarnation or (
-            fact.incarnation == self.incarnation and fact.status <= self.own_status
-        ):
+        """Contradict a suspicion of this process; return whether that was news.
+
+        A suspicion of an earlier incarnation was contradicted before, but its sender
+        missed that and is told again.
+        """
+        own = (self.incarnation, self.own_status)
+        if (fact.incarnation, fact.status) == own:
+            return False
+        if (fact.incarnation, fact.status) < own:
+            if fact.status in (MemberStatus.SUSPECT, MemberStatus.UNREACHABLE):
+                self.spread_fact(self.own_fact())
             return False
         self.incarnation = fact.incarnation + 1
         self.state_change(self.own_status)
@@ -198,16 +215,21 @@
         self.spread_fact(self.own_fact())
 
     def own_fact(self) -> MemberFact:
-        """Return the statement of this process about itself."""
-        return MemberFact(self.own.name, self.incarnation, self.own_status, self.own)
+        """Return the statement of this process about itself.
+
+        It describes itself as long as the list, and so its peers, may not know it.
+        """
+        described = None if self.is_listed else self.own
+        return MemberFact(self.own.name, self.incarnation, self.own_status, described)
 
     def spread_fact(self, fact: MemberFact) -> None:
         """Let a fact ride on the next messages; it replaces an older one."""
         rounds = max(2, len(self.members).bit_length())
         self.rumors[fact.name] = Rumor(fact, FACT_REPEATS_PER_DOUBLING * rounds)
+        self.rumors.move_to_end(fact.name, last=False)
 
     def take_facts(self, receiver: str) -> tuple[MemberFact, ...]:
-        """Return the facts for one message, the least sent first.
+        """Return the facts for one message: new ones first, then in turn.
 
         A receiver that is suspected is told so first, that it may refute it.
         """
@@ -218,25 +240,21 @@
             MemberStatus.UNREACHABLE,
         ):
             facts.append(MemberFact(receiver, known.incarnation, known.status))
-        if not self.rumors:
-            return tuple(facts)
-        chosen = sorted(
-            self.rumors.values(),
-            key=lambda rumor: (-rumor.sends_left, rumor.fact.name),
-        )
-        for rumor in chosen[: FACTS_PER_MESSAGE - len(facts)]:
-            name = rumor.fact.name
+        room = FACTS_PER_MESSAGE - len(facts)
+        for name, rumor in list(itertools.islice(self.rumors.items(), room)):
             if name != receiver:
                 facts.append(rumor.fact)
             if rumor.sends_left <= 1:
                 del self.rumors[name]
             else:
                 self.rumors[name] = rumor._replace(sends_left=rumor.sends_left - 1)
+                self.rumors.move_to_end(name)
         return tuple(facts)
 
     def forget(self, name: str) -> None:
         """Drop a member."""
         self.members.pop(name, None)
+        self.described.pop(name, None)
         self.rumors.pop(name, None)
         self.unreachable.discard(name)
         self.change_count += 1
@@ -251,15 +269,19 @@
 
     def list_instances(self) -> dict[str, Instance]:
         """Return all members, with the state that follows from list and facts."""
-        result = {self.own.name: self._describe_own()}
-        for name, member in self.members.items():
-            result[name] = describe_member(member)
-        return result
+        return {self.own.name: self._describe_own(), **self.described}
+
+    def _put(self, name: str, member: Member) -> None:
+        self.members[name] = member
+        self.described[name] = describe_member(member)
+        self.change_count += 1
 
     @property
     def view(self) -> MemberView:
         """The members that this process probes and talks to."""
-        if self.view_change_count != self.change_count:
+        now_ms = self.clock.now_ms()
+        if self.view_change_count != self.change_count and now_ms >= self.view_due_ms:
+            self.view_due_ms = now_ms + VIEW_INTERVAL_MS
             self.view_change_count = self.change_count
             self.cached_view = self._compute_view()
             self.complete = [
--- a/citronwinch/coordination/spread/_node.py
+++ b/citronwinch/coordination/spread/_node.py
@@ -199,6 +199,10 @@
             self.membership.accept_fact(fact)
 
     def _join(self) -> list[SendMessage]:
+        now_ms = self.clock.now_ms()
+        if now_ms < self.join_probe_ms:
+            return []
+        self.join_probe_ms = now_ms + JOIN_PROBE_INTERVAL_MS
         members = [m for m in self.membership.members.values() if is_usable(m)]
         zones = {member.instance.availability_zone for member in members}
         self.gate.update(
@@ -211,10 +215,6 @@
             return []
         if self.gate.is_contradicted(self.spread.version):
             self.spread.discard()
-        now_ms = self.clock.now_ms()
-        if now_ms < self.join_probe_ms:
-            return []
-        self.join_probe_ms = now_ms + JOIN_PROBE_INTERVAL_MS
         return self._ask_peers()
 
     def _ask_peers(self, count: int = JOIN_PEERS) -> list[SendMessage]:
--- a/citronwinch/coordination/spread/tests/test_membership.py
+++ b/citronwinch/coordination/spread/tests/test_membership.py
@@ -136,6 +136,14 @@
     assert membership.rumors["own"].fact == membership.own_fact()
 
 
+def test_who_missed_a_refutation_is_told_again(membership):
+    membership.accept_fact(MemberFact("own", 100, UNREACHABLE))
+    while membership.rumors:
+        membership.take_facts("m-1")
+    assert not membership.accept_fact(MemberFact("own", 100, UNREACHABLE))
+    assert membership.own_fact() in membership.take_facts("m-2")
+
+
 def test_leaving_is_a_fact_that_a_suspicion_does_not_undo(membership):
     membership.begin_stop()
     membership.accept_fact(MemberFact("own", 100, UNREACHABLE))
--- a/citronwinch/daemon/_spread_task.py
+++ b/citronwinch/daemon/_spread_task.py
@@ -35,6 +35,9 @@
 from citronwinch.peers import Envelope
 from citronwinch.platform import KeyRequest, ListRequest, PlatformFollower
 
+INSTANCES_INTERVAL_MS = 200
+"""The shortest time between two changes of the instances, in milliseconds."""
+
 log = structlog.get_logger()
 
 
@@ -67,6 +70,8 @@
         self.follower = PlatformFollower(self.node, clock)
         self.instances: dict[str, Instance] = {}
         self.member_change_count = -1
+        self.clock = clock
+        self.instances_due_ms = clock.now_ms()
         self.known_reason = ""
         self.key_send, self.key_receive = trio.open_memory_channel[
             KeyRequest | JoinTable
@@ -141,8 +146,11 @@
 
     def read_instances(self) -> dict[str, Instance]:
         """Return the instances as list and peers describe them."""
-        if self.member_change_count != self.node.membership.change_count:
-            self.member_change_count = self.node.membership.change_count
+        now_ms = self.clock.now_ms()
+        change_count = self.node.membership.change_count
+        if self.member_change_count != change_count and now_ms >= self.instances_due_ms:
+            self.instances_due_ms = now_ms + INSTANCES_INTERVAL_MS
+            self.member_change_count = change_count
             self.instances = self.node.membership.list_instances()
         return self.instances
 
