--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -8,10 +8,12 @@
 import capnp
 
 from citronwinch.coordination import FlowKey
+from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
+from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
 from citronwinch.peers._spread_codec import read_spread
 from citronwinch.peers._steering_codec import (
@@ -20,7 +22,7 @@
     read_steering,
 )
 
-PeerMessage = SteeringMessage | RequestsMessage | SpreadMessage
+PeerMessage = SteeringMessage | RequestsMessage | SpreadMessage | LoadReport
 """Everything that the system's processes say to each other."""
 
 
@@ -139,4 +141,5 @@
     "spread": read_spread,
     "steering": read_steering,
     "requests": read_requests,
+    "load": read_load,
 }
