--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -15,6 +15,7 @@
     RequestKind,
     RequestMetadata,
 )
+from citronwinch.coordination.spread import ControlPriority
 from citronwinch.daemon._peer_port import PeerPort
 from citronwinch.operators import Metrics, Settings
 from citronwinch.peers import Envelope
@@ -50,7 +51,9 @@
         """Judge the own backend server and send the reports that are due."""
         for agent, report in self.load.tick(own_flows):
             instance = instances.get(agent)
-            if instance is not None and self.peers.send(report, instance.address):
+            if instance is not None and self.peers.send_control(
+                report, instance.address, ControlPriority.LOAD
+            ):
                 self.metrics.count("load_reports_sent_total")
         self.show(own_flows)
 
