Let a member that knows nobody wait to hear of owners that have left

Cause: long random runs found a restarted agent, alone in its service, that opened flows again whose owner had moved to another service meanwhile. Change: a member that has just met its service decides only after owners from outside have had time to ask it for a lease, or when a member that has been there longer has told it. An agent is ready only then.

--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -201,7 +201,7 @@
     ) -> list[AgentAction]:
         """Decide as home, or hold the packet until nobody else can have decided."""
         if message.flow not in self.held.flows:
-            if not leases.blockers():
+            if not leases.blockers() and not leases.is_learning:
                 return self.decide(message, leases)
             self.counters["packets_held"] += 1
         held = self.held.hold(message, leases.revision)
@@ -249,7 +249,7 @@
             return self.retry_search(flow, held, leases, home or "")
         if is_known or home != self.backend_server:
             return self.replay(flow)
-        if set(leases.blockers()) <= held.answered:
+        if set(leases.blockers()) <= held.answered and not leases.is_learning:
             return self.decide_held(flow, leases)
         if self.clock.now_ms() >= held.deadline_ms:
             return self.give_up(flow, "home_unreachable")
--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -28,6 +28,12 @@
 RETRY_MS = 400
 """How soon an unanswered lease request is sent again, in milliseconds."""
 
+LEARNING_MS = 3_000
+"""How long a member that knows nobody waits to hear of owners, in milliseconds.
+
+Owners that have left the service ask its members for leases more often than that.
+"""
+
 REQUESTS_UNANSWERED = 3
 """How many requests a member may leave unanswered before balancers hear of it."""
 
@@ -65,6 +71,7 @@
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
         self.unanswered = 0
+        self.is_learning = True
         self.incarnation = 0
         self.last_sent_ms = 0
 
@@ -222,6 +229,7 @@
             is_granted and is_complete and request.revision == self.revision,
             silent=silent,
             former=tuple(sorted(self.former)),
+            is_learning=self.is_learning,
         )
 
     def report_silent(self, receiver: str) -> tuple[str, ...]:
@@ -246,6 +254,7 @@
         if answer.sent_ms < (member.answered_ms or 0):
             return
         member.answered_ms = answer.sent_ms
+        member.is_learning = answer.is_learning
         member.unanswered = 0
         member.has_departed = False
         self.raise_fence(answer.revision, sender)
@@ -329,6 +338,16 @@
         votes = 1 + sum(other in counted for other in witnesses)
         return 2 * votes > len(counted - self.dropped())
 
+    @property
+    def is_learning(self) -> bool:
+        """Whether former members may own flows that this member has not heard of."""
+        if self.clock.now_ms() - self.started_ms >= LEARNING_MS:
+            return False
+        return not any(
+            self.is_leased(name) and not self.member(name).is_learning
+            for name in self.others()
+        )
+
     def blockers(self) -> list[str]:
         """Return the members that must be asked before a new flow is opened."""
         return [
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -114,6 +114,9 @@
     former: tuple[str, ...] = ()
     """Former members that may still own flows of the service."""
 
+    is_learning: bool = False
+    """Whether the sender may not have heard of all former members yet."""
+
 
 class Register(NamedTuple):
     """An owner tells a home which flows it owns."""
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -87,6 +87,11 @@
         self.place_owned()
         return self.tick()
 
+    def is_settled(self) -> bool:
+        """Return whether this agent may decide, as far as it depends on itself."""
+        row = self.row
+        return row is not None and not self.leases_of(row.service).is_learning
+
     def begin_stop(self) -> None:
         """Take no new flows from now on, because the process stops."""
         self.is_stopping = True
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -234,7 +234,8 @@
     def read_status(self) -> Status:
         """Say ready only once every request that is sent from now on is served."""
         status = super().read_status()
-        if status.state == "ready" and not self.requests.requests.is_settled():
+        is_settled = self.requests.requests.is_settled() and self.steering.is_settled()
+        if status.state == "ready" and not is_settled:
             return status._replace(state="starting")
         return status
 
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -124,6 +124,7 @@
     target.hasDeparted = message.has_departed
     target.silent = list(message.silent)
     target.former = list(message.former)
+    target.isLearning = message.is_learning
 
 
 @fill_message.register
@@ -235,6 +236,7 @@
         reader.hasDeparted,
         tuple(reader.silent),
         tuple(reader.former),
+        reader.isLearning,
     )
 
 
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -51,6 +51,7 @@
   hasDeparted @7 :Bool;
   silent @8 :List(Text);
   former @9 :List(Text);
+  isLearning @10 :Bool;
 }
 
 struct Register {
