--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -27,6 +27,15 @@
 HOPS_LIMIT = 8
 """How often a packet may be passed on."""
 
+QUERY_BYTES = 180
+"""The bytes of a query on the wire."""
+
+QUERY_BURST_BYTES = 131_072
+"""How many bytes of queries may be sent at once after a quiet time."""
+
+QUERY_BYTES_PER_SECOND = 1_000
+"""How many bytes of queries a second are sent beyond the burst."""
+
 HINT_BYTES = 150
 """The bytes of a hint on the wire."""
 
@@ -54,6 +63,7 @@
         super().__init__(backend_server, clock, incarnation)
         self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
         self.refused = RefusedPackets(clock)
+        self.query_budget = ByteBudget(clock, QUERY_BURST_BYTES, QUERY_BYTES_PER_SECOND)
         self.hint_budget = ByteBudget(clock, HINT_BURST_BYTES, HINT_BYTES_PER_SECOND)
 
     @property
@@ -216,13 +226,16 @@
         now_ms = self.clock.now_ms()
         if held.queried_ms is not None and now_ms - held.queried_ms < QUERY_RETRY_MS:
             return []
-        held.queried_ms = now_ms
         query = Query(held.service, flow, leases.revision)
         asked = [
             name
             for name in self.find_askable(flow, leases)
             if name not in held.answered
         ]
+        if not self.query_budget.spend(QUERY_BYTES * len(asked)):
+            self.counters["queries_limited"] += 1
+            return []
+        held.queried_ms = now_ms
         self.counters["queries"] += len(asked)
         return [Send(name, query) for name in asked]
 
