--- a/citronwinch/daemon/tests/test_agent_load.py
+++ b/citronwinch/daemon/tests/test_agent_load.py
@@ -17,6 +17,7 @@
 )
 from citronwinch.coordination.load import LoadReport, OverloadLevel
 from citronwinch.coordination.requests import RequestKey, RequestKind, RequestMetadata
+from citronwinch.coordination.spread import ControlPriority
 from citronwinch.daemon._agent_load import LoadExchange
 from citronwinch.operators import Metrics
 from citronwinch.operators._metrics import MetricKey
@@ -32,7 +33,8 @@
     def __init__(self):
         self.sent = []
 
-    def send(self, message, receiver):
+    def send_control(self, message, receiver, priority):
+        assert priority is ControlPriority.LOAD
         self.sent.append((message, receiver))
         return True
 
