Pack control messages

Cause: heartbeats, leases, probes and registrations were mostly zero bytes: with their tag, 124 to 172 bytes each. Change: the part of a message before its packet is encoded in Cap'n Proto's packed form.

--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -137,7 +137,7 @@
     builder.sender = sender
     builder.incarnation = incarnation
     fill_message(message, builder)
-    encoded: bytes = builder.to_bytes()
+    encoded: bytes = builder.to_bytes_packed()
     return encoded
 
 
@@ -150,10 +150,10 @@
 
 def _decode_header(header: bytes) -> tuple[str, int, PeerMessage]:
     try:
-        with SCHEMA.Envelope.from_bytes(header) as reader:
-            kind = str(reader.which())
-            message = _READERS[kind](getattr(reader, kind))
-            return reader.sender, reader.incarnation, message
+        reader = SCHEMA.Envelope.from_bytes_packed(header)
+        kind = str(reader.which())
+        message = _READERS[kind](getattr(reader, kind))
+        return reader.sender, reader.incarnation, message
     except _READ_ERRORS as error:
         raise MalformedMessageError(str(error).partition("\n")[0]) from error
 
