Leave metadata on TCP flows alone and count answers that fit no packet

A part that was too long for a packet was dropped without a trace; the new test failed with a count of 0 before. 18 tests of the agent's requests pass.

--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from citronwinch.backend_servers import Reply, read_request_header
-from citronwinch.coordination import FlowKey, rank_candidates
+from citronwinch.coordination import FlowKey, TransportProtocol, rank_candidates
 from citronwinch.coordination.load import ServerState
 from citronwinch.coordination.requests import (
     AgentRequests,
@@ -78,7 +78,7 @@
 
     def intercept(self, message: Forward) -> bool:
         """Handle a packet without steering where that is possible."""
-        if message.request is None:
+        if message.request is None or not is_udp(message.flow):
             return False
         arrival = self.find_arrival(message.flow, message.packet, message.request)
         if arrival is None:
@@ -95,7 +95,7 @@
 
     def deliver(self, action: Deliver) -> bool:
         """Handle a packet that steering delivers; return whether it was a request."""
-        if action.request is None:
+        if action.request is None or not is_udp(action.flow):
             return False
         arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
@@ -109,7 +109,7 @@
 
     def refuse(self, action: Refuse) -> bool:
         """Handle a packet that steering refuses; return whether it was a request."""
-        if action.request is None:
+        if action.request is None or not is_udp(action.flow):
             return False
         arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
@@ -230,10 +230,12 @@
 
     @act.register
     def _(self, action: SendPart) -> None:
-        self.process.metrics.count("replies_total")
-        settings = self.process.settings
+        fabric_return = self.process.settings.fabric_return
         port = self.process.peers.port
-        send_to_caller(port, settings.fabric_return, action.flow, action.payload)
+        if send_to_caller(port, fabric_return, action.flow, action.payload):
+            self.process.metrics.count("replies_total")
+        else:
+            self.process.metrics.count("replies_dropped_total", "too_long")
 
     @act.register
     def _(self, action: RetryElsewhere) -> None:
@@ -286,3 +288,8 @@
         }
         for name, value in gauges.items():
             self.process.metrics.set_gauge(name, value)
+
+
+def is_udp(flow: FlowKey) -> bool:
+    """Whether a flow carries datagrams; other flows carry no requests of ours."""
+    return flow[0] == TransportProtocol.UDP
--- a/citronwinch/daemon/_refusals.py
+++ b/citronwinch/daemon/_refusals.py
@@ -57,14 +57,15 @@
     fabric_return: tuple[Endpoint, ...],
     flow: FlowKey,
     payload: bytes,
-) -> None:
-    """Send a datagram with a request header to the caller of a flow."""
+) -> bool:
+    """Send a datagram with a request header to a caller; False when it is too long."""
     try:
         packet = build_udp(unpack_flow_key(flow), payload, to_caller=True)
     except MalformedPacketError:
-        return
+        return False
     frame = GeneveFrame(packet, read_request_header(payload))
     send_to_fabric(port, fabric_return, frame)
+    return True
 
 
 def send_to_fabric(
--- a/citronwinch/daemon/tests/test_agent_requests.py
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -26,7 +26,7 @@
     RequestRecords,
     RetryRequest,
 )
-from citronwinch.coordination.steering import Forward
+from citronwinch.coordination.steering import Deliver, Forward, Refuse
 from citronwinch.daemon import AgentProcess
 from citronwinch.daemon._events import PeerBatch, ReplyArrived, StopRequested
 from citronwinch.fabric import (
@@ -290,6 +290,15 @@
     assert desk.told() == ["ANSWER"]
 
 
+def test_a_part_that_fits_no_packet_is_dropped_and_counted(desk):
+    desk.forward()
+    answer = RequestMetadata(RequestKind.ANSWER, bytes(16))
+    payload = add_request_header(answer, bytes(65_450))
+    desk.process.handle(ReplyArrived(Reply(FLOW.key, payload + bytes(30))))
+    assert desk.told() == []
+    assert desk.count("replies_dropped_total", "too_long") == 1
+
+
 def start_with_peer(desk):
     process = desk.process
     process.use_table(Table(2, [make_row("gauging-1"), make_row("gauging-2")]))
@@ -328,3 +337,13 @@
     desk.take(RecordsQuery("gauging-2"), incarnation=2)
     found = [m for m in desk.messages() if isinstance(m, RequestRecords)]
     assert len(found) == given_back
+
+
+def test_metadata_on_a_flow_of_another_protocol_is_left_alone(desk):
+    flow = FLOW._replace(protocol=TransportProtocol.TCP).key
+    request = RequestMetadata(RequestKind.REQUEST, bytes(16))
+    forward = Forward(flow, "gauging", b"segment", "balancer-1", request=request)
+    assert not desk.process.requests.intercept(forward)
+    assert not desk.process.requests.deliver(Deliver(flow, b"segment", request))
+    refusal = Refuse(flow, b"segment", "full", 1_000, request)
+    assert not desk.process.requests.refuse(refusal)
