Run nothing that a former home of the flow may have refused

Cause: a tombstone stays where the request was refused. After an edit, or when a member comes back from a partition, another home decides, and a late copy would run though the caller was told "not run". Change: an agent remembers for 65 s how the service was placed; on a flow whose home has moved and that was opened since, a request that may be older than the move is answered "unknown". The same holds after a member that was silent for 5.5 s is heard again in the same run. Cost: for 5 s after an edit, new flows whose home the edit moved hear "unknown" to their first request.

--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -25,6 +25,7 @@
     SendRequest,
 )
 from citronwinch.coordination.requests._eras import RequestEras
+from citronwinch.coordination.requests._homes import HomeChanges
 from citronwinch.coordination.requests._messages import (
     RecordsQuery,
     RequestRecords,
@@ -58,6 +59,7 @@
     "Discard",
     "EndGuestFlow",
     "ExportedRecord",
+    "HomeChanges",
     "PACKET_LIFETIME_MS",
     "PartRejected",
     "PassCancel",
--- a/citronwinch/coordination/requests/_actions.py
+++ b/citronwinch/coordination/requests/_actions.py
@@ -34,6 +34,9 @@
     opened_ms: int | None = None
     """When this agent opened the flow; None when it does not own it."""
 
+    moved_ms: int | None = None
+    """When the home of the flow moved last; None when it did not lately."""
+
     @property
     def key(self) -> RequestKey:
         """The request that the packet is about."""
--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -241,7 +241,11 @@
 
     def _is_former(self, arrival: RequestArrival) -> bool:
         return self.eras.is_former(
-            arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
+            arrival.flow,
+            arrival.request,
+            arrival.arrived_ms,
+            arrival.opened_ms,
+            arrival.moved_ms,
         )
 
     def _find_refusal(self, arrival: RequestArrival) -> str:
--- a/citronwinch/coordination/requests/_eras.py
+++ b/citronwinch/coordination/requests/_eras.py
@@ -89,15 +89,18 @@
         request: RequestMetadata,
         arrived_ms: int,
         opened_ms: int | None = None,
+        moved_ms: int | None = None,
     ) -> bool:
         """Whether another process may have decided about the request.
 
         `opened_ms` is when this agent opened the flow, None when it does not own
-        it. A member that was lost after that cannot have owned the flow.
+        it; `moved_ms` is when the flow's home moved last. A member that was lost, or a
+        home that was left, after the flow was opened cannot have decided about it.
         """
         first_sent_ms = arrived_ms - PACKET_LIFETIME_MS - request.age_ms
         starts = [self.started_ms, self.flow_started_ms.get(flow, NO_ERA_MS)]
-        for lost_ms in self.losses:
+        moves = [] if moved_ms is None else [moved_ms]
+        for lost_ms in [*self.losses, *moves]:
             if opened_ms is None or lost_ms <= opened_ms + LOSS_SKEW_MS:
                 starts.append(lost_ms)
         return first_sent_ms <= max(starts)
--- /dev/null
+++ b/citronwinch/coordination/requests/tests/test_homes.py
@@ -0,0 +1,64 @@
+"""When the home of a flow has moved, and what the new home does not run."""
+
+from citronwinch.coordination import Endpoint, FlowKey, TableRow, TransportProtocol
+from citronwinch.coordination.requests import HomeChanges, StartRequest
+from citronwinch.coordination.requests.tests.conftest import make_arrival
+
+FLOWS = [FlowKey(bytes([17]) + number.to_bytes(12, "big")) for number in range(200)]
+
+
+def make_rows(*numbers, weight=100):
+    address = Endpoint("192.0.2.1", 1)
+    return [
+        TableRow(
+            "gauging",
+            TransportProtocol.UDP,
+            address,
+            f"gauging-{number}",
+            address,
+            "tas-south-a",
+            weight,
+            10,
+        )
+        for number in numbers
+    ]
+
+
+def find_moved(homes):
+    return [flow for flow in FLOWS if homes.find_move_ms(flow) is not None]
+
+
+def test_only_flows_whose_home_moved_are_found_and_only_for_a_while(clock):
+    homes = HomeChanges(clock)
+    homes.note_rows(make_rows(1, 2, 3))
+    homes.note_rows(make_rows(1, 2, 3, weight=50))
+    assert find_moved(homes) == []
+    homes.note_rows(make_rows(1, 2, 3, 4))
+    assert 0 < len(find_moved(homes)) < len(FLOWS) // 2
+    clock.advance(65_001)
+    assert find_moved(homes) == []
+    homes.note_rows([*make_rows(1, 2, 3), *make_rows(4, weight=0)])
+    assert 0 < len(find_moved(homes)) < len(FLOWS) // 2
+    clock.advance(65_000)
+    assert find_moved(homes)
+    clock.advance(1)
+    assert find_moved(homes) == []
+
+
+def test_there_and_back_is_a_move_for_flows_that_went(clock):
+    homes = HomeChanges(clock)
+    homes.note_rows(make_rows(1, 2, 3))
+    homes.note_rows(make_rows(1, 2, 3, 4))
+    went = find_moved(homes)
+    homes.note_rows(make_rows(1, 2, 3))
+    assert find_moved(homes) == went
+
+
+def test_the_new_home_runs_nothing_that_the_former_may_have_refused(clock, requests):
+    moved_ms = clock.now_ms()
+    late = make_arrival(clock)._replace(moved_ms=moved_ms)
+    assert requests.receive(late, is_known_flow=False)[0].reason == "former_run"
+    opened = late._replace(opened_ms=moved_ms + 100)
+    assert requests.deliver(opened)[0].reason == "former_run"
+    before = late._replace(opened_ms=moved_ms - 10_000)
+    assert isinstance(requests.deliver(before)[0], StartRequest)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -94,6 +94,7 @@
         """Decide by a newer table from now on."""
         self.load.load.accept_table(table)
         actions = self.steering.accept_table(table)
+        self.requests.use_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
--- a/citronwinch/daemon/_agent_records.py
+++ b/citronwinch/daemon/_agent_records.py
@@ -34,6 +34,8 @@
         self.gone: set[str] = set()
         self.incarnations: dict[str, int] = {}
         self.back_since_ms: dict[str, int] = {}
+        self.heard: dict[str, int] = {}
+        self.silent: set[str] = set()
         self.has_asked = False
         self.has_handed_over = False
 
@@ -90,7 +92,17 @@
             self.send_all(name, [RecordsQuery(self.process.settings.name)])
 
     def note_sender(self, envelope: Envelope) -> None:
-        """Note that an agent which handed its records over runs again."""
+        """Note that an agent which handed its records over, or was silent, is back.
+
+        A member that was cut off and runs on may have decided meanwhile, as the others
+        may have for its flows.
+        """
+        if envelope.sender in self.silent:
+            self.silent.discard(envelope.sender)
+            if self.heard.get(envelope.sender) == envelope.incarnation:
+                self.process.metrics.count("request_members_returned_total")
+                self.requests.note_loss()
+        self.heard[envelope.sender] = envelope.incarnation
         former = self.incarnations.get(envelope.sender)
         if former is not None and envelope.incarnation > former:
             now_ms = self.process.clock.now_ms()
@@ -108,7 +120,10 @@
         if row is None:
             return
         leases = self.process.steering.leases_of(row.service)
-        gone = {name for name in leases.others() if leases.is_gone(name)}
+        others = list(leases.others())
+        gone = {name for name in others if leases.is_gone(name)}
+        self.silent = {name for name in others if leases.is_silent(name)}
+        self.heard = {name: run for name, run in self.heard.items() if name in others}
         lost = gone - self.gone - self.requests.records.complete.keys()
         if lost:
             self.process.metrics.count("request_records_lost_total", amount=len(lost))
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -5,12 +5,13 @@
 from typing import TYPE_CHECKING
 
 from citronwinch.backend_servers import Reply, read_request_header
-from citronwinch.coordination import FlowKey, TransportProtocol, rank_candidates
+from citronwinch.coordination import FlowKey, Table, TransportProtocol, rank_candidates
 from citronwinch.coordination.load import ServerState
 from citronwinch.coordination.requests import (
     AgentRequests,
     Discard,
     EndGuestFlow,
+    HomeChanges,
     PassCancel,
     RequestAction,
     RequestArrival,
@@ -50,6 +51,7 @@
         self.requests = AgentRequests(process.settings.name, process.clock, source)
         self.arrived_ms = process.clock.now_ms()
         self.records = RecordKeeper(process, self.requests)
+        self.homes = HomeChanges(process.clock)
         self.hand_over_ms: int | None = None
 
     def begin_batch(self, arrived_ms: int) -> None:
@@ -60,6 +62,12 @@
         self.act_all(self.requests.advance(arrived_ms))
         self.export_gauges()
 
+    def use_table(self, table: Table) -> None:
+        """Note which backend servers the service has now."""
+        row = table.row_by_backend_server.get(self.process.settings.name)
+        if row is not None:
+            self.homes.note_rows(table.rows_by_service[row.service])
+
     def begin_stop(self) -> None:
         """Go on with the requests of open flows that can be finished in time."""
         timeout_ms = self.process.settings.stop_timeout_ms
@@ -183,9 +191,13 @@
                 payload,
                 arrived_ms,
                 opened_ms=owned.opened_ms,
+                moved_ms=self.homes.find_move_ms(flow),
             )
         service = self.process.table.service_of(flow) or ""
-        return RequestArrival(flow, service, request, payload, arrived_ms)
+        moved_ms = self.homes.find_move_ms(flow)
+        return RequestArrival(
+            flow, service, request, payload, arrived_ms, moved_ms=moved_ms
+        )
 
     def act_all(self, actions: list[RequestAction]) -> None:
         """Carry out actions in order."""
--- a/citronwinch/daemon/tests/test_agent_requests.py
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -347,3 +347,16 @@
     assert not desk.process.requests.deliver(Deliver(flow, b"segment", request))
     refusal = Refuse(flow, b"segment", "full", 1_000, request)
     assert not desk.process.requests.refuse(refusal)
+
+
+@pytest.mark.parametrize(
+    ("silence_ms", "run", "losses"), [(6_000, 1, 1), (6_000, 2, 0), (1_000, 1, 0)]
+)
+def test_a_member_that_was_cut_off_may_have_decided(desk, silence_ms, run, losses):
+    start_with_peer(desk)
+    desk.take(LoadReport("gauging", 1, 10))
+    desk.process.steering.leases_of("gauging").note_sign_of_life("gauging-2")
+    desk.pass_time(silence_ms)
+    before = len(desk.process.requests.requests.eras.losses)
+    desk.take(LoadReport("gauging", 1, 10), incarnation=run)
+    assert len(desk.process.requests.requests.eras.losses) - before == losses
