--- a/citronwinch/benches/_case_overload.py
+++ b/citronwinch/benches/_case_overload.py
@@ -52,6 +52,7 @@
         "level_changes_after_recovery": sum(
             1 for at_ms in world.level_changes if at_ms >= overload_ms + 5_000
         ),
+        "last_level_change_ms": max([overload_ms, *world.level_changes]) - overload_ms,
         "attempts_per_request": round(world.attempts / world.number, 3),
         "work_per_answer": round(
             world.work_done / max(1, sum(world.answered_in_second.values())), 3
--- a/citronwinch/coordination/load/_overload.py
+++ b/citronwinch/coordination/load/_overload.py
@@ -69,7 +69,8 @@
     without waiting. What is in progress beyond that time is a queue inside the
     server, and the limit is moved so that the queue stays between `QUEUE_LOW` and
     `QUEUE_HIGH` requests: long enough to keep the server busy, short enough that no
-    answer comes too late. An endpoint of the server is not asked.
+    answer comes too late. Without a queue the limit goes back to `FIRST_LIMIT`, and
+    beyond it only while it is used. An endpoint of the server is not asked.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -100,7 +101,9 @@
         waiting = ahead[len(ahead) // 2] * waited
         if waiting > QUEUE_HIGH:
             self.limit -= max(1.0, (waiting - QUEUE_HIGH) / 2)
-        elif waiting < QUEUE_LOW and ahead[-1] >= self.limit * SHED_NEW_LEAVE:
+        elif waiting < QUEUE_LOW and (
+            self.limit < FIRST_LIMIT or ahead[-1] >= self.limit * SHED_NEW_LEAVE
+        ):
             self.limit += 1.0
         self.limit = min(GREATEST_LIMIT, max(LEAST_LIMIT, self.limit))
         self.samples.clear()
--- a/citronwinch/coordination/load/tests/test_overload.py
+++ b/citronwinch/coordination/load/tests/test_overload.py
@@ -86,6 +86,13 @@
     assert limit.limit == 64
 
 
+def test_limit_goes_back_when_there_is_no_queue(clock):
+    limit = ConcurrencyLimit(clock)
+    limit.limit = 10.0
+    answer_for(limit, clock, 20, latency_ms=10, ahead=1)
+    assert limit.limit == 64
+
+
 def test_limit_never_blocks_everything(clock):
     limit = ConcurrencyLimit(clock)
     answer_for(limit, clock, 1, latency_ms=1, ahead=0)
