--- a/citronwinch/coordination/requests/__init__.py
+++ b/citronwinch/coordination/requests/__init__.py
@@ -26,7 +26,7 @@
 )
 from citronwinch.coordination.requests._eras import RequestEras
 from citronwinch.coordination.requests._messages import (
-    ALL_FLOWS,
+    RecordsQuery,
     RequestRecords,
     RequestsMessage,
     RetryRequest,
@@ -49,7 +49,6 @@
 from citronwinch.coordination.requests._window import RequestWindow
 
 __all__ = [
-    "ALL_FLOWS",
     "AgentRequests",
     "AnswerAssembly",
     "AnswerKeeper",
@@ -63,6 +62,7 @@
     "PartRejected",
     "PassCancel",
     "RECORD_BYTES",
+    "RecordsQuery",
     "REQUEST_ID_BYTES",
     "REQUEST_TIMEOUT_LIMIT_MS",
     "RequestAction",
--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -20,11 +20,7 @@
 )
 from citronwinch.coordination.requests._answers import AnswerKeeper
 from citronwinch.coordination.requests._eras import RequestEras
-from citronwinch.coordination.requests._messages import (
-    ALL_FLOWS,
-    RequestRecords,
-    split_records,
-)
+from citronwinch.coordination.requests._hand_over import RecordExchange
 from citronwinch.coordination.requests._metadata import (
     PACKET_LIFETIME_MS,
     REQUEST_TIMEOUT_LIMIT_MS,
@@ -33,7 +29,7 @@
 )
 from citronwinch.coordination.requests._open import OpenRequests
 from citronwinch.coordination.requests._records import (
-    ExportedRecord,
+    OPEN_STATES,
     RequestKey,
     RequestRecord,
     RequestState,
@@ -44,8 +40,6 @@
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
-_OPEN_STATES = (RequestState.STARTED, RequestState.WAITING)
-
 
 class AgentRequests:
     """Decides what becomes of each request at one agent.
@@ -61,12 +55,14 @@
 
     def __init__(
         self,
+        name: str,
         clock: Clock,
         source: random.Random,
         window: RequestWindow | None = None,
         keeper: AnswerKeeper | None = None,
         budget: RetryBudget | None = None,
     ) -> None:
+        self.name = name
         self.clock = clock
         self.source = source
         self.window = window or RequestWindow(clock)
@@ -76,8 +72,7 @@
         self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
         self.is_stopping = False
-        self.taken_over: set[RequestKey] = set()
-        self.has_taken_over = False
+        self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
@@ -95,7 +90,12 @@
     def deliver(
         self, arrival: RequestArrival, is_guest: bool = False
     ) -> list[RequestAction]:
-        """Return what to do about a packet that steering gives to this agent."""
+        """Return what to do about a packet that steering gives to this agent.
+
+        Steering may have held several copies, so that a record can be here by now.
+        """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         if arrival.request.kind is RequestKind.CANCEL:
             return self.refuse(arrival, "cancelled")
         if arrival.request.kind is not RequestKind.REQUEST:
@@ -120,6 +120,8 @@
         Elsewhere a copy may be running, as it may be when a former run of this agent
         saw the request, or when no tombstone fits: then the caller hears "unknown".
         """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         request = arrival.request
         if not is_final or self._is_former(arrival):
             return [tell_unknown(arrival.key, reason, retry_after_ms)]
@@ -209,35 +211,14 @@
         """Whether every request that is sent from now on will be served."""
         return self.eras.is_settled(self.clock.now_ms())
 
-    def hand_over(self, flow: FlowKey = ALL_FLOWS) -> list[RequestRecords]:
-        """Return the records of a flow, or all, for its next owner."""
-        records = self.window.export_records(flow or None)
-        era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
-        return split_records(flow, era_age_ms, records)
-
-    def take_over(self, message: RequestRecords) -> None:
-        """Take over records of a former owner.
-
-        With all records of this agent's former run it serves at once, from where
-        that run's knowledge began. Records that do not fit begin an era instead.
-        """
-        now_ms = self.clock.now_ms()
-        if not self.window.import_records(message.records):
-            self.eras.begin(now_ms)
-            return
-        for item in message.records:
-            if item.state in _OPEN_STATES and self.open.find(item.key) is None:
-                self._reopen(item, now_ms)
-        if message.flow:
-            return
-        self.taken_over.update(item.key for item in message.records)
-        if len(self.taken_over) >= message.total and not self.has_taken_over:
-            self.has_taken_over = True
-            self.taken_over.clear()
-            self.eras.end_grace(now_ms - message.era_age_ms)
+    def note_loss(self) -> None:
+        """Note that a member of the service is gone and its records with it."""
+        self.eras.note_loss(self.clock.now_ms())
 
     def _is_former(self, arrival: RequestArrival) -> bool:
-        return self.eras.is_former(arrival.flow, arrival.request, arrival.arrived_ms)
+        return self.eras.is_former(
+            arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
+        )
 
     def _find_refusal(self, arrival: RequestArrival) -> str:
         """Return why a new request is not started, empty when it is."""
@@ -269,14 +250,6 @@
         self.open.add_deadline(arrival.key, deadline_ms)
         return StartRequest(arrival.key, arrival.payload)
 
-    def _reopen(self, item: ExportedRecord, now_ms: int) -> None:
-        request = RequestMetadata(
-            RequestKind.REQUEST, item.key.request_id, item.repeatable, item.remaining_ms
-        )
-        arrival = RequestArrival(item.key.flow, "", request, b"", now_ms)
-        self.open.add(arrival, is_guest=False)
-        self.open.add_deadline(item.key, now_ms + item.remaining_ms)
-
     def _repeat(
         self, arrival: RequestArrival, record: RequestRecord
     ) -> list[RequestAction]:
@@ -344,7 +317,7 @@
 
     def _give_up(self, key: RequestKey, reason: str) -> list[RequestAction]:
         record = self.window.find(key)
-        if record is None or record.state not in _OPEN_STATES:
+        if record is None or record.state not in OPEN_STATES:
             return []
         if record.state is RequestState.WAITING:
             ended = self._close(key, RequestState.REFUSED)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -3,12 +3,25 @@
 import random
 from functools import singledispatchmethod
 
+import structlog
 import trio
 
-from citronwinch.backend_servers import Reply, UdpDelivery
-from citronwinch.coordination import FlowKey, Table, unpack_flow_key
+from citronwinch.backend_servers import (
+    Delivery,
+    Reply,
+    TunDelivery,
+    TunDevice,
+    UdpDelivery,
+)
+from citronwinch.coordination import (
+    Endpoint,
+    FlowKey,
+    Table,
+    TransportProtocol,
+    unpack_flow_key,
+)
 from citronwinch.coordination.load import LoadReport
-from citronwinch.coordination.requests import RequestRecords, RetryRequest
+from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import (
     AgentAction,
     AgentSteering,
@@ -43,6 +56,8 @@
 )
 from citronwinch.operators import Settings
 
+log = structlog.get_logger()
+
 
 class AgentProcess(Process):
     """The daemon in the role of an agent."""
@@ -54,6 +69,7 @@
             settings.name, self.clock, self.peers.incarnation, self.load.load
         )
         self.delivery: UdpDelivery | None = None
+        self.segments: TunDelivery | None = None
         self.nursery: trio.Nursery | None = None
         self.requests = RequestHandler(self, random.Random(settings.name))
         self.levels = AgentServiceLevels(self.metrics.service_levels, self.clock)
@@ -87,15 +103,29 @@
                 self.queue_reply,
                 self.end_unreachable,
             )
+            self.open_segment_delivery(row.backend_server_address, self.nursery)
         self.act_all(actions)
 
+    def open_segment_delivery(self, server: Endpoint, nursery: trio.Nursery) -> None:
+        """Open the layer-3 device for TCP services, where the settings name one."""
+        if not self.settings.tun_device:
+            return
+        try:
+            device = TunDevice(self.settings.tun_device)
+        except OSError as error:
+            self.metrics.count("tun_device_errors_total")
+            log.error("tun_device_not_opened", reason=str(error), step="open")
+            return
+        self.segments = TunDelivery(server, device, self.queue_reply)
+        nursery.start_soon(self.segments.run)
+
     def start_role_tasks(self, nursery: trio.Nursery) -> None:
         """Keep the nursery for the tasks of the flows."""
         self.nursery = nursery
 
     def is_drained(self) -> bool:
         """Whether no flow is left and no request is in progress."""
-        return not self.steering.owned and self.requests.requests.is_idle()
+        return self.requests.finish(has_flows=bool(self.steering.owned))
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -109,14 +139,15 @@
         if isinstance(event, PeerBatch):
             self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
+                self.requests.records.note_sender(envelope)
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
                 elif isinstance(envelope.message, SteeringMessage):
                     self.act_all(
                         self.steering.handle(envelope.message, envelope.sender)
                     )
-                elif isinstance(envelope.message, RetryRequest | RequestRecords):
-                    self.requests.accept(envelope.message)
+                elif isinstance(envelope.message, RequestsMessage):
+                    self.requests.accept(envelope, envelope.message)
                 elif isinstance(envelope.message, LoadReport):
                     self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
@@ -125,7 +156,7 @@
             self.steering.accept_instances(event.instances)
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
-            self.requests.requests.stop()
+            self.requests.begin_stop()
             self.load.load.begin_stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
@@ -160,6 +191,9 @@
 
     @act.register
     def _(self, action: Deliver) -> None:
+        if action.flow[0] == TransportProtocol.TCP:
+            self.deliver_segment(action)
+            return
         if self.requests.deliver(action):
             return
         try:
@@ -169,6 +203,20 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
+        else:
+            self.metrics.count("packets_dropped_total", "not_delivered")
+
+    def deliver_segment(self, action: Deliver) -> None:
+        """Hand a TCP segment over, or reset a flow that cannot be delivered at all."""
+        if self.segments is not None and self.segments.send(action.flow, action.packet):
+            self.metrics.count("packets_delivered_total")
+            return
+        self.metrics.count("packets_dropped_total", "not_delivered")
+        if self.segments is None or action.flow not in self.segments.service_of:
+            self.end_flow(action.flow)
+            send_refusal(
+                self.peers.port, self.settings.fabric_return, action.packet, None
+            )
 
     @act.register
     def _(self, action: PassOn) -> None:
@@ -190,8 +238,7 @@
     @act.register
     def _(self, action: EndFlow) -> None:
         self.levels.flow_ended()
-        if self.delivery is not None:
-            self.delivery.close(action.flow)
+        self.close_delivery(action.flow)
 
     @act.register
     def _(self, action: TellBalancer) -> None:
@@ -216,10 +263,19 @@
 
     def answer(self, reply: Reply) -> None:
         """Send a backend server's datagram to the caller."""
+        if reply.flow[0] == TransportProtocol.TCP:
+            self.metrics.count("replies_total")
+            frame = GeneveFrame(reply.payload)
+            send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
+            return
         if self.requests.answer(reply):
             return
         flow = unpack_flow_key(reply.flow)
-        packet = build_udp(flow, reply.payload, to_caller=True)
+        try:
+            packet = build_udp(flow, reply.payload, to_caller=True)
+        except MalformedPacketError:
+            self.metrics.count("replies_dropped_total", "too_long")
+            return
         frame = GeneveFrame(packet)
         self.metrics.count("replies_total")
         send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
@@ -235,13 +291,6 @@
         packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
         send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
 
-    def can_take_guest(self, service: str) -> bool:
-        """Whether the backend server may get a request of another agent's flow."""
-        row = self.table.row_by_backend_server.get(self.settings.name)
-        if row is None or row.service != service or row.weight == 0:
-            return False
-        return self.flow_count < row.connection_limit and self.load.admits_guest()
-
     def read_status(self) -> Status:
         """Say ready only once every request that is sent from now on is served."""
         status = super().read_status()
@@ -252,5 +301,11 @@
     def end_flow(self, flow: FlowKey) -> None:
         """Forget a flow and close its socket."""
         self.steering.end_flow(flow)
-        if self.delivery is not None:
-            self.delivery.close(flow)
+        self.close_delivery(flow)
+
+    def close_delivery(self, flow: FlowKey) -> None:
+        """Close whatever delivers a flow."""
+        deliveries: tuple[Delivery | None, ...] = (self.delivery, self.segments)
+        for delivery in deliveries:
+            if delivery is not None:
+                delivery.close(flow)
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -7,20 +7,22 @@
 
 import capnp
 
-from citronwinch.coordination import FlowKey
+from citronwinch.coordination import FlowKey, TransportProtocol
 from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestsMessage
+from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
 from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
+from citronwinch.peers._spread_codec import read_spread
 from citronwinch.peers._steering_codec import (
     read_forward,
     read_hint,
     read_steering,
 )
 
-PeerMessage = SteeringMessage | RequestsMessage | LoadReport
+PeerMessage = SteeringMessage | RequestsMessage | LoadReport | SpreadMessage
 """Everything that the system's processes say to each other."""
 
 
@@ -30,6 +32,7 @@
 FLOW_KEY_LENGTHS = (13, 37)
 """The lengths of flow keys of both IP versions, in bytes."""
 
+_PROTOCOLS = frozenset(TransportProtocol)
 _PREFIX = struct.Struct("!QQI")
 _FLOW_LENGTH = [bytes([length]) for length in range(256)]
 _READ_ERRORS = (
@@ -99,8 +102,9 @@
         raise MalformedMessageError("no packet is expected behind the message")
     start = end + 1 + data[end]
     flow, packet = FlowKey(data[end + 1 : start]), data[start:]
-    if len(flow) != data[end] or len(flow) not in FLOW_KEY_LENGTHS:
-        raise MalformedMessageError(f"flow key of {len(flow)} bytes")
+    is_known = len(flow) in FLOW_KEY_LENGTHS and flow[0] in _PROTOCOLS
+    if len(flow) != data[end] or not is_known:
+        raise MalformedMessageError(f"malformed flow key of {len(flow)} bytes")
     forward = Forward._make((flow, message[1], packet, *message[3:]))
     return Envelope(sender, incarnation, sequence, revision, forward)
 
@@ -136,6 +140,7 @@
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
+    "spread": read_spread,
     "steering": read_steering,
     "requests": read_requests,
     "load": read_load,
