--- a/citronwinch/coordination/load/_load_aware.py
+++ b/citronwinch/coordination/load/_load_aware.py
@@ -20,7 +20,7 @@
 PANIC_LEAVE = 0.34
 """With at most this part of the weight ejected, ejection counts again."""
 
-UNEVEN = float("inf")
+UNEVEN = 1e18
 """The relative load of a server that should have no flows at all."""
 
 
--- a/citronwinch/coordination/load/tests/test_load_aware.py
+++ b/citronwinch/coordination/load/tests/test_load_aware.py
@@ -85,6 +85,17 @@
         "server-3",
         own_limit=10,
     ),
+    "all ejected and full but two: the first of these": Case(
+        10,
+        (
+            Peer(10, limit=10),
+            Peer(3, share=0, state=EJECTED),
+            Peer(2, share=0, state=EJECTED),
+            Peer(10, limit=10),
+        ),
+        "server-3",
+        own_limit=10,
+    ),
     "shedding peer avoided": Case(
         1100, (Peer(0, state=SHEDDING), Peer(1000)), "server-3"
     ),
