--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -51,10 +51,12 @@
         """Judge the own backend server and send the reports that are due."""
         for agent, report in self.load.tick(own_flows):
             instance = instances.get(agent)
-            if instance is not None and self.peers.send_control(
-                report, instance.address, ControlPriority.LOAD
-            ):
+            if instance is None:
+                continue
+            if self.peers.send_control(report, instance.address, ControlPriority.LOAD):
                 self.metrics.count("load_reports_sent_total")
+            else:
+                self.metrics.count("load_reports_not_sent_total")
         self.show(own_flows)
 
     def show(self, own_flows: int) -> None:
--- a/citronwinch/daemon/tests/test_agent_load.py
+++ b/citronwinch/daemon/tests/test_agent_load.py
@@ -32,11 +32,13 @@
 
     def __init__(self):
         self.sent = []
+        self.has_budget = True
 
     def send_control(self, message, receiver, priority):
         assert priority is ControlPriority.LOAD
-        self.sent.append((message, receiver))
-        return True
+        if self.has_budget:
+            self.sent.append((message, receiver))
+        return self.has_budget
 
 
 class FakeSettings(NamedTuple):
@@ -82,6 +84,15 @@
     assert exchange.metrics.counters[MetricKey("load_reports_sent_total")] == 1
 
 
+def test_report_beyond_the_control_budget_is_counted(exchange):
+    address = Endpoint("192.0.2.2", 7000)
+    exchange.peers.has_budget = False
+    instances = {"server-2": Instance("server-2", InstanceRole.AGENT, "z", address)}
+    exchange.tick(7, instances)
+    assert exchange.peers.sent == []
+    assert exchange.metrics.counters[MetricKey("load_reports_not_sent_total")] == 1
+
+
 def test_late_report_is_counted(exchange):
     for sequence in (2, 1):
         report = LoadReport("gauging", sequence, 2_000)
