--- a/citronwinch/daemon/_main.py
+++ b/citronwinch/daemon/_main.py
@@ -11,21 +11,37 @@
 from citronwinch.daemon._balancer_process import BalancerProcess
 from citronwinch.operators import Settings, configure_logging, parse_settings
 
+EXIT_OK = 0
+"""Exit code after a graceful shutdown."""
+
+EXIT_SYSTEM = 1
+"""Exit code when the instance does not give what is needed, such as an address."""
+
 EXIT_SETTINGS = 2
 """Exit code when the settings are not usable."""
 
+_EPILOG = """\
+example: citronwinchd /etc/citronwinch/balancer-1.ini
+
+exit codes:
+  0    ended after a graceful shutdown
+  1    the instance does not give what is needed, such as a listening address
+  2    the settings are not usable; citronwinchctl settings check FILE says why
+"""
+
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon; return its exit code."""
     parser = argparse.ArgumentParser(
         prog="citronwinchd",
         description="Run a balancer or an agent, as its settings say.",
-        epilog="example: citronwinchd /etc/citronwinch/balancer-1.ini",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument("settings", type=Path, help="the INI file of this instance")
     options = parser.parse_args(arguments)
     try:
-        text = options.settings.read_text()
+        text = options.settings.read_bytes().decode("utf-8-sig")
     except (OSError, UnicodeDecodeError) as error:
         print(f"{options.settings}: cannot be read: {error}", file=sys.stderr)
         return EXIT_SETTINGS
@@ -35,8 +51,30 @@
             print(problem, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logging(parsed.ok.log_format)
-    trio.run(create_process(parsed.ok).run)
-    return 0
+    return run_process(parsed.ok, str(options.settings))
+
+
+def run_process(settings: Settings, file: str) -> int:
+    """Run the process of the settings; say what the instance does not give."""
+    errors: list[OSError] = []
+    try:
+        trio.run(create_process(settings).run)
+    except* OSError as group:
+        errors = list_errors(group)
+    for failure in errors:
+        print(f"{file}: cannot run: {failure}", file=sys.stderr)
+    return EXIT_SYSTEM if errors else EXIT_OK
+
+
+def list_errors(group: BaseExceptionGroup[OSError]) -> list[OSError]:
+    """Return the errors in a group of errors and groups."""
+    errors: list[OSError] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            errors += list_errors(error)
+        else:
+            errors.append(error)
+    return errors
 
 
 def create_process(settings: Settings) -> BalancerProcess | AgentProcess:
--- a/citronwinch/daemon/tests/_whole_path.py
+++ b/citronwinch/daemon/tests/_whole_path.py
@@ -84,9 +84,12 @@
         return BackendServerStandin(settings, MonotonicClock())
 
     def make_process(self, name: str) -> Any:
+        return create_process(parse_settings(self.make_settings(name), name).ok)
+
+    def make_settings(self, name: str) -> str:
         is_balancer = name in BALANCERS
         peers, http, fabric = self.addresses[name]
-        text = f"""
+        return f"""\
 [instance]
 name = {name}
 role = {"balancer" if is_balancer else "agent"}
@@ -103,7 +106,6 @@
 [keys]
 current = {KEY_HEX}
 """
-        return create_process(parse_settings(text, name).ok)
 
     def list_instances(self) -> list[dict[str, str]]:
         return [
--- a/citronwinch/operators/_logging.py
+++ b/citronwinch/operators/_logging.py
@@ -1,10 +1,33 @@
 """Log lines for changes of state."""
 
+import contextlib
 import sys
+from typing import TextIO
 
 import structlog
 
 
+class LossyStream:
+    """Writes to a stream, and drops what the stream does not take.
+
+    A daemon outlives whatever reads its log lines.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream = stream
+
+    def write(self, text: str) -> int:
+        """Write text if the stream takes it."""
+        with contextlib.suppress(OSError, ValueError):
+            self.stream.write(text)
+        return len(text)
+
+    def flush(self) -> None:
+        """Flush the stream if it is still there."""
+        with contextlib.suppress(OSError, ValueError):
+            self.stream.flush()
+
+
 def configure_logging(log_format: str) -> None:
     """Send log lines to standard error as JSON or for a console."""
     renderer: structlog.typing.Processor = (
@@ -16,7 +39,10 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
             renderer,
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            file=LossyStream(sys.stderr),  # type: ignore[arg-type]
+        ),
     )
