--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -3,15 +3,18 @@
 from collections.abc import Mapping
 
 from citronwinch.backend_servers import read_request_header
-from citronwinch.coordination import Clock, Instance
+from citronwinch.coordination import Clock, FlowKey, Instance
 from citronwinch.coordination.load import (
-    FULL_SHARE_THOUSANDTHS,
     AgentLoad,
     LoadReport,
     Outcome,
     ReportOrigin,
 )
-from citronwinch.coordination.requests import RequestKind
+from citronwinch.coordination.requests import (
+    RequestKey,
+    RequestKind,
+    RequestMetadata,
+)
 from citronwinch.daemon._peer_port import PeerPort
 from citronwinch.operators import Metrics, Settings
 from citronwinch.peers import Envelope
@@ -56,35 +59,44 @@
         report = self.load.make_report(own_flows)
         if report is None:
             return
-        share = report.share_thousandths / FULL_SHARE_THOUSANDTHS
         self.metrics.set_gauge("load_flows", report.flows)
-        self.metrics.set_gauge("load_share", share)
-        self.metrics.set_gauge("load_state", report.state)
+        self.metrics.set_gauge("load_share", report.find_share())
+        self.metrics.set_gauge("load_state", int(report.state))
         self.metrics.set_gauge("load_requests_in_progress", report.in_progress)
         self.metrics.set_gauge("load_latency_ms", report.latency_ms)
         self.metrics.set_gauge("load_peers_known", len(self.load.view.peers))
-        self.metrics.set_gauge("load_shedding_level", self.load.guard.level)
+        self.metrics.set_gauge("load_shedding_level", int(self.load.guard.level))
         limit = self.load.guard.concurrency.limit
         self.metrics.set_gauge("load_concurrency_limit", limit)
-        self.metrics.set_gauge("load_panic", self.load.chooser.is_panicking)
+        self.metrics.set_gauge("load_panic", int(self.load.chooser.is_panicking))
+
+    def admits_request(self) -> bool:
+        """Return whether a request of an owned flow may be delivered."""
+        if self.load.admits(is_established=True):
+            return True
+        self.metrics.count("load_requests_shed_total")
+        return False
+
+    def admits_guest(self) -> bool:
+        """Return whether a request of another agent's flow may be delivered."""
+        return self.load.admits(is_established=False)
 
-    def note_delivered(self, payload: bytes) -> None:
-        """Follow the request in a payload that the backend server was given."""
+    def note_delivered(self, key: RequestKey) -> None:
+        """Follow a request that the backend server was given."""
+        self.load.note_delivered(key.flow + key.request_id)
+
+    def note_cancelled(self, flow: FlowKey, payload: bytes) -> None:
+        """Stop following a request whose cancellation was passed."""
         request = read_request_header(payload)
-        if request is None:
-            return
-        if request.kind is RequestKind.REQUEST:
-            self.load.note_delivered(request.request_id)
-        elif request.kind is RequestKind.CANCEL:
-            self.load.outcomes.note_cancelled(request.request_id)
+        if request is not None:
+            self.load.outcomes.note_cancelled(flow + request.request_id)
 
-    def note_reply(self, payload: bytes) -> None:
+    def note_reply(self, flow: FlowKey, answer: RequestMetadata) -> None:
         """Note the outcome of the request that a reply belongs to."""
-        answer = read_request_header(payload)
-        outcome = OUTCOMES_BY_KIND.get(answer.kind) if answer is not None else None
-        if answer is None or outcome is None:
+        outcome = OUTCOMES_BY_KIND.get(answer.kind)
+        if outcome is None:
             return
-        if self.load.note_ended(answer.request_id, outcome):
+        if self.load.note_ended(flow + answer.request_id, outcome):
             self.metrics.count("load_requests_ended_total", outcome.value)
 
     def note_unreachable(self) -> None:
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -21,7 +21,7 @@
     unpack_flow_key,
 )
 from citronwinch.coordination.load import LoadReport
-from citronwinch.coordination.requests import RequestRecords, RetryRequest
+from citronwinch.coordination.requests import RequestsMessage
 from citronwinch.coordination.steering import (
     AgentAction,
     AgentSteering,
@@ -92,8 +92,8 @@
 
     def use_table(self, table: Table) -> None:
         """Decide by a newer table from now on."""
-        actions = self.steering.accept_table(table)
         self.load.load.accept_table(table)
+        actions = self.steering.accept_table(table)
         row = table.row_by_backend_server.get(self.settings.name)
         self.levels.service = row.service if row is not None else self.levels.service
         if row is not None and self.delivery is None and self.nursery is not None:
@@ -125,7 +125,7 @@
 
     def is_drained(self) -> bool:
         """Whether no flow is left and no request is in progress."""
-        return not self.steering.owned and self.requests.requests.is_idle()
+        return self.requests.finish(has_flows=bool(self.steering.owned))
 
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
@@ -139,14 +139,15 @@
         if isinstance(event, PeerBatch):
             self.requests.begin_batch(event.arrived_ms)
             for envelope in event.envelopes:
+                self.requests.records.note_sender(envelope)
                 if isinstance(envelope.message, Forward):
                     self.handle_forward(envelope.message)
                 elif isinstance(envelope.message, SteeringMessage):
                     self.act_all(
                         self.steering.handle(envelope.message, envelope.sender)
                     )
-                elif isinstance(envelope.message, RetryRequest | RequestRecords):
-                    self.requests.accept(envelope.message)
+                elif isinstance(envelope.message, RequestsMessage):
+                    self.requests.accept(envelope, envelope.message)
                 elif isinstance(envelope.message, LoadReport):
                     self.load.accept_report(envelope, envelope.message)
         elif isinstance(event, ReplyArrived):
@@ -155,12 +156,12 @@
             self.steering.accept_instances(event.instances)
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
-            self.requests.requests.stop()
+            self.requests.begin_stop()
         elif isinstance(event, Tick):
             self.act_all(self.steering.tick())
             self.act_all(self.steering.end_idle_flows(self.settings.flow_idle_ms))
-            self.levels.tick(self.flow_count)
             self.load.tick(self.flow_count, self.instances)
+            self.levels.tick(self.flow_count)
             self.export_metrics()
 
     def handle_forward(self, message: Forward) -> None:
@@ -201,7 +202,6 @@
             return
         if self.delivery is not None and self.delivery.send(action.flow, payload):
             self.metrics.count("packets_delivered_total")
-            self.load.note_delivered(payload)
         else:
             self.metrics.count("packets_dropped_total", "not_delivered")
 
@@ -267,7 +267,6 @@
             frame = GeneveFrame(reply.payload)
             send_to_fabric(self.peers.port, self.settings.fabric_return, frame)
             return
-        self.load.note_reply(reply.payload)
         if self.requests.answer(reply):
             return
         flow = unpack_flow_key(reply.flow)
@@ -283,21 +282,14 @@
     def end_unreachable(self, flow: FlowKey) -> None:
         """End a flow whose backend server is not there, and let its caller know."""
         self.metrics.count("flows_unreachable_total")
-        self.levels.flow_broken()
         self.load.note_unreachable()
+        self.levels.flow_broken()
         self.requests.lose_flow(flow)
         self.steering.note_backend_failure()
         self.end_flow(flow)
         packet = build_udp(unpack_flow_key(flow), b"", to_caller=False)
         send_refusal(self.peers.port, self.settings.fabric_return, packet, None)
 
-    def can_take_guest(self, service: str) -> bool:
-        """Whether the backend server may get a request of another agent's flow."""
-        row = self.table.row_by_backend_server.get(self.settings.name)
-        if row is None or row.service != service or row.weight == 0:
-            return False
-        return self.flow_count < row.connection_limit
-
     def read_status(self) -> Status:
         """Say ready only once every request that is sent from now on is served."""
         status = super().read_status()
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -6,6 +6,7 @@
 
 from citronwinch.backend_servers import Reply, read_request_header
 from citronwinch.coordination import FlowKey, rank_candidates
+from citronwinch.coordination.load import ServerState
 from citronwinch.coordination.requests import (
     AgentRequests,
     Discard,
@@ -15,7 +16,6 @@
     RequestArrival,
     RequestKind,
     RequestMetadata,
-    RequestRecords,
     RequestsMessage,
     RetryElsewhere,
     RetryRequest,
@@ -24,13 +24,21 @@
     TellOutcome,
 )
 from citronwinch.coordination.steering import Deliver, Forward, Refuse
+from citronwinch.daemon._agent_records import RecordKeeper
 from citronwinch.daemon._arrivals import WAIT_LIMIT_MS, find_arrival_ms
 from citronwinch.daemon._refusals import send_outcome, send_to_caller
 from citronwinch.fabric import MalformedPacketError, parse_udp
+from citronwinch.peers import Envelope
 
 if TYPE_CHECKING:
     from citronwinch.daemon._agent_process import AgentProcess
 
+STOP_MARGIN_MS = 5_000
+"""How long before the end of a graceful shutdown new requests are refused."""
+
+HAND_OVER_MARGIN_DIVISOR = 5
+"""The part of that time that is left when the records are handed over."""
+
 
 class RequestHandler:
     """Stands between steering and delivery for packets with request metadata.
@@ -42,22 +50,45 @@
 
     def __init__(self, process: "AgentProcess", source: random.Random) -> None:
         self.process = process
-        self.requests = AgentRequests(process.clock, source)
+        self.requests = AgentRequests(process.settings.name, process.clock, source)
         self.arrived_ms = process.clock.now_ms()
+        self.records = RecordKeeper(process, self.requests)
+        self.refuse_from_ms: int | None = None
+        self.hand_over_from_ms: int | None = None
 
     def begin_batch(self, arrived_ms: int) -> None:
         """Note when the messages that come next may have arrived, and let time pass."""
         self.arrived_ms = arrived_ms
+        self.records.note_members()
+        self.records.ask()
         self.act_all(self.requests.advance(arrived_ms))
         self.export_gauges()
 
+    def begin_stop(self) -> None:
+        """Go on with the requests of open flows until shortly before the end."""
+        timeout_ms = self.process.settings.stop_timeout_ms
+        margin_ms = min(STOP_MARGIN_MS, timeout_ms // 2)
+        end_ms = self.process.clock.now_ms() + timeout_ms
+        self.refuse_from_ms = end_ms - margin_ms
+        self.hand_over_from_ms = end_ms - margin_ms // HAND_OVER_MARGIN_DIVISOR
+
+    def finish(self, has_flows: bool) -> bool:
+        """Return whether the process may end; hand the records over before it does."""
+        now_ms = self.process.clock.now_ms()
+        if not has_flows or now_ms >= (self.refuse_from_ms or now_ms):
+            self.requests.stop()
+        if not self.requests.is_stopping or not self.requests.is_idle():
+            return False
+        is_ending = now_ms >= (self.hand_over_from_ms or now_ms)
+        if is_ending or not has_flows:
+            self.records.hand_over()
+        return not has_flows
+
     def intercept(self, message: Forward) -> bool:
         """Handle a packet without steering where that is possible."""
         if message.request is None:
             return False
-        arrival = self.find_arrival(
-            message.flow, message.service, message.packet, message.request
-        )
+        arrival = self.find_arrival(message.flow, message.packet, message.request)
         if arrival is None:
             return True
         steering = self.process.steering
@@ -74,17 +105,21 @@
         """Handle a packet that steering delivers; return whether it was a request."""
         if action.request is None:
             return False
-        arrival = self.find_arrival(action.flow, "", action.packet, action.request)
+        arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
             self.process.levels.packet_delivered(action.request)
-            self.act_all(self.requests.deliver(arrival))
+            is_request = action.request.kind is RequestKind.REQUEST
+            if is_request and not self.process.load.admits_request():
+                self.act_all(self.requests.refuse(arrival, "overloaded"))
+            else:
+                self.act_all(self.requests.deliver(arrival))
         return True
 
     def refuse(self, action: Refuse) -> bool:
         """Handle a packet that steering refuses; return whether it was a request."""
         if action.request is None:
             return False
-        arrival = self.find_arrival(action.flow, "", action.packet, action.request)
+        arrival = self.find_arrival(action.flow, action.packet, action.request)
         if arrival is not None:
             self.act_all(
                 self.requests.refuse(
@@ -98,17 +133,18 @@
         answer = read_request_header(reply.payload)
         if answer is None:
             return False
+        self.process.load.note_reply(reply.flow, answer)
         if answer.kind is RequestKind.ANSWER:
             self.process.levels.reply_sent(answer)
         self.act_all(self.requests.reply(reply.flow, answer, reply.payload))
         return True
 
-    def accept(self, message: RequestsMessage) -> None:
+    def accept(self, envelope: Envelope, message: RequestsMessage) -> None:
         """Handle a message of another agent."""
-        if isinstance(message, RequestRecords):
-            self.requests.take_over(message)
-        else:
+        if isinstance(message, RetryRequest):
             self.run_retry(message)
+        else:
+            self.records.accept(envelope, message)
 
     def lose_flow(self, flow: FlowKey) -> None:
         """Tell callers of a flow whose backend server is gone."""
@@ -125,14 +161,19 @@
             message.tried,
         )
         actions = self.requests.receive(arrival, is_known_flow=True)
-        if not actions and self.process.can_take_guest(message.service):
+        if not actions and self.can_take_guest(message.service):
             actions = self.requests.deliver(arrival, is_guest=True)
         elif not actions:
             actions = self.requests.refuse(arrival, "full")
         self.act_all(actions)
 
+    def can_take_guest(self, service: str) -> bool:
+        """Return whether the backend server may get a request of another's flow."""
+        process = self.process
+        return process.steering.can_take(service) and process.load.admits_guest()
+
     def find_arrival(
-        self, flow: FlowKey, service: str, packet: bytes, request: RequestMetadata
+        self, flow: FlowKey, packet: bytes, request: RequestMetadata
     ) -> RequestArrival | None:
         """Return a packet as an arrival; count and drop a malformed one."""
         try:
@@ -141,13 +182,24 @@
             self.process.metrics.count("packets_dropped_total", "malformed")
             return None
         arrived_ms = find_arrival_ms(self.arrived_ms, self.process.clock.now_ms())
-        service = service or self.process.table.service_of(flow) or ""
+        owned = self.process.steering.owned.get(flow)
+        if owned is not None:
+            return RequestArrival(
+                flow,
+                owned.service,
+                request,
+                payload,
+                arrived_ms,
+                opened_ms=owned.opened_ms,
+            )
+        service = self.process.table.service_of(flow) or ""
         return RequestArrival(flow, service, request, payload, arrived_ms)
 
     def act_all(self, actions: list[RequestAction]) -> None:
         """Carry out actions in order."""
         for action in actions:
             self.act(action)
+        self.process.steering.guest_count = self.requests.open.guest_count
 
     @singledispatchmethod
     def act(self, action: object) -> None:
@@ -160,15 +212,16 @@
         if delivery is None or not delivery.send(action.key.flow, action.payload):
             self.act_all(self.requests.fail_delivery(action.key))
             return
-        self.process.load.note_delivered(action.payload)
         self.process.metrics.count("packets_delivered_total")
         self.process.metrics.count("requests_started_total")
+        self.process.load.note_delivered(action.key)
 
     @act.register
     def _(self, action: PassCancel) -> None:
         delivery = self.process.delivery
         if delivery is not None and delivery.send(action.flow, action.payload):
             self.process.metrics.count("request_cancels_passed_total")
+            self.process.load.note_cancelled(action.flow, action.payload)
 
     @act.register
     def _(self, action: TellOutcome) -> None:
@@ -196,8 +249,11 @@
         tried = (*arrival.tried, self.process.settings.name)
         rows = self.process.table.rows_by_service.get(arrival.service, ())
         for row in rank_candidates(arrival.flow, rows):
-            instance = self.process.instances.get(row.backend_server)
-            if row.backend_server in tried or instance is None:
+            name = row.backend_server
+            instance = self.process.instances.get(name)
+            if instance is None or name in tried:
+                continue
+            if not self.can_carry(name, arrival.service):
                 continue
             self.process.metrics.count("request_retries_total")
             message = RetryRequest(
@@ -216,6 +272,13 @@
     def _(self, action: Discard) -> None:
         self.process.metrics.count("request_packets_discarded_total", action.reason)
 
+    def can_carry(self, backend_server: str, service: str) -> bool:
+        """Whether nothing is known against a retry at another backend server."""
+        peer = self.process.load.load.view.find_peer(backend_server, service)
+        if peer is None:
+            return True
+        return peer.report.state is ServerState.TAKING and not peer.report.is_full
+
     def export_gauges(self) -> None:
         """Publish how much of each bound is used."""
         requests = self.requests
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -1,6 +1,5 @@
 """What both roles of the daemon have in common."""
 
-import random
 import signal
 import time
 from abc import ABC, abstractmethod
@@ -9,17 +8,17 @@
 import trio
 
 from citronwinch.coordination import FlowKey, Instance, MonotonicClock, Table
+from citronwinch.coordination.spread import ControlBudget
 from citronwinch.daemon._arrivals import ArrivalWatch
 from citronwinch.daemon._events import (
     Event,
     InstancesChanged,
     PeerBatch,
     StopRequested,
-    TableChanged,
     Tick,
 )
 from citronwinch.daemon._peer_port import PeerPort
-from citronwinch.daemon._platform_watch import watch_instances, watch_table
+from citronwinch.daemon._spread_task import SpreadDriver
 from citronwinch.daemon._status import Status, StatusPage
 from citronwinch.network import DatagramPort, serve
 from citronwinch.operators import Metrics, Settings
@@ -45,6 +44,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.clock = MonotonicClock()
+        self.budget = ControlBudget(self.clock)
         self.instances: dict[str, Instance] = {}
         self.state = "starting"
         self.decided_ms = self.clock.now_ms()
@@ -57,8 +57,12 @@
             time.time_ns(),
             KeyRing(settings.key, tuple(accepted)),
             self.metrics,
+            self.budget,
+        )
+        self.peers.read_revision = lambda: self.spread.node.spread.version.revision
+        self.spread = SpreadDriver(
+            settings, self.clock, self.peers, self.budget, self.metrics
         )
-        self.peers.read_revision = lambda: self.table.revision
 
     @property
     @abstractmethod
@@ -88,8 +92,6 @@
 
     async def run(self) -> None:
         """Run until a graceful shutdown is complete."""
-        source = random.Random(f"{self.settings.name}-{self.peers.incarnation}")
-        platform = (self.inbox_send, self.metrics, source)
         page = StatusPage(self.metrics, self.read_status, self.find_owner)
         settings = self.settings
         async with trio.open_nursery() as nursery:
@@ -98,8 +100,7 @@
             nursery.start_soon(self._tick)
             http = (settings.http_address, page.handle, page.count_error)
             nursery.start_soon(serve, *http)
-            nursery.start_soon(watch_table, settings.configuration_service, *platform)
-            nursery.start_soon(watch_instances, settings.instance_service, *platform)
+            self.spread.start_tasks(nursery, self.inbox_send)
             self.start_role_tasks(nursery)
             log.info("started", name=settings.name, role=settings.role.value)
             await self._decide()
@@ -110,8 +111,8 @@
         deadline_ms: int | None = None
         async for event in self.inbox:
             self.decided_ms = self.clock.now_ms()
-            self._handle_common(event)
             try:
+                self._handle_common(event)
                 self.handle(event)
             except Exception:
                 # Ending here would break every flow for the sake of one event.
@@ -137,21 +138,26 @@
         self.metrics.set_gauge("receive_errors", errors)
 
     def _handle_common(self, event: Event) -> None:
+        self.spread.handle(event)
         if isinstance(event, Tick):
             self.export_port_errors()
-        elif isinstance(event, InstancesChanged):
-            self.instances = {member.name: member for member in event.instances}
-        elif isinstance(event, TableChanged):
-            self.accept_table(event.table)
+            self.spread.tick()
         elif isinstance(event, StopRequested):
             self.state = "stopping"
+            self.spread.leave()
             log.info("stopping", name=self.settings.name)
+        self._follow_instances()
+        if self.spread.table.revision > self.table.revision:
+            self.accept_table(self.spread.table)
+
+    def _follow_instances(self) -> None:
+        instances = self.spread.read_instances()
+        if instances is not self.instances:
+            self.instances = instances
+            self.handle(InstancesChanged(tuple(instances.values())))
 
     def accept_table(self, table: Table) -> None:
         """Put a table in force and say so."""
-        if table.revision <= self.table.revision:
-            self.metrics.count("tables_ignored_total")
-            return
         self.use_table(table)
         self.metrics.set_gauge("table_revision", table.revision)
         if self.state == "starting":
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -15,7 +15,7 @@
     SettingsProblem,
     parse_settings,
 )
-from citronwinch.operators._table_conflicts import TableProblem
+from citronwinch.operators._table_conflicts import TableProblem, find_conflicts
 from citronwinch.operators._table_csv import (
     COLUMNS,
     decode_table,
@@ -38,6 +38,7 @@
     "TableProblem",
     "configure_logging",
     "decode_table",
+    "find_conflicts",
     "format_table",
     "parse_settings",
     "parse_table",
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -10,18 +10,20 @@
 from citronwinch.coordination import FlowKey, TransportProtocol
 from citronwinch.coordination.load import LoadReport
 from citronwinch.coordination.requests import RequestsMessage
+from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.fabric import MalformedFrameError, decode_request, encode_request
 from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
 from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
+from citronwinch.peers._spread_codec import read_spread
 from citronwinch.peers._steering_codec import (
     read_forward,
     read_hint,
     read_steering,
 )
 
-PeerMessage = SteeringMessage | RequestsMessage | LoadReport
+PeerMessage = SteeringMessage | RequestsMessage | LoadReport | SpreadMessage
 """Everything that the system's processes say to each other."""
 
 
@@ -161,6 +163,7 @@
 _READERS: dict[str, Callable[[Any], PeerMessage]] = {
     "forward": read_forward,
     "hint": read_hint,
+    "spread": read_spread,
     "steering": read_steering,
     "requests": read_requests,
     "load": read_load,
--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/platform/_table_keys.py
@@ -1,17 +1,26 @@
 """How a table is split over keys of the configuration service.
 
-One key per service holds that service's rows as CSV. A manifest names the revision
-and the digest of every service's rows, so that a reader can tell a half-written
-table from a whole one and an agent can read its own service only.
+One key per service holds that service's rows as CSV. Bundle keys hold the rows of
+many services each, for a reader that has no table yet. A fixed number of index keys
+name the service of each backend server, so that an agent finds its own service
+without reading any other. A manifest names the revision and the digests of all other
+keys, so that a reader can tell a half-written table from a whole one.
 """
 
+import hashlib
 from typing import NamedTuple
 
 import orjson
+import xxhash
 from expression import Error, Ok, Result
 
-from citronwinch.coordination import Table, digest_rows
-from citronwinch.operators import TableProblem, format_table, parse_table
+from citronwinch.coordination import EMPTY_TABLE, Table, TableRow, digest_rows
+from citronwinch.operators import (
+    TableProblem,
+    find_conflicts,
+    format_table,
+    parse_table,
+)
 from citronwinch.platform._client import MALFORMED_ERRORS, MANIFEST_KEY
 
 REVISION_LIMIT = (1 << 63) - 1
@@ -20,6 +29,18 @@
 SERVICE_KEY_PREFIX = "table/services/"
 """Prefix of the keys that hold the rows of one service each."""
 
+INDEX_KEY_PREFIX = "table/backend_servers/"
+"""Prefix of the keys that name the services of backend servers."""
+
+INDEX_KEYS = 64
+"""How many keys the index of backend servers is split over."""
+
+BUNDLE_KEY_PREFIX = "table/bundles/"
+"""Prefix of the keys that hold the rows of many services each."""
+
+BUNDLE_ROWS = 400
+"""How many rows a bundle has on average."""
+
 
 class Manifest(NamedTuple):
     """What the manifest key says."""
@@ -30,6 +51,35 @@
     digests: dict[str, str]
     """The digest of each service's rows, in hexadecimal, by service name."""
 
+    index_digests: dict[str, str] = {}
+    """The digest of each index key's value, in hexadecimal, by key."""
+
+    bundle_count: int = 0
+    """How many bundles there are."""
+
+
+def index_key(backend_server: str) -> str:
+    """Return the index key that names the service of a backend server.
+
+    Example::
+
+        >>> index_key("gauging-1") == index_key("gauging-1")
+        True
+    """
+    number = xxhash.xxh3_64_intdigest(backend_server.encode()) % INDEX_KEYS
+    return f"{INDEX_KEY_PREFIX}{number:02d}"
+
+
+def bundle_key(service: str, bundle_count: int) -> str:
+    """Return the key of the bundle that holds a service's rows."""
+    number = xxhash.xxh3_64_intdigest(service.encode()) % bundle_count
+    return f"{BUNDLE_KEY_PREFIX}{number:03d}"
+
+
+def digest_index(value: bytes) -> str:
+    """Return the digest of an index key's value."""
+    return hashlib.blake2b(value, digest_size=8).hexdigest()
+
 
 def split_table(table: Table) -> dict[str, str]:
     """Return the values of all keys for a table, the manifest last."""
@@ -41,7 +91,23 @@
         service: digest_rows(rows).hex()
         for service, rows in table.rows_by_service.items()
     }
-    manifest = {"revision": table.revision, "services": digests}
+    bundle_count = -(-len(table.rows) // BUNDLE_ROWS)
+    bundles: dict[str, list[TableRow]] = {}
+    for service, rows in table.rows_by_service.items():
+        bundles.setdefault(bundle_key(service, bundle_count), []).extend(rows)
+    values.update((key, format_table(rows)) for key, rows in sorted(bundles.items()))
+    index: dict[str, dict[str, str]] = {}
+    for row in table.rows:
+        entries = index.setdefault(index_key(row.backend_server), {})
+        entries[row.backend_server] = row.service
+    index_values = {key: orjson.dumps(index[key]) for key in sorted(index)}
+    values.update((key, value.decode()) for key, value in index_values.items())
+    manifest = {
+        "revision": table.revision,
+        "services": digests,
+        "index": {key: digest_index(value) for key, value in index_values.items()},
+        "bundles": bundle_count,
+    }
     values[MANIFEST_KEY] = orjson.dumps(manifest).decode()
     return values
 
@@ -54,36 +120,42 @@
         revision = int(body["revision"])
         if not 0 < revision <= REVISION_LIMIT:
             return Error(f"expected a revision from 1 to {REVISION_LIMIT}")
-        return Ok(Manifest(revision, digests))
+        index = body.get("index", {}).items()
+        index_digests = {str(key): str(text) for key, text in index}
+        bundle_count = int(body.get("bundles", 0))
+        return Ok(Manifest(revision, digests, index_digests, bundle_count))
     except MALFORMED_ERRORS:
         return Error("expected JSON with revision and services")
 
 
 def join_table(
-    manifest: Manifest, values: dict[str, str]
+    manifest: Manifest, values: dict[str, str], known: Table = EMPTY_TABLE
 ) -> Result[Table, list[TableProblem]]:
     """Return the table of a manifest from the values of its service keys.
 
-    Rows are validated as a whole, so that a conflict between two services is found
-    however the table was split.
+    Services without a value are taken from `known`, a table that was valid before.
+    Conflicts are looked for in all rows, however the table was split.
     """
     problems: list[TableProblem] = []
-    bodies: list[str] = []
+    rows: list[TableRow] = []
     for service, digest in manifest.digests.items():
-        text = values.get(service)
-        if text is None:
-            problems.append(TableProblem(0, service, "no value", "the service's rows"))
-            continue
-        header, _, body = text.partition("\n")
-        bodies.append(body)
-        part = parse_table(text, manifest.revision)
+        part = _read_part(service, manifest.revision, values, known)
         if part.is_error():
             problems.extend(part.error)
-        elif part.ok.digest.hex() != digest:
-            found = part.ok.digest.hex()
+            continue
+        if service in values and digest_rows(part.ok).hex() != digest:
+            found = digest_rows(part.ok).hex()
             problems.append(TableProblem(0, service, found, f"the digest {digest}"))
-    if problems:
-        return Error(problems)
-    if not bodies:
-        return Ok(Table(manifest.revision, ()))
-    return parse_table(header + "\n" + "".join(bodies), manifest.revision)
+        rows.extend(part.ok)
+    problems = problems or find_conflicts(list(enumerate(rows, 2)))
+    return Error(problems) if problems else Ok(Table(manifest.revision, rows))
+
+
+def _read_part(
+    service: str, revision: int, values: dict[str, str], known: Table
+) -> Result[tuple[TableRow, ...], list[TableProblem]]:
+    if service in values:
+        return parse_table(values[service], revision).map(lambda table: table.rows)
+    if service in known.rows_by_service:
+        return Ok(known.rows_by_service[service])
+    return Error([TableProblem(0, service, "no value", "the service's rows")])
