Compare tables only between daemons that have the same rows

An agent has the rows of its own service only, so that status took every deployment for one with two contents. Each daemon tells the scope of its rows.

--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -7,7 +7,13 @@
 import structlog
 import trio
 
-from citronwinch.coordination import FlowKey, Instance, MonotonicClock, Table
+from citronwinch.coordination import (
+    FlowKey,
+    Instance,
+    InstanceRole,
+    MonotonicClock,
+    Table,
+)
 from citronwinch.coordination.spread import ControlBudget
 from citronwinch.daemon._arrivals import ArrivalWatch
 from citronwinch.daemon._events import (
@@ -179,8 +185,15 @@
             self.flow_count,
             len(self.instances),
             self.clock.now_ms() - self.decided_ms,
+            self.find_table_scope(),
         )
 
+    def find_table_scope(self) -> str:
+        """Return which services this process has the rows of, empty for all."""
+        if self.settings.role is InstanceRole.BALANCER:
+            return ""
+        return ",".join(sorted(self.table.rows_by_service))
+
     async def _receive_peers(self) -> None:
         watch = ArrivalWatch(self.peers.port, self.clock)
         while True:
--- a/citronwinch/daemon/_status.py
+++ b/citronwinch/daemon/_status.py
@@ -36,7 +36,7 @@
     """The table revision in force, 0 before there is one."""
 
     digest: str
-    """The digest of the table in force, in hexadecimal."""
+    """The digest of the rows that the process has, in hexadecimal."""
 
     flows: int
     """The flows that are held or remembered."""
@@ -47,6 +47,9 @@
     idle_ms: int = 0
     """The time since the deciding task took its last event."""
 
+    scope: str = ""
+    """The services whose rows the process has; empty for all."""
+
 
 class StatusPage:
     """Answers the requests of operators and scrapers.
--- a/citronwinch/tool/_status_command.py
+++ b/citronwinch/tool/_status_command.py
@@ -92,7 +92,17 @@
     behind = [body["name"] for body in known if body["revision"] < highest]
     if behind:
         findings.append(f"behind revision {highest}: {', '.join(behind)}")
-    digests = {body["digest"] for body in known if body["revision"] == highest}
-    if len(digests) > 1:
-        findings.append(f"revision {highest} has {len(digests)} different contents")
-    return findings
+    return findings + find_different_contents(known, highest)
+
+
+def find_different_contents(known: list[Any], revision: int) -> list[str]:
+    """Say where daemons with the same part of a revision differ in its content."""
+    digests: dict[str, set[str]] = {}
+    for body in known:
+        if body["revision"] == revision:
+            digests.setdefault(body.get("scope", ""), set()).add(body["digest"])
+    return [
+        f"revision {revision} has {len(found)} contents for {scope or 'all services'}"
+        for scope, found in sorted(digests.items())
+        if len(found) > 1
+    ]
