--- a/citronwinch/demo/_demo.py
+++ b/citronwinch/demo/_demo.py
@@ -164,6 +164,7 @@
                         return
                 except HttpError:
                     pass
+                self.check_processes()
                 await trio.sleep(0.05)
 
     async def run(self) -> DemoResult:
