State as a fact who is listed as leaving

Cause: agents read the list of instances once a minute, so that they would have heard that late which members of their service are leaving. At 13,700 instances the list is about 2 MB, which nobody may read often either.

Change: whoever reads that a member is leaving states it; the member itself accepts it, and goes back only when its own list says so later than the list may lag. The list is read at a mean of 500 B/s by those who do not watch it.

--- a/citronwinch/coordination/spread/_membership.py
+++ b/citronwinch/coordination/spread/_membership.py
@@ -35,6 +35,9 @@
 FORGET_UNLISTED_MS = 60_000
 """How long a member is kept that is unreachable and in no list, in milliseconds."""
 
+LIST_LAG_MS = 30_000
+"""How long a list that still shows this process as live is not believed."""
+
 VIEW_INTERVAL_MS = 5_000
 """The shortest time between two computations of the view, in milliseconds."""
 
@@ -99,7 +102,7 @@
         self.incarnation = incarnation
         self.own_status = MemberStatus.LIVE
         self.is_listed = False
-        self.is_listed_leaving = False
+        self.told_leaving_ms = 0
         self.is_stopping = False
         self.clock = clock
         self.source = source
@@ -130,6 +133,11 @@
                 self.view_due_ms = now_ms
             elif not known.is_listed or known.instance != instance:
                 self._put(name, known._replace(instance=instance, is_listed=True))
+        for name, instance in listed.items():
+            if instance.state is InstanceState.LEAVING:
+                known = self.members[name]
+                fact = MemberFact(name, known.incarnation, MemberStatus.LEAVING)
+                self.accept_fact(fact)
         for name, known in list(self.members.items()):
             if name in listed or not known.is_listed:
                 continue
@@ -139,13 +147,14 @@
                 self.forget(name)
 
     def _follow_own_state(self, listed: InstanceState) -> None:
-        is_listed_leaving = listed is InstanceState.LEAVING
-        if is_listed_leaving == self.is_listed_leaving:
+        if listed is InstanceState.LEAVING:
+            if self.own_status is not MemberStatus.LEAVING:
+                self.state_change(MemberStatus.LEAVING)
+            self.told_leaving_ms = self.clock.now_ms() - LIST_LAG_MS
             return
-        self.is_listed_leaving = is_listed_leaving
-        if is_listed_leaving:
-            self.state_change(MemberStatus.LEAVING)
-        elif not self.is_stopping:
+        told_ago_ms = self.clock.now_ms() - self.told_leaving_ms
+        is_leaving = self.own_status is MemberStatus.LEAVING
+        if is_leaving and not self.is_stopping and told_ago_ms >= LIST_LAG_MS:
             self.incarnation += 1
             self.state_change(MemberStatus.LIVE)
 
@@ -194,12 +203,20 @@
     def refute(self, fact: MemberFact) -> bool:
         """Contradict a suspicion of this process; return whether that was news.
 
-        A suspicion of an earlier incarnation was contradicted before, but its sender
-        missed that and is told again.
+        That the process is leaving is no suspicion: the platform's list says so, and
+        others have read it first. A suspicion of an earlier incarnation was
+        contradicted before, but its sender missed that and is told again.
         """
         own = (self.incarnation, self.own_status)
         if (fact.incarnation, fact.status) == own:
             return False
+        if fact.status is MemberStatus.LEAVING and fact.incarnation in (
+            0,
+            self.incarnation,
+        ):
+            self.told_leaving_ms = self.clock.now_ms()
+            self.state_change(MemberStatus.LEAVING)
+            return True
         if (fact.incarnation, fact.status) < own:
             if fact.status in (MemberStatus.SUSPECT, MemberStatus.UNREACHABLE):
                 self.spread_fact(self.own_fact())
--- a/citronwinch/coordination/spread/tests/test_membership.py
+++ b/citronwinch/coordination/spread/tests/test_membership.py
@@ -144,6 +144,40 @@
     assert membership.own_fact() in membership.take_facts("m-2")
 
 
+def test_who_is_listed_as_leaving_hears_it_from_those_who_read_the_list(
+    membership, clock, source
+):
+    reader = Membership(make_instance("m-1"), 7, clock, source)
+    leaving = make_instance("own")._replace(state=InstanceState.LEAVING)
+    reader.accept_list([leaving, make_instance("m-2")])
+    [fact] = [fact for fact in reader.take_facts("m-2") if fact.name == "own"]
+    assert membership.accept_fact(fact)
+    assert membership.list_instances()["own"].state is InstanceState.LEAVING
+    for name in ("m-3", "m-4"):
+        assert membership.own_fact() in membership.take_facts(name)
+
+
+LISTED = {
+    "a lagging list does not undo it": ([("live", 1_000)], MemberStatus.LEAVING),
+    "a list that is newer for sure does": ([("live", 31_000)], MemberStatus.LIVE),
+    "an own list that agreed before does": (
+        [("leaving", 1_000), ("live", 1_000)],
+        MemberStatus.LIVE,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", LISTED)
+def test_a_leaving_process_reads_its_own_state(membership, clock, case):
+    lists, expected = LISTED[case]
+    membership.accept_fact(MemberFact("own", 100, LEAVING))
+    for state, elapsed_ms in lists:
+        clock.advance(elapsed_ms)
+        own = make_instance("own")._replace(state=InstanceState(state))
+        membership.accept_list([own, make_instance("m-1")])
+    assert membership.own_status is expected
+
+
 def test_leaving_is_a_fact_that_a_suspicion_does_not_undo(membership):
     membership.begin_stop()
     membership.accept_fact(MemberFact("own", 100, UNREACHABLE))
--- a/citronwinch/daemon/_spread_task.py
+++ b/citronwinch/daemon/_spread_task.py
@@ -179,6 +179,7 @@
         metrics = self.metrics
         for reason, count in self.node.counts.items():
             metrics.set_gauge("table_offers", count, reason)
+        metrics.set_gauge("table_conflicts", self.node.counts["digest_conflict"])
         for priority in ControlPriority:
             name = priority.name.lower()
             metrics.set_gauge(
--- a/citronwinch/platform/_follower.py
+++ b/citronwinch/platform/_follower.py
@@ -13,7 +13,13 @@
 """How long one watch waits at the service, in milliseconds."""
 
 LIST_INTERVAL_MS = 60_000
-"""How often a process that does not watch reads the list of instances."""
+"""The shortest time between two reads of the list without watching it."""
+
+LIST_BYTES_PER_INSTANCE = 150
+"""About how long the list is for each instance in it, in bytes."""
+
+LIST_BYTES_PER_SECOND = 500
+"""The mean rate at which a process that does not watch reads the list."""
 
 LIST_RETRY_MS = 2_000
 """How long after a failed read of the list it is tried again, in milliseconds."""
@@ -71,6 +77,12 @@
         self.list_due_ms = clock.now_ms()
         self.reason = ""
 
+    @property
+    def list_interval_ms(self) -> int:
+        """How often a process that does not watch reads the list."""
+        list_bytes = self.node.schedule.fleet_size * LIST_BYTES_PER_INSTANCE
+        return max(LIST_INTERVAL_MS, list_bytes * 1_000 // LIST_BYTES_PER_SECOND)
+
     def take_requests(self) -> list[PlatformRequest]:
         """Return the reads that are due and that the rate allows."""
         makers = [self._next_list_request, self._next_key_request]
@@ -98,7 +110,7 @@
             self.has_list = True
             self.list_index = result.ok.change_index
             self.node.accept_list(result.ok.instances)
-        wait_ms = 0 if schedule.is_watcher else LIST_INTERVAL_MS
+        wait_ms = 0 if schedule.is_watcher else self.list_interval_ms
         self.list_due_ms = now_ms + round(wait_ms * self._jitter())
         return True
 
