--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -7,6 +7,7 @@
 at the moment of use, so that a process that was paused finds its leases expired.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
@@ -64,14 +65,18 @@
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
         self.unanswered = 0
+        self.incarnation = 0
         self.last_sent_ms = 0
 
 
 class ServiceLeases:
     """The leases of one service, as one member holds and grants them."""
 
-    def __init__(self, service: str, name: str, clock: Clock) -> None:
+    def __init__(
+        self, service: str, name: str, clock: Clock, holds_flows: Callable[[], bool]
+    ) -> None:
         self.service = service
+        self.holds_flows = holds_flows
         self.name = name
         self.clock = clock
         self.started_ms = clock.now_ms()
@@ -87,6 +92,8 @@
 
     def set_rows(self, revision: int, rows: frozenset[str]) -> None:
         """Follow a table: who has left stays a former member while it owns flows."""
+        if self.name in rows and self.name not in self.rows:
+            self.forget_silence()
         self.former |= self.rows
         self.former -= rows | {self.name}
         self.cleared.clear()
@@ -97,6 +104,16 @@
             self.member(name)
         self.confirm()
 
+    @property
+    def takes_part(self) -> bool:
+        """Whether the members ask this agent, because it is one or owns flows."""
+        return self.name in self.rows or self.holds_flows()
+
+    def forget_silence(self) -> None:
+        """Begin anew to wait for signs of life."""
+        for member in self.members.values():
+            member.heard_ms = self.clock.now_ms()
+
     def member(self, name: str) -> Member:
         """Return what is known about a member."""
         if name not in self.members:
@@ -118,11 +135,26 @@
         """Whether a revision is known that this member does not have yet."""
         return self.fence > self.revision
 
-    def due_requests(self, is_leaving: bool) -> list[tuple[str, LeaseRequest]]:
+    def note_incarnation(self, name: str, incarnation: int) -> bool | None:
+        """Return whether a member has been started anew, None for an older run."""
+        member = self.member(name)
+        known, member.incarnation = (
+            member.incarnation,
+            max(incarnation, member.incarnation),
+        )
+        if incarnation < known:
+            return None
+        return known not in (0, incarnation)
+
+    def due_requests(
+        self, is_leaving: bool, incarnation: int
+    ) -> list[tuple[str, LeaseRequest]]:
         """Return the lease requests that are due now, with their receivers."""
         now_ms = self.clock.now_ms()
         due = [name for name in self.others() if self.is_due(name, now_ms)]
-        request = LeaseRequest(self.service, self.revision, now_ms, is_leaving)
+        request = LeaseRequest(
+            self.service, self.revision, now_ms, is_leaving, incarnation
+        )
         for name in due:
             self.member(name).requested_ms = now_ms
             self.member(name).unanswered += 1
@@ -171,6 +203,9 @@
         member = self.member(sender)
         member.last_sent_ms = max(member.last_sent_ms, request.sent_ms)
         member.is_leaving = request.is_leaving
+        if sender not in self.rows:
+            self.former.add(sender)
+            self.cleared.discard(sender)
         is_granted = (
             request.revision >= self.fence and now_ms >= member.reported_until_ms
         )
@@ -247,7 +282,12 @@
         return {name for name in self.absent - {self.name} if self.is_silent(name)}
 
     def is_silent(self, name: str) -> bool:
-        """Return whether a member has been quiet so long that it holds no lease."""
+        """Return whether a member has been quiet so long that it holds no lease.
+
+        Members ask only one another, so that an agent outside cannot tell.
+        """
+        if not self.takes_part:
+            return False
         return self.clock.now_ms() - self.member(name).heard_ms >= SILENT_MS
 
     def has_valid_lease(self, name: str) -> bool:
--- a/citronwinch/daemon/_peer_port.py
+++ b/citronwinch/daemon/_peer_port.py
@@ -1,5 +1,6 @@
 """The socket for messages of the system's own processes."""
 
+import time
 from collections.abc import Callable
 
 from citronwinch.coordination import Endpoint
@@ -19,6 +20,13 @@
     encode_envelope,
 )
 
+INCARNATION_LEAD_LIMIT_NS = 24 * 3_600 * 1_000_000_000
+"""How far a sender's incarnation may lie ahead of this instance's time, in ns.
+
+An incarnation is the time at which a process started. One from the far future would
+make the messages of the real process look like those of a former run for good.
+"""
+
 
 class PeerPort:
     """Sends and receives sealed envelopes."""
@@ -82,6 +90,9 @@
         except MalformedMessageError:
             self.metrics.count("peer_rejected_total", "malformed")
             return None
+        if envelope.incarnation > time.time_ns() + INCARNATION_LEAD_LIMIT_NS:
+            self.metrics.count("peer_rejected_total", "incarnation")
+            return None
         if not self.replays.accept(
             envelope.sender, envelope.incarnation, envelope.sequence
         ):
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -98,7 +98,8 @@
             nursery.start_soon(self._receive_signals)
             nursery.start_soon(self._receive_peers)
             nursery.start_soon(self._tick)
-            nursery.start_soon(serve, settings.http_address, page.handle)
+            http = (settings.http_address, page.handle, page.count_error)
+            nursery.start_soon(serve, *http)
             self.spread.start_tasks(nursery, self.inbox_send)
             self.start_role_tasks(nursery)
             log.info("started", name=settings.name, role=settings.role.value)
@@ -110,8 +111,13 @@
         deadline_ms: int | None = None
         async for event in self.inbox:
             self.decided_ms = self.clock.now_ms()
-            self._handle_common(event)
-            self.handle(event)
+            try:
+                self._handle_common(event)
+                self.handle(event)
+            except Exception:
+                # Ending here would break every flow for the sake of one event.
+                self.metrics.count("internal_errors_total", type(event).__name__)
+                log.exception("event_not_handled", kind=type(event).__name__)
             if isinstance(event, StopRequested) and deadline_ms is None:
                 deadline_ms = self.clock.now_ms() + self.settings.stop_timeout_ms
             if deadline_ms is not None and (
@@ -119,9 +125,22 @@
             ):
                 return
 
+    def list_ports(self) -> list[DatagramPort]:
+        """Return the UDP sockets of this process."""
+        return [self.peers.port]
+
+    def export_port_errors(self) -> None:
+        """Show what the sockets lost."""
+        ports = self.list_ports()
+        not_sent = sum(port.dropped_sends for port in ports)
+        self.metrics.set_gauge("datagrams_not_sent", not_sent)
+        errors = sum(port.receive_errors for port in ports)
+        self.metrics.set_gauge("receive_errors", errors)
+
     def _handle_common(self, event: Event) -> None:
         self.spread.handle(event)
         if isinstance(event, Tick):
+            self.export_port_errors()
             self.spread.tick()
         elif isinstance(event, StopRequested):
             self.state = "stopping"
--- a/citronwinch/peers/_requests_codec.py
+++ b/citronwinch/peers/_requests_codec.py
@@ -4,9 +4,9 @@
 
 from citronwinch.coordination import FlowKey, unpack_flow_key
 from citronwinch.coordination.requests import (
-    ALL_FLOWS,
     REQUEST_ID_BYTES,
     ExportedRecord,
+    RecordsQuery,
     RequestKey,
     RequestKind,
     RequestRecords,
@@ -31,7 +31,7 @@
 @fill_message.register
 def _(message: RequestRecords, envelope: Any) -> None:
     target = envelope.init("requests").init("records")
-    target.flow = message.flow
+    target.agent = message.agent
     target.eraAgeMs = message.era_age_ms
     target.total = message.total
     builders = target.init("records", len(message.records))
@@ -44,17 +44,25 @@
         builder.repeatable = record.repeatable
 
 
+@fill_message.register
+def _(message: RecordsQuery, envelope: Any) -> None:
+    envelope.init("requests").init("query").agent = message.agent
+
+
 def read_requests(reader: Any) -> RequestsMessage:
     """Return the message about requests in a reader; raise ValueError otherwise."""
-    if str(reader.which()) == "retry":
+    kind = str(reader.which())
+    if kind == "retry":
         return read_retry(reader.retry)
+    if kind == "query":
+        return RecordsQuery(reader.query.agent)
     return read_records(reader.records)
 
 
 def read_records(reader: Any) -> RequestRecords:
     """Return the hand-over in a reader; raise ValueError when it is malformed."""
     return RequestRecords(
-        read_flow(reader.flow) if reader.flow else ALL_FLOWS,
+        reader.agent,
         reader.eraAgeMs,
         reader.total,
         tuple(read_record(record) for record in reader.records),
--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/platform/_table_keys.py
@@ -21,7 +21,10 @@
     format_table,
     parse_table,
 )
-from citronwinch.platform._client import MANIFEST_KEY
+from citronwinch.platform._client import MALFORMED_ERRORS, MANIFEST_KEY
+
+REVISION_LIMIT = (1 << 63) - 1
+"""The highest revision, so that it fits every message."""
 
 SERVICE_KEY_PREFIX = "table/services/"
 """Prefix of the keys that hold the rows of one service each."""
@@ -114,11 +117,14 @@
     try:
         body = orjson.loads(value)
         digests = {str(name): str(text) for name, text in body["services"].items()}
+        revision = int(body["revision"])
+        if not 0 < revision <= REVISION_LIMIT:
+            return Error(f"expected a revision from 1 to {REVISION_LIMIT}")
         index = body.get("index", {}).items()
         index_digests = {str(key): str(text) for key, text in index}
         bundle_count = int(body.get("bundles", 0))
-        return Ok(Manifest(int(body["revision"]), digests, index_digests, bundle_count))
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
+        return Ok(Manifest(revision, digests, index_digests, bundle_count))
+    except MALFORMED_ERRORS:
         return Error("expected JSON with revision and services")
 
 
