--- a/citronwinch/coordination/load/_agent_load.py
+++ b/citronwinch/coordination/load/_agent_load.py
@@ -1,6 +1,6 @@
 """All decisions about load at one agent."""
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
@@ -121,8 +121,13 @@
         """Take no new flows any more, because the agent is stopping."""
         self.is_stopping = True
 
-    def tick(self, own_flows: int) -> list[ReportTo]:
-        """Judge the own backend server and return the reports that are due."""
+    def tick(
+        self, own_flows: int, reachable: Container[str] | None = None
+    ) -> list[ReportTo]:
+        """Judge the own backend server and return the reports that are due.
+
+        `reachable` holds the agents whose address is known; None stands for all.
+        """
         self.outcomes.sweep()
         self.guard.update(self.outcomes.in_progress)
         if self.clock.now_ms() - self.judged_ms >= JUDGE_INTERVAL_MS:
@@ -131,7 +136,11 @@
         report = self.make_report(own_flows)
         if report is None:
             return []
-        peers = self.find_peers(self.find_row())
+        peers = [
+            peer
+            for peer in self.find_peers(self.find_row())
+            if reachable is None or peer in reachable
+        ]
         return [
             ReportTo(peer, report) for peer in self.schedule.take_due(peers, report)
         ]
--- a/citronwinch/coordination/load/_schedule.py
+++ b/citronwinch/coordination/load/_schedule.py
@@ -46,7 +46,7 @@
         now_ms = self.clock.now_ms()
         self.forget_absent(peers)
         self.refill(now_ms)
-        if self.urgent_left >= 1 and self.is_urgent(report):
+        if peers and self.urgent_left >= 1 and self.is_urgent(report):
             self.urgent_left -= 1
             self.last_told = report
             return self.note_sent(sorted(peers), now_ms)
--- a/citronwinch/daemon/_agent_load.py
+++ b/citronwinch/daemon/_agent_load.py
@@ -49,11 +49,9 @@
 
     def tick(self, own_flows: int, instances: Mapping[str, Instance]) -> None:
         """Judge the own backend server and send the reports that are due."""
-        for agent, report in self.load.tick(own_flows):
-            instance = instances.get(agent)
-            if instance is None:
-                continue
-            if self.peers.send_control(report, instance.address, ControlPriority.LOAD):
+        for agent, report in self.load.tick(own_flows, instances):
+            address = instances[agent].address
+            if self.peers.send_control(report, address, ControlPriority.LOAD):
                 self.metrics.count("load_reports_sent_total")
             else:
                 self.metrics.count("load_reports_not_sent_total")
--- a/citronwinch/daemon/tests/test_agent_load.py
+++ b/citronwinch/daemon/tests/test_agent_load.py
@@ -82,6 +82,14 @@
     assert exchange.metrics.counters[MetricKey("load_reports_sent_total")] == 1
 
 
+def test_peer_that_gets_an_address_is_told_at_the_next_tick(exchange):
+    exchange.tick(7, {})
+    address = Endpoint("192.0.2.2", 7000)
+    instances = {"server-2": Instance("server-2", InstanceRole.AGENT, "z", address)}
+    exchange.tick(7, instances)
+    assert [to for _, to in exchange.peers.sent] == [address]
+
+
 def test_report_beyond_the_control_budget_is_counted(exchange):
     address = Endpoint("192.0.2.2", 7000)
     exchange.peers.has_budget = False
