--- a/citronwinch/coordination/spread/__init__.py
+++ b/citronwinch/coordination/spread/__init__.py
@@ -22,7 +22,8 @@
 )
 from citronwinch.coordination.spread._history import DeltaHistory
 from citronwinch.coordination.spread._join_gate import JoinGate
-from citronwinch.coordination.spread._membership import Member, Membership
+from citronwinch.coordination.spread._member_view import Member
+from citronwinch.coordination.spread._membership import Membership
 from citronwinch.coordination.spread._messages import (
     MemberFact,
     MemberStatus,
@@ -34,6 +35,7 @@
     TablePull,
 )
 from citronwinch.coordination.spread._node import SpreadNode
+from citronwinch.coordination.spread._push_rounds import PeerDirectory
 from citronwinch.coordination.spread._read_schedule import (
     WATCHERS_PER_ZONE,
     ReadSchedule,
@@ -43,7 +45,7 @@
     ReplayWindow,
 )
 from citronwinch.coordination.spread._scope import TableScope
-from citronwinch.coordination.spread._table_spread import PeerDirectory, TableSpread
+from citronwinch.coordination.spread._table_spread import TableSpread
 from citronwinch.coordination.spread._transfer import (
     CHUNK_BYTES,
     MalformedTransferError,
--- a/citronwinch/coordination/spread/_membership.py
+++ b/citronwinch/coordination/spread/_membership.py
@@ -6,26 +6,21 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-import xxhash
-
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._instances import (
     Instance,
     InstanceRole,
     InstanceState,
 )
-from citronwinch.coordination._placement import hash_seed
+from citronwinch.coordination.spread._member_view import (
+    Member,
+    MemberView,
+    compute_view,
+    describe_member,
+    is_usable,
+)
 from citronwinch.coordination.spread._messages import MemberFact, MemberStatus
 
-VIEW_OWN_ZONE = 24
-"""The most members of the own availability zone that are probed."""
-
-VIEW_OWN_REGION = 6
-"""The most members of other availability zones of the region that are probed."""
-
-VIEW_OTHER_REGIONS = 4
-"""The most members of other regions that are probed."""
-
 FACTS_PER_MESSAGE = 8
 """The most facts that one probe or answer carries."""
 
@@ -45,25 +40,6 @@
 """The most members that are kept although no list has them."""
 
 
-class Member(NamedTuple):
-    """What is known of one member."""
-
-    instance: Instance
-    """The instance, as listed or as it described itself."""
-
-    incarnation: int
-    """The highest incarnation that was stated; 0 when only the list names it."""
-
-    status: MemberStatus
-    """What is known of that incarnation."""
-
-    is_listed: bool
-    """Whether the platform's newest list has it."""
-
-    changed_ms: int
-    """When incarnation or status last changed."""
-
-
 class Rumor(NamedTuple):
     """A fact that still rides on messages."""
 
@@ -74,19 +50,6 @@
     """How often it is still sent."""
 
 
-class MemberView(NamedTuple):
-    """The bounded part of the fleet that a member probes and talks to."""
-
-    own_zone: tuple[str, ...]
-    """Members of the own availability zone."""
-
-    own_region: tuple[str, ...]
-    """Members of other availability zones of the own region."""
-
-    other_regions: tuple[str, ...]
-    """Members of other regions."""
-
-
 class Membership:
     """The members of the fleet as one of them sees it.
 
@@ -300,7 +263,7 @@
         if self.view_change_count != self.change_count and now_ms >= self.view_due_ms:
             self.view_due_ms = now_ms + VIEW_INTERVAL_MS
             self.view_change_count = self.change_count
-            self.cached_view = self._compute_view()
+            self.cached_view = compute_view(self.own, self.members)
             self.complete = [
                 name
                 for name, member in self.members.items()
@@ -359,31 +322,6 @@
         member = self.members.get(name)
         return member.instance.availability_zone if member else ""
 
-    def _compute_view(self) -> MemberView:
-        groups: tuple[list[str], ...] = ([], [], [])
-        for name, member in self.members.items():
-            if is_usable(member):
-                groups[self._distance(member.instance)].append(name)
-        own_zone, own_region, other_regions = groups
-        return MemberView(
-            self._choose_nearest(own_zone, VIEW_OWN_ZONE),
-            self._choose_nearest(own_region, VIEW_OWN_REGION),
-            self._choose_nearest(other_regions, VIEW_OTHER_REGIONS),
-        )
-
-    def _choose_nearest(self, names: list[str], count: int) -> tuple[str, ...]:
-        if len(names) > count:
-            seed = hash_seed(self.own.name)
-            names.sort(key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed))
-        else:
-            names.sort()
-        return tuple(names[:count])
-
-    def _distance(self, instance: Instance) -> int:
-        if instance.availability_zone == self.own.availability_zone:
-            return 0
-        return 1 if instance.region == self.own.region else 2
-
     def _describe_own(self) -> Instance:
         leaving = self.own_status is MemberStatus.LEAVING
         state = InstanceState.LEAVING if leaving else InstanceState.LIVE
@@ -394,17 +332,3 @@
             return True
         unlisted = sum(not member.is_listed for member in self.members.values())
         return unlisted < UNLISTED_LIMIT
-
-
-def is_usable(member: Member) -> bool:
-    """Return whether a member is worth talking to."""
-    return member.status is not MemberStatus.UNREACHABLE
-
-
-def describe_member(member: Member) -> Instance:
-    """Return a member's instance with the state that follows from all that is known."""
-    if member.status is MemberStatus.UNREACHABLE:
-        return member.instance._replace(state=InstanceState.UNREACHABLE)
-    if member.status is MemberStatus.LEAVING:
-        return member.instance._replace(state=InstanceState.LEAVING)
-    return member.instance
--- a/citronwinch/coordination/spread/_node.py
+++ b/citronwinch/coordination/spread/_node.py
@@ -14,7 +14,8 @@
     TableState,
 )
 from citronwinch.coordination.spread._join_gate import JoinGate
-from citronwinch.coordination.spread._membership import Membership, is_usable
+from citronwinch.coordination.spread._member_view import is_usable
+from citronwinch.coordination.spread._membership import Membership
 from citronwinch.coordination.spread._messages import (
     Probe,
     ProbeAnswer,
--- a/citronwinch/coordination/spread/_read_schedule.py
+++ b/citronwinch/coordination/spread/_read_schedule.py
@@ -25,6 +25,9 @@
 UNCHECKED_LIMIT_MS = 60_000
 """How old the last known comparison with the service may be, in milliseconds."""
 
+BEHIND_LIMIT_MS = 10_000
+"""How long a process waits for a revision that no peer delivers before it reads."""
+
 JOIN_READ_DELAY_MS = 2_000
 """How long a joining process waits for its peers before it reads by itself."""
 
@@ -61,6 +64,7 @@
         self.failures = 0
         now_ms = clock.now_ms()
         self.started_ms = now_ms
+        self.behind_ms = now_ms
         self.checked_ms: int | None = None
         self.next_read_ms = now_ms + round(source.random() * self.gap_ms)
         patience = 0.5 + source.random()
@@ -127,11 +131,13 @@
 
     def wants_check(self, has_table: bool, is_behind: bool) -> bool:
         """Return whether the table should be compared with the service now."""
-        if self.is_watcher:
+        now_ms = self.clock.now_ms()
+        if not is_behind:
+            self.behind_ms = now_ms
+        if self.is_watcher or now_ms - self.behind_ms >= BEHIND_LIMIT_MS:
             return True
-        waited_ms = self.clock.now_ms() - self.started_ms
         if not has_table:
-            return waited_ms >= JOIN_READ_DELAY_MS
+            return now_ms - self.started_ms >= JOIN_READ_DELAY_MS
         return self.age_ms >= self.patience_ms
 
     def note_read(self) -> None:
--- a/citronwinch/coordination/spread/_table_spread.py
+++ b/citronwinch/coordination/spread/_table_spread.py
@@ -3,7 +3,6 @@
 import random
 from collections import Counter, OrderedDict
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple, Protocol
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._table import EMPTY_TABLE, Table
@@ -21,6 +20,10 @@
     TableChunk,
     TablePull,
 )
+from citronwinch.coordination.spread._push_rounds import (
+    PeerDirectory,
+    PushRounds,
+)
 from citronwinch.coordination.spread._scope import TableScope
 from citronwinch.coordination.spread._transfer import (
     Assembly,
@@ -33,12 +36,6 @@
     encode_image,
 )
 
-PUSH_ROUNDS_MS = (0, 250, 750, 1_500)
-"""When a new revision is pushed to peers, in milliseconds after it was learnt."""
-
-PUSH_TARGETS = 3
-"""How many peers get a new revision in one round."""
-
 PULL_RETRY_MS = 250
 """How long a pull may go without a new chunk, in milliseconds."""
 
@@ -58,35 +55,6 @@
 """The most encoded transfers that are kept for pulls."""
 
 
-class PeerDirectory(Protocol):
-    """What the spread of the table needs to know about its peers."""
-
-    def choose_push_targets(self, count: int) -> Sequence[str]:
-        """Return peers to tell of a new revision."""
-        ...
-
-    def choose_complete_peers(self, count: int) -> Sequence[str]:
-        """Return peers that keep all rows."""
-        ...
-
-    def keeps_all_rows(self, name: str) -> bool:
-        """Return whether a peer keeps all rows."""
-        ...
-
-
-class Rumor(NamedTuple):
-    """A new revision that is still pushed to peers."""
-
-    chunks: tuple[TableChunk, ...]
-    """What is pushed."""
-
-    learnt_ms: int
-    """When the revision was learnt."""
-
-    round_number: int
-    """The next round."""
-
-
 class TableSpread:
     """The table of one process, whole at one revision at any time.
 
@@ -112,7 +80,7 @@
         self.history = DeltaHistory()
         self.heard: OrderedDict[str, int] = OrderedDict()
         self.highest_heard = 0
-        self.rumors: list[Rumor] = []
+        self.push_rounds = PushRounds(peers, clock)
         self.assembly: Assembly | None = None
         self.pull_due_ms: int | None = None
         self.pull_attempts = 0
@@ -164,8 +132,7 @@
         """Return the pushes and pulls that are due."""
         sends: list[SendMessage] = []
         now_ms = self.clock.now_ms()
-        if self.rumors:
-            sends += self._push(now_ms)
+        sends += self.push_rounds.tick(self.heard)
         if self.pull_due_ms is not None and now_ms >= self.pull_due_ms:
             sends += self._pull(now_ms)
         return sends
@@ -216,7 +183,7 @@
         self.table = EMPTY_TABLE
         self.version = TableVersion(0, digest_services({}))
         self.service_digests = {}
-        self.rumors.clear()
+        self.push_rounds.chunks = ()
         self.transfers.clear()
         self._plan_pull()
 
@@ -250,26 +217,7 @@
         since, version = deltas[0].since.revision, deltas[-1].until
         chunks = cut_chunks(encode_deltas(deltas), since, version, "")
         if len(chunks) <= CHUNK_WINDOW:
-            self.rumors = [Rumor(chunks, self.clock.now_ms(), 0)]
-
-    def _push(self, now_ms: int) -> list[SendMessage]:
-        sends: list[SendMessage] = []
-        kept: list[Rumor] = []
-        for rumor in self.rumors:
-            if now_ms < rumor.learnt_ms + PUSH_ROUNDS_MS[rumor.round_number]:
-                kept.append(rumor)
-                continue
-            for target in self.peers.choose_push_targets(PUSH_TARGETS):
-                if self.heard.get(target, 0) >= rumor.chunks[0].revision:
-                    continue
-                sends += [
-                    SendMessage(target, chunk, ControlPriority.EDITS)
-                    for chunk in rumor.chunks
-                ]
-            if rumor.round_number + 1 < len(PUSH_ROUNDS_MS):
-                kept.append(rumor._replace(round_number=rumor.round_number + 1))
-        self.rumors = kept
-        return sends
+            self.push_rounds.begin(chunks)
 
     def _plan_pull(self) -> None:
         if self.pull_due_ms is None:
