--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -2,11 +2,11 @@
 
 import heapq
 import random
-from typing import NamedTuple
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.requests._actions import (
+    RETRY_AFTER_MS,
     Discard,
     EndGuestFlow,
     PassCancel,
@@ -15,18 +15,21 @@
     RetryElsewhere,
     SendPart,
     StartRequest,
-    TellOutcome,
+    tell_not_run,
+    tell_unknown,
 )
 from citronwinch.coordination.requests._answers import AnswerKeeper
 from citronwinch.coordination.requests._eras import RequestEras
-from citronwinch.coordination.requests._messages import RequestRecords
+from citronwinch.coordination.requests._hand_over import RecordExchange
 from citronwinch.coordination.requests._metadata import (
     PACKET_LIFETIME_MS,
     REQUEST_TIMEOUT_LIMIT_MS,
     RequestKind,
     RequestMetadata,
 )
+from citronwinch.coordination.requests._open import OpenRequests
 from citronwinch.coordination.requests._records import (
+    OPEN_STATES,
     RequestKey,
     RequestRecord,
     RequestState,
@@ -34,33 +37,9 @@
 from citronwinch.coordination.requests._retries import RetryBudget, choose_backoff_ms
 from citronwinch.coordination.requests._window import RequestWindow
 
-RETRY_AFTER_MS = 1_000
-"""When a caller whose request was given up on may ask again, in milliseconds."""
-
 ATTEMPT_LIMIT = 3
 """The most backend servers that one request is sent to."""
 
-RETRY_PAYLOADS_LIMIT_BYTES = 4 << 20
-"""The memory that requests kept for a retry may take, in bytes."""
-
-RECORDS_PER_MESSAGE = 100
-"""The most records in one message, so that it fits a datagram."""
-
-ALL_FLOWS = FlowKey(b"")
-"""Stands for every flow of an agent in a hand-over."""
-
-_OPEN_STATES = (RequestState.STARTED, RequestState.WAITING)
-
-
-class OpenRequest(NamedTuple):
-    """What is needed while a request is open."""
-
-    arrival: RequestArrival
-    """The request; its payload is empty when no retry is possible."""
-
-    is_guest: bool
-    """Whether another agent owns the flow."""
-
 
 class AgentRequests:
     """Decides what becomes of each request at one agent.
@@ -76,26 +55,24 @@
 
     def __init__(
         self,
+        name: str,
         clock: Clock,
         source: random.Random,
         window: RequestWindow | None = None,
         keeper: AnswerKeeper | None = None,
         budget: RetryBudget | None = None,
     ) -> None:
+        self.name = name
         self.clock = clock
         self.source = source
         self.window = window or RequestWindow(clock)
         self.keeper = keeper or AnswerKeeper()
         self.budget = budget or RetryBudget()
         self.eras = RequestEras(clock.now_ms())
-        self.open: dict[RequestKey, OpenRequest] = {}
-        self.open_by_flow: dict[FlowKey, set[RequestKey]] = {}
-        self.deadlines: list[tuple[int, RequestKey]] = []
+        self.open = OpenRequests()
         self.retries: list[tuple[int, RequestKey]] = []
-        self.payload_bytes = 0
         self.is_stopping = False
-        self.taken_over: set[RequestKey] = set()
-        self.has_taken_over = False
+        self.records = RecordExchange(name, clock, self.window, self.open, self.eras)
 
     def receive(
         self, arrival: RequestArrival, is_known_flow: bool
@@ -113,7 +90,12 @@
     def deliver(
         self, arrival: RequestArrival, is_guest: bool = False
     ) -> list[RequestAction]:
-        """Return what to do about a packet that steering gives to this agent."""
+        """Return what to do about a packet that steering gives to this agent.
+
+        Steering may have held several copies, so that a record can be here by now.
+        """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         if arrival.request.kind is RequestKind.CANCEL:
             return self.refuse(arrival, "cancelled")
         if arrival.request.kind is not RequestKind.REQUEST:
@@ -138,6 +120,8 @@
         Elsewhere a copy may be running, as it may be when a former run of this agent
         saw the request, or when no tombstone fits: then the caller hears "unknown".
         """
+        if arrival.key in self.window.records:
+            return self.receive(arrival, is_known_flow=True)
         request = arrival.request
         if not is_final or self._is_former(arrival):
             return [tell_unknown(arrival.key, reason, retry_after_ms)]
@@ -173,7 +157,7 @@
 
     def fail_delivery(self, key: RequestKey) -> list[RequestAction]:
         """React to a datagram that the kernel refused to send: it was not run."""
-        if key not in self.open:
+        if self.open.find(key) is None:
             return []
         ended = self._close(key, RequestState.REFUSED)
         return [tell_not_run(key, "undeliverable"), *ended]
@@ -189,7 +173,7 @@
     def lose_flow(self, flow: FlowKey) -> list[RequestAction]:
         """React to a backend server that is gone: its open requests are unknown."""
         actions: list[RequestAction] = []
-        for key in sorted(self.open_by_flow.get(flow, ())):
+        for key in self.open.of_flow(flow):
             actions += self._give_up(key, "connection_lost")
         return actions
 
@@ -201,8 +185,7 @@
         """
         now_ms = self.clock.now_ms()
         actions: list[RequestAction] = []
-        while self.deadlines and self.deadlines[0][0] <= now_ms:
-            _, key = heapq.heappop(self.deadlines)
+        for key in self.open.due_deadlines(now_ms):
             actions += self._give_up(key, "deadline")
         while self.retries and self.retries[0][0] <= now_ms:
             _, key = heapq.heappop(self.retries)
@@ -222,50 +205,20 @@
 
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
-        return not self.open
+        return not len(self.open)
 
     def is_settled(self) -> bool:
         """Whether every request that is sent from now on will be served."""
         return self.eras.is_settled(self.clock.now_ms())
 
-    def hand_over(self, flow: FlowKey = ALL_FLOWS) -> list[RequestRecords]:
-        """Return the records of a flow, or all, for its next owner."""
-        records = self.window.export_records(flow or None)
-        era_age_ms = self.eras.find_age_ms(self.clock.now_ms())
-        return [
-            RequestRecords(
-                flow,
-                era_age_ms,
-                len(records),
-                tuple(records[start : start + RECORDS_PER_MESSAGE]),
-            )
-            for start in range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
-        ]
-
-    def take_over(self, message: RequestRecords) -> None:
-        """Take over records of a former owner.
-
-        With all records of this agent's former run it serves at once, from where
-        that run's knowledge began. Records that do not fit begin an era instead.
-        """
-        now_ms = self.clock.now_ms()
-        if not self.window.import_records(message.records):
-            self.eras.begin(now_ms)
-            return
-        for item in message.records:
-            if item.state in _OPEN_STATES:
-                deadline_ms = now_ms + item.remaining_ms
-                heapq.heappush(self.deadlines, (deadline_ms, item.key))
-        if message.flow:
-            return
-        self.taken_over.update(item.key for item in message.records)
-        if len(self.taken_over) >= message.total and not self.has_taken_over:
-            self.has_taken_over = True
-            self.taken_over.clear()
-            self.eras.end_grace(now_ms - message.era_age_ms)
+    def note_loss(self) -> None:
+        """Note that a member of the service is gone and its records with it."""
+        self.eras.note_loss(self.clock.now_ms())
 
     def _is_former(self, arrival: RequestArrival) -> bool:
-        return self.eras.is_former(arrival.flow, arrival.request, arrival.arrived_ms)
+        return self.eras.is_former(
+            arrival.flow, arrival.request, arrival.arrived_ms, arrival.opened_ms
+        )
 
     def _find_refusal(self, arrival: RequestArrival) -> str:
         """Return why a new request is not started, empty when it is."""
@@ -293,13 +246,8 @@
             request.age_ms,
         )
         self.window.add(arrival.key, record)
-        heapq.heappush(self.deadlines, (deadline_ms, arrival.key))
-        cost = len(arrival.payload)
-        fits = self.payload_bytes + cost <= RETRY_PAYLOADS_LIMIT_BYTES
-        kept = arrival.payload if request.repeatable and fits else b""
-        self.payload_bytes += len(kept)
-        self.open[arrival.key] = OpenRequest(arrival._replace(payload=kept), is_guest)
-        self.open_by_flow.setdefault(arrival.flow, set()).add(arrival.key)
+        self.open.add(arrival, is_guest)
+        self.open.add_deadline(arrival.key, deadline_ms)
         return StartRequest(arrival.key, arrival.payload)
 
     def _repeat(
@@ -334,7 +282,7 @@
     def _shed(self, key: RequestKey, record: RequestRecord) -> list[RequestAction]:
         if key in self.keeper.progress:
             return [Discard("late_part")]
-        request = self.open.get(key)
+        request = self.open.find(key)
         attempts = len(request.arrival.tried) + 1 if request else ATTEMPT_LIMIT
         due_ms = self.clock.now_ms() + choose_backoff_ms(attempts, self.source)
         may_retry = (
@@ -352,7 +300,7 @@
         return [tell_not_run(key, "shed"), *ended]
 
     def _retry(self, key: RequestKey) -> list[RequestAction]:
-        request = self.open.get(key)
+        request = self.open.find(key)
         record = self.window.find(key)
         if request is None or record is None:
             return []
@@ -369,7 +317,7 @@
 
     def _give_up(self, key: RequestKey, reason: str) -> list[RequestAction]:
         record = self.window.find(key)
-        if record is None or record.state not in _OPEN_STATES:
+        if record is None or record.state not in OPEN_STATES:
             return []
         if record.state is RequestState.WAITING:
             ended = self._close(key, RequestState.REFUSED)
@@ -379,27 +327,4 @@
 
     def _close(self, key: RequestKey, state: RequestState) -> list[RequestAction]:
         self.window.change(key, state)
-        request = self.open.pop(key, None)
-        if request is None:
-            return []
-        self.payload_bytes -= len(request.arrival.payload)
-        remaining = self.open_by_flow[key.flow]
-        remaining.discard(key)
-        if remaining:
-            return []
-        del self.open_by_flow[key.flow]
-        return [EndGuestFlow(key.flow)] if request.is_guest else []
-
-
-def tell_not_run(
-    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
-) -> TellOutcome:
-    """Return the message that a request was not run and never will be."""
-    return TellOutcome(key, RequestKind.NOT_RUN, reason, retry_after_ms)
-
-
-def tell_unknown(
-    key: RequestKey, reason: str, retry_after_ms: int = RETRY_AFTER_MS
-) -> TellOutcome:
-    """Return the message that nobody can tell whether a request was run."""
-    return TellOutcome(key, RequestKind.UNKNOWN, reason, retry_after_ms)
+        return [EndGuestFlow(key.flow)] if self.open.remove(key) else []
--- a/citronwinch/coordination/requests/_messages.py
+++ b/citronwinch/coordination/requests/_messages.py
@@ -6,6 +6,9 @@
 from citronwinch.coordination.requests._metadata import RequestMetadata
 from citronwinch.coordination.requests._records import ExportedRecord
 
+RECORDS_PER_MESSAGE = 100
+"""The most records in one message, so that it fits a datagram."""
+
 
 class RetryRequest(NamedTuple):
     """Asks another agent to run a request that a backend server has shed."""
@@ -33,8 +36,8 @@
     it has `total` records, so that a lost message does no harm.
     """
 
-    flow: FlowKey
-    """The flow whose records these are; empty for all records of an agent."""
+    agent: str
+    """The agent all of whose records these are; empty for those of one flow."""
 
     era_age_ms: int
     """How long ago the sender began to have complete records of its own."""
@@ -46,5 +49,27 @@
     """The records in this message."""
 
 
-RequestsMessage = RetryRequest | RequestRecords
+class RecordsQuery(NamedTuple):
+    """A fresh agent asks for the records that its former run handed over."""
+
+    agent: str
+    """The agent."""
+
+
+RequestsMessage = RetryRequest | RequestRecords | RecordsQuery
 """Everything that agents say to each other about requests."""
+
+
+def split_records(
+    agent: str, era_age_ms: int, records: list[ExportedRecord]
+) -> list[RequestRecords]:
+    """Return the messages of a hand-over; one even when there are no records."""
+    return [
+        RequestRecords(
+            agent,
+            era_age_ms,
+            len(records),
+            tuple(records[start : start + RECORDS_PER_MESSAGE]),
+        )
+        for start in range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
+    ]
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -64,6 +64,7 @@
         self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
         self.refused = RefusedPackets(clock)
         self.query_budget = ByteBudget(clock, QUERY_BURST_BYTES, QUERY_BYTES_PER_SECOND)
+        self.guest_count = 0
         self.hint_budget = ByteBudget(clock, HINT_BURST_BYTES, HINT_BYTES_PER_SECOND)
 
     @property
@@ -141,12 +142,14 @@
         if message.hops >= HOPS_LIMIT:
             return [refuse(message, "too_many_hops", is_certain=False)]
         if leases.is_fenced:
-            return [self.pass_on(message, leases.fenced_by)]
+            behind = (*message.declined, self.backend_server)
+            passed = message._replace(declined=behind)
+            return [self.pass_on(passed, leases.fenced_by)]
         home = self.home_of(message.flow, message.service)
         if home is None:
             return [refuse(message, "no_home", is_certain=False)]
         if home != self.backend_server:
-            if home in message.declined and not message.hops:
+            if home in message.declined:
                 return self.search_owner(message, leases)
             if leases.is_silent(home):
                 return [refuse(message, "home_unreachable", is_certain=False)]
@@ -182,7 +185,7 @@
     def search_owner(
         self, message: Forward, leases: ServiceLeases
     ) -> list[AgentAction]:
-        """Ask all members who owns a flow whose home the balancer cannot reach."""
+        """Ask all members who owns a flow whose home is out of reach or behind."""
         held = self.held.hold(message, leases.revision)
         if held is None:
             return [refuse(message, "held_full", is_certain=False)]
@@ -194,10 +197,15 @@
         self, flow: FlowKey, held: HeldFlow, leases: ServiceLeases, home: str
     ) -> list[AgentAction]:
         """Go on searching until the owner or the home is heard of."""
-        if home in held.answered:
+        is_over = self.clock.now_ms() >= held.deadline_ms
+        is_unowned = set(self.find_askable(flow, leases)) <= held.answered
+        if home in held.answered and (is_over or is_unowned):
             messages = self.held.release(flow)
-            return [self.pass_on(message, home) for message in messages]
-        if self.clock.now_ms() >= held.deadline_ms:
+            return [
+                self.pass_on(message._replace(declined=()), home)
+                for message in messages
+            ]
+        if is_over:
             return self.give_up(flow, "home_unreachable")
         return self.query_owner(flow, held, leases)
 
@@ -351,7 +359,7 @@
             and row.weight > 0
             and not self.is_leaving
             and not self.is_failing
-            and len(self.flows.owned) < row.connection_limit
+            and len(self.flows.owned) + self.guest_count < row.connection_limit
         )
 
     def assign(self, message: Forward, owner: str) -> list[AgentAction]:
--- a/citronwinch/coordination/steering/tests/test_agent.py
+++ b/citronwinch/coordination/steering/tests/test_agent.py
@@ -257,6 +257,26 @@
     assert {name for name, _ in group.delivered} == {"reporting-2"}
 
 
+def test_owner_is_found_while_its_new_home_lacks_the_table(group, rows):
+    lightened = lighten(rows, NAMES[0])
+    flows = [make_key(n) for n in range(60)]
+    homes = {flow: group.home(flow) for flow in flows}
+    for flow in flows:
+        group.packet(homes[flow], flow)
+    group.publish(lightened, [NAMES[0]])
+    moved = [flow for flow in flows if group.home(flow, seen_by=NAMES[0]) == NAMES[1]]
+    moved = [flow for flow in moved if homes[flow] == NAMES[0]]
+    group.publish(lightened, [NAMES[2]])
+    group.settle(500)
+    for flow in moved:
+        group.packet(NAMES[1], flow)
+        group.packet(NAMES[2], flow)
+    group.settle(500)
+    assert len(moved) > 3
+    assert {f: group.owners(f) for f in moved} == {f: [NAMES[0]] for f in moved}
+    assert all(group.delivered.count((NAMES[0], flow)) == 3 for flow in moved)
+
+
 def test_flows_of_a_restarted_agent_end_visibly(group):
     flow = group.find_flow(NAMES[0])
     group.packet(NAMES[0], flow, opens=False, packet=b"first")
--- a/citronwinch/peers/requests.capnp
+++ b/citronwinch/peers/requests.capnp
@@ -21,15 +21,20 @@
 }
 
 struct RequestRecords {
-  flow @0 :Data;
+  agent @0 :Text;
   eraAgeMs @1 :UInt32;
   total @2 :UInt32;
   records @3 :List(RequestRecord);
 }
 
+struct RecordsQuery {
+  agent @0 :Text;
+}
+
 struct RequestsMessage {
   union {
     retry @0 :RetryRequest;
     records @1 :RequestRecords;
+    query @2 :RecordsQuery;
   }
 }
