Let others decide at once for an agent that stops

Cause: an agent that ended a graceful shutdown was taken for lost, so that new flows homed there waited about 5.5 s; messages for handing records over were defined and never used. Change: an agent's last word is that it decides nothing more; members and balancers go on without it. The unused messages are removed.

--- a/citronwinch/coordination/steering/__init__.py
+++ b/citronwinch/coordination/steering/__init__.py
@@ -6,7 +6,6 @@
     EndFlow,
     PassOn,
     Refuse,
-    RestoreFlow,
     Send,
     TellBalancer,
 )
@@ -17,9 +16,7 @@
     Route,
 )
 from citronwinch.coordination.steering._messages import (
-    FlowRecord,
     Forward,
-    HandOver,
     Hint,
     LeaseAnswer,
     LeaseRequest,
@@ -30,7 +27,6 @@
     Register,
     RegisterAck,
     SteeringMessage,
-    TakeBack,
 )
 from citronwinch.coordination.steering._owned import OwnedFlow
 
@@ -40,9 +36,7 @@
     "BalancerSteering",
     "Deliver",
     "EndFlow",
-    "FlowRecord",
     "Forward",
-    "HandOver",
     "Hint",
     "LeaseAnswer",
     "LeaseRequest",
@@ -56,10 +50,8 @@
     "Refuse",
     "Register",
     "RegisterAck",
-    "RestoreFlow",
     "Route",
     "Send",
     "SteeringMessage",
-    "TakeBack",
     "TellBalancer",
 ]
--- a/citronwinch/coordination/steering/_actions.py
+++ b/citronwinch/coordination/steering/_actions.py
@@ -83,17 +83,7 @@
     """The flow."""
 
 
-class RestoreFlow(NamedTuple):
-    """Deliver an owned flow from the port that its former agent used."""
-
-    flow: FlowKey
-    """The flow."""
-
-    local_port: int
-    """The port."""
-
-
-AgentAction = Deliver | PassOn | TellBalancer | Refuse | Send | EndFlow | RestoreFlow
+AgentAction = Deliver | PassOn | TellBalancer | Refuse | Send | EndFlow
 """What an agent does about a message."""
 
 RETRY_AFTER_MS = 1_000
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -151,7 +151,7 @@
         if home != self.backend_server:
             if home in message.declined:
                 return self.search_owner(message, leases)
-            if leases.is_silent(home):
+            if leases.is_away(home):
                 return [refuse(message, "home_unreachable", is_certain=False)]
             return [self.pass_on(message, home)]
         return self.decide_when_allowed(message, leases)
@@ -348,7 +348,7 @@
         if name == self.backend_server:
             return not (self.is_leaving or self.is_failing)
         member = leases.member(name)
-        return not (member.is_leaving or member.has_departed or leases.is_silent(name))
+        return not (member.is_leaving or leases.is_away(name))
 
     def can_take(self, service: str) -> bool:
         """Return whether this agent's backend server may get another flow."""
--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -187,6 +187,7 @@
             name
             for name in self.others()
             if self.member(name).unanswered > REQUESTS_UNANSWERED
+            or self.member(name).has_departed
         ]
 
     def renew_all(self) -> None:
@@ -197,7 +198,7 @@
     def note_sign_of_life(self, name: str) -> bool:
         """Decide nothing for a member that is back; return whether it was away."""
         member = self.member(name)
-        was_away = member.has_departed or self.is_silent(name)
+        was_away = self.is_away(name)
         member.heard_ms = self.clock.now_ms()
         member.has_departed = False
         return was_away
@@ -290,6 +291,10 @@
         """Return the silent members that the platform no longer lists."""
         return {name for name in self.absent - {self.name} if self.is_silent(name)}
 
+    def is_away(self, name: str) -> bool:
+        """Return whether a member has departed or is silent."""
+        return self.member(name).has_departed or self.is_silent(name)
+
     def is_silent(self, name: str) -> bool:
         """Return whether a member has been quiet so long that it holds no lease.
 
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -167,45 +167,6 @@
     """The owner that the sender knows; empty for none."""
 
 
-class FlowRecord(NamedTuple):
-    """What is needed to deliver the packets of a flow."""
-
-    flow: FlowKey
-    """The flow."""
-
-    local_port: int
-    """The port from which the backend server gets its packets."""
-
-
-class HandOver(NamedTuple):
-    """Flow records of an agent that stops, kept by a peer for its successor."""
-
-    agent: str
-    """The agent whose flows these are."""
-
-    service: str
-    """The service under which the flows were opened."""
-
-    number: int
-    """The number of the message, for its acknowledgement."""
-
-    records: tuple[FlowRecord, ...]
-    """The records."""
-
-
-class TakeBack(NamedTuple):
-    """An agent that starts asks a peer for the records of its predecessor."""
-
-    agent: str
-    """The agent."""
-
-    received: int = 0
-    """The highest number of a hand-over that has arrived; 0 for none."""
-
-    is_done: bool = False
-    """Whether all has arrived, so that the peer may forget the records."""
-
-
 class Probe(NamedTuple):
     """A balancer asks an agent for a sign of life."""
 
@@ -229,8 +190,6 @@
     | RegisterAck
     | Query
     | QueryAnswer
-    | HandOver
-    | TakeBack
     | Probe
     | MemberSilent
 )
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -99,6 +99,21 @@
         for leases in self.leases.values():
             leases.renew_all()
 
+    def depart(self) -> list[AgentAction]:
+        """Tell all members that this agent decides nothing any more.
+
+        The caller carries this out last: it must handle nothing afterwards.
+        """
+        now_ms = self.clock.now_ms()
+        return [
+            Send(
+                name,
+                LeaseAnswer(service, leases.fence, now_ms, False, has_departed=True),
+            )
+            for service, leases in self.leases.items()
+            for name in leases.others()
+        ]
+
     def accept_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use the platform's list of instances from now on."""
         self.balancers = tuple(
@@ -159,7 +174,7 @@
             row
             for row in rows
             if row.backend_server == self.backend_server
-            or not leases.is_silent(row.backend_server)
+            or not leases.is_away(row.backend_server)
         ]
         home = find_home(flow, present)
         if home is None or home == self.backend_server:
@@ -338,7 +353,7 @@
             (service, name)
             for service, leases in self.leases.items()
             for name in leases.others()
-            if leases.is_silent(name)
+            if leases.is_away(name)
         )
         self.registry.forget_owners(
             name for service, name in silent if self.leases[service].is_gone(name)
--- a/citronwinch/coordination/steering/tests/test_agent.py
+++ b/citronwinch/coordination/steering/tests/test_agent.py
@@ -278,6 +278,33 @@
     assert all(group.delivered.count((NAMES[0], flow)) == 2 for flow in moved)
 
 
+def test_departed_agent_is_replaced_as_home_at_once(group, rows):
+    flows = [make_key(n) for n in range(40)]
+    homes = {flow: group.home(flow) for flow in flows}
+    group.publish(drain(rows, NAMES[1]))
+    group.publish(rows)
+    for flow in flows[:20]:
+        group.packet(homes[flow], flow)
+    group.settle()
+    owner_of = {flow: group.owners(flow) for flow in flows[:20]}
+    agent = group.agents[NAMES[0]]
+    agent.begin_stop()
+    for flow in list(agent.owned):
+        agent.end_flow(flow)
+        del owner_of[flow]
+    group.settle(300)
+    group.act(NAMES[0], agent.depart())
+    del group.agents[NAMES[0]]
+    group.settle(300)
+    for flow in [*owner_of, *flows[20:]]:
+        group.packet(NAMES[1], flow)
+        group.packet(NAMES[2], flow)
+    group.settle(500)
+    assert {flow: group.owners(flow) for flow in owner_of} == owner_of
+    assert all(len(group.owners(flow)) == 1 for flow in flows[20:])
+    assert not group.refused
+
+
 def test_flows_of_a_restarted_agent_end_visibly(group):
     flow = group.find_flow(NAMES[0])
     group.packet(NAMES[0], flow, opens=False, packet=b"first")
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -127,6 +127,10 @@
         """Whether no flow is left and no request is in progress."""
         return self.requests.finish(has_flows=bool(self.steering.owned))
 
+    def finish(self) -> None:
+        """Let the other agents decide in this one's place at once."""
+        self.act_all(self.steering.depart())
+
     def queue_reply(self, reply: Reply) -> None:
         """Put a reply into the inbox; count and drop it when the inbox is full."""
         try:
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -72,6 +72,9 @@
         """A balancer keeps nothing that outlives it."""
         return True
 
+    def finish(self) -> None:
+        """Say nothing: nobody waits for a balancer."""
+
     def handle(self, event: Event) -> None:
         """React to packets and hints."""
         if isinstance(event, FabricBatch):
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -123,8 +123,13 @@
             if deadline_ms is not None and (
                 self.is_drained() or self.clock.now_ms() >= deadline_ms
             ):
+                self.finish()
                 return
 
+    @abstractmethod
+    def finish(self) -> None:
+        """Do what is left to do once no event is handled any more."""
+
     def list_ports(self) -> list[DatagramPort]:
         """Return the UDP sockets of this process."""
         return [self.peers.port]
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -6,9 +6,7 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.coordination.steering import (
-    FlowRecord,
     Forward,
-    HandOver,
     Hint,
     LeaseAnswer,
     LeaseRequest,
@@ -19,7 +17,6 @@
     Register,
     RegisterAck,
     SteeringMessage,
-    TakeBack,
 )
 from citronwinch.peers._codec import fill_message
 
@@ -157,24 +154,6 @@
     target.owner = message.owner
 
 
-@fill_message.register
-def _(message: HandOver, envelope: Any) -> None:
-    target = envelope.init("steering").init("handOver")
-    target.agent = message.agent
-    target.service = message.service
-    target.number = message.number
-    target.flows = pack_keys(record.flow for record in message.records)
-    target.ports = [record.local_port for record in message.records]
-
-
-@fill_message.register
-def _(message: TakeBack, envelope: Any) -> None:
-    target = envelope.init("steering").init("takeBack")
-    target.agent = message.agent
-    target.received = message.received
-    target.isDone = message.is_done
-
-
 @fill_message.register
 def _(message: Probe, envelope: Any) -> None:
     envelope.init("steering").init("probe").isAnswer = message.is_answer
@@ -250,15 +229,6 @@
     )
 
 
-def read_hand_over(reader: Any) -> HandOver:
-    """Return the flow records in a reader."""
-    flows = unpack_keys(bytes(reader.flows))
-    records = tuple(
-        FlowRecord(flow, port) for flow, port in zip(flows, reader.ports, strict=True)
-    )
-    return HandOver(reader.agent, reader.service, reader.number, records)
-
-
 def read_steering(reader: Any) -> SteeringMessage:
     """Return the message in the union of steering messages."""
     kind = str(reader.which())
@@ -276,8 +246,6 @@
     "queryAnswer": lambda reader: QueryAnswer(
         FlowKey(bytes(reader.flow)), reader.revision, reader.owner
     ),
-    "handOver": read_hand_over,
-    "takeBack": lambda reader: TakeBack(reader.agent, reader.received, reader.isDone),
     "probe": lambda reader: Probe(reader.isAnswer),
     "memberSilent": lambda reader: MemberSilent(reader.agent),
 }
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -77,20 +77,6 @@
   owner @2 :Text;
 }
 
-struct HandOver {
-  agent @0 :Text;
-  service @1 :Text;
-  number @2 :UInt64;
-  flows @3 :Data;       # flow keys, each behind its length in one byte
-  ports @4 :List(UInt16);
-}
-
-struct TakeBack {
-  agent @0 :Text;
-  received @1 :UInt64;
-  isDone @2 :Bool;
-}
-
 struct Probe {
   isAnswer @0 :Bool;
 }
@@ -107,9 +93,7 @@
     registerAck @3 :RegisterAck;
     query @4 :Query;
     queryAnswer @5 :QueryAnswer;
-    handOver @6 :HandOver;
-    takeBack @7 :TakeBack;
-    probe @8 :Probe;
-    memberSilent @9 :MemberSilent;
+    probe @6 :Probe;
+    memberSilent @7 :MemberSilent;
   }
 }
--- a/citronwinch/peers/tests/test_steering_codec.py
+++ b/citronwinch/peers/tests/test_steering_codec.py
@@ -4,9 +4,7 @@
 
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.steering import (
-    FlowRecord,
     Forward,
-    HandOver,
     Hint,
     LeaseAnswer,
     LeaseRequest,
@@ -16,7 +14,6 @@
     QueryAnswer,
     Register,
     RegisterAck,
-    TakeBack,
 )
 from citronwinch.peers import (
     Envelope,
@@ -58,8 +55,6 @@
     RegisterAck(1 << 60),
     Query("gauging", V4, 7),
     QueryAnswer(V6, 7, "gauging-1"),
-    HandOver("gauging-1", "gauging", 5, (FlowRecord(V4, 65_535), FlowRecord(V6, 1))),
-    TakeBack("gauging-1", 5, True),
     Probe(True),
     MemberSilent("gauging-1"),
 ]
