--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -63,8 +63,8 @@
         super().__init__(backend_server, clock, incarnation)
         self.chooser: OwnerChooser = chooser or FirstCandidateChooser()
         self.refused = RefusedPackets(clock)
-        self.guest_count = 0
         self.query_budget = ByteBudget(clock, QUERY_BURST_BYTES, QUERY_BYTES_PER_SECOND)
+        self.guest_count = 0
         self.hint_budget = ByteBudget(clock, HINT_BURST_BYTES, HINT_BYTES_PER_SECOND)
 
     @property
@@ -142,14 +142,16 @@
         if message.hops >= HOPS_LIMIT:
             return [refuse(message, "too_many_hops", is_certain=False)]
         if leases.is_fenced:
-            return [self.pass_on(message, leases.fenced_by)]
+            behind = (*message.declined, self.backend_server)
+            passed = message._replace(declined=behind)
+            return [self.pass_on(passed, leases.fenced_by)]
         home = self.home_of(message.flow, message.service)
         if home is None:
             return [refuse(message, "no_home", is_certain=False)]
         if home != self.backend_server:
-            if home in message.declined and not message.hops:
+            if home in message.declined:
                 return self.search_owner(message, leases)
-            if leases.is_silent(home):
+            if leases.is_away(home):
                 return [refuse(message, "home_unreachable", is_certain=False)]
             return [self.pass_on(message, home)]
         return self.decide_when_allowed(message, leases)
@@ -183,7 +185,7 @@
     def search_owner(
         self, message: Forward, leases: ServiceLeases
     ) -> list[AgentAction]:
-        """Ask all members who owns a flow whose home the balancer cannot reach."""
+        """Ask all members who owns a flow whose home is out of reach or behind."""
         held = self.held.hold(message, leases.revision)
         if held is None:
             return [refuse(message, "held_full", is_certain=False)]
@@ -195,10 +197,15 @@
         self, flow: FlowKey, held: HeldFlow, leases: ServiceLeases, home: str
     ) -> list[AgentAction]:
         """Go on searching until the owner or the home is heard of."""
-        if home in held.answered:
+        is_over = self.clock.now_ms() >= held.deadline_ms
+        is_unowned = set(self.find_askable(flow, leases)) <= held.answered
+        if home in held.answered and (is_over or is_unowned):
             messages = self.held.release(flow)
-            return [self.pass_on(message, home) for message in messages]
-        if self.clock.now_ms() >= held.deadline_ms:
+            return [
+                self.pass_on(message._replace(declined=()), home)
+                for message in messages
+            ]
+        if is_over:
             return self.give_up(flow, "home_unreachable")
         return self.query_owner(flow, held, leases)
 
@@ -341,7 +348,7 @@
         if name == self.backend_server:
             return not (self.is_leaving or self.is_failing)
         member = leases.member(name)
-        return not (member.is_leaving or member.has_departed or leases.is_silent(name))
+        return not (member.is_leaving or leases.is_away(name))
 
     def can_take(self, service: str) -> bool:
         """Return whether this agent's backend server may get another flow."""
