Read the list of instances soon after a first failure

A process whose first read of the instance list failed, because the platform started at the same time, and which then read the table, put off all reads for 7.5 to 22.5 s, the pause after a comparison of the table. It also took every peer for one that the platform had dropped.

Change: the pause holds for comparisons only, not for the list. No table is in force before the list is known. An instance that is in no list yet is answered where its message came from, since other processes read the list only every minute.

The tests of the follower take a free port instead of a fixed one.

--- a/citronwinch/coordination/spread/_read_schedule.py
+++ b/citronwinch/coordination/spread/_read_schedule.py
@@ -67,6 +67,7 @@
         self.behind_ms = now_ms
         self.checked_ms: int | None = None
         self.next_read_ms = now_ms + round(source.random() * self.gap_ms)
+        self.next_check_ms = now_ms
         patience = 0.5 + source.random()
         self.patience_ms = round(UNCHECKED_LIMIT_MS * patience)
 
@@ -134,6 +135,8 @@
         now_ms = self.clock.now_ms()
         if not is_behind:
             self.behind_ms = now_ms
+        if not self.is_watcher and now_ms < self.next_check_ms:
+            return False
         if self.is_watcher or now_ms - self.behind_ms >= BEHIND_LIMIT_MS:
             return True
         if not has_table:
@@ -161,6 +164,6 @@
         self.patience_ms = round(UNCHECKED_LIMIT_MS * (0.5 + self.source.random()))
         if not self.is_watcher:
             pause_ms = max(UNCHECKED_LIMIT_MS / 4, self.gap_ms)
-            self.next_read_ms = self.clock.now_ms() + round(
+            self.next_check_ms = self.clock.now_ms() + round(
                 pause_ms * (0.5 + self.source.random())
             )
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -225,20 +225,20 @@
 
     @act.register
     def _(self, action: PassOn) -> None:
-        instance = self.instances.get(action.agent)
-        if instance is None:
+        address = self.find_address(action.agent)
+        if address is None:
             self.metrics.count("packets_dropped_total", "unknown_agent")
             return
         self.metrics.count("packets_passed_on_total")
-        self.peers.send(action.message, instance.address)
+        self.peers.send(action.message, address)
 
     @act.register
     def _(self, action: Send) -> None:
-        instance = self.instances.get(action.receiver)
-        if instance is None:
+        address = self.find_address(action.receiver)
+        if address is None:
             self.metrics.count("messages_dropped_total", "unknown_instance")
             return
-        self.peers.send(action.message, instance.address)
+        self.peers.send(action.message, address)
 
     @act.register
     def _(self, action: EndFlow) -> None:
@@ -247,9 +247,9 @@
 
     @act.register
     def _(self, action: TellBalancer) -> None:
-        instance = self.instances.get(action.balancer)
-        if instance is not None:
-            self.peers.send(action.hint, instance.address)
+        address = self.find_address(action.balancer)
+        if address is not None:
+            self.peers.send(action.hint, address)
 
     @act.register
     def _(self, action: Refuse) -> None:
--- a/citronwinch/daemon/_agent_records.py
+++ b/citronwinch/daemon/_agent_records.py
@@ -47,11 +47,11 @@
 
     def send_all(self, agent: str, messages: Sequence[RequestsMessage]) -> None:
         """Send messages to an agent, if it is known where it is."""
-        instance = self.process.instances.get(agent)
-        if instance is None:
+        address = self.process.find_address(agent)
+        if address is None:
             return
         for message in messages:
-            self.process.peers.send(message, instance.address)
+            self.process.peers.send(message, address)
 
     def hand_over(self) -> None:
         """Give all records to the other agents of the service, once.
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -8,6 +8,7 @@
 import trio
 
 from citronwinch.coordination import (
+    Endpoint,
     FlowKey,
     Instance,
     InstanceRole,
@@ -167,6 +168,17 @@
             self.instances = instances
             self.handle(InstancesChanged(tuple(instances.values())))
 
+    def find_address(self, name: str) -> Endpoint | None:
+        """Return where an instance gets messages, None when that is not known.
+
+        An instance that has just joined may send before the list here shows it; its
+        messages say where they came from.
+        """
+        instance = self.instances.get(name)
+        if instance is not None:
+            return instance.address
+        return self.peers.find_address(name)
+
     def accept_table(self, table: Table) -> None:
         """Put a table in force and say so."""
         self.use_table(table)
--- a/citronwinch/daemon/_spread_task.py
+++ b/citronwinch/daemon/_spread_task.py
@@ -5,7 +5,7 @@
 import structlog
 import trio
 
-from citronwinch.coordination import Clock, Instance, Table
+from citronwinch.coordination import EMPTY_TABLE, Clock, Instance, Table
 from citronwinch.coordination.spread import (
     ControlBudget,
     ControlPriority,
@@ -94,8 +94,12 @@
 
     @property
     def table(self) -> Table:
-        """The table to decide by."""
-        return self.node.served_table
+        """The table to decide by; empty until the list of instances is known.
+
+        Without the list a process could neither answer its peers nor tell which of
+        them the platform has dropped.
+        """
+        return self.node.served_table if self.follower.has_list else EMPTY_TABLE
 
     @property
     def is_ready(self) -> bool:
--- a/citronwinch/platform/tests/test_follower.py
+++ b/citronwinch/platform/tests/test_follower.py
@@ -1,10 +1,12 @@
 """Contract tests of following the platform, against the stand-in on loopback."""
 
 import random
+import socket
 
 import pytest
 import trio
 import trio.testing
+from expression import Error, Ok
 
 from citronwinch.coordination import (
     Endpoint,
@@ -19,7 +21,9 @@
 from citronwinch.operators import format_table
 from citronwinch.platform import (
     MANIFEST_KEY,
+    InstanceList,
     KeyRequest,
+    KeyValue,
     ListRequest,
     PlatformFollower,
     read_instances,
@@ -27,7 +31,14 @@
 )
 from citronwinch.standins._platform import PlatformFaults, PlatformStandin
 
-PORT = 28_431
+
+def find_free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+PORT = find_free_port()
 
 
 def make_rows(weight=100):
@@ -138,6 +149,32 @@
     run_with(standin, action)
 
 
+LIST_RETRY_LIMIT_MS = 5_000
+
+
+@pytest.mark.parametrize("failures", [1, 2])
+def test_a_table_read_first_does_not_put_off_the_list(failures):
+    standin, reader = PlatformStandin(), Reader("g-6", InstanceRole.AGENT)
+    standin.publish_table(format_table(make_rows()))
+    standin.publish_instances([])
+    follower, list_reads = reader.follower, []
+    for _ in range(LIST_RETRY_LIMIT_MS * (failures + 1) // 200):
+        reader.clock.advance(200)
+        reader.node.tick()
+        for request in follower.take_requests():
+            if isinstance(request, ListRequest):
+                list_reads.append(reader.clock.now_ms())
+                is_down = len(list_reads) <= failures
+                answer = Error("down") if is_down else Ok(InstanceList(1, ()))
+                follower.accept_list(answer)
+                continue
+            index, value = standin.values[request.key]
+            if follower.accept_key(request, Ok(KeyValue(index, value.encode()))):
+                follower.accept_table(follower.reader.finish())
+    assert reader.revision == 1
+    assert follower.has_list
+
+
 FAULTS = {
     "down": PlatformFaults(unavailable=True),
     "slow": PlatformFaults(delay_ms=30),
