Let steering find the owner before a moved flow's request is answered unknown

After an edit the new home of an established flow got a packet before the owner's registration, and answered 'former_run' at once, though the owner was there. Change: a request of a flow whose home has just moved goes to steering first. The rule stands where the request would run or be refused: deliver and refuse still answer 'unknown' for it. A fresh process answers as before.

--- a/citronwinch/coordination/requests/_agent.py
+++ b/citronwinch/coordination/requests/_agent.py
@@ -88,7 +88,7 @@
         known = self._find_known(arrival)
         if known:
             return known
-        if not is_known_flow and self._is_former(arrival):
+        if not is_known_flow and arrival.moved_ms is None and self._is_former(arrival):
             return [tell_unknown(arrival.key, "former_run")]
         return []
 
