--- a/citronwinch/benches/_case_capacity.py
+++ b/citronwinch/benches/_case_capacity.py
@@ -21,6 +21,12 @@
     make_table,
     open_flows,
 )
+from citronwinch.configuration_service import (
+    MANIFEST_KEY,
+    join_table,
+    parse_manifest,
+    split_table,
+)
 from citronwinch.coordination import Table
 from citronwinch.coordination.spread import (
     MemberFact,
@@ -38,7 +44,6 @@
 )
 from citronwinch.coordination.steering import BalancerSteering, Hint
 from citronwinch.peers import Envelope, KeyRing, decode_envelope, encode_envelope
-from citronwinch.platform import MANIFEST_KEY, join_table, parse_manifest, split_table
 
 REPEATS = 3
 """How often a time is measured; the fastest counts."""
--- a/citronwinch/benches/_path_setup.py
+++ b/citronwinch/benches/_path_setup.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from citronwinch.configuration_service import format_instance
 from citronwinch.coordination import (
     Endpoint,
     Flow,
@@ -25,7 +26,6 @@
 from citronwinch.network import DatagramPort, serve
 from citronwinch.operators import Settings, configure_logging, format_table
 from citronwinch.peers import Envelope, KeyRing, PeerMessage, encode_envelope
-from citronwinch.platform import format_instance
 from citronwinch.standins import PlatformStandin
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
--- a/citronwinch/benches/_spread_fleet.py
+++ b/citronwinch/benches/_spread_fleet.py
@@ -6,6 +6,7 @@
 
 from citronwinch.benches._fakes import EventQueue, FakeLink, LinkFaults
 from citronwinch.benches._spread_platform import FakePlatform
+from citronwinch.configuration_service import KeyRequest, ListRequest, PlatformFollower
 from citronwinch.coordination import (
     Endpoint,
     Instance,
@@ -24,7 +25,6 @@
     TableVersion,
 )
 from citronwinch.peers import Envelope, encode_envelope
-from citronwinch.platform import KeyRequest, ListRequest, PlatformFollower
 
 TAG_BYTES = 16
 """What authentication adds to each message, in bytes."""
--- a/citronwinch/benches/_spread_platform.py
+++ b/citronwinch/benches/_spread_platform.py
@@ -7,8 +7,7 @@
 
 from expression import Error, Ok
 
-from citronwinch.coordination import Instance, Table, TableRow
-from citronwinch.platform import (
+from citronwinch.configuration_service import (
     InstanceList,
     KeyRequest,
     KeyValue,
@@ -16,6 +15,7 @@
     PlatformRequest,
     split_table,
 )
+from citronwinch.coordination import Instance, Table, TableRow
 
 if TYPE_CHECKING:
     from citronwinch.benches._spread_fleet import FakeDaemon, Fleet
--- a/citronwinch/platform/_follower.py
+++ b/citronwinch/configuration_service/_follower.py
@@ -4,10 +4,14 @@
 
 from expression import Result
 
+from citronwinch.configuration_service._client import (
+    MANIFEST_KEY,
+    InstanceList,
+    KeyValue,
+)
+from citronwinch.configuration_service._table_reader import TableRead, TableReader
 from citronwinch.coordination import Clock, InstanceRole
 from citronwinch.coordination.spread import SpreadNode
-from citronwinch.platform._client import MANIFEST_KEY, InstanceList, KeyValue
-from citronwinch.platform._table_reader import TableRead, TableReader
 
 WATCH_WAIT_MS = 20_000
 """How long one watch waits at the service, in milliseconds."""
--- a/citronwinch/platform/_table_keys.py
+++ b/citronwinch/configuration_service/_table_keys.py
@@ -14,6 +14,7 @@
 import xxhash
 from expression import Error, Ok, Result
 
+from citronwinch.configuration_service._client import MALFORMED_ERRORS, MANIFEST_KEY
 from citronwinch.coordination import EMPTY_TABLE, Table, TableRow, digest_rows
 from citronwinch.operators import (
     TableProblem,
@@ -21,7 +22,6 @@
     format_table,
     parse_table,
 )
-from citronwinch.platform._client import MALFORMED_ERRORS, MANIFEST_KEY
 
 REVISION_LIMIT = (1 << 63) - 1
 """The highest revision, so that it fits every message."""
--- a/citronwinch/platform/_table_reader.py
+++ b/citronwinch/configuration_service/_table_reader.py
@@ -6,11 +6,8 @@
 import orjson
 from expression import Error, Ok, Result
 
-from citronwinch.coordination import EMPTY_TABLE, Table, TableRow, digest_rows
-from citronwinch.coordination.spread import TableVersion, digest_services
-from citronwinch.operators import parse_table
-from citronwinch.platform._client import MANIFEST_KEY
-from citronwinch.platform._table_keys import (
+from citronwinch.configuration_service._client import MANIFEST_KEY
+from citronwinch.configuration_service._table_keys import (
     BUNDLE_KEY_PREFIX,
     INDEX_KEY_PREFIX,
     SERVICE_KEY_PREFIX,
@@ -21,6 +18,9 @@
     join_table,
     parse_manifest,
 )
+from citronwinch.coordination import EMPTY_TABLE, Table, TableRow, digest_rows
+from citronwinch.coordination.spread import TableVersion, digest_services
+from citronwinch.operators import parse_table
 
 BUNDLE_THRESHOLD = 3
 """From how many changed services on their bundle is read in place of their keys."""
--- a/citronwinch/platform/tests/test_contract.py
+++ b/citronwinch/configuration_service/tests/test_contract.py
@@ -4,9 +4,7 @@
 import pytest
 import trio
 
-from citronwinch.coordination import Endpoint
-from citronwinch.network import HttpResponse, serve
-from citronwinch.platform import (
+from citronwinch.configuration_service import (
     MANIFEST_KEY,
     SERVICE_KEY_PREFIX,
     join_table,
@@ -15,6 +13,8 @@
     read_key,
     split_table,
 )
+from citronwinch.coordination import Endpoint
+from citronwinch.network import HttpResponse, serve
 from citronwinch.standins import PlatformFaults, PlatformStandin
 
 HEADER = (
@@ -109,7 +109,7 @@
 @pytest.mark.parametrize("case", FAULTS.values(), ids=FAULTS.keys())
 def test_fault_is_an_error_that_names_step_and_peer(monkeypatch, case):
     faults, reason = case
-    monkeypatch.setattr("citronwinch.platform._client.READ_TIMEOUT_MS", 50)
+    monkeypatch.setattr("citronwinch.configuration_service._client.READ_TIMEOUT_MS", 50)
 
     async def check(standin, endpoint):
         standin.publish_table(TEXT)
--- a/citronwinch/platform/tests/test_follower.py
+++ b/citronwinch/configuration_service/tests/test_follower.py
@@ -8,6 +8,16 @@
 import trio.testing
 from expression import Error, Ok
 
+from citronwinch.configuration_service import (
+    MANIFEST_KEY,
+    InstanceList,
+    KeyRequest,
+    KeyValue,
+    ListRequest,
+    PlatformFollower,
+    read_instances,
+    read_key,
+)
 from citronwinch.coordination import (
     Endpoint,
     Instance,
@@ -19,16 +29,6 @@
 from citronwinch.coordination.spread import SpreadNode
 from citronwinch.network import serve
 from citronwinch.operators import format_table
-from citronwinch.platform import (
-    MANIFEST_KEY,
-    InstanceList,
-    KeyRequest,
-    KeyValue,
-    ListRequest,
-    PlatformFollower,
-    read_instances,
-    read_key,
-)
 from citronwinch.standins._platform import PlatformFaults, PlatformStandin
 
 
--- /dev/null
+++ b/citronwinch/coordination/flows/__init__.py
@@ -0,0 +1,93 @@
+"""Decisions about flows whose bytes are opaque: location, choice and knowledge.
+
+The ends of a flow speak to each other; balancers and agents only carry packets. The
+backend server itself refuses what it does not hold, so that no process here has to
+decide alone. `BalancerFlows` decides for a balancer, `AgentFlows` for an agent, and
+`DeploymentView`, `BalancerMembers` and the turns of reading keep the knowledge of a
+balancer current.
+"""
+
+from citronwinch.coordination.flows._actions import (
+    Action,
+    DeliverToCaller,
+    DeliverToServer,
+    Record,
+    ResetFlow,
+    SendMessage,
+    record,
+)
+from citronwinch.coordination.flows._agent_flows import AgentFlows
+from citronwinch.coordination.flows._balancer_flows import BalancerFlows
+from citronwinch.coordination.flows._deployment import (
+    EMPTY_LISTING,
+    BackendServer,
+    Configuration,
+    Route,
+    ServerListing,
+    ServerState,
+    ServiceShare,
+    choose_service,
+    pack_route_address,
+)
+from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._members import BalancerMembers
+from citronwinch.coordination.flows._messages import (
+    FlowAnswer,
+    FlowQuestion,
+    ForwardedPacket,
+    Heartbeat,
+    LoadReport,
+    Message,
+    ReturnedPacket,
+    Verdict,
+    ViewAnswer,
+)
+from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._read_turns import (
+    READ_INTERVAL_MS,
+    RETRY_MS,
+    find_patience_ms,
+    find_turn,
+)
+from citronwinch.coordination.flows._server_choice import ServerChoice
+from citronwinch.coordination.flows._view import DeploymentView
+
+__all__ = [
+    "Action",
+    "AgentFlows",
+    "BackendServer",
+    "BalancerFlows",
+    "BalancerMembers",
+    "Configuration",
+    "DeliverToCaller",
+    "DeliverToServer",
+    "DeploymentView",
+    "EMPTY_LISTING",
+    "FlowAnswer",
+    "FlowQuestion",
+    "FlowSearch",
+    "ForwardedPacket",
+    "Heartbeat",
+    "LoadReport",
+    "Message",
+    "Packet",
+    "READ_INTERVAL_MS",
+    "RETRY_MS",
+    "Record",
+    "ResetFlow",
+    "ReturnedPacket",
+    "Route",
+    "SearchStep",
+    "SendMessage",
+    "ServerChoice",
+    "ServerListing",
+    "ServerState",
+    "ServiceShare",
+    "Verdict",
+    "ViewAnswer",
+    "choose_service",
+    "find_patience_ms",
+    "find_turn",
+    "pack_route_address",
+    "record",
+]
--- /dev/null
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -0,0 +1,290 @@
+"""Decides for a balancer: where each packet of a caller goes."""
+
+from collections import Counter, OrderedDict
+
+from citronwinch.coordination._address import FlowKey, service_part
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._actions import (
+    Action,
+    ResetFlow,
+    SendMessage,
+    record,
+)
+from citronwinch.coordination.flows._deployment import Route, choose_service
+from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._messages import (
+    FlowAnswer,
+    FlowQuestion,
+    ForwardedPacket,
+    Verdict,
+)
+from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._server_choice import ServerChoice
+from citronwinch.coordination.flows._view import DeploymentView
+
+CONFIRMATION_MS = 120
+"""How long an agent may take to confirm an opening before a copy of it goes to
+another one, in milliseconds; shorter than the callers' first retransmission."""
+
+FLOW_LIMIT = 400_000
+"""The most flows that a balancer remembers; about 80 MB."""
+
+UNLOCATED_MS = 150
+"""How long a balancer does not ask again for a flow that nobody holds, in
+milliseconds; shorter than a caller's retransmission interval."""
+
+CURRENT_VIEW_MS = 2_500
+"""Up to this age a configuration is current enough to refuse an unknown address."""
+
+SWEEP_LIMIT = 500
+"""How many flows one sweep looks at."""
+
+
+class KnownFlow:
+    """Where a flow goes."""
+
+    def __init__(self, agent: str, service: str, now_ms: int) -> None:
+        self.agent = agent
+        self.service = service
+        self.seen_ms = now_ms
+        self.opened_ms: int | None = None
+        """When the opening was forwarded; None once the agent has confirmed it."""
+        self.tried: set[str] = set()
+
+
+class BalancerFlows:
+    """The flows that one balancer has seen, and the questions it has asked.
+
+    Nothing here is more than a hint. A balancer that does not know a flow asks the
+    agents of the service, which know what their backend servers hold.
+    """
+
+    def __init__(self, view: DeploymentView, choice: ServerChoice, clock: Clock):
+        self.view = view
+        self.choice = choice
+        self.clock = clock
+        self.flows: OrderedDict[FlowKey, KnownFlow] = OrderedDict()
+        self.searches: dict[FlowKey, FlowSearch] = {}
+        self.unlocated: OrderedDict[FlowKey, int] = OrderedDict()
+        self.counts: Counter[str] = Counter()
+
+    def handle_packet(self, packet: Packet) -> list[Action]:
+        """Take a packet from a caller."""
+        if packet.is_opening:
+            return self._handle_opening(packet)
+        known = self.flows.get(packet.flow)
+        if known is not None:
+            known.seen_ms = self.clock.now_ms()
+            return [_forward(known.agent, known.service, packet)]
+        return self._search(packet)
+
+    def _handle_opening(self, packet: Packet) -> list[Action]:
+        now_ms = self.clock.now_ms()
+        known = self.flows.get(packet.flow)
+        if known is not None:
+            is_late = (
+                known.opened_ms is not None
+                and now_ms - known.opened_ms > CONFIRMATION_MS
+            )
+            if not is_late:
+                return [_forward(known.agent, known.service, packet)]
+            known.tried.add(known.agent)
+            self.choice.note_unanswered(known.agent)
+        route = self._find_route(packet)
+        if route is None:
+            return self._refuse_unknown_address(packet)
+        service = choose_service(route, packet.flow)
+        return self._place(packet, service, known.tried if known else set())
+
+    def _place(self, packet: Packet, service: str, tried: set[str]) -> list[Action]:
+        servers = self.view.list_ready(service)
+        chosen = self.choice.choose(servers, tried)
+        if chosen is None:
+            self.flows.pop(packet.flow, None)
+            self.counts["openings_refused"] += 1
+            refusal = record(
+                "opening_refused",
+                packet,
+                service=service,
+                ready_servers=len(servers),
+                tried=sorted(tried),
+                view_age_ms=self.view.age_ms,
+            )
+            return [ResetFlow(packet), refusal]
+        agent = chosen.server.address.ip
+        now_ms = self.clock.now_ms()
+        flow = KnownFlow(agent, service, now_ms)
+        flow.opened_ms, flow.tried = now_ms, tried
+        self._remember(packet.flow, flow)
+        self.counts["openings_placed"] += 1
+        placed = record(
+            "opening_placed",
+            packet,
+            service=service,
+            server=chosen.server.name,
+            agent=agent,
+            score=chosen.score,
+            candidates=chosen.candidates,
+            attempt=len(tried) + 1,
+            view_age_ms=self.view.age_ms,
+        )
+        return [_forward(agent, service, packet), placed]
+
+    def _refuse_unknown_address(self, packet: Packet) -> list[Action]:
+        age_ms = self.view.age_ms
+        if age_ms is None or age_ms > CURRENT_VIEW_MS:
+            self.counts["unknown_address_ignored"] += 1
+            return []
+        self.counts["unknown_address_refused"] += 1
+        version = self.view.configuration.version if self.view.configuration else 0
+        refusal = record(
+            "unknown_address_refused",
+            packet,
+            configuration_version=version,
+            view_age_ms=age_ms,
+        )
+        return [ResetFlow(packet), refusal]
+
+    def handle_returned(self, packet: Packet, agent: str) -> list[Action]:
+        """Take back a packet that an agent's backend server does not take."""
+        known = self.flows.get(packet.flow)
+        search = self.searches.get(packet.flow)
+        if packet.is_opening:
+            if known is None or known.agent != agent:
+                return []
+            known.tried.add(agent)
+            return self._place(packet, known.service, known.tried)
+        if search is not None:
+            step = search.hear(agent, Verdict.ABSENT)
+            return self._follow(packet.flow, search, step)
+        if known is not None and known.agent != agent:
+            return [_forward(known.agent, known.service, packet)]
+        self.flows.pop(packet.flow, None)
+        self.counts["hints_withdrawn"] += 1
+        return self._search(packet, absent_at=agent)
+
+    def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
+        """Take what an agent says about a flow."""
+        search = self.searches.get(answer.flow)
+        known = self.flows.get(answer.flow)
+        if known is not None and search is None:
+            if known.agent == agent:
+                known.opened_ms = None
+            elif answer.verdict is Verdict.HELD:
+                known.agent, known.opened_ms = agent, None
+            return []
+        if search is None:
+            return []
+        step = search.hear(agent, answer.verdict)
+        return self._follow(answer.flow, search, step)
+
+    def tick(self) -> list[Action]:
+        """Move searches on whose agents do not answer; forget idle flows."""
+        actions: list[Action] = []
+        now_ms = self.clock.now_ms()
+        for key, search in list(self.searches.items()):
+            if now_ms >= search.deadline_ms:
+                actions += self._follow(key, search, search.time_out())
+        while self.unlocated:
+            key, since_ms = next(iter(self.unlocated.items()))
+            if now_ms - since_ms < UNLOCATED_MS:
+                break
+            del self.unlocated[key]
+        self._sweep(now_ms)
+        return actions
+
+    def _sweep(self, now_ms: int) -> None:
+        configuration = self.view.configuration
+        if configuration is None:
+            return
+        for _ in range(min(SWEEP_LIMIT, len(self.flows))):
+            key, flow = next(iter(self.flows.items()))
+            if now_ms - flow.seen_ms > configuration.flow_idle_ms:
+                del self.flows[key]
+            else:
+                self.flows.move_to_end(key)
+
+    def _search(self, packet: Packet, absent_at: str = "") -> list[Action]:
+        search = self.searches.get(packet.flow)
+        if search is not None:
+            search.hold(packet)
+            return []
+        route = self._find_route(packet)
+        if route is None:
+            return self._refuse_unknown_address(packet)
+        if packet.flow in self.unlocated:
+            return []
+        services = [share.service for share in route.shares]
+        holders = self.view.list_holders(services)
+        search = FlowSearch(self.choice.zone, holders, self.clock)
+        search.hold(packet)
+        self.searches[packet.flow] = search
+        self.counts["searches"] += 1
+        if absent_at:
+            search.hear(absent_at, Verdict.ABSENT)
+        return self._follow(packet.flow, search, search.start())
+
+    def _follow(
+        self, key: FlowKey, search: FlowSearch, step: SearchStep
+    ) -> list[Action]:
+        if step.holder is not None:
+            return self._finish_search(key, search, step)
+        actions: list[Action] = [
+            SendMessage(ip, FlowQuestion(key, search.held[0].acknowledged))
+            for ip in step.ask
+        ]
+        for ip in step.try_at:
+            service = search.services[ip]
+            actions += [_forward(ip, service, packet) for packet in search.held]
+        if step.is_over:
+            del self.searches[key]
+            self.unlocated[key] = self.clock.now_ms()
+            self.counts["searches_failed"] += 1
+            actions.append(
+                record(
+                    "flow_not_found",
+                    search.held[0],
+                    absent=sorted(search.list_by_verdict(Verdict.ABSENT)),
+                    silent=sorted(search.list_silent()),
+                    searched_ms=self.clock.now_ms() - search.started_ms,
+                )
+            )
+        return actions
+
+    def _finish_search(
+        self, key: FlowKey, search: FlowSearch, step: SearchStep
+    ) -> list[Action]:
+        assert step.holder is not None
+        del self.searches[key]
+        now_ms = self.clock.now_ms()
+        service = search.services[step.holder]
+        self._remember(key, KnownFlow(step.holder, service, now_ms))
+        self.counts["searches_succeeded"] += 1
+        found = record(
+            "flow_found",
+            search.held[0],
+            agent=step.holder,
+            asked=len(search.verdicts),
+            searched_ms=now_ms - search.started_ms,
+        )
+        if step.holder in search.tried:
+            # The agent has these packets from the trial.
+            return [found]
+        forwards = [_forward(step.holder, service, packet) for packet in search.held]
+        return [*forwards, found]
+
+    def _remember(self, key: FlowKey, flow: KnownFlow) -> None:
+        self.flows[key] = flow
+        self.flows.move_to_end(key)
+        while len(self.flows) > FLOW_LIMIT:
+            self.flows.popitem(last=False)
+
+    def _find_route(self, packet: Packet) -> Route | None:
+        configuration = self.view.configuration
+        if configuration is None:
+            return None
+        return configuration.routes.get(service_part(packet.flow))
+
+
+def _forward(agent: str, service: str, packet: Packet) -> SendMessage:
+    return SendMessage(agent, ForwardedPacket(service, packet.raw))
--- /dev/null
+++ b/citronwinch/coordination/flows/_deployment.py
@@ -0,0 +1,137 @@
+"""What the platform publishes: routes, services and backend servers."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+import xxhash
+
+from citronwinch.coordination._address import (
+    Endpoint,
+    FlowKey,
+    TransportProtocol,
+    pack_service_endpoint,
+)
+
+
+class ServiceShare(NamedTuple):
+    """The share of a route's new flows that goes to one service."""
+
+    service: str
+    """The service."""
+
+    weight: int
+    """The share, relative to the other weights of the route."""
+
+
+class Route(NamedTuple):
+    """Where the new flows to one service address go."""
+
+    name: str
+    """The operators' name of the route."""
+
+    address: Endpoint
+    """The service address that callers send to."""
+
+    shares: tuple[ServiceShare, ...]
+    """The services that take its new flows."""
+
+    priority: int
+    """How important its requests are; 0 is the most important."""
+
+    latency_objective_ms: int
+    """Within which time an answer is worth the most, in milliseconds."""
+
+    timeout_ms: int
+    """After which time an answer is worth nothing, in milliseconds."""
+
+
+class Configuration(NamedTuple):
+    """One accepted version of the operators' configuration."""
+
+    version: int
+    """Its number; a later version has a higher one."""
+
+    routes: dict[bytes, Route]
+    """The routes by service address, packed as in a flow key."""
+
+    flow_idle_ms: int
+    """After how long without packets a flow may be forgotten, in milliseconds."""
+
+
+class ServerState(IntEnum):
+    """Whether a backend server takes new flows."""
+
+    READY = 0
+    LEAVING = 1
+
+
+class BackendServer(NamedTuple):
+    """A backend server as the platform's store lists it."""
+
+    name: str
+    """Its identifier in the store."""
+
+    service: str
+    """The service that it belongs to."""
+
+    address: Endpoint
+    """Where it receives packets; its agent runs on the same instance."""
+
+    availability_zone: str
+    """Where it runs."""
+
+    state: ServerState
+    """Whether it takes new flows."""
+
+    slots: int
+    """How many requests it processes at once."""
+
+    started_ms: int
+    """Its incarnation: the Unix time of its start, in milliseconds."""
+
+
+class ServerListing(NamedTuple):
+    """All backend servers at one revision of the store."""
+
+    revision: int
+    """The store's revision at the time of reading."""
+
+    servers: dict[str, BackendServer]
+    """The backend servers by name."""
+
+    @property
+    def digest(self) -> int:
+        """Return a hash that is equal for equal listings, whatever their revision."""
+        ordered = sorted(self.servers.values())
+        return xxhash.xxh3_64_intdigest(repr(ordered).encode())
+
+
+EMPTY_LISTING = ServerListing(0, {})
+"""The listing of a process that has not read any."""
+
+
+def pack_route_address(address: Endpoint) -> bytes:
+    """Return the key of a route: its address as a flow key holds it."""
+    return pack_service_endpoint(TransportProtocol.TCP, address)
+
+
+def choose_service(route: Route, flow: FlowKey) -> str:
+    """Return the service of a new flow, the same on every balancer.
+
+    Example::
+
+        >>> from citronwinch.coordination import Endpoint
+        >>> shares = (ServiceShare("gauging", 1), ServiceShare("reporting", 0))
+        >>> route = Route("r", Endpoint("192.0.2.1", 80), shares, 0, 100, 1000)
+        >>> choose_service(route, FlowKey(b"any"))
+        'gauging'
+    """
+    total = sum(share.weight for share in route.shares)
+    if total <= 0:
+        return route.shares[0].service
+    point = xxhash.xxh3_64_intdigest(flow) % total
+    for share in route.shares:
+        if point < share.weight:
+            return share.service
+        point -= share.weight
+    raise AssertionError("the point lies below the sum of the weights")
--- /dev/null
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -0,0 +1,130 @@
+"""Finds the agent that holds a flow which a balancer does not know."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._messages import Verdict
+from citronwinch.coordination.flows._packets import Packet
+
+LOCAL_ANSWER_MS = 15
+"""How long agents of the own zone may take to answer, in milliseconds; many times the
+round trip within a zone."""
+
+REMOTE_ANSWER_MS = 60
+"""How long agents of other zones may take to answer, in milliseconds; several round
+trips between zones."""
+
+HELD_LIMIT = 16
+"""The most packets of one flow that wait for its location; the most that a caller has
+in flight."""
+
+
+class SearchStep(NamedTuple):
+    """What to do next in a search."""
+
+    ask: tuple[str, ...] = ()
+    """The agents to be asked."""
+
+    try_at: tuple[str, ...] = ()
+    """The agents that get the held packets so that they find out."""
+
+    holder: str | None = None
+    """The agent that holds the flow."""
+
+    is_over: bool = False
+    """Whether nobody is left who might hold it."""
+
+
+class FlowSearch:
+    """The search for one flow: the own zone first, then everybody else.
+
+    In each of the two rounds agents are asked, and those that do not know yet get
+    the packets. A backend server gives back what it does not hold, so that a wrong
+    trial costs a few packets and harms nothing.
+    """
+
+    def __init__(
+        self, zone: str, holders: Sequence[BackendServer], clock: Clock
+    ) -> None:
+        self.clock = clock
+        self.started_ms = clock.now_ms()
+        self.deadline_ms = self.started_ms
+        self.services = {server.address.ip: server.service for server in holders}
+        local = [s.address.ip for s in holders if s.availability_zone == zone]
+        remote = [ip for ip in self.services if ip not in local]
+        self.rounds = [ips for ips in (local, remote) if ips]
+        self.answer_limits_ms = [
+            LOCAL_ANSWER_MS if ips is local else REMOTE_ANSWER_MS for ips in self.rounds
+        ]
+        self.current: list[str] = []
+        self.is_trying = False
+        self.verdicts: dict[str, Verdict | None] = {}
+        self.tried: set[str] = set()
+        self.held: list[Packet] = []
+
+    def hold(self, packet: Packet) -> None:
+        """Keep a packet until the flow is found."""
+        if len(self.held) < HELD_LIMIT:
+            self.held.append(packet)
+
+    def start(self) -> SearchStep:
+        """Begin with the first round."""
+        return self._next_round()
+
+    def hear(self, agent: str, verdict: Verdict) -> SearchStep:
+        """Take an agent's verdict."""
+        if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
+            return SearchStep(holder=agent)
+        self.verdicts[agent] = verdict
+        return self._proceed()
+
+    def time_out(self) -> SearchStep:
+        """Go on without those that have not answered."""
+        if not self.is_trying:
+            uncertain = self._list_uncertain()
+            if uncertain:
+                return self._try(uncertain)
+        return self._next_round()
+
+    def list_by_verdict(self, verdict: Verdict) -> list[str]:
+        """Return the agents that gave a verdict."""
+        return [ip for ip, given in self.verdicts.items() if given is verdict]
+
+    def list_silent(self) -> list[str]:
+        """Return the agents that did not answer."""
+        return [ip for ip, given in self.verdicts.items() if given is None]
+
+    def _proceed(self) -> SearchStep:
+        if not self.current:
+            return SearchStep()
+        waiting_for = (None, Verdict.UNCERTAIN) if self.is_trying else (None,)
+        if any(self.verdicts[ip] in waiting_for for ip in self.current):
+            return SearchStep()
+        uncertain = self._list_uncertain()
+        return self._try(uncertain) if uncertain else self._next_round()
+
+    def _list_uncertain(self) -> list[str]:
+        return [ip for ip in self.current if self.verdicts[ip] is Verdict.UNCERTAIN]
+
+    def _try(self, agents: list[str]) -> SearchStep:
+        self.is_trying = True
+        self.tried.update(agents)
+        self._wait()
+        return SearchStep(try_at=tuple(agents))
+
+    def _next_round(self) -> SearchStep:
+        self.is_trying = False
+        while self.rounds:
+            round_ips = self.rounds.pop(0)
+            self.answer_limit_ms = self.answer_limits_ms.pop(0)
+            self.current = [ip for ip in round_ips if ip not in self.verdicts]
+            if self.current:
+                self.verdicts |= dict.fromkeys(self.current)
+                self._wait()
+                return SearchStep(ask=tuple(self.current))
+        return SearchStep(is_over=True)
+
+    def _wait(self) -> None:
+        self.deadline_ms = self.clock.now_ms() + self.answer_limit_ms
--- /dev/null
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -0,0 +1,146 @@
+"""Chooses the backend server that takes a new flow."""
+
+import random
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._messages import LoadReport
+
+WAITING_WEIGHT = 4.0
+"""How many open flows count as much as one request that waits now."""
+
+REMOTE_FACTOR = 1.5
+"""How much busier the own availability zone must be before a flow leaves it."""
+
+REMOTE_FLOWS = 3.0
+"""The flows by which it must at least be busier."""
+
+SLOWNESS_LIMIT = 4.0
+"""The most that slow answers raise a backend server's load."""
+
+SILENT_AGENT_MS = 1_100
+"""After this long without a message an agent of the own zone is passed over, in
+milliseconds: three heartbeats and their answers."""
+
+SILENT_REMOTE_AGENT_MS = 5_000
+"""The same for an agent of another zone, which gets fewer heartbeats."""
+
+
+class AgentRecord:
+    """What a balancer knows of one agent."""
+
+    def __init__(self, heard_ms: int) -> None:
+        self.report: LoadReport | None = None
+        self.heard_ms = heard_ms
+        self.placed = 0
+        self.unanswered = 0
+
+
+class Chosen(NamedTuple):
+    """A choice with what decided it."""
+
+    server: BackendServer
+    """The backend server."""
+
+    score: float
+    """Its load at that moment; the lowest of the candidates."""
+
+    candidates: int
+    """How many servers could have been chosen."""
+
+
+class ServerChoice:
+    """Places new flows by what agents report and what was placed since."""
+
+    def __init__(self, zone: str, clock: Clock, rng: random.Random) -> None:
+        self.zone = zone
+        self.clock = clock
+        self.rng = rng
+        self.agents: dict[str, AgentRecord] = {}
+
+    def hear(self, ip: str, report: LoadReport | None = None) -> None:
+        """Note that an agent was heard from."""
+        now_ms = self.clock.now_ms()
+        agent = self.agents.get(ip)
+        if agent is None:
+            agent = self.agents[ip] = AgentRecord(now_ms)
+        agent.heard_ms = now_ms
+        if report is not None:
+            agent.report = report
+            agent.placed = 0
+            agent.unanswered = 0
+
+    def note_unanswered(self, ip: str) -> None:
+        """Note that an agent did not confirm a new flow in time."""
+        if ip in self.agents:
+            self.agents[ip].unanswered += 1
+
+    def keep_only(self, ips: Collection[str]) -> None:
+        """Forget agents that are no longer listed."""
+        for ip in self.agents.keys() - set(ips):
+            del self.agents[ip]
+
+    def is_silent(self, server: BackendServer) -> bool:
+        """Return whether the agent of a backend server has not been heard of late."""
+        agent = self.agents.get(server.address.ip)
+        if agent is None:
+            return True
+        is_local = server.availability_zone == self.zone
+        limit_ms = SILENT_AGENT_MS if is_local else SILENT_REMOTE_AGENT_MS
+        return agent.unanswered > 0 or self.clock.now_ms() - agent.heard_ms > limit_ms
+
+    def choose(
+        self, servers: Sequence[BackendServer], tried: Collection[str] = ()
+    ) -> Chosen | None:
+        """Return the least loaded backend server, None when all have been tried.
+
+        Agents that are silent or about to stop are used only when no other is left.
+        """
+        untried = [server for server in servers if server.address.ip not in tried]
+        answering = [server for server in untried if not self._is_doubtful(server)]
+        candidates = answering or untried
+        if not candidates:
+            return None
+        usual_ms = self._find_usual_latency_ms(candidates)
+        scored = [
+            (self._score(server, usual_ms), self.rng.random(), server)
+            for server in candidates
+        ]
+        score, _, server = min(scored)
+        record = self.agents.setdefault(
+            server.address.ip, AgentRecord(-SILENT_REMOTE_AGENT_MS)
+        )
+        record.placed += 1
+        return Chosen(server, round(score, 1), len(candidates))
+
+    def _is_doubtful(self, server: BackendServer) -> bool:
+        if self.is_silent(server):
+            return True
+        report = self.agents[server.address.ip].report
+        return report is not None and report.is_leaving
+
+    def _find_usual_latency_ms(self, servers: Sequence[BackendServer]) -> float:
+        latencies = sorted(
+            agent.report.latency_ms
+            for server in servers
+            if (agent := self.agents.get(server.address.ip)) and agent.report
+        )
+        return max(1.0, latencies[len(latencies) // 2]) if latencies else 1.0
+
+    def _score(self, server: BackendServer, usual_ms: float) -> float:
+        agent = self.agents.get(server.address.ip)
+        flows = waiting = 0.0
+        slowness = 1.0
+        if agent is not None:
+            flows = waiting = agent.placed
+            if agent.report is not None:
+                flows += agent.report.open_flows
+                waiting += agent.report.waiting
+                slowness = agent.report.latency_ms / usual_ms
+        slowness = min(max(slowness, 1.0), SLOWNESS_LIMIT)
+        score = (flows + WAITING_WEIGHT * waiting) * slowness / max(server.slots, 1)
+        if server.availability_zone != self.zone:
+            score = score * REMOTE_FACTOR + REMOTE_FLOWS
+        return score
--- /dev/null
+++ b/citronwinch/coordination/flows/_view.py
@@ -0,0 +1,156 @@
+"""What a balancer knows of the deployment, and how old that knowledge is."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._deployment import (
+    EMPTY_LISTING,
+    BackendServer,
+    Configuration,
+    ServerListing,
+    ServerState,
+)
+
+RETURN_GRACE_MS = 2_000
+"""How long entries may be missing after the store's return before their servers count
+as gone, in milliseconds; the platform states this time."""
+
+GAP_MS = 1_500
+"""A listing that follows this many milliseconds without one follows an outage; two
+reads of the slowest usual reader fit into it."""
+
+FORMER_KEPT_MS = 60_000
+"""How long the agents of former backend servers are still asked for flows, in
+milliseconds; the platform's longest lifetime of a flow."""
+
+
+class FormerServer(NamedTuple):
+    """A backend server that the listing no longer has."""
+
+    server: BackendServer
+    """Its last entry."""
+
+    gone_ms: int
+    """When it was first missing."""
+
+
+class DeploymentView:
+    """The newest configuration and listing that this process has seen.
+
+    A version never goes back. Entries that are missing right after an outage of the
+    store are kept for the time in which live servers register again.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.configuration: Configuration | None = None
+        self.listing = EMPTY_LISTING
+        self.listing_digest = EMPTY_LISTING.digest
+        self.confirmed_ms: int | None = None
+        self.grace_until_ms = 0
+        self.former: dict[str, FormerServer] = {}
+        self.retained: dict[str, BackendServer] = {}
+        self.by_service: dict[str, list[BackendServer]] = {}
+
+    @property
+    def age_ms(self) -> int | None:
+        """How long ago the listing was confirmed, None without a listing."""
+        if self.confirmed_ms is None:
+            return None
+        return self.clock.now_ms() - self.confirmed_ms
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether both a configuration and a listing are known."""
+        return self.configuration is not None and self.confirmed_ms is not None
+
+    def accept_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def accept_listing(self, listing: ServerListing, confirmed_ms: int) -> bool:
+        """Take a listing that was true at a time; return whether it changed anything.
+
+        A listing of an older revision than the current one is ignored.
+        """
+        if self.confirmed_ms is not None and listing.revision < self.listing.revision:
+            return False
+        now_ms = self.clock.now_ms()
+        if self.confirmed_ms is not None and confirmed_ms - self.confirmed_ms > GAP_MS:
+            self.grace_until_ms = now_ms + RETURN_GRACE_MS
+        previous, previous_digest = self.listing.servers, self.listing_digest
+        self.listing, self.listing_digest = listing, listing.digest
+        self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
+        for name, server in (previous | self.retained).items():
+            if name not in listing.servers:
+                self.former.setdefault(name, FormerServer(server, now_ms))
+                if now_ms < self.grace_until_ms:
+                    self.retained[name] = server
+        for name in listing.servers:
+            self.former.pop(name, None)
+            self.retained.pop(name, None)
+        self._index()
+        return self.listing_digest != previous_digest
+
+    def confirm(self, revision: int, confirmed_ms: int) -> None:
+        """Note that the current listing was still true at a later revision."""
+        if self.confirmed_ms is None or revision < self.listing.revision:
+            return
+        self.listing = self.listing._replace(revision=revision)
+        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+
+    def expire(self) -> list[BackendServer]:
+        """Drop what has been missing too long; return the servers now taken as gone."""
+        now_ms = self.clock.now_ms()
+        dropped = []
+        if self.retained and now_ms >= self.grace_until_ms:
+            dropped = list(self.retained.values())
+            self.retained.clear()
+            self._index()
+        expired = [
+            name
+            for name, former in self.former.items()
+            if now_ms - former.gone_ms > FORMER_KEPT_MS
+        ]
+        for name in expired:
+            del self.former[name]
+        return dropped
+
+    def list_ready(self, service: str) -> list[BackendServer]:
+        """Return the backend servers of a service that may take new flows."""
+        return [
+            server
+            for server in self.by_service.get(service, ())
+            if server.state is ServerState.READY
+        ]
+
+    def list_holders(self, services: Iterable[str]) -> list[BackendServer]:
+        """Return every backend server that may hold flows of the services.
+
+        Servers that have left the listing come last.
+        """
+        wanted = set(services)
+        holders = [
+            server for service in wanted for server in self.by_service.get(service, ())
+        ]
+        known = {server.address.ip for server in holders}
+        holders += [
+            former.server
+            for former in self.former.values()
+            if former.server.service in wanted and former.server.address.ip not in known
+        ]
+        return holders
+
+    def list_agents(self) -> list[BackendServer]:
+        """Return the backend servers that are listed or retained."""
+        return [server for group in self.by_service.values() for server in group]
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for server in (self.listing.servers | self.retained).values():
+            self.by_service.setdefault(server.service, []).append(server)
--- a/citronwinch/daemon/_events.py
+++ b/citronwinch/daemon/_events.py
@@ -5,10 +5,15 @@
 from expression import Result
 
 from citronwinch.backend_servers import Reply
+from citronwinch.configuration_service import (
+    InstanceList,
+    KeyRequest,
+    KeyValue,
+    TableRead,
+)
 from citronwinch.coordination import Instance
 from citronwinch.network import Datagram
 from citronwinch.peers import Envelope
-from citronwinch.platform import InstanceList, KeyRequest, KeyValue, TableRead
 
 
 class FabricBatch(NamedTuple):
--- a/citronwinch/daemon/_peer_port.py
+++ b/citronwinch/daemon/_peer_port.py
@@ -9,12 +9,11 @@
     ControlPriority,
     ReplayWindow,
 )
-from citronwinch.network import Datagram, DatagramPort
+from citronwinch.network import Datagram, DatagramPort, MalformedMessageError
 from citronwinch.operators import Metrics
 from citronwinch.peers import (
     Envelope,
     KeyRing,
-    MalformedMessageError,
     PeerMessage,
     decode_envelope,
     encode_envelope,
--- a/citronwinch/daemon/_platform_watch.py
+++ b/citronwinch/daemon/_platform_watch.py
@@ -5,9 +5,7 @@
 import trio
 from expression import Result
 
-from citronwinch.coordination import Endpoint
-from citronwinch.daemon._events import Event, KeyWasRead, ListWasRead, TableWasJoined
-from citronwinch.platform import (
+from citronwinch.configuration_service import (
     InstanceList,
     KeyRequest,
     KeyValue,
@@ -16,6 +14,8 @@
     read_instances,
     read_key,
 )
+from citronwinch.coordination import Endpoint
+from citronwinch.daemon._events import Event, KeyWasRead, ListWasRead, TableWasJoined
 
 REQUEST_LIMIT = 4
 """The most requests that wait for a task; the deciding task keeps one in flight."""
--- a/citronwinch/daemon/_spread_task.py
+++ b/citronwinch/daemon/_spread_task.py
@@ -5,6 +5,7 @@
 import structlog
 import trio
 
+from citronwinch.configuration_service import KeyRequest, ListRequest, PlatformFollower
 from citronwinch.coordination import EMPTY_TABLE, Clock, Instance, Table
 from citronwinch.coordination.spread import (
     ControlBudget,
@@ -33,7 +34,6 @@
 )
 from citronwinch.operators import Metrics, Settings
 from citronwinch.peers import Envelope
-from citronwinch.platform import KeyRequest, ListRequest, PlatformFollower
 
 INSTANCES_INTERVAL_MS = 200
 """The shortest time between two changes of the instances, in milliseconds."""
--- /dev/null
+++ b/citronwinch/flow_peers/flows.capnp
@@ -0,0 +1,79 @@
+@0xb7f21d0c55a94e31;
+# Messages between balancers and agents that carry flows with opaque bytes.
+
+struct Heartbeat {
+  incarnation @0 :UInt64;
+  availabilityZone @1 :Text;
+  isLeaving @2 :Bool;
+  revision @3 :UInt64;
+  listingDigest @4 :UInt64;
+  listingAgeMs @5 :UInt32;
+  configurationVersion @6 :UInt64;
+  balancers @7 :List(Text);
+}
+
+struct LoadReport {
+  service @0 :Text;
+  openFlows @1 :UInt32;
+  waiting @2 :UInt32;
+  latencyMs @3 :UInt32;
+  isLeaving @4 :Bool;
+}
+
+struct FlowQuestion {
+  flow @0 :Data;
+  acknowledged @1 :UInt32;
+}
+
+struct FlowAnswer {
+  flow @0 :Data;
+  verdict @1 :UInt8;
+}
+
+struct FlowMessage {
+  union {
+    heartbeat @0 :Heartbeat;
+    loadReport @1 :LoadReport;
+    question @2 :FlowQuestion;
+    answer @3 :FlowAnswer;
+  }
+}
+
+struct Server {
+  name @0 :Text;
+  service @1 :Text;
+  ip @2 :Text;
+  port @3 :UInt16;
+  availabilityZone @4 :Text;
+  state @5 :UInt8;
+  slots @6 :UInt32;
+  startedMs @7 :UInt64;
+}
+
+struct Share {
+  service @0 :Text;
+  weight @1 :UInt32;
+}
+
+struct Route {
+  name @0 :Text;
+  ip @1 :Text;
+  port @2 :UInt16;
+  shares @3 :List(Share);
+  priority @4 :UInt32;
+  latencyObjectiveMs @5 :UInt32;
+  timeoutMs @6 :UInt32;
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  routes @1 :List(Route);
+  flowIdleMs @2 :UInt32;
+}
+
+struct View {
+  revision @0 :UInt64;
+  servers @1 :List(Server);
+  listingAgeMs @2 :UInt32;
+  configuration @3 :Configuration;
+}
--- /dev/null
+++ b/citronwinch/forwarder/__init__.py
@@ -0,0 +1,15 @@
+"""The processes that carry flows with opaque bytes: balancer and agent."""
+
+from citronwinch.forwarder._run import run_forwarder
+from citronwinch.forwarder._settings import (
+    FORWARDER_SPECS,
+    ForwarderSettings,
+    parse_forwarder_settings,
+)
+
+__all__ = [
+    "FORWARDER_SPECS",
+    "ForwarderSettings",
+    "parse_forwarder_settings",
+    "run_forwarder",
+]
--- /dev/null
+++ b/citronwinch/forwarder/_agent_process.py
@@ -0,0 +1,100 @@
+"""The agent: carries packets between balancers, its backend server and callers."""
+
+import trio
+
+from citronwinch.coordination.flows import (
+    AgentFlows,
+    FlowQuestion,
+    ForwardedPacket,
+    Heartbeat,
+    LoadReport,
+    Message,
+)
+from citronwinch.forwarder._process import ForwarderProcess
+from citronwinch.forwarder._settings import ForwarderSettings
+from citronwinch.network import DatagramPort
+from citronwinch.platform import decode_caller_packet, decode_server_packet
+
+REPORT_INTERVAL_MS = 100
+"""How often a changed load is told to the balancers of the own zone, in milliseconds;
+about as long as five requests take."""
+
+BALANCER_TIMEOUT_MS = 2_000
+"""How long a balancer without a heartbeat still gets load reports, in milliseconds."""
+
+STOP_MS = 100
+"""How long a stopping agent still forwards, in milliseconds; balancers hear within
+that time that it takes no new flows."""
+
+
+class AgentProcess(ForwarderProcess):
+    """The process beside one backend server."""
+
+    def __init__(self, settings: ForwarderSettings) -> None:
+        assert settings.outbound_address is not None
+        super().__init__(settings, DatagramPort(settings.outbound_address))
+        self.flows = AgentFlows(
+            settings.service, self.clock, knows_all_flows=settings.is_first_start
+        )
+        self.balancers: dict[str, int] = {}
+        self.reported: LoadReport | None = None
+        self.reported_ms = self.started_ms
+
+    def is_ready(self) -> bool:
+        """Return True: an agent needs to know nothing before it delivers."""
+        return True
+
+    def start_tasks(self, nursery: trio.Nursery) -> None:
+        """Start no further tasks."""
+
+    def handle_message(self, message: Message, sender: str) -> None:
+        """React to a balancer."""
+        if isinstance(message, ForwardedPacket):
+            packet = decode_caller_packet(message.raw)
+            self.metrics.count("packets_forwarded_total")
+            self.perform(self.flows.handle_forwarded(message, packet, sender))
+        elif isinstance(message, FlowQuestion):
+            self.send(sender, self.flows.answer(message))
+        elif isinstance(message, Heartbeat):
+            if message.availability_zone == self.settings.availability_zone:
+                self.balancers[sender] = self.clock.now_ms()
+            self.send(sender, self.flows.report())
+
+    def handle_packet(self, data: bytes) -> None:
+        """React to the backend server."""
+        self.metrics.count("packets_from_server_total")
+        self.perform(self.flows.handle_from_server(decode_server_packet(data)))
+
+    def tick(self) -> None:
+        """Report a changed load; forget idle flows."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.reported_ms < REPORT_INTERVAL_MS:
+            return
+        self.reported_ms = now_ms
+        self.flows.expire()
+        report = self.flows.report()
+        self.metrics.set_gauge("open_flows", report.open_flows)
+        self.metrics.set_gauge("waiting_requests", report.waiting)
+        self.metrics.set_gauge("request_latency_ms", report.latency_ms)
+        if report == self.reported:
+            return
+        self.reported = report
+        self._send_report(report)
+
+    def _send_report(self, report: LoadReport) -> None:
+        now_ms = self.clock.now_ms()
+        for ip, heard_ms in list(self.balancers.items()):
+            if now_ms - heard_ms > BALANCER_TIMEOUT_MS:
+                del self.balancers[ip]
+            else:
+                self.send(ip, report)
+
+    def begin_stop(self) -> None:
+        """Tell the balancers that this agent is about to stop."""
+        self.flows.is_leaving = True
+        self._send_report(self.flows.report())
+
+    def is_stopped(self) -> bool:
+        """Return whether the balancers have had time to hear of the stop."""
+        assert self.stop_ms is not None
+        return self.clock.now_ms() - self.stop_ms >= STOP_MS
--- /dev/null
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -0,0 +1,169 @@
+"""The balancer: takes callers' packets from the routers."""
+
+import random
+
+import structlog
+import trio
+
+from citronwinch.coordination import Endpoint
+from citronwinch.coordination.flows import (
+    BalancerFlows,
+    BalancerMembers,
+    DeploymentView,
+    FlowAnswer,
+    Heartbeat,
+    LoadReport,
+    Message,
+    ReturnedPacket,
+    ServerChoice,
+)
+from citronwinch.forwarder._process import ForwarderProcess
+from citronwinch.forwarder._settings import ForwarderSettings
+from citronwinch.forwarder._view_exchange import ViewExchange
+from citronwinch.network import DatagramPort
+from citronwinch.platform import decode_caller_packet
+
+BALANCER_HEARTBEAT_MS = 1_000
+"""How often balancers hear from each other, in milliseconds."""
+
+AGENT_HEARTBEAT_MS = 300
+"""How often agents of the own zone hear from a balancer, in milliseconds."""
+
+REMOTE_AGENT_HEARTBEAT_MS = 2_000
+"""How often agents of other zones hear from a balancer, in milliseconds; bytes between
+zones are dear."""
+
+STOP_MARGIN_MS = 1_500
+"""How long before it would be killed a stopping balancer ends, in milliseconds."""
+
+STARTING_AGE_MS = 1_500
+"""A listing that is older than this does not make a starting balancer ready at once."""
+
+STARTING_WAIT_MS = 2_500
+"""After this long a starting balancer is ready with what it knows, in milliseconds."""
+
+log = structlog.get_logger()
+
+
+class BalancerProcess(ForwarderProcess):
+    """The process on an entry instance."""
+
+    def __init__(self, settings: ForwarderSettings) -> None:
+        super().__init__(settings, DatagramPort(settings.packet_address))
+        self.view = DeploymentView(self.clock)
+        rng = random.Random(settings.name)
+        self.choice = ServerChoice(settings.availability_zone, self.clock, rng)
+        self.flows = BalancerFlows(self.view, self.choice, self.clock)
+        seeds = [seed.ip for seed in settings.seeds]
+        self.members = BalancerMembers(settings.ip, seeds, self.clock)
+        self.exchange = ViewExchange(self)
+        self.was_ready = False
+        self.sent_ms: dict[str, int] = {}
+
+    def is_ready(self) -> bool:
+        """Return whether the configuration and the backend servers are known."""
+        if self.was_ready or not self.view.is_complete:
+            return self.was_ready
+        age_ms = self.view.age_ms
+        waited_ms = self.clock.now_ms() - self.started_ms
+        is_current = age_ms is not None and age_ms <= STARTING_AGE_MS
+        if is_current or waited_ms >= STARTING_WAIT_MS:
+            self.was_ready = True
+            log.info("ready", after_ms=waited_ms, view_age_ms=age_ms)
+        return self.was_ready
+
+    def start_tasks(self, nursery: trio.Nursery) -> None:
+        """Start what keeps the view current."""
+        self.exchange.start_tasks(nursery)
+
+    def handle_message(self, message: Message, sender: str) -> None:
+        """React to an agent or another balancer."""
+        if isinstance(message, FlowAnswer):
+            self.choice.hear(sender)
+            self.perform(self.flows.handle_answer(message, sender))
+        elif isinstance(message, ReturnedPacket):
+            packet = decode_caller_packet(message.raw)
+            self.metrics.count("packets_returned_total")
+            self.perform(self.flows.handle_returned(packet, sender))
+        elif isinstance(message, LoadReport):
+            self.choice.hear(sender, message)
+        elif isinstance(message, Heartbeat):
+            self._handle_heartbeat(message, sender)
+
+    def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
+        if self.members.hear(sender, heartbeat):
+            log.info(
+                "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
+            )
+            self._send_heartbeat(sender)
+        self.exchange.hear(heartbeat, sender)
+
+    def handle_packet(self, data: bytes) -> None:
+        """React to a caller."""
+        packet = decode_caller_packet(data)
+        self.metrics.count("packets_from_callers_total")
+        self.perform(self.flows.handle_packet(packet))
+
+    def tick(self) -> None:
+        """Act on the time."""
+        self.perform(self.flows.tick())
+        for server in self.view.expire():
+            log.info("server_gone", server=server.name, service=server.service)
+        for ip in self.members.expire():
+            log.info("balancer_lost", balancer=ip)
+        self._send_heartbeats()
+        self.exchange.tick()
+        self.metrics.set_gauge("known_flows", len(self.flows.flows))
+        self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
+
+    def _send_heartbeats(self) -> None:
+        for ip in self.members.list_receivers():
+            self._send_due_heartbeat(ip, BALANCER_HEARTBEAT_MS)
+        for server in self.view.list_agents():
+            is_local = server.availability_zone == self.settings.availability_zone
+            interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
+            self._send_due_heartbeat(server.address.ip, interval_ms)
+
+    def _send_due_heartbeat(self, ip: str, interval_ms: int) -> None:
+        if self.clock.now_ms() - self.sent_ms.get(ip, -interval_ms) >= interval_ms:
+            self._send_heartbeat(ip)
+
+    def _send_heartbeat(self, ip: str) -> None:
+        self.sent_ms[ip] = self.clock.now_ms()
+        self.send(ip, self.make_heartbeat())
+
+    def announce_view(self) -> None:
+        """Tell all balancers what has just been read."""
+        for ip in self.members.list_receivers():
+            self._send_heartbeat(ip)
+
+    def make_heartbeat(self) -> Heartbeat:
+        """Return what this balancer tells about itself."""
+        view = self.view
+        age_ms = view.age_ms
+        configuration = view.configuration
+        return Heartbeat(
+            self.incarnation,
+            self.settings.availability_zone,
+            self.stop_ms is not None,
+            view.listing.revision,
+            view.listing_digest,
+            min(age_ms if age_ms is not None else 0xFFFFFFFF, 0xFFFFFFFF),
+            configuration.version if configuration is not None else 0,
+            tuple(sorted(self.members.members)),
+        )
+
+    def begin_stop(self) -> None:
+        """Let the routers and the other balancers know; go on forwarding."""
+        for ip in self.members.list_receivers():
+            self._send_heartbeat(ip)
+
+    def is_stopped(self) -> bool:
+        """Return whether the routers have had time to use other balancers."""
+        assert self.stop_ms is not None
+        wait_ms = self.settings.stop_timeout_s * 1000 - STOP_MARGIN_MS
+        return self.clock.now_ms() - self.stop_ms >= wait_ms
+
+    def find_peer_endpoint(self, ip: str) -> Endpoint:
+        """Return where another balancer serves what it knows."""
+        return Endpoint(ip, self.settings.peer_port)
--- /dev/null
+++ b/citronwinch/forwarder/_settings.py
@@ -0,0 +1,145 @@
+"""Settings of a balancer or agent that carries flows with opaque bytes."""
+
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from citronwinch.coordination import Endpoint, InstanceRole
+from citronwinch.operators import (
+    SettingSpec,
+    SettingsProblem,
+    SettingValueError,
+    list_form_problems,
+    parse_endpoint,
+    parse_endpoints,
+    parse_ini,
+    parse_ip,
+    parse_name,
+    parse_number,
+    parse_role,
+    read_setting,
+)
+
+
+class ForwarderSettings(NamedTuple):
+    """The checked settings of one process."""
+
+    name: str
+    """The instance's name."""
+
+    role: InstanceRole
+    """What the process does."""
+
+    availability_zone: str
+    """Where it runs."""
+
+    is_first_start: bool
+    """Whether the whole deployment starts for the first time."""
+
+    ip: str
+    """The instance's address."""
+
+    peer_port: int
+    """The port for the system's own processes, over UDP and TCP, on every instance."""
+
+    ready_address: Endpoint
+    """Where the routers ask whether the process takes packets."""
+
+    packet_address: Endpoint
+    """Where routers send callers' packets; callers receive at the same port number."""
+
+    seeds: tuple[Endpoint, ...]
+    """Balancers to start with; they may be stale or down."""
+
+    store_address: Endpoint | None
+    """The platform's store; None for an agent, which does not read it."""
+
+    service: str
+    """The service of an agent's backend server; empty for a balancer."""
+
+    server_address: Endpoint | None
+    """Where an agent's backend server receives packets."""
+
+    outbound_address: Endpoint | None
+    """Where an agent's backend server sends its packets to."""
+
+    stop_timeout_s: int
+    """After how long a stopping process is killed, in seconds."""
+
+    metrics_port: int
+    """The port that serves metrics; 0 serves none."""
+
+
+def _parse_flag(value: str) -> bool:
+    if value not in ("true", "false"):
+        raise SettingValueError("true or false")
+    return value == "true"
+
+
+def _parse_first_port(value: str) -> int:
+    first = value.partition(",")[0].strip()
+    return parse_number(1, 65_535, "a port number")(first)
+
+
+def _parse_seeds(value: str) -> tuple[Endpoint, ...]:
+    return parse_endpoints(value) if value else ()
+
+
+FORWARDER_SPECS = (
+    SettingSpec("instance", "name", "name", parse_name),
+    SettingSpec("instance", "role", "role", parse_role),
+    SettingSpec("instance", "availability_zone", "availability_zone", parse_name),
+    SettingSpec("instance", "first_start", "is_first_start", _parse_flag, False),
+    SettingSpec("listen", "ip", "ip", parse_ip),
+    SettingSpec("listen", "peer_ports", "peer_port", _parse_first_port),
+    SettingSpec("listen", "ready", "ready_address", parse_endpoint),
+    SettingSpec("listen", "packets", "packet_address", parse_endpoint),
+    SettingSpec(
+        "listen", "metrics_port", "metrics_port", parse_number(0, 65_535, "a port"), 0
+    ),
+    SettingSpec("peers", "seeds", "seeds", _parse_seeds, ()),
+    SettingSpec("store", "address", "store_address", parse_endpoint, None),
+    SettingSpec("server", "service", "service", parse_name, ""),
+    SettingSpec("server", "address", "server_address", parse_endpoint, None),
+    SettingSpec("server", "outbound", "outbound_address", parse_endpoint, None),
+    SettingSpec(
+        "stop", "timeout_s", "stop_timeout_s", parse_number(1, 3_600, "seconds"), 6
+    ),
+)
+"""Every setting there is. Sections and keys that are not listed are mistakes."""
+
+ROLE_KEYS = {
+    InstanceRole.BALANCER: (("store", "address", "store_address"),),
+    InstanceRole.AGENT: (
+        ("server", "service", "service"),
+        ("server", "address", "server_address"),
+        ("server", "outbound", "outbound_address"),
+    ),
+}
+"""What a role needs besides."""
+
+
+def parse_forwarder_settings(
+    text: str, file: str
+) -> Result[ForwarderSettings, list[SettingsProblem]]:
+    """Return the settings in INI text, or every mistake in it."""
+    ini = parse_ini(text)
+    problems = list_form_problems(ini, file)
+    known = {(spec.section, spec.key) for spec in FORWARDER_SPECS}
+    for section, keys in ini.values.items():
+        for key in keys:
+            if (section, key) not in known:
+                place = f"[{section}] {key}"
+                line = ini.find_line(section, key)
+                problems.append(
+                    SettingsProblem(file, line, place, "unknown key", "a known key")
+                )
+    values: dict[str, Any] = {
+        spec.field: read_setting(spec, ini, file, problems) for spec in FORWARDER_SPECS
+    }
+    if values["role"] is not None:
+        for section, key, field in ROLE_KEYS[values["role"]]:
+            if not values[field]:
+                place = f"[{section}] {key}"
+                problems.append(SettingsProblem(file, 0, place, "nothing", "a value"))
+    return Error(problems) if problems else Ok(ForwarderSettings(**values))
--- /dev/null
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -0,0 +1,228 @@
+"""Keeps a balancer's view current: from the store, or from balancers that read it."""
+
+from typing import TYPE_CHECKING
+
+import structlog
+import trio
+
+from citronwinch.coordination.flows import (
+    RETRY_MS,
+    Configuration,
+    Heartbeat,
+    ViewAnswer,
+    find_patience_ms,
+    find_turn,
+)
+from citronwinch.flow_peers import decode_view, encode_view
+from citronwinch.network import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    MalformedMessageError,
+    fetch,
+    serve,
+)
+from citronwinch.platform import StoreClient, StoreError
+
+if TYPE_CHECKING:
+    from citronwinch.forwarder._balancer_process import BalancerProcess
+
+VIEW_PATH = "/view"
+"""Where a balancer serves its view to other balancers."""
+
+WATCH_MS = 2_000
+"""How long one watch waits, in milliseconds. A watch whose connection has gone silent
+delays a change by this much, within the shortest time to apply one."""
+
+FETCH_TIMEOUT_MS = 600
+"""How long another balancer may take to send its view, in milliseconds."""
+
+READER_MS = 2_000
+"""How long after its last own read a balancer counts as a reader of the store."""
+
+log = structlog.get_logger()
+
+
+class ViewExchange:
+    """The tasks that read the store, serve the view, and fetch it from others.
+
+    Whoever in turn finds the listing too old reads it and tells the others; they fetch
+    what differs. A reader that the store refuses is replaced by the next in turn
+    without any agreement, since the listing then grows old for it, too.
+    """
+
+    def __init__(self, process: "BalancerProcess") -> None:
+        self.process = process
+        self.view = process.view
+        self.clock = process.clock
+        assert process.settings.store_address is not None
+        self.store = StoreClient(process.settings.store_address)
+        self.is_reading = False
+        self.is_store_lost = False
+        self.retry_ms = 0
+        self.own_read_ms = -READER_MS
+        self.watched_revision = 0
+        self.fetching: set[str] = set()
+        self.rejected: tuple[str, ...] = ()
+
+    def start_tasks(self, nursery: trio.Nursery) -> None:
+        """Start reading, watching, fetching and serving."""
+        self.nursery = nursery
+        endpoint = self.process.find_peer_endpoint(self.process.settings.ip)
+        nursery.start_soon(serve, endpoint, self._answer_view)
+        nursery.start_soon(self._watch_configuration)
+
+    def tick(self) -> None:
+        """Read the store when it is this balancer's turn."""
+        if self.is_reading or self.clock.now_ms() < self.retry_ms:
+            return
+        age_ms = self.view.age_ms
+        turn = find_turn(self.process.settings.ip, self.process.members.list_live())
+        if age_ms is None or age_ms >= find_patience_ms(turn):
+            self.is_reading = True
+            self.nursery.start_soon(self._read_servers)
+
+    async def _read_servers(self) -> None:
+        asked_ms = self.clock.now_ms()
+        answer = await self.store.read_servers()
+        self.is_reading = False
+        self.process.metrics.set_gauge("store_calls", self.store.calls)
+        if answer.is_error():
+            self.retry_ms = self.clock.now_ms() + RETRY_MS
+            self._note_failure(answer.error)
+            return
+        self._note_success()
+        self.own_read_ms = self.clock.now_ms()
+        if answer.ok.rejected != self.rejected:
+            self.rejected = answer.ok.rejected
+            log.warning("entries_ignored", entries=list(self.rejected[:8]))
+        if self.view.accept_listing(answer.ok.listing, asked_ms):
+            self.log_listing("store")
+        self.process.announce_view()
+
+    def _note_failure(self, error: StoreError) -> None:
+        self.process.metrics.count("store_errors_total", error.step)
+        if not self.is_store_lost:
+            self.is_store_lost = True
+            log.warning(
+                "store_lost",
+                step=error.step,
+                store=str(error.peer),
+                reason=error.reason,
+                view_age_ms=self.view.age_ms,
+            )
+
+    def _note_success(self) -> None:
+        if self.is_store_lost:
+            self.is_store_lost = False
+            log.info("store_regained", view_age_ms=self.view.age_ms)
+
+    def log_listing(self, source: str) -> None:
+        """Log that the backend servers have changed."""
+        servers = self.view.listing.servers
+        log.info(
+            "listing_changed",
+            source=source,
+            revision=self.view.listing.revision,
+            servers=len(servers),
+            leaving=[name for name, server in servers.items() if server.state],
+            kept=sorted(self.view.retained),
+        )
+
+    async def _watch_configuration(self) -> None:
+        while True:
+            if self.view.configuration is None:
+                await self._read_configuration()
+            elif self._is_reader():
+                await self._watch_once()
+            else:
+                # The revision of a watch that has ended may be forgotten by now.
+                self.watched_revision = 0
+                await trio.sleep(0.05)
+
+    def _is_reader(self) -> bool:
+        return self.clock.now_ms() - self.own_read_ms < READER_MS
+
+    async def _read_configuration(self) -> None:
+        answer = await self.store.read_configuration()
+        if answer.is_error():
+            self._note_failure(answer.error)
+            await trio.sleep(RETRY_MS / 1000)
+            return
+        self._note_success()
+        self.watched_revision = answer.ok.revision
+        self._accept_configuration(answer.ok.configuration, "store")
+
+    async def _watch_once(self) -> None:
+        if not self.watched_revision:
+            await self._read_configuration()
+            return
+        answer = await self.store.watch_configuration(self.watched_revision, WATCH_MS)
+        if answer.is_error():
+            # The watch may have missed changes: the next one starts with a read.
+            self.watched_revision = 0
+            self.process.metrics.count("store_errors_total", answer.error.step)
+            log.info("watch_ended", reason=answer.error.reason)
+            await trio.sleep(0.05)
+            return
+        self.watched_revision = max(self.watched_revision, answer.ok.revision)
+        self._accept_configuration(answer.ok.configuration, "store")
+
+    def _accept_configuration(
+        self, configuration: Configuration | None, source: str
+    ) -> None:
+        if configuration is None or not self.view.accept_configuration(configuration):
+            return
+        self.process.metrics.set_gauge("configuration_version", configuration.version)
+        log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            source=source,
+        )
+        self.process.announce_view()
+
+    def hear(self, heartbeat: Heartbeat, sender: str) -> None:
+        """Compare what another balancer knows, and fetch what is missing here."""
+        view = self.view
+        version = view.configuration.version if view.configuration else 0
+        is_newer = heartbeat.revision > view.listing.revision
+        if is_newer and heartbeat.listing_digest == view.listing_digest:
+            confirmed_ms = self.clock.now_ms() - heartbeat.listing_age_ms
+            view.confirm(heartbeat.revision, confirmed_ms)
+            is_newer = False
+        if (
+            is_newer or heartbeat.configuration_version > version
+        ) and sender not in self.fetching:
+            self.fetching.add(sender)
+            self.nursery.start_soon(self._fetch_view, sender, version)
+
+    async def _fetch_view(self, ip: str, version: int) -> None:
+        endpoint = self.process.find_peer_endpoint(ip)
+        asked_ms = self.clock.now_ms()
+        try:
+            target = f"{VIEW_PATH}?after={version}"
+            response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
+            answer = decode_view(response.body)
+        except (HttpError, MalformedMessageError) as error:
+            self.process.metrics.count("view_fetch_errors_total")
+            log.info("view_not_fetched", balancer=ip, reason=str(error))
+            return
+        finally:
+            self.fetching.discard(ip)
+        self._accept_configuration(answer.configuration, ip)
+        if answer.listing.revision:
+            confirmed_ms = asked_ms - answer.listing_age_ms
+            if self.view.accept_listing(answer.listing, confirmed_ms):
+                self.log_listing(ip)
+
+    async def _answer_view(self, request: HttpRequest) -> HttpResponse:
+        after = request.query.get("after", "0")
+        known = int(after) if after.isdigit() else 0
+        view = self.view
+        configuration = view.configuration
+        if configuration is not None and configuration.version <= known:
+            configuration = None
+        age_ms = view.age_ms
+        answer = ViewAnswer(view.listing, min(age_ms or 0, 0xFFFFFFFF), configuration)
+        return HttpResponse(200, encode_view(answer), "application/octet-stream")
--- a/citronwinch/network/__init__.py
+++ b/citronwinch/network/__init__.py
@@ -7,6 +7,7 @@
     DatagramPort,
 )
 from citronwinch.network._http import HttpError, HttpRequest, HttpResponse, fetch, serve
+from citronwinch.network._malformed import MalformedMessageError
 
 __all__ = [
     "BATCH_LIMIT",
@@ -16,6 +17,7 @@
     "HttpError",
     "HttpRequest",
     "HttpResponse",
+    "MalformedMessageError",
     "fetch",
     "serve",
 ]
--- a/citronwinch/operators/__init__.py
+++ b/citronwinch/operators/__init__.py
@@ -1,5 +1,6 @@
 """Operators as a peer: the table, settings, metrics and logs."""
 
+from citronwinch.operators._ini_file import parse_ini
 from citronwinch.operators._logging import configure_logging
 from citronwinch.operators._metric_help import METRIC_HELP
 from citronwinch.operators._metrics import MetricKey, Metrics
@@ -9,10 +10,24 @@
     Outcome,
     ServiceLevels,
 )
+from citronwinch.operators._setting_specs import (
+    SettingSpec,
+    SettingsProblem,
+    list_form_problems,
+    read_setting,
+)
+from citronwinch.operators._setting_values import (
+    SettingValueError,
+    parse_endpoint,
+    parse_endpoints,
+    parse_ip,
+    parse_name,
+    parse_number,
+    parse_role,
+)
 from citronwinch.operators._settings import (
     SETTING_SPECS,
     Settings,
-    SettingsProblem,
     parse_settings,
 )
 from citronwinch.operators._table_conflicts import TableProblem, find_conflicts
@@ -38,7 +53,18 @@
     "TableProblem",
     "configure_logging",
     "decode_table",
+    "SettingSpec",
+    "SettingValueError",
     "find_conflicts",
+    "list_form_problems",
+    "parse_endpoint",
+    "parse_endpoints",
+    "parse_ini",
+    "parse_ip",
+    "parse_name",
+    "parse_number",
+    "parse_role",
+    "read_setting",
     "format_table",
     "parse_settings",
     "parse_table",
--- a/citronwinch/operators/_logging.py
+++ b/citronwinch/operators/_logging.py
@@ -28,8 +28,8 @@
             self.stream.flush()
 
 
-def configure_logging(log_format: str) -> None:
-    """Send log lines to standard error as JSON or for a console."""
+def configure_logging(log_format: str, stream: TextIO | None = None) -> None:
+    """Send log lines to a stream, by default standard error, as JSON or text."""
     renderer: structlog.typing.Processor = (
         structlog.processors.JSONRenderer()
         if log_format == "json"
@@ -43,6 +43,6 @@
             renderer,
         ],
         logger_factory=structlog.WriteLoggerFactory(
-            file=LossyStream(sys.stderr),  # type: ignore[arg-type]
+            file=LossyStream(stream or sys.stderr),  # type: ignore[arg-type]
         ),
     )
--- a/citronwinch/operators/_setting_values.py
+++ b/citronwinch/operators/_setting_values.py
@@ -1,5 +1,6 @@
 """Reading the single values of a settings file."""
 
+import ipaddress
 import re
 from collections.abc import Callable
 
@@ -48,6 +49,14 @@
         raise SettingValueError(f"an address such as 192.0.2.1:80 ({error})") from None
 
 
+def parse_ip(value: str) -> str:
+    """Return an IP number in its canonical form."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise SettingValueError("an IP number such as 192.0.2.1") from None
+
+
 def parse_endpoints(value: str) -> tuple[Endpoint, ...]:
     """Return one or more addresses, separated by commas."""
     parts = [part for part in value.split(",") if part.strip()]
--- a/citronwinch/operators/_settings.py
+++ b/citronwinch/operators/_settings.py
@@ -1,7 +1,5 @@
 """Settings of a daemon: INI, checked whole before anything opens."""
 
-import re
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -13,8 +11,15 @@
     OBJECTIVE_PREFIX,
     Objective,
 )
+from citronwinch.operators._setting_specs import (
+    FOUND_LENGTH_LIMIT,
+    SettingSpec,
+    SettingsProblem,
+    hide_keys,
+    list_form_problems,
+    read_setting,
+)
 from citronwinch.operators._setting_values import (
-    SettingValueError,
     parse_device,
     parse_endpoint,
     parse_endpoints,
@@ -25,34 +30,6 @@
     parse_role,
 )
 
-FOUND_LENGTH_LIMIT = 80
-"""The most characters of a value that a message shows."""
-
-_KEY_DIGITS = re.compile("[0-9A-Fa-f]{16,}")
-
-
-class SettingsProblem(NamedTuple):
-    """One mistake in a settings file."""
-
-    file: str
-    """The file as it was named."""
-
-    line: int
-    """The line, 0 when something is missing."""
-
-    place: str
-    """Section and key."""
-
-    found: str
-    """What stands there."""
-
-    expected: str
-    """What should stand there."""
-
-    def __str__(self) -> str:
-        place = f"{self.file}:{self.line}" if self.line else self.file
-        return f"{place}: {self.place}: found {self.found!r}, expected {self.expected}"
-
 
 class Settings(NamedTuple):
     """The checked settings of one daemon."""
@@ -120,25 +97,6 @@
         return f"Settings({shown})"
 
 
-class SettingSpec(NamedTuple):
-    """How one setting is read."""
-
-    section: str
-    """Its section."""
-
-    key: str
-    """Its key."""
-
-    field: str
-    """The attribute of `Settings` that it fills."""
-
-    parse: Callable[[str], Any]
-    """Reads the value, or raises with what was expected."""
-
-    default: Any = ...
-    """The value when it is absent; an ellipsis when it must be given."""
-
-
 SETTING_SPECS = (
     SettingSpec("instance", "name", "name", parse_name),
     SettingSpec("instance", "role", "role", parse_role),
@@ -189,48 +147,19 @@
 def parse_settings(text: str, file: str) -> Result[Settings, list[SettingsProblem]]:
     """Return the settings in INI text, or every mistake in it."""
     ini = parse_ini(text.removeprefix("\ufeff"))
-    problems = [
-        SettingsProblem(file, problem.line, "file", problem.found, problem.expected)
-        for problem in ini.problems
-    ]
+    problems = list_form_problems(ini, file)
     problems += _find_unknown(ini, file)
     values: dict[str, Any] = {}
     for spec in SETTING_SPECS:
-        values[spec.field] = _read_setting(spec, ini, file, problems)
+        values[spec.field] = read_setting(spec, ini, file, problems)
     objectives = _read_objectives(ini, file, problems)
     problems += _find_role_problems(values, ini, file)
     if problems:
-        problems = [_hide_keys(problem) for problem in problems]
+        problems = [hide_keys(problem) for problem in problems]
         return Error(sorted(problems, key=lambda problem: problem.line))
     return Ok(Settings(**values, objectives=objectives))
 
 
-def _hide_keys(problem: SettingsProblem) -> SettingsProblem:
-    """Hide what may be a shared key that stands in a wrong place."""
-    hidden = (_KEY_DIGITS.sub("(hidden)", text) for text in problem[2:])
-    return SettingsProblem(problem.file, problem.line, *hidden)
-
-
-def _read_setting(
-    spec: SettingSpec, ini: IniFile, file: str, problems: list[SettingsProblem]
-) -> Any:
-    """Return a setting's value, None after a mistake, which is noted."""
-    place = f"[{spec.section}] {spec.key}"
-    raw = ini.values.get(spec.section, {}).get(spec.key)
-    if raw is None:
-        if spec.default is not ...:
-            return spec.default
-        problems.append(SettingsProblem(file, 0, place, "nothing", "a value"))
-        return None
-    try:
-        return spec.parse(raw.strip())
-    except SettingValueError as error:
-        line = ini.find_line(spec.section, spec.key)
-        shown = "(hidden)" if spec.section == "keys" else raw[:FOUND_LENGTH_LIMIT]
-        problems.append(SettingsProblem(file, line, place, shown, str(error)))
-        return None
-
-
 def _read_objectives(
     ini: IniFile, file: str, problems: list[SettingsProblem]
 ) -> tuple[Objective, ...]:
@@ -239,7 +168,7 @@
         if not section.startswith(OBJECTIVE_PREFIX):
             continue
         values = {
-            key: _read_setting(
+            key: read_setting(
                 SettingSpec(section, key, key, parse, None), ini, file, problems
             )
             for key, parse in OBJECTIVE_KEYS.items()
--- a/citronwinch/peers/__init__.py
+++ b/citronwinch/peers/__init__.py
@@ -1,7 +1,6 @@
 """The system's own processes as peers: message encoding and authentication."""
 
 from citronwinch.peers._authentication import KEY_BYTES, KeyRing
-from citronwinch.peers._codec import MalformedMessageError
 from citronwinch.peers._envelope import (
     Envelope,
     PeerMessage,
@@ -13,7 +12,6 @@
     "Envelope",
     "KEY_BYTES",
     "KeyRing",
-    "MalformedMessageError",
     "PeerMessage",
     "decode_envelope",
     "encode_envelope",
--- a/citronwinch/peers/_codec.py
+++ b/citronwinch/peers/_codec.py
@@ -11,10 +11,6 @@
 """The loaded schema of the envelope and all messages in it."""
 
 
-class MalformedMessageError(Exception):
-    """The bytes are not a message of the schema."""
-
-
 @singledispatch
 def fill_message(message: object, envelope: Any) -> None:
     """Write a message into the union of an envelope builder.
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -13,7 +13,8 @@
 from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.fabric import MalformedFrameError, decode_request, encode_request
-from citronwinch.peers._codec import SCHEMA, MalformedMessageError, fill_message
+from citronwinch.network import MalformedMessageError
+from citronwinch.peers._codec import SCHEMA, fill_message
 from citronwinch.peers._load_codec import read_load
 from citronwinch.peers._requests_codec import read_requests
 from citronwinch.peers._spread_codec import read_spread
--- a/citronwinch/peers/tests/test_envelope.py
+++ b/citronwinch/peers/tests/test_envelope.py
@@ -8,10 +8,10 @@
 from citronwinch.coordination import Endpoint, Flow, TransportProtocol
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.coordination.steering import Forward, Hint
+from citronwinch.network import MalformedMessageError
 from citronwinch.peers import (
     Envelope,
     KeyRing,
-    MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
--- a/citronwinch/peers/tests/test_load_codec.py
+++ b/citronwinch/peers/tests/test_load_codec.py
@@ -7,9 +7,9 @@
     LoadReport,
     ServerState,
 )
+from citronwinch.network import MalformedMessageError
 from citronwinch.peers import (
     Envelope,
-    MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
--- a/citronwinch/peers/tests/test_requests_codec.py
+++ b/citronwinch/peers/tests/test_requests_codec.py
@@ -13,9 +13,9 @@
     RequestState,
     RetryRequest,
 )
+from citronwinch.network import MalformedMessageError
 from citronwinch.peers import (
     Envelope,
-    MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
--- a/citronwinch/peers/tests/test_spread_codec.py
+++ b/citronwinch/peers/tests/test_spread_codec.py
@@ -13,10 +13,10 @@
     TableChunk,
     TablePull,
 )
+from citronwinch.network import MalformedMessageError
 from citronwinch.peers import (
     Envelope,
     KeyRing,
-    MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
--- a/citronwinch/peers/tests/test_steering_codec.py
+++ b/citronwinch/peers/tests/test_steering_codec.py
@@ -15,9 +15,9 @@
     Register,
     RegisterAck,
 )
+from citronwinch.network import MalformedMessageError
 from citronwinch.peers import (
     Envelope,
-    MalformedMessageError,
     decode_envelope,
     encode_envelope,
 )
--- a/citronwinch/platform/__init__.py
+++ b/citronwinch/platform/__init__.py
@@ -1,52 +1,35 @@
-"""The platform as a peer: configuration service and list of instances, read only."""
+"""The users' platform as a peer: its packets, its store and its settings.
 
-from citronwinch.platform._client import (
-    MANIFEST_KEY,
-    InstanceList,
-    KeyValue,
-    PlatformError,
-    format_instance,
-    parse_instance,
-    read_instances,
-    read_key,
-)
-from citronwinch.platform._follower import (
-    KeyRequest,
-    ListRequest,
-    PlatformFollower,
-    PlatformRequest,
+This package holds names, formats and calls. It decides nothing, and nothing outside
+it knows the platform's names.
+"""
+
+from citronwinch.platform._packet_codec import (
+    decode_caller_packet,
+    decode_server_packet,
+    encode_reset,
 )
-from citronwinch.platform._table_keys import (
-    INDEX_KEY_PREFIX,
-    SERVICE_KEY_PREFIX,
-    Manifest,
-    index_key,
-    join_table,
-    parse_manifest,
-    split_table,
+from citronwinch.platform._store import (
+    ConfigurationRead,
+    ListingRead,
+    StoreClient,
+    StoreError,
 )
-from citronwinch.platform._table_reader import TableRead, TableReader
+
+READY_PATH = "/readyz"
+"""Where the platform's routers ask whether a balancer takes packets."""
+
+SETTINGS_FILE_VARIABLE = "CITRONWINCH_NODE_FILE"
+"""The environment variable that names the settings file."""
 
 __all__ = [
-    "INDEX_KEY_PREFIX",
-    "InstanceList",
-    "KeyRequest",
-    "KeyValue",
-    "ListRequest",
-    "MANIFEST_KEY",
-    "Manifest",
-    "PlatformError",
-    "PlatformFollower",
-    "PlatformRequest",
-    "SERVICE_KEY_PREFIX",
-    "TableRead",
-    "TableReader",
-    "format_instance",
-    "index_key",
-    "join_table",
-    "parse_instance",
-    "parse_manifest",
-    "read_instances",
-    "read_key",
-    "split_table",
+    "ConfigurationRead",
+    "ListingRead",
+    "READY_PATH",
+    "SETTINGS_FILE_VARIABLE",
+    "StoreClient",
+    "StoreError",
+    "decode_caller_packet",
+    "decode_server_packet",
+    "encode_reset",
 ]
--- a/citronwinch/standins/_platform.py
+++ b/citronwinch/standins/_platform.py
@@ -11,10 +11,10 @@
 import orjson
 import trio
 
+from citronwinch.configuration_service import split_table
 from citronwinch.coordination import Endpoint
 from citronwinch.network import HttpRequest, HttpResponse, serve
 from citronwinch.operators import parse_table
-from citronwinch.platform import split_table
 
 POLL_MS = 50
 """How often the directory is looked at, in milliseconds."""
--- a/citronwinch/tool/_daemons.py
+++ b/citronwinch/tool/_daemons.py
@@ -9,16 +9,16 @@
 import trio
 from expression import Error, Ok, Result
 
-from citronwinch.coordination import Endpoint, Table
-from citronwinch.network import HttpError, fetch
-from citronwinch.operators import Objective, Settings, parse_settings
-from citronwinch.platform import (
+from citronwinch.configuration_service import (
     MANIFEST_KEY,
     SERVICE_KEY_PREFIX,
     join_table,
     parse_manifest,
     read_key,
 )
+from citronwinch.coordination import Endpoint, Table
+from citronwinch.network import HttpError, fetch
+from citronwinch.operators import Objective, Settings, parse_settings
 from citronwinch.tool._output import Progress
 
 READ_TIMEOUT_MS = 3_000
