--- /dev/null
+++ b/citronwinch/coordination/flows/tests/conftest.py
@@ -0,0 +1,112 @@
+"""Shared fixtures: a small deployment of two services in two zones."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from citronwinch.coordination import (
+    Endpoint,
+    ManualClock,
+    TransportProtocol,
+    pack_flow_key,
+    pack_ip,
+)
+from citronwinch.coordination.flows import (
+    BackendServer,
+    BalancerFlows,
+    Configuration,
+    DeploymentView,
+    Packet,
+    Route,
+    ServerChoice,
+    ServerListing,
+    ServerState,
+    ServiceShare,
+    pack_route_address,
+)
+
+GAUGING = Endpoint("198.18.0.1", 8443)
+REPORTING = Endpoint("198.18.0.2", 8443)
+
+
+def make_route(name: str, address: Endpoint, service: str) -> Route:
+    return Route(name, address, (ServiceShare(service, 1),), 1, 120, 1_000)
+
+
+def make_configuration(version: int = 1, *routes: Route) -> Configuration:
+    chosen = routes or (
+        make_route("alarms", GAUGING, "gauging"),
+        make_route("snapshots", REPORTING, "reporting"),
+    )
+    by_address = {pack_route_address(route.address): route for route in chosen}
+    return Configuration(version, by_address, 15_000)
+
+
+def make_server(
+    number: int, service: str = "gauging", zone: str = "a", leaving: bool = False
+) -> BackendServer:
+    state = ServerState.LEAVING if leaving else ServerState.READY
+    endpoint = Endpoint(f"10.0.0.{number}", 8080)
+    return BackendServer(f"s{number}", service, endpoint, zone, state, 1, 1_000)
+
+
+def make_listing(revision: int, *servers: BackendServer) -> ServerListing:
+    return ServerListing(revision, {server.name: server for server in servers})
+
+
+def make_packet(
+    port: int = 4000,
+    address: Endpoint = GAUGING,
+    *,
+    opening: bool = False,
+    bounced: bool = False,
+    reset: bool = False,
+    finishing: bool = False,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    payload: int = 0,
+) -> Packet:
+    key = pack_flow_key(
+        TransportProtocol.TCP,
+        pack_ip("100.64.0.7"),
+        port,
+        pack_ip(address.ip),
+        address.port,
+    )
+    flags = (opening, finishing, reset, bounced, sequence, acknowledged, payload)
+    raw = repr((key, flags)).encode()
+    return Packet(key, *flags, raw)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(100_000)
+
+
+@pytest.fixture
+def view(clock: ManualClock) -> DeploymentView:
+    known = DeploymentView(clock)
+    known.accept_configuration(make_configuration())
+    servers = [make_server(1), make_server(2), make_server(3, zone="b")]
+    servers.append(make_server(4, "reporting"))
+    known.accept_listing(make_listing(10, *servers), clock.now_ms())
+    return known
+
+
+@pytest.fixture
+def choice(clock: ManualClock) -> ServerChoice:
+    chooser = ServerChoice("a", clock, random.Random(7))
+    for number in range(1, 5):
+        chooser.hear(f"10.0.0.{number}")
+    return chooser
+
+
+@pytest.fixture
+def balancer(
+    view: DeploymentView, choice: ServerChoice, clock: ManualClock
+) -> BalancerFlows:
+    return BalancerFlows(view, choice, clock)
+
+
+PacketMaker = Callable[..., Packet]
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -0,0 +1,136 @@
+"""What an agent passes on, gives back, and says about flows."""
+
+import pytest
+
+from citronwinch.coordination import ManualClock
+from citronwinch.coordination.flows import (
+    Action,
+    AgentFlows,
+    DeliverToCaller,
+    DeliverToServer,
+    FlowAnswer,
+    FlowQuestion,
+    ForwardedPacket,
+    ReturnedPacket,
+    SendMessage,
+    Verdict,
+)
+from citronwinch.coordination.flows.tests.conftest import make_packet
+
+BALANCER = "10.0.1.1"
+
+
+@pytest.fixture
+def agent(clock: ManualClock) -> AgentFlows:
+    return AgentFlows("gauging", clock, knows_all_flows=False)
+
+
+def forward(agent: AgentFlows, service: str = "gauging", **fields: int) -> list[Action]:
+    packet = make_packet(**fields)
+    return agent.handle_forwarded(
+        ForwardedPacket(service, packet.raw), packet, BALANCER
+    )
+
+
+def open_flow(agent: AgentFlows, port: int = 4000) -> None:
+    forward(agent, opening=True, port=port)
+    agent.handle_from_server(make_packet(opening=True, sequence=500, port=port))
+    forward(agent, acknowledged=501, port=port)
+
+
+def ask(agent: AgentFlows, acknowledged: int = 0) -> Verdict:
+    question = FlowQuestion(make_packet().flow, acknowledged)
+    return agent.answer(question).verdict
+
+
+def was_delivered(actions: list[Action]) -> bool:
+    return any(isinstance(action, DeliverToServer) for action in actions)
+
+
+def was_returned(actions: list[Action]) -> bool:
+    return any(
+        isinstance(action, SendMessage) and isinstance(action.message, ReturnedPacket)
+        for action in actions
+    )
+
+
+def test_a_packet_for_another_service_is_never_delivered(agent: AgentFlows) -> None:
+    actions = forward(agent, service="reporting", opening=True)
+    assert was_returned(actions) and not was_delivered(actions)
+
+
+def test_an_accepted_opening_is_told_to_the_balancer(agent: AgentFlows) -> None:
+    forward(agent, opening=True)
+    accepted = make_packet(opening=True, sequence=500)
+    actions = agent.handle_from_server(accepted)
+    assert actions[0] == DeliverToCaller(accepted)
+    answer = FlowAnswer(accepted.flow, Verdict.OPENING)
+    assert actions[1] == SendMessage(BALANCER, answer)
+
+
+@pytest.mark.parametrize(
+    ("acknowledged", "delivered"),
+    [
+        pytest.param(501, True, id="confirms this acceptance"),
+        pytest.param(90_000, False, id="confirms a rival acceptance"),
+    ],
+)
+def test_rival_acceptances_are_told_apart(
+    agent: AgentFlows, acknowledged: int, delivered: bool
+) -> None:
+    forward(agent, opening=True)
+    agent.handle_from_server(make_packet(opening=True, sequence=500))
+    verdict = ask(agent, acknowledged)
+    assert verdict is (Verdict.HELD if delivered else Verdict.ABSENT)
+    actions = forward(agent, acknowledged=acknowledged)
+    assert was_delivered(actions) is delivered
+    assert was_returned(actions) is not delivered
+
+
+def test_a_restarted_agent_learns_its_flows_by_trying(agent: AgentFlows) -> None:
+    assert ask(agent) is Verdict.UNCERTAIN
+    assert was_delivered(forward(agent, payload=10))
+    assert ask(agent) is Verdict.UNCERTAIN
+    answers = agent.handle_from_server(make_packet(payload=10))
+    held = FlowAnswer(make_packet().flow, Verdict.HELD)
+    assert SendMessage(BALANCER, held) in answers
+    assert ask(agent) is Verdict.HELD
+
+
+def test_a_bounced_packet_goes_back_and_the_flow_is_known_to_be_absent(
+    agent: AgentFlows,
+) -> None:
+    forward(agent, payload=10)
+    assert was_returned(agent.handle_from_server(make_packet(bounced=True, payload=10)))
+    assert ask(agent) is Verdict.ABSENT
+    assert was_returned(forward(agent, payload=10))
+
+
+def test_an_agent_there_from_the_first_start_knows_what_it_does_not_hold(
+    clock: ManualClock,
+) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=True)
+    assert ask(agent) is Verdict.ABSENT
+
+
+def test_the_report_counts_open_flows_and_waiting_requests(
+    agent: AgentFlows, clock: ManualClock
+) -> None:
+    for port in (4000, 4001):
+        open_flow(agent, port)
+        forward(agent, payload=50, acknowledged=501, port=port)
+    report = agent.report()
+    assert (report.open_flows, report.waiting) == (2, 2)
+    clock.advance(100)
+    agent.handle_from_server(make_packet(payload=50))
+    agent.handle_from_server(make_packet(reset=True, port=4001))
+    report = agent.report()
+    assert (report.open_flows, report.waiting) == (1, 0)
+    assert report.latency_ms == 15
+
+
+def test_idle_flows_are_forgotten(agent: AgentFlows, clock: ManualClock) -> None:
+    open_flow(agent)
+    clock.advance(60_001)
+    agent.expire()
+    assert (agent.report().open_flows, len(agent.flows)) == (0, 0)
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -0,0 +1,186 @@
+"""Where a balancer sends packets: openings, known flows, searches."""
+
+import pytest
+
+from citronwinch.coordination import Endpoint, ManualClock
+from citronwinch.coordination.flows import (
+    Action,
+    BalancerFlows,
+    DeploymentView,
+    FlowAnswer,
+    FlowQuestion,
+    ForwardedPacket,
+    LoadReport,
+    ResetFlow,
+    SendMessage,
+    ServerChoice,
+    Verdict,
+)
+from citronwinch.coordination.flows.tests.conftest import (
+    REPORTING,
+    make_listing,
+    make_packet,
+    make_server,
+)
+
+
+def list_forwards(actions: list[Action]) -> list[tuple[str, str]]:
+    return [
+        (action.ip, action.message.service)
+        for action in actions
+        if isinstance(action, SendMessage)
+        and isinstance(action.message, ForwardedPacket)
+    ]
+
+
+def list_questions(actions: list[Action]) -> list[str]:
+    return [
+        action.ip
+        for action in actions
+        if isinstance(action, SendMessage) and isinstance(action.message, FlowQuestion)
+    ]
+
+
+def has_reset(actions: list[Action]) -> bool:
+    return any(isinstance(action, ResetFlow) for action in actions)
+
+
+def test_new_flows_go_to_the_least_loaded_server_of_the_own_zone(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, False))
+    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, False))
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert list_forwards(actions) == [("10.0.0.2", "gauging")]
+
+
+def test_new_flows_leave_a_zone_that_is_much_busier(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    for number in (1, 2):
+        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, False))
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert list_forwards(actions) == [("10.0.0.3", "gauging")]
+
+
+def test_a_copy_of_an_opening_goes_elsewhere_when_nobody_confirms(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    first = list_forwards(balancer.handle_packet(make_packet(opening=True)))
+    clock.advance(200)
+    second = list_forwards(balancer.handle_packet(make_packet(opening=True)))
+    assert first[0][0] != second[0][0]
+
+
+def test_a_copy_of_a_confirmed_opening_goes_to_the_same_server(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    packet = make_packet(opening=True)
+    [(agent, _)] = list_forwards(balancer.handle_packet(packet))
+    balancer.handle_answer(FlowAnswer(packet.flow, Verdict.OPENING), agent)
+    clock.advance(200)
+    assert list_forwards(balancer.handle_packet(packet)) == [(agent, "gauging")]
+
+
+def test_a_refused_opening_tries_every_server_and_is_then_reset_at_once(
+    balancer: BalancerFlows,
+) -> None:
+    packet = make_packet(opening=True)
+    actions = balancer.handle_packet(packet)
+    tried = []
+    while forwards := list_forwards(actions):
+        tried.append(forwards[0][0])
+        actions = balancer.handle_returned(packet, tried[-1])
+    assert sorted(tried) == ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+    assert has_reset(actions)
+
+
+def test_an_opening_without_any_ready_server_is_refused_at_once(
+    balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
+) -> None:
+    leaving = make_server(1, leaving=True)
+    view.accept_listing(make_listing(11, leaving), clock.now_ms())
+    assert has_reset(balancer.handle_packet(make_packet(opening=True)))
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "refused"),
+    [
+        pytest.param(300, True, id="current view"),
+        pytest.param(9_000, False, id="old view may lack the route"),
+    ],
+)
+def test_an_unknown_address_is_refused_only_by_a_current_view(
+    balancer: BalancerFlows, clock: ManualClock, age_ms: int, refused: bool
+) -> None:
+    clock.advance(age_ms)
+    packet = make_packet(opening=True, address=Endpoint("198.18.0.9", 80))
+    assert has_reset(balancer.handle_packet(packet)) is refused
+
+
+def test_an_unknown_flow_is_asked_for_in_the_own_zone_first(
+    balancer: BalancerFlows,
+) -> None:
+    packet = make_packet(payload=10)
+    assert list_questions(balancer.handle_packet(packet)) == ["10.0.0.1", "10.0.0.2"]
+    answer = FlowAnswer(packet.flow, Verdict.HELD)
+    actions = balancer.handle_answer(answer, "10.0.0.2")
+    assert list_forwards(actions) == [("10.0.0.2", "gauging")]
+    assert list_forwards(balancer.handle_packet(packet)) == [("10.0.0.2", "gauging")]
+
+
+def test_a_search_goes_on_to_other_zones(balancer: BalancerFlows) -> None:
+    packet = make_packet(payload=10)
+    balancer.handle_packet(packet)
+    absent = FlowAnswer(packet.flow, Verdict.ABSENT)
+    assert not balancer.handle_answer(absent, "10.0.0.1")
+    assert list_questions(balancer.handle_answer(absent, "10.0.0.2")) == ["10.0.0.3"]
+
+
+def test_a_search_passes_over_silent_agents(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    balancer.handle_packet(make_packet(payload=10))
+    clock.advance(15)
+    assert list_questions(balancer.tick()) == ["10.0.0.3"]
+
+
+def test_agents_that_cannot_know_get_the_packets(balancer: BalancerFlows) -> None:
+    packet = make_packet(payload=10)
+    balancer.handle_packet(packet)
+    balancer.handle_packet(packet)
+    unsure = FlowAnswer(packet.flow, Verdict.UNCERTAIN)
+    balancer.handle_answer(unsure, "10.0.0.1")
+    tried = list_forwards(balancer.handle_answer(unsure, "10.0.0.2"))
+    assert [ip for ip, _ in tried] == ["10.0.0.1"] * 2 + ["10.0.0.2"] * 2
+    held = FlowAnswer(packet.flow, Verdict.HELD)
+    assert not list_forwards(balancer.handle_answer(held, "10.0.0.2"))
+    assert list_forwards(balancer.handle_packet(packet)) == [("10.0.0.2", "gauging")]
+
+
+def test_a_search_never_asks_agents_of_another_service(
+    balancer: BalancerFlows,
+) -> None:
+    packet = make_packet(address=REPORTING, payload=10)
+    assert list_questions(balancer.handle_packet(packet)) == ["10.0.0.4"]
+
+
+def test_a_withdrawn_hint_starts_a_search_without_that_agent(
+    balancer: BalancerFlows,
+) -> None:
+    opening, packet = make_packet(opening=True), make_packet(payload=10)
+    [(agent, _)] = list_forwards(balancer.handle_packet(opening))
+    actions = balancer.handle_returned(packet, agent)
+    assert agent not in list_questions(actions)
+    assert list_questions(actions)
+
+
+def test_packets_of_an_open_flow_are_never_answered_with_a_reset_while_unfound(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    packet = make_packet(payload=10)
+    actions = balancer.handle_packet(packet)
+    for _ in range(20):
+        clock.advance(60)
+        actions += balancer.tick() + balancer.handle_packet(packet)
+    assert not has_reset(actions)
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_knowledge.py
@@ -0,0 +1,62 @@
+"""Who reads the store, and which balancers are live."""
+
+import pytest
+
+from citronwinch.coordination import ManualClock
+from citronwinch.coordination.flows import (
+    BalancerMembers,
+    Heartbeat,
+    find_patience_ms,
+    find_turn,
+)
+
+MEMBERS = [f"10.0.0.{number}" for number in range(1, 16)]
+
+
+def make_heartbeat(
+    incarnation: int = 1, *balancers: str, leaving: bool = False
+) -> Heartbeat:
+    return Heartbeat(incarnation, "a", leaving, 1, 1, 0, 1, balancers)
+
+
+def test_the_turns_of_all_balancers_differ() -> None:
+    assert sorted(find_turn(ip, MEMBERS) for ip in MEMBERS) == list(range(15))
+
+
+def test_a_lost_reader_is_followed_by_the_next_in_turn() -> None:
+    by_turn = sorted(MEMBERS, key=lambda ip: find_turn(ip, MEMBERS))
+    remaining = [ip for ip in MEMBERS if ip != by_turn[0]]
+    assert find_turn(by_turn[1], remaining) == 0
+
+
+@pytest.mark.parametrize("refused", [1, 2, 4])
+def test_refused_readers_leave_a_listing_younger_than_the_drain_time(
+    refused: int,
+) -> None:
+    assert find_patience_ms(refused) < 3_000 - 500
+
+
+def test_members_are_learned_from_others_and_lost_in_silence(
+    clock: ManualClock,
+) -> None:
+    members = BalancerMembers("10.0.0.1", ["10.0.0.2", "10.0.0.1"], clock)
+    assert members.list_receivers() == {"10.0.0.2"}
+    assert members.hear("10.0.0.2", make_heartbeat(1, "10.0.0.1", "10.0.0.3"))
+    assert members.list_receivers() == {"10.0.0.2", "10.0.0.3"}
+    assert not members.hear("10.0.0.2", make_heartbeat(1))
+    clock.advance(3_501)
+    assert members.expire() == ["10.0.0.2"]
+    clock.advance(10_000)
+    members.expire()
+    assert members.list_receivers() == {"10.0.0.2"}
+
+
+def test_a_late_heartbeat_of_an_earlier_run_changes_nothing(
+    clock: ManualClock,
+) -> None:
+    members = BalancerMembers("10.0.0.1", [], clock)
+    members.hear("10.0.0.2", make_heartbeat(5))
+    assert not members.hear("10.0.0.2", make_heartbeat(4, leaving=True))
+    assert members.list_live() == ["10.0.0.2"]
+    assert members.hear("10.0.0.2", make_heartbeat(6, leaving=True))
+    assert members.list_live() == []
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_view.py
@@ -0,0 +1,76 @@
+"""What a balancer knows: versions never go back, entries outlive an outage."""
+
+import pytest
+
+from citronwinch.coordination import ManualClock
+from citronwinch.coordination.flows import DeploymentView
+from citronwinch.coordination.flows.tests.conftest import (
+    make_configuration,
+    make_listing,
+    make_server,
+)
+
+
+@pytest.mark.parametrize(
+    ("version", "accepted"),
+    [
+        pytest.param(4, False, id="older"),
+        pytest.param(5, False, id="same"),
+        pytest.param(9, True, id="newer, with a gap"),
+    ],
+)
+def test_a_configuration_never_goes_back(
+    view: DeploymentView, version: int, accepted: bool
+) -> None:
+    view.accept_configuration(make_configuration(5))
+    assert view.accept_configuration(make_configuration(version)) is accepted
+    assert view.configuration is not None
+    assert view.configuration.version == max(5, version)
+
+
+def test_an_older_listing_is_ignored(view: DeploymentView, clock: ManualClock) -> None:
+    assert not view.accept_listing(make_listing(9, make_server(9)), clock.now_ms())
+    assert "s9" not in view.listing.servers
+
+
+def test_a_missing_entry_is_gone_at_once_while_the_store_is_read(
+    view: DeploymentView, clock: ManualClock
+) -> None:
+    clock.advance(700)
+    view.accept_listing(make_listing(11, make_server(1)), clock.now_ms())
+    assert [server.name for server in view.list_ready("gauging")] == ["s1"]
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_the_grace_time(
+    view: DeploymentView, clock: ManualClock
+) -> None:
+    clock.advance(6_000)
+    view.accept_listing(make_listing(11, make_server(1)), clock.now_ms())
+    names = {server.name for server in view.list_ready("gauging")}
+    assert names == {"s1", "s2", "s3"}
+    clock.advance(1_200)
+    back = make_listing(12, make_server(1), make_server(2))
+    view.accept_listing(back, clock.now_ms())
+    clock.advance(800)
+    assert [server.name for server in view.expire()] == ["s3", "s4"]
+    assert {server.name for server in view.list_ready("gauging")} == {"s1", "s2"}
+
+
+def test_a_leaving_server_takes_nothing_new_but_may_hold_flows(
+    view: DeploymentView, clock: ManualClock
+) -> None:
+    leaving = make_server(1, leaving=True)
+    view.accept_listing(make_listing(11, leaving, make_server(2)), clock.now_ms())
+    assert [server.name for server in view.list_ready("gauging")] == ["s2"]
+    holders = [server.name for server in view.list_holders(["gauging"])]
+    assert holders == ["s1", "s2", "s3"]
+
+
+def test_a_confirmation_makes_the_listing_young_again(
+    view: DeploymentView, clock: ManualClock
+) -> None:
+    clock.advance(900)
+    view.confirm(10, clock.now_ms() - 50)
+    assert view.age_ms == 50
+    view.confirm(9, clock.now_ms())
+    assert view.age_ms == 50
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -187,7 +187,10 @@
         view = self.view
         version = view.configuration.version if view.configuration else 0
         is_newer = heartbeat.revision > view.listing.revision
-        if is_newer and heartbeat.listing_digest == view.listing_digest:
+        if (
+            heartbeat.revision >= view.listing.revision
+            and heartbeat.listing_digest == view.listing_digest
+        ):
             confirmed_ms = self.clock.now_ms() - heartbeat.listing_age_ms
             view.confirm(heartbeat.revision, confirmed_ms)
             is_newer = False
