Look for flows that an earlier route has sent to another service

The trace (flow_not_found with the agents asked) showed that its agent was never asked. A last round now asks the agents of other services, without trying packets there.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -36,6 +36,10 @@
 CURRENT_VIEW_MS = 2_500
 """Up to this age a configuration is current enough to refuse an unknown address."""
 
+OTHERS_LIMIT = 200
+"""The most agents of other services that are asked for a flow; beyond this the
+questions would cost more than the flows that a changed route has left behind."""
+
 SWEEP_LIMIT = 500
 """How many flows one sweep looks at."""
 
@@ -216,7 +220,10 @@
             return []
         services = [share.service for share in route.shares]
         holders = self.view.list_holders(services)
-        search = FlowSearch(self.choice.zone, holders, self.clock)
+        others = self.view.list_holders(self.view.list_services() - set(services))
+        if len(others) > OTHERS_LIMIT:
+            others = []
+        search = FlowSearch(self.choice.zone, holders, others, self.clock)
         search.hold(packet)
         self.searches[packet.flow] = search
         self.counts["searches"] += 1
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -37,27 +37,52 @@
     """Whether nobody is left who might hold it."""
 
 
+class SearchRound(NamedTuple):
+    """The agents that are asked together."""
+
+    agents: tuple[str, ...]
+    """The agents."""
+
+    answer_limit_ms: int
+    """How long they may take, in milliseconds."""
+
+    may_try: bool
+    """Whether those that do not know get the packets."""
+
+
 class FlowSearch:
-    """The search for one flow: the own zone first, then everybody else.
+    """The search for one flow: the own zone first, then the others.
 
-    In each of the two rounds agents are asked, and those that do not know yet get
-    the packets. A backend server gives back what it does not hold, so that a wrong
-    trial costs a few packets and harms nothing.
+    In each round agents are asked, and those that do not know yet get the packets. A
+    backend server gives back what it does not hold, so that a wrong trial costs a few
+    packets and harms nothing. In a last round the agents of other services are asked,
+    because an earlier configuration may have sent the flow to one of them; no packet
+    is tried there.
     """
 
     def __init__(
-        self, zone: str, holders: Sequence[BackendServer], clock: Clock
+        self,
+        zone: str,
+        holders: Sequence[BackendServer],
+        others: Sequence[BackendServer],
+        clock: Clock,
     ) -> None:
         self.clock = clock
         self.started_ms = clock.now_ms()
         self.deadline_ms = self.started_ms
-        self.services = {server.address.ip: server.service for server in holders}
+        self.services = {
+            server.address.ip: server.service for server in (*others, *holders)
+        }
         local = [s.address.ip for s in holders if s.availability_zone == zone]
-        remote = [ip for ip in self.services if ip not in local]
-        self.rounds = [ips for ips in (local, remote) if ips]
-        self.answer_limits_ms = [
-            LOCAL_ANSWER_MS if ips is local else REMOTE_ANSWER_MS for ips in self.rounds
+        remote = [s.address.ip for s in holders if s.availability_zone != zone]
+        self.rounds = [
+            SearchRound(tuple(local), LOCAL_ANSWER_MS, may_try=True),
+            SearchRound(tuple(remote), REMOTE_ANSWER_MS, may_try=True),
+            SearchRound(
+                tuple(s.address.ip for s in others), REMOTE_ANSWER_MS, may_try=False
+            ),
         ]
+        self.round = SearchRound((), 0, may_try=False)
         self.current: list[str] = []
         self.is_trying = False
         self.verdicts: dict[str, Verdict | None] = {}
@@ -106,6 +131,8 @@
         return self._try(uncertain) if uncertain else self._next_round()
 
     def _list_uncertain(self) -> list[str]:
+        if not self.round.may_try:
+            return []
         return [ip for ip in self.current if self.verdicts[ip] is Verdict.UNCERTAIN]
 
     def _try(self, agents: list[str]) -> SearchStep:
@@ -117,9 +144,8 @@
     def _next_round(self) -> SearchStep:
         self.is_trying = False
         while self.rounds:
-            round_ips = self.rounds.pop(0)
-            self.answer_limit_ms = self.answer_limits_ms.pop(0)
-            self.current = [ip for ip in round_ips if ip not in self.verdicts]
+            self.round = self.rounds.pop(0)
+            self.current = [ip for ip in self.round.agents if ip not in self.verdicts]
             if self.current:
                 self.verdicts |= dict.fromkeys(self.current)
                 self._wait()
@@ -127,4 +153,4 @@
         return SearchStep(is_over=True)
 
     def _wait(self) -> None:
-        self.deadline_ms = self.clock.now_ms() + self.answer_limit_ms
+        self.deadline_ms = self.clock.now_ms() + self.round.answer_limit_ms
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -146,6 +146,12 @@
         ]
         return holders
 
+    def list_services(self) -> set[str]:
+        """Return the services that have or had backend servers."""
+        return set(self.by_service) | {
+            former.server.service for former in self.former.values()
+        }
+
     def list_agents(self) -> list[BackendServer]:
         """Return the backend servers that are listed or retained."""
         return [server for group in self.by_service.values() for server in group]
