Reset flows that every agent denies

A search in which every agent of the deployment denies the flow now ends with a reset, while the listing is settled. Agents that are older than their backend server know that they know all flows. Ruled out: a reset while an agent is silent or unsure, since its flow may live.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -34,6 +34,10 @@
 """How long after its start an agent may be beside flows that it does not know, in
 milliseconds; the platform's longest lifetime of a flow."""
 
+START_MARGIN_MS = 1_000
+"""How long before its agent a backend server may have started without having been
+given any flow, in milliseconds; an agent takes about half of this to start."""
+
 CONFIRMATION_SPAN = 2
 """How far beyond the first sequence number the confirmation of an opening lies."""
 
@@ -87,10 +91,19 @@
     no agreement with others: it delivers, watches the answers, and remembers.
     """
 
-    def __init__(self, service: str, clock: Clock, *, knows_all_flows: bool) -> None:
+    def __init__(
+        self,
+        service: str,
+        clock: Clock,
+        *,
+        knows_all_flows: bool,
+        started_unix_ms: int = 0,
+    ) -> None:
         self.service = service
         self.clock = clock
         self.started_ms = clock.now_ms()
+        self.started_unix_ms = started_unix_ms
+        self.server_started_ms = 0
         self.knows_all_flows = knows_all_flows
         self.flows: OrderedDict[FlowKey, HeldFlow] = OrderedDict()
         self.waiting: OrderedDict[FlowKey, int] = OrderedDict()
@@ -194,6 +207,25 @@
             return [record("bounce_without_balancer", packet)]
         return [SendMessage(balancer, ReturnedPacket(packet.raw))]
 
+    def note_server_start(self, server_started_ms: int) -> list[Action]:
+        """Take the incarnation of the backend server that balancers have read.
+
+        A backend server that started after this agent holds no flow that the agent
+        has not seen opening, and none from before its start.
+        """
+        if server_started_ms <= self.server_started_ms:
+            return []
+        self.server_started_ms = server_started_ms
+        if server_started_ms >= self.started_unix_ms - START_MARGIN_MS:
+            self.knows_all_flows = True
+        return [
+            record(
+                "server_started",
+                incarnation=server_started_ms,
+                knows_all_flows=self.knows_all_flows,
+            )
+        ]
+
     def answer(self, question: FlowQuestion) -> FlowAnswer:
         """Say whether the backend server holds a flow."""
         flow = self.flows.get(question.flow)
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -244,20 +244,36 @@
             service = search.services[ip]
             actions += [_forward(ip, service, packet) for packet in search.held]
         if step.is_over:
-            del self.searches[key]
-            self.unlocated[key] = self.clock.now_ms()
-            self.counts["searches_failed"] += 1
-            actions.append(
-                record(
-                    "flow_not_found",
-                    search.held[0],
-                    absent=sorted(search.list_by_verdict(Verdict.ABSENT)),
-                    silent=sorted(search.list_silent()),
-                    searched_ms=self.clock.now_ms() - search.started_ms,
-                )
-            )
+            actions += self._end_search(key, search)
         return actions
 
+    def _end_search(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Give up a search; reset the flow where it certainly does not exist.
+
+        It does not when every agent that could hold it has said so. A flow with an
+        agent that is silent or cannot know is left alone: its packets are sent again.
+        """
+        del self.searches[key]
+        self.unlocated[key] = self.clock.now_ms()
+        silent = search.list_silent()
+        self.view.forget_former(silent)
+        uncertain = search.list_by_verdict(Verdict.UNCERTAIN)
+        is_dead = not silent and not uncertain and self.view.is_settled()
+        packet = search.held[0]
+        if is_dead and packet.is_reset:
+            return []
+        self.counts["flows_reset" if is_dead else "searches_failed"] += 1
+        outcome = record(
+            "dead_flow_reset" if is_dead else "flow_not_found",
+            packet,
+            absent=len(search.list_by_verdict(Verdict.ABSENT)),
+            silent=sorted(silent),
+            uncertain=sorted(uncertain),
+            searched_ms=self.clock.now_ms() - search.started_ms,
+            view_age_ms=self.view.age_ms,
+        )
+        return [ResetFlow(packet), outcome] if is_dead else [outcome]
+
     def _finish_search(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -34,6 +34,9 @@
     balancers: tuple[str, ...]
     """The addresses of the balancers that it knows."""
 
+    server_started_ms: int = 0
+    """To an agent, the incarnation of its backend server as listed; 0 if unknown."""
+
 
 class LoadReport(NamedTuple):
     """An agent tells balancers how loaded its backend server is."""
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -1,6 +1,6 @@
 """What a balancer knows of the deployment, and how old that knowledge is."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
@@ -49,6 +49,7 @@
         self.listing_digest = EMPTY_LISTING.digest
         self.confirmed_ms: int | None = None
         self.grace_until_ms = 0
+        self.unread = False
         self.former: dict[str, FormerServer] = {}
         self.retained: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
@@ -81,7 +82,11 @@
         if self.confirmed_ms is not None and listing.revision < self.listing.revision:
             return False
         now_ms = self.clock.now_ms()
-        if self.confirmed_ms is not None and confirmed_ms - self.confirmed_ms > GAP_MS:
+        is_gap = (
+            self.confirmed_ms is not None and confirmed_ms - self.confirmed_ms > GAP_MS
+        )
+        if is_gap or self.unread:
+            self.unread = False
             self.grace_until_ms = now_ms + RETURN_GRACE_MS
         previous, previous_digest = self.listing.servers, self.listing_digest
         self.listing, self.listing_digest = listing, listing.digest
@@ -97,6 +102,24 @@
         self._index()
         return self.listing_digest != previous_digest
 
+    def note_unread(self) -> None:
+        """Note that the store could not be read, so that entries may be missing."""
+        self.unread = True
+
+    def is_settled(self) -> bool:
+        """Return whether the listing is current and lacks no server that lives."""
+        age_ms = self.age_ms
+        is_current = age_ms is not None and age_ms <= GAP_MS
+        return is_current and self.clock.now_ms() >= self.grace_until_ms
+
+    def forget_former(self, ips: Collection[str]) -> None:
+        """Drop former servers whose agents do not answer any more."""
+        now_ms = self.clock.now_ms()
+        for name, former in list(self.former.items()):
+            is_gone = now_ms - former.gone_ms > RETURN_GRACE_MS
+            if is_gone and former.server.address.ip in ips:
+                del self.former[name]
+
     def confirm(self, revision: int, confirmed_ms: int) -> None:
         """Note that the current listing was still true at a later revision."""
         if self.confirmed_ms is None or revision < self.listing.revision:
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -72,6 +72,7 @@
     part.listingAgeMs = message.listing_age_ms
     part.configurationVersion = message.configuration_version
     part.balancers = list(message.balancers)
+    part.serverStartedMs = message.server_started_ms
     return _pack(built)
 
 
@@ -145,6 +146,7 @@
             part.listingAgeMs,
             part.configurationVersion,
             tuple(part.balancers),
+            part.serverStartedMs,
         )
     if kind == "loadReport":
         part = read.loadReport
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -10,6 +10,7 @@
   listingAgeMs @5 :UInt32;
   configurationVersion @6 :UInt64;
   balancers @7 :List(Text);
+  serverStartedMs @8 :UInt64;
 }
 
 struct LoadReport {
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -34,7 +34,10 @@
         assert settings.outbound_address is not None
         super().__init__(settings, DatagramPort(settings.outbound_address))
         self.flows = AgentFlows(
-            settings.service, self.clock, knows_all_flows=settings.is_first_start
+            settings.service,
+            self.clock,
+            knows_all_flows=settings.is_first_start,
+            started_unix_ms=self.incarnation // 1_000_000,
         )
         self.balancers: dict[str, int] = {}
         self.reported: LoadReport | None = None
@@ -58,6 +61,7 @@
         elif isinstance(message, Heartbeat):
             if message.availability_zone == self.settings.availability_zone:
                 self.balancers[sender] = self.clock.now_ms()
+            self.perform(self.flows.note_server_start(message.server_started_ms))
             self.send(sender, self.flows.report())
 
     def handle_packet(self, data: bytes) -> None:
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -1,12 +1,14 @@
 """The balancer: takes callers' packets from the routers."""
 
 import random
+from operator import attrgetter
 
 import structlog
 import trio
 
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
+    BackendServer,
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
@@ -117,27 +119,33 @@
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
     def _send_heartbeats(self) -> None:
+        newest: dict[str, BackendServer] = {}
         for ip in self.members.list_receivers():
             self._send_due_heartbeat(ip, BALANCER_HEARTBEAT_MS)
-        for server in self.view.list_agents():
+        # An address may still be listed for its former server: the newest one counts.
+        for server in sorted(self.view.list_agents(), key=attrgetter("started_ms")):
+            newest[server.address.ip] = server
+        for ip, server in newest.items():
             is_local = server.availability_zone == self.settings.availability_zone
             interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
-            self._send_due_heartbeat(server.address.ip, interval_ms)
+            self._send_due_heartbeat(ip, interval_ms, server.started_ms)
 
-    def _send_due_heartbeat(self, ip: str, interval_ms: int) -> None:
+    def _send_due_heartbeat(
+        self, ip: str, interval_ms: int, server_started_ms: int = 0
+    ) -> None:
         if self.clock.now_ms() - self.sent_ms.get(ip, -interval_ms) >= interval_ms:
-            self._send_heartbeat(ip)
+            self._send_heartbeat(ip, server_started_ms)
 
-    def _send_heartbeat(self, ip: str) -> None:
+    def _send_heartbeat(self, ip: str, server_started_ms: int = 0) -> None:
         self.sent_ms[ip] = self.clock.now_ms()
-        self.send(ip, self.make_heartbeat())
+        self.send(ip, self.make_heartbeat(server_started_ms))
 
     def announce_view(self) -> None:
         """Tell all balancers what has just been read."""
         for ip in self.members.list_receivers():
             self._send_heartbeat(ip)
 
-    def make_heartbeat(self) -> Heartbeat:
+    def make_heartbeat(self, server_started_ms: int = 0) -> Heartbeat:
         """Return what this balancer tells about itself."""
         view = self.view
         age_ms = view.age_ms
@@ -151,6 +159,7 @@
             min(age_ms if age_ms is not None else 0xFFFFFFFF, 0xFFFFFFFF),
             configuration.version if configuration is not None else 0,
             tuple(sorted(self.members.members)),
+            server_started_ms,
         )
 
     def begin_stop(self) -> None:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -102,6 +102,7 @@
 
     def _note_failure(self, error: StoreError) -> None:
         self.process.metrics.count("store_errors_total", error.step)
+        self.view.note_unread()
         if not self.is_store_lost:
             self.is_store_lost = True
             log.warning(
