Notice that a backend server has died, and reset its flows

After a crash the agent lives on while callers wait for a dead server until their deadline. An agent whose backend server is silent after two deliveries tries a connection; a refusal is certain, so that it resets the flows, takes no new ones and says so in its load reports.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -50,6 +50,7 @@
     find_turn,
 )
 from citronwinch.coordination.flows._server_choice import ServerChoice
+from citronwinch.coordination.flows._server_liveness import ServerCheck
 from citronwinch.coordination.flows._view import DeploymentView
 
 __all__ = [
@@ -79,6 +80,7 @@
     "Route",
     "SearchStep",
     "SendMessage",
+    "ServerCheck",
     "ServerChoice",
     "ServerListing",
     "ServerState",
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -9,6 +9,7 @@
     Action,
     DeliverToCaller,
     DeliverToServer,
+    ResetFlow,
     SendMessage,
     record,
 )
@@ -21,6 +22,10 @@
     Verdict,
 )
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._server_liveness import (
+    ServerCheck,
+    ServerLiveness,
+)
 
 FLOW_IDLE_MS = 60_000
 """After how long without packets a flow is forgotten, in milliseconds; the platform's
@@ -73,6 +78,9 @@
     """A packet was delivered to find out."""
 
 
+_HELD_STATES = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
+
+
 class HeldFlow:
     """One flow as the agent knows it."""
 
@@ -81,6 +89,7 @@
         self.seen_ms = now_ms
         self.balancer = ""
         self.first_sequence = 0
+        self.acknowledged = 0
         self.request_ms: int | None = None
 
 
@@ -110,6 +119,7 @@
         self.open_flows = 0
         self.latency_ms = 0.0
         self.is_leaving = False
+        self.server = ServerLiveness(clock)
 
     def handle_forwarded(
         self, message: ForwardedPacket, packet: Packet, balancer: str
@@ -127,6 +137,8 @@
                 ),
             ]
         if packet.is_opening:
+            if self.server.is_down:
+                return [SendMessage(balancer, ReturnedPacket(packet.raw))]
             return self._deliver_opening(packet, balancer)
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
@@ -141,6 +153,7 @@
             flow = self._keep(packet.flow, FlowState.ASKED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
+        self.server.note_delivery()
         return [DeliverToServer(packet.raw)]
 
     def _try_flow(
@@ -150,6 +163,7 @@
             flow = self._keep(packet.flow, FlowState.TRIED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
+        self.server.note_delivery()
         return [DeliverToServer(packet.raw)]
 
     def _deliver(self, packet: Packet, balancer: str, flow: HeldFlow) -> list[Action]:
@@ -158,7 +172,10 @@
             self._set_open(flow)
             actions.append(SendMessage(balancer, FlowAnswer(packet.flow, Verdict.HELD)))
         flow.balancer = balancer
+        flow.acknowledged = packet.acknowledged
         self._touch(packet.flow, flow)
+        if not packet.is_reset:
+            self.server.note_delivery()
         if packet.payload_bytes and flow.request_ms is None:
             flow.request_ms = flow.seen_ms
             self.waiting[packet.flow] = flow.seen_ms
@@ -168,6 +185,7 @@
 
     def handle_from_server(self, packet: Packet) -> list[Action]:
         """Take a packet that the backend server sent or gave back."""
+        self.server.note_sign_of_life()
         if packet.is_bounced:
             return self._handle_bounced(packet)
         flow = self.flows.get(packet.flow)
@@ -207,6 +225,23 @@
             return [record("bounce_without_balancer", packet)]
         return [SendMessage(balancer, ReturnedPacket(packet.raw))]
 
+    def note_server_check(self, check: ServerCheck) -> list[Action]:
+        """Take the result of a connection attempt; reset the flows of a dead server."""
+        was_down = self.server.is_down
+        self.server.note_check(check)
+        if check is not ServerCheck.REFUSED:
+            return [record("server_checked", outcome=check.name.lower())]
+        keys = [key for key, flow in self.flows.items() if flow.state in _HELD_STATES]
+        actions: list[Action] = [
+            ResetFlow(_last_packet(key, self.flows[key])) for key in keys
+        ]
+        for key in keys:
+            self._drop(key)
+        if not was_down or keys:
+            actions.append(record("server_down", flows_reset=len(keys)))
+        self.knows_all_flows = True
+        return actions
+
     def note_server_start(self, server_started_ms: int) -> list[Action]:
         """Take the incarnation of the backend server that balancers have read.
 
@@ -257,7 +292,7 @@
             self.open_flows,
             len(self.waiting),
             round(self.latency_ms),
-            self.is_leaving,
+            not self.is_leaving and not self.server.is_down,
         )
 
     def expire(self) -> None:
@@ -297,6 +332,21 @@
         self.waiting.pop(key, None)
 
 
+def _last_packet(key: FlowKey, flow: HeldFlow) -> Packet:
+    """Return what a reset of the flow answers."""
+    return Packet(
+        key,
+        is_opening=flow.state is FlowState.ASKED,
+        is_finishing=False,
+        is_reset=False,
+        is_bounced=False,
+        sequence=0,
+        acknowledged=flow.acknowledged,
+        payload_bytes=0,
+        raw=b"",
+    )
+
+
 def _may_belong(flow: HeldFlow, packet: Packet) -> bool:
     """Return whether a caller's packet can be of this flow, not of a rival opening."""
     if flow.state is FlowState.ACCEPTED:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -53,8 +53,8 @@
     latency_ms: int
     """Its recent mean time from a request to its answer, in milliseconds."""
 
-    is_leaving: bool
-    """Whether the agent is about to stop."""
+    accepts_flows: bool
+    """Whether new flows may come; not while it stops or its backend server is down."""
 
 
 class Verdict(IntEnum):
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -119,7 +119,7 @@
         if self.is_silent(server):
             return True
         report = self.agents[server.address.ip].report
-        return report is not None and report.is_leaving
+        return report is not None and not report.accepts_flows
 
     def _find_usual_latency_ms(self, servers: Sequence[BackendServer]) -> float:
         latencies = sorted(
--- /dev/null
+++ b/citronwinch/coordination/flows/_server_liveness.py
@@ -0,0 +1,71 @@
+"""Notices that the backend server beside an agent has died."""
+
+from enum import Enum
+
+from citronwinch.coordination._clock import Clock
+
+SILENCE_MS = 150
+"""How long a backend server may be silent after a delivery before it is checked, in
+milliseconds; it acknowledges every second packet within a round trip on its own
+instance, and a caller's copy comes after 200 ms."""
+
+CHECK_INTERVAL_MS = 500
+"""How often a silent backend server is checked, in milliseconds."""
+
+
+class ServerCheck(Enum):
+    """What a connection attempt to the backend server showed."""
+
+    ACCEPTED = "accepted"
+    """Its process lives."""
+
+    REFUSED = "refused"
+    """No process listens: it has died, and its flows with it."""
+
+    SILENT = "silent"
+    """No answer: nothing is certain."""
+
+
+class ServerLiveness:
+    """Watches deliveries and answers; asks for a check after a silence."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.is_down = False
+        self.unanswered_ms: int | None = None
+        self.deliveries = 0
+        self.checked_ms = clock.now_ms() - CHECK_INTERVAL_MS
+
+    def note_delivery(self) -> None:
+        """Note that a packet which calls for an answer was delivered."""
+        self.deliveries += 1
+        if self.unanswered_ms is None:
+            self.unanswered_ms = self.clock.now_ms()
+
+    def note_sign_of_life(self) -> None:
+        """Note that the backend server has sent something."""
+        self.unanswered_ms = None
+        self.deliveries = 0
+        self.is_down = False
+
+    def needs_check(self) -> bool:
+        """Return whether to try a connection now; counts as the start of a check."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.checked_ms < CHECK_INTERVAL_MS:
+            return False
+        is_silent = (
+            self.unanswered_ms is not None
+            and self.deliveries > 1
+            and now_ms - self.unanswered_ms >= SILENCE_MS
+        )
+        if not self.is_down and not is_silent:
+            return False
+        self.checked_ms = now_ms
+        return True
+
+    def note_check(self, check: ServerCheck) -> None:
+        """Take the result of a check."""
+        if check is ServerCheck.ACCEPTED:
+            self.note_sign_of_life()
+        elif check is ServerCheck.REFUSED:
+            self.is_down = True
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -13,8 +13,10 @@
     FlowAnswer,
     FlowQuestion,
     ForwardedPacket,
+    ResetFlow,
     ReturnedPacket,
     SendMessage,
+    ServerCheck,
     Verdict,
 )
 from citronwinch.coordination.flows.tests.conftest import make_packet
@@ -154,3 +156,56 @@
     for started_ms in starts_ms:
         agent.note_server_start(started_ms)
     assert ask(agent) is verdict
+
+
+def test_a_silent_server_is_checked_and_its_flows_reset_once_it_is_dead(
+    agent: AgentFlows, clock: ManualClock
+) -> None:
+    open_flow(agent)
+    forward(agent, payload=50, acknowledged=777)
+    forward(agent, payload=50, acknowledged=777)
+    assert not agent.server.needs_check()
+    clock.advance(150)
+    assert agent.server.needs_check()
+    resets = [
+        action.packet
+        for action in agent.note_server_check(ServerCheck.REFUSED)
+        if isinstance(action, ResetFlow)
+    ]
+    assert [(packet.flow, packet.acknowledged) for packet in resets] == [
+        (make_packet().flow, 777)
+    ]
+    report = agent.report()
+    assert (report.open_flows, report.accepts_flows) == (0, False)
+    assert was_returned(forward(agent, opening=True))
+    assert ask(agent) is Verdict.ABSENT
+
+
+@pytest.mark.parametrize("check", [ServerCheck.ACCEPTED, ServerCheck.SILENT])
+def test_no_flow_is_reset_unless_the_server_is_certainly_dead(
+    agent: AgentFlows, check: ServerCheck
+) -> None:
+    open_flow(agent)
+    actions = agent.note_server_check(check)
+    assert not any(isinstance(action, ResetFlow) for action in actions)
+    assert agent.report().accepts_flows
+
+
+def test_a_server_that_answers_is_not_checked(
+    agent: AgentFlows, clock: ManualClock
+) -> None:
+    open_flow(agent)
+    for _ in range(20):
+        forward(agent, payload=50, acknowledged=501)
+        forward(agent, payload=50, acknowledged=501)
+        clock.advance(100)
+        agent.handle_from_server(make_packet())
+        assert not agent.server.needs_check()
+
+
+def test_a_server_that_is_up_again_takes_flows(agent: AgentFlows) -> None:
+    agent.note_server_check(ServerCheck.REFUSED)
+    assert not agent.report().accepts_flows
+    agent.note_server_check(ServerCheck.ACCEPTED)
+    assert agent.report().accepts_flows
+    assert was_delivered(forward(agent, opening=True))
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -49,8 +49,8 @@
 def test_new_flows_go_to_the_least_loaded_server_of_the_own_zone(
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
-    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, False))
-    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, False))
+    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, True))
+    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, True))
     actions = balancer.handle_packet(make_packet(opening=True))
     assert list_forwards(actions) == [("10.0.0.2", "gauging")]
 
@@ -59,7 +59,7 @@
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
     for number in (1, 2):
-        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, False))
+        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, True))
     actions = balancer.handle_packet(make_packet(opening=True))
     assert list_forwards(actions) == [("10.0.0.3", "gauging")]
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -84,7 +84,7 @@
     part.openFlows = message.open_flows
     part.waiting = message.waiting
     part.latencyMs = message.latency_ms
-    part.isLeaving = message.is_leaving
+    part.acceptsFlows = message.accepts_flows
     return _pack(built)
 
 
@@ -155,7 +155,7 @@
             part.openFlows,
             part.waiting,
             part.latencyMs,
-            part.isLeaving,
+            part.acceptsFlows,
         )
     if kind == "question":
         part = read.question
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -18,7 +18,7 @@
   openFlows @1 :UInt32;
   waiting @2 :UInt32;
   latencyMs @3 :UInt32;
-  isLeaving @4 :Bool;
+  acceptsFlows @4 :Bool;
 }
 
 struct FlowQuestion {
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -12,7 +12,7 @@
 )
 from citronwinch.forwarder._process import ForwarderProcess
 from citronwinch.forwarder._settings import ForwarderSettings
-from citronwinch.network import DatagramPort
+from citronwinch.network import DatagramPort, try_connection
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
 REPORT_INTERVAL_MS = 100
@@ -22,6 +22,9 @@
 BALANCER_TIMEOUT_MS = 2_000
 """How long a balancer without a heartbeat still gets load reports, in milliseconds."""
 
+CHECK_TIMEOUT_MS = 300
+"""How long a connection to the own backend server may take, in milliseconds."""
+
 STOP_MS = 100
 """How long a stopping agent still forwards, in milliseconds; balancers hear within
 that time that it takes no new flows."""
@@ -48,7 +51,15 @@
         return True
 
     def start_tasks(self, nursery: trio.Nursery) -> None:
-        """Start no further tasks."""
+        """Keep the nursery for checks of the backend server."""
+        self.nursery = nursery
+
+    async def _check_server(self) -> None:
+        address = self.settings.server_address
+        assert address is not None
+        check = await try_connection(address, CHECK_TIMEOUT_MS)
+        self.metrics.count("server_checks_total", check.value)
+        self.perform(self.flows.note_server_check(check))
 
     def handle_message(self, message: Message, sender: str) -> None:
         """React to a balancer."""
@@ -71,6 +82,8 @@
 
     def tick(self) -> None:
         """Report a changed load; forget idle flows."""
+        if self.flows.server.needs_check():
+            self.nursery.start_soon(self._check_server)
         now_ms = self.clock.now_ms()
         if now_ms - self.reported_ms < REPORT_INTERVAL_MS:
             return
@@ -97,6 +110,8 @@
         """Tell the balancers that this agent is about to stop."""
         self.flows.is_leaving = True
         self._send_report(self.flows.report())
+        # The agent is often stopped because its backend server has ended.
+        self.nursery.start_soon(self._check_server)
 
     def is_stopped(self) -> bool:
         """Return whether the balancers have had time to hear of the stop."""
--- a/citronwinch/network/__init__.py
+++ b/citronwinch/network/__init__.py
@@ -1,5 +1,6 @@
 """Sockets and HTTP shared by the adapters."""
 
+from citronwinch.network._connection_check import try_connection
 from citronwinch.network._datagram_port import (
     BATCH_LIMIT,
     BUFFER_BYTES,
@@ -20,4 +21,5 @@
     "MalformedMessageError",
     "fetch",
     "serve",
+    "try_connection",
 ]
--- /dev/null
+++ b/citronwinch/network/_connection_check.py
@@ -0,0 +1,21 @@
+"""Tells a dead process from a silent one by a connection attempt."""
+
+import trio
+
+from citronwinch.coordination import Endpoint
+from citronwinch.coordination.flows import ServerCheck
+
+
+async def try_connection(endpoint: Endpoint, timeout_ms: int) -> ServerCheck:
+    """Open and close a TCP connection, and tell how that went."""
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            stream = await trio.open_tcp_stream(endpoint.ip, endpoint.port)
+            await stream.aclose()
+            return ServerCheck.ACCEPTED
+    except trio.TooSlowError:
+        return ServerCheck.SILENT
+    except OSError as error:
+        causes = [error, error.__cause__, *getattr(error.__cause__, "exceptions", ())]
+        is_refused = any(isinstance(cause, ConnectionRefusedError) for cause in causes)
+        return ServerCheck.REFUSED if is_refused else ServerCheck.SILENT
