--- /dev/null
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -0,0 +1,75 @@
+"""Messages between balancers and agents survive their encoding; others are refused."""
+
+import random
+
+import pytest
+
+from citronwinch.coordination import Endpoint, FlowKey
+from citronwinch.coordination.flows import (
+    BackendServer,
+    Configuration,
+    FlowAnswer,
+    FlowQuestion,
+    ForwardedPacket,
+    Heartbeat,
+    LoadReport,
+    Message,
+    ReturnedPacket,
+    Route,
+    ServerListing,
+    ServerState,
+    ServiceShare,
+    Verdict,
+    ViewAnswer,
+    pack_route_address,
+)
+from citronwinch.flow_peers import (
+    decode_flow_message,
+    decode_view,
+    encode_flow_message,
+    encode_view,
+)
+from citronwinch.network import MalformedMessageError
+
+MESSAGES: list[Message] = [
+    Heartbeat(1 << 60, "a", True, 9, (1 << 64) - 1, 700, 12, ("10.0.0.1",), 5),
+    LoadReport("gauging", 40, 3, 17, False),
+    FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
+    FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
+    ForwardedPacket("gauging", bytes(36)),
+    ReturnedPacket(bytes(36)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_a_message_survives_its_encoding(message: Message) -> None:
+    assert decode_flow_message(encode_flow_message(message)) == message
+
+
+@pytest.mark.parametrize("with_configuration", [True, False])
+def test_a_view_survives_its_encoding(with_configuration: bool) -> None:
+    address = Endpoint("198.18.0.1", 443)
+    route = Route("r", address, (ServiceShare("gauging", 1),), 1, 120, 1_000)
+    routes = {pack_route_address(address): route}
+    server = BackendServer(
+        "i-1", "gauging", Endpoint("10.0.0.9", 80), "a", ServerState.LEAVING, 1, 5
+    )
+    view = ViewAnswer(
+        ServerListing(9, {"i-1": server}),
+        450,
+        Configuration(3, routes, 15_000) if with_configuration else None,
+    )
+    assert decode_view(encode_view(view)) == view
+
+
+def test_mutated_messages_are_read_or_refused_but_never_raise_anything_else() -> None:
+    rng = random.Random(20)
+    for _ in range(3_000):
+        data = bytearray(encode_flow_message(rng.choice(MESSAGES)))
+        for _ in range(rng.randint(1, 6)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        data = data[: rng.randint(0, len(data))]
+        try:
+            decode_flow_message(bytes(data))
+        except MalformedMessageError:
+            continue
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -144,6 +144,11 @@
             nursery.cancel_scope.cancel()
         log.info("stopped", name=settings.name)
 
+    def close(self) -> None:
+        """Close the sockets."""
+        self.packet_port.close()
+        self.peer_port.close()
+
     async def _decide(self) -> None:
         async for event in self.inbox:
             try:
--- /dev/null
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -0,0 +1,210 @@
+"""A deployment of real balancers and agents on loopback, with stand-ins around it."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from citronwinch.coordination import Endpoint
+from citronwinch.forwarder import parse_forwarder_settings
+from citronwinch.forwarder._agent_process import AgentProcess
+from citronwinch.forwarder._balancer_process import BalancerProcess
+from citronwinch.forwarder._process import ForwarderProcess, StopRequested
+from citronwinch.platform.standins import (
+    Caller,
+    Router,
+    StandInServer,
+    StandInStore,
+)
+
+SERVICE = Endpoint("198.18.0.1", 443)
+OTHER_SERVICE = Endpoint("198.18.0.2", 443)
+CALLER_PORT = 21_172
+PEER_PORT = 21_200
+SETTLE_SECONDS = 10.0
+"""The longest that a test waits for something to happen."""
+
+BALANCER = """
+[instance]
+name = balancer-{number}
+role = balancer
+availability_zone = {zone}
+[listen]
+ip = {ip}
+peer_ports = {peer_port},21215
+ready = {ip}:21167
+packets = {ip}:21172
+[peers]
+seeds = {seed}:21166
+[store]
+address = {store}
+[stop]
+timeout_s = 2
+"""
+
+AGENT = """
+[instance]
+name = agent-{number}
+role = agent
+availability_zone = {zone}
+first_start = {first}
+[listen]
+ip = {ip}
+peer_ports = {peer_port},21215
+ready = {ip}:21167
+packets = {ip}:21172
+[server]
+service = {service}
+address = {ip}:21165
+outbound = {ip}:21162
+[stop]
+timeout_s = 2
+"""
+
+
+class LoopbackDeployment:
+    """Processes and stand-ins, each process on a loopback address of its own.
+
+    `network` is the second number of all addresses, so that tests that run at the
+    same time in different files do not meet.
+    """
+
+    def __init__(self, nursery: trio.Nursery, network: int) -> None:
+        self.nursery = nursery
+        self.prefix = f"127.{network}.0"
+        self.store = StandInStore(Endpoint(f"{self.prefix}.1", 21_169))
+        self.router = Router({})
+        self.caller = Caller(Endpoint(f"{self.prefix}.2", CALLER_PORT), self.router)
+        self.servers: dict[int, StandInServer] = {}
+        self.processes: dict[int, ForwarderProcess] = {}
+        self.scopes: dict[int, trio.CancelScope] = {}
+
+    def start(self) -> None:
+        """Start the stand-ins."""
+        routes = {SERVICE: "gauging", OTHER_SERVICE: "reporting"}
+        self.store.write_configuration(1, routes)
+        for task in (self.store.run, self.router.run, self.caller.run):
+            self.nursery.start_soon(task)
+
+    def add_balancer(self, number: int, zone: str = "a") -> None:
+        """Start a balancer."""
+        ip = f"{self.prefix}.{number}"
+        text = BALANCER.format(
+            number=number,
+            zone=zone,
+            ip=ip,
+            peer_port=PEER_PORT,
+            seed=f"{self.prefix}.11",
+            store=self.store.endpoint,
+        )
+        self.router.balancers[Endpoint(ip, 21_167)] = Endpoint(ip, 21_172)
+        settings = parse_forwarder_settings(text, "balancer.ini").ok
+        self._run(number, BalancerProcess(settings))
+
+    def add_server(
+        self, number: int, service: str = "gauging", zone: str = "a"
+    ) -> None:
+        """Start a backend server with its agent, and register it."""
+        ip = f"{self.prefix}.{number}"
+        server = StandInServer(
+            f"i-{number}", Endpoint(ip, 21_165), Endpoint(ip, 21_162)
+        )
+        self.servers[number] = server
+        self.nursery.start_soon(server.run)
+        self.add_agent(number, service, zone)
+        self.store.write_server(
+            f"i-{number}",
+            service,
+            server.address,
+            zone,
+            started_ms=time.time_ns() // 1_000_000,
+        )
+
+    def add_agent(
+        self,
+        number: int,
+        service: str = "gauging",
+        zone: str = "a",
+        first: bool = False,
+    ) -> None:
+        """Start the agent beside a backend server."""
+        text = AGENT.format(
+            number=number,
+            zone=zone,
+            ip=f"{self.prefix}.{number}",
+            peer_port=PEER_PORT,
+            service=service,
+            first=str(first).lower(),
+        )
+        settings = parse_forwarder_settings(text, "agent.ini").ok
+        self._run(number, AgentProcess(settings))
+
+    def _run(self, number: int, process: ForwarderProcess) -> None:
+        self.processes[number] = process
+        scope = self.scopes[number] = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                try:
+                    await process.run()
+                finally:
+                    process.close()
+
+        self.nursery.start_soon(run)
+
+    async def kill(self, number: int) -> None:
+        """End a process at once."""
+        self.scopes[number].cancel()
+        await trio.sleep(0.02)
+
+    async def stop(self, number: int) -> None:
+        """Ask a process to end, and wait until it has."""
+        process = self.processes[number]
+        await process.inbox_send.send(StopRequested())
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Wait until something holds; fail when it does not in time."""
+        with trio.fail_after(SETTLE_SECONDS):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async def wait_ready(self, balancers: int, servers: int) -> None:
+        """Wait until the balancers are in rotation and have heard of all agents."""
+
+        def is_settled() -> bool:
+            live = [
+                process
+                for process in self.processes.values()
+                if isinstance(process, BalancerProcess) and process.stop_ms is None
+            ]
+            known = [
+                process
+                for process in live
+                if len(process.view.listing.servers) == servers
+                and len(process.choice.agents) >= servers
+            ]
+            return len(self.router.rotation) == balancers <= len(known)
+
+        await self.wait_for(is_settled)
+
+
+Scene = Callable[[LoopbackDeployment], Awaitable[None]]
+
+
+@pytest.fixture
+def play() -> Callable[[Scene, int], None]:
+    """Return what runs a scene in a deployment on a loopback network."""
+
+    def run_scene(scene: Scene, network: int) -> None:
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                deployment = LoopbackDeployment(nursery, network)
+                deployment.start()
+                await trio.sleep(0.05)
+                await scene(deployment)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    return run_scene
--- /dev/null
+++ b/citronwinch/forwarder/tests/test_settings.py
@@ -0,0 +1,68 @@
+"""Settings of balancers and agents, and the templates that the platform fills."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from citronwinch.coordination import Endpoint, InstanceRole
+from citronwinch.forwarder import parse_forwarder_settings
+
+TEMPLATES = Path(__file__).parents[2] / "platform"
+
+VALUES = {
+    "node_name": "edge-a-1",
+    "zone": "tas-south-a",
+    "bootstrap": "true",
+    "ip": "10.1.0.10",
+    "port_range": "7720,7735",
+    "listen_addrs.ready": "10.1.0.10:8167",
+    "listen_addrs.datagram_addr": "10.1.0.10:8172",
+    "listen_addrs.outbound": "10.1.0.10:8162",
+    "seed_nodes": "10.1.0.10:8166,10.2.0.40:8166",
+    "platform.address": "10.200.1.7:8169",
+    "bounds.grace_s": "6",
+    "service": "huvo11a",
+    "app": "10.1.0.10:8165",
+}
+
+
+def fill(name: str) -> str:
+    template = (TEMPLATES / f"{name}.ini.template").read_text()
+    return re.sub(r"{{([a-z_.]+)}}", lambda match: VALUES[match[1]], template)
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_a_filled_template_is_valid(role: str) -> None:
+    settings = parse_forwarder_settings(fill(role), "local.ini").ok
+    assert settings.role is InstanceRole(role)
+    assert settings.peer_port == 7720
+    assert settings.is_first_start
+
+
+def test_a_balancer_knows_its_seeds_and_the_store() -> None:
+    settings = parse_forwarder_settings(fill("balancer"), "local.ini").ok
+    assert [seed.ip for seed in settings.seeds] == ["10.1.0.10", "10.2.0.40"]
+    assert settings.store_address == Endpoint("10.200.1.7", 8169)
+
+
+@pytest.mark.parametrize(
+    ("role", "old", "new", "place"),
+    [
+        ("balancer", "ip = 10.1.0.10", "ip = here", "[listen] ip"),
+        ("balancer", "peer_ports = 7720,7735", "peer_ports = x", "[listen] peer_ports"),
+        ("balancer", "first_start = true", "first_start = 1", "[instance] first_start"),
+        ("balancer", "address = 10.200.1.7:8169", "", "[store] address"),
+        ("agent", "service = huvo11a", "", "[server] service"),
+        ("agent", "role = agent", "role = judge", "[instance] role"),
+        ("agent", "timeout_s = 6", "timeout_s = 6\nspeed = 9", "[stop] speed"),
+    ],
+)
+def test_a_mistake_is_named_with_its_place(
+    role: str, old: str, new: str, place: str
+) -> None:
+    text = fill(role)
+    assert old in text
+    problems = parse_forwarder_settings(text.replace(old, new), "local.ini").error
+    assert [problem.place for problem in problems] == [place]
+    assert problems[0].expected
--- /dev/null
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -0,0 +1,214 @@
+"""Flows from caller to backend server and back, through real sockets."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from citronwinch.coordination.flows import Heartbeat
+from citronwinch.forwarder.tests.conftest import (
+    OTHER_SERVICE,
+    SERVICE,
+    LoopbackDeployment,
+    Scene,
+)
+from citronwinch.network import DatagramPort
+from citronwinch.platform.standins import FlowOutcome, StoreFault
+
+Play = Callable[[Scene, int], None]
+
+
+async def start_small(deployment: LoopbackDeployment, balancers: int = 2) -> None:
+    for number in range(11, 11 + balancers):
+        deployment.add_balancer(number)
+    for number in (31, 32):
+        deployment.add_server(number)
+    deployment.add_server(41, "reporting")
+    await deployment.wait_ready(balancers, 3)
+
+
+async def open_flows(deployment: LoopbackDeployment, ports: range) -> None:
+    for port in ports:
+        outcome = await deployment.caller.open(port, SERVICE)
+        assert outcome is FlowOutcome.DONE
+        assert await ask(deployment, port) is FlowOutcome.DONE
+
+
+async def ask(deployment: LoopbackDeployment, port: int) -> FlowOutcome:
+    payload = f"tank {port}".encode()
+    outcome, answer = await deployment.caller.request(port, SERVICE, payload)
+    if outcome is FlowOutcome.DONE:
+        assert answer.endswith(payload.upper())
+    return outcome
+
+
+async def ask_all(deployment: LoopbackDeployment, ports: range) -> set[FlowOutcome]:
+    return {await ask(deployment, port) for port in ports}
+
+
+def count_runs(deployment: LoopbackDeployment) -> int:
+    return sum(len(server.requests) for server in deployment.servers.values())
+
+
+def test_flows_are_served_by_their_own_service(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        await open_flows(deployment, range(4000, 4010))
+        caller = deployment.caller
+        assert await caller.open(5000, OTHER_SERVICE) is FlowOutcome.DONE
+        _, answer = await caller.request(5000, OTHER_SERVICE, b"stock")
+        assert answer == b"i-41:STOCK"
+        assert not any(
+            payload.startswith(b"tank")
+            for _, payload in deployment.servers[41].requests
+        )
+        used = [len(deployment.servers[number].flows) for number in (31, 32)]
+        assert min(used) >= 4
+        assert count_runs(deployment) == 11
+
+    play(scene, 101)
+
+
+def test_open_flows_survive_a_balancer_that_joins_and_one_that_stops(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        ports = range(4000, 4012)
+        await open_flows(deployment, ports)
+        deployment.add_balancer(13)
+        await deployment.wait_ready(3, 3)
+        assert await ask_all(deployment, ports) == {FlowOutcome.DONE}
+        await deployment.stop(11)
+        await deployment.wait_for(lambda: len(deployment.router.rotation) == 2)
+        assert await ask_all(deployment, ports) == {FlowOutcome.DONE}
+        assert count_runs(deployment) == 36
+
+    play(scene, 102)
+
+
+def test_open_flows_survive_the_death_of_every_process_of_the_system(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        ports = range(4000, 4010)
+        await open_flows(deployment, ports)
+        for number in (11, 12, 31, 32, 41):
+            await deployment.kill(number)
+        for number in (11, 12):
+            deployment.add_balancer(number)
+        for number in (31, 32):
+            deployment.add_agent(number)
+        deployment.add_agent(41, "reporting")
+        await deployment.wait_ready(2, 3)
+        assert await ask_all(deployment, ports) == {FlowOutcome.DONE}
+        assert count_runs(deployment) == 20
+
+    play(scene, 103)
+
+
+def test_a_leaving_server_gets_no_new_flows_and_keeps_its_own(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        await open_flows(deployment, range(4000, 4006))
+        server = deployment.servers[31]
+        before = len(server.flows)
+        deployment.store.write_server(
+            "i-31", "gauging", server.address, "a", state="draining"
+        )
+        await trio.sleep(1.5)
+        await open_flows(deployment, range(4100, 4106))
+        assert len(server.flows) == before
+        assert await ask_all(deployment, range(4000, 4006)) == {FlowOutcome.DONE}
+
+    play(scene, 104)
+
+
+def test_a_configuration_reaches_a_balancer_that_the_store_refuses(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        processes = [deployment.processes[number] for number in (11, 12)]
+        refused = processes[0]
+        refused.exchange.store.store = deployment.servers[31].address  # type: ignore[attr-defined]
+        deployment.store.write_configuration(7, {SERVICE: "reporting"})
+
+        def has_arrived() -> bool:
+            views = [process.view for process in processes]  # type: ignore[attr-defined]
+            return all(view.configuration.version == 7 for view in views)
+
+        with trio.fail_after(3):
+            await deployment.wait_for(has_arrived)
+        assert await deployment.caller.open(4000, OTHER_SERVICE) is FlowOutcome.RESET
+        assert await deployment.caller.open(4001, SERVICE) is FlowOutcome.DONE
+        _, answer = await deployment.caller.request(4001, SERVICE, b"x")
+        assert answer == b"i-41:X"
+
+    play(scene, 105)
+
+
+def test_service_goes_on_while_the_store_is_away(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        for fault in (StoreFault.BUSY, StoreFault.MALFORMED, StoreFault.CUT):
+            deployment.store.fault = fault
+            await trio.sleep(0.9)
+            port = 4000 + list(StoreFault).index(fault)
+            await open_flows(deployment, range(port, port + 1))
+        deployment.store.fault = StoreFault.NONE
+        deployment.store.write_configuration(8, {SERVICE: "gauging"})
+        view = deployment.processes[11].view  # type: ignore[attr-defined]
+        await deployment.wait_for(lambda: view.configuration.version == 8)
+
+    play(scene, 106)
+
+
+def test_a_dead_flow_is_reset_instead_of_left_waiting(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        await open_flows(deployment, range(4000, 4004))
+        for number in (31, 32):
+            deployment.servers[number].flows.clear()
+        with trio.fail_after(1):
+            outcomes = await ask_all(deployment, range(4000, 4004))
+        assert outcomes == {FlowOutcome.RESET}
+
+    play(scene, 107)
+
+
+def test_random_datagrams_on_every_port_are_counted_and_harm_nothing(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        noise = DatagramPort(deployment.caller.address._replace(port=0))
+        rng = random.Random(11)
+        ports = (21_172, 21_200, 21_162)
+        for _ in range(600):
+            data = rng.randbytes(rng.randint(0, 200))
+            for number in (11, 31):
+                ip = f"{deployment.prefix}.{number}"
+                noise.send(data, (ip, rng.choice(ports)))
+        noise.close()
+        await trio.sleep(0.2)
+        for number in (11, 31):
+            counters = deployment.processes[number].metrics.counters
+            malformed = [key for key in counters if key[0] == "malformed_total"]
+            assert malformed
+            assert not [key for key in counters if key[0] == "internal_errors_total"]
+        await open_flows(deployment, range(4000, 4004))
+
+    play(scene, 108)
+
+
+def test_a_heartbeat_from_another_run_does_not_stop_service(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment, balancers=1)
+        stray = Heartbeat(1, "a", True, 1 << 50, 0, 0, 1 << 50, ("10.9.9.9",))
+        deployment.processes[11].handle_message(stray, f"{deployment.prefix}.99")
+        await trio.sleep(0.3)
+        await open_flows(deployment, range(4000, 4003))
+
+    play(scene, 109)
--- a/citronwinch/platform/_packet_codec.py
+++ b/citronwinch/platform/_packet_codec.py
@@ -4,7 +4,12 @@
 import struct
 from typing import NamedTuple
 
-from citronwinch.coordination import TransportProtocol, pack_flow_key, unpack_flow_key
+from citronwinch.coordination import (
+    Endpoint,
+    TransportProtocol,
+    pack_flow_key,
+    unpack_flow_key,
+)
 from citronwinch.coordination.flows import Packet
 from citronwinch.network import MalformedMessageError
 
@@ -111,20 +116,40 @@
 def encode_reset(packet: Packet) -> bytes:
     """Return the reset that answers a caller's packet."""
     flow = unpack_flow_key(packet.flow)
+    sequence = 0 if packet.is_opening else packet.acknowledged
+    return encode_packet(flow.service, flow.caller, FLAG_RST, sequence, 0)
+
+
+def encode_packet(
+    sender: Endpoint,
+    receiver: Endpoint,
+    flags: int,
+    sequence: int,
+    acknowledged: int,
+    payload: bytes = b"",
+) -> bytes:
+    """Return a packet without a sum, as only our own resets may leave the system."""
     head = _Head(
         echo=0,
-        seq=0 if packet.is_opening else packet.acknowledged,
-        ack=0,
-        len=0,
-        sport=flow.service.port,
-        dst=_pack_address(flow.caller.ip),
-        dport=flow.caller.port,
-        src=_pack_address(flow.service.ip),
+        seq=sequence,
+        ack=acknowledged,
+        len=len(payload),
+        sport=sender.port,
+        dst=_pack_address(receiver.ip),
+        dport=receiver.port,
+        src=_pack_address(sender.ip),
         sum=0,
-        flags=FLAG_RST,
+        flags=flags,
         pad=b"",
     )
-    return _HEAD.pack(*head)
+    return _HEAD.pack(*head) + payload
+
+
+def mark_bounced(data: bytes) -> bytes:
+    """Return a packet as a backend server gives it back."""
+    head = _Head._make(_HEAD.unpack_from(data))
+    marked = head._replace(flags=head.flags | FLAG_BOUNCED, pad=b"")
+    return _HEAD.pack(*marked) + data[HEAD_BYTES:]
 
 
 def _pack_address(ip: str) -> int:
--- /dev/null
+++ b/citronwinch/platform/standins/_store.py
@@ -0,0 +1,162 @@
+"""A stand-in for the platform's store, with the faults that the real one shows."""
+
+import base64
+from enum import Enum
+from typing import Any
+
+import orjson
+import trio
+
+from citronwinch.coordination import Endpoint
+from citronwinch.network import HttpRequest, HttpResponse, serve
+
+
+class StoreFault(Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    SILENT = "silent"
+    CUT = "cut"
+    MALFORMED = "malformed"
+    FORGETFUL = "forgetful"
+
+
+_STATUS = {StoreFault.BUSY: 503, StoreFault.MANY: 429}
+
+
+class StandInStore:
+    """Items with revisions, served over HTTP."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.revision = 1
+        self.items: dict[str, tuple[int, bytes]] = {}
+        self.fault = StoreFault.NONE
+        self.calls = 0
+        self.changed = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await serve(self.endpoint, self._answer)
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        self.revision += 1
+        self.items[key] = (self.revision, value)
+        self._wake_watches()
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._wake_watches()
+
+    def write_configuration(self, version: int, routes: dict[Endpoint, str]) -> None:
+        """Write a configuration that sends each address to one service."""
+        body = {
+            "version": version,
+            "routes": [
+                {
+                    "name": f"r-{index}",
+                    "host": address.ip,
+                    "prefix": f"/{address.port}/",
+                    "type": "idempotent",
+                    "timeout_ms": 1_000,
+                    "target_latency_ms": 120,
+                    "priority": 1,
+                    "service": service,
+                    "max_attempts": 2,
+                }
+                for index, (address, service) in enumerate(routes.items())
+            ],
+            "services": [{"name": service} for service in sorted(set(routes.values()))],
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+        self.write("op/config", orjson.dumps(body))
+
+    def write_server(
+        self,
+        name: str,
+        service: str,
+        address: Endpoint,
+        zone: str,
+        state: str = "ready",
+        started_ms: int = 1,
+    ) -> None:
+        """Write the entry of a backend server."""
+        entry = {
+            "service": service,
+            "address": str(address),
+            "zone": zone,
+            "version": "v1",
+            "concurrency": 1,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": self.revision,
+            "born": started_ms,
+        }
+        self.write(f"servers/{name}", orjson.dumps(entry))
+
+    def _wake_watches(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.calls += 1
+        if self.fault in _STATUS:
+            return HttpResponse(_STATUS[self.fault], b'{"error":"no"}')
+        if self.fault is StoreFault.SILENT:
+            await trio.sleep_forever()
+        if self.fault is StoreFault.MALFORMED:
+            return HttpResponse(200, b'{"items": 7, "value": "?"')
+        if self.fault is StoreFault.CUT:
+            raise ConnectionResetError("cut by the test")
+        if request.path == "/kv-key":
+            return self._answer_key(request.query["key"])
+        if request.path == "/kv-range":
+            return self._answer_range(request.query["prefix"])
+        return await self._answer_watch(request.query)
+
+    def _answer_key(self, key: str) -> HttpResponse:
+        if key not in self.items:
+            return HttpResponse(404, b'{"error":"no such key"}')
+        return _json(self._show(key) | {"at": self.revision})
+
+    def _answer_range(self, prefix: str) -> HttpResponse:
+        items = [
+            self._show(key) for key in sorted(self.items) if key.startswith(prefix)
+        ]
+        return _json({"items": items, "has_more": False, "at": self.revision})
+
+    async def _answer_watch(self, query: dict[str, str]) -> HttpResponse:
+        after = int(query["after"])
+        if self.fault is StoreFault.FORGETFUL:
+            return HttpResponse(410, b'{"error":"history is gone"}')
+        with trio.move_on_after(int(query["wait_ms"]) / 1000):
+            while not self._list_events(query["prefix"], after):
+                await self.changed.wait()
+        events = self._list_events(query["prefix"], after)
+        return _json({"events": events, "at": self.revision})
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            self._show(key)
+            for key, (revision, _) in self.items.items()
+            if key.startswith(prefix) and revision > after
+        ]
+
+    def _show(self, key: str) -> dict[str, Any]:
+        revision, value = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "created": revision,
+            "lease_id": 0,
+        }
+
+
+def _json(body: object) -> HttpResponse:
+    return HttpResponse(200, orjson.dumps(body))
--- /dev/null
+++ b/citronwinch/platform/tests/test_store_contract.py
@@ -0,0 +1,170 @@
+"""What the store client makes of the store's answers."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from expression import Result
+
+from citronwinch.coordination import Endpoint
+from citronwinch.coordination.flows import ServerState
+from citronwinch.platform import StoreClient, StoreError
+from citronwinch.platform._entries import decode_configuration, decode_server
+from citronwinch.platform.standins import StandInStore, StoreFault
+
+ROUTES = {Endpoint("198.18.0.1", 443): "gauging"}
+SERVER = Endpoint("10.0.0.9", 8080)
+
+
+def find_free_endpoint() -> Endpoint:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Endpoint(*probe.getsockname())
+
+
+def play(scene: Callable[[StandInStore, StoreClient], Awaitable[None]]) -> None:
+    """Run a scene beside a store that holds one route and one server."""
+
+    async def run() -> None:
+        store = StandInStore(find_free_endpoint())
+        store.write_configuration(3, ROUTES)
+        store.write_server("i-1", "gauging", SERVER, "a")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.run)
+            await trio.sleep(0.02)
+            await scene(store, StoreClient(store.endpoint))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_the_listing_holds_valid_entries_and_names_the_others() -> None:
+    async def scene(store: StandInStore, client: StoreClient) -> None:
+        store.write_server("i-2", "gauging", SERVER, "a", state="draining")
+        store.write("servers/i-3", b"\xff\x00not json")
+        store.write("servers/i-4", b'{"service":"gauging","state":"ready"}')
+        store.write_server("i-5", "gauging", SERVER, "a", state="resting")
+        store.write("servers/i-6", b"[]")
+        answer = await client.read_servers()
+        listing = answer.ok.listing
+        assert set(listing.servers) == {"i-1", "i-2"}
+        assert listing.servers["i-2"].state is ServerState.LEAVING
+        assert [text.split(":")[0] for text in answer.ok.rejected] == [
+            "i-3",
+            "i-4",
+            "i-5",
+            "i-6",
+        ]
+
+    play(scene)
+
+
+def test_a_watch_returns_the_next_configuration() -> None:
+    async def scene(store: StandInStore, client: StoreClient) -> None:
+        first = (await client.read_configuration()).ok
+        assert first.configuration is not None
+        assert first.configuration.version == 3
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write_later, store)
+            second = (await client.watch_configuration(first.revision, 2_000)).ok
+        assert second.configuration is not None
+        assert second.configuration.version == 9
+
+    async def write_later(store: StandInStore) -> None:
+        await trio.sleep(0.05)
+        store.write_configuration(9, ROUTES)
+
+    play(scene)
+
+
+def test_a_watch_without_a_change_ends_in_time() -> None:
+    async def scene(store: StandInStore, client: StoreClient) -> None:
+        answer = await client.watch_configuration(store.revision, 50)
+        assert answer.ok.configuration is None
+
+    play(scene)
+
+
+@pytest.mark.parametrize("fault", [f for f in StoreFault if f is not StoreFault.NONE])
+def test_every_fault_of_the_store_is_an_error_with_step_and_peer(
+    fault: StoreFault, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("citronwinch.platform._store.READ_TIMEOUT_MS", 100)
+
+    async def scene(store: StandInStore, client: StoreClient) -> None:
+        store.fault = fault
+        answers: list[Result[Any, StoreError]] = [
+            await client.watch_configuration(1, 10)
+        ]
+        if fault is not StoreFault.FORGETFUL:
+            answers += [
+                await client.read_servers(),
+                await client.read_configuration(),
+            ]
+        for answer in answers:
+            assert answer.is_error()
+            assert answer.error.peer == store.endpoint
+            assert answer.error.step and answer.error.reason
+
+    play(scene)
+
+
+ENTRY = {
+    "service": "gauging",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "concurrency": 1,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", None),
+        ("service", 7),
+        ("address", "10.0.0.9"),
+        ("address", "localhost:80"),
+        ("zone", ["a"]),
+        ("state", "asleep"),
+        ("concurrency", "1"),
+        ("concurrency", True),
+        ("born", 1.5),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(field: str, value: Any) -> None:
+    entry = ENTRY | {field: value}
+    with pytest.raises((ValueError, KeyError, TypeError)):
+        decode_server("i-1", orjson.dumps(entry))
+    del entry[field]
+    if field != "born":
+        with pytest.raises(KeyError):
+            decode_server("i-1", orjson.dumps(entry))
+
+
+def test_a_configuration_gives_routes_by_address() -> None:
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = {
+        "name": "r",
+        "host": "198.18.0.1",
+        "prefix": "/8443/",
+        "type": "idempotent",
+        "timeout_ms": 1000,
+        "target_latency_ms": 120,
+        "priority": 2,
+        "traffic_split": split,
+        "max_attempts": 2,
+    }
+    body = {"version": 7, "routes": [route], "limits": {"idle_timeout_ms": 15_000}}
+    configuration = decode_configuration(orjson.dumps(body))
+    [decoded] = configuration.routes.values()
+    assert decoded.address == Endpoint("198.18.0.1", 8443)
+    assert [tuple(share) for share in decoded.shares] == [("a", 90), ("b", 10)]
+    assert (configuration.version, configuration.flow_idle_ms) == (7, 15_000)
