--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -77,6 +77,7 @@
         self.router = Router({})
         self.caller = Caller(Endpoint(f"{self.prefix}.2", CALLER_PORT), self.router)
         self.servers: dict[int, StandInServer] = {}
+        self.server_age_ms = 0
         self.processes: dict[int, ForwarderProcess] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
 
@@ -118,7 +119,7 @@
             service,
             server.address,
             zone,
-            started_ms=time.time_ns() // 1_000_000,
+            started_ms=time.time_ns() // 1_000_000 - self.server_age_ms,
         )
 
     def add_agent(
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -91,6 +91,7 @@
     play: Play,
 ) -> None:
     async def scene(deployment: LoopbackDeployment) -> None:
+        deployment.server_age_ms = 60_000
         await start_small(deployment)
         ports = range(4000, 4010)
         await open_flows(deployment, ports)
