Bind sockets before the imports, and hold packets until the view is complete

After a loss of power a process needs 0.3 to 0.7 s until it handles packets; whatever arrived meanwhile was lost, and callers sent it again only after up to 0.8 s. Datagrams now wait in the kernel from the first 50 ms on, and in the balancer until it has read the store. New flows stay in their zone longer when the route's latency objective allows it.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -98,11 +98,13 @@
         if route is None:
             return self._refuse_unknown_address(packet)
         service = choose_service(route, packet.flow)
-        return self._place(packet, service, known.tried if known else set())
+        return self._place(packet, service, route, known.tried if known else set())
 
-    def _place(self, packet: Packet, service: str, tried: set[str]) -> list[Action]:
+    def _place(
+        self, packet: Packet, service: str, route: Route, tried: set[str]
+    ) -> list[Action]:
         servers = self.view.list_ready(service)
-        chosen = self.choice.choose(servers, tried)
+        chosen = self.choice.choose(servers, tried, route.latency_objective_ms)
         if chosen is None:
             self.flows.pop(packet.flow, None)
             self.counts["openings_refused"] += 1
@@ -156,8 +158,11 @@
         if packet.is_opening:
             if known is None or known.agent != agent:
                 return []
+            route = self._find_route(packet)
+            if route is None:
+                return self._refuse_unknown_address(packet)
             known.tried.add(agent)
-            return self._place(packet, known.service, known.tried)
+            return self._place(packet, known.service, route, known.tried)
         if search is not None:
             step = search.hear(agent, Verdict.ABSENT)
             return self._follow(packet.flow, search, step)
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -14,8 +14,9 @@
 REMOTE_FACTOR = 1.5
 """How much busier the own availability zone must be before a flow leaves it."""
 
-REMOTE_FLOWS = 3.0
-"""The flows by which it must at least be busier."""
+REMOTE_OBJECTIVE_MS = 40.0
+"""For each so many milliseconds of the route's latency objective the own zone may have
+one open flow more than another; who may wait longer need not leave the zone."""
 
 SLOWNESS_LIMIT = 4.0
 """The most that slow answers raise a backend server's load."""
@@ -92,7 +93,10 @@
         return agent.unanswered > 0 or self.clock.now_ms() - agent.heard_ms > limit_ms
 
     def choose(
-        self, servers: Sequence[BackendServer], tried: Collection[str] = ()
+        self,
+        servers: Sequence[BackendServer],
+        tried: Collection[str] = (),
+        latency_objective_ms: int = 120,
     ) -> Chosen | None:
         """Return the least loaded backend server, None when all have been tried.
 
@@ -105,7 +109,11 @@
             return None
         usual_ms = self._find_usual_latency_ms(candidates)
         scored = [
-            (self._score(server, usual_ms), self.rng.random(), server)
+            (
+                self._score(server, usual_ms, latency_objective_ms),
+                self.rng.random(),
+                server,
+            )
             for server in candidates
         ]
         score, _, server = min(scored)
@@ -129,7 +137,9 @@
         )
         return max(1.0, latencies[len(latencies) // 2]) if latencies else 1.0
 
-    def _score(self, server: BackendServer, usual_ms: float) -> float:
+    def _score(
+        self, server: BackendServer, usual_ms: float, latency_objective_ms: int
+    ) -> float:
         agent = self.agents.get(server.address.ip)
         flows = waiting = 0.0
         slowness = 1.0
@@ -142,5 +152,5 @@
         slowness = min(max(slowness, 1.0), SLOWNESS_LIMIT)
         score = (flows + WAITING_WEIGHT * waiting) * slowness / max(server.slots, 1)
         if server.availability_zone != self.zone:
-            score = score * REMOTE_FACTOR + REMOTE_FLOWS
+            score = score * REMOTE_FACTOR + latency_objective_ms / REMOTE_OBJECTIVE_MS
         return score
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -10,7 +10,7 @@
     LoadReport,
     Message,
 )
-from citronwinch.forwarder._process import ForwarderProcess
+from citronwinch.forwarder._process import ForwarderProcess, TakePort
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramPort, try_connection
 from citronwinch.platform import decode_caller_packet, decode_server_packet
@@ -33,9 +33,11 @@
 class AgentProcess(ForwarderProcess):
     """The process beside one backend server."""
 
-    def __init__(self, settings: ForwarderSettings) -> None:
+    def __init__(
+        self, settings: ForwarderSettings, take_port: TakePort = DatagramPort
+    ) -> None:
         assert settings.outbound_address is not None
-        super().__init__(settings, DatagramPort(settings.outbound_address))
+        super().__init__(settings, settings.outbound_address, take_port)
         self.flows = AgentFlows(
             settings.service,
             self.clock,
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -1,6 +1,7 @@
 """The balancer: takes callers' packets from the routers."""
 
 import random
+from collections import deque
 from operator import attrgetter
 
 import structlog
@@ -16,10 +17,11 @@
     Heartbeat,
     LoadReport,
     Message,
+    Packet,
     ReturnedPacket,
     ServerChoice,
 )
-from citronwinch.forwarder._process import ForwarderProcess
+from citronwinch.forwarder._process import ForwarderProcess, TakePort
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
 from citronwinch.network import DatagramPort
@@ -38,6 +40,10 @@
 STOP_MARGIN_MS = 1_500
 """How long before it would be killed a stopping balancer ends, in milliseconds."""
 
+EARLY_LIMIT = 4_000
+"""The most packets that wait for a starting balancer's view; about 1.5 MB of openings
+and small requests, half a second of the heaviest traffic."""
+
 STARTING_AGE_MS = 1_500
 """A listing that is older than this does not make a starting balancer ready at once."""
 
@@ -50,8 +56,11 @@
 class BalancerProcess(ForwarderProcess):
     """The process on an entry instance."""
 
-    def __init__(self, settings: ForwarderSettings) -> None:
-        super().__init__(settings, DatagramPort(settings.packet_address))
+    def __init__(
+        self, settings: ForwarderSettings, take_port: TakePort = DatagramPort
+    ) -> None:
+        super().__init__(settings, settings.packet_address, take_port)
+        self.early: deque[Packet] = deque(maxlen=EARLY_LIMIT)
         self.view = DeploymentView(self.clock)
         rng = random.Random(settings.name)
         self.choice = ServerChoice(settings.availability_zone, self.clock, rng)
@@ -104,7 +113,17 @@
         """React to a caller."""
         packet = decode_caller_packet(data)
         self.metrics.count("packets_from_callers_total")
-        self.perform(self.flows.handle_packet(packet))
+        if self.view.is_complete:
+            self.perform(self.flows.handle_packet(packet))
+        else:
+            self.early.append(packet)
+
+    def handle_early_packets(self) -> None:
+        """Handle what arrived before the view was complete."""
+        if self.early and self.view.is_complete:
+            log.info("early_packets_handled", count=len(self.early))
+            while self.early:
+                self.perform(self.flows.handle_packet(self.early.popleft()))
 
     def tick(self) -> None:
         """Act on the time."""
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import NamedTuple
 
 import structlog
@@ -75,18 +76,24 @@
 """What the deciding task reacts to."""
 
 
+TakePort = Callable[[Endpoint], DatagramPort]
+"""Returns the UDP port of an address; raises OSError when it cannot be bound."""
+
+
 class ForwarderProcess(ABC):
     """A process: tasks that own a socket each, and one task that decides."""
 
-    def __init__(self, settings: ForwarderSettings, packet_port: DatagramPort) -> None:
+    def __init__(
+        self, settings: ForwarderSettings, packet_address: Endpoint, take_port: TakePort
+    ) -> None:
         self.settings = settings
         self.clock = MonotonicClock()
         self.started_ms = self.clock.now_ms()
         self.incarnation = time.time_ns()
         self.metrics = Metrics()
         self.decisions = DecisionLog(self.clock)
-        self.packet_port = packet_port
-        self.peer_port = DatagramPort(Endpoint(settings.ip, settings.peer_port))
+        self.packet_port = take_port(packet_address)
+        self.peer_port = take_port(Endpoint(settings.ip, settings.peer_port))
         self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
         self.ticked_ms = self.started_ms
         self.stop_ms: int | None = None
@@ -139,6 +146,7 @@
                 role=settings.role.value,
                 zone=settings.availability_zone,
                 incarnation=self.incarnation,
+                start_cpu_ms=round(time.process_time() * 1000),
             )
             await self._decide()
             nursery.cancel_scope.cancel()
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -98,6 +98,7 @@
             log.warning("entries_ignored", entries=list(self.rejected[:8]))
         if self.view.accept_listing(answer.ok.listing, asked_ms):
             self.log_listing("store")
+        self.process.handle_early_packets()
         self.process.announce_view()
 
     def _note_failure(self, error: StoreError) -> None:
@@ -181,6 +182,7 @@
             routes=len(configuration.routes),
             source=source,
         )
+        self.process.handle_early_packets()
         self.process.announce_view()
 
     def hear(self, heartbeat: Heartbeat, sender: str) -> None:
@@ -219,6 +221,7 @@
             confirmed_ms = asked_ms - answer.listing_age_ms
             if self.view.accept_listing(answer.listing, confirmed_ms):
                 self.log_listing(ip)
+            self.process.handle_early_packets()
 
     async def _answer_view(self, request: HttpRequest) -> HttpResponse:
         after = request.query.get("after", "0")
--- a/citronwinch/forwarder/tests/test_settings.py
+++ b/citronwinch/forwarder/tests/test_settings.py
@@ -7,6 +7,7 @@
 
 from citronwinch.coordination import Endpoint, InstanceRole
 from citronwinch.forwarder import parse_forwarder_settings
+from citronwinch.launch import bind_early
 
 TEMPLATES = Path(__file__).parents[2] / "platform"
 
@@ -66,3 +67,16 @@
     problems = parse_forwarder_settings(text.replace(old, new), "local.ini").error
     assert [problem.place for problem in problems] == [place]
     assert problems[0].expected
+
+
+def test_the_sockets_of_the_settings_are_bound_before_they_are_checked() -> None:
+    text = fill("agent").replace("10.1.0.10", "127.111.0.9")
+    sockets = bind_early(text)
+    assert set(sockets) == {("127.111.0.9", 7720), ("127.111.0.9", 8162)}
+    for bound in sockets.values():
+        bound.close()
+
+
+@pytest.mark.parametrize("text", ["", "no section", "[listen]\nip = x\npeer_ports = 1"])
+def test_unusable_settings_bind_nothing(text: str) -> None:
+    assert bind_early(text) == {}
--- /dev/null
+++ b/citronwinch/launch.py
@@ -0,0 +1,72 @@
+"""Starts a balancer or an agent, with its sockets bound before anything is imported.
+
+Importing takes longer than everything else at a start. Datagrams that arrive meanwhile
+wait in the kernel instead of being lost, so that callers need not send them again.
+This module imports only what it needs for that.
+"""
+
+import configparser
+import os
+import socket
+import sys
+
+BUFFER_BYTES = 4 << 20
+"""The kernel buffer asked for in each direction, in bytes."""
+
+
+def bind_early(text: str) -> dict[tuple[str, int], socket.socket]:
+    """Return the UDP sockets that settings ask for, bound, by address.
+
+    What cannot be read or bound is left out: the settings are checked, and errors
+    reported, once everything is imported.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=False)
+    try:
+        parser.read_string(text)
+        ip = parser["listen"]["ip"]
+        peer_port = parser["listen"]["peer_ports"].partition(",")[0]
+        packets = parser["listen"]["packets"]
+        packets = parser.get("server", "outbound", fallback=packets)
+        addresses = [(ip, int(peer_port)), _split(packets)]
+    except (configparser.Error, KeyError, ValueError):
+        return {}
+    bound = {}
+    for address in addresses:
+        port = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            port.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+            port.bind(address)
+            bound[address] = port
+        except OSError:
+            port.close()
+    return bound
+
+
+def _split(text: str) -> tuple[str, int]:
+    ip, _, port = text.strip().rpartition(":")
+    return ip, int(port)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the process whose settings file the named variable holds."""
+    if len(arguments) != 1:
+        print("usage: python3 -m citronwinch.launch VARIABLE", file=sys.stderr)
+        return 2
+    file = os.environ.get(arguments[0])
+    if not file:
+        print(f"{arguments[0]} names no settings file", file=sys.stderr)
+        return 2
+    try:
+        with open(file, encoding="utf-8") as stream:
+            text = stream.read()
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{file}: cannot be read: {error}", file=sys.stderr)
+        return 2
+    sockets = bind_early(text)
+    from citronwinch.forwarder import run_forwarder
+
+    return run_forwarder(text, file, sockets)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -30,19 +30,22 @@
 class DatagramPort:
     """A bound UDP socket, owned by the one task that receives from it.
 
+    A socket that is bound already may be handed in.
+
     Reading in batches keeps the cost of the event loop off the single packet.
     Sending never waits: a full kernel buffer drops the datagram, as any link may.
     `was_idle` tells whether the last `receive` found the socket empty when it began,
     `was_emptied` whether it left it empty.
     """
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, bound: socket.socket | None = None) -> None:
         family = socket.AF_INET6 if ":" in endpoint.ip else socket.AF_INET
-        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        self.socket = bound or socket.socket(family, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self.socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
-        self.socket.bind((endpoint.ip, endpoint.port))
+        if bound is None:
+            self.socket.bind((endpoint.ip, endpoint.port))
         self.endpoint = Endpoint(*self.socket.getsockname()[:2])
         self.dropped_sends = 0
         self.receive_errors = 0
--- a/citronwinch/platform/__init__.py
+++ b/citronwinch/platform/__init__.py
@@ -19,14 +19,10 @@
 READY_PATH = "/readyz"
 """Where the platform's routers ask whether a balancer takes packets."""
 
-SETTINGS_FILE_VARIABLE = "CITRONWINCH_NODE_FILE"
-"""The environment variable that names the settings file."""
-
 __all__ = [
     "ConfigurationRead",
     "ListingRead",
     "READY_PATH",
-    "SETTINGS_FILE_VARIABLE",
     "StoreClient",
     "StoreError",
     "decode_caller_packet",
