--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -26,7 +26,7 @@
     ServerListing,
     ServerState,
     ServiceShare,
-    choose_service,
+    order_services,
     pack_route_address,
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
@@ -87,9 +87,9 @@
     "ServiceShare",
     "Verdict",
     "ViewAnswer",
-    "choose_service",
     "find_patience_ms",
     "find_turn",
+    "order_services",
     "pack_route_address",
     "record",
 ]
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -13,6 +13,7 @@
     SendMessage,
     record,
 )
+from citronwinch.coordination.flows._busy_meter import BusyMeter
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -49,8 +50,9 @@
 LATENCY_SHARE = 0.15
 """The weight of the newest answer in the mean latency."""
 
-REQUEST_TIMEOUT_MS = 10_000
-"""After this long a request without an answer no longer counts as waiting."""
+REQUEST_TIMEOUT_MS = 3_000
+"""After this long a request without an answer no longer counts as waiting, in
+milliseconds; callers have given up on most kinds by then."""
 
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits."""
@@ -118,6 +120,7 @@
         self.waiting: OrderedDict[FlowKey, int] = OrderedDict()
         self.open_flows = 0
         self.latency_ms = 0.0
+        self.busy = BusyMeter(clock)
         self.is_leaving = False
         self.server = ServerLiveness(clock)
 
@@ -179,6 +182,7 @@
         if packet.payload_bytes and flow.request_ms is None:
             flow.request_ms = flow.seen_ms
             self.waiting[packet.flow] = flow.seen_ms
+            self.busy.note_waiting(len(self.waiting))
         if packet.is_reset:
             self._drop(packet.flow)
         return actions
@@ -287,11 +291,14 @@
             if now_ms - since_ms < REQUEST_TIMEOUT_MS:
                 break
             del self.waiting[key]
+        self.busy.note_waiting(len(self.waiting))
         return LoadReport(
             self.service,
             self.open_flows,
             len(self.waiting),
             round(self.latency_ms),
+            # Steps of a twentieth keep a steady load from being reported again.
+            round(self.busy.read_share() * 20) / 20,
             not self.is_leaving and not self.server.is_down,
         )
 
@@ -330,6 +337,7 @@
         self.latency_ms += LATENCY_SHARE * (latency_ms - self.latency_ms)
         flow.request_ms = None
         self.waiting.pop(key, None)
+        self.busy.note_waiting(len(self.waiting))
 
 
 def _last_packet(key: FlowKey, flow: HeldFlow) -> Packet:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -10,8 +10,9 @@
     SendMessage,
     record,
 )
-from citronwinch.coordination.flows._deployment import Route, choose_service
+from citronwinch.coordination.flows._deployment import Route, order_services
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._held_openings import HeldOpenings
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -19,7 +20,7 @@
     Verdict,
 )
 from citronwinch.coordination.flows._packets import Packet
-from citronwinch.coordination.flows._server_choice import ServerChoice
+from citronwinch.coordination.flows._server_choice import Chosen, ServerChoice
 from citronwinch.coordination.flows._view import DeploymentView
 
 CONFIRMATION_MS = 120
@@ -70,6 +71,7 @@
         self.flows: OrderedDict[FlowKey, KnownFlow] = OrderedDict()
         self.searches: dict[FlowKey, FlowSearch] = {}
         self.unlocated: OrderedDict[FlowKey, int] = OrderedDict()
+        self.held_openings = HeldOpenings(clock)
         self.counts: Counter[str] = Counter()
 
     def handle_packet(self, packet: Packet) -> list[Action]:
@@ -97,27 +99,36 @@
         route = self._find_route(packet)
         if route is None:
             return self._refuse_unknown_address(packet)
-        service = choose_service(route, packet.flow)
-        return self._place(packet, service, route, known.tried if known else set())
+        return self._place(packet, route, known.tried if known else set())
 
-    def _place(
-        self, packet: Packet, service: str, route: Route, tried: set[str]
-    ) -> list[Action]:
-        servers = self.view.list_ready(service)
-        chosen = self.choice.choose(servers, tried, route.latency_objective_ms)
+    def _place(self, packet: Packet, route: Route, tried: set[str]) -> list[Action]:
+        chosen = self._choose(packet, route, tried)
         if chosen is None:
-            self.flows.pop(packet.flow, None)
-            self.counts["openings_refused"] += 1
-            refusal = record(
-                "opening_refused",
-                packet,
-                service=service,
-                ready_servers=len(servers),
-                tried=sorted(tried),
-                view_age_ms=self.view.age_ms,
+            return self._refuse_opening(packet, route, tried, "no server left")
+        if chosen.is_full:
+            if self.held_openings.hold(packet, route):
+                self.counts["openings_held"] += 1
+                return []
+            return self._refuse_opening(packet, route, tried, "too many openings wait")
+        return self._open_at(packet, chosen, tried)
+
+    def _choose(self, packet: Packet, route: Route, tried: set[str]) -> Chosen | None:
+        objective_ms = route.latency_objective_ms
+        by_preference = [
+            chosen
+            for service in order_services(route, packet.flow)
+            if (
+                chosen := self.choice.choose(
+                    self.view.list_ready(service), tried, objective_ms
+                )
             )
-            return [ResetFlow(packet), refusal]
-        agent = chosen.server.address.ip
+        ]
+        return self.choice.choose_service(by_preference) if by_preference else None
+
+    def _open_at(self, packet: Packet, chosen: Chosen, tried: set[str]) -> list[Action]:
+        self.held_openings.release(packet.flow)
+        self.choice.note_placed(chosen.server)
+        agent, service = chosen.server.address.ip, chosen.server.service
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
         flow.opened_ms, flow.tried = now_ms, tried
@@ -130,12 +141,45 @@
             server=chosen.server.name,
             agent=agent,
             score=chosen.score,
+            pressure=chosen.pressure,
+            busy_share=chosen.busy_share,
             candidates=chosen.candidates,
             attempt=len(tried) + 1,
             view_age_ms=self.view.age_ms,
         )
         return [_forward(agent, service, packet), placed]
 
+    def _refuse_opening(
+        self, packet: Packet, route: Route, tried: set[str], reason: str
+    ) -> list[Action]:
+        self.held_openings.release(packet.flow)
+        self.flows.pop(packet.flow, None)
+        self.counts["openings_refused"] += 1
+        services = [share.service for share in route.shares]
+        refusal = record(
+            "opening_refused",
+            packet,
+            reason=reason,
+            services=services,
+            ready_servers=sum(len(self.view.list_ready(name)) for name in services),
+            tried=sorted(tried),
+            view_age_ms=self.view.age_ms,
+        )
+        return [ResetFlow(packet), refusal]
+
+    def _place_held_openings(self) -> list[Action]:
+        """Place the openings for which there is room now; refuse those out of time."""
+        actions: list[Action] = []
+        now_ms = self.clock.now_ms()
+        for held in self.held_openings.list_by_priority():
+            chosen = self._choose(held.packet, held.route, set())
+            if chosen is not None and not chosen.is_full:
+                actions += self._open_at(held.packet, chosen, set())
+            elif chosen is None or now_ms >= held.deadline_ms:
+                reason = "no room in time" if chosen else "no server left"
+                actions += self._refuse_opening(held.packet, held.route, set(), reason)
+        return actions
+
     def _refuse_unknown_address(self, packet: Packet) -> list[Action]:
         age_ms = self.view.age_ms
         if age_ms is None or age_ms > CURRENT_VIEW_MS:
@@ -162,7 +206,7 @@
             if route is None:
                 return self._refuse_unknown_address(packet)
             known.tried.add(agent)
-            return self._place(packet, known.service, route, known.tried)
+            return self._place(packet, route, known.tried)
         if search is not None:
             step = search.hear(agent, Verdict.ABSENT)
             return self._follow(packet.flow, search, step)
@@ -200,7 +244,7 @@
                 break
             del self.unlocated[key]
         self._sweep(now_ms)
-        return actions
+        return actions + self._place_held_openings()
 
     def _sweep(self, now_ms: int) -> None:
         configuration = self.view.configuration
--- /dev/null
+++ b/citronwinch/coordination/flows/_busy_meter.py
@@ -0,0 +1,43 @@
+"""How busy a backend server is, from the requests that wait for its answers."""
+
+import math
+
+from citronwinch.coordination._clock import Clock
+
+TIME_CONSTANT_MS = 1_500
+"""How fast the mean follows, in milliseconds; long enough to smooth single requests of
+20 ms, short enough to show a change of load before flows are placed by it."""
+
+
+class BusyMeter:
+    """A decaying mean of the share of time in which a backend server has work.
+
+    Example::
+
+        >>> from citronwinch.coordination import ManualClock
+        >>> clock = ManualClock()
+        >>> meter = BusyMeter(clock)
+        >>> meter.note_waiting(1)
+        >>> clock.advance(10_000)
+        >>> round(meter.read_share(), 2)
+        1.0
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.share = 0.0
+        self.is_busy = False
+        self.updated_ms = clock.now_ms()
+
+    def note_waiting(self, requests: int) -> None:
+        """Note how many requests wait from now on."""
+        self.read_share()
+        self.is_busy = requests > 0
+
+    def read_share(self) -> float:
+        """Return the share of recent time with work, 0 to 1."""
+        now_ms = self.clock.now_ms()
+        kept = math.exp(-(now_ms - self.updated_ms) / TIME_CONSTANT_MS)
+        self.share = self.share * kept + (1.0 - kept) * self.is_busy
+        self.updated_ms = now_ms
+        return self.share
--- a/citronwinch/coordination/flows/_deployment.py
+++ b/citronwinch/coordination/flows/_deployment.py
@@ -115,23 +115,26 @@
     return pack_service_endpoint(TransportProtocol.TCP, address)
 
 
-def choose_service(route: Route, flow: FlowKey) -> str:
-    """Return the service of a new flow, the same on every balancer.
+def order_services(route: Route, flow: FlowKey) -> list[str]:
+    """Return the services of a route, the one that takes the flow by weight first.
+
+    The order is the same on every balancer. Services without weight take nothing.
 
     Example::
 
         >>> from citronwinch.coordination import Endpoint
         >>> shares = (ServiceShare("gauging", 1), ServiceShare("reporting", 0))
         >>> route = Route("r", Endpoint("192.0.2.1", 80), shares, 0, 100, 1000)
-        >>> choose_service(route, FlowKey(b"any"))
-        'gauging'
+        >>> order_services(route, FlowKey(b"any"))
+        ['gauging']
     """
-    total = sum(share.weight for share in route.shares)
-    if total <= 0:
-        return route.shares[0].service
-    point = xxhash.xxh3_64_intdigest(flow) % total
-    for share in route.shares:
+    shares = [share for share in route.shares if share.weight > 0]
+    if not shares:
+        return []
+    point = xxhash.xxh3_64_intdigest(flow) % sum(share.weight for share in shares)
+    for index, share in enumerate(shares):
         if point < share.weight:
-            return share.service
+            others = shares[:index] + shares[index + 1 :]
+            return [share.service, *(other.service for other in others)]
         point -= share.weight
     raise AssertionError("the point lies below the sum of the weights")
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -53,6 +53,9 @@
     latency_ms: int
     """Its recent mean time from a request to its answer, in milliseconds."""
 
+    busy_share: float
+    """The share of recent time in which it had work, 0 to 1."""
+
     accepts_flows: bool
     """Whether new flows may come; not while it stops or its backend server is down."""
 
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -11,6 +11,26 @@
 WAITING_WEIGHT = 4.0
 """How many open flows count as much as one request that waits now."""
 
+BUSY_WEIGHT = 20.0
+"""How many open flows count as much as a backend server without any idle time."""
+
+SPILL_PRESSURE = 3.0
+"""From this many waiting requests for each slot on, a service is nearly saturated; at
+15 ms a request the next one waits for a third of the tightest latency objective."""
+
+SPILL_BUSY_SHARE = 0.75
+"""From this share of busy time on, a service is nearly saturated: queues grow fast."""
+
+SPILL_LEAD = 2.0
+"""By how many waiting requests for each slot another service must have more room."""
+
+SPILL_BUSY_LEAD = 0.2
+"""By which share of time another service must be less busy."""
+
+FULL_PRESSURE = 7.0
+"""From this many waiting requests for each slot on, a new flow waits in the balancer;
+backend servers refuse a request soon beyond that."""
+
 REMOTE_FACTOR = 1.5
 """How much busier the own availability zone must be before a flow leaves it."""
 
@@ -51,6 +71,22 @@
     candidates: int
     """How many servers could have been chosen."""
 
+    pressure: float
+    """The requests that wait there for each slot, with those placed since."""
+
+    busy_share: float
+    """The share of recent time in which it had work, 0 to 1."""
+
+    @property
+    def is_saturated(self) -> bool:
+        """Whether the least loaded server of the service has hardly any room."""
+        return self.pressure >= SPILL_PRESSURE or self.busy_share >= SPILL_BUSY_SHARE
+
+    @property
+    def is_full(self) -> bool:
+        """Whether one more request would likely be refused there."""
+        return self.pressure >= FULL_PRESSURE
+
 
 class ServerChoice:
     """Places new flows by what agents report and what was placed since."""
@@ -100,7 +136,7 @@
     ) -> Chosen | None:
         """Return the least loaded backend server, None when all have been tried.
 
-        Agents that are silent or about to stop are used only when no other is left.
+        Agents that are silent or take no flows are used only when no other is left.
         """
         untried = [server for server in servers if server.address.ip not in tried]
         answering = [server for server in untried if not self._is_doubtful(server)]
@@ -108,20 +144,49 @@
         if not candidates:
             return None
         usual_ms = self._find_usual_latency_ms(candidates)
+        with_room = [
+            server
+            for server in candidates
+            if self._read_pressure(server)[0] < FULL_PRESSURE
+        ]
         scored = [
             (
                 self._score(server, usual_ms, latency_objective_ms),
                 self.rng.random(),
                 server,
             )
-            for server in candidates
+            for server in with_room or candidates
         ]
         score, _, server = min(scored)
+        pressure, busy_share = self._read_pressure(server)
+        return Chosen(server, round(score, 1), len(candidates), pressure, busy_share)
+
+    def choose_service(
+        self, by_preference: Sequence[Chosen], latency_objective_ms: int = 120
+    ) -> Chosen:
+        """Return the first choice, or that of another service which has more room.
+
+        The weights of a route decide while its services have room. A service that is
+        nearly saturated passes new flows on to one that is not.
+        """
+        first = by_preference[0]
+        if not first.is_saturated:
+            return first
+        roomier = [
+            other
+            for other in by_preference[1:]
+            if other.pressure + SPILL_LEAD <= first.pressure
+            or other.busy_share + SPILL_BUSY_LEAD <= first.busy_share
+        ]
+        open_ones = [other for other in roomier if not other.is_saturated]
+        return min(open_ones, key=lambda other: other.pressure, default=first)
+
+    def note_placed(self, server: BackendServer) -> None:
+        """Count a flow that goes to a backend server until its next report."""
         record = self.agents.setdefault(
             server.address.ip, AgentRecord(-SILENT_REMOTE_AGENT_MS)
         )
         record.placed += 1
-        return Chosen(server, round(score, 1), len(candidates))
 
     def _is_doubtful(self, server: BackendServer) -> bool:
         if self.is_silent(server):
@@ -137,20 +202,33 @@
         )
         return max(1.0, latencies[len(latencies) // 2]) if latencies else 1.0
 
+    def _read_pressure(self, server: BackendServer) -> tuple[float, float]:
+        """Return the requests that wait for each slot, and the share of busy time."""
+        agent = self.agents.get(server.address.ip)
+        if agent is None:
+            return 0.0, 0.0
+        waiting, busy_share = float(agent.placed), 0.0
+        if agent.report is not None:
+            waiting += agent.report.waiting
+            busy_share = agent.report.busy_share
+        return waiting / max(server.slots, 1), busy_share
+
     def _score(
         self, server: BackendServer, usual_ms: float, latency_objective_ms: int
     ) -> float:
         agent = self.agents.get(server.address.ip)
-        flows = waiting = 0.0
+        pressure, busy_share = self._read_pressure(server)
+        flows = 0.0
         slowness = 1.0
         if agent is not None:
-            flows = waiting = agent.placed
+            flows = agent.placed
             if agent.report is not None:
                 flows += agent.report.open_flows
-                waiting += agent.report.waiting
                 slowness = agent.report.latency_ms / usual_ms
         slowness = min(max(slowness, 1.0), SLOWNESS_LIMIT)
-        score = (flows + WAITING_WEIGHT * waiting) * slowness / max(server.slots, 1)
+        flows_per_slot = flows / max(server.slots, 1)
+        score = flows_per_slot + WAITING_WEIGHT * pressure + BUSY_WEIGHT * busy_share
+        score *= slowness
         if server.availability_zone != self.zone:
             score = score * REMOTE_FACTOR + latency_objective_ms / REMOTE_OBJECTIVE_MS
         return score
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -1,5 +1,7 @@
 """Where a balancer sends packets: openings, known flows, searches."""
 
+from collections import Counter
+
 import pytest
 
 from citronwinch.coordination import Endpoint, ManualClock
@@ -13,14 +15,19 @@
     LoadReport,
     Packet,
     ResetFlow,
+    Route,
     SendMessage,
     ServerChoice,
+    ServiceShare,
     Verdict,
 )
 from citronwinch.coordination.flows.tests.conftest import (
+    GAUGING,
     REPORTING,
+    make_configuration,
     make_listing,
     make_packet,
+    make_route,
     make_server,
 )
 
@@ -49,8 +56,9 @@
 def test_new_flows_go_to_the_least_loaded_server_of_the_own_zone(
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
-    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, True))
-    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, True))
+    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, 0.5, True))
+    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, 0.5, True))
+    choice.hear("10.0.0.3", LoadReport("gauging", 3, 0, 20, 0.5, True))
     actions = balancer.handle_packet(make_packet(opening=True))
     assert list_forwards(actions) == [("10.0.0.2", "gauging")]
 
@@ -59,7 +67,7 @@
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
     for number in (1, 2):
-        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, True))
+        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, 0.5, True))
     actions = balancer.handle_packet(make_packet(opening=True))
     assert list_forwards(actions) == [("10.0.0.3", "gauging")]
 
@@ -251,3 +259,94 @@
         balancer.tick()
         view.expire()
     assert has_reset(answer_all(balancer, packet, DEAD))
+
+
+def saturate(choice: ServerChoice, *numbers: int, waiting: int, busy: float) -> None:
+    for number in numbers:
+        report = LoadReport("gauging", 30, waiting, 60, busy, True)
+        choice.hear(f"10.0.0.{number}", report)
+
+
+@pytest.fixture
+def split_balancer(balancer: BalancerFlows, view: DeploymentView) -> BalancerFlows:
+    """A balancer whose route sends nearly everything to the larger service."""
+    shares = (ServiceShare("gauging", 10_000), ServiceShare("reporting", 1))
+    route = Route("alarms", GAUGING, shares, 1, 120, 1_000)
+    view.accept_configuration(make_configuration(2, route))
+    return balancer
+
+
+@pytest.mark.parametrize(
+    ("waiting", "busy", "agent"),
+    [
+        pytest.param(0, 0.4, "10.0.0.1", id="room: the weights decide"),
+        pytest.param(4, 0.6, "10.0.0.4", id="long queues"),
+        pytest.param(1, 0.9, "10.0.0.4", id="no idle time"),
+    ],
+)
+def test_a_saturated_service_passes_new_flows_on_to_one_of_its_route_with_room(
+    split_balancer: BalancerFlows,
+    choice: ServerChoice,
+    waiting: int,
+    busy: float,
+    agent: str,
+) -> None:
+    saturate(choice, 2, 3, waiting=9, busy=1.0)
+    saturate(choice, 1, waiting=waiting, busy=busy)
+    actions = split_balancer.handle_packet(make_packet(opening=True))
+    assert [ip for ip, _ in list_forwards(actions)] == [agent]
+
+
+def test_flows_never_spill_to_a_service_that_is_not_in_the_route(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=6, busy=1.0)
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert [service for _, service in list_forwards(actions)] == ["gauging"]
+
+
+def test_a_crowd_waits_in_the_balancer_and_the_urgent_ones_go_first(
+    balancer: BalancerFlows, view: DeploymentView, choice: ServerChoice
+) -> None:
+    urgent = Endpoint("198.18.0.1", 8080)
+    routes = (
+        make_route("alarms", GAUGING, "gauging")._replace(priority=2),
+        make_route("updates", urgent, "gauging")._replace(priority=0),
+    )
+    view.accept_configuration(make_configuration(2, *routes))
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    crowd = [make_packet(port, opening=True) for port in (4000, 4001)]
+    crowd.append(make_packet(4002, urgent, opening=True))
+    assert not [a for packet in crowd for a in balancer.handle_packet(packet)]
+    saturate(choice, 1, waiting=6, busy=1.0)
+    [placed] = [action for action in balancer.tick() if isinstance(action, SendMessage)]
+    assert isinstance(placed.message, ForwardedPacket)
+    assert placed.message.raw == crowd[2].raw
+
+
+def test_an_opening_without_room_in_time_is_refused(
+    balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    balancer.handle_packet(make_packet(opening=True))
+    clock.advance(100)
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    assert not has_reset(balancer.tick())
+    clock.advance(100)
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    assert has_reset(balancer.tick())
+    assert not balancer.held_openings.waiting
+
+
+def test_a_crowd_is_spread_over_all_servers_between_two_reports(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=0, busy=0.0)
+    counts = Counter(
+        ip
+        for port in range(4000, 4021)
+        for ip, _ in list_forwards(
+            balancer.handle_packet(make_packet(port, opening=True))
+        )
+    )
+    assert counts == {f"10.0.0.{number}": 7 for number in (1, 2, 3)}
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -84,6 +84,7 @@
     part.openFlows = message.open_flows
     part.waiting = message.waiting
     part.latencyMs = message.latency_ms
+    part.busyThousandths = round(message.busy_share * 1000)
     part.acceptsFlows = message.accepts_flows
     return _pack(built)
 
@@ -155,6 +156,7 @@
             part.openFlows,
             part.waiting,
             part.latencyMs,
+            part.busyThousandths / 1000,
             part.acceptsFlows,
         )
     if kind == "question":
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -19,6 +19,7 @@
   waiting @2 :UInt32;
   latencyMs @3 :UInt32;
   acceptsFlows @4 :Bool;
+  busyThousandths @5 :UInt16;
 }
 
 struct FlowQuestion {
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -37,8 +37,12 @@
 """How often agents of other zones hear from a balancer, in milliseconds; bytes between
 zones are dear."""
 
-STOP_MARGIN_MS = 1_500
-"""How long before it would be killed a stopping balancer ends, in milliseconds."""
+STOP_MS = 2_500
+"""How long a stopping balancer still forwards, in milliseconds; routers ask twice a
+second and take a balancer out after two misses."""
+
+STOP_MARGIN_MS = 1_000
+"""How long before it would be killed it ends at the latest, in milliseconds."""
 
 EARLY_LIMIT = 4_000
 """The most packets that wait for a starting balancer's view; about 1.5 MB of openings
@@ -189,7 +193,8 @@
     def is_stopped(self) -> bool:
         """Return whether the routers have had time to use other balancers."""
         assert self.stop_ms is not None
-        wait_ms = self.settings.stop_timeout_s * 1000 - STOP_MARGIN_MS
+        limit_ms = self.settings.stop_timeout_s * 1000 - STOP_MARGIN_MS
+        wait_ms = min(STOP_MS, limit_ms)
         return self.clock.now_ms() - self.stop_ms >= wait_ms
 
     def find_peer_endpoint(self, ip: str) -> Endpoint:
