--- a/citronwinch/coordination/flows/_actions.py
+++ b/citronwinch/coordination/flows/_actions.py
@@ -50,7 +50,17 @@
     """The inputs, their age or version, and the outcome."""
 
 
-Action = SendMessage | DeliverToServer | DeliverToCaller | ResetFlow | Record
+class Measure(NamedTuple):
+    """Add a time to a histogram."""
+
+    name: str
+    """The histogram."""
+
+    value_ms: int
+    """The time, in milliseconds."""
+
+
+Action = SendMessage | DeliverToServer | DeliverToCaller | ResetFlow | Record | Measure
 """One thing to do."""
 
 
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -9,6 +9,7 @@
     Action,
     DeliverToCaller,
     DeliverToServer,
+    Measure,
     ResetFlow,
     SendMessage,
     record,
@@ -216,7 +217,7 @@
                 actions.append(SendMessage(flow.balancer, answer))
         self._touch(packet.flow, flow)
         if packet.payload_bytes and flow.request_ms is not None:
-            self._note_answer(packet.flow, flow)
+            actions.append(self._note_answer(packet.flow, flow))
         return actions
 
     def _handle_bounced(self, packet: Packet) -> list[Action]:
@@ -331,13 +332,14 @@
     def _touch(self, key: FlowKey, flow: HeldFlow) -> None:
         flow.seen_ms = self.clock.now_ms()
 
-    def _note_answer(self, key: FlowKey, flow: HeldFlow) -> None:
+    def _note_answer(self, key: FlowKey, flow: HeldFlow) -> Measure:
         assert flow.request_ms is not None
         latency_ms = self.clock.now_ms() - flow.request_ms
         self.latency_ms += LATENCY_SHARE * (latency_ms - self.latency_ms)
         flow.request_ms = None
         self.waiting.pop(key, None)
         self.busy.note_waiting(len(self.waiting))
+        return Measure("request_ms", latency_ms)
 
 
 def _last_packet(key: FlowKey, flow: HeldFlow) -> Packet:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -6,6 +6,7 @@
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import (
     Action,
+    Measure,
     ResetFlow,
     SendMessage,
     record,
@@ -222,8 +223,8 @@
         known = self.flows.get(answer.flow)
         if known is not None and search is None:
             if known.agent == agent:
-                known.opened_ms = None
-            elif answer.verdict is Verdict.HELD:
+                return _confirm(known, self.clock.now_ms())
+            if answer.verdict is Verdict.HELD:
                 known.agent, known.opened_ms = agent, None
             return []
         if search is None:
@@ -342,8 +343,9 @@
         if step.holder in search.tried:
             # The agent has these packets from the trial.
             return [found]
+        measure = Measure("search_ms", now_ms - search.started_ms)
         forwards = [_forward(step.holder, service, packet) for packet in search.held]
-        return [*forwards, found]
+        return [*forwards, found, measure]
 
     def _remember(self, key: FlowKey, flow: KnownFlow) -> None:
         self.flows[key] = flow
@@ -358,5 +360,12 @@
         return configuration.routes.get(service_part(packet.flow))
 
 
+def _confirm(known: KnownFlow, now_ms: int) -> list[Action]:
+    opened_ms, known.opened_ms = known.opened_ms, None
+    if opened_ms is None:
+        return []
+    return [Measure("opening_wait_ms", now_ms - opened_ms)]
+
+
 def _forward(agent: str, service: str, packet: Packet) -> SendMessage:
     return SendMessage(agent, ForwardedPacket(service, packet.raw))
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -25,6 +25,7 @@
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
 from citronwinch.network import DatagramPort
+from citronwinch.operators import MetricKey
 from citronwinch.platform import decode_caller_packet
 
 BALANCER_HEARTBEAT_MS = 1_000
@@ -138,6 +139,8 @@
             log.info("balancer_lost", balancer=ip)
         self._send_heartbeats()
         self.exchange.tick()
+        for name, count in self.flows.counts.items():
+            self.metrics.counters[MetricKey(f"{name}_total")] = count
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -14,6 +14,7 @@
     Action,
     DeliverToCaller,
     DeliverToServer,
+    Measure,
     Message,
     Packet,
     Record,
@@ -225,6 +226,8 @@
                 self._deliver_to_caller(action.packet, action.packet.raw)
             elif isinstance(action, ResetFlow):
                 self._deliver_to_caller(action.packet, encode_reset(action.packet))
+            elif isinstance(action, Measure):
+                self.metrics.observe(action.name, action.value_ms)
             else:
                 self.decisions.write(action)
 
--- a/citronwinch/operators/_metrics.py
+++ b/citronwinch/operators/_metrics.py
@@ -3,11 +3,16 @@
 from collections import Counter
 from typing import NamedTuple
 
-from aioprometheus import Counter as ExportedCounter, Gauge as ExportedGauge, Registry
+from aioprometheus import (
+    Counter as ExportedCounter,
+    Gauge as ExportedGauge,
+    Histogram,
+    Registry,
+)
 from aioprometheus.formats import text
 
 from citronwinch.operators._metric_help import METRIC_HELP
-from citronwinch.operators._service_levels import ServiceLevels
+from citronwinch.operators._service_levels import LATENCY_BUCKETS_MS, ServiceLevels
 
 
 class MetricKey(NamedTuple):
@@ -37,6 +42,7 @@
     def __init__(self) -> None:
         self.counters: Counter[MetricKey] = Counter()
         self.gauges: dict[MetricKey, float] = {}
+        self.histograms: dict[str, Histogram] = {}
         self.service_levels = ServiceLevels()
 
     def count(self, name: str, reason: str = "", amount: int = 1) -> None:
@@ -49,6 +55,16 @@
         """Set a gauge."""
         self.gauges[MetricKey(name, reason)] = value
 
+    def observe(self, name: str, value_ms: float) -> None:
+        """Add a time in milliseconds to a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            doc = METRIC_HELP.get(name, name.replace("_", " "))
+            histogram = self.histograms[name] = Histogram(
+                f"citronwinch_{name}", doc, buckets=LATENCY_BUCKETS_MS
+            )
+        histogram.observe({}, value_ms)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         registry = Registry()
@@ -65,6 +81,8 @@
                     exported[key.name] = kind(name, doc, registry=registry)
                 labels = {"reason": key.reason} if key.reason else {}
                 exported[key.name].set(labels, value)
+        for histogram in self.histograms.values():
+            registry.register(histogram)
         formatter = text.TextFormatter()
         levels = formatter.marshall(self.service_levels.registry)
         rendered: bytes = formatter.marshall(registry) + levels
