--- a/citronwinch/demo/_demo.py
+++ b/citronwinch/demo/_demo.py
@@ -15,6 +15,7 @@
 from citronwinch.coordination import Endpoint
 from citronwinch.demo._callers import Caller, CallerReport, keep_flow
 from citronwinch.demo._deployment import Deployment, DeploymentShape
+from citronwinch.demo._ports import choose_base_port
 from citronwinch.network import HttpError, fetch
 
 READY_TIMEOUT_MS = 30_000
@@ -37,8 +38,8 @@
     seed: int = 1
     """Seeds spraying, flows and pauses."""
 
-    base_port: int = 21_000
-    """The first port that is used."""
+    base_port: int = 0
+    """The first port that is used; 0 takes free ones."""
 
     flows_per_server: int = 8
     """The long flows per backend server."""
@@ -96,7 +97,8 @@
         self, shape: DeploymentShape, directory: Path, options: DemoOptions
     ) -> None:
         self.options = options
-        self.deployment = Deployment(shape, directory, options.base_port)
+        base_port = choose_base_port(options.base_port)
+        self.deployment = Deployment(shape, directory, base_port)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.balancers = {f"balancer-{i}": "live" for i in (1, 2, 3)}
         self.agents = {row.backend_server: "live" for row in self.deployment.rows}
--- a/citronwinch/tool/_demo_command.py
+++ b/citronwinch/tool/_demo_command.py
@@ -30,7 +30,7 @@
         choices=range(1_024, 65_000),
         default=DemoOptions().base_port,
         metavar="PORT",
-        help="first port that is used on 127.0.0.0/16 (default: %(default)s)",
+        help="first port that is used on 127.0.0.0/16 (default: free ports)",
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(command=show_demo)
--- a/citronwinch/tool/tests/test_documentation.py
+++ b/citronwinch/tool/tests/test_documentation.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from citronwinch.forwarder import FORWARDER_SPECS
 from citronwinch.operators import COLUMNS, METRIC_HELP, SETTING_SPECS
 from citronwinch.operators._objectives import OBJECTIVE_KEYS
 from citronwinch.tool import main
@@ -42,6 +43,7 @@
 REFERENCED = {
     "columns": COLUMNS,
     "settings": [spec.key for spec in SETTING_SPECS] + list(OBJECTIVE_KEYS),
+    "forwarder settings": [spec.key for spec in FORWARDER_SPECS],
     "metrics": [f"citronwinch_{name}" for name in METRIC_HELP],
     "exit codes": re.findall(r"^  (\d+) ", EXIT_CODES_TEXT, re.M),
 }
