Let a server that is gone and silent not keep dead flows waiting

A former server whose agent has not been heard for the time of a restart now counts as gone as soon as the listing is settled.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -305,8 +305,10 @@
         """
         del self.searches[key]
         self.unlocated[key] = self.clock.now_ms()
-        silent = search.list_silent()
-        self.view.forget_former(silent)
+        silent = set(search.list_silent())
+        silent -= self.view.forget_former(
+            [ip for ip in silent if not self.choice.was_heard_lately(ip)]
+        )
         uncertain = search.list_by_verdict(Verdict.UNCERTAIN)
         is_dead = not silent and not uncertain and self.view.is_settled()
         packet = search.held[0]
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -119,6 +119,14 @@
         for ip in self.agents.keys() - set(ips):
             del self.agents[ip]
 
+    def was_heard_lately(self, ip: str) -> bool:
+        """Return whether an agent has sent anything within the time of a restart."""
+        agent = self.agents.get(ip)
+        return (
+            agent is not None
+            and self.clock.now_ms() - agent.heard_ms <= SILENT_REMOTE_AGENT_MS
+        )
+
     def is_silent(self, server: BackendServer) -> bool:
         """Return whether the agent of a backend server has not been heard of late."""
         agent = self.agents.get(server.address.ip)
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -112,13 +112,20 @@
         is_current = age_ms is not None and age_ms <= GAP_MS
         return is_current and self.clock.now_ms() >= self.grace_until_ms
 
-    def forget_former(self, ips: Collection[str]) -> None:
-        """Drop former servers whose agents do not answer any more."""
-        now_ms = self.clock.now_ms()
+    def forget_former(self, ips: Collection[str]) -> set[str]:
+        """Drop former servers at some addresses; return those now without any server.
+
+        Such a server has left the listing and its agent does not answer: it is gone.
+        While the listing is not settled nothing is dropped.
+        """
+        if not self.is_settled():
+            return set()
+        listed = {server.address.ip for server in self.list_agents()}
+        dropped = set(ips) - listed
         for name, former in list(self.former.items()):
-            is_gone = now_ms - former.gone_ms > RETURN_GRACE_MS
-            if is_gone and former.server.address.ip in ips:
+            if former.server.address.ip in dropped:
                 del self.former[name]
+        return dropped
 
     def confirm(self, revision: int, confirmed_ms: int) -> None:
         """Note that the current listing was still true at a later revision."""
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -239,6 +239,33 @@
     assert not has_reset(actions)
 
 
+@pytest.mark.parametrize(
+    ("silent_ms", "reset"),
+    [
+        pytest.param(400, False, id="its agent may be restarting"),
+        pytest.param(5_400, True, id="gone from the listing, and silent"),
+    ],
+)
+def test_a_server_that_is_gone_and_silent_does_not_keep_dead_flows_waiting(
+    balancer: BalancerFlows,
+    view: DeploymentView,
+    clock: ManualClock,
+    silent_ms: int,
+    reset: bool,
+) -> None:
+    remaining = make_listing(11, *(make_server(number) for number in (1, 2)))
+    for _ in range(0, silent_ms, 200):
+        clock.advance(200)
+        view.accept_listing(remaining, clock.now_ms())
+    packet = make_packet(payload=10)
+    actions = answer_all(balancer, packet, dict.fromkeys((1, 2, 4), Verdict.ABSENT))
+    for _ in range(5):
+        clock.advance(60)
+        actions += balancer.tick()
+        view.confirm(11, clock.now_ms())
+    assert has_reset(actions) is reset
+
+
 @pytest.mark.parametrize("outage_ms", [2_000, 6_000])
 def test_no_flow_is_reset_until_lapsed_entries_can_be_back(
     balancer: BalancerFlows,
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -147,7 +147,6 @@
                 role=settings.role.value,
                 zone=settings.availability_zone,
                 incarnation=self.incarnation,
-                start_cpu_ms=round(time.process_time() * 1000),
             )
             await self._decide()
             nursery.cancel_scope.cancel()
