Count placed flows as waiting only until they are reported or answered

Placed flows now count for 150 ms; agents report every 300 ms to remote balancers that open flows; copies of a request do not count as requests.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -94,6 +94,17 @@
         self.first_sequence = 0
         self.acknowledged = 0
         self.request_ms: int | None = None
+        self.received_end: int | None = None
+
+    def takes_new_data(self, packet: Packet) -> bool:
+        """Return whether a caller's data begins a request, and is no copy of one."""
+        end = (packet.sequence + packet.payload_bytes) % SEQUENCE_RANGE
+        if self.received_end is not None:
+            ahead = (end - self.received_end) % SEQUENCE_RANGE
+            if ahead == 0 or ahead >= SEQUENCE_RANGE // 2:
+                return False
+        self.received_end = end
+        return self.request_ms is None
 
 
 class AgentFlows:
@@ -180,7 +191,7 @@
         self._touch(packet.flow, flow)
         if not packet.is_reset:
             self.server.note_delivery()
-        if packet.payload_bytes and flow.request_ms is None:
+        if packet.payload_bytes and flow.takes_new_data(packet):
             flow.request_ms = flow.seen_ms
             self.waiting[packet.flow] = flow.seen_ms
             self.busy.note_waiting(len(self.waiting))
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -1,6 +1,7 @@
 """Chooses the backend server that takes a new flow."""
 
 import random
+from collections import deque
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
@@ -49,15 +50,29 @@
 """The same for an agent of another zone, which gets fewer heartbeats."""
 
 
+PLACED_WAIT_MS = 150
+"""How long a flow that was placed counts as a request that waits, in milliseconds: by
+then the agent has reported it, or its request has been answered."""
+
+PLACED_LIMIT = 64
+"""The most flows that are counted between two reports; more make no difference."""
+
+
 class AgentRecord:
     """What a balancer knows of one agent."""
 
     def __init__(self, heard_ms: int) -> None:
         self.report: LoadReport | None = None
         self.heard_ms = heard_ms
-        self.placed = 0
+        self.placed_ms: deque[int] = deque(maxlen=PLACED_LIMIT)
         self.unanswered = 0
 
+    def count_placed(self, since_ms: int) -> int:
+        """Return the flows that were placed after a time and since the last report."""
+        while self.placed_ms and self.placed_ms[0] <= since_ms:
+            self.placed_ms.popleft()
+        return len(self.placed_ms)
+
 
 class Chosen(NamedTuple):
     """A choice with what decided it."""
@@ -106,7 +121,7 @@
         agent.heard_ms = now_ms
         if report is not None:
             agent.report = report
-            agent.placed = 0
+            agent.placed_ms.clear()
             agent.unanswered = 0
 
     def note_unanswered(self, ip: str) -> None:
@@ -194,7 +209,7 @@
         record = self.agents.setdefault(
             server.address.ip, AgentRecord(-SILENT_REMOTE_AGENT_MS)
         )
-        record.placed += 1
+        record.placed_ms.append(self.clock.now_ms())
 
     def _is_doubtful(self, server: BackendServer) -> bool:
         if self.is_silent(server):
@@ -215,7 +230,8 @@
         agent = self.agents.get(server.address.ip)
         if agent is None:
             return 0.0, 0.0
-        waiting, busy_share = float(agent.placed), 0.0
+        since_ms = self.clock.now_ms() - PLACED_WAIT_MS
+        waiting, busy_share = float(agent.count_placed(since_ms)), 0.0
         if agent.report is not None:
             waiting += agent.report.waiting
             busy_share = agent.report.busy_share
@@ -229,7 +245,7 @@
         flows = 0.0
         slowness = 1.0
         if agent is not None:
-            flows = agent.placed
+            flows = len(agent.placed_ms)
             if agent.report is not None:
                 flows += agent.report.open_flows
                 slowness = agent.report.latency_ms / usual_ms
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -209,3 +209,14 @@
     agent.note_server_check(ServerCheck.ACCEPTED)
     assert agent.report().accepts_flows
     assert was_delivered(forward(agent, opening=True))
+
+
+def test_a_copy_of_a_request_is_not_counted_as_waiting(agent: AgentFlows) -> None:
+    open_flow(agent)
+    for sequence in (100, 150):
+        forward(agent, payload=50, acknowledged=501, sequence=sequence)
+        agent.handle_from_server(make_packet(payload=50))
+        forward(agent, payload=50, acknowledged=501, sequence=sequence)
+        assert agent.report().waiting == 0
+    forward(agent, payload=50, acknowledged=501, sequence=200)
+    assert agent.report().waiting == 1
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -377,3 +377,16 @@
         )
     )
     assert counts == {f"10.0.0.{number}": 7 for number in (1, 2, 3)}
+
+
+def test_flows_placed_at_a_remote_server_do_not_count_as_waiting_for_long(
+    balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
+) -> None:
+    saturate(choice, 1, 2, waiting=9, busy=1.0)
+    placed = 0
+    for port in range(4000, 4040):
+        clock.advance(30)
+        actions = balancer.handle_packet(make_packet(port, opening=True))
+        placed += len(list_forwards(actions))
+        assert not has_reset(actions)
+    assert placed == 40
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -19,6 +19,10 @@
 """How often a changed load is told to the balancers of the own zone, in milliseconds;
 about as long as five requests take."""
 
+REMOTE_REPORT_INTERVAL_MS = 300
+"""The same for balancers of other zones that open flows here, in milliseconds; bytes
+between zones are dear."""
+
 BALANCER_TIMEOUT_MS = 2_000
 """How long a balancer without a heartbeat still gets load reports, in milliseconds."""
 
@@ -45,6 +49,8 @@
             started_unix_ms=self.incarnation // 1_000_000,
         )
         self.balancers: dict[str, int] = {}
+        self.openers: dict[str, int] = {}
+        self.remote_reported_ms = self.started_ms
         self.reported: LoadReport | None = None
         self.reported_ms = self.started_ms
 
@@ -68,6 +74,8 @@
         if isinstance(message, ForwardedPacket):
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_forwarded_total")
+            if packet.is_opening:
+                self.openers[sender] = self.clock.now_ms()
             self.perform(self.flows.handle_forwarded(message, packet, sender))
         elif isinstance(message, FlowQuestion):
             self.send(sender, self.flows.answer(message))
@@ -100,6 +108,9 @@
             return
         self.reported = report
         self._send_report(report)
+        if now_ms - self.remote_reported_ms >= REMOTE_REPORT_INTERVAL_MS:
+            self.remote_reported_ms = now_ms
+            self._send_remote_report(report)
 
     def _send_report(self, report: LoadReport) -> None:
         now_ms = self.clock.now_ms()
@@ -109,6 +120,15 @@
             else:
                 self.send(ip, report)
 
+    def _send_remote_report(self, report: LoadReport) -> None:
+        """Tell balancers of other zones that have opened flows here of late."""
+        now_ms = self.clock.now_ms()
+        for ip, opened_ms in list(self.openers.items()):
+            if now_ms - opened_ms > BALANCER_TIMEOUT_MS:
+                del self.openers[ip]
+            elif ip not in self.balancers:
+                self.send(ip, report)
+
     def begin_stop(self) -> None:
         """Tell the balancers that this agent is about to stop."""
         self.flows.is_leaving = True
