--- a/citronwinch/coordination/flows/_server_liveness.py
+++ b/citronwinch/coordination/flows/_server_liveness.py
@@ -4,10 +4,13 @@
 
 from citronwinch.coordination._clock import Clock
 
-SILENCE_MS = 150
+SILENCE_MS = 350
 """How long a backend server may be silent after a delivery before it is checked, in
-milliseconds; it acknowledges every second packet within a round trip on its own
-instance, and a caller's copy comes after 200 ms."""
+milliseconds; longer than it works on a full queue, shorter than a caller's second copy
+of a request takes."""
+
+SILENT_DELIVERIES = 3
+"""How many packets must have got no answer meanwhile."""
 
 CHECK_INTERVAL_MS = 500
 """How often a silent backend server is checked, in milliseconds."""
@@ -55,7 +58,7 @@
             return False
         is_silent = (
             self.unanswered_ms is not None
-            and self.deliveries > 1
+            and self.deliveries >= SILENT_DELIVERIES
             and now_ms - self.unanswered_ms >= SILENCE_MS
         )
         if not self.is_down and not is_silent:
