--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -187,6 +187,12 @@
         return [server for group in self.by_service.values() for server in group]
 
     def _index(self) -> None:
+        """Group the servers; at one address only the one that started last lives."""
+        newest: dict[str, BackendServer] = {}
+        for server in (self.retained | self.listing.servers).values():
+            other = newest.get(server.address.ip)
+            if other is None or server.started_ms >= other.started_ms:
+                newest[server.address.ip] = server
         self.by_service = {}
-        for server in (self.listing.servers | self.retained).values():
+        for server in newest.values():
             self.by_service.setdefault(server.service, []).append(server)
--- a/citronwinch/coordination/flows/tests/test_view.py
+++ b/citronwinch/coordination/flows/tests/test_view.py
@@ -74,3 +74,13 @@
     assert view.age_ms == 50
     view.confirm(9, clock.now_ms())
     assert view.age_ms == 50
+
+
+def test_only_the_newest_server_at_an_address_counts(
+    view: DeploymentView, clock: ManualClock
+) -> None:
+    former = make_server(1)
+    reused = make_server(1, "reporting")._replace(name="s9", started_ms=2_000)
+    view.accept_listing(make_listing(11, former, reused), clock.now_ms())
+    assert view.list_ready("gauging") == []
+    assert view.list_ready("reporting") == [reused]
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -2,14 +2,12 @@
 
 import random
 from collections import deque
-from operator import attrgetter
 
 import structlog
 import trio
 
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
-    BackendServer,
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
@@ -145,16 +143,13 @@
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
     def _send_heartbeats(self) -> None:
-        newest: dict[str, BackendServer] = {}
         for ip in self.members.list_receivers():
             self._send_due_heartbeat(ip, BALANCER_HEARTBEAT_MS)
-        # An address may still be listed for its former server: the newest one counts.
-        for server in sorted(self.view.list_agents(), key=attrgetter("started_ms")):
-            newest[server.address.ip] = server
-        for ip, server in newest.items():
+        for server in self.view.list_agents():
             is_local = server.availability_zone == self.settings.availability_zone
             interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
-            self._send_due_heartbeat(ip, interval_ms, server.started_ms)
+            ip, started_ms = server.address.ip, server.started_ms
+            self._send_due_heartbeat(ip, interval_ms, started_ms)
 
     def _send_due_heartbeat(
         self, ip: str, interval_ms: int, server_started_ms: int = 0
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -154,6 +154,8 @@
         self._note_success()
         self.watched_revision = answer.ok.revision
         self._accept_configuration(answer.ok.configuration, "store")
+        if answer.ok.configuration is None:
+            await trio.sleep(RETRY_MS / 1000)
 
     async def _watch_once(self) -> None:
         if not self.watched_revision:
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -96,6 +96,8 @@
         answer = await self._get("/kv-key", query, READ_TIMEOUT_MS)
         if answer.is_error():
             return Error(answer.error)
+        if answer.ok is None:
+            return Ok(ConfigurationRead(0, None))
         return self._decode_item(answer.ok, answer.ok)
 
     async def watch_configuration(
@@ -139,6 +141,7 @@
     async def _get(
         self, path: str, query: dict[str, Any], timeout_ms: int
     ) -> Result[Any, StoreError]:
+        """Return the answer's body, None for a key that is not there."""
         self.calls += 1
         step = f"GET {path}"
         try:
@@ -147,6 +150,8 @@
             )
         except HttpError as error:
             return Error(self._fail(step, error.reason))
+        if response.status == 404 and path == "/kv-key":
+            return Ok(None)
         if response.status != 200:
             return Error(self._fail(step, f"status {response.status}"))
         try:
