Serve first in a crowd those that can still be in time

New flows wait in the balancer by the latency objective of their route, so that servers keep short queues, and those that are late already give way within a priority. Agents report every 40 ms in their zone.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -106,7 +106,7 @@
         chosen = self._choose(packet, route, tried)
         if chosen is None:
             return self._refuse_opening(packet, route, tried, "no server left")
-        if chosen.is_full:
+        if chosen.is_full(route.latency_objective_ms):
             if self.held_openings.hold(packet, route):
                 self.counts["openings_held"] += 1
                 return []
@@ -174,7 +174,8 @@
         now_ms = self.clock.now_ms()
         for held in self.held_openings.list_by_priority():
             chosen = self._choose(held.packet, held.route, set())
-            if chosen is not None and not chosen.is_full:
+            objective_ms = held.route.latency_objective_ms
+            if chosen is not None and not chosen.is_full(objective_ms):
                 actions += self._open_at(held.packet, chosen, set())
             elif chosen is None or now_ms >= held.deadline_ms:
                 reason = "no room in time" if chosen else "no server left"
--- a/citronwinch/coordination/flows/_held_openings.py
+++ b/citronwinch/coordination/flows/_held_openings.py
@@ -11,8 +11,9 @@
 """How long an opening waits for room, in milliseconds; callers give up after 1,400 ms
 and need some of that for the request itself."""
 
-OBJECTIVE_SHARE = 1.5
-"""The share of the route's latency objective that an opening may wait at most."""
+TIMELY_SHARE = 0.6
+"""The share of the route's latency objective after which a held opening is late: the
+rest is needed for the request itself."""
 
 HELD_LIMIT = 500
 """The most openings that wait; more cannot find room in time behind one balancer."""
@@ -35,7 +36,7 @@
 
 
 class HeldOpenings:
-    """Openings in the order in which room is given out: priority, then age."""
+    """Openings in the order in which room is given out."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -48,16 +49,26 @@
         if len(self.waiting) >= HELD_LIMIT:
             return False
         now_ms = self.clock.now_ms()
-        objective_ms = int(OBJECTIVE_SHARE * route.latency_objective_ms)
-        deadline_ms = now_ms + min(HOLD_LIMIT_MS, objective_ms)
+        deadline_ms = now_ms + HOLD_LIMIT_MS
         self.waiting[packet.flow] = HeldOpening(packet, route, now_ms, deadline_ms)
         return True
 
     def list_by_priority(self) -> list[HeldOpening]:
-        """Return the openings, those that get room first at the front."""
-        return sorted(
-            self.waiting.values(), key=lambda held: (held.route.priority, held.since_ms)
-        )
+        """Return the openings, those that get room first at the front.
+
+        Within a priority those go first that can still meet their latency objective,
+        in the order of their age. The others follow, the youngest first, because an
+        answer is worth something only while its caller waits.
+        """
+        return sorted(self.waiting.values(), key=self._rank)
+
+    def _rank(self, held: HeldOpening) -> tuple[int, bool, int]:
+        waited_ms = self.clock.now_ms() - held.since_ms
+        timely_ms = TIMELY_SHARE * held.route.latency_objective_ms
+        # Callers count the copies of an opening; the first one comes after 200 ms.
+        is_late = held.packet.acknowledged > 0 or waited_ms > timely_ms
+        order = -held.since_ms if is_late else held.since_ms
+        return held.route.priority, is_late, order
 
     def release(self, key: FlowKey) -> None:
         """Forget an opening that has been placed or refused."""
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -32,6 +32,14 @@
 """From this many waiting requests for each slot on, a new flow waits in the balancer;
 backend servers refuse a request soon beyond that."""
 
+LEAST_FULL_PRESSURE = 3.0
+"""The same for routes with the tightest latency objectives: enough to keep a backend
+server at work until its next report."""
+
+FULL_OBJECTIVE_MS = 35.0
+"""A new flow waits in the balancer once there is a waiting request for each so many
+milliseconds of its route's latency objective; a request takes 15 to 25 ms."""
+
 REMOTE_FACTOR = 1.5
 """How much busier the own availability zone must be before a flow leaves it."""
 
@@ -97,10 +105,21 @@
         """Whether the least loaded server of the service has hardly any room."""
         return self.pressure >= SPILL_PRESSURE or self.busy_share >= SPILL_BUSY_SHARE
 
-    @property
-    def is_full(self) -> bool:
-        """Whether one more request would likely be refused there."""
-        return self.pressure >= FULL_PRESSURE
+    def is_full(self, latency_objective_ms: int) -> bool:
+        """Whether one more request would be late or refused there."""
+        return self.pressure >= find_full_pressure(latency_objective_ms)
+
+
+def find_full_pressure(latency_objective_ms: int) -> float:
+    """Return from which pressure on new flows of a route wait in the balancer.
+
+    Example::
+
+        >>> find_full_pressure(120), find_full_pressure(500)
+        (3.4285714285714284, 7.0)
+    """
+    usual = latency_objective_ms / FULL_OBJECTIVE_MS
+    return min(max(usual, LEAST_FULL_PRESSURE), FULL_PRESSURE)
 
 
 class ServerChoice:
@@ -167,10 +186,11 @@
         if not candidates:
             return None
         usual_ms = self._find_usual_latency_ms(candidates)
+        full_pressure = find_full_pressure(latency_objective_ms)
         with_room = [
             server
             for server in candidates
-            if self._read_pressure(server)[0] < FULL_PRESSURE
+            if self._read_pressure(server)[0] < full_pressure
         ]
         scored = [
             (
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -15,9 +15,9 @@
 from citronwinch.network import DatagramPort, try_connection
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
-REPORT_INTERVAL_MS = 100
+REPORT_INTERVAL_MS = 40
 """How often a changed load is told to the balancers of the own zone, in milliseconds;
-about as long as five requests take."""
+about as long as two requests take."""
 
 REMOTE_REPORT_INTERVAL_MS = 300
 """The same for balancers of other zones that open flows here, in milliseconds; bytes
