--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -58,7 +58,7 @@
 """The same for an agent of another zone, which gets fewer heartbeats."""
 
 
-PLACED_WAIT_MS = 150
+PLACED_WAIT_MS = 90
 """How long a flow that was placed counts as a request that waits, in milliseconds: by
 then the agent has reported it, or its request has been answered."""
 
