Leave the rotation when cut off from all agents; reload settings; stop agents when idle

Settings are read again on SIGHUP and when their file changes; a stopping agent waits up to a second for requests under way.

--- a/citronwinch/coordination/flows/_members.py
+++ b/citronwinch/coordination/flows/_members.py
@@ -30,10 +30,14 @@
     def __init__(self, own_ip: str, seeds: Iterable[str], clock: Clock) -> None:
         self.own_ip = own_ip
         self.clock = clock
-        self.seeds = set(seeds) - {own_ip}
+        self.set_seeds(seeds)
         self.members: dict[str, Member] = {}
         self.candidates: dict[str, int] = {}
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Use other first addresses."""
+        self.seeds = set(seeds) - {self.own_ip}
+
     def hear(self, ip: str, heartbeat: Heartbeat) -> bool:
         """Take a heartbeat; return whether its sender is new or has restarted.
 
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -153,6 +153,16 @@
         for ip in self.agents.keys() - set(ips):
             del self.agents[ip]
 
+    def is_isolated(self) -> bool:
+        """Return whether not one of the known agents has been heard of late.
+
+        Such a balancer is cut off: its callers are better served by others.
+        """
+        if not self.agents:
+            return False
+        heard_ms = max(agent.heard_ms for agent in self.agents.values())
+        return self.clock.now_ms() - heard_ms > SILENT_AGENT_MS
+
     def was_heard_lately(self, ip: str) -> bool:
         """Return whether an agent has sent anything within the time of a restart."""
         agent = self.agents.get(ip)
--- a/citronwinch/coordination/flows/tests/test_knowledge.py
+++ b/citronwinch/coordination/flows/tests/test_knowledge.py
@@ -1,11 +1,14 @@
 """Who reads the store, and which balancers are live."""
 
+import random
+
 import pytest
 
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import (
     BalancerMembers,
     Heartbeat,
+    ServerChoice,
     find_patience_ms,
     find_turn,
 )
@@ -60,3 +63,23 @@
     assert members.list_live() == ["10.0.0.2"]
     assert members.hear("10.0.0.2", make_heartbeat(6, leaving=True))
     assert members.list_live() == []
+
+
+def test_a_balancer_without_any_agent_is_isolated_until_it_hears_one(
+    clock: ManualClock, choice: ServerChoice
+) -> None:
+    assert not choice.is_isolated()
+    clock.advance(1_000)
+    choice.hear("10.0.0.3")
+    clock.advance(1_000)
+    assert not choice.is_isolated()
+    clock.advance(200)
+    assert choice.is_isolated()
+    choice.hear("10.0.0.1")
+    assert not choice.is_isolated()
+
+
+def test_a_balancer_that_knows_no_agent_yet_is_not_isolated(
+    clock: ManualClock,
+) -> None:
+    assert not ServerChoice("a", clock, random.Random(1)).is_isolated()
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -26,6 +26,10 @@
 BALANCER_TIMEOUT_MS = 2_000
 """How long a balancer without a heartbeat still gets load reports, in milliseconds."""
 
+BUSY_STOP_MS = 1_000
+"""How long it forwards while requests are under way, in milliseconds; they take 20 ms
+as a rule, and there is a moment without any on all but the busiest servers."""
+
 CHECK_TIMEOUT_MS = 300
 """How long a connection to the own backend server may take, in milliseconds."""
 
@@ -129,6 +133,9 @@
             elif ip not in self.balancers:
                 self.send(ip, report)
 
+    def apply_settings(self, settings: ForwarderSettings) -> None:
+        """Change nothing: what an agent reads is fixed while it runs."""
+
     def begin_stop(self) -> None:
         """Tell the balancers that this agent is about to stop."""
         self.flows.is_leaving = True
@@ -137,6 +144,8 @@
         self.nursery.start_soon(self._check_server)
 
     def is_stopped(self) -> bool:
-        """Return whether the balancers have had time to hear of the stop."""
+        """Return whether the balancers know of the stop and no request is under way."""
         assert self.stop_ms is not None
-        return self.clock.now_ms() - self.stop_ms >= STOP_MS
+        waited_ms = self.clock.now_ms() - self.stop_ms
+        is_idle = self.flows.server.is_down or not self.flows.waiting
+        return waited_ms >= (STOP_MS if is_idle else BUSY_STOP_MS)
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -72,12 +72,15 @@
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
         self.exchange = ViewExchange(self)
         self.was_ready = False
+        self.is_isolated = False
         self.sent_ms: dict[str, int] = {}
 
     def is_ready(self) -> bool:
         """Return whether the configuration and the backend servers are known."""
-        if self.was_ready or not self.view.is_complete:
-            return self.was_ready
+        if self.was_ready:
+            return not self.is_isolated
+        if not self.view.is_complete:
+            return False
         age_ms = self.view.age_ms
         waited_ms = self.clock.now_ms() - self.started_ms
         is_current = age_ms is not None and age_ms <= STARTING_AGE_MS
@@ -135,6 +138,7 @@
             log.info("server_gone", server=server.name, service=server.service)
         for ip in self.members.expire():
             log.info("balancer_lost", balancer=ip)
+        self._note_isolation()
         self._send_heartbeats()
         self.exchange.tick()
         for name, count in self.flows.counts.items():
@@ -142,11 +146,21 @@
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
+    def _note_isolation(self) -> None:
+        is_isolated = self.choice.is_isolated()
+        if is_isolated != self.is_isolated:
+            self.is_isolated = is_isolated
+            event = "agents_lost" if is_isolated else "agents_regained"
+            log.warning(event, agents=len(self.choice.agents))
+
     def _send_heartbeats(self) -> None:
         for ip in self.members.list_receivers():
             self._send_due_heartbeat(ip, BALANCER_HEARTBEAT_MS)
         for server in self.view.list_agents():
-            is_local = server.availability_zone == self.settings.availability_zone
+            # Whoever seems isolated asks far agents as often as near ones.
+            is_local = self.is_isolated or (
+                server.availability_zone == self.settings.availability_zone
+            )
             interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
             ip, started_ms = server.address.ip, server.started_ms
             self._send_due_heartbeat(ip, interval_ms, started_ms)
@@ -163,6 +177,9 @@
 
     def announce_view(self) -> None:
         """Tell all balancers what has just been read."""
+        known = [server.address.ip for server in self.view.list_agents()]
+        known += [former.server.address.ip for former in self.view.former.values()]
+        self.choice.keep_only(known)
         for ip in self.members.list_receivers():
             self._send_heartbeat(ip)
 
@@ -183,6 +200,10 @@
             server_started_ms,
         )
 
+    def apply_settings(self, settings: ForwarderSettings) -> None:
+        """Use other first balancers from now on."""
+        self.members.set_seeds(seed.ip for seed in settings.seeds)
+
     def begin_stop(self) -> None:
         """Let the routers and the other balancers know; go on forwarding."""
         for ip in self.members.list_receivers():
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -1,9 +1,11 @@
 """What balancers and agents have in common."""
 
+import os
 import signal
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from pathlib import Path
 from typing import NamedTuple
 
 import structlog
@@ -23,7 +25,10 @@
 )
 from citronwinch.flow_peers import decode_flow_message, encode_flow_message
 from citronwinch.forwarder._decision_log import DecisionLog
-from citronwinch.forwarder._settings import ForwarderSettings
+from citronwinch.forwarder._settings import (
+    ForwarderSettings,
+    parse_forwarder_settings,
+)
 from citronwinch.network import (
     Datagram,
     DatagramPort,
@@ -41,6 +46,12 @@
 LATE_TICK_MS = 500
 """A tick that is later than this follows a pause of the process."""
 
+SETTINGS_CHECK_MS = 2_000
+"""How often a process looks whether its settings file has changed, in milliseconds."""
+
+RELOADED_SETTINGS = frozenset({"seeds", "stop_timeout_s"})
+"""The settings that a running process takes over."""
+
 INBOX_LIMIT = 64
 """The most batches of datagrams that wait for the deciding task."""
 
@@ -97,6 +108,8 @@
         self.peer_port = take_port(Endpoint(settings.ip, settings.peer_port))
         self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
         self.ticked_ms = self.started_ms
+        self.settings_file = ""
+        self.settings_mark = 0
         self.stop_ms: int | None = None
 
     @abstractmethod
@@ -127,6 +140,11 @@
     def start_tasks(self, nursery: trio.Nursery) -> None:
         """Start the tasks that only this role has."""
 
+    def follow_settings_file(self, file: str) -> None:
+        """Read the settings again whenever their file changes."""
+        self.settings_file = file
+        self.settings_mark = self._read_settings_mark()
+
     async def run(self) -> None:
         """Run until a requested stop is complete."""
         settings = self.settings
@@ -135,6 +153,7 @@
             nursery.start_soon(self._receive, self.peer_port, PeerBatch)
             nursery.start_soon(self._receive, self.packet_port, PacketBatch)
             nursery.start_soon(self._tick)
+            nursery.start_soon(self._watch_settings)
             nursery.start_soon(
                 serve, settings.ready_address, self._answer_ready, self._count_http
             )
@@ -183,8 +202,41 @@
                 self.stop_ms = self.clock.now_ms()
                 log.info("stopping", name=self.settings.name)
                 self.begin_stop()
-        else:
-            log.info("settings_kept", reason="settings are read at the start only")
+        elif isinstance(event, SettingsChanged):
+            self._reload_settings()
+
+    @abstractmethod
+    def apply_settings(self, settings: ForwarderSettings) -> None:
+        """Use what may change in a running process; most settings need a restart."""
+
+    def _reload_settings(self) -> None:
+        """Read the settings again, and keep the old ones when they are unusable."""
+        self.settings_mark = self._read_settings_mark()
+        file = self.settings_file
+        try:
+            parsed = parse_forwarder_settings(Path(file).read_text(), file)
+        except (OSError, UnicodeDecodeError) as error:
+            log.warning("settings_unreadable", file=file, reason=str(error))
+            return
+        if parsed.is_error():
+            problems = [str(problem) for problem in parsed.error]
+            log.warning("settings_unusable", file=file, problems=problems)
+            return
+        old, new = self.settings._asdict(), parsed.ok._asdict()
+        changed = sorted(name for name in old if old[name] != new[name])
+        kept = sorted(set(changed) - RELOADED_SETTINGS)
+        self.settings = self.settings._replace(
+            **{name: new[name] for name in RELOADED_SETTINGS}
+        )
+        self.apply_settings(parsed.ok)
+        log.info("settings_reloaded", changed=changed, kept_until_restart=kept)
+
+    def _read_settings_mark(self) -> int:
+        """Return the time of the last change of the settings file, 0 without one."""
+        try:
+            return os.stat(self.settings_file).st_mtime_ns
+        except OSError:
+            return 0
 
     def _handle_packet_datagram(self, datagram: Datagram) -> None:
         try:
@@ -255,6 +307,14 @@
             await trio.sleep(TICK_MS / 1000)
             await self.inbox_send.send(Tick())
 
+    async def _watch_settings(self) -> None:
+        """Notice a settings file that changes without a signal."""
+        while True:
+            await trio.sleep(SETTINGS_CHECK_MS / 1000)
+            is_followed = bool(self.settings_file)
+            if is_followed and self._read_settings_mark() != self.settings_mark:
+                await self.inbox_send.send(SettingsChanged())
+
     async def _receive_signals(self) -> None:
         stops = (signal.SIGTERM, signal.SIGINT)
         with trio.open_signal_receiver(*stops, signal.SIGHUP) as signals:
--- a/citronwinch/forwarder/_run.py
+++ b/citronwinch/forwarder/_run.py
@@ -7,6 +7,7 @@
 import trio
 
 from citronwinch.coordination import Endpoint, InstanceRole
+from citronwinch.forwarder._process import ForwarderProcess
 from citronwinch.forwarder._settings import parse_forwarder_settings
 from citronwinch.network import DatagramPort
 from citronwinch.operators import configure_logging
@@ -52,13 +53,14 @@
         if settings.role is InstanceRole.BALANCER:
             from citronwinch.forwarder._balancer_process import BalancerProcess
 
-            process_run = BalancerProcess(settings, ports.take).run
+            process: ForwarderProcess = BalancerProcess(settings, ports.take)
         else:
             from citronwinch.forwarder._agent_process import AgentProcess
 
-            process_run = AgentProcess(settings, ports.take).run
+            process = AgentProcess(settings, ports.take)
     except OSError as error:
         print(f"{file}: cannot listen: {error}", file=sys.stderr)
         return EXIT_SYSTEM
-    trio.run(process_run)
+    process.follow_settings_file(file)
+    trio.run(process.run)
     return EXIT_OK
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import pytest
 import trio
@@ -78,6 +79,7 @@
         self.caller = Caller(Endpoint(f"{self.prefix}.2", CALLER_PORT), self.router)
         self.servers: dict[int, StandInServer] = {}
         self.server_age_ms = 0
+        self.directory: Path | None = None
         self.processes: dict[int, ForwarderProcess] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
 
@@ -91,17 +93,21 @@
     def add_balancer(self, number: int, zone: str = "a") -> None:
         """Start a balancer."""
         ip = f"{self.prefix}.{number}"
-        text = BALANCER.format(
+        text = self.format_balancer(number, zone)
+        self.router.balancers[Endpoint(ip, 21_167)] = Endpoint(ip, 21_172)
+        settings = parse_forwarder_settings(text, "balancer.ini").ok
+        self._run(number, BalancerProcess(settings))
+
+    def format_balancer(self, number: int, zone: str = "a", seed: int = 11) -> str:
+        """Return the settings of a balancer."""
+        return BALANCER.format(
             number=number,
             zone=zone,
-            ip=ip,
+            ip=f"{self.prefix}.{number}",
             peer_port=PEER_PORT,
-            seed=f"{self.prefix}.11",
+            seed=f"{self.prefix}.{seed}",
             store=self.store.endpoint,
         )
-        self.router.balancers[Endpoint(ip, 21_167)] = Endpoint(ip, 21_172)
-        settings = parse_forwarder_settings(text, "balancer.ini").ok
-        self._run(number, BalancerProcess(settings))
 
     def add_server(
         self, number: int, service: str = "gauging", zone: str = "a"
@@ -141,6 +147,15 @@
         settings = parse_forwarder_settings(text, "agent.ini").ok
         self._run(number, AgentProcess(settings))
 
+    def write_settings(self, number: int, text: str) -> None:
+        """Write the settings file that a process follows."""
+        assert self.directory is not None
+        file = self.directory / f"{number}.ini"
+        file.write_text(text)
+        process = self.processes[number]
+        if not process.settings_file:
+            process.follow_settings_file(str(file))
+
     def _run(self, number: int, process: ForwarderProcess) -> None:
         self.processes[number] = process
         scope = self.scopes[number] = trio.CancelScope()
@@ -194,13 +209,14 @@
 
 
 @pytest.fixture
-def play() -> Callable[[Scene, int], None]:
+def play(tmp_path: Path) -> Callable[[Scene, int], None]:
     """Return what runs a scene in a deployment on a loopback network."""
 
     def run_scene(scene: Scene, network: int) -> None:
         async def run() -> None:
             async with trio.open_nursery() as nursery:
                 deployment = LoopbackDeployment(nursery, network)
+                deployment.directory = tmp_path
                 deployment.start()
                 await trio.sleep(0.05)
                 await scene(deployment)
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -5,7 +5,10 @@
 
 import trio
 
+from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import Heartbeat
+from citronwinch.forwarder._agent_process import AgentProcess
+from citronwinch.forwarder._process import SettingsChanged
 from citronwinch.forwarder.tests.conftest import (
     OTHER_SERVICE,
     SERVICE,
@@ -213,3 +216,60 @@
         await open_flows(deployment, range(4000, 4003))
 
     play(scene, 109)
+
+
+def test_a_balancer_that_is_cut_off_from_all_agents_leaves_the_rotation(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        cut_off = deployment.processes[11]
+        send, cut_off.peer_port.send = cut_off.peer_port.send, lambda *_: True  # type: ignore[method-assign]
+        others = (31, 32, 41)
+        for number in others:
+            deployment.processes[number].balancers.clear()  # type: ignore[attr-defined]
+        await deployment.wait_for(lambda: len(deployment.router.rotation) == 1)
+        await open_flows(deployment, range(4000, 4004))
+        cut_off.peer_port.send = send  # type: ignore[method-assign]
+        await deployment.wait_for(lambda: len(deployment.router.rotation) == 2)
+
+    play(scene, 110)
+
+
+def test_settings_that_change_without_a_signal_are_taken_over_or_refused_whole(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        process = deployment.processes[12]
+        deployment.write_settings(12, deployment.format_balancer(12))
+        for text, seed in (
+            (deployment.format_balancer(12, seed=77), 77),
+            ("[listen]\nip = nowhere\n", 77),
+            (deployment.format_balancer(12, seed=78), 78),
+        ):
+            deployment.write_settings(12, text)
+            await process.inbox_send.send(SettingsChanged())
+            await trio.sleep(0.05)
+            assert process.members.seeds == {f"{deployment.prefix}.{seed}"}  # type: ignore[attr-defined]
+        deployment.write_settings(12, deployment.format_balancer(12, seed=79))
+        expected = {f"{deployment.prefix}.79"}
+        await deployment.wait_for(lambda: process.members.seeds == expected)  # type: ignore[attr-defined]
+        await open_flows(deployment, range(4000, 4003))
+
+    play(scene, 112)
+
+
+def test_a_stopping_agent_lets_a_request_under_way_finish(play: Play) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        agent = deployment.processes[31]
+        assert isinstance(agent, AgentProcess)
+        agent.flows.waiting[FlowKey(b"under way")] = agent.clock.now_ms()
+        await deployment.stop(31)
+        await trio.sleep(0.3)
+        assert not agent.is_stopped()
+        agent.flows.waiting.clear()
+        assert agent.is_stopped()
+
+    play(scene, 113)
