--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 CASE ?= path
 SEED ?= 1
+SEEDS ?= 1-3
+SECONDS_EACH ?= 20
 
-.PHONY: help install demo test bench golden format lint types check clean
+.PHONY: help install demo test bench soak golden format lint types check clean
 
 help:  ## List the commands.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -26,6 +28,9 @@
 bench: install  ## Print one benchmark as JSON: make -s bench CASE=path SEED=1
 	@$(BIN)/python -m citronwinch.benches --case $(CASE) --seed $(SEED)
 
+soak: install  ## Play seeds of the fault soak: make soak SEEDS=1-50 SECONDS_EACH=20
+	@$(BIN)/python -m citronwinch.soak --seeds $(SEEDS) --seconds-each $(SECONDS_EACH)
+
 golden: install  ## Write the golden session files anew, after a change of behaviour.
 	@$(BIN)/python -m citronwinch.coordination.tests._session_script
 
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -69,7 +69,7 @@
     """The backend servers; every third one is of the smaller service."""
 
     network: int = 120
-    """The second number of all addresses, so that runs beside each other do not meet."""
+    """The second number of all addresses; runs at the same time need different ones."""
 
 
 class SoakResult(NamedTuple):
