--- a/citronwinch/platform/standins/_store.py
+++ b/citronwinch/platform/standins/_store.py
@@ -112,7 +112,7 @@
         if self.fault is StoreFault.MALFORMED:
             return HttpResponse(200, b'{"items": 7, "value": "?"')
         if self.fault is StoreFault.CUT:
-            raise ConnectionResetError("cut by the test")
+            return HttpResponse(200, b'{"items":[{"key":"servers/')
         if request.path == "/kv-key":
             return self._answer_key(request.query["key"])
         if request.path == "/kv-range":
--- a/citronwinch/soak/__main__.py
+++ b/citronwinch/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import shutil
+import signal
 import sys
 from pathlib import Path
 
@@ -49,6 +50,8 @@
     parser.add_argument("--network", type=int, default=SoakOptions().network)
     parser.add_argument("--logs", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
+    # A soak that is told to end ends the processes that it has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     is_broken = False
     for seed in options.seeds:
         directory = options.logs / f"seed-{seed}"
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -21,6 +21,10 @@
     STORE_CUT = "store cut"
     STORE_MALFORMED = "store malformed"
     STORE_FORGETFUL = "store forgetful"
+    LINK_LOSS = "link loses packets"
+    LINK_DELAY = "link delays and reorders packets"
+    LINK_DOUBLE = "link doubles packets"
+    LINK_CUT = "link is cut"
     EDIT = "edit configuration"
     SERVER_LEAVES = "server leaves"
 
@@ -28,16 +32,6 @@
 FAULT_KINDS = tuple(FaultKind)
 """All kinds, in the order in which they are drawn."""
 
-PLANNED_KINDS = frozenset(
-    {
-        FaultKind.STOP_BALANCER,
-        FaultKind.RELOAD_BALANCER,
-        FaultKind.EDIT,
-        FaultKind.SERVER_LEAVES,
-    }
-)
-"""Planned work, which may cut nothing."""
-
 MEAN_GAP_S = 1.2
 """The mean time between two faults, in seconds; shorter than most of them last, so that
 two or more are there most of the time."""
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -29,6 +29,7 @@
     make_agent,
     make_balancer,
 )
+from citronwinch.soak._link import Link, LinkFault
 
 SERVICES = {
     "gauging": Endpoint("198.18.0.1", 443),
@@ -44,6 +45,9 @@
 EDIT_LIMIT_S = 3.0
 """How long after an edit it must be in force everywhere, in seconds."""
 
+LINK_OFFSET = 100
+"""How far the last number of a link's address lies above that of its balancer."""
+
 READY_LIMIT_S = 20.0
 """How long the processes may take to be ready at the start, in seconds."""
 
@@ -56,6 +60,14 @@
 }
 
 
+_LINK_FAULTS = {
+    FaultKind.LINK_LOSS: LinkFault.LOSS,
+    FaultKind.LINK_DELAY: LinkFault.DELAY,
+    FaultKind.LINK_DOUBLE: LinkFault.DOUBLE,
+    FaultKind.LINK_CUT: LinkFault.CUT,
+}
+
+
 class SoakOptions(NamedTuple):
     """How a seed is played."""
 
@@ -120,6 +132,7 @@
         self.next_port = 2_000
         self.version = 1
         self.added: dict[Endpoint, float] = {}
+        self.links: list[Link] = []
         self.store_failed_s = -100.0
         self.disturbed_s = -100.0
 
@@ -153,7 +166,14 @@
             zone = "ab"[number % 2]
             seed = f"{self.prefix}.11"
             self.fleet.add(make_balancer(number, ip, zone, self.store.endpoint, seed))
-            self.router.balancers[Endpoint(ip, READY_PORT)] = Endpoint(ip, PACKET_PORT)
+            link = Link(
+                Endpoint(f"{self.prefix}.{number + LINK_OFFSET}", PACKET_PORT),
+                Endpoint(ip, PACKET_PORT),
+                self.seed + number,
+            )
+            self.links.append(link)
+            self.nursery.start_soon(link.run)
+            self.router.balancers[Endpoint(ip, READY_PORT)] = link.port.endpoint
         for number in range(31, 31 + self.options.servers):
             self._add_server(number, "reporting" if number % 3 == 0 else "gauging")
 
@@ -260,6 +280,8 @@
         kind = fault.kind
         if kind in _STORE_FAULTS:
             await self._break_store(fault)
+        elif kind in _LINK_FAULTS:
+            await self._break_link(fault)
         elif kind is FaultKind.EDIT:
             await self._edit()
         elif kind is FaultKind.SERVER_LEAVES:
@@ -275,6 +297,15 @@
                 await trio.sleep(0.05)
         self.store.fault = StoreFault.NONE
 
+    async def _break_link(self, fault: Fault) -> None:
+        link = self.links[fault.target % len(self.links)]
+        link.fault = _LINK_FAULTS[fault.kind]
+        with trio.move_on_after(fault.for_s):
+            while True:
+                self.disturbed_s = time.monotonic()
+                await trio.sleep(0.05)
+        link.fault = LinkFault.NONE
+
     async def _signal(self, fault: Fault) -> None:
         _, _, target = fault.kind.value.partition(" ")
         roles = ["balancer", "agent"] if target == "all" else [target]
