--- a/citronwinch/soak/_checks.py
+++ b/citronwinch/soak/_checks.py
@@ -50,7 +50,9 @@
     Example::
 
         >>> seen = Observations()
-        >>> seen.runs = [("i-1", "gauging", "a"), ("i-2", "gauging", "a")]
+        >>> seen.end_requests = seen.end_served = 10
+        >>> run = ("i-1", "gauging", "gauging 1")
+        >>> seen.runs = [run, run]
         >>> [violation.promise for violation in find_violations(seen)]
         ['at most once']
     """
