Ask again during a search, instead of waiting for the caller's next packet

A search now goes on for up to 2 s, asks those again that did not answer or know, and ends with the last answer.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -304,14 +304,17 @@
         It does not when every agent that could hold it has said so. A flow with an
         agent that is silent or cannot know is left alone: its packets are sent again.
         """
-        del self.searches[key]
-        self.unlocated[key] = self.clock.now_ms()
         silent = set(search.list_silent())
         silent -= self.view.forget_former(
             [ip for ip in silent if not self.choice.was_heard_lately(ip)]
         )
         uncertain = search.list_by_verdict(Verdict.UNCERTAIN)
         is_dead = not silent and not uncertain and self.view.is_settled()
+        if not is_dead and search.can_go_on():
+            search.pause()
+            return []
+        del self.searches[key]
+        self.unlocated[key] = self.clock.now_ms()
         packet = search.held[0]
         if is_dead and packet.is_reset:
             return []
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -16,6 +16,13 @@
 """How long agents of other zones may take to answer, in milliseconds; several round
 trips between zones."""
 
+PAUSE_MS = 120
+"""How long a search waits before it asks those again that did not know or answer, in
+milliseconds; callers send again only after 200 to 1,600 ms."""
+
+SEARCH_LIMIT_MS = 2_000
+"""How long a search goes on, in milliseconds; longer than an agent takes to restart."""
+
 HELD_LIMIT = 16
 """The most packets of one flow that wait for its location; the most that a caller has
 in flight."""
@@ -82,6 +89,8 @@
                 tuple(s.address.ip for s in others), REMOTE_ANSWER_MS, may_try=False
             ),
         ]
+        self.all_rounds = tuple(self.rounds)
+        self.is_paused = False
         self.round = SearchRound((), 0, may_try=False)
         self.current: list[str] = []
         self.is_trying = False
@@ -103,10 +112,32 @@
         if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
+        if self.is_paused:
+            return SearchStep(is_over=not self.list_open())
         return self._proceed()
 
+    def can_go_on(self) -> bool:
+        """Return whether there is time to ask again."""
+        return self.clock.now_ms() - self.started_ms < SEARCH_LIMIT_MS
+
+    def pause(self) -> None:
+        """Wait, and then ask those again that have not ruled the flow out."""
+        self.is_paused = True
+        self.current = []
+        self.deadline_ms = self.clock.now_ms() + PAUSE_MS
+
+    def list_open(self) -> list[str]:
+        """Return the agents that have not ruled the flow out."""
+        return [
+            ip for ip, given in self.verdicts.items() if given is not Verdict.ABSENT
+        ]
+
     def time_out(self) -> SearchStep:
         """Go on without those that have not answered."""
+        if self.is_paused:
+            self.is_paused = False
+            self.rounds = list(self.all_rounds)
+            return self._next_round()
         if not self.is_trying:
             uncertain = self._list_uncertain()
             if uncertain:
@@ -145,7 +176,11 @@
         self.is_trying = False
         while self.rounds:
             self.round = self.rounds.pop(0)
-            self.current = [ip for ip in self.round.agents if ip not in self.verdicts]
+            self.current = [
+                ip
+                for ip in self.round.agents
+                if self.verdicts.get(ip) is not Verdict.ABSENT
+            ]
             if self.current:
                 self.verdicts |= dict.fromkeys(self.current)
                 self._wait()
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -406,3 +406,44 @@
     balancer.handle_packet(fresh)
     order = [held.packet for held in balancer.held_openings.list_by_priority()]
     assert order == [fresh, copy_of_old, waiting_long]
+
+
+def test_a_search_asks_again_those_that_were_still_starting(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    packet = make_packet(payload=10)
+    actions = balancer.handle_packet(packet)
+    for number in (1, 2, 4):
+        absent = FlowAnswer(packet.flow, Verdict.ABSENT)
+        actions += balancer.handle_answer(absent, f"10.0.0.{number}")
+    for _ in range(6):
+        clock.advance(50)
+        actions += balancer.tick()
+    assert list_questions(actions).count("10.0.0.3") >= 2
+    held = FlowAnswer(packet.flow, Verdict.HELD)
+    forwards = list_forwards(balancer.handle_answer(held, "10.0.0.3"))
+    assert forwards == [("10.0.0.3", "gauging")]
+
+
+def test_the_last_denial_resets_a_flow_without_waiting_for_its_next_packet(
+    balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
+) -> None:
+    packet = make_packet(payload=10)
+    actions = answer_all(balancer, packet, dict.fromkeys((1, 2, 4), Verdict.ABSENT))
+    for _ in range(4):
+        clock.advance(60)
+        view.confirm(10, clock.now_ms())
+        actions += balancer.tick()
+    assert not has_reset(actions)
+    absent = FlowAnswer(packet.flow, Verdict.ABSENT)
+    assert has_reset(balancer.handle_answer(absent, "10.0.0.3"))
+
+
+def test_a_search_for_a_flow_at_a_silent_agent_ends(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    balancer.handle_packet(make_packet(payload=10))
+    for _ in range(60):
+        clock.advance(50)
+        assert not has_reset(balancer.tick())
+    assert not balancer.searches
