--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -279,13 +279,18 @@
     view.accept_listing(make_listing(11, make_server(1)), clock.now_ms())
     clock.advance(500)
     view.accept_listing(make_listing(12, make_server(1)), clock.now_ms())
-    assert not has_reset(answer_all(balancer, packet, DEAD))
-    for _ in range(4):
+    actions = answer_all(balancer, packet, DEAD)
+    for _ in range(3):
+        assert not has_reset(actions)
         clock.advance(400)
         view.accept_listing(make_listing(13, make_server(1)), clock.now_ms())
-        balancer.tick()
+        actions += balancer.tick()
         view.expire()
-    assert has_reset(answer_all(balancer, packet, DEAD))
+    assert not has_reset(actions)
+    clock.advance(400)
+    view.accept_listing(make_listing(13, make_server(1)), clock.now_ms())
+    actions += balancer.tick() + answer_all(balancer, packet, DEAD)
+    assert has_reset(actions)
 
 
 def saturate(choice: ServerChoice, *numbers: int, waiting: int, busy: float) -> None:
