Withhold resets by servers that do not hold the flow

An agent now passes a reset on only for flows that it knows to be open, or has not touched, and tells the balancer that the flow is not here. The tests fail before the change.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -207,8 +207,7 @@
         flow = self.flows.get(packet.flow)
         actions: list[Action] = [DeliverToCaller(packet)]
         if packet.is_reset:
-            self._drop(packet.flow)
-            return actions
+            return self._handle_reset(packet, flow)
         if packet.is_opening:
             if flow is None or flow.state not in (FlowState.ACCEPTED, FlowState.OPEN):
                 flow = flow or self._keep(packet.flow, FlowState.ACCEPTED)
@@ -231,6 +230,21 @@
             actions.append(self._note_answer(packet.flow, flow))
         return actions
 
+    def _handle_reset(self, packet: Packet, flow: HeldFlow | None) -> list[Action]:
+        """Pass a reset on, unless the flow may be open at another backend server.
+
+        A caller confirms one of several acceptances. A server whose acceptance was not
+        the confirmed one answers later packets with a reset that is not the flow's.
+        """
+        if flow is None or flow.state is FlowState.OPEN:
+            self._drop(packet.flow)
+            return [DeliverToCaller(packet)]
+        state, balancer = flow.state, flow.balancer
+        self._keep(packet.flow, FlowState.ABSENT)
+        absent = FlowAnswer(packet.flow, Verdict.ABSENT)
+        withheld = record("reset_withheld", packet, state=state.name.lower())
+        return [SendMessage(balancer, absent), withheld] if balancer else [withheld]
+
     def _handle_bounced(self, packet: Packet) -> list[Action]:
         flow = self.flows.get(packet.flow)
         balancer = flow.balancer if flow is not None else ""
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -223,6 +223,10 @@
         search = self.searches.get(answer.flow)
         known = self.flows.get(answer.flow)
         if known is not None and search is None:
+            if known.agent == agent and answer.verdict is Verdict.ABSENT:
+                del self.flows[answer.flow]
+                self.counts["hints_withdrawn"] += 1
+                return []
             if known.agent == agent:
                 return _confirm(known, self.clock.now_ms())
             if answer.verdict is Verdict.HELD:
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -220,3 +220,30 @@
         assert agent.report().waiting == 0
     forward(agent, payload=50, acknowledged=501, sequence=200)
     assert agent.report().waiting == 1
+
+
+def test_a_reset_by_a_server_that_does_not_hold_the_flow_stays_here(
+    agent: AgentFlows,
+) -> None:
+    # Its caller has opened the flow at a rival; this server's half has ended.
+    forward(agent, payload=10, acknowledged=90_000)
+    actions = agent.handle_from_server(make_packet(reset=True))
+    assert not any(isinstance(action, DeliverToCaller) for action in actions)
+    absent = FlowAnswer(make_packet().flow, Verdict.ABSENT)
+    assert SendMessage(BALANCER, absent) in actions
+    assert ask(agent) is Verdict.ABSENT
+
+
+def test_a_reset_of_an_acceptance_that_nobody_confirmed_stays_here(
+    agent: AgentFlows,
+) -> None:
+    forward(agent, opening=True)
+    agent.handle_from_server(make_packet(opening=True, sequence=500))
+    actions = agent.handle_from_server(make_packet(reset=True))
+    assert not any(isinstance(action, DeliverToCaller) for action in actions)
+
+
+def test_a_reset_of_an_open_flow_reaches_its_caller(agent: AgentFlows) -> None:
+    open_flow(agent)
+    reset = make_packet(reset=True)
+    assert agent.handle_from_server(reset) == [DeliverToCaller(reset)]
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -452,3 +452,13 @@
         clock.advance(50)
         assert not has_reset(balancer.tick())
     assert not balancer.searches
+
+
+def test_a_hint_is_dropped_when_its_agent_denies_the_flow(
+    balancer: BalancerFlows,
+) -> None:
+    packet = make_packet(payload=10)
+    balancer.handle_packet(packet)
+    balancer.handle_answer(FlowAnswer(packet.flow, Verdict.HELD), "10.0.0.2")
+    balancer.handle_answer(FlowAnswer(packet.flow, Verdict.ABSENT), "10.0.0.2")
+    assert list_questions(balancer.handle_packet(packet))
