--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -273,3 +273,19 @@
         assert agent.is_stopped()
 
     play(scene, 113)
+
+
+def test_dead_flows_are_reset_while_agents_of_other_services_cannot_know(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        deployment.server_age_ms = 60_000
+        await start_small(deployment)
+        await open_flows(deployment, range(4000, 4003))
+        for number in (31, 32):
+            deployment.servers[number].flows.clear()
+        with trio.fail_after(3):
+            outcomes = await ask_all(deployment, range(4000, 4003))
+        assert outcomes == {FlowOutcome.RESET}
+
+    play(scene, 114)
