--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -66,6 +66,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.expected_ends: set[str] = set()
         self.ended_alone: list[str] = []
+        self.restarts: dict[str, float] = {}
         self.is_closing = False
 
     def add(self, member: Member) -> None:
@@ -118,18 +119,26 @@
         """Start processes again that have ended, until cancelled."""
         while True:
             await trio.sleep(0.05)
-            for name, process in list(self.processes.items()):
-                code = process.poll()
-                if code is None or self.is_closing:
-                    continue
-                if name not in self.expected_ends:
-                    self.ended_alone.append(f"{name} ended with {code}")
-                self.expected_ends.discard(name)
-                del self.processes[name]
+            self._collect_ended()
+            now_s = time.monotonic()
+            due = [name for name, at_s in self.restarts.items() if at_s <= now_s]
+            for name in due:
+                del self.restarts[name]
+                # An instance may have been taken away meanwhile.
                 if name in self.members:
-                    await trio.sleep(RESTART_SECONDS)
                     self.start(name)
 
+    def _collect_ended(self) -> None:
+        for name, process in list(self.processes.items()):
+            code = process.poll()
+            if code is None or self.is_closing:
+                continue
+            if name not in self.expected_ends:
+                self.ended_alone.append(f"{name} ended with {code}")
+            self.expected_ends.discard(name)
+            del self.processes[name]
+            self.restarts[name] = time.monotonic() + RESTART_SECONDS
+
     def close(self) -> None:
         """End every process that is left."""
         self.is_closing = True
