--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -350,11 +350,10 @@
             asked=len(search.verdicts),
             searched_ms=now_ms - search.started_ms,
         )
-        if step.holder in search.tried:
-            # The agent has these packets from the trial.
-            return [found]
         measure = Measure("search_ms", now_ms - search.started_ms)
-        forwards = [_forward(step.holder, service, packet) for packet in search.held]
+        # The agent has those of a trial already.
+        missing = search.held[search.tried.get(step.holder, 0) :]
+        forwards = [_forward(step.holder, service, packet) for packet in missing]
         return [*forwards, found, measure]
 
     def _remember(self, key: FlowKey, flow: KnownFlow) -> None:
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -95,7 +95,8 @@
         self.current: list[str] = []
         self.is_trying = False
         self.verdicts: dict[str, Verdict | None] = {}
-        self.tried: set[str] = set()
+        self.tried: dict[str, int] = {}
+        """How many of the held packets an agent has got in this round's trial."""
         self.held: list[Packet] = []
 
     def hold(self, packet: Packet) -> None:
@@ -124,6 +125,8 @@
         """Wait, and then ask those again that have not ruled the flow out."""
         self.is_paused = True
         self.current = []
+        # An agent that has not confirmed a trial by now may never have got it.
+        self.tried.clear()
         self.deadline_ms = self.clock.now_ms() + PAUSE_MS
 
     def list_open(self) -> list[str]:
@@ -168,7 +171,7 @@
 
     def _try(self, agents: list[str]) -> SearchStep:
         self.is_trying = True
-        self.tried.update(agents)
+        self.tried |= dict.fromkeys(agents, len(self.held))
         self._wait()
         return SearchStep(try_at=tuple(agents))
 
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -462,3 +462,38 @@
     balancer.handle_answer(FlowAnswer(packet.flow, Verdict.HELD), "10.0.0.2")
     balancer.handle_answer(FlowAnswer(packet.flow, Verdict.ABSENT), "10.0.0.2")
     assert list_questions(balancer.handle_packet(packet))
+
+
+def test_packets_of_a_trial_that_got_lost_are_forwarded_once_the_flow_is_found(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    packet = make_packet(payload=10)
+    unsure = FlowAnswer(packet.flow, Verdict.UNCERTAIN)
+    balancer.handle_packet(packet)
+    for number in (1, 2):
+        balancer.handle_answer(unsure, f"10.0.0.{number}")
+    for _ in range(8):
+        clock.advance(50)
+        balancer.tick()
+    held = FlowAnswer(packet.flow, Verdict.HELD)
+    forwards = list_forwards(balancer.handle_answer(held, "10.0.0.2"))
+    assert forwards == [("10.0.0.2", "gauging")]
+
+
+def test_packets_that_came_after_a_trial_are_forwarded_once_the_flow_is_found(
+    balancer: BalancerFlows,
+) -> None:
+    first, second = make_packet(payload=10), make_packet(payload=20)
+    unsure = FlowAnswer(first.flow, Verdict.UNCERTAIN)
+    balancer.handle_packet(first)
+    for number in (1, 2):
+        balancer.handle_answer(unsure, f"10.0.0.{number}")
+    balancer.handle_packet(second)
+    held = FlowAnswer(first.flow, Verdict.HELD)
+    actions = balancer.handle_answer(held, "10.0.0.2")
+    assert [
+        action.message.raw
+        for action in actions
+        if isinstance(action, SendMessage)
+        and isinstance(action.message, ForwardedPacket)
+    ] == [second.raw]
