--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -11,7 +11,11 @@
     SendMessage,
     record,
 )
-from citronwinch.coordination.flows._deployment import Route, order_services
+from citronwinch.coordination.flows._deployment import (
+    BackendServer,
+    Route,
+    order_services,
+)
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._held_openings import HeldOpenings
 from citronwinch.coordination.flows._messages import (
@@ -243,7 +247,11 @@
         now_ms = self.clock.now_ms()
         for key, search in list(self.searches.items()):
             if now_ms >= search.deadline_ms:
-                actions += self._follow(key, search, search.time_out())
+                if search.is_paused:
+                    step = search.resume(*self._list_holders(search.held[0]))
+                else:
+                    step = search.time_out()
+                actions += self._follow(key, search, step)
         while self.unlocated:
             key, since_ms = next(iter(self.unlocated.items()))
             if now_ms - since_ms < UNLOCATED_MS:
@@ -273,11 +281,7 @@
             return self._refuse_unknown_address(packet)
         if packet.flow in self.unlocated:
             return []
-        services = [share.service for share in route.shares]
-        holders = self.view.list_holders(services)
-        others = self.view.list_holders(self.view.list_services() - set(services))
-        if len(others) > OTHERS_LIMIT:
-            others = []
+        holders, others = self._list_holders(packet)
         search = FlowSearch(self.choice.zone, holders, others, self.clock)
         search.hold(packet)
         self.searches[packet.flow] = search
@@ -286,6 +290,16 @@
             search.hear(absent_at, Verdict.ABSENT)
         return self._follow(packet.flow, search, search.start())
 
+    def _list_holders(
+        self, packet: Packet
+    ) -> tuple[list[BackendServer], list[BackendServer]]:
+        """Return who may hold a flow: servers of its route's services, and others."""
+        route = self._find_route(packet)
+        services = {share.service for share in route.shares} if route else set()
+        holders = self.view.list_holders(services)
+        others = self.view.list_holders(self.view.list_services() - services)
+        return holders, others if len(others) <= OTHERS_LIMIT else []
+
     def _follow(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -77,11 +77,27 @@
         self.clock = clock
         self.started_ms = clock.now_ms()
         self.deadline_ms = self.started_ms
-        self.services = {
+        self.zone = zone
+        self.services: dict[str, str] = {}
+        self.rounds: list[SearchRound] = []
+        self._plan(holders, others)
+        self.is_paused = False
+        self.round = SearchRound((), 0, may_try=False)
+        self.current: list[str] = []
+        self.is_trying = False
+        self.verdicts: dict[str, Verdict | None] = {}
+        self.tried: dict[str, int] = {}
+        """How many of the held packets an agent has got in this round's trial."""
+        self.held: list[Packet] = []
+
+    def _plan(
+        self, holders: Sequence[BackendServer], others: Sequence[BackendServer]
+    ) -> None:
+        self.services |= {
             server.address.ip: server.service for server in (*others, *holders)
         }
-        local = [s.address.ip for s in holders if s.availability_zone == zone]
-        remote = [s.address.ip for s in holders if s.availability_zone != zone]
+        local = [s.address.ip for s in holders if s.availability_zone == self.zone]
+        remote = [s.address.ip for s in holders if s.availability_zone != self.zone]
         self.rounds = [
             SearchRound(tuple(local), LOCAL_ANSWER_MS, may_try=True),
             SearchRound(tuple(remote), REMOTE_ANSWER_MS, may_try=True),
@@ -89,15 +105,6 @@
                 tuple(s.address.ip for s in others), REMOTE_ANSWER_MS, may_try=False
             ),
         ]
-        self.all_rounds = tuple(self.rounds)
-        self.is_paused = False
-        self.round = SearchRound((), 0, may_try=False)
-        self.current: list[str] = []
-        self.is_trying = False
-        self.verdicts: dict[str, Verdict | None] = {}
-        self.tried: dict[str, int] = {}
-        """How many of the held packets an agent has got in this round's trial."""
-        self.held: list[Packet] = []
 
     def hold(self, packet: Packet) -> None:
         """Keep a packet until the flow is found."""
@@ -129,6 +136,14 @@
         self.tried.clear()
         self.deadline_ms = self.clock.now_ms() + PAUSE_MS
 
+    def resume(
+        self, holders: Sequence[BackendServer], others: Sequence[BackendServer]
+    ) -> SearchStep:
+        """Ask again after a pause, also servers that have been listed meanwhile."""
+        self.is_paused = False
+        self._plan(holders, others)
+        return self._next_round()
+
     def list_open(self) -> list[str]:
         """Return the agents that have not ruled the flow out."""
         return [
@@ -137,10 +152,6 @@
 
     def time_out(self) -> SearchStep:
         """Go on without those that have not answered."""
-        if self.is_paused:
-            self.is_paused = False
-            self.rounds = list(self.all_rounds)
-            return self._next_round()
         if not self.is_trying:
             uncertain = self._list_uncertain()
             if uncertain:
--- a/citronwinch/coordination/flows/tests/test_balancer_flows.py
+++ b/citronwinch/coordination/flows/tests/test_balancer_flows.py
@@ -497,3 +497,20 @@
         if isinstance(action, SendMessage)
         and isinstance(action.message, ForwardedPacket)
     ] == [second.raw]
+
+
+def test_a_search_asks_servers_that_are_listed_while_it_goes_on(
+    balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
+) -> None:
+    packet = make_packet(payload=10)
+    view.note_unread()
+    servers = [make_server(1), make_server(2)]
+    view.accept_listing(make_listing(11, *servers), clock.now_ms())
+    actions = answer_all(balancer, packet, DEAD)
+    assert "10.0.0.7" not in list_questions(actions)
+    back = make_listing(12, *servers, make_server(7))
+    view.accept_listing(back, clock.now_ms())
+    for _ in range(4):
+        clock.advance(60)
+        actions += balancer.tick()
+    assert "10.0.0.7" in list_questions(actions)
