--- a/citronwinch/coordination/flows/tests/conftest.py
+++ b/citronwinch/coordination/flows/tests/conftest.py
@@ -1,7 +1,6 @@
 """Shared fixtures: a small deployment of two services in two zones."""
 
 import random
-from collections.abc import Callable
 
 import pytest
 
@@ -13,12 +12,17 @@
     pack_ip,
 )
 from citronwinch.coordination.flows import (
+    Action,
     BackendServer,
     BalancerFlows,
     Configuration,
     DeploymentView,
+    FlowQuestion,
+    ForwardedPacket,
     Packet,
+    ResetFlow,
     Route,
+    SendMessage,
     ServerChoice,
     ServerListing,
     ServerState,
@@ -109,4 +113,22 @@
     return BalancerFlows(view, choice, clock)
 
 
-PacketMaker = Callable[..., Packet]
+def list_forwards(actions: list[Action]) -> list[tuple[str, str]]:
+    return [
+        (action.ip, action.message.service)
+        for action in actions
+        if isinstance(action, SendMessage)
+        and isinstance(action.message, ForwardedPacket)
+    ]
+
+
+def list_questions(actions: list[Action]) -> list[str]:
+    return [
+        action.ip
+        for action in actions
+        if isinstance(action, SendMessage) and isinstance(action.message, FlowQuestion)
+    ]
+
+
+def has_reset(actions: list[Action]) -> bool:
+    return any(isinstance(action, ResetFlow) for action in actions)
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_crowds.py
@@ -0,0 +1,145 @@
+"""Crowds and saturated services: who waits, who goes first, where work goes."""
+
+from collections import Counter
+
+import pytest
+
+from citronwinch.coordination import Endpoint, ManualClock
+from citronwinch.coordination.flows import (
+    BalancerFlows,
+    DeploymentView,
+    ForwardedPacket,
+    LoadReport,
+    Route,
+    SendMessage,
+    ServerChoice,
+    ServiceShare,
+)
+from citronwinch.coordination.flows.tests.conftest import (
+    GAUGING,
+    has_reset,
+    list_forwards,
+    make_configuration,
+    make_packet,
+    make_route,
+)
+
+
+def saturate(choice: ServerChoice, *numbers: int, waiting: int, busy: float) -> None:
+    for number in numbers:
+        report = LoadReport("gauging", 30, waiting, 60, busy, True)
+        choice.hear(f"10.0.0.{number}", report)
+
+
+@pytest.fixture
+def split_balancer(balancer: BalancerFlows, view: DeploymentView) -> BalancerFlows:
+    """A balancer whose route sends nearly everything to the larger service."""
+    shares = (ServiceShare("gauging", 10_000), ServiceShare("reporting", 1))
+    route = Route("alarms", GAUGING, shares, 1, 120, 1_000)
+    view.accept_configuration(make_configuration(2, route))
+    return balancer
+
+
+@pytest.mark.parametrize(
+    ("waiting", "busy", "agent"),
+    [
+        pytest.param(0, 0.4, "10.0.0.1", id="room: the weights decide"),
+        pytest.param(4, 0.6, "10.0.0.4", id="long queues"),
+        pytest.param(1, 0.9, "10.0.0.4", id="no idle time"),
+    ],
+)
+def test_a_saturated_service_passes_new_flows_on_to_one_of_its_route_with_room(
+    split_balancer: BalancerFlows,
+    choice: ServerChoice,
+    waiting: int,
+    busy: float,
+    agent: str,
+) -> None:
+    saturate(choice, 2, 3, waiting=9, busy=1.0)
+    saturate(choice, 1, waiting=waiting, busy=busy)
+    actions = split_balancer.handle_packet(make_packet(opening=True))
+    assert [ip for ip, _ in list_forwards(actions)] == [agent]
+
+
+def test_flows_never_spill_to_a_service_that_is_not_in_the_route(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=3, busy=1.0)
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert [service for _, service in list_forwards(actions)] == ["gauging"]
+
+
+def test_a_crowd_waits_in_the_balancer_and_the_urgent_ones_go_first(
+    balancer: BalancerFlows, view: DeploymentView, choice: ServerChoice
+) -> None:
+    urgent = Endpoint("198.18.0.1", 8080)
+    routes = (
+        make_route("alarms", GAUGING, "gauging")._replace(priority=2),
+        make_route("updates", urgent, "gauging")._replace(priority=0),
+    )
+    view.accept_configuration(make_configuration(2, *routes))
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    crowd = [make_packet(port, opening=True) for port in (4000, 4001)]
+    crowd.append(make_packet(4002, urgent, opening=True))
+    assert not [a for packet in crowd for a in balancer.handle_packet(packet)]
+    saturate(choice, 1, waiting=3, busy=1.0)
+    [placed] = [action for action in balancer.tick() if isinstance(action, SendMessage)]
+    assert isinstance(placed.message, ForwardedPacket)
+    assert placed.message.raw == crowd[2].raw
+
+
+def test_an_opening_without_room_in_time_is_refused(
+    balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    balancer.handle_packet(make_packet(opening=True))
+    clock.advance(300)
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    assert not has_reset(balancer.tick())
+    clock.advance(100)
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    assert has_reset(balancer.tick())
+    assert not balancer.held_openings.waiting
+
+
+def test_a_crowd_is_spread_over_all_servers_between_two_reports(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=0, busy=0.0)
+    counts = Counter(
+        ip
+        for port in range(4000, 4012)
+        for ip, _ in list_forwards(
+            balancer.handle_packet(make_packet(port, opening=True))
+        )
+    )
+    assert counts == {f"10.0.0.{number}": 4 for number in (1, 2, 3)}
+
+
+def test_flows_placed_at_a_remote_server_do_not_count_as_waiting_for_long(
+    balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
+) -> None:
+    saturate(choice, 1, 2, waiting=9, busy=1.0)
+    placed = 0
+    for port in range(4000, 4040):
+        clock.advance(30)
+        actions = balancer.handle_packet(make_packet(port, opening=True))
+        actions += balancer.tick()
+        placed += len(list_forwards(actions))
+        assert not has_reset(actions)
+        assert len(balancer.held_openings.waiting) <= 2
+    assert placed >= 38
+
+
+def test_in_a_crowd_those_that_can_still_be_in_time_go_first(
+    balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    copy_of_old = make_packet(4000, opening=True, acknowledged=1)
+    waiting_long, fresh = (make_packet(port, opening=True) for port in (4001, 4002))
+    for packet in (copy_of_old, waiting_long):
+        balancer.handle_packet(packet)
+    clock.advance(100)
+    balancer.handle_packet(fresh)
+    order = [held.packet for held in balancer.held_openings.list_by_priority()]
+    assert order == [fresh, copy_of_old, waiting_long]
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_openings.py
@@ -0,0 +1,81 @@
+"""Where a balancer sends new flows, and which it refuses."""
+
+import pytest
+
+from citronwinch.coordination import Endpoint, ManualClock
+from citronwinch.coordination.flows import (
+    BalancerFlows,
+    DeploymentView,
+    FlowAnswer,
+    LoadReport,
+    ServerChoice,
+    Verdict,
+)
+from citronwinch.coordination.flows.tests.conftest import (
+    has_reset,
+    list_forwards,
+    make_listing,
+    make_packet,
+    make_server,
+)
+
+
+def test_new_flows_go_to_the_least_loaded_server_of_the_own_zone(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    choice.hear("10.0.0.1", LoadReport("gauging", 9, 0, 20, 0.5, True))
+    choice.hear("10.0.0.2", LoadReport("gauging", 3, 0, 20, 0.5, True))
+    choice.hear("10.0.0.3", LoadReport("gauging", 3, 0, 20, 0.5, True))
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert list_forwards(actions) == [("10.0.0.2", "gauging")]
+
+
+def test_new_flows_leave_a_zone_that_is_much_busier(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    for number in (1, 2):
+        choice.hear(f"10.0.0.{number}", LoadReport("gauging", 30, 2, 20, 0.5, True))
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert list_forwards(actions) == [("10.0.0.3", "gauging")]
+
+
+def test_a_copy_of_an_opening_goes_elsewhere_when_nobody_confirms(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    first = list_forwards(balancer.handle_packet(make_packet(opening=True)))
+    clock.advance(200)
+    second = list_forwards(balancer.handle_packet(make_packet(opening=True)))
+    assert first[0][0] != second[0][0]
+
+
+def test_a_copy_of_a_confirmed_opening_goes_to_the_same_server(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    packet = make_packet(opening=True)
+    [(agent, _)] = list_forwards(balancer.handle_packet(packet))
+    balancer.handle_answer(FlowAnswer(packet.flow, Verdict.OPENING), agent)
+    clock.advance(200)
+    assert list_forwards(balancer.handle_packet(packet)) == [(agent, "gauging")]
+
+
+def test_an_opening_without_any_ready_server_is_refused_at_once(
+    balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
+) -> None:
+    leaving = make_server(1, leaving=True)
+    view.accept_listing(make_listing(11, leaving), clock.now_ms())
+    assert has_reset(balancer.handle_packet(make_packet(opening=True)))
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "refused"),
+    [
+        pytest.param(300, True, id="current view"),
+        pytest.param(9_000, False, id="old view may lack the route"),
+    ],
+)
+def test_an_unknown_address_is_refused_only_by_a_current_view(
+    balancer: BalancerFlows, clock: ManualClock, age_ms: int, refused: bool
+) -> None:
+    clock.advance(age_ms)
+    packet = make_packet(opening=True, address=Endpoint("198.18.0.9", 80))
+    assert has_reset(balancer.handle_packet(packet)) is refused
