Let runs of the whole-path tests at the same time take different networks

Cause: two runs beside each other bound the same loopback addresses; three tests of each run failed with 'Address already in use' when two were started side by side here. Ruled out: a fault of the processes; the traceback ends in the bind of the stand-in. Change: a scene takes the first of its networks that is free.

--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -1,5 +1,6 @@
 """A deployment of real balancers and agents on loopback, with stand-ins around it."""
 
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -64,6 +65,10 @@
 """
 
 
+NETWORK_STEP = 16
+"""Between the networks that runs at the same time use; each uses up to 16."""
+
+
 class LoopbackDeployment:
     """Processes and stand-ins, each process on a loopback address of its own.
 
@@ -205,6 +210,18 @@
         await self.wait_for(is_settled)
 
 
+def find_free_network(first: int) -> int:
+    """Return a network that no other run of the tests uses at this time."""
+    for network in range(first, 255, NETWORK_STEP):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind((f"127.{network}.0.2", CALLER_PORT))
+            except OSError:
+                continue
+            return network
+    raise AssertionError(f"all networks from 127.{first}.0.0 on are in use")
+
+
 Scene = Callable[[LoopbackDeployment], Awaitable[None]]
 
 
@@ -215,7 +232,7 @@
     def run_scene(scene: Scene, network: int) -> None:
         async def run() -> None:
             async with trio.open_nursery() as nursery:
-                deployment = LoopbackDeployment(nursery, network)
+                deployment = LoopbackDeployment(nursery, find_free_network(network))
                 deployment.directory = tmp_path
                 deployment.start()
                 await trio.sleep(0.05)
