Reset dead flows without agents of services that their route never had

Ruled out: shorter memory of agents; a live flow may be 60 s old. Change: a balancer remembers which services a changed route had, for the lifetime of a flow; only agents of those and of the present services must deny a flow. The others are still asked.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -321,19 +321,23 @@
 
         It does not when every agent that could hold it has said so. A flow with an
         agent that is silent or cannot know is left alone: its packets are sent again.
+        Only agents of services that the route has or had can hold it; a denial by the
+        others is not needed, but they are asked, since this balancer may have started
+        after a change of the route.
         """
-        silent = set(search.list_silent())
+        packet = search.held[0]
+        services = self.view.list_route_services(service_part(packet.flow))
+        silent = search.list_silent(services)
         silent -= self.view.forget_former(
             [ip for ip in silent if not self.choice.was_heard_lately(ip)]
         )
-        uncertain = search.list_by_verdict(Verdict.UNCERTAIN)
+        uncertain = search.list_uncertain(services)
         is_dead = not silent and not uncertain and self.view.is_settled()
         if not is_dead and search.can_go_on():
             search.pause()
             return []
         del self.searches[key]
         self.unlocated[key] = self.clock.now_ms()
-        packet = search.held[0]
         if is_dead and packet.is_reset:
             return []
         self.counts["flows_reset" if is_dead else "searches_failed"] += 1
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -1,6 +1,6 @@
 """Finds the agent that holds a flow which a balancer does not know."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
@@ -153,7 +153,7 @@
     def time_out(self) -> SearchStep:
         """Go on without those that have not answered."""
         if not self.is_trying:
-            uncertain = self._list_uncertain()
+            uncertain = self._list_to_try()
             if uncertain:
                 return self._try(uncertain)
         return self._next_round()
@@ -162,9 +162,22 @@
         """Return the agents that gave a verdict."""
         return [ip for ip, given in self.verdicts.items() if given is verdict]
 
-    def list_silent(self) -> list[str]:
-        """Return the agents that did not answer."""
-        return [ip for ip, given in self.verdicts.items() if given is None]
+    def list_silent(self, services: Collection[str]) -> set[str]:
+        """Return the agents of some services that did not answer."""
+        return self._list_agents(None, services)
+
+    def list_uncertain(self, services: Collection[str]) -> set[str]:
+        """Return the agents of some services that cannot know."""
+        return self._list_agents(Verdict.UNCERTAIN, services)
+
+    def _list_agents(
+        self, verdict: Verdict | None, services: Collection[str]
+    ) -> set[str]:
+        return {
+            ip
+            for ip, given in self.verdicts.items()
+            if given is verdict and self.services.get(ip) in services
+        }
 
     def _proceed(self) -> SearchStep:
         if not self.current:
@@ -172,10 +185,10 @@
         waiting_for = (None, Verdict.UNCERTAIN) if self.is_trying else (None,)
         if any(self.verdicts[ip] in waiting_for for ip in self.current):
             return SearchStep()
-        uncertain = self._list_uncertain()
+        uncertain = self._list_to_try()
         return self._try(uncertain) if uncertain else self._next_round()
 
-    def _list_uncertain(self) -> list[str]:
+    def _list_to_try(self) -> list[str]:
         if not self.round.may_try:
             return []
         return [ip for ip in self.current if self.verdicts[ip] is Verdict.UNCERTAIN]
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -53,6 +53,8 @@
         self.former: dict[str, FormerServer] = {}
         self.retained: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
+        self.former_shares: dict[tuple[bytes, str], int] = {}
+        """When a route, by its address, was last seen to send flows to a service."""
 
     @property
     def age_ms(self) -> int | None:
@@ -71,9 +73,33 @@
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return False
+        if current is not None:
+            self._keep_former_shares(current, configuration)
         self.configuration = configuration
         return True
 
+    def _keep_former_shares(self, old: Configuration, new: Configuration) -> None:
+        """Remember which services a changed route had; its open flows stay there."""
+        now_ms = self.clock.now_ms()
+        for address, route in old.routes.items():
+            if new.routes.get(address) == route:
+                continue
+            for share in route.shares:
+                self.former_shares[address, share.service] = now_ms
+
+    def list_route_services(self, address: bytes) -> set[str]:
+        """Return the services that a route has, or had within a flow's lifetime."""
+        since_ms = self.clock.now_ms() - FORMER_KEPT_MS
+        services = {
+            service
+            for (former, service), seen_ms in self.former_shares.items()
+            if former == address and seen_ms >= since_ms
+        }
+        route = self.configuration.routes.get(address) if self.configuration else None
+        if route is not None:
+            services |= {share.service for share in route.shares}
+        return services
+
     def accept_listing(self, listing: ServerListing, confirmed_ms: int) -> bool:
         """Take a listing that was true at a time; return whether it changed anything.
 
@@ -149,6 +175,11 @@
         ]
         for name in expired:
             del self.former[name]
+        self.former_shares = {
+            share: seen_ms
+            for share, seen_ms in self.former_shares.items()
+            if now_ms - seen_ms <= FORMER_KEPT_MS
+        }
         return dropped
 
     def list_ready(self, service: str) -> list[BackendServer]:
