Pass over servers that fail more requests than the others of their service

Cause: a server that resets, refuses or fails at once has short queues, and its flows end early, so that a choice by load alone sends it the new flows of all. Ruled out: bans (all may fail for one cause) and reading answers (bytes are opaque).

--- a/citronwinch/benches/_case_platform.py
+++ b/citronwinch/benches/_case_platform.py
@@ -170,7 +170,7 @@
     """Return sizes and times of the messages between processes."""
     balancers = tuple(f"10.1.{n >> 8}.{n & 255}" for n in range(ZONE_BALANCERS))
     heartbeat = Heartbeat(1 << 60, "zone-0", False, 9, 1 << 63, 700, 12, balancers)
-    report = LoadReport("service-0", 40, 3, 17, 0.45, True)
+    report = LoadReport("service-0", 40, 3, 17, 0.45, True, 0.05)
     data, report_data = encode_flow_message(heartbeat), encode_flow_message(report)
     return {
         "heartbeat_bytes_of_106_balancers": len(data),
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -23,6 +23,7 @@
     ReturnedPacket,
     Verdict,
 )
+from citronwinch.coordination.flows._outcome_meter import OutcomeMeter
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._server_liveness import (
     ServerCheck,
@@ -55,6 +56,9 @@
 """After this long a request without an answer no longer counts as waiting, in
 milliseconds; callers have given up on most kinds by then."""
 
+SHARE_STEPS = 20
+"""Into how many steps shares of 0 to 1 are divided in load reports."""
+
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits."""
 
@@ -133,6 +137,7 @@
         self.open_flows = 0
         self.latency_ms = 0.0
         self.busy = BusyMeter(clock)
+        self.outcomes = OutcomeMeter(clock)
         self.is_leaving = False
         self.server = ServerLiveness(clock)
 
@@ -195,6 +200,10 @@
             flow.request_ms = flow.seen_ms
             self.waiting[packet.flow] = flow.seen_ms
             self.busy.note_waiting(len(self.waiting))
+        is_given_up = packet.is_reset or packet.is_finishing
+        if is_given_up and packet.flow in self.waiting:
+            del self.waiting[packet.flow]
+            self.outcomes.note(seems_failed=True)
         if packet.is_reset:
             self._drop(packet.flow)
         return actions
@@ -237,6 +246,8 @@
         the confirmed one answers later packets with a reset that is not the flow's.
         """
         if flow is None or flow.state is FlowState.OPEN:
+            if packet.flow in self.waiting:
+                self.outcomes.note(seems_failed=True)
             self._drop(packet.flow)
             return [DeliverToCaller(packet)]
         state, balancer = flow.state, flow.balancer
@@ -317,15 +328,16 @@
             if now_ms - since_ms < REQUEST_TIMEOUT_MS:
                 break
             del self.waiting[key]
+            self.outcomes.note(seems_failed=True)
         self.busy.note_waiting(len(self.waiting))
         return LoadReport(
             self.service,
             self.open_flows,
             len(self.waiting),
             round(self.latency_ms),
-            # Steps of a twentieth keep a steady load from being reported again.
-            round(self.busy.read_share() * 20) / 20,
+            _round_share(self.busy.read_share()),
             not self.is_leaving and not self.server.is_down,
+            _round_share(self.outcomes.read_share()),
         )
 
     def expire(self) -> None:
@@ -361,12 +373,18 @@
         assert flow.request_ms is not None
         latency_ms = self.clock.now_ms() - flow.request_ms
         self.latency_ms += LATENCY_SHARE * (latency_ms - self.latency_ms)
+        self.outcomes.note_answer(latency_ms)
         flow.request_ms = None
         self.waiting.pop(key, None)
         self.busy.note_waiting(len(self.waiting))
         return Measure("request_ms", latency_ms)
 
 
+def _round_share(share: float) -> float:
+    """Return a share in steps that keep a steady one from being reported again."""
+    return round(share * SHARE_STEPS) / SHARE_STEPS
+
+
 def _last_packet(key: FlowKey, flow: HeldFlow) -> Packet:
     """Return what a reset of the flow answers."""
     return Packet(
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -67,6 +67,9 @@
     accepts_flows: bool
     """Whether new flows may come; not while it stops or its backend server is down."""
 
+    failed_share: float = 0.0
+    """The share of recent requests that seem to have failed, 0 to 1."""
+
 
 class Verdict(IntEnum):
     """What an agent says about a flow."""
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -58,6 +58,15 @@
 """The same for an agent of another zone, which gets fewer heartbeats."""
 
 
+OUTLIER_MARGIN = 0.15
+"""By how much the share of requests that seem to fail must lie above the median of the
+servers to choose from, so that a server gets new flows only when no other has room;
+three steps of the reported share."""
+
+OUTLIERS_LIMIT = 0.34
+"""The largest share of the servers to choose from that is passed over as outliers; if
+more seem to fail, the cause is not theirs."""
+
 PLACED_WAIT_MS = 90
 """How long a flow that was placed counts as a request that waits, in milliseconds: by
 then the agent has reported it, or its request has been answered."""
@@ -192,7 +201,7 @@
         """
         untried = [server for server in servers if server.address.ip not in tried]
         answering = [server for server in untried if not self._is_doubtful(server)]
-        candidates = answering or untried
+        candidates = self._leave_out_outliers(answering or untried)
         if not candidates:
             return None
         usual_ms = self._find_usual_latency_ms(candidates)
@@ -247,6 +256,28 @@
         report = self.agents[server.address.ip].report
         return report is not None and not report.accepts_flows
 
+    def _leave_out_outliers(
+        self, servers: Sequence[BackendServer]
+    ) -> list[BackendServer]:
+        """Return the servers without those that fail more requests than the others.
+
+        A server that fails at once has short queues and few flows, and would otherwise
+        draw the new flows of all.
+        """
+        shares = [self._read_failed_share(server) for server in servers]
+        if not any(shares):
+            return list(servers)
+        limit = sorted(shares)[(len(shares) - 1) // 2] + OUTLIER_MARGIN
+        failing = [index for index, share in enumerate(shares) if share > limit]
+        failing.sort(key=lambda index: -shares[index])
+        left_out = set(failing[: int(len(servers) * OUTLIERS_LIMIT)])
+        return [server for index, server in enumerate(servers) if index not in left_out]
+
+    def _read_failed_share(self, server: BackendServer) -> float:
+        agent = self.agents.get(server.address.ip)
+        report = agent.report if agent is not None else None
+        return report.failed_share if report is not None else 0.0
+
     def _find_usual_latency_ms(self, servers: Sequence[BackendServer]) -> float:
         latencies = sorted(
             agent.report.latency_ms
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -88,6 +88,7 @@
     part.latencyMs = message.latency_ms
     part.busyThousandths = round(message.busy_share * 1000)
     part.acceptsFlows = message.accepts_flows
+    part.failedThousandths = round(message.failed_share * 1000)
     return _pack(built)
 
 
@@ -161,6 +162,7 @@
             part.latencyMs,
             part.busyThousandths / 1000,
             part.acceptsFlows,
+            part.failedThousandths / 1000,
         )
     if kind == "question":
         part = read.question
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -21,6 +21,7 @@
   latencyMs @3 :UInt32;
   acceptsFlows @4 :Bool;
   busyThousandths @5 :UInt16;
+  failedThousandths @6 :UInt16;
 }
 
 struct FlowQuestion {
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -104,6 +104,7 @@
         self.metrics.set_gauge("open_flows", report.open_flows)
         self.metrics.set_gauge("waiting_requests", report.waiting)
         self.metrics.set_gauge("server_busy_share", report.busy_share)
+        self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
         if report == self.reported:
             return
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -85,6 +85,7 @@
     "searches_succeeded_total": "searches that found the agent of a flow",
     "searches_total": "searches for the agent of an unknown flow",
     "server_busy_share": "share of recent time in which the backend server had work",
+    "server_failed_share": "share of recent requests that seem to have failed",
     "server_checks_total": "connection attempts to a silent backend server, by outcome",
     "steering_events_total": "events of the steering, by kind",
     "store_calls": "calls to the platform's store since the start",
