--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -17,7 +17,7 @@
     order_services,
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
-from citronwinch.coordination.flows._held_openings import HeldOpenings
+from citronwinch.coordination.flows._held_openings import HeldOpenings, is_copy
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -39,6 +39,10 @@
 """How long a balancer does not ask again for a flow that nobody holds, in
 milliseconds; shorter than a caller's retransmission interval."""
 
+LATE_PRESSURE = 1.0
+"""From this many waiting requests for each slot on, a backend server takes no opening
+that is late already; it is idle below."""
+
 CURRENT_VIEW_MS = 2_500
 """Up to this age a configuration is current enough to refuse an unknown address."""
 
@@ -110,7 +114,7 @@
         chosen = self._choose(packet, route, tried)
         if chosen is None:
             return self._refuse_opening(packet, route, tried, "no server left")
-        if chosen.is_full(route.latency_objective_ms):
+        if _is_full(chosen, route, is_late=is_copy(packet)):
             if self.held_openings.hold(packet, route):
                 self.counts["openings_held"] += 1
                 return []
@@ -178,8 +182,8 @@
         now_ms = self.clock.now_ms()
         for held in self.held_openings.list_by_priority():
             chosen = self._choose(held.packet, held.route, set())
-            objective_ms = held.route.latency_objective_ms
-            if chosen is not None and not chosen.is_full(objective_ms):
+            is_late = self.held_openings.is_late(held)
+            if chosen is not None and not _is_full(chosen, held.route, is_late=is_late):
                 actions += self._open_at(held.packet, chosen, set())
             elif chosen is None or now_ms >= held.deadline_ms:
                 reason = "no room in time" if chosen else "no server left"
@@ -387,6 +391,17 @@
         return configuration.routes.get(service_part(packet.flow))
 
 
+def _is_full(chosen: Chosen, route: Route, *, is_late: bool) -> bool:
+    """Return whether an opening has to wait, since others need the room more.
+
+    One that is late already goes to an idle server only: a queue in front of those
+    that can still be in time would make them late as well.
+    """
+    if is_late:
+        return chosen.pressure >= LATE_PRESSURE
+    return chosen.is_full(route.latency_objective_ms)
+
+
 def _confirm(known: KnownFlow, now_ms: int) -> list[Action]:
     opened_ms, known.opened_ms = known.opened_ms, None
     if opened_ms is None:
--- a/citronwinch/coordination/flows/_held_openings.py
+++ b/citronwinch/coordination/flows/_held_openings.py
@@ -19,6 +19,12 @@
 """The most openings that wait; more cannot find room in time behind one balancer."""
 
 
+def is_copy(packet: Packet) -> bool:
+    """Return whether an opening was sent before; the first copy comes after 200 ms."""
+    # Callers count the copies of an opening in this field.
+    return packet.acknowledged > 0
+
+
 class HeldOpening(NamedTuple):
     """An opening that waits."""
 
@@ -62,11 +68,14 @@
         """
         return sorted(self.waiting.values(), key=self._rank)
 
-    def _rank(self, held: HeldOpening) -> tuple[int, bool, int]:
+    def is_late(self, held: HeldOpening) -> bool:
+        """Return whether an opening has waited too long to meet its objective."""
         waited_ms = self.clock.now_ms() - held.since_ms
         timely_ms = TIMELY_SHARE * held.route.latency_objective_ms
-        # Callers count the copies of an opening; the first one comes after 200 ms.
-        is_late = held.packet.acknowledged > 0 or waited_ms > timely_ms
+        return is_copy(held.packet) or waited_ms > timely_ms
+
+    def _rank(self, held: HeldOpening) -> tuple[int, bool, int]:
+        is_late = self.is_late(held)
         order = -held.since_ms if is_late else held.since_ms
         return held.route.priority, is_late, order
 
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -15,14 +15,14 @@
 BUSY_WEIGHT = 20.0
 """How many open flows count as much as a backend server without any idle time."""
 
-SPILL_PRESSURE = 3.0
+SPILL_PRESSURE = 2.0
 """From this many waiting requests for each slot on, a service is nearly saturated; at
-15 ms a request the next one waits for a third of the tightest latency objective."""
+20 ms a request the next one waits for a third of the tightest latency objective."""
 
 SPILL_BUSY_SHARE = 0.75
 """From this share of busy time on, a service is nearly saturated: queues grow fast."""
 
-SPILL_LEAD = 2.0
+SPILL_LEAD = 1.5
 """By how many waiting requests for each slot another service must have more room."""
 
 SPILL_BUSY_LEAD = 0.2
@@ -40,8 +40,10 @@
 """A new flow waits in the balancer once there is a waiting request for each so many
 milliseconds of its route's latency objective; a request takes 15 to 25 ms."""
 
-REMOTE_FACTOR = 1.5
-"""How much busier the own availability zone must be before a flow leaves it."""
+REMOTE_FLOWS = 8.0
+"""How many open flows more the own availability zone may have than another before a
+flow leaves it. That is as much as two requests that wait, or 30 to 40 ms, and the way
+to another zone and back takes 10 ms; the rest saves bytes between zones."""
 
 REMOTE_OBJECTIVE_MS = 40.0
 """For each so many milliseconds of the route's latency objective the own zone may have
@@ -315,5 +317,5 @@
         score = flows_per_slot + WAITING_WEIGHT * pressure + BUSY_WEIGHT * busy_share
         score *= slowness
         if server.availability_zone != self.zone:
-            score = score * REMOTE_FACTOR + latency_objective_ms / REMOTE_OBJECTIVE_MS
+            score += REMOTE_FLOWS + latency_objective_ms / REMOTE_OBJECTIVE_MS
         return score
--- a/citronwinch/coordination/flows/tests/test_crowds.py
+++ b/citronwinch/coordination/flows/tests/test_crowds.py
@@ -131,6 +131,50 @@
     assert placed >= 38
 
 
+@pytest.mark.parametrize(
+    ("waiting", "placed"),
+    [
+        pytest.param(0, {4000, 4001}, id="an idle server takes both"),
+        pytest.param(1, {4001}, id="a queue takes the one that can be in time"),
+        pytest.param(5, set(), id="a long queue takes neither"),
+    ],
+)
+def test_an_opening_that_is_late_already_makes_no_other_wait(
+    balancer: BalancerFlows, choice: ServerChoice, waiting: int, placed: set[int]
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=waiting, busy=0.9)
+    late, fresh = (
+        make_packet(4000, opening=True, acknowledged=1),
+        make_packet(4001, opening=True),
+    )
+    seen = set()
+    for packet, port in ((late, 4000), (fresh, 4001)):
+        if list_forwards(balancer.handle_packet(packet)):
+            seen.add(port)
+    assert seen == placed
+
+
+def test_a_flow_leaves_its_zone_before_two_requests_wait_for_it(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    """After an outage the callers of one zone come at once; others have idle servers."""
+    for number, open_flows, waiting in ((1, 34, 2), (2, 34, 2), (3, 30, 0)):
+        report = LoadReport("gauging", open_flows, waiting, 20, 0.3, True)
+        choice.hear(f"10.0.0.{number}", report)
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert [ip for ip, _ in list_forwards(actions)] == ["10.0.0.3"]
+
+
+def test_a_flow_stays_in_its_zone_for_a_small_difference(
+    balancer: BalancerFlows, choice: ServerChoice
+) -> None:
+    for number, open_flows in ((1, 36), (2, 36), (3, 30)):
+        report = LoadReport("gauging", open_flows, 0, 20, 0.3, True)
+        choice.hear(f"10.0.0.{number}", report)
+    actions = balancer.handle_packet(make_packet(opening=True))
+    assert list_forwards(actions)[0][0] in ("10.0.0.1", "10.0.0.2")
+
+
 def test_in_a_crowd_those_that_can_still_be_in_time_go_first(
     balancer: BalancerFlows, choice: ServerChoice, clock: ManualClock
 ) -> None:
