Give each process's histograms a registry of their own

Cause: aioprometheus registers a collector with its common registry at once. With several processes in one interpreter, as in the whole-path tests, the second histogram of a name raised ValueError, the deciding task counted an internal error, and the rest of the batch of datagrams was lost. One process an interpreter, as on instances, was not affected. Found by a profile that was full of tracebacks. Change: an own registry; scenes of the whole path now fail on any internal error.

--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -237,6 +237,9 @@
                 deployment.start()
                 await trio.sleep(0.05)
                 await scene(deployment)
+                for process in deployment.processes.values():
+                    counters = process.metrics.counters
+                    assert not [k for k in counters if k[0] == "internal_errors_total"]
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
--- a/citronwinch/operators/_metrics.py
+++ b/citronwinch/operators/_metrics.py
@@ -60,8 +60,13 @@
         histogram = self.histograms.get(name)
         if histogram is None:
             doc = METRIC_HELP.get(name, name.replace("_", " "))
+            # Several processes may run in one interpreter, so that none may use the
+            # exporter's common registry.
             histogram = self.histograms[name] = Histogram(
-                f"citronwinch_{name}", doc, buckets=LATENCY_BUCKETS_MS
+                f"citronwinch_{name}",
+                doc,
+                buckets=LATENCY_BUCKETS_MS,
+                registry=Registry(),
             )
         histogram.observe({}, value_ms)
 
