--- a/citronwinch/coordination/flows/tests/test_crowds.py
+++ b/citronwinch/coordination/flows/tests/test_crowds.py
@@ -157,7 +157,7 @@
 def test_a_flow_leaves_its_zone_before_two_requests_wait_for_it(
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
-    """After an outage the callers of one zone come at once; others have idle servers."""
+    """After an outage the callers of a zone come at once, while other zones idle."""
     for number, open_flows, waiting in ((1, 34, 2), (2, 34, 2), (3, 30, 0)):
         report = LoadReport("gauging", open_flows, waiting, 20, 0.3, True)
         choice.hear(f"10.0.0.{number}", report)
