--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -62,8 +62,9 @@
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits."""
 
-SWEEP_LIMIT = 500
-"""How many flows one sweep looks at."""
+SWEEPS_PER_ROUND = 250
+"""In how many sweeps every flow is looked at once; 5 to 10 s, well below the shortest
+time for which a flow is kept."""
 
 
 class FlowState(IntEnum):
@@ -343,7 +344,7 @@
     def expire(self) -> None:
         """Forget flows that have been idle too long; looks at a bounded number."""
         now_ms = self.clock.now_ms()
-        for _ in range(min(SWEEP_LIMIT, len(self.flows))):
+        for _ in range(-(-len(self.flows) // SWEEPS_PER_ROUND)):
             key, flow = next(iter(self.flows.items()))
             kept_ms = FLOW_IDLE_MS if flow.state is FlowState.OPEN else ABSENT_KEPT_MS
             if now_ms - flow.seen_ms > kept_ms:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -50,8 +50,9 @@
 """The most agents of other services that are asked for a flow; beyond this the
 questions would cost more than the flows that a changed route has left behind."""
 
-SWEEP_LIMIT = 500
-"""How many flows one sweep looks at."""
+SWEEPS_PER_ROUND = 250
+"""In how many sweeps every flow is looked at once; 5 to 10 s, well below the shortest
+time for which a flow is kept."""
 
 
 class KnownFlow:
@@ -268,7 +269,7 @@
         configuration = self.view.configuration
         if configuration is None:
             return
-        for _ in range(min(SWEEP_LIMIT, len(self.flows))):
+        for _ in range(-(-len(self.flows) // SWEEPS_PER_ROUND)):
             key, flow = next(iter(self.flows.items()))
             if now_ms - flow.seen_ms > configuration.flow_idle_ms:
                 del self.flows[key]
