Spare passes of the event loop for each batch of datagrams

Cause: each batch cost two more passes than needed: a look at a socket known to be empty, and a send into an inbox with room that yielded all the same. Change: a socket that was emptied is waited for at once; the inbox is awaited only when it is full.

--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -304,13 +304,20 @@
         self, port: DatagramPort, event: type[PeerBatch] | type[PacketBatch]
     ) -> None:
         while True:
-            datagrams = await port.receive()
-            await self.inbox_send.send(event(datagrams))
+            await self._tell(event(await port.receive_next()))
+
+    async def _tell(self, event: Event) -> None:
+        """Hand the deciding task an event; wait only while its inbox is full."""
+        try:
+            # A send that need not wait costs no pass of the event loop.
+            self.inbox_send.send_nowait(event)
+        except trio.WouldBlock:
+            await self.inbox_send.send(event)
 
     async def _tick(self) -> None:
         while True:
             await trio.sleep(self.tick_ms / 1000)
-            await self.inbox_send.send(Tick())
+            await self._tell(Tick())
 
     async def _watch_settings(self) -> None:
         """Notice a settings file that changes without a signal."""
--- a/citronwinch/network/_datagram_port.py
+++ b/citronwinch/network/_datagram_port.py
@@ -57,6 +57,21 @@
         await trio.lowlevel.checkpoint()
         batch = self.receive_nowait()
         self.was_idle = not batch
+        return batch or await self._receive_when_readable()
+
+    async def receive_next(self) -> list[Datagram]:
+        """Do as `receive`, but leave `was_idle` as it is.
+
+        A socket that was emptied is not looked at before it is waited for, which saves
+        a system call and a pass of the event loop for each batch.
+        """
+        if self.was_emptied:
+            return await self._receive_when_readable()
+        await trio.lowlevel.checkpoint()
+        return self.receive_nowait() or await self._receive_when_readable()
+
+    async def _receive_when_readable(self) -> list[Datagram]:
+        batch: list[Datagram] = []
         while not batch:
             await trio.lowlevel.wait_readable(self.socket)
             batch = self.receive_nowait()
--- /dev/null
+++ b/citronwinch/network/tests/test_datagram_port.py
@@ -0,0 +1,54 @@
+"""Datagrams are received whole, in order, and in batches."""
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+import trio
+import trio.testing
+
+from citronwinch.coordination import Endpoint
+from citronwinch.network import DatagramPort
+
+
+@pytest.fixture
+def port() -> Iterator[DatagramPort]:
+    bound = DatagramPort(Endpoint("127.0.0.1", 0))
+    yield bound
+    bound.close()
+
+
+@pytest.mark.parametrize("method", ["receive", "receive_next"])
+def test_what_arrives_before_and_while_waiting_is_received(
+    port: DatagramPort, method: str
+) -> None:
+    receive = getattr(port, method)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+
+        async def run() -> list[bytes]:
+            seen: list[bytes] = []
+            for number in range(3):
+                sender.sendto(b"early %d" % number, port.endpoint)
+            seen += [datagram.data for datagram in await receive()]
+            async with trio.open_nursery() as nursery:
+
+                async def wait() -> None:
+                    seen.extend(datagram.data for datagram in await receive())
+
+                nursery.start_soon(wait)
+                await trio.testing.wait_all_tasks_blocked()
+                sender.sendto(b"late", port.endpoint)
+            return seen
+
+        assert trio.run(run) == [b"early 0", b"early 1", b"early 2", b"late"]
+
+
+def test_receiving_can_be_cancelled_while_nothing_arrives(port: DatagramPort) -> None:
+    async def run() -> bool:
+        with trio.move_on_after(0.05) as scope:
+            await port.receive_next()
+        with trio.move_on_after(0.05) as again:
+            await port.receive_next()
+        return scope.cancelled_caught and again.cancelled_caught
+
+    assert trio.run(run)
