End the flows of servers that are gone before their callers ask

Cause: a balancer went on forwarding packets of known flows to the agent of a server that had left the listing. Callers waited for their deadlines, and the next request on an idle flow was lost. A server that fell silent beside a live agent got new flows. Ruled out: taking a bounced packet for a restart of the server; a server also drops flows that are old, idle or given up, and a wrong guess would reset live flows. Change: an agent whose server neither answers packets nor accepts a connection takes no new flows. When a server has been missing from a settled listing for 1.5 s and its agent is silent or says so, the balancer resets the flows that it knows there. Agents of such servers get heartbeats meanwhile, so that an entry that has only lapsed ends no flow. The test 'no flow is reset unless the server is certainly dead' also expected a silent server to take new flows; it now expects that it takes none, as a new test does.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -24,7 +24,7 @@
     Verdict,
 )
 from citronwinch.coordination.flows._outcome_meter import OutcomeMeter
-from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._packets import Packet, make_last_packet
 from citronwinch.coordination.flows._server_liveness import (
     ServerCheck,
     ServerLiveness,
@@ -275,7 +275,14 @@
             return [record("server_checked", outcome=check.name.lower())]
         keys = [key for key, flow in self.flows.items() if flow.state in _HELD_STATES]
         actions: list[Action] = [
-            ResetFlow(_last_packet(key, self.flows[key])) for key in keys
+            ResetFlow(
+                make_last_packet(
+                    key,
+                    self.flows[key].acknowledged,
+                    is_opening=self.flows[key].state is FlowState.ASKED,
+                )
+            )
+            for key in keys
         ]
         for key in keys:
             self._drop(key)
@@ -337,7 +344,7 @@
             len(self.waiting),
             round(self.latency_ms),
             _round_share(self.busy.read_share()),
-            not self.is_leaving and not self.server.is_down,
+            not self.is_leaving and self.server.takes_flows,
             _round_share(self.outcomes.read_share()),
         )
 
@@ -386,21 +393,6 @@
     return round(share * SHARE_STEPS) / SHARE_STEPS
 
 
-def _last_packet(key: FlowKey, flow: HeldFlow) -> Packet:
-    """Return what a reset of the flow answers."""
-    return Packet(
-        key,
-        is_opening=flow.state is FlowState.ASKED,
-        is_finishing=False,
-        is_reset=False,
-        is_bounced=False,
-        sequence=0,
-        acknowledged=flow.acknowledged,
-        payload_bytes=0,
-        raw=b"",
-    )
-
-
 def _may_belong(flow: HeldFlow, packet: Packet) -> bool:
     """Return whether a caller's packet can be of this flow, not of a rival opening."""
     if flow.state is FlowState.ACCEPTED:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -24,7 +24,7 @@
     ForwardedPacket,
     Verdict,
 )
-from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._packets import Packet, make_last_packet
 from citronwinch.coordination.flows._server_choice import Chosen, ServerChoice
 from citronwinch.coordination.flows._view import DeploymentView
 
@@ -43,6 +43,10 @@
 """From this many waiting requests for each slot on, a backend server takes no opening
 that is late already; it is idle below."""
 
+LOST_SERVER_MS = 1_500
+"""How long a backend server must be missing from the listing before its flows are taken
+for dead, in milliseconds; its agent is asked several times meanwhile."""
+
 CURRENT_VIEW_MS = 2_500
 """Up to this age a configuration is current enough to refuse an unknown address."""
 
@@ -62,6 +66,7 @@
         self.agent = agent
         self.service = service
         self.seen_ms = now_ms
+        self.acknowledged = 0
         self.opened_ms: int | None = None
         """When the opening was forwarded; None once the agent has confirmed it."""
         self.tried: set[str] = set()
@@ -91,6 +96,7 @@
         known = self.flows.get(packet.flow)
         if known is not None:
             known.seen_ms = self.clock.now_ms()
+            known.acknowledged = packet.acknowledged
             return [_forward(known.agent, known.service, packet)]
         return self._search(packet)
 
@@ -263,8 +269,38 @@
                 break
             del self.unlocated[key]
         self._sweep(now_ms)
+        actions += self._end_flows_of_lost_servers()
         return actions + self._place_held_openings()
 
+    def _end_flows_of_lost_servers(self) -> list[Action]:
+        """Reset the flows of servers that left the listing and whose agents are lost.
+
+        Callers of idle flows would otherwise lose their next request, and others would
+        wait for their deadlines.
+        """
+        if not self.view.is_settled() or self.choice.is_isolated():
+            return []
+        gone = self.view.list_former(LOST_SERVER_MS)
+        lost = {s.address.ip for s in gone if self.choice.is_lost(s.address.ip)}
+        if not lost:
+            return []
+        self.view.forget_former(lost)
+        keys = [key for key, flow in self.flows.items() if flow.agent in lost]
+        actions: list[Action] = [
+            ResetFlow(make_last_packet(key, self.flows[key].acknowledged))
+            for key in keys
+        ]
+        for key in keys:
+            del self.flows[key]
+        self.counts["flows_reset"] += len(keys)
+        lost_servers = record(
+            "servers_lost",
+            agents=sorted(lost),
+            flows_reset=len(keys),
+            view_age_ms=self.view.age_ms,
+        )
+        return [*actions, lost_servers]
+
     def _sweep(self, now_ms: int) -> None:
         configuration = self.view.configuration
         if configuration is None:
@@ -364,7 +400,9 @@
         del self.searches[key]
         now_ms = self.clock.now_ms()
         service = search.services[step.holder]
-        self._remember(key, KnownFlow(step.holder, service, now_ms))
+        flow = KnownFlow(step.holder, service, now_ms)
+        flow.acknowledged = search.held[-1].acknowledged
+        self._remember(key, flow)
         self.counts["searches_succeeded"] += 1
         found = record(
             "flow_found",
--- a/citronwinch/coordination/flows/_packets.py
+++ b/citronwinch/coordination/flows/_packets.py
@@ -34,3 +34,24 @@
 
     raw: bytes
     """The datagram, to be passed on as it is."""
+
+
+def make_last_packet(
+    flow: FlowKey, acknowledged: int, *, is_opening: bool = False
+) -> Packet:
+    """Return what a reset of a flow answers when no packet of it is at hand.
+
+    `acknowledged` is what the caller acknowledged last, `is_opening` whether the flow
+    is not open yet.
+    """
+    return Packet(
+        flow,
+        is_opening=is_opening,
+        is_finishing=False,
+        is_reset=False,
+        is_bounced=False,
+        sequence=0,
+        acknowledged=acknowledged,
+        payload_bytes=0,
+        raw=b"",
+    )
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -182,6 +182,13 @@
             and self.clock.now_ms() - agent.heard_ms <= SILENT_REMOTE_AGENT_MS
         )
 
+    def is_lost(self, ip: str) -> bool:
+        """Return whether an agent is silent, or says that its server takes nothing."""
+        agent = self.agents.get(ip)
+        if agent is None or self.clock.now_ms() - agent.heard_ms > SILENT_AGENT_MS:
+            return True
+        return agent.report is not None and not agent.report.accepts_flows
+
     def is_silent(self, server: BackendServer) -> bool:
         """Return whether the agent of a backend server has not been heard of late."""
         agent = self.agents.get(server.address.ip)
--- a/citronwinch/coordination/flows/_server_liveness.py
+++ b/citronwinch/coordination/flows/_server_liveness.py
@@ -35,10 +35,16 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.is_down = False
+        self.is_silent = False
         self.unanswered_ms: int | None = None
         self.deliveries = 0
         self.checked_ms = clock.now_ms() - CHECK_INTERVAL_MS
 
+    @property
+    def takes_flows(self) -> bool:
+        """Whether new flows may be sent to the backend server."""
+        return not self.is_down and not self.is_silent
+
     def note_delivery(self) -> None:
         """Note that a packet which calls for an answer was delivered."""
         self.deliveries += 1
@@ -50,6 +56,7 @@
         self.unanswered_ms = None
         self.deliveries = 0
         self.is_down = False
+        self.is_silent = False
 
     def needs_check(self) -> bool:
         """Return whether to try a connection now; counts as the start of a check."""
@@ -70,5 +77,6 @@
         """Take the result of a check."""
         if check is ServerCheck.ACCEPTED:
             self.note_sign_of_life()
-        elif check is ServerCheck.REFUSED:
-            self.is_down = True
+        else:
+            self.is_down = check is ServerCheck.REFUSED
+            self.is_silent = check is ServerCheck.SILENT
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -165,6 +165,19 @@
         is_current = age_ms is not None and age_ms <= GAP_MS
         return is_current and self.clock.now_ms() >= self.grace_until_ms
 
+    def list_former(self, gone_for_ms: int = 0) -> list[BackendServer]:
+        """Return the servers that left the listing at least so long ago.
+
+        Those whose address is listed again are not among them.
+        """
+        latest_ms = self.clock.now_ms() - gone_for_ms
+        listed = {server.address.ip for server in self.list_agents()}
+        return [
+            former.server
+            for former in self.former.values()
+            if former.gone_ms <= latest_ms and former.server.address.ip not in listed
+        ]
+
     def forget_former(self, ips: Collection[str]) -> set[str]:
         """Drop former servers at some addresses; return those now without any server.
 
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -188,7 +188,7 @@
     open_flow(agent)
     actions = agent.note_server_check(check)
     assert not any(isinstance(action, ResetFlow) for action in actions)
-    assert agent.report().accepts_flows
+    assert agent.report().accepts_flows is (check is ServerCheck.ACCEPTED)
 
 
 def test_a_server_that_answers_is_not_checked(
@@ -203,6 +203,17 @@
         assert not agent.server.needs_check()
 
 
+def test_a_server_that_does_not_answer_gets_no_new_flows_until_it_does(
+    agent: AgentFlows,
+) -> None:
+    open_flow(agent)
+    agent.note_server_check(ServerCheck.SILENT)
+    assert not agent.report().accepts_flows
+    assert was_delivered(forward(agent, payload=10, acknowledged=501))
+    agent.handle_from_server(make_packet(payload=50))
+    assert agent.report().accepts_flows
+
+
 def test_a_server_that_is_up_again_takes_flows(agent: AgentFlows) -> None:
     agent.note_server_check(ServerCheck.REFUSED)
     assert not agent.report().accepts_flows
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -170,6 +170,9 @@
             interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
             ip, started_ms = server.address.ip, server.started_ms
             self._send_due_heartbeat(ip, interval_ms, started_ms)
+        # Whether their agents still answer decides over the flows of these servers.
+        for server in self.view.list_former():
+            self._send_due_heartbeat(server.address.ip, AGENT_HEARTBEAT_MS)
 
     def _send_due_heartbeat(
         self, ip: str, interval_ms: int, server_started_ms: int = 0
