Let a waiting crowd cost a few choices in each tick

Cause: every held opening was tried in each tick, 50 times a second. Load test without network: 300 openings wait, one server gets free: 5 choices; one for each opening before.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -50,7 +50,7 @@
     find_patience_ms,
     find_turn,
 )
-from citronwinch.coordination.flows._server_choice import ServerChoice
+from citronwinch.coordination.flows._server_choice import Chosen, ServerChoice
 from citronwinch.coordination.flows._server_liveness import ServerCheck
 from citronwinch.coordination.flows._view import DeploymentView
 
@@ -60,6 +60,7 @@
     "BackendServer",
     "BalancerFlows",
     "BalancerMembers",
+    "Chosen",
     "Configuration",
     "DeliverToCaller",
     "DeliverToServer",
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -17,7 +17,11 @@
     order_services,
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
-from citronwinch.coordination.flows._held_openings import HeldOpenings, is_copy
+from citronwinch.coordination.flows._held_openings import (
+    HeldOpening,
+    HeldOpenings,
+    is_copy,
+)
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -184,19 +188,34 @@
         return [ResetFlow(packet), refusal]
 
     def _place_held_openings(self) -> list[Action]:
-        """Place the openings for which there is room now; refuse those out of time."""
+        """Place the openings for which there is room now; refuse those out of time.
+
+        Once one opening of a kind finds no room, the others of that kind would not find
+        any either, so that a crowd costs a few choices and not one for each opening.
+        """
         actions: list[Action] = []
+        without_room: set[tuple[str, bool, tuple[str, ...]]] = set()
         now_ms = self.clock.now_ms()
         for held in self.held_openings.list_by_priority():
-            chosen = self._choose(held.packet, held.route, set())
             is_late = self.held_openings.is_late(held)
-            if chosen is not None and not _is_full(chosen, held.route, is_late=is_late):
-                actions += self._open_at(held.packet, chosen, set())
-            elif chosen is None or now_ms >= held.deadline_ms:
-                reason = "no room in time" if chosen else "no server left"
-                actions += self._refuse_opening(held.packet, held.route, set(), reason)
+            services = tuple(order_services(held.route, held.packet.flow))
+            kind = (held.route.name, is_late, services)
+            if kind not in without_room:
+                chosen = self._choose(held.packet, held.route, set())
+                if chosen is None:
+                    actions += self._refuse_held(held, "no server left")
+                    continue
+                if not _is_full(chosen, held.route, is_late=is_late):
+                    actions += self._open_at(held.packet, chosen, set())
+                    continue
+                without_room.add(kind)
+            if now_ms >= held.deadline_ms:
+                actions += self._refuse_held(held, "no room in time")
         return actions
 
+    def _refuse_held(self, held: HeldOpening, reason: str) -> list[Action]:
+        return self._refuse_opening(held.packet, held.route, set(), reason)
+
     def _refuse_unknown_address(self, packet: Packet) -> list[Action]:
         age_ms = self.view.age_ms
         if age_ms is None or age_ms > CURRENT_VIEW_MS:
--- a/citronwinch/coordination/flows/_server_choice.py
+++ b/citronwinch/coordination/flows/_server_choice.py
@@ -215,21 +215,20 @@
             return None
         usual_ms = self._find_usual_latency_ms(candidates)
         full_pressure = find_full_pressure(latency_objective_ms)
-        with_room = [
-            server
-            for server in candidates
-            if self._read_pressure(server)[0] < full_pressure
-        ]
+        read = [(server, *self._read_pressure(server)) for server in candidates]
+        with_room = [reading for reading in read if reading[1] < full_pressure]
+        remote_cost = REMOTE_FLOWS + latency_objective_ms / REMOTE_OBJECTIVE_MS
         scored = [
             (
-                self._score(server, usual_ms, latency_objective_ms),
+                self._score(server, pressure, busy_share, usual_ms, remote_cost),
                 self.rng.random(),
                 server,
+                pressure,
+                busy_share,
             )
-            for server in with_room or candidates
+            for server, pressure, busy_share in with_room or read
         ]
-        score, _, server = min(scored)
-        pressure, busy_share = self._read_pressure(server)
+        score, _, server, pressure, busy_share = min(scored)
         return Chosen(server, round(score, 1), len(candidates), pressure, busy_share)
 
     def choose_service(
@@ -308,10 +307,14 @@
         return waiting / max(server.slots, 1), busy_share
 
     def _score(
-        self, server: BackendServer, usual_ms: float, latency_objective_ms: int
+        self,
+        server: BackendServer,
+        pressure: float,
+        busy_share: float,
+        usual_ms: float,
+        remote_cost: float,
     ) -> float:
         agent = self.agents.get(server.address.ip)
-        pressure, busy_share = self._read_pressure(server)
         flows = 0.0
         slowness = 1.0
         if agent is not None:
@@ -324,5 +327,5 @@
         score = flows_per_slot + WAITING_WEIGHT * pressure + BUSY_WEIGHT * busy_share
         score *= slowness
         if server.availability_zone != self.zone:
-            score += REMOTE_FLOWS + latency_objective_ms / REMOTE_OBJECTIVE_MS
+            score += remote_cost
         return score
--- a/citronwinch/coordination/flows/tests/test_crowds.py
+++ b/citronwinch/coordination/flows/tests/test_crowds.py
@@ -1,12 +1,14 @@
 """Crowds and saturated services: who waits, who goes first, where work goes."""
 
 from collections import Counter
+from typing import Any
 
 import pytest
 
 from citronwinch.coordination import Endpoint, ManualClock
 from citronwinch.coordination.flows import (
     BalancerFlows,
+    Chosen,
     DeploymentView,
     ForwardedPacket,
     LoadReport,
@@ -102,6 +104,27 @@
     assert not balancer.held_openings.waiting
 
 
+def test_a_waiting_crowd_costs_a_few_choices_in_each_tick(
+    balancer: BalancerFlows, choice: ServerChoice, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    saturate(choice, 1, 2, 3, waiting=7, busy=1.0)
+    for port in range(4000, 4300):
+        balancer.handle_packet(make_packet(port, opening=True))
+    assert len(balancer.held_openings.waiting) == 300
+    choices = []
+    choose = choice.choose
+
+    def count(*arguments: Any) -> Chosen | None:
+        choices.append(arguments)
+        return choose(*arguments)
+
+    monkeypatch.setattr(choice, "choose", count)
+    saturate(choice, 2, waiting=0, busy=0.5)
+    placed = len(list_forwards(balancer.tick()))
+    assert placed == 4
+    assert len(choices) == placed + 1
+
+
 def test_a_crowd_is_spread_over_all_servers_between_two_reports(
     balancer: BalancerFlows, choice: ServerChoice
 ) -> None:
