Spread a configuration from many links instead of one

Cause: every balancer fetched a new view from every balancer that told of it, and each answer was encoded anew. Ruled out: reading the store everywhere; each call is priced and a storm of edits is common. Change: one fetch at a time from a balancer drawn among those that have the newest version, own zone first; configurations encoded and compressed once; answers take at most two fifths of the link that the settings tell, others are turned away; after 1 s the store is read. A setting [limits] link_mbps comes from the platform's template.

--- a/citronwinch/benches/_case_platform.py
+++ b/citronwinch/benches/_case_platform.py
@@ -37,10 +37,10 @@
     pack_route_address,
 )
 from citronwinch.flow_peers import (
+    ViewEncoder,
     decode_flow_message,
     decode_view,
     encode_flow_message,
-    encode_view,
 )
 
 FLOWS = 20_000
@@ -188,7 +188,7 @@
     """Return what the target's listing costs."""
     listing = make_listing(SERVERS // SERVICE_SERVERS)
     view = DeploymentView(ManualClock(10_000))
-    data = encode_view(ViewAnswer(listing, 0, None))
+    data = ViewEncoder().encode(ViewAnswer(listing, 0, None))
     tracemalloc.start()
     kept = decode_view(data)
     held, _ = tracemalloc.get_traced_memory()
--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -19,6 +19,11 @@
 )
 from citronwinch.coordination.flows._agent_flows import AgentFlows
 from citronwinch.coordination.flows._balancer_flows import BalancerFlows
+from citronwinch.coordination.flows._catching_up import (
+    AnswerPacing,
+    choose_source,
+    list_sources,
+)
 from citronwinch.coordination.flows._deployment import (
     EMPTY_LISTING,
     BackendServer,
@@ -55,6 +60,9 @@
 from citronwinch.coordination.flows._view import DeploymentView
 
 __all__ = [
+    "AnswerPacing",
+    "choose_source",
+    "list_sources",
     "Action",
     "AgentFlows",
     "BackendServer",
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -4,6 +4,7 @@
 pays for no encoding; everything else is a packed Cap'n Proto message.
 """
 
+import zlib
 from collections.abc import Collection
 from functools import singledispatch
 from pathlib import Path
@@ -40,6 +41,13 @@
 RETURNED = 2
 CONTROL = 3
 
+COMPRESSION_LEVEL = 1
+"""How hard a configuration is compressed, 1 to 9; more costs time and saves little."""
+
+CONFIGURATION_LIMIT_BYTES = 4 << 20
+"""The most bytes that a decoded configuration may have; the platform's largest value
+is a quarter of it."""
+
 WORDS_LIMIT = 1 << 20
 """The most 8-byte words that a decoded message may hold."""
 
@@ -171,15 +179,39 @@
     return FlowAnswer(FlowKey(bytes(part.flow)), Verdict(part.verdict))
 
 
-def encode_view(view: ViewAnswer) -> bytes:
-    """Return what a balancer knows, for another balancer."""
+class ViewEncoder:
+    """Encodes what a balancer knows, for other balancers.
+
+    A configuration is encoded and compressed once, however many balancers fetch it.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.encoded = b""
+
+    def encode(self, view: ViewAnswer) -> bytes:
+        """Return a view as the body of an answer."""
+        if view.configuration is not None:
+            self._keep(view.configuration)
+        encoded = self.encoded if view.configuration is not None else b""
+        return _encode_view(view, encoded)
+
+    def _keep(self, configuration: Configuration) -> None:
+        if configuration is self.configuration:
+            return
+        built = SCHEMA.Configuration.new_message()
+        _fill_configuration(built, configuration)
+        self.configuration = configuration
+        self.encoded = zlib.compress(built.to_bytes_packed(), COMPRESSION_LEVEL)
+
+
+def _encode_view(view: ViewAnswer, configuration: bytes) -> bytes:
     built = SCHEMA.View.new_message()
     built.revision = view.listing.revision
     built.listingAgeMs = view.listing_age_ms
     _fill_servers(built, "servers", view.listing.servers.values())
     _fill_servers(built, "retained", view.retained)
-    if view.configuration is not None:
-        _fill_configuration(built.init("configuration"), view.configuration)
+    built.configuration = configuration
     packed: bytes = built.to_bytes_packed()
     return packed
 
@@ -216,15 +248,29 @@
         read = SCHEMA.View.from_bytes_packed(data, traversal_limit_in_words=WORDS_LIMIT)
         servers = {part.name: _read_server(part) for part in read.servers}
         configuration = None
-        if read._has("configuration"):
-            configuration = _read_configuration(read.configuration)
+        if read.configuration:
+            configuration = _decode_configuration(read.configuration)
         listing = ServerListing(read.revision, servers)
         retained = tuple(_read_server(part) for part in read.retained)
         return ViewAnswer(listing, read.listingAgeMs, configuration, retained)
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
 
 
+def _decode_configuration(data: bytes) -> Configuration:
+    inflater = zlib.decompressobj()
+    packed = inflater.decompress(data, CONFIGURATION_LIMIT_BYTES)
+    if inflater.unconsumed_tail or not inflater.eof:
+        raise ValueError(
+            f"configuration: expected up to {CONFIGURATION_LIMIT_BYTES} bytes, "
+            "found more, or not all of them"
+        )
+    read = SCHEMA.Configuration.from_bytes_packed(
+        packed, traversal_limit_in_words=WORDS_LIMIT
+    )
+    return _read_configuration(read)
+
+
 def _read_server(part: Any) -> BackendServer:
     return BackendServer(
         part.name,
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -79,6 +79,7 @@
   revision @0 :UInt64;
   servers @1 :List(Server);
   listingAgeMs @2 :UInt32;
-  configuration @3 :Configuration;
+  # A packed Configuration, compressed with zlib; empty when it is not asked for.
+  configuration @3 :Data;
   retained @4 :List(Server);
 }
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -1,6 +1,8 @@
 """Messages between balancers and agents survive their encoding; others are refused."""
 
 import random
+import zlib
+from collections.abc import Callable
 
 import pytest
 
@@ -24,10 +26,10 @@
     pack_route_address,
 )
 from citronwinch.flow_peers import (
+    ViewEncoder,
     decode_flow_message,
     decode_view,
     encode_flow_message,
-    encode_view,
 )
 from citronwinch.network import MalformedMessageError
 
@@ -60,7 +62,28 @@
         Configuration(3, routes, 15_000) if with_configuration else None,
         (server._replace(name="i-2"),),
     )
-    assert decode_view(encode_view(view)) == view
+    encoder = ViewEncoder()
+    assert decode_view(encoder.encode(view)) == view
+    assert decode_view(encoder.encode(view)) == view
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        pytest.param(lambda data: data[:-3], id="cut"),
+        pytest.param(lambda data: b"?" + data[1:], id="not compressed"),
+        pytest.param(lambda _: zlib.compress(bytes(5 << 20)), id="too large"),
+        pytest.param(lambda _: zlib.compress(b"1234567"), id="no configuration"),
+    ],
+)
+def test_a_damaged_configuration_is_refused(damage: Callable[[bytes], bytes]) -> None:
+    encoder = ViewEncoder()
+    configuration = Configuration(3, {}, 15_000)
+    view = ViewAnswer(ServerListing(9, {}), 0, configuration)
+    encoder.encode(view)
+    encoder.encoded = damage(encoder.encoded)
+    with pytest.raises(MalformedMessageError):
+        decode_view(encoder.encode(view))
 
 
 def test_mutated_messages_are_read_or_refused_but_never_raise_anything_else() -> None:
--- a/citronwinch/forwarder/_settings.py
+++ b/citronwinch/forwarder/_settings.py
@@ -20,6 +20,12 @@
     read_setting,
 )
 
+USUAL_LINK_MBPS = 1_000
+"""The link of an instance that does not tell its own, in megabits a second."""
+
+LINK_LIMIT_MBPS = 1_000_000
+"""The fastest link that settings may name, in megabits a second."""
+
 
 class ForwarderSettings(NamedTuple):
     """The checked settings of one process."""
@@ -69,6 +75,9 @@
     metrics_port: int
     """The port that serves metrics; 0 serves none."""
 
+    link_mbps: int
+    """What the instance's link carries, in megabits a second."""
+
 
 def _parse_flag(value: str) -> bool:
     if value not in ("true", "false"):
@@ -81,6 +90,19 @@
     return parse_number(1, 65_535, "a port number")(first)
 
 
+def _parse_link(value: str) -> int:
+    if not value:
+        return USUAL_LINK_MBPS
+    # Instances may tell fractions; a link of less than one megabit counts as one.
+    try:
+        mbps = round(float(value))
+    except (ValueError, OverflowError) as error:
+        raise SettingValueError("a number of megabits a second") from error
+    if not 0 <= mbps <= LINK_LIMIT_MBPS:
+        raise SettingValueError(f"0 to {LINK_LIMIT_MBPS} megabits a second")
+    return max(1, mbps)
+
+
 def _parse_seeds(value: str) -> tuple[Endpoint, ...]:
     return parse_endpoints(value) if value else ()
 
@@ -105,6 +127,7 @@
     SettingSpec(
         "stop", "timeout_s", "stop_timeout_s", parse_number(1, 3_600, "seconds"), 6
     ),
+    SettingSpec("limits", "link_mbps", "link_mbps", _parse_link, USUAL_LINK_MBPS),
 )
 """Every setting there is. Sections and keys that are not listed are mistakes."""
 
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -1,5 +1,6 @@
 """Keeps a balancer's view current: from the store, or from balancers that read it."""
 
+import random
 from typing import TYPE_CHECKING
 
 import structlog
@@ -7,13 +8,16 @@
 
 from citronwinch.coordination.flows import (
     RETRY_MS,
+    AnswerPacing,
     Configuration,
     Heartbeat,
     ViewAnswer,
+    choose_source,
     find_patience_ms,
     find_turn,
+    list_sources,
 )
-from citronwinch.flow_peers import decode_view, encode_view
+from citronwinch.flow_peers import ViewEncoder, decode_view
 from citronwinch.network import (
     HttpError,
     HttpRequest,
@@ -37,6 +41,14 @@
 FETCH_TIMEOUT_MS = 600
 """How long another balancer may take to send its view, in milliseconds."""
 
+FETCH_PAUSE_S = (0.02, 0.08)
+"""How long a balancer waits before it asks another one, in seconds; drawn, so that
+those that were turned away together do not come again together."""
+
+CATCH_UP_MS = 1_000
+"""After so many milliseconds without the newest configuration a balancer reads the
+store; a third of the shortest time in which it must be in force."""
+
 READER_MS = 2_000
 """How long after its last own read a balancer counts as a reader of the store."""
 
@@ -62,7 +74,11 @@
         self.retry_ms = 0
         self.own_read_ms = -READER_MS
         self.watched_revision = 0
-        self.fetching: set[str] = set()
+        self.is_catching_up = False
+        self.wants_retained: set[str] = set()
+        self.rng = random.Random(process.settings.name)
+        self.encoder = ViewEncoder()
+        self.pacing = AnswerPacing(self.clock, process.settings.link_mbps)
         self.rejected: tuple[str, ...] = ()
 
     def start_tasks(self, nursery: trio.Nursery) -> None:
@@ -203,26 +219,61 @@
             confirmed_ms = self.clock.now_ms() - heartbeat.listing_age_ms
             view.confirm(heartbeat.revision, confirmed_ms)
             is_newer = False
+        if lacks_retained:
+            self.wants_retained.add(sender)
         lacks_version = heartbeat.configuration_version > version
-        if (
-            is_newer or lacks_version or lacks_retained
-        ) and sender not in self.fetching:
-            self.fetching.add(sender)
-            self.nursery.start_soon(self._fetch_view, sender, version)
+        if (is_newer or lacks_version or lacks_retained) and not self.is_catching_up:
+            self.is_catching_up = True
+            self.nursery.start_soon(self._catch_up)
 
-    async def _fetch_view(self, ip: str, version: int) -> None:
+    async def _catch_up(self) -> None:
+        """Fetch from one balancer at a time until nothing is missing.
+
+        All balancers miss a new configuration at the same moment, and their links are
+        thin: a few at a time get it from the one that has read it, the others from
+        these. Whoever has waited for long reads the store.
+        """
+        began_ms = self.clock.now_ms()
+        failed: set[str] = set()
+        try:
+            while source := self._choose_source(failed):
+                await self._fetch_view(source)
+                if source in list_sources(self.view, self.process.members.members):
+                    failed.add(source)
+                    await trio.sleep(self.rng.uniform(*FETCH_PAUSE_S))
+                if self.clock.now_ms() - began_ms > CATCH_UP_MS:
+                    began_ms = self.clock.now_ms()
+                    failed.clear()
+                    await self._read_configuration()
+        finally:
+            self.is_catching_up = False
+
+    def _choose_source(self, failed: set[str]) -> str | None:
+        members = self.process.members.members
+        sources = {*list_sources(self.view, members), *self.wants_retained}
+        sources &= members.keys()
+        if sources and sources <= failed:
+            failed.clear()
+        zone = self.process.settings.availability_zone
+        return choose_source(sources - failed, members, zone, self.rng)
+
+    async def _fetch_view(self, ip: str) -> None:
+        """Take over what another balancer knows, if it answers."""
+        version = self.view.configuration.version if self.view.configuration else 0
+        self.wants_retained.discard(ip)
         endpoint = self.process.find_peer_endpoint(ip)
         asked_ms = self.clock.now_ms()
         try:
             target = f"{VIEW_PATH}?after={version}"
             response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
+            if response.status != 200:
+                self.process.metrics.count("view_fetches_put_off_total")
+                return
             answer = decode_view(response.body)
         except (HttpError, MalformedMessageError) as error:
             self.process.metrics.count("view_fetch_errors_total")
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
-        finally:
-            self.fetching.discard(ip)
         self._accept_configuration(answer.configuration, ip)
         if answer.listing.revision:
             confirmed_ms = asked_ms - answer.listing_age_ms
@@ -244,4 +295,7 @@
         answer = ViewAnswer(
             view.listing, min(age_ms or 0, 0xFFFFFFFF), configuration, retained
         )
-        return HttpResponse(200, encode_view(answer), "application/octet-stream")
+        encoded = self.encoder.encode(answer)
+        if not self.pacing.admit(len(encoded)):
+            return HttpResponse(503, b'{"error":"ask another balancer"}')
+        return HttpResponse(200, encoded, "application/octet-stream")
--- a/citronwinch/forwarder/tests/test_settings.py
+++ b/citronwinch/forwarder/tests/test_settings.py
@@ -23,6 +23,7 @@
     "seed_nodes": "10.1.0.10:8166,10.2.0.40:8166",
     "platform.address": "10.200.1.7:8169",
     "bounds.grace_s": "6",
+    "limits.bandwidth_mbps": "5.2",
     "service": "huvo11a",
     "app": "10.1.0.10:8165",
 }
@@ -54,6 +55,9 @@
         ("balancer", "peer_ports = 7720,7735", "peer_ports = x", "[listen] peer_ports"),
         ("balancer", "first_start = true", "first_start = 1", "[instance] first_start"),
         ("balancer", "address = 10.200.1.7:8169", "", "[store] address"),
+        ("balancer", "link_mbps = 5.2", "link_mbps = fast", "[limits] link_mbps"),
+        ("balancer", "link_mbps = 5.2", "link_mbps = nan", "[limits] link_mbps"),
+        ("balancer", "link_mbps = 5.2", "link_mbps = -1", "[limits] link_mbps"),
         ("agent", "service = huvo11a", "", "[server] service"),
         ("agent", "role = agent", "role = judge", "[instance] role"),
         ("agent", "timeout_s = 6", "timeout_s = 6\nspeed = 9", "[stop] speed"),
@@ -77,6 +81,16 @@
         bound.close()
 
 
+@pytest.mark.parametrize(
+    ("told", "link_mbps"), [("5.2", 5), ("0.3", 1), ("1000.0", 1_000), ("", 1_000)]
+)
+def test_the_link_of_an_instance_counts_in_whole_megabits(
+    told: str, link_mbps: int
+) -> None:
+    text = fill("balancer").replace("link_mbps = 5.2", f"link_mbps = {told}")
+    assert parse_forwarder_settings(text, "local.ini").ok.link_mbps == link_mbps
+
+
 @pytest.mark.parametrize("text", ["", "no section", "[listen]\nip = x\npeer_ports = 1"])
 def test_unusable_settings_bind_nothing(text: str) -> None:
     assert bind_early(text) == {}
