--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -100,7 +100,7 @@
     "unknown_address_ignored_total": "packets to unknown addresses under an old view",
     "unknown_address_refused_total": "new flows to addresses without a route",
     "view_age_ms": "age of the listing of backend servers, milliseconds",
-    "view_fetches_put_off_total": "fetches that another balancer put off to spare its link",
+    "view_fetches_put_off_total": "fetches that a balancer put off to spare its link",
     "view_fetch_errors_total": "views that another balancer did not send",
     "waiting_requests": "requests that the backend server has not begun to answer",
 }
