Name the known balancers in few heartbeats only

Cause: a heartbeat named all balancers, 361 bytes with 21 of them, also to agents, which do not use the names; heartbeats were encoded for each receiver. Change: agents get none; balancers get them every 3 s and when they join; one encoding for all balancers. Bytes between zones and processor time are priced and thin links share them with callers' packets. Heartbeat with 106 names 1,741 bytes, without about 45.

--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -36,7 +36,7 @@
     """The version of its configuration, 0 without one."""
 
     balancers: tuple[str, ...]
-    """The addresses of the balancers that it knows."""
+    """The addresses of the balancers that it knows; empty where they are not told."""
 
     server_started_ms: int = 0
     """To an agent, the incarnation of its backend server as listed; 0 if unknown."""
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from collections.abc import Collection
 
 import structlog
 import trio
@@ -33,6 +34,10 @@
 BALANCER_HEARTBEAT_MS = 1_000
 """How often balancers hear from each other, in milliseconds."""
 
+MEMBERS_INTERVAL_MS = 3_000
+"""How often a heartbeat names the balancers that its sender knows, in milliseconds; a
+balancer that joins is told them at once. They are most of its bytes."""
+
 AGENT_HEARTBEAT_MS = 300
 """How often agents of the own zone hear from a balancer, in milliseconds."""
 
@@ -80,6 +85,7 @@
         self.was_ready = False
         self.is_isolated = False
         self.sent_ms: dict[str, int] = {}
+        self.members_told_ms = self.started_ms
 
     def is_ready(self) -> bool:
         """Return whether the configuration and the backend servers are known."""
@@ -118,7 +124,7 @@
             log.info(
                 "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
             )
-            self._send_heartbeat(sender)
+            self.tell_balancers([sender], with_members=True)
         self.exchange.hear(heartbeat, sender)
 
     def handle_packet(self, data: bytes) -> None:
@@ -160,43 +166,50 @@
             log.warning(event, agents=len(self.choice.agents))
 
     def _send_heartbeats(self) -> None:
-        for ip in self.members.list_receivers():
-            self._send_due_heartbeat(ip, BALANCER_HEARTBEAT_MS)
+        receivers = self.members.list_receivers()
+        due = [ip for ip in receivers if self._is_due(ip, BALANCER_HEARTBEAT_MS)]
+        now_ms = self.clock.now_ms()
+        if now_ms - self.members_told_ms >= MEMBERS_INTERVAL_MS:
+            self.members_told_ms = now_ms
+            self.tell_balancers(receivers, with_members=True)
+        elif due:
+            self.tell_balancers(due, with_members=False)
         for server in self.view.list_agents():
             # Whoever seems isolated asks far agents as often as near ones.
             is_local = self.is_isolated or (
                 server.availability_zone == self.settings.availability_zone
             )
             interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
-            ip, started_ms = server.address.ip, server.started_ms
-            self._send_due_heartbeat(ip, interval_ms, started_ms)
+            self._tell_agent(server.address.ip, interval_ms, server.started_ms)
         # Whether their agents still answer decides over the flows of these servers.
         for server in self.view.list_former():
-            self._send_due_heartbeat(server.address.ip, AGENT_HEARTBEAT_MS)
+            self._tell_agent(server.address.ip, AGENT_HEARTBEAT_MS)
+
+    def _is_due(self, ip: str, interval_ms: int) -> bool:
+        return self.clock.now_ms() - self.sent_ms.get(ip, -interval_ms) >= interval_ms
 
-    def _send_due_heartbeat(
+    def _tell_agent(
         self, ip: str, interval_ms: int, server_started_ms: int = 0
     ) -> None:
-        if self.clock.now_ms() - self.sent_ms.get(ip, -interval_ms) >= interval_ms:
-            self._send_heartbeat(ip, server_started_ms)
+        if self._is_due(ip, interval_ms):
+            self.sent_ms[ip] = self.clock.now_ms()
+            self.send(ip, self.make_heartbeat((), server_started_ms))
 
-    def _send_heartbeat(self, ip: str, server_started_ms: int = 0) -> None:
-        self.sent_ms[ip] = self.clock.now_ms()
-        self.send(ip, self.make_heartbeat(server_started_ms))
+    def tell_balancers(self, ips: Collection[str], *, with_members: bool) -> None:
+        self.sent_ms |= dict.fromkeys(ips, self.clock.now_ms())
+        known = tuple(sorted(self.members.members)) if with_members else ()
+        self.send_to_all(ips, self.make_heartbeat(known))
 
     def announce_view(self) -> None:
         """Tell all balancers what has just been read."""
         known = [server.address.ip for server in self.view.list_agents()]
         known += [former.server.address.ip for former in self.view.former.values()]
         self.choice.keep_only(known)
-        self._send_heartbeat_to_balancers()
-
-    def _send_heartbeat_to_balancers(self) -> None:
-        receivers = self.members.list_receivers()
-        self.sent_ms |= dict.fromkeys(receivers, self.clock.now_ms())
-        self.send_to_all(receivers, self.make_heartbeat())
+        self.tell_balancers(self.members.list_receivers(), with_members=False)
 
-    def make_heartbeat(self, server_started_ms: int = 0) -> Heartbeat:
+    def make_heartbeat(
+        self, balancers: tuple[str, ...] = (), server_started_ms: int = 0
+    ) -> Heartbeat:
         """Return what this balancer tells about itself."""
         view = self.view
         age_ms = view.age_ms
@@ -209,7 +222,7 @@
             view.listing_digest,
             min(age_ms if age_ms is not None else 0xFFFFFFFF, 0xFFFFFFFF),
             configuration.version if configuration is not None else 0,
-            tuple(sorted(self.members.members)),
+            balancers,
             server_started_ms,
             view.settles_in_ms,
         )
@@ -220,7 +233,7 @@
 
     def begin_stop(self) -> None:
         """Let the routers and the other balancers know; go on forwarding."""
-        self._send_heartbeat_to_balancers()
+        self.tell_balancers(self.members.list_receivers(), with_members=False)
 
     def is_stopped(self) -> bool:
         """Return whether the routers have had time to use other balancers."""
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -8,6 +8,7 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import Heartbeat
 from citronwinch.forwarder._agent_process import AgentProcess
+from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._process import SettingsChanged
 from citronwinch.forwarder.tests.conftest import (
     OTHER_SERVICE,
@@ -260,6 +261,35 @@
     play(scene, 112)
 
 
+def test_balancers_learn_of_each_other_even_if_a_joiner_is_not_answered(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment)
+        joiner_ip = f"{deployment.prefix}.13"
+        seed = deployment.processes[11]
+        assert isinstance(seed, BalancerProcess)
+        tell = seed.tell_balancers
+        # The answer to the joiner is lost; only what is told regularly arrives.
+        seed.tell_balancers = lambda ips, *, with_members: (  # type: ignore[method-assign]
+            None if list(ips) == [joiner_ip] else tell(ips, with_members=with_members)
+        )
+        deployment.add_balancer(13)
+        joiner, other = deployment.processes[13], deployment.processes[12]
+        assert isinstance(joiner, BalancerProcess)
+        assert isinstance(other, BalancerProcess)
+        other_ip = f"{deployment.prefix}.12"
+        with trio.fail_after(6):
+            await deployment.wait_for(
+                lambda: (
+                    other_ip in joiner.members.members
+                    and joiner_ip in other.members.members
+                )
+            )
+
+    play(scene, 116)
+
+
 def test_a_joining_balancer_learns_which_servers_may_still_register_again(
     play: Play,
 ) -> None:
