Split the searches and the known flows from a balancer's decisions

No behaviour changes but one: agents of services that a route has had are asked also where more than 200 agents of other services exist; since only their denial counts, they must not be left out.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -1,33 +1,31 @@
 """Decides for a balancer: where each packet of a caller goes."""
 
-from collections import Counter, OrderedDict
+from collections import Counter
 
-from citronwinch.coordination._address import FlowKey, service_part
+from citronwinch.coordination._address import service_part
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import (
     Action,
-    Measure,
     ResetFlow,
-    SendMessage,
     record,
 )
 from citronwinch.coordination.flows._deployment import (
-    BackendServer,
     Route,
     order_services,
 )
-from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._flow_searches import FlowSearches
 from citronwinch.coordination.flows._held_openings import (
     HeldOpening,
     HeldOpenings,
     is_copy,
 )
-from citronwinch.coordination.flows._messages import (
-    FlowAnswer,
-    FlowQuestion,
-    ForwardedPacket,
-    Verdict,
+from citronwinch.coordination.flows._known_flows import (
+    KnownFlow,
+    KnownFlows,
+    confirm,
+    forward,
 )
+from citronwinch.coordination.flows._messages import FlowAnswer, Verdict
 from citronwinch.coordination.flows._packets import Packet, make_last_packet
 from citronwinch.coordination.flows._server_choice import Chosen, ServerChoice
 from citronwinch.coordination.flows._view import DeploymentView
@@ -36,13 +34,6 @@
 """How long an agent may take to confirm an opening before a copy of it goes to
 another one, in milliseconds; shorter than the callers' first retransmission."""
 
-FLOW_LIMIT = 400_000
-"""The most flows that a balancer remembers; about 80 MB."""
-
-UNLOCATED_MS = 150
-"""How long a balancer does not ask again for a flow that nobody holds, in
-milliseconds; shorter than a caller's retransmission interval."""
-
 LATE_PRESSURE = 1.0
 """From this many waiting requests for each slot on, a backend server takes no opening
 that is late already; it is idle below."""
@@ -54,27 +45,6 @@
 CURRENT_VIEW_MS = 2_500
 """Up to this age a configuration is current enough to refuse an unknown address."""
 
-OTHERS_LIMIT = 200
-"""The most agents of other services that are asked for a flow; beyond this the
-questions would cost more than the flows that a changed route has left behind."""
-
-SWEEPS_PER_ROUND = 250
-"""In how many sweeps every flow is looked at once; 5 to 10 s, well below the shortest
-time for which a flow is kept."""
-
-
-class KnownFlow:
-    """Where a flow goes."""
-
-    def __init__(self, agent: str, service: str, now_ms: int) -> None:
-        self.agent = agent
-        self.service = service
-        self.seen_ms = now_ms
-        self.acknowledged = 0
-        self.opened_ms: int | None = None
-        """When the opening was forwarded; None once the agent has confirmed it."""
-        self.tried: set[str] = set()
-
 
 class BalancerFlows:
     """The flows that one balancer has seen, and the questions it has asked.
@@ -87,11 +57,10 @@
         self.view = view
         self.choice = choice
         self.clock = clock
-        self.flows: OrderedDict[FlowKey, KnownFlow] = OrderedDict()
-        self.searches: dict[FlowKey, FlowSearch] = {}
-        self.unlocated: OrderedDict[FlowKey, int] = OrderedDict()
-        self.held_openings = HeldOpenings(clock)
+        self.flows = KnownFlows(clock)
         self.counts: Counter[str] = Counter()
+        self.searches = FlowSearches(view, choice, clock, self.flows, self.counts)
+        self.held_openings = HeldOpenings(clock)
 
     def handle_packet(self, packet: Packet) -> list[Action]:
         """Take a packet from a caller."""
@@ -101,7 +70,7 @@
         if known is not None:
             known.seen_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
-            return [_forward(known.agent, known.service, packet)]
+            return [forward(known.agent, known.service, packet)]
         return self._search(packet)
 
     def _handle_opening(self, packet: Packet) -> list[Action]:
@@ -113,7 +82,7 @@
                 and now_ms - known.opened_ms > CONFIRMATION_MS
             )
             if not is_late:
-                return [_forward(known.agent, known.service, packet)]
+                return [forward(known.agent, known.service, packet)]
             known.tried.add(known.agent)
             self.choice.note_unanswered(known.agent)
         route = self._find_route(packet)
@@ -152,7 +121,7 @@
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
         flow.opened_ms, flow.tried = now_ms, tried
-        self._remember(packet.flow, flow)
+        self.flows.remember(packet.flow, flow)
         self.counts["openings_placed"] += 1
         placed = record(
             "opening_placed",
@@ -167,7 +136,7 @@
             attempt=len(tried) + 1,
             view_age_ms=self.view.age_ms,
         )
-        return [_forward(agent, service, packet), placed]
+        return [forward(agent, service, packet), placed]
 
     def _refuse_opening(
         self, packet: Packet, route: Route, tried: set[str], reason: str
@@ -234,7 +203,6 @@
     def handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         """Take back a packet that an agent's backend server does not take."""
         known = self.flows.get(packet.flow)
-        search = self.searches.get(packet.flow)
         if packet.is_opening:
             if known is None or known.agent != agent:
                 return []
@@ -243,51 +211,36 @@
                 return self._refuse_unknown_address(packet)
             known.tried.add(agent)
             return self._place(packet, route, known.tried)
-        if search is not None:
-            step = search.hear(agent, Verdict.ABSENT)
-            return self._follow(packet.flow, search, step)
+        if packet.flow in self.searches:
+            return self.searches.hear(packet.flow, agent, Verdict.ABSENT)
         if known is not None and known.agent != agent:
-            return [_forward(known.agent, known.service, packet)]
+            return [forward(known.agent, known.service, packet)]
         self.flows.pop(packet.flow, None)
         self.counts["hints_withdrawn"] += 1
         return self._search(packet, absent_at=agent)
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
         """Take what an agent says about a flow."""
-        search = self.searches.get(answer.flow)
+        if answer.flow in self.searches:
+            return self.searches.hear(answer.flow, agent, answer.verdict)
         known = self.flows.get(answer.flow)
-        if known is not None and search is None:
-            if known.agent == agent and answer.verdict is Verdict.ABSENT:
-                del self.flows[answer.flow]
-                self.counts["hints_withdrawn"] += 1
-                return []
-            if known.agent == agent:
-                return _confirm(known, self.clock.now_ms())
-            if answer.verdict is Verdict.HELD:
-                known.agent, known.opened_ms = agent, None
-            return []
-        if search is None:
+        if known is None:
             return []
-        step = search.hear(agent, answer.verdict)
-        return self._follow(answer.flow, search, step)
+        if known.agent == agent and answer.verdict is Verdict.ABSENT:
+            del self.flows[answer.flow]
+            self.counts["hints_withdrawn"] += 1
+        elif known.agent == agent:
+            return confirm(known, self.clock.now_ms())
+        elif answer.verdict is Verdict.HELD:
+            known.agent, known.opened_ms = agent, None
+        return []
 
     def tick(self) -> list[Action]:
         """Move searches on whose agents do not answer; forget idle flows."""
-        actions: list[Action] = []
-        now_ms = self.clock.now_ms()
-        for key, search in list(self.searches.items()):
-            if now_ms >= search.deadline_ms:
-                if search.is_paused:
-                    step = search.resume(*self._list_holders(search.held[0]))
-                else:
-                    step = search.time_out()
-                actions += self._follow(key, search, step)
-        while self.unlocated:
-            key, since_ms = next(iter(self.unlocated.items()))
-            if now_ms - since_ms < UNLOCATED_MS:
-                break
-            del self.unlocated[key]
-        self._sweep(now_ms)
+        actions = self.searches.tick()
+        configuration = self.view.configuration
+        if configuration is not None:
+            self.flows.sweep(configuration.flow_idle_ms)
         actions += self._end_flows_of_lost_servers()
         return actions + self._place_held_openings()
 
@@ -304,143 +257,24 @@
         if not lost:
             return []
         self.view.forget_former(lost)
-        keys = [key for key, flow in self.flows.items() if flow.agent in lost]
+        ended = self.flows.pop_all_at(lost)
         actions: list[Action] = [
-            ResetFlow(make_last_packet(key, self.flows[key].acknowledged))
-            for key in keys
+            ResetFlow(make_last_packet(key, flow.acknowledged))
+            for key, flow in ended.items()
         ]
-        for key in keys:
-            del self.flows[key]
-        self.counts["flows_reset"] += len(keys)
+        self.counts["flows_reset"] += len(ended)
         lost_servers = record(
             "servers_lost",
             agents=sorted(lost),
-            flows_reset=len(keys),
+            flows_reset=len(ended),
             view_age_ms=self.view.age_ms,
         )
         return [*actions, lost_servers]
 
-    def _sweep(self, now_ms: int) -> None:
-        configuration = self.view.configuration
-        if configuration is None:
-            return
-        for _ in range(-(-len(self.flows) // SWEEPS_PER_ROUND)):
-            key, flow = next(iter(self.flows.items()))
-            if now_ms - flow.seen_ms > configuration.flow_idle_ms:
-                del self.flows[key]
-            else:
-                self.flows.move_to_end(key)
-
     def _search(self, packet: Packet, absent_at: str = "") -> list[Action]:
-        search = self.searches.get(packet.flow)
-        if search is not None:
-            search.hold(packet)
-            return []
-        route = self._find_route(packet)
-        if route is None:
+        if packet.flow not in self.searches and self._find_route(packet) is None:
             return self._refuse_unknown_address(packet)
-        if packet.flow in self.unlocated:
-            return []
-        holders, others = self._list_holders(packet)
-        search = FlowSearch(self.choice.zone, holders, others, self.clock)
-        search.hold(packet)
-        self.searches[packet.flow] = search
-        self.counts["searches"] += 1
-        if absent_at:
-            search.hear(absent_at, Verdict.ABSENT)
-        return self._follow(packet.flow, search, search.start())
-
-    def _list_holders(
-        self, packet: Packet
-    ) -> tuple[list[BackendServer], list[BackendServer]]:
-        """Return who may hold a flow: servers of its route's services, and others."""
-        route = self._find_route(packet)
-        services = {share.service for share in route.shares} if route else set()
-        holders = self.view.list_holders(services)
-        others = self.view.list_holders(self.view.list_services() - services)
-        return holders, others if len(others) <= OTHERS_LIMIT else []
-
-    def _follow(
-        self, key: FlowKey, search: FlowSearch, step: SearchStep
-    ) -> list[Action]:
-        if step.holder is not None:
-            return self._finish_search(key, search, step)
-        actions: list[Action] = [
-            SendMessage(ip, FlowQuestion(key, search.held[0].acknowledged))
-            for ip in step.ask
-        ]
-        for ip in step.try_at:
-            service = search.services[ip]
-            actions += [_forward(ip, service, packet) for packet in search.held]
-        if step.is_over:
-            actions += self._end_search(key, search)
-        return actions
-
-    def _end_search(self, key: FlowKey, search: FlowSearch) -> list[Action]:
-        """Give up a search; reset the flow where it certainly does not exist.
-
-        It does not when every agent that could hold it has said so. A flow with an
-        agent that is silent or cannot know is left alone: its packets are sent again.
-        Only agents of services that the route has or had can hold it; a denial by the
-        others is not needed, but they are asked, since this balancer may have started
-        after a change of the route.
-        """
-        packet = search.held[0]
-        services = self.view.list_route_services(service_part(packet.flow))
-        silent = search.list_silent(services)
-        silent -= self.view.forget_former(
-            [ip for ip in silent if not self.choice.was_heard_lately(ip)]
-        )
-        uncertain = search.list_uncertain(services)
-        is_dead = not silent and not uncertain and self.view.is_settled()
-        if not is_dead and search.can_go_on():
-            search.pause()
-            return []
-        del self.searches[key]
-        self.unlocated[key] = self.clock.now_ms()
-        if is_dead and packet.is_reset:
-            return []
-        self.counts["flows_reset" if is_dead else "searches_failed"] += 1
-        outcome = record(
-            "dead_flow_reset" if is_dead else "flow_not_found",
-            packet,
-            absent=len(search.list_by_verdict(Verdict.ABSENT)),
-            silent=sorted(silent),
-            uncertain=sorted(uncertain),
-            searched_ms=self.clock.now_ms() - search.started_ms,
-            view_age_ms=self.view.age_ms,
-        )
-        return [ResetFlow(packet), outcome] if is_dead else [outcome]
-
-    def _finish_search(
-        self, key: FlowKey, search: FlowSearch, step: SearchStep
-    ) -> list[Action]:
-        assert step.holder is not None
-        del self.searches[key]
-        now_ms = self.clock.now_ms()
-        service = search.services[step.holder]
-        flow = KnownFlow(step.holder, service, now_ms)
-        flow.acknowledged = search.held[-1].acknowledged
-        self._remember(key, flow)
-        self.counts["searches_succeeded"] += 1
-        found = record(
-            "flow_found",
-            search.held[0],
-            agent=step.holder,
-            asked=len(search.verdicts),
-            searched_ms=now_ms - search.started_ms,
-        )
-        measure = Measure("search_ms", now_ms - search.started_ms)
-        # The agent has those of a trial already.
-        missing = search.held[search.tried.get(step.holder, 0) :]
-        forwards = [_forward(step.holder, service, packet) for packet in missing]
-        return [*forwards, found, measure]
-
-    def _remember(self, key: FlowKey, flow: KnownFlow) -> None:
-        self.flows[key] = flow
-        self.flows.move_to_end(key)
-        while len(self.flows) > FLOW_LIMIT:
-            self.flows.popitem(last=False)
+        return self.searches.search(packet, absent_at)
 
     def _find_route(self, packet: Packet) -> Route | None:
         configuration = self.view.configuration
@@ -458,14 +292,3 @@
     if is_late:
         return chosen.pressure >= LATE_PRESSURE
     return chosen.is_full(route.latency_objective_ms)
-
-
-def _confirm(known: KnownFlow, now_ms: int) -> list[Action]:
-    opened_ms, known.opened_ms = known.opened_ms, None
-    if opened_ms is None:
-        return []
-    return [Measure("opening_wait_ms", now_ms - opened_ms)]
-
-
-def _forward(agent: str, service: str, packet: Packet) -> SendMessage:
-    return SendMessage(agent, ForwardedPacket(service, packet.raw))
--- a/citronwinch/coordination/flows/tests/test_searches.py
+++ b/citronwinch/coordination/flows/tests/test_searches.py
@@ -183,6 +183,20 @@
     assert has_reset(actions + balancer.tick())
 
 
+def test_agents_of_a_former_service_are_asked_among_many_strangers(
+    balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
+) -> None:
+    servers = [make_server(number) for number in (1, 2, 3)]
+    strangers = [make_server(number, f"other-{number}") for number in range(20, 250)]
+    listing = make_listing(11, *servers, make_server(4, "reporting"), *strangers)
+    view.accept_listing(listing, clock.now_ms())
+    use_former_service(view)
+    packet = make_packet(payload=10)
+    actions = answer_all(balancer, packet, dict.fromkeys((1, 2, 3), Verdict.ABSENT))
+    assert list_questions(actions)[-1:] == ["10.0.0.4"]
+    assert not has_reset(actions)
+
+
 def test_a_former_service_is_forgotten_after_the_lifetime_of_a_flow(
     balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
 ) -> None:
