Prove that the soak finds each promise that a daemon breaks

Cause: the soak's checks were tested with made observations only. Change: 15 flows are opened just after the limit; processes of a run may be started by another module, with given faults instead of drawn ones.

--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -60,8 +60,11 @@
 class Fleet:
     """Starts, signals and restarts the processes; ends only those it has started."""
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(
+        self, directory: Path, program: tuple[str, ...] = ("citronwinch.launch",)
+    ) -> None:
         self.directory = directory
+        self.program = program
         self.members: dict[str, Member] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.expected_ends: set[str] = set()
@@ -95,7 +98,7 @@
         file.write_text(text + member.extra)
         with (self.directory / f"{name}.log").open("ab") as output:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "citronwinch.launch", VARIABLE],
+                [sys.executable, "-m", *self.program, VARIABLE],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -18,7 +18,12 @@
     StandInStore,
     StoreFault,
 )
-from citronwinch.soak._checks import Observations, Violation, find_violations
+from citronwinch.soak._checks import (
+    LEAVE_LIMIT_S,
+    Observations,
+    Violation,
+    find_violations,
+)
 from citronwinch.soak._faults import QUIET_END_S, Fault, FaultKind, draw_faults
 from citronwinch.soak._fleet import (
     OUTBOUND_PORT,
@@ -42,6 +47,11 @@
 
 FLOWS_PER_SERVICE = 8
 REQUEST_GAP_S = 0.15
+
+PROBES = 15
+"""The flows that are opened to see whether a leaving server gets any; three for each
+server of the larger service."""
+
 EDIT_LIMIT_S = 3.0
 """How long after an edit it must be in force everywhere, in seconds."""
 
@@ -83,6 +93,12 @@
     network: int = 120
     """The second number of all addresses; runs at the same time need different ones."""
 
+    faults: tuple[Fault, ...] | None = None
+    """The faults that are played; None for those drawn from the seed."""
+
+    program: tuple[str, ...] = ("citronwinch.launch",)
+    """The module that starts a process, with its first arguments."""
+
 
 class SoakResult(NamedTuple):
     """What a seed has shown."""
@@ -117,7 +133,7 @@
         self.options = options
         self.rng = random.Random(seed + 1)
         self.prefix = f"127.{options.network}.0"
-        self.fleet = Fleet(directory)
+        self.fleet = Fleet(directory, options.program)
         self.store = StandInStore(Endpoint(f"{self.prefix}.1", 23_169))
         self.router = Router({})
         caller = Endpoint(f"{self.prefix}.2", PACKET_PORT)
@@ -139,7 +155,9 @@
 
     async def run(self) -> SoakResult:
         """Play the seed."""
-        faults = draw_faults(self.seed, self.options.seconds)
+        faults = self.options.faults
+        if faults is None:
+            faults = tuple(draw_faults(self.seed, self.options.seconds))
         try:
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
@@ -357,13 +375,21 @@
         self._add_server(max(self.servers) + 1, self.services[number])
         self._write_server(number, "draining")
         self.leaving[number] = time.monotonic()
-        await trio.sleep(4.0)
+        await trio.sleep(LEAVE_LIMIT_S + 0.3)
+        await self._probe(SERVICES[self.services[number]])
         self.store.delete(f"servers/{self.servers[number].name}")
         self.scopes[number].cancel()
         self.servers[number].flows.clear()
         self.fleet.remove(f"agent-{number}")
 
-    def _make_result(self, faults: list[Fault]) -> SoakResult:
+    async def _probe(self, address: Endpoint) -> None:
+        """Open flows now, so that a server that should get none is noticed."""
+        for _ in range(PROBES):
+            port = self._take_port()
+            if await self._open(port, address) is FlowOutcome.DONE:
+                self.caller.close(port, address)
+
+    def _make_result(self, faults: tuple[Fault, ...]) -> SoakResult:
         self.seen.ended_alone = self.fleet.ended_alone
         for number, server in self.servers.items():
             for _, payload in server.requests:
@@ -371,7 +397,7 @@
                 self.seen.runs.append(run)
         return SoakResult(
             self.seed,
-            tuple(faults),
+            faults,
             self.requests,
             self.served,
             self.times.get_value_at_percentile(50),
