--- a/citronwinch/benches/_case_platform.py
+++ b/citronwinch/benches/_case_platform.py
@@ -55,6 +55,9 @@
 ZONE_BALANCERS = 106
 """The balancers of one zone at the target: 1,700 in 16 zones."""
 
+ADDRESSES = 1_200
+"""The service addresses of the target, each with a route."""
+
 ROUNDS = 5
 """Each time is the least of so many rounds."""
 
@@ -177,6 +180,9 @@
         "heartbeat_bytes_of_6_balancers": len(
             encode_flow_message(heartbeat._replace(balancers=balancers[:6]))
         ),
+        "heartbeat_bytes_without_names": len(
+            encode_flow_message(heartbeat._replace(balancers=()))
+        ),
         "heartbeat_encode_us": time_us(lambda: encode_flow_message(heartbeat), 500),
         "heartbeat_decode_us": time_us(lambda: decode_flow_message(data), 500),
         "load_report_bytes": len(report_data),
@@ -184,6 +190,27 @@
     }
 
 
+def measure_configuration() -> dict[str, float]:
+    """Return what a configuration of the target costs on the wire."""
+    routes = {}
+    for number in range(ADDRESSES):
+        address = Endpoint(f"198.18.{number >> 8}.{number & 255}", 443)
+        share = ServiceShare(f"service-{number}", 1)
+        route = Route(f"route-{number}", address, (share,), number % 3, 120, 1_000)
+        routes[pack_route_address(address)] = route
+    view = ViewAnswer(ServerListing(1, {}), 0, Configuration(1, routes, 15_000))
+    encoder = ViewEncoder()
+    begin = time.perf_counter_ns()
+    data = encoder.encode(view)
+    first_ms = (time.perf_counter_ns() - begin) / 1_000_000
+    return {
+        "configuration_bytes_on_the_wire": len(data),
+        "configuration_first_encode_ms": round(first_ms, 2),
+        "configuration_next_encode_us": time_us(lambda: encoder.encode(view), 20),
+        "configuration_decode_ms": time_us(lambda: decode_view(data), 1) / 1_000,
+    }
+
+
 def measure_listing() -> dict[str, float]:
     """Return what the target's listing costs."""
     listing = make_listing(SERVERS // SERVICE_SERVERS)
@@ -213,5 +240,6 @@
         "balancer": measure_balancer(),
         "agent": measure_agent(),
         "messages": measure_messages(),
+        "configuration": measure_configuration(),
         "listing": measure_listing(),
     }
