Tell with a view up to which revision its configuration is the newest

The first read was also begun when the configuration had come just before. Change: a view carries the revision; without one a reader waits on a thin link for twice the transfer time before it reads. Before: test_a_balancer_that_gets_the_configuration_from_another_need_not_read_it red.

--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -143,6 +143,13 @@
     retained: tuple[BackendServer, ...] = ()
     """Servers that are missing from the listing and may register again."""
 
+    configuration_version: int = 0
+    """The version of its configuration, whether it is sent along or not."""
+
+    configuration_revision: int = 0
+    """Up to which revision of the store that version is known to be the newest, 0 if
+    unknown."""
+
 
 Message = (
     Heartbeat
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -214,6 +214,8 @@
     _fill_servers(built, "servers", view.listing.servers.values())
     _fill_servers(built, "retained", view.retained)
     built.configuration = configuration
+    built.configurationVersion = view.configuration_version
+    built.configurationRevision = view.configuration_revision
     packed: bytes = built.to_bytes_packed()
     return packed
 
@@ -254,7 +256,14 @@
             configuration = _decode_configuration(read.configuration)
         listing = ServerListing(read.revision, servers)
         retained = tuple(_read_server(part) for part in read.retained)
-        return ViewAnswer(listing, read.listingAgeMs, configuration, retained)
+        return ViewAnswer(
+            listing,
+            read.listingAgeMs,
+            configuration,
+            retained,
+            read.configurationVersion,
+            read.configurationRevision,
+        )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
 
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -83,4 +83,6 @@
   # A packed Configuration, compressed with zlib; empty when it is not asked for.
   configuration @3 :Data;
   retained @4 :List(Server);
+  configurationVersion @5 :UInt64;
+  configurationRevision @6 :UInt64;
 }
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -61,6 +61,8 @@
         450,
         Configuration(3, routes, 15_000) if with_configuration else None,
         (server._replace(name="i-2"),),
+        3,
+        77,
     )
     encoder = ViewEncoder()
     assert decode_view(encoder.encode(view)) == view
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -168,6 +168,7 @@
         """
         with trio.move_on_after(self.transfer_ms / 1000):
             await self.has_configuration.wait()
+            return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._read_until_known)
             await self.has_configuration.wait()
@@ -207,9 +208,7 @@
         """
         revision = self.view.configuration_revision
         if not revision:
-            await self._read_configuration()
-            if not self.view.configuration_revision:
-                await trio.sleep(RETRY_MS / 1000)
+            await self._learn_revision()
             return
         answer = await self.store.watch_configuration(revision, WATCH_MS)
         if answer.is_error():
@@ -221,6 +220,21 @@
             return
         self._take_over(answer.ok)
 
+    async def _learn_revision(self) -> None:
+        """Wait until others tell up to which revision the configuration is the newest.
+
+        Otherwise read it whole, on a wide link at once, on a thin one after the time
+        that the read would take.
+        """
+        deadline_ms = self.clock.now_ms() + 2 * self.transfer_ms
+        while self.clock.now_ms() < deadline_ms:
+            await trio.sleep(WATCH_PAUSE_S / 2)
+            if self.view.configuration_revision:
+                return
+        await self._read_configuration()
+        if not self.view.configuration_revision:
+            await trio.sleep(RETRY_MS / 1000)
+
     def _accept_configuration(
         self, configuration: Configuration | None, source: str
     ) -> None:
@@ -312,6 +326,9 @@
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
         self._accept_configuration(answer.configuration, ip)
+        self.view.confirm_configuration(
+            answer.configuration_version, answer.configuration_revision
+        )
         if answer.listing.revision:
             confirmed_ms = asked_ms - answer.listing_age_ms
             if self.view.accept_listing(answer.listing, confirmed_ms):
@@ -325,12 +342,18 @@
         known = int(after) if after.isdigit() else 0
         view = self.view
         configuration = view.configuration
-        if configuration is not None and configuration.version <= known:
+        version = configuration.version if configuration is not None else 0
+        if version <= known:
             configuration = None
         age_ms = view.age_ms
         retained = tuple(view.retained.values())
         answer = ViewAnswer(
-            view.listing, min(age_ms or 0, 0xFFFFFFFF), configuration, retained
+            view.listing,
+            min(age_ms or 0, 0xFFFFFFFF),
+            configuration,
+            retained,
+            version,
+            view.configuration_revision,
         )
         encoded = self.encoder.encode(answer)
         if not self.pacing.admit(len(encoded)):
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -41,6 +41,8 @@
 seeds = {seed}:21166
 [store]
 address = {store}
+[limits]
+link_mbps = {link_mbps}
 [stop]
 timeout_s = 2
 """
@@ -84,6 +86,7 @@
         self.caller = Caller(Endpoint(f"{self.prefix}.2", CALLER_PORT), self.router)
         self.servers: dict[int, StandInServer] = {}
         self.server_age_ms = 0
+        self.link_mbps = 1_000
         self.directory: Path | None = None
         self.processes: dict[int, ForwarderProcess] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
@@ -112,6 +115,7 @@
             peer_port=PEER_PORT,
             seed=f"{self.prefix}.{seed}",
             store=self.store.endpoint,
+            link_mbps=self.link_mbps,
         )
 
     def add_server(
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -291,6 +291,30 @@
     play(scene, 116)
 
 
+def test_a_balancer_that_gets_the_configuration_from_another_need_not_read_it(
+    play: Play,
+) -> None:
+    async def scene(deployment: LoopbackDeployment) -> None:
+        await start_small(deployment, balancers=1)
+        older = deployment.processes[11]
+        assert isinstance(older, BalancerProcess)
+        await deployment.wait_for(lambda: older.view.configuration_revision > 0)
+        deployment.link_mbps = 5
+        deployment.add_balancer(13)
+        newer = deployment.processes[13]
+        assert isinstance(newer, BalancerProcess)
+
+        async def refuse(*_: int) -> Any:
+            raise AssertionError("the configuration was read from the store")
+
+        newer.exchange.store.read_configuration = refuse  # type: ignore[method-assign, assignment]
+        await wait_for_version(deployment, newer, 1)
+        await deployment.wait_for(lambda: newer.view.configuration_revision > 0)
+        await trio.sleep(1.5)
+
+    play(scene, 118)
+
+
 async def wait_for_version(
     deployment: LoopbackDeployment, process: BalancerProcess, version: int
 ) -> None:
