Keep questions about unknown flows from filling a thin link

Each search asks up to 54 agents about every 255 ms; with agents still starting, the questions of some 30 searches a second are more than 5 Mbit/s, no answer arrives, and callers send again. Ruled out: reads from the store; these had ended by then. Change: questions take at most 0.3 of the link; a search for which there is no room pauses. ByteBudget moves from steering to coordination, where both use it. Load test without network (44 agents, 200 unknown flows a second, 5 and 10 Mbit/s): at most 0.4 of the link with agents away, and searches end once agents answer. On links of 1,000 Mbit/s nothing is put off, so that nothing changes there.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -42,6 +42,9 @@
 """How long a backend server must be missing from the listing before its flows are taken
 for dead, in milliseconds; its agent is asked several times meanwhile."""
 
+USUAL_LINK_MBPS = 1_000
+"""The link of an instance that does not tell its own, in megabits a second."""
+
 CURRENT_VIEW_MS = 2_500
 """Up to this age a configuration is current enough to refuse an unknown address."""
 
@@ -53,13 +56,21 @@
     agents of the service, which know what their backend servers hold.
     """
 
-    def __init__(self, view: DeploymentView, choice: ServerChoice, clock: Clock):
+    def __init__(
+        self,
+        view: DeploymentView,
+        choice: ServerChoice,
+        clock: Clock,
+        link_mbps: int = USUAL_LINK_MBPS,
+    ) -> None:
         self.view = view
         self.choice = choice
         self.clock = clock
         self.flows = KnownFlows(clock)
         self.counts: Counter[str] = Counter()
-        self.searches = FlowSearches(view, choice, clock, self.flows, self.counts)
+        self.searches = FlowSearches(
+            view, choice, clock, self.flows, self.counts, link_mbps
+        )
         self.held_openings = HeldOpenings(clock)
 
     def handle_packet(self, packet: Packet) -> list[Action]:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -3,6 +3,7 @@
 from collections import Counter, OrderedDict
 
 from citronwinch.coordination._address import FlowKey, service_part
+from citronwinch.coordination._byte_budget import ByteBudget
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import (
     Action,
@@ -23,6 +24,17 @@
 """How long a balancer does not ask again for a flow that nobody holds, in
 milliseconds; shorter than a caller's retransmission interval."""
 
+QUESTION_BYTES = 64
+"""What one question takes on a link, its headers included."""
+
+QUESTIONS_SHARE = 0.3
+"""The share of the link that questions may take. Answers come back over the same link,
+and both must leave room for callers' packets: on a full link no agent is heard, every
+search asks again, and the link stays full."""
+
+QUESTIONS_BURST_S = 0.5
+"""For how long the questions of a quiet time may be sent at once, in seconds."""
+
 STRANGERS_LIMIT = 200
 """The most agents of services that a route never had, as far as is known, that are
 asked for a flow; beyond this the questions would cost more than they find."""
@@ -42,6 +54,7 @@
         clock: Clock,
         flows: KnownFlows,
         counts: Counter[str],
+        link_mbps: int,
     ) -> None:
         super().__init__()
         self.view = view
@@ -50,6 +63,8 @@
         self.flows = flows
         self.counts = counts
         self.unlocated: OrderedDict[FlowKey, int] = OrderedDict()
+        rate = round(link_mbps * 125_000 * QUESTIONS_SHARE)
+        self.budget = ByteBudget(clock, round(rate * QUESTIONS_BURST_S), rate)
 
     def search(self, packet: Packet, absent_at: str = "") -> list[Action]:
         """Hold a packet and search for its flow, which one agent may have denied."""
@@ -117,6 +132,8 @@
     ) -> list[Action]:
         if step.holder is not None:
             return self._finish(key, search, step.holder)
+        if step.ask and not self.budget.spend(len(step.ask) * QUESTION_BYTES):
+            return self._put_off(key, search)
         actions: list[Action] = [
             SendMessage(ip, FlowQuestion(key, search.held[0].acknowledged))
             for ip in step.ask
@@ -128,6 +145,14 @@
             actions += self._end(key, search)
         return actions
 
+    def _put_off(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Let a search wait for which the link has no room now."""
+        self.counts["searches_put_off"] += 1
+        if not search.can_go_on():
+            return self._end(key, search)
+        search.pause()
+        return []
+
     def _end(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Give up a search; reset the flow where it certainly does not exist.
 
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -1,6 +1,7 @@
 """The decisions of the agent beside a backend server about packets."""
 
 from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._byte_budget import ByteBudget
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.load import OwnerChooser
 from citronwinch.coordination.steering._actions import (
@@ -10,7 +11,6 @@
     Send,
     refuse,
 )
-from citronwinch.coordination.steering._budget import ByteBudget
 from citronwinch.coordination.steering._decisions import OwnerDecisions
 from citronwinch.coordination.steering._held import QUERY_RETRY_MS, HeldFlow
 from citronwinch.coordination.steering._leases import ServiceLeases
--- a/citronwinch/coordination/steering/_decisions.py
+++ b/citronwinch/coordination/steering/_decisions.py
@@ -1,6 +1,7 @@
 """The decisions of an agent about who owns a flow."""
 
 from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._byte_budget import ByteBudget
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination._placement import rank_candidates
 from citronwinch.coordination._table import TableRow
@@ -13,7 +14,6 @@
     TellBalancer,
     refuse,
 )
-from citronwinch.coordination.steering._budget import ByteBudget
 from citronwinch.coordination.steering._leases import ServiceLeases
 from citronwinch.coordination.steering._messages import Forward, Hint
 from citronwinch.coordination.steering._owned import OwnedFlow
--- a/citronwinch/coordination/steering/_registrations.py
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._byte_budget import ByteBudget
 from citronwinch.coordination._clock import Clock
-from citronwinch.coordination.steering._budget import ByteBudget
 from citronwinch.coordination.steering._messages import Register
 
 REGISTER_FLOWS = 64
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -78,7 +78,9 @@
         self.view = DeploymentView(self.clock)
         rng = random.Random(settings.name)
         self.choice = ServerChoice(settings.availability_zone, self.clock, rng)
-        self.flows = BalancerFlows(self.view, self.choice, self.clock)
+        self.flows = BalancerFlows(
+            self.view, self.choice, self.clock, settings.link_mbps
+        )
         seeds = [seed.ip for seed in settings.seeds]
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
         self.exchange = ViewExchange(self)
--- a/citronwinch/forwarder/_settings.py
+++ b/citronwinch/forwarder/_settings.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 from citronwinch.coordination import Endpoint, InstanceRole
+from citronwinch.coordination.flows import USUAL_LINK_MBPS
 from citronwinch.operators import (
     SettingSpec,
     SettingsProblem,
@@ -20,9 +21,6 @@
     read_setting,
 )
 
-USUAL_LINK_MBPS = 1_000
-"""The link of an instance that does not tell its own, in megabits a second."""
-
 LINK_LIMIT_MBPS = 1_000_000
 """The fastest link that settings may name, in megabits a second."""
 
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -82,6 +82,7 @@
     "requests_unknown_total": "requests whose callers were told unknown, by reason",
     "search_ms": "time until the agent of an unknown flow was found, milliseconds",
     "searches_failed_total": "searches that ended without knowing where a flow is",
+    "searches_put_off_total": "rounds of questions that the link had no room for",
     "searches_succeeded_total": "searches that found the agent of a flow",
     "searches_total": "searches for the agent of an unknown flow",
     "server_busy_share": "share of recent time in which the backend server had work",
