--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -226,11 +226,23 @@
     raise AssertionError(f"all networks from 127.{first}.0.0 on are in use")
 
 
+async def start_small(deployment: LoopbackDeployment, balancers: int = 2) -> None:
+    for number in range(11, 11 + balancers):
+        deployment.add_balancer(number)
+    for number in (31, 32):
+        deployment.add_server(number)
+    deployment.add_server(41, "reporting")
+    await deployment.wait_ready(balancers, 3)
+
+
 Scene = Callable[[LoopbackDeployment], Awaitable[None]]
 
+Play = Callable[[Scene, int], None]
+"""Plays a scene on a network of its own."""
+
 
 @pytest.fixture
-def play(tmp_path: Path) -> Callable[[Scene, int], None]:
+def play(tmp_path: Path) -> Play:
     """Return what runs a scene in a deployment on a loopback network."""
 
     def run_scene(scene: Scene, network: int) -> None:
