--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -198,6 +198,7 @@
             self.send(ip, self.make_heartbeat((), server_started_ms))
 
     def tell_balancers(self, ips: Collection[str], *, with_members: bool) -> None:
+        """Send a heartbeat to some balancers, with or without those that are known."""
         self.sent_ms |= dict.fromkeys(ips, self.clock.now_ms())
         known = tuple(sorted(self.members.members)) if with_members else ()
         self.send_to_all(ips, self.make_heartbeat(known))
