Pace control messages, so that they do not grow with the fleet

Cause: each balancer sent heartbeats to each agent and balancer at a fixed interval, agents reported every change of load to each balancer of their zone, and all processes ticked 25 to 50 times a second.

Change: intervals follow the number of receivers (25 heartbeats a second to agents of the zone, 20 to those of other zones, 20 to balancers), spread over time, and state their interval, from which receivers derive timeouts. Ticks are frequent only while something is pending. Events are handled by the task that reads them, without the inbox and its second pass of the event loop. The list of balancers goes to six of them at a time.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -30,6 +30,16 @@
     ConfigurationFollower,
     StoreStep,
 )
+from citronwinch.coordination.flows._control_pace import (
+    AGENT_HEARTBEAT_MS,
+    AGENT_HEARTBEATS_PER_S,
+    BALANCER_HEARTBEAT_MS,
+    BALANCER_HEARTBEATS_PER_S,
+    REMOTE_AGENT_HEARTBEAT_MS,
+    REMOTE_AGENT_HEARTBEATS_PER_S,
+    MessagePace,
+    compute_interval_ms,
+)
 from citronwinch.coordination.flows._deployment import (
     EMPTY_LISTING,
     BackendServer,
@@ -42,6 +52,11 @@
     pack_route_address,
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._load_reporting import (
+    REPORT_INTERVAL_MS,
+    REPORTS_PER_S,
+    LoadReporting,
+)
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
@@ -76,6 +91,17 @@
 )
 
 __all__ = [
+    "AGENT_HEARTBEATS_PER_S",
+    "AGENT_HEARTBEAT_MS",
+    "BALANCER_HEARTBEATS_PER_S",
+    "BALANCER_HEARTBEAT_MS",
+    "LoadReporting",
+    "MessagePace",
+    "REMOTE_AGENT_HEARTBEATS_PER_S",
+    "REMOTE_AGENT_HEARTBEAT_MS",
+    "REPORTS_PER_S",
+    "REPORT_INTERVAL_MS",
+    "compute_interval_ms",
     "DEFAULT_LINK_MBPS",
     "ServerSelector",
     "ViewAnswerPacing",
--- /dev/null
+++ b/citronwinch/coordination/flows/_control_pace.py
@@ -0,0 +1,86 @@
+"""Paces control messages, so that their rate does not grow with the fleet."""
+
+import zlib
+from collections.abc import Iterable
+
+from citronwinch.coordination._clock import Clock
+
+BALANCER_HEARTBEAT_MS = 1_000
+"""The shortest interval of heartbeats to another balancer, in milliseconds."""
+
+BALANCER_HEARTBEATS_PER_S = 20
+"""The most heartbeats to other balancers per second, announcements excluded."""
+
+AGENT_HEARTBEAT_MS = 300
+"""The shortest interval of heartbeats to an agent of the own zone, in milliseconds."""
+
+AGENT_HEARTBEATS_PER_S = 25
+"""The most heartbeats per second to agents of the own zone."""
+
+REMOTE_AGENT_HEARTBEAT_MS = 2_000
+"""The shortest interval of heartbeats to an agent of another zone, in milliseconds;
+traffic between zones is expensive."""
+
+REMOTE_AGENT_HEARTBEATS_PER_S = 20
+"""The most heartbeats per second to agents of other zones."""
+
+
+def compute_interval_ms(shortest_ms: int, receivers: int, messages_per_s: int) -> int:
+    """Return the interval of messages to each of several receivers, in milliseconds.
+
+    Example::
+
+        >>> compute_interval_ms(300, receivers=4, messages_per_s=25)
+        300
+        >>> compute_interval_ms(300, receivers=50, messages_per_s=25)
+        2000
+    """
+    return max(shortest_ms, receivers * 1_000 // messages_per_s)
+
+
+class MessagePace:
+    """Tells to which receivers a regular message is due.
+
+    A new receiver is due at once. From then on its messages are due at its own offset
+    within the interval, so that the messages of a process are spread over time.
+
+    Example::
+
+        >>> from citronwinch.coordination import ManualClock
+        >>> clock = ManualClock(10_000)
+        >>> pace = MessagePace(clock)
+        >>> pace.list_due(["10.0.0.1"], 300), pace.list_due(["10.0.0.1"], 300)
+        (['10.0.0.1'], [])
+        >>> clock.advance(300)
+        >>> pace.list_due(["10.0.0.1"], 300)
+        ['10.0.0.1']
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.sent_ms: dict[str, int] = {}
+        """When each receiver got its latest message."""
+
+    def list_due(self, receivers: Iterable[str], interval_ms: int) -> list[str]:
+        """Return the receivers that get a message now, and record that as sent."""
+        now_ms = self.clock.now_ms()
+        due = [ip for ip in receivers if self._is_due(ip, now_ms, interval_ms)]
+        self.record_sent(due)
+        return due
+
+    def _is_due(self, ip: str, now_ms: int, interval_ms: int) -> bool:
+        sent_ms = self.sent_ms.get(ip)
+        if sent_ms is None:
+            return True
+        offset_ms = zlib.crc32(ip.encode()) % interval_ms
+        slot = (now_ms - offset_ms) // interval_ms
+        return slot > (sent_ms - offset_ms) // interval_ms
+
+    def record_sent(self, receivers: Iterable[str]) -> None:
+        """Record that some receivers get a message now."""
+        self.sent_ms |= dict.fromkeys(receivers, self.clock.now_ms())
+
+    def retain(self, receivers: Iterable[str]) -> None:
+        """Remove all receivers but the given ones."""
+        for ip in self.sent_ms.keys() - set(receivers):
+            del self.sent_ms[ip]
--- a/citronwinch/coordination/flows/_members.py
+++ b/citronwinch/coordination/flows/_members.py
@@ -6,9 +6,16 @@
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._messages import Heartbeat
 
-MEMBER_TIMEOUT_MS = 3_500
-"""How long a balancer without heartbeats is considered live, in milliseconds: three
-heartbeat intervals and half a second for delays."""
+MIN_MEMBER_TIMEOUT_MS = 3_500
+"""The least time for which a balancer without heartbeats is considered live, in
+milliseconds."""
+
+MEMBER_TIMEOUT_INTERVALS = 3
+"""For how many of its heartbeat intervals a balancer without heartbeats is considered
+live, besides `MEMBER_TIMEOUT_MARGIN_MS`."""
+
+MEMBER_TIMEOUT_MARGIN_MS = 500
+"""The time for delays of a heartbeat, in milliseconds."""
 
 NAMED_ADDRESS_TIMEOUT_MS = 10_000
 """How long an address that members have named gets heartbeats while none arrives from
@@ -24,6 +31,12 @@
     last_heartbeat_ms: int
     """When that heartbeat arrived."""
 
+    @property
+    def timeout_ms(self) -> int:
+        """How long after that heartbeat the balancer is considered live, in ms."""
+        intervals_ms = MEMBER_TIMEOUT_INTERVALS * self.heartbeat.interval_ms
+        return max(MIN_MEMBER_TIMEOUT_MS, intervals_ms + MEMBER_TIMEOUT_MARGIN_MS)
+
 
 class BalancerMembers:
     """Tracks the live balancers, discovered from seed addresses and heartbeats."""
@@ -66,7 +79,7 @@
         silent = [
             ip
             for ip, member in self.members.items()
-            if now_ms - member.last_heartbeat_ms > MEMBER_TIMEOUT_MS
+            if now_ms - member.last_heartbeat_ms > member.timeout_ms
         ]
         for ip in silent:
             del self.members[ip]
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -53,6 +53,10 @@
     configuration_position: StorePosition = UNKNOWN_POSITION
     """The latest position of the store known to have no newer configuration."""
 
+    interval_ms: int = 0
+    """How often the balancer sends heartbeats to the receiver, in milliseconds; 0 if
+    unknown."""
+
 
 class LoadReport(NamedTuple):
     """An agent reports the load of its backend server to balancers."""
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -62,12 +62,18 @@
 """The largest factor by which a high latency multiplies a backend server's load."""
 
 LOCAL_AGENT_TIMEOUT_MS = 1_100
-"""How long an agent of the balancer's own zone may send nothing before its server is
-chosen as a last resort only, in milliseconds: three heartbeats and their answers."""
+"""How long an agent of the balancer's own zone may at least send nothing before its
+server is chosen as a last resort only, in milliseconds: three heartbeats at their
+shortest interval, and their answers."""
 
 REMOTE_AGENT_TIMEOUT_MS = 5_000
 """The same for an agent of another zone, to which heartbeats are less frequent."""
 
+HEARTBEATS_PER_TIMEOUT = 3
+"""How many heartbeats an agent may leave unanswered, at least."""
+
+HEARTBEAT_ANSWER_MARGIN_MS = 200
+"""The time for delays of a heartbeat and its answer, in milliseconds."""
 
 OUTLIER_MARGIN = 0.15
 """By how much a server's share of failed requests must exceed the median of the
@@ -160,6 +166,18 @@
         self.clock = clock
         self.rng = rng
         self.agents: dict[str, AgentState] = {}
+        self.local_timeout_ms = LOCAL_AGENT_TIMEOUT_MS
+        self.remote_timeout_ms = REMOTE_AGENT_TIMEOUT_MS
+
+    def set_heartbeat_intervals(self, local_ms: int, remote_ms: int) -> None:
+        """Set the timeouts of agents from the intervals of heartbeats to them."""
+        local_timeout_ms = HEARTBEATS_PER_TIMEOUT * local_ms
+        self.local_timeout_ms = max(
+            LOCAL_AGENT_TIMEOUT_MS, local_timeout_ms + HEARTBEAT_ANSWER_MARGIN_MS
+        )
+        self.remote_timeout_ms = max(
+            REMOTE_AGENT_TIMEOUT_MS, HEARTBEATS_PER_TIMEOUT * remote_ms
+        )
 
     def record_message(self, ip: str, report: LoadReport | None = None) -> None:
         """Record that a message of an agent arrived, and the report if it is one."""
@@ -194,21 +212,21 @@
         return self.clock.now_ms() - last_message_ms > LOCAL_AGENT_TIMEOUT_MS
 
     def has_recent_message(self, ip: str) -> bool:
-        """Return whether an agent sent a message within REMOTE_AGENT_TIMEOUT_MS.
+        """Return whether an agent sent a message within the time of a remote agent.
 
         Such an agent may be silent only because it is restarting.
         """
         agent = self.agents.get(ip)
         return (
             agent is not None
-            and self.clock.now_ms() - agent.last_message_ms <= REMOTE_AGENT_TIMEOUT_MS
+            and self.clock.now_ms() - agent.last_message_ms <= self.remote_timeout_ms
         )
 
     def is_unavailable(self, ip: str) -> bool:
         """Return whether an agent is silent or reports that it accepts no flows.
 
-        Unlike in `_is_last_resort`, an agent of any zone is silent after
-        LOCAL_AGENT_TIMEOUT_MS, and unconfirmed flows do not count.
+        This is for agents of former servers, which all get heartbeats at the shortest
+        interval. Unlike in `_is_last_resort`, unconfirmed flows do not count.
         """
         agent = self.agents.get(ip)
         if (
@@ -221,13 +239,13 @@
     def is_unresponsive(self, server: BackendServer) -> bool:
         """Return whether a server's agent is silent or left a new flow unconfirmed.
 
-        An agent of another zone is silent only after REMOTE_AGENT_TIMEOUT_MS.
+        An agent of another zone is silent only after a longer time.
         """
         agent = self.agents.get(server.address.ip)
         if agent is None:
             return True
         is_local = server.availability_zone == self.zone
-        limit_ms = LOCAL_AGENT_TIMEOUT_MS if is_local else REMOTE_AGENT_TIMEOUT_MS
+        limit_ms = self.local_timeout_ms if is_local else self.remote_timeout_ms
         return (
             agent.unconfirmed_flows > 0
             or self.clock.now_ms() - agent.last_message_ms > limit_ms
@@ -306,7 +324,7 @@
         """
         # An agent that has never sent a message counts as silent.
         agent = self.agents.setdefault(
-            server.address.ip, AgentState(-REMOTE_AGENT_TIMEOUT_MS)
+            server.address.ip, AgentState(-self.remote_timeout_ms)
         )
         agent.placed_ms.append(self.clock.now_ms())
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -90,6 +90,7 @@
     body.serverStartedMs = message.server_started_ms
     body.settlesInMs = message.remaining_grace_ms
     body.configurationEra, body.configurationRevision = message.configuration_position
+    body.intervalMs = message.interval_ms
     return _pack(builder)
 
 
@@ -168,6 +169,7 @@
             body.serverStartedMs,
             body.settlesInMs,
             StorePosition(body.configurationEra, body.configurationRevision),
+            body.intervalMs,
         )
     if kind == "loadReport":
         body = reader.loadReport
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -16,6 +16,7 @@
   # The eras of the store to which revision and configurationRevision belong.
   era @11 :UInt32;
   configurationEra @12 :UInt32;
+  intervalMs @13 :UInt32;
 }
 
 struct LoadReport {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -47,6 +47,7 @@
         5,
         900,
         StorePosition(2, 8),
+        1_200,
     ),
     LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35),
     FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -3,29 +3,36 @@
 import trio
 
 from citronwinch.coordination.flows import (
+    REPORT_INTERVAL_MS,
+    REPORTS_PER_S,
     AgentFlows,
     FlowQuestion,
     ForwardedPacket,
     Heartbeat,
     LoadReport,
+    LoadReporting,
     Message,
+    compute_interval_ms,
 )
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramSocket, try_connection
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
-REPORT_INTERVAL_MS = 40
-"""The interval of load reports to the balancers of the own zone, in milliseconds: about
-the duration of two requests. Only a changed load is reported."""
-
 REMOTE_REPORT_INTERVAL_MS = 300
 """The interval of load reports to the balancers of other zones that open flows at this
 agent, in milliseconds; traffic between zones is expensive."""
 
+AGENT_IDLE_TICK_MS = 200
+"""The interval between ticks while no request waits, in milliseconds; below it, a
+silent backend server would be noticed no earlier."""
+
 BALANCER_TIMEOUT_MS = 2_000
-"""How long after its last heartbeat or opening packet a balancer still receives load
-reports, in milliseconds."""
+"""How long after its last heartbeat or opening packet a balancer at least still
+receives load reports, in milliseconds."""
+
+BALANCER_TIMEOUT_INTERVALS = 3
+"""For how many of its heartbeat intervals a balancer still receives load reports."""
 
 BUSY_STOP_MS = 1_000
 """How long a stopping agent forwards at most while requests are in progress, in
@@ -45,7 +52,7 @@
 class AgentProcess(ForwarderProcess):
     """An agent: runs beside one backend server and forwards its packets."""
 
-    tick_ms = REPORT_INTERVAL_MS
+    idle_tick_ms = AGENT_IDLE_TICK_MS
 
     def __init__(
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
@@ -58,12 +65,24 @@
             knows_all_flows=settings.is_first_start,
             started_unix_ms=self.incarnation // 1_000_000,
         )
-        # Times by a balancer's IP address: of the last heartbeat from a balancer in the
-        # own zone, and of the last opening packet from any balancer.
-        self.local_heartbeat_ms: dict[str, int] = {}
-        self.last_opening_ms: dict[str, int] = {}
+        self.reporting = LoadReporting(self.clock)
+        self.local_balancers: dict[str, int] = {}
+        """The balancers of the own zone, with the time until which they get reports."""
+        self.opening_balancers: dict[str, int] = {}
+        """The balancers that sent an opening, with the same time."""
         self.remote_reported_ms = self.started_ms
-        self.last_report: LoadReport | None = None
+        self.last_remote_report: LoadReport | None = None
+
+    @property
+    def tick_ms(self) -> int:  # type: ignore[override]
+        """The interval between ticks while requests wait, in milliseconds.
+
+        The more balancers receive reports, the less frequent these are.
+        """
+        report_ms = compute_interval_ms(
+            REPORT_INTERVAL_MS, len(self.local_balancers), REPORTS_PER_S
+        )
+        return min(report_ms, AGENT_IDLE_TICK_MS)
 
     def is_ready(self) -> bool:
         """Return True: an agent can deliver packets without any prior state."""
@@ -86,13 +105,17 @@
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_forwarded_total")
             if packet.is_opening:
-                self.last_opening_ms[sender] = self.clock.now_ms()
+                until_ms = self.clock.now_ms() + BALANCER_TIMEOUT_MS
+                self.opening_balancers[sender] = until_ms
             self.apply_actions(self.flows.handle_forwarded(message, packet, sender))
         elif isinstance(message, FlowQuestion):
             self.send(sender, self.flows.answer_question(message))
         elif isinstance(message, Heartbeat):
             if message.availability_zone == self.settings.availability_zone:
-                self.local_heartbeat_ms[sender] = self.clock.now_ms()
+                intervals_ms = BALANCER_TIMEOUT_INTERVALS * message.interval_ms
+                self.local_balancers[sender] = self.clock.now_ms() + max(
+                    BALANCER_TIMEOUT_MS, intervals_ms
+                )
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
@@ -114,32 +137,38 @@
         self.metrics.set_gauge("server_busy_share", report.busy_share)
         self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
-        if report == self.last_report:
-            return
-        self.last_report = report
-        self._send_report(report)
+        self._discard_silent(self.local_balancers)
+        if self.reporting.is_due(report, len(self.local_balancers)):
+            self.send_to_all(self.local_balancers, report)
         now_ms = self.clock.now_ms()
-        if now_ms - self.remote_reported_ms >= REMOTE_REPORT_INTERVAL_MS:
-            self.remote_reported_ms = now_ms
+        if (
+            report != self.last_remote_report
+            and now_ms - self.remote_reported_ms >= REMOTE_REPORT_INTERVAL_MS
+        ):
+            self.remote_reported_ms, self.last_remote_report = now_ms, report
             self._send_remote_report(report)
 
-    def _send_report(self, report: LoadReport) -> None:
-        self._discard_silent(self.local_heartbeat_ms)
-        self.send_to_all(self.local_heartbeat_ms, report)
+    def has_pending_work(self) -> bool:
+        """Return whether requests wait, or the backend server has not answered."""
+        return (
+            bool(self.flows.waiting_requests)
+            or self.flows.server_liveness.first_unanswered_ms is not None
+            or self.flows.server_liveness.is_down
+        )
 
     def _send_remote_report(self, report: LoadReport) -> None:
         """Report the load to balancers of other zones that recently opened flows."""
-        self._discard_silent(self.last_opening_ms)
+        self._discard_silent(self.opening_balancers)
         self.send_to_all(
-            self.last_opening_ms.keys() - self.local_heartbeat_ms.keys(), report
+            self.opening_balancers.keys() - self.local_balancers.keys(), report
         )
 
-    def _discard_silent(self, received_ms_by_ip: dict[str, int]) -> None:
-        """Remove the balancers whose last message is older than BALANCER_TIMEOUT_MS."""
-        since_ms = self.clock.now_ms() - BALANCER_TIMEOUT_MS
-        for ip, received_ms in list(received_ms_by_ip.items()):
-            if received_ms < since_ms:
-                del received_ms_by_ip[ip]
+    def _discard_silent(self, until_ms_by_ip: dict[str, int]) -> None:
+        """Remove the balancers whose time has passed."""
+        now_ms = self.clock.now_ms()
+        for ip, until_ms in list(until_ms_by_ip.items()):
+            if until_ms < now_ms:
+                del until_ms_by_ip[ip]
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
         """Do nothing: an agent uses no setting that may change while it runs."""
@@ -147,7 +176,8 @@
     def begin_stop(self) -> None:
         """Report to the balancers of the own zone that this agent is stopping."""
         self.flows.is_leaving = True
-        self._send_report(self.flows.make_load_report())
+        self._discard_silent(self.local_balancers)
+        self.send_to_all(self.local_balancers, self.flows.make_load_report())
         # An agent is often stopped because its backend server has exited. If the check
         # finds it down, the agent doesn't wait for requests in progress (`can_exit`).
         self.nursery.start_soon(self._check_server)
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -9,6 +9,12 @@
 
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
+    AGENT_HEARTBEAT_MS,
+    AGENT_HEARTBEATS_PER_S,
+    BALANCER_HEARTBEAT_MS,
+    BALANCER_HEARTBEATS_PER_S,
+    REMOTE_AGENT_HEARTBEAT_MS,
+    REMOTE_AGENT_HEARTBEATS_PER_S,
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
@@ -16,9 +22,11 @@
     Heartbeat,
     LoadReport,
     Message,
+    MessagePace,
     Packet,
     ReturnedPacket,
     ServerSelector,
+    compute_interval_ms,
 )
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
@@ -28,23 +36,20 @@
 from citronwinch.platform import decode_caller_packet
 
 BALANCER_TICK_MS = 20
-"""The interval at which a balancer checks its timeouts, in milliseconds. The shortest
-timeout is that for an answer from an agent of the own zone about a flow."""
+"""The interval at which a balancer checks its timeouts while searches run or openings
+are held, in milliseconds. The shortest timeout is that for an answer from an agent of
+the own zone about a flow."""
 
-BALANCER_HEARTBEAT_MS = 1_000
-"""The interval of heartbeats to other balancers, in milliseconds."""
+BALANCER_IDLE_TICK_MS = 100
+"""The interval at which a balancer checks its other timeouts, in milliseconds."""
 
 MEMBERS_INTERVAL_MS = 3_000
 """The interval of heartbeats that list the balancers known to the sender, in
 milliseconds. A balancer that joins receives the list at once. The list makes up most of
 a heartbeat's bytes."""
 
-AGENT_HEARTBEAT_MS = 300
-"""The interval of heartbeats to an agent of the own zone, in milliseconds."""
-
-REMOTE_AGENT_HEARTBEAT_MS = 2_000
-"""The interval of heartbeats to an agent of another zone, in milliseconds; traffic
-between zones is expensive."""
+MEMBERS_RECEIVERS = 6
+"""The most balancers that receive the list at the same time, chosen at random."""
 
 STOP_MS = 2_500
 """How long a stopping balancer still forwards, in milliseconds. Routers check a
@@ -75,6 +80,7 @@
     """A balancer: forwards callers' packets to agents and serves its view."""
 
     tick_ms = BALANCER_TICK_MS
+    idle_tick_ms = BALANCER_IDLE_TICK_MS
 
     def __init__(
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
@@ -82,8 +88,8 @@
         super().__init__(settings, settings.packet_address, open_socket)
         self.early_packets: deque[Packet] = deque(maxlen=MAX_EARLY_PACKETS)
         self.view = DeploymentView(self.clock)
-        rng = random.Random(settings.name)
-        self.selector = ServerSelector(settings.availability_zone, self.clock, rng)
+        self.rng = random.Random(settings.name)
+        self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
         self.flows = BalancerFlows(
             self.view, self.selector, self.clock, settings.link_mbps
         )
@@ -92,7 +98,8 @@
         self.view_exchange = ViewExchange(self)
         self.has_been_ready = False
         self.is_isolated = False
-        self.heartbeat_sent_ms: dict[str, int] = {}
+        self.balancer_pace = MessagePace(self.clock)
+        self.agent_pace = MessagePace(self.clock)
         self.members_sent_ms = self.started_ms
 
     def is_ready(self) -> bool:
@@ -173,6 +180,14 @@
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
+    def has_pending_work(self) -> bool:
+        """Return whether the process starts, searches run or openings are held."""
+        return (
+            not self.has_been_ready
+            or bool(self.flows.searches)
+            or bool(self.flows.held_openings.openings)
+        )
+
     def _update_isolation(self) -> None:
         is_isolated = self.selector.is_isolated()
         if is_isolated != self.is_isolated:
@@ -182,47 +197,63 @@
 
     def _send_due_heartbeats(self) -> None:
         targets = self.members.list_heartbeat_targets()
-        due = [ip for ip in targets if self._is_due(ip, BALANCER_HEARTBEAT_MS)]
         now_ms = self.clock.now_ms()
-        if now_ms - self.members_sent_ms >= MEMBERS_INTERVAL_MS:
+        if targets and now_ms - self.members_sent_ms >= MEMBERS_INTERVAL_MS:
             self.members_sent_ms = now_ms
-            self.send_balancer_heartbeat(targets, with_members=True)
-        elif due:
+            count = min(len(targets), MEMBERS_RECEIVERS)
+            chosen = self.rng.sample(sorted(targets), count)
+            self.send_balancer_heartbeat(chosen, with_members=True)
+        due = self.balancer_pace.list_due(targets, self._compute_balancer_interval_ms())
+        if due:
             self.send_balancer_heartbeat(due, with_members=False)
+        self._send_due_agent_heartbeats()
+
+    def _compute_balancer_interval_ms(self) -> int:
+        targets = len(self.members.list_heartbeat_targets())
+        return compute_interval_ms(
+            BALANCER_HEARTBEAT_MS, targets, BALANCER_HEARTBEATS_PER_S
+        )
+
+    def _send_due_agent_heartbeats(self) -> None:
+        started_ms: dict[str, int] = {}
+        local: list[str] = []
+        remote: list[str] = []
         for server in self.view.list_servers():
+            ip = server.address.ip
+            started_ms[ip] = server.started_ms
             # An isolated balancer probes all agents as often as those of its own zone.
             is_local = self.is_isolated or (
                 server.availability_zone == self.settings.availability_zone
             )
-            interval_ms = AGENT_HEARTBEAT_MS if is_local else REMOTE_AGENT_HEARTBEAT_MS
-            self._send_agent_heartbeat_if_due(
-                server.address.ip, interval_ms, server.started_ms
-            )
+            (local if is_local else remote).append(ip)
+        local_ms = compute_interval_ms(
+            AGENT_HEARTBEAT_MS, len(local), AGENT_HEARTBEATS_PER_S
+        )
+        remote_ms = compute_interval_ms(
+            REMOTE_AGENT_HEARTBEAT_MS, len(remote), REMOTE_AGENT_HEARTBEATS_PER_S
+        )
+        self.selector.set_heartbeat_intervals(local_ms, remote_ms)
         # Heartbeats show whether the agent of a former server still answers; if not,
         # the flows of the server are lost.
-        for server in self.view.list_former():
-            self._send_agent_heartbeat_if_due(server.address.ip, AGENT_HEARTBEAT_MS)
-
-    def _is_due(self, ip: str, interval_ms: int) -> bool:
-        return (
-            self.clock.now_ms() - self.heartbeat_sent_ms.get(ip, -interval_ms)
-            >= interval_ms
+        former = [server.address.ip for server in self.view.list_former()]
+        groups = (
+            (local, local_ms),
+            (remote, remote_ms),
+            (former, AGENT_HEARTBEAT_MS),
         )
-
-    def _send_agent_heartbeat_if_due(
-        self, ip: str, interval_ms: int, server_started_ms: int = 0
-    ) -> None:
-        if self._is_due(ip, interval_ms):
-            self.heartbeat_sent_ms[ip] = self.clock.now_ms()
-            self.send(ip, self.make_heartbeat((), server_started_ms))
+        for ips, interval_ms in groups:
+            for ip in self.agent_pace.list_due(ips, interval_ms):
+                heartbeat = self.make_heartbeat((), started_ms.get(ip, 0), interval_ms)
+                self.send(ip, heartbeat)
 
     def send_balancer_heartbeat(
         self, ips: Collection[str], *, with_members: bool
     ) -> None:
         """Send a heartbeat to balancers; `with_members` adds all known balancers."""
-        self.heartbeat_sent_ms |= dict.fromkeys(ips, self.clock.now_ms())
+        self.balancer_pace.record_sent(ips)
         known = tuple(sorted(self.members.members)) if with_members else ()
-        self.send_to_all(ips, self.make_heartbeat(known))
+        interval_ms = self._compute_balancer_interval_ms()
+        self.send_to_all(ips, self.make_heartbeat(known, interval_ms=interval_ms))
 
     def announce_view(self) -> None:
         """Announce a new configuration or listing to the other balancers.
@@ -233,12 +264,16 @@
         known = [server.address.ip for server in self.view.list_servers()]
         known += [former.server.address.ip for former in self.view.former.values()]
         self.selector.retain_agents(known)
+        self.agent_pace.retain(known)
         self.send_balancer_heartbeat(
             self.members.list_heartbeat_targets(), with_members=False
         )
 
     def make_heartbeat(
-        self, balancers: tuple[str, ...] = (), server_started_ms: int = 0
+        self,
+        balancers: tuple[str, ...] = (),
+        server_started_ms: int = 0,
+        interval_ms: int = 0,
     ) -> Heartbeat:
         """Return a heartbeat that describes this balancer and its view."""
         view = self.view
@@ -256,6 +291,7 @@
             server_started_ms,
             view.remaining_grace_ms,
             view.configuration_position,
+            interval_ms,
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -31,9 +31,6 @@
 """How long after its last read of the listing a balancer watches the configuration in
 the store, in milliseconds."""
 
-READER_CHECK_S = 0.05
-"""How often a balancer checks whether it has become a reader, in seconds."""
-
 log = structlog.get_logger()
 
 
@@ -53,6 +50,7 @@
         self.store = exchange.store
         self.follower = ConfigurationFollower(self.view)
         self.listing_read_ms = -LISTING_READER_TIMEOUT_MS
+        self.listing_was_read = trio.Event()
         self.transfer_ms = compute_configuration_transfer_ms(
             self.process.settings.link_mbps
         )
@@ -63,6 +61,7 @@
     def record_listing_read(self) -> None:
         """Record a successful read of the listing, and the era of its answer."""
         self.listing_read_ms = self.clock.now_ms()
+        self.listing_was_read.set()
         self._record_era()
 
     def _record_era(self) -> None:
@@ -83,7 +82,8 @@
             if self._is_listing_reader():
                 await self._follow_once()
             else:
-                await trio.sleep(READER_CHECK_S)
+                self.listing_was_read = trio.Event()
+                await self.listing_was_read.wait()
 
     async def _await_first_configuration(self) -> None:
         """Wait for another balancer's configuration, then read the store as well.
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -50,9 +50,6 @@
 RELOADABLE_SETTINGS = frozenset({"seeds", "stop_timeout_s"})
 """The settings that a running process applies; all others require a restart."""
 
-INBOX_LIMIT = 64
-"""The most events that wait in the inbox of the event-handling task."""
-
 log = structlog.get_logger()
 
 
@@ -83,7 +80,7 @@
 
 
 Event = PeerBatch | PacketBatch | Tick | StopRequested | SettingsChanged
-"""An event that the event-handling task receives from the other tasks."""
+"""An event that a task of the process passes to `handle_event`."""
 
 
 OpenSocket = Callable[[Endpoint], DatagramSocket]
@@ -93,12 +90,15 @@
 class ForwarderProcess(ABC):
     """A balancer or agent process.
 
-    Each socket is read by a task of its own, which puts the datagrams into the inbox. A
-    single task handles all events from the inbox.
+    Each socket is read by a task of its own. The tasks call `handle_event`, which does
+    not wait, so that events are handled one after the other.
     """
 
     tick_ms: int
-    """The interval between calls of `tick`, in milliseconds."""
+    """The interval between calls of `tick` while something is pending, in ms."""
+
+    idle_tick_ms: int
+    """The interval between calls of `tick` while nothing is pending, in ms."""
 
     def __init__(
         self,
@@ -114,8 +114,12 @@
         self.decision_log = DecisionLog(self.clock)
         self.packet_socket = open_socket(packet_address)
         self.peer_socket = open_socket(Endpoint(settings.ip, settings.peer_port))
-        self.inbox_send, self.inbox = trio.open_memory_channel[Event](INBOX_LIMIT)
         self.last_tick_ms = self.started_ms
+        self.current_tick_ms = 0
+        """The interval until the next tick, in milliseconds."""
+        self.tick_requested = trio.Event()
+        self.is_finished = trio.Event()
+        """Set when a requested stop is complete."""
         self.settings_file = ""
         self.settings_mtime_ns = 0
         self.stop_requested_ms: int | None = None
@@ -139,6 +143,10 @@
     def tick(self) -> None:
         """Apply timeouts and send the messages that are due."""
 
+    @abstractmethod
+    def has_pending_work(self) -> bool:
+        """Return whether something is pending that needs frequent ticks."""
+
     @abstractmethod
     def begin_stop(self) -> None:
         """Announce the stop to the other processes."""
@@ -181,7 +189,7 @@
                 zone=settings.availability_zone,
                 incarnation=self.incarnation,
             )
-            await self._process_inbox()
+            await self.is_finished.wait()
             nursery.cancel_scope.cancel()
         log.info("stopped", name=settings.name)
 
@@ -190,16 +198,18 @@
         self.packet_socket.close()
         self.peer_socket.close()
 
-    async def _process_inbox(self) -> None:
-        async for event in self.inbox:
-            try:
-                self._handle_event(event)
-            except Exception:
-                # Exiting here would break every flow because of a single event.
-                self.metrics.count("internal_errors_total", type(event).__name__)
-                log.exception("event_not_handled", kind=type(event).__name__)
-            if self.stop_requested_ms is not None and self.can_exit():
-                return
+    def handle_event(self, event: Event) -> None:
+        """Handle an event; log an error instead of raising it."""
+        try:
+            self._handle_event(event)
+            if self.current_tick_ms == self.idle_tick_ms and self.has_pending_work():
+                self.tick_requested.set()
+        except Exception:
+            # Exiting here would break every flow because of a single event.
+            self.metrics.count("internal_errors_total", type(event).__name__)
+            log.exception("event_not_handled", kind=type(event).__name__)
+        if self.stop_requested_ms is not None and self.can_exit():
+            self.is_finished.set()
 
     def _handle_event(self, event: Event) -> None:
         if isinstance(event, PacketBatch):
@@ -274,7 +284,7 @@
 
     def _detect_pause(self) -> None:
         now_ms = self.clock.now_ms()
-        late_ms = now_ms - self.last_tick_ms - self.tick_ms
+        late_ms = now_ms - self.last_tick_ms - self.current_tick_ms
         if late_ms > PAUSE_THRESHOLD_MS:
             self.metrics.count("pauses_total")
             log.warning("paused", for_ms=late_ms)
@@ -323,20 +333,21 @@
         event: type[PeerBatch] | type[PacketBatch],
     ) -> None:
         while True:
-            await self._enqueue(event(await datagram_socket.receive_next()))
-
-    async def _enqueue(self, event: Event) -> None:
-        """Put an event into the inbox; wait only while the inbox is full."""
-        try:
-            # `send_nowait` saves a pass of the event loop.
-            self.inbox_send.send_nowait(event)
-        except trio.WouldBlock:
-            await self.inbox_send.send(event)
+            self.handle_event(event(await datagram_socket.receive_next()))
 
     async def _tick(self) -> None:
+        """Tick often while something is pending, and seldom otherwise.
+
+        Each wake-up costs processor time, of which a small instance has little.
+        """
         while True:
-            await trio.sleep(self.tick_ms / 1000)
-            await self._enqueue(Tick())
+            is_pending = self.stop_requested_ms is not None or self.has_pending_work()
+            self.current_tick_ms = self.tick_ms if is_pending else self.idle_tick_ms
+            self.tick_requested = trio.Event()
+            with trio.move_on_after(self.current_tick_ms / 1000) as scope:
+                await self.tick_requested.wait()
+            if scope.cancelled_caught:
+                self.handle_event(Tick())
 
     async def _watch_settings(self) -> None:
         """Detect changes of the settings file that no signal announces."""
@@ -347,16 +358,14 @@
                 has_settings_file
                 and self._read_settings_mtime_ns() != self.settings_mtime_ns
             ):
-                await self.inbox_send.send(SettingsChanged())
+                self.handle_event(SettingsChanged())
 
     async def _receive_signals(self) -> None:
         stop_signals = (signal.SIGTERM, signal.SIGINT)
         with trio.open_signal_receiver(*stop_signals, signal.SIGHUP) as signals:
             async for number in signals:
                 is_stop = number in stop_signals
-                await self.inbox_send.send(
-                    StopRequested() if is_stop else SettingsChanged()
-                )
+                self.handle_event(StopRequested() if is_stop else SettingsChanged())
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         if request.path != READY_PATH:
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -186,8 +186,7 @@
 
     async def stop(self, number: int) -> None:
         """Request a process to stop."""
-        process = self.processes[number]
-        await process.inbox_send.send(StopRequested())
+        self.processes[number].handle_event(StopRequested())
 
     async def wait_for(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds; fail after WAIT_TIMEOUT_S."""
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -235,7 +235,7 @@
         send, cut_off.peer_socket.send = cut_off.peer_socket.send, lambda *_: True  # type: ignore[method-assign]
         agents = (31, 32, 41)
         for number in agents:
-            deployment.processes[number].local_heartbeat_ms.clear()  # type: ignore[attr-defined]
+            deployment.processes[number].local_balancers.clear()  # type: ignore[attr-defined]
         await deployment.wait_for(lambda: len(deployment.router.rotation) == 1)
         await open_flows(deployment, range(4000, 4004))
         cut_off.peer_socket.send = send  # type: ignore[method-assign]
@@ -257,7 +257,7 @@
             (deployment.format_balancer(12, seed=78), 78),
         ):
             deployment.write_settings(12, text)
-            await process.inbox_send.send(SettingsChanged())
+            process.handle_event(SettingsChanged())
             await trio.sleep(0.05)
             assert process.members.seeds == {f"{deployment.prefix}.{seed}"}  # type: ignore[attr-defined]
         deployment.write_settings(12, deployment.format_balancer(12, seed=79))
