Keep flow locations at balancers of the zone, so that moved flows need no questions

Cause: routers move nearly all flows of a zone whenever a balancer joins or leaves the rotation, and a balancer asked every agent of the service about each flow that it does not know: 22 agents of the zone for each of 324 flows on the large site, at each of the 24 changes of a restart in turn of twelve balancers.

Change: a flow that lives for half a second has a keeper among the balancers of its zone, by rendezvous hash, which stores its location as a hint. A balancer looks the flow up there first, and asks the agents if the keeper is silent, does not know or is wrong. A stopping balancer hands its locations over, a joining one takes over those that it keeps from then on. Services with up to six servers in the zone are asked as before.

Flows expire by elapsed time instead of by calls, since ticks have no fixed interval any more. A balancer stores at most 120,000 flows, which fit into the smallest instances; 400,000 did not.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -51,6 +51,7 @@
     order_services,
     pack_route_address,
 )
+from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._load_reporting import (
     REPORT_INTERVAL_MS,
@@ -60,6 +61,9 @@
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
+    FlowLocation,
+    FlowLocations,
+    FlowLookup,
     FlowQuestion,
     ForwardedPacket,
     Heartbeat,
@@ -121,6 +125,10 @@
     "DeploymentView",
     "EMPTY_LISTING",
     "FlowAnswer",
+    "FlowDirectory",
+    "FlowLocation",
+    "FlowLocations",
+    "FlowLookup",
     "FlowQuestion",
     "FlowSearch",
     "ForwardedPacket",
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -15,6 +15,7 @@
     record,
 )
 from citronwinch.coordination.flows._busy_meter import BusyMeter
+from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -63,11 +64,6 @@
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits and wrap around at this value."""
 
-EXPIRY_CALLS_PER_PASS = 250
-"""The number of calls in which `expire_idle` checks every flow once. Such a pass takes
-5 to 10 s, well below the idle timeout of open flows. Flows that are not open may stay
-that much longer than UNOPENED_FLOW_TIMEOUT_MS."""
-
 
 class FlowState(IntEnum):
     """What the agent knows about a flow at its backend server."""
@@ -154,6 +150,7 @@
         self.knows_all_flows = knows_all_flows
         """Whether the backend server holds only flows that the agent knows."""
         self.flows: OrderedDict[FlowKey, FlowEntry] = OrderedDict()
+        self.expiry_pass = ExpiryPass(clock)
         self.waiting_requests: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows whose request waits for an answer, with the time of its receipt."""
         self.open_flows = 0
@@ -379,7 +376,7 @@
     def expire_idle(self) -> None:
         """Remove flows that have been idle too long; check a part of them per call."""
         now_ms = self.clock.now_ms()
-        for _ in range(-(-len(self.flows) // EXPIRY_CALLS_PER_PASS)):
+        for _ in range(self.expiry_pass.count_due(len(self.flows))):
             key, flow = next(iter(self.flows.items()))
             timeout_ms = (
                 OPEN_FLOW_TIMEOUT_MS
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -7,12 +7,17 @@
 from citronwinch.coordination.flows._actions import (
     Action,
     ResetFlow,
+    SendMessage,
     record,
 )
 from citronwinch.coordination.flows._deployment import (
     Route,
     order_services,
 )
+from citronwinch.coordination.flows._flow_directory import (
+    MIN_AGENTS,
+    FlowDirectory,
+)
 from citronwinch.coordination.flows._flow_searches import FlowSearches
 from citronwinch.coordination.flows._held_openings import (
     HeldOpening,
@@ -25,7 +30,13 @@
     confirm_opening,
     forward_to_agent,
 )
-from citronwinch.coordination.flows._messages import FlowAnswer, Verdict
+from citronwinch.coordination.flows._messages import (
+    FlowAnswer,
+    FlowLocation,
+    FlowLocations,
+    FlowLookup,
+    Verdict,
+)
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
 from citronwinch.coordination.flows._server_selector import ChosenServer, ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
@@ -66,14 +77,22 @@
         selector: ServerSelector,
         clock: Clock,
         link_mbps: int = DEFAULT_LINK_MBPS,
+        own_ip: str = "",
     ) -> None:
         self.view = view
         self.selector = selector
         self.clock = clock
         self.flows = KnownFlows(clock)
         self.counters: Counter[str] = Counter()
+        self.directory = FlowDirectory(own_ip, clock)
         self.searches = FlowSearches(
-            view, selector, clock, self.flows, self.counters, link_mbps
+            view,
+            selector,
+            clock,
+            self.flows,
+            self.counters,
+            self.directory,
+            link_mbps,
         )
         self.held_openings = HeldOpenings(clock)
 
@@ -257,14 +276,60 @@
             del self.flows[answer.flow]
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
+            if answer.verdict is Verdict.HELD:
+                self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
             known.agent, known.unconfirmed_since_ms = agent, None
         return []
 
+    def answer_lookup(self, lookup: FlowLookup) -> FlowLocations:
+        """Return the location of a flow that this balancer keeps or forwards."""
+        known = self.flows.get(lookup.flow)
+        if known is not None and known.unconfirmed_since_ms is None:
+            location = FlowLocation(lookup.flow, known.agent, known.service)
+        else:
+            location = self.directory.find_location(lookup.flow) or FlowLocation(
+                lookup.flow, "", ""
+            )
+        return FlowLocations((location,))
+
+    def handle_locations(self, message: FlowLocations, sender: str) -> list[Action]:
+        """Apply the answer to a lookup, or keep the locations of other balancers."""
+        self.directory.silent.discard(sender)
+        actions: list[Action] = []
+        for location in message.locations:
+            if self.searches.is_awaiting_keeper(location.flow):
+                actions += self.searches.handle_location(location)
+            elif location.agent:
+                self.directory.store(location)
+        return actions
+
+    def _register_flows(self) -> list[SendMessage]:
+        """Send the locations of flows that have become old enough to their keepers."""
+        due = [
+            (key, known)
+            for key in self.directory.take_due_registrations()
+            if (known := self.flows.get(key)) is not None
+        ]
+        large_services = {
+            service
+            for service in {known.service for _, known in due}
+            if self.view.count_servers(service, self.selector.zone) > MIN_AGENTS
+        }
+        return self.directory.register(
+            [
+                FlowLocation(key, known.agent, known.service)
+                for key, known in due
+                if known.service in large_services
+            ]
+        )
+
     def tick(self) -> list[Action]:
         """Advance timed-out searches, expire idle flows and place held openings."""
         actions = self.searches.tick()
+        self.directory.expire()
+        actions += self._register_flows()
         configuration = self.view.configuration
         if configuration is not None:
             self.flows.expire_idle(configuration.flow_idle_ms)
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -86,6 +86,8 @@
         self.rounds: list[SearchRound] = []
         self._plan_rounds(route_servers, other_servers)
         self.is_paused = False
+        self.keeper = ""
+        """The keeper whose answer the search awaits before its first round, if any."""
         self.round = SearchRound((), 0, allows_trial=False)
         self.round_agents: list[str] = []
         self.is_in_trial = False
@@ -125,8 +127,14 @@
         if len(self.held_packets) < HELD_PACKETS_LIMIT:
             self.held_packets.append(packet)
 
+    def await_keeper(self, keeper: str) -> None:
+        """Wait for the answer of the flow's keeper before the first round."""
+        self.keeper = keeper
+        self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
+
     def start(self) -> SearchStep:
         """Start the first round."""
+        self.keeper = ""
         return self._start_next_round()
 
     def handle_verdict(self, agent: str, verdict: Verdict) -> SearchStep:
@@ -134,6 +142,8 @@
         if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
+        if self.keeper:
+            return SearchStep()
         if self.is_paused:
             return SearchStep(is_exhausted=not self.list_unresolved())
         return self._continue_round()
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -13,13 +13,22 @@
     record,
 )
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._flow_directory import (
+    MIN_AGENTS,
+    FlowDirectory,
+)
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._known_flows import (
     KnownFlow,
     KnownFlows,
     forward_to_agent,
 )
-from citronwinch.coordination.flows._messages import FlowQuestion, Verdict
+from citronwinch.coordination.flows._messages import (
+    FlowLocation,
+    FlowLookup,
+    FlowQuestion,
+    Verdict,
+)
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
@@ -59,9 +68,11 @@
         clock: Clock,
         flows: KnownFlows,
         counters: Counter[str],
+        directory: FlowDirectory,
         link_mbps: int,
     ) -> None:
         super().__init__()
+        self.directory = directory
         self.view = view
         self.selector = selector
         self.clock = clock
@@ -92,8 +103,32 @@
         self.counters["searches"] += 1
         if absent_at:
             search.handle_verdict(absent_at, Verdict.ABSENT)
+        elif len(search.rounds[0].agents) > MIN_AGENTS:
+            return self._look_up(packet.flow, search)
         return self._apply_step(packet.flow, search, search.start())
 
+    def _look_up(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Look a flow up in the directory of the zone before agents are asked."""
+        keeper = self.directory.find_keeper(key)
+        if keeper and keeper != self.directory.own_ip:
+            search.await_keeper(keeper)
+            return [SendMessage(keeper, FlowLookup(key))]
+        location = self.directory.find_location(key) or FlowLocation(key, "", "")
+        return self.handle_location(location)
+
+    def handle_location(self, location: FlowLocation) -> list[Action]:
+        """Apply the keeper's answer: forward there, or ask the agents."""
+        search = self[location.flow]
+        if search.services.get(location.agent) == location.service:
+            self.counters["searches_by_directory"] += 1
+            return self._finish_found(location.flow, search, location.agent)
+        return self._apply_step(location.flow, search, search.start())
+
+    def is_awaiting_keeper(self, key: FlowKey) -> bool:
+        """Return whether the search for a flow awaits the answer of its keeper."""
+        search = self.get(key)
+        return search is not None and bool(search.keeper)
+
     def handle_verdict(
         self, key: FlowKey, agent: str, verdict: Verdict
     ) -> list[Action]:
@@ -107,7 +142,11 @@
         now_ms = self.clock.now_ms()
         for key, search in list(self.items()):
             if now_ms >= search.deadline_ms:
-                if search.is_paused:
+                if search.keeper:
+                    self.directory.silent.add(search.keeper)
+                    self.counters["lookups_unanswered"] += 1
+                    step = search.start()
+                elif search.is_paused:
                     step = search.resume(
                         *self._list_servers_to_query(search.held_packets[0])
                     )
@@ -221,6 +260,8 @@
         flow = KnownFlow(holder, service, now_ms)
         flow.acknowledged = search.held_packets[-1].acknowledged
         self.flows.store(key, flow)
+        if search.verdicts:
+            self.directory.request_registration(key)
         self.counters["searches_succeeded"] += 1
         found = record(
             "flow_found",
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -6,16 +6,13 @@
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import Action, Measure, SendMessage
+from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._messages import ForwardedPacket
 from citronwinch.coordination.flows._packets import Packet
 
-FLOW_LIMIT = 400_000
-"""The most flows that a balancer stores; they take about 160 MB."""
-
-EXPIRY_CALLS_PER_PASS = 250
-"""The number of calls in which `expire_idle` checks every flow once. Such a pass takes
-5 to 10 s, well below the shortest idle timeout of a flow; an idle flow may stay that
-much longer."""
+FLOW_LIMIT = 120_000
+"""The most flows that a balancer stores; they take about 50 MB, which the smallest
+instances have."""
 
 
 class KnownFlow:
@@ -39,6 +36,7 @@
     def __init__(self, clock: Clock) -> None:
         super().__init__()
         self.clock = clock
+        self.expiry_pass = ExpiryPass(clock)
 
     def store(self, key: FlowKey, flow: KnownFlow) -> None:
         """Store a flow; discard the first flows beyond the limit."""
@@ -50,7 +48,7 @@
     def expire_idle(self, idle_ms: int) -> None:
         """Remove idle flows; check a bounded part of all flows per call."""
         now_ms = self.clock.now_ms()
-        for _ in range(-(-len(self) // EXPIRY_CALLS_PER_PASS)):
+        for _ in range(self.expiry_pass.count_due(len(self))):
             key, flow = next(iter(self.items()))
             if now_ms - flow.last_packet_ms > idle_ms:
                 del self[key]
--- a/citronwinch/coordination/flows/_members.py
+++ b/citronwinch/coordination/flows/_members.py
@@ -94,6 +94,14 @@
             ip for ip, member in self.members.items() if not member.heartbeat.is_leaving
         ]
 
+    def list_live_in_zone(self, zone: str) -> list[str]:
+        """Return the live balancers of a zone that are not about to stop."""
+        return [
+            ip
+            for ip in self.list_live()
+            if self.members[ip].heartbeat.availability_zone == zone
+        ]
+
     def list_heartbeat_targets(self) -> set[str]:
         """Return the addresses to which this balancer sends heartbeats."""
         return self.seeds | self.members.keys() | self.named_addresses_ms.keys()
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -126,6 +126,36 @@
     """Whether its backend server holds the flow."""
 
 
+class FlowLocation(NamedTuple):
+    """The agent whose backend server holds a flow, as far as the sender knows."""
+
+    flow: FlowKey
+    """The flow."""
+
+    agent: str
+    """The address of the agent; empty if the sender does not know it."""
+
+    service: str
+    """The service of the agent's backend server."""
+
+
+class FlowLocations(NamedTuple):
+    """A balancer tells another one the locations of flows.
+
+    It is an answer to a lookup, or it makes the receiver the keeper of the locations.
+    """
+
+    locations: tuple[FlowLocation, ...]
+    """The locations."""
+
+
+class FlowLookup(NamedTuple):
+    """A balancer asks the keeper of a flow for the flow's location."""
+
+    flow: FlowKey
+    """The flow."""
+
+
 class ForwardedPacket(NamedTuple):
     """A balancer forwards a caller's packet to an agent for its backend server."""
 
@@ -170,6 +200,8 @@
     | LoadReport
     | FlowQuestion
     | FlowAnswer
+    | FlowLocations
+    | FlowLookup
     | ForwardedPacket
     | ReturnedPacket
 )
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -297,6 +297,13 @@
             if server.state is ServerState.READY
         ]
 
+    def count_servers(self, service: str, zone: str) -> int:
+        """Return how many listed or retained servers a service has in a zone."""
+        return sum(
+            server.availability_zone == zone
+            for server in self.by_service.get(service, ())
+        )
+
     def list_possible_holders(self, services: Iterable[str]) -> list[BackendServer]:
         """Return every backend server that may hold flows of the services.
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -21,6 +21,9 @@
     BackendServer,
     Configuration,
     FlowAnswer,
+    FlowLocation,
+    FlowLocations,
+    FlowLookup,
     FlowQuestion,
     ForwardedPacket,
     Heartbeat,
@@ -126,6 +129,22 @@
     return _pack(builder)
 
 
+@encode_flow_message.register
+def _(message: FlowLocations) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    bodies = builder.init("locations", len(message.locations))
+    for body, location in zip(bodies, message.locations, strict=True):
+        body.flow, body.agent, body.service = location
+    return _pack(builder)
+
+
+@encode_flow_message.register
+def _(message: FlowLookup) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    builder.init("lookup").flow = message.flow
+    return _pack(builder)
+
+
 def _pack(builder: Any) -> bytes:
     packed: bytes = builder.to_bytes_packed()
     return bytes((KIND_CONTROL,)) + packed
@@ -185,6 +204,15 @@
     if kind == "question":
         body = reader.question
         return FlowQuestion(FlowKey(bytes(body.flow)), body.acknowledged)
+    if kind == "locations":
+        return FlowLocations(
+            tuple(
+                FlowLocation(FlowKey(bytes(body.flow)), body.agent, body.service)
+                for body in reader.locations
+            )
+        )
+    if kind == "lookup":
+        return FlowLookup(FlowKey(bytes(reader.lookup.flow)))
     body = reader.answer
     return FlowAnswer(FlowKey(bytes(body.flow)), Verdict(body.verdict))
 
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -39,12 +39,24 @@
   verdict @1 :UInt8;
 }
 
+struct FlowLocation {
+  flow @0 :Data;
+  agent @1 :Text;
+  service @2 :Text;
+}
+
+struct FlowLookup {
+  flow @0 :Data;
+}
+
 struct FlowMessage {
   union {
     heartbeat @0 :Heartbeat;
     loadReport @1 :LoadReport;
     question @2 :FlowQuestion;
     answer @3 :FlowAnswer;
+    locations @4 :List(FlowLocation);
+    lookup @5 :FlowLookup;
   }
 }
 
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -11,6 +11,9 @@
     BackendServer,
     Configuration,
     FlowAnswer,
+    FlowLocation,
+    FlowLocations,
+    FlowLookup,
     FlowQuestion,
     ForwardedPacket,
     Heartbeat,
@@ -52,6 +55,13 @@
     LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35),
     FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
     FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
+    FlowLocations(
+        (
+            FlowLocation(FlowKey(bytes(13)), "10.0.0.1", "gauging"),
+            FlowLocation(FlowKey(bytes(range(13))), "", ""),
+        )
+    ),
+    FlowLookup(FlowKey(bytes(range(13)))),
     ForwardedPacket("gauging", bytes(36)),
     ReturnedPacket(bytes(36)),
 ]
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -19,6 +19,8 @@
     BalancerMembers,
     DeploymentView,
     FlowAnswer,
+    FlowLocations,
+    FlowLookup,
     Heartbeat,
     LoadReport,
     Message,
@@ -91,7 +93,11 @@
         self.rng = random.Random(settings.name)
         self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
         self.flows = BalancerFlows(
-            self.view, self.selector, self.clock, settings.link_mbps
+            self.view,
+            self.selector,
+            self.clock,
+            settings.link_mbps,
+            settings.ip,
         )
         seeds = [seed.ip for seed in settings.seeds]
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
@@ -134,6 +140,10 @@
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_returned_total")
             self.apply_actions(self.flows.handle_returned(packet, sender))
+        elif isinstance(message, FlowLookup):
+            self.send(sender, self.flows.answer_lookup(message))
+        elif isinstance(message, FlowLocations):
+            self.apply_actions(self.flows.handle_locations(message, sender))
         elif isinstance(message, LoadReport):
             self.selector.record_message(sender, message)
         elif isinstance(message, Heartbeat):
@@ -167,6 +177,7 @@
 
     def tick(self) -> None:
         """Apply timeouts, send the heartbeats that are due and update the metrics."""
+        self._update_directory()
         self.apply_actions(self.flows.tick())
         for server in self.view.expire():
             log.info("server_gone", server=server.name, service=server.service)
@@ -180,6 +191,13 @@
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
+    def _update_directory(self) -> None:
+        """Tell the directory which balancers of the zone are live."""
+        balancers = self.members.list_live_in_zone(self.settings.availability_zone)
+        if self.stop_requested_ms is None:
+            balancers.append(self.settings.ip)
+        self.apply_actions([*self.flows.directory.set_balancers(balancers)])
+
     def has_pending_work(self) -> bool:
         """Return whether the process starts, searches run or openings are held."""
         return (
@@ -299,7 +317,11 @@
         self.members.set_seeds(seed.ip for seed in settings.seeds)
 
     def begin_stop(self) -> None:
-        """Announce the stop to the other balancers and continue to forward."""
+        """Announce the stop to the other balancers and continue to forward.
+
+        The balancers of the zone receive the flow locations that this one keeps.
+        """
+        self._update_directory()
         self.send_balancer_heartbeat(
             self.members.list_heartbeat_targets(), with_members=False
         )
