Let an agent that stops say that its backend server has ended

Cause: a dead flow is reset once every agent that could hold it has denied it.

Change: the last reports of a stopping agent name the incarnation of a server that refuses connections, to all balancers that it knows. The agent is still asked; only its silence then counts as a denial, and not for a later incarnation. The entry of a flow and the state of an agent have modules of their own.

--- /dev/null
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -0,0 +1,59 @@
+"""What an agent knows about one flow at its backend server."""
+
+from enum import IntEnum
+
+from citronwinch.coordination.flows._packets import Packet
+
+SEQUENCE_RANGE = 1 << 32
+"""Sequence numbers have 32 bits and wrap around at this value."""
+
+
+class FlowState(IntEnum):
+    """What the agent knows about a flow at its backend server."""
+
+    ASKED = 0
+    """The opening packet was delivered; the backend server has not answered it."""
+
+    ACCEPTED = 1
+    """The backend server has accepted the flow; the caller has not confirmed that."""
+
+    OPEN = 2
+    """The backend server holds the flow."""
+
+    ABSENT = 3
+    """The backend server does not hold the flow."""
+
+    TRIED = 4
+    """A packet was delivered to find out whether the backend server holds the flow; it
+    has not answered."""
+
+
+class FlowEntry:
+    """The agent's knowledge of one flow."""
+
+    def __init__(self, state: FlowState, now_ms: int) -> None:
+        self.state = state
+        self.last_packet_ms = now_ms
+        self.balancer = ""
+        """The balancer that sent the flow's latest packet, empty if none has."""
+        self.server_first_sequence = 0
+        """The sequence number with which the backend server accepted the flow."""
+        self.acknowledged = 0
+        """The caller's latest acknowledgement number, which a reset has to match."""
+        self.request_ms: int | None = None
+        """When the request that waits for an answer was received, if any."""
+        self.received_end: int | None = None
+        """The end of the caller's data received so far, as a sequence number."""
+
+    def record_data(self, packet: Packet) -> bool:
+        """Record a packet with data; return whether it begins a request.
+
+        A retransmission does not, nor does data while a request waits for its answer.
+        """
+        end = (packet.sequence + packet.payload_bytes) % SEQUENCE_RANGE
+        if self.received_end is not None:
+            ahead = (end - self.received_end) % SEQUENCE_RANGE
+            if ahead == 0 or ahead >= SEQUENCE_RANGE // 2:
+                return False
+        self.received_end = end
+        return self.request_ms is None
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -1,6 +1,7 @@
 """The running searches of a balancer for flows that it does not know."""
 
 from collections import Counter, OrderedDict
+from collections.abc import Collection
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
 from citronwinch.coordination._byte_budget import ByteBudget
@@ -216,11 +217,12 @@
         """Pause or end a search without a result; reset the flow if it cannot exist.
 
         The flow certainly does not exist if every agent that could hold it has ruled it
-        out. If one of them is silent or uncertain, the flow is not reset: its caller
-        retransmits, which starts another search. Only agents of services that the route
-        has or had before count. Agents of unrelated services are queried as well,
-        because this balancer may have started after a change of the route, but the
-        reset does not depend on their verdicts.
+        out; the silence of an agent that stopped after its backend server rules the
+        flow out as well. If another agent is silent or uncertain, the flow is not
+        reset: its caller retransmits, which starts another search. Only agents of
+        services that the route has or had before count. Agents of unrelated services
+        are queried as well, because this balancer may have started after a change of
+        the route, but the reset does not depend on their verdicts.
         """
         packet = search.held_packets[0]
         services = self.view.list_current_and_former_services(
@@ -230,6 +232,7 @@
         silent -= self.view.remove_former(
             [ip for ip in silent if not self.selector.has_recent_message(ip)]
         )
+        silent -= self._list_ended(services)
         uncertain = search.list_uncertain(services)
         is_dead = not silent and not uncertain and self.view.is_settled()
         if not is_dead and search.has_time_left():
@@ -251,6 +254,12 @@
         )
         return [ResetFlow(packet), outcome] if is_dead else [outcome]
 
+    def _list_ended(self, services: Collection[str]) -> set[str]:
+        """Return the agents that stopped after their backend server had ended."""
+        holders = self.view.list_possible_holders(services)
+        ended = {s.address.ip for s in holders if self.selector.has_ended(s)}
+        return ended - {s.address.ip for s in holders if not self.selector.has_ended(s)}
+
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -83,6 +83,10 @@
     failed_share: float = 0.0
     """The share of recent requests that appear to have failed, 0 to 1."""
 
+    ended_server_ms: int = 0
+    """In the last reports of a stopping agent whose backend server has ended, the
+    incarnation of that server; 0 otherwise."""
+
 
 class Verdict(IntEnum):
     """Whether the backend server of an agent holds a flow."""
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -5,11 +5,11 @@
 """
 
 import random
-from collections import deque
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._agent_state import AgentState
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import LoadReport
 
@@ -88,28 +88,6 @@
 """How long a flow counts as a waiting request after its placement, in milliseconds. By
 then the agent has reported the request, or the server has answered it."""
 
-MAX_PLACED_FLOWS = 64
-"""The most placed flows that are counted per agent between two reports; further ones
-would not change a decision."""
-
-
-class AgentState:
-    """The state of one agent as the balancer knows it."""
-
-    def __init__(self, last_message_ms: int) -> None:
-        self.report: LoadReport | None = None
-        self.last_message_ms = last_message_ms
-        self.placed_ms: deque[int] = deque(maxlen=MAX_PLACED_FLOWS)
-        """When recent flows were placed at the server; cleared by each report."""
-        self.unconfirmed_flows = 0
-        """The flows since the last report that the agent did not confirm in time."""
-
-    def count_placed_flows(self, since_ms: int) -> int:
-        """Discard flows placed up to `since_ms`; return the number of later ones."""
-        while self.placed_ms and self.placed_ms[0] <= since_ms:
-            self.placed_ms.popleft()
-        return len(self.placed_ms)
-
 
 class ChosenServer(NamedTuple):
     """A chosen backend server, with the figures that decided the choice."""
@@ -236,6 +214,12 @@
             return True
         return agent.report is not None and not agent.report.accepts_flows
 
+    def has_ended(self, server: BackendServer) -> bool:
+        """Return whether the agent of a server said at its stop that it has ended."""
+        agent = self.agents.get(server.address.ip)
+        report = agent.report if agent is not None else None
+        return report is not None and report.ended_server_ms >= server.started_ms > 0
+
     def is_unresponsive(self, server: BackendServer) -> bool:
         """Return whether a server's agent is silent or left a new flow unconfirmed.
 
--- a/citronwinch/coordination/flows/tests/test_lost_servers.py
+++ b/citronwinch/coordination/flows/tests/test_lost_servers.py
@@ -11,12 +11,14 @@
 
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import (
+    AgentFlows,
     BalancerFlows,
     DeploymentView,
     FlowAnswer,
     LoadReport,
     Packet,
     ResetFlow,
+    ServerCheck,
     StorePosition,
     Verdict,
 )
@@ -108,3 +110,51 @@
         back = make_listing(12, *(make_server(number) for number in (1, 2, 3)))
         view.accept_listing(back, clock.now_ms())
     assert not collect_resets(balancer, clock, reports, for_ms=1_900)
+
+
+@pytest.mark.parametrize(
+    ("ended_server_ms", "is_reset"),
+    [
+        pytest.param(1_000, True, id="its server has ended"),
+        pytest.param(0, False, id="nothing is known of its server"),
+        pytest.param(900, False, id="an earlier incarnation has ended"),
+    ],
+)
+def test_a_dead_flow_is_reset_while_an_agent_that_stopped_is_silent(
+    balancer: BalancerFlows, clock: ManualClock, ended_server_ms: int, is_reset: bool
+) -> None:
+    last_report = SERVER_DOWN._replace(ended_server_ms=ended_server_ms)
+    balancer.selector.record_message("10.0.0.2", last_report)
+    packet = make_packet(4009, payload=10)
+    actions = balancer.handle_packet(packet)
+    for agent in ("10.0.0.1", "10.0.0.3", "10.0.0.4"):
+        answer = FlowAnswer(packet.flow, Verdict.ABSENT)
+        actions += balancer.handle_answer(answer, agent)
+    for _ in range(20):
+        clock.advance(20)
+        balancer.view.confirm_listing(StorePosition(1, 11), clock.now_ms())
+        actions += balancer.tick()
+        for agent in ("10.0.0.1", "10.0.0.3", "10.0.0.4"):
+            if packet.flow in balancer.searches:
+                answer = FlowAnswer(packet.flow, Verdict.ABSENT)
+                actions += balancer.handle_answer(answer, agent)
+    assert any(isinstance(action, ResetFlow) for action in actions) is is_reset
+
+
+@pytest.mark.parametrize(
+    ("is_leaving", "check", "ended_server_ms"),
+    [
+        (True, ServerCheck.REFUSED, 5_000),
+        (True, ServerCheck.SILENT, 0),
+        (True, ServerCheck.ACCEPTED, 0),
+        (False, ServerCheck.REFUSED, 0),
+    ],
+)
+def test_only_a_stopping_agent_reports_the_end_of_its_server(
+    clock: ManualClock, is_leaving: bool, check: ServerCheck, ended_server_ms: int
+) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=True)
+    agent.handle_server_start(5_000)
+    agent.is_leaving = is_leaving
+    agent.handle_server_check(check)
+    assert agent.make_load_report().ended_server_ms == ended_server_ms
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -108,6 +108,7 @@
     body.busyThousandths = round(message.busy_share * 1000)
     body.acceptsFlows = message.accepts_flows
     body.failedThousandths = round(message.failed_share * 1000)
+    body.endedServerMs = message.ended_server_ms
     return _pack(builder)
 
 
@@ -200,6 +201,7 @@
             body.busyThousandths / 1000,
             body.acceptsFlows,
             body.failedThousandths / 1000,
+            body.endedServerMs,
         )
     if kind == "question":
         body = reader.question
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -27,6 +27,7 @@
   acceptsFlows @4 :Bool;
   busyThousandths @5 :UInt16;
   failedThousandths @6 :UInt16;
+  endedServerMs @7 :UInt64;
 }
 
 struct FlowQuestion {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -52,7 +52,7 @@
         StorePosition(2, 8),
         1_200,
     ),
-    LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35),
+    LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292),
     FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
     FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
     FlowLocations(
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -68,6 +68,8 @@
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
+        self.all_balancers: dict[str, int] = {}
+        """The balancers of all zones that send heartbeats, with the same time."""
         self.opening_balancers: dict[str, int] = {}
         """The balancers that sent an opening, with the same time."""
         self.remote_reported_ms = self.started_ms
@@ -98,6 +100,8 @@
         check = await try_connection(address, CHECK_TIMEOUT_MS)
         self.metrics.count("server_checks_total", check.value)
         self.apply_actions(self.flows.handle_server_check(check))
+        if self.stop_requested_ms is not None:
+            self._send_last_reports()
 
     def handle_message(self, message: Message, sender: str) -> None:
         """Handle a message of a balancer."""
@@ -111,11 +115,11 @@
         elif isinstance(message, FlowQuestion):
             self.send(sender, self.flows.answer_question(message))
         elif isinstance(message, Heartbeat):
+            intervals_ms = BALANCER_TIMEOUT_INTERVALS * message.interval_ms
+            until_ms = self.clock.now_ms() + max(BALANCER_TIMEOUT_MS, intervals_ms)
+            self.all_balancers[sender] = until_ms
             if message.availability_zone == self.settings.availability_zone:
-                intervals_ms = BALANCER_TIMEOUT_INTERVALS * message.interval_ms
-                self.local_balancers[sender] = self.clock.now_ms() + max(
-                    BALANCER_TIMEOUT_MS, intervals_ms
-                )
+                self.local_balancers[sender] = until_ms
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
@@ -182,6 +186,15 @@
         # finds it down, the agent doesn't wait for requests in progress (`can_exit`).
         self.nursery.start_soon(self._check_server)
 
+    def _send_last_reports(self) -> None:
+        """Tell all known balancers whether the backend server has ended.
+
+        If it has, the silence of this agent after its exit means that the server's
+        flows no longer exist.
+        """
+        self._discard_silent(self.all_balancers)
+        self.send_to_all(self.all_balancers, self.flows.make_load_report())
+
     def can_exit(self) -> bool:
         """Return whether enough time has passed since the stop request.
 
