--- a/citronwinch/platform/standins/__init__.py
+++ b/citronwinch/platform/standins/__init__.py
@@ -3,9 +3,14 @@
 from citronwinch.platform.standins._caller import Caller, FlowOutcome
 from citronwinch.platform.standins._router import Router
 from citronwinch.platform.standins._server import StandInServer
-from citronwinch.platform.standins._store import StandInStore, StoreFault
+from citronwinch.platform.standins._store import (
+    DEAF_PERIOD_MS,
+    StandInStore,
+    StoreFault,
+)
 
 __all__ = [
+    "DEAF_PERIOD_MS",
     "Caller",
     "FlowOutcome",
     "Router",
--- a/citronwinch/soak/_fault_injection.py
+++ b/citronwinch/soak/_fault_injection.py
@@ -7,7 +7,7 @@
 import trio
 
 from citronwinch.coordination import Endpoint
-from citronwinch.platform.standins import FlowOutcome, StoreFault
+from citronwinch.platform.standins import DEAF_PERIOD_MS, FlowOutcome, StoreFault
 from citronwinch.soak._checks import DRAIN_EFFECT_LIMIT_S
 from citronwinch.soak._faults import Fault, FaultKind
 from citronwinch.soak._link import LinkFault
@@ -25,6 +25,15 @@
 It is three for each backend server of the larger service, replacement included.
 """
 
+RESTORE_AWAY_S = 0.5
+"""How long the store is away before it comes back from a copy, in seconds."""
+
+REWRITE_DELAY_S = 1.0
+"""How long after that the lost data is written again, in seconds."""
+
+ENTRY_EXPIRY_S = 2.5
+"""How long after that the entries of servers that are gone expire, in seconds."""
+
 _STORE_FAULTS = {
     FaultKind.STORE_BUSY: StoreFault.BUSY,
     FaultKind.STORE_SILENT: StoreFault.SILENT,
@@ -54,6 +63,12 @@
         await _edit_routes(soak)
     elif kind is FaultKind.SERVER_LEAVES:
         await _replace_server(soak, fault)
+    elif kind is FaultKind.STORE_RESTORED:
+        await _restore_store(soak, fault)
+    elif kind is FaultKind.STORE_HISTORY_DROPPED:
+        await _drop_store_history(soak)
+    elif kind is FaultKind.JOIN_BALANCER:
+        soak.add_balancer(max(soak.balancer_numbers) + 1)
     else:
         await _signal_instances(soak, fault)
 
@@ -68,6 +83,47 @@
     soak.store.fault = StoreFault.NONE
 
 
+async def _restore_store(soak: "Soak", fault: Fault) -> None:
+    """Let the store be away for a moment and come back from a copy some seconds old.
+
+    The copy is older by the fault's duration. The operators and the backend servers
+    write again what is lost; entries of servers that are gone expire.
+    """
+    lasting = soak.nursery.start_soon
+    lasting(_mark_store_faulty, soak, RESTORE_AWAY_S + REWRITE_DELAY_S + ENTRY_EXPIRY_S)
+    soak.store.fault = StoreFault.SILENT
+    await trio.sleep(RESTORE_AWAY_S)
+    soak.store.restore_copy(round(fault.duration_s * 1000))
+    soak.store.fault = StoreFault.NONE
+    await trio.sleep(REWRITE_DELAY_S)
+    soak.write_configuration()
+    for number in soak.service_by_server:
+        if number not in soak.gone_servers:
+            is_draining = number in soak.draining_since_s
+            soak.write_server(number, "draining" if is_draining else "ready")
+    await trio.sleep(ENTRY_EXPIRY_S)
+    for number in soak.gone_servers:
+        soak.store.delete(f"servers/{soak.servers[number].name}")
+
+
+async def _mark_store_faulty(soak: "Soak", seconds: float) -> None:
+    with trio.move_on_after(seconds):
+        while True:
+            soak.last_store_fault_s = time.monotonic()
+            await trio.sleep(0.05)
+
+
+async def _drop_store_history(soak: "Soak") -> None:
+    """Edit the configuration while watches hear nothing, and drop the history.
+
+    The edit counts as made when the history is gone.
+    """
+    soak.nursery.start_soon(_mark_store_faulty, soak, DEAF_PERIOD_MS / 1000)
+    soak.nursery.start_soon(soak.store.drop_history_after_deaf_period)
+    await trio.sleep(DEAF_PERIOD_MS / 2000)
+    await _edit_routes(soak)
+
+
 async def _inject_link_fault(soak: "Soak", fault: Fault) -> None:
     """Set the fault of a link, and keep the time of the last disruption up to date."""
     link = soak.links[fault.target_index % len(soak.links)]
@@ -159,6 +215,7 @@
     soak.store.delete(f"servers/{soak.servers[number].name}")
     soak.server_scopes[number].cancel()
     soak.servers[number].flows.clear()
+    soak.gone_servers.add(number)
     soak.fleet.remove(f"agent-{number}")
 
 
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -32,14 +32,24 @@
     """A new configuration adds a route and removes the route added before."""
     SERVER_LEAVES = "server leaves"
     """A new backend server replaces an old one, which drains and is then removed."""
+    STORE_RESTORED = "store restored"
+    """The store comes back from an older copy; what was lost is then written again."""
+    STORE_HISTORY_DROPPED = "store history dropped"
+    """Watches hear nothing for a second, during an edit; then the history is gone."""
+    JOIN_BALANCER = "join balancer"
+    """A balancer is added to the deployment."""
 
 
 FAULT_KINDS = tuple(FaultKind)
 """All kinds of faults.
 
-A seed selects kinds by their position, so a change of the order changes its faults.
+A seed selects kinds by their position and number, so a change of either changes its
+faults. Seeds of earlier kinds are played with the first kinds only.
 """
 
+FIRST_KINDS = FAULT_KINDS[:19]
+"""The kinds up to `SERVER_LEAVES`, from which the first regression seeds were drawn."""
+
 MEAN_FAULT_INTERVAL_S = 1.2
 """The mean time between the starts of two faults, in seconds.
 
@@ -73,7 +83,9 @@
     """
 
 
-def generate_faults(seed: int, seconds: float) -> list[Fault]:
+def generate_faults(
+    seed: int, seconds: float, kinds: tuple[FaultKind, ...] = FAULT_KINDS
+) -> list[Fault]:
     """Return the faults of a seed, ordered by start time; they may overlap.
 
     Example::
@@ -85,7 +97,7 @@
     faults = []
     start_s = 1.0
     while start_s < seconds - RECOVERY_PERIOD_S:
-        kind = rng.choice(FAULT_KINDS)
+        kind = rng.choice(kinds)
         fault = Fault(start_s, kind, rng.randrange(8), rng.uniform(0.3, 3.0))
         faults.append(fault)
         start_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -120,6 +120,10 @@
         """The start of each backend server in Unix time, in milliseconds, by number."""
         self.draining_since_s: dict[int, float] = {}
         """The monotonic time at which a backend server began to drain, by number."""
+        self.gone_servers: set[int] = set()
+        """The numbers of the backend servers that were removed after draining."""
+        self.balancer_numbers: list[int] = []
+        """The last octets of the addresses of the balancers."""
         self.server_scopes: dict[int, trio.CancelScope] = {}
         """The scope whose cancellation ends the backend server, by number."""
         self.observations = Observations()
@@ -170,25 +174,28 @@
             self.nursery.start_soon(task)
         self.nursery.start_soon(self.fleet.supervise)
         for number in range(11, 11 + self.options.balancers):
-            ip = f"{self.address_prefix}.{number}"
-            zone = "ab"[number % 2]
-            seed = f"{self.address_prefix}.11"
-            self.fleet.add(make_balancer(number, ip, zone, self.store.endpoint, seed))
-            link = Link(
-                Endpoint(
-                    f"{self.address_prefix}.{number + LINK_ADDRESS_OFFSET}", PACKET_PORT
-                ),
-                Endpoint(ip, PACKET_PORT),
-                self.seed + number,
-            )
-            self.links.append(link)
-            self.nursery.start_soon(link.run)
-            self.router.balancers[Endpoint(ip, READY_PORT)] = (
-                link.datagram_socket.endpoint
-            )
+            self.add_balancer(number)
         for number in range(31, 31 + self.options.servers):
             self.add_server(number, "reporting" if number % 3 == 0 else "gauging")
 
+    def add_balancer(self, number: int) -> None:
+        """Start a balancer, and the link that carries the callers' packets to it."""
+        self.balancer_numbers.append(number)
+        ip = f"{self.address_prefix}.{number}"
+        zone = "ab"[number % 2]
+        seed = f"{self.address_prefix}.11"
+        self.fleet.add(make_balancer(number, ip, zone, self.store.endpoint, seed))
+        link = Link(
+            Endpoint(
+                f"{self.address_prefix}.{number + LINK_ADDRESS_OFFSET}", PACKET_PORT
+            ),
+            Endpoint(ip, PACKET_PORT),
+            self.seed + number,
+        )
+        self.links.append(link)
+        self.nursery.start_soon(link.run)
+        self.router.balancers[Endpoint(ip, READY_PORT)] = link.datagram_socket.endpoint
+
     def add_server(self, number: int, service: str) -> None:
         """Start a backend server and its agent, and list the server as ready."""
         ip, zone = f"{self.address_prefix}.{number}", "ab"[number % 2]
