Spend less time on ticks, choices and heartbeats in large fleets

Cause: with 136 agents and 59 balancers each tick and each choice of a server went through all agents.

Change: the due time of each heartbeat is stored, the agents that get heartbeats are listed once for each listing, and among many candidates those of the own zone are compared first; other zones are left out where they cannot be better, which a test compares with a comparison of all. Heartbeats to balancers and to agents of other zones are less frequent: 10 and 8 a second at most.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -26,6 +26,7 @@
     DEFAULT_LINK_MBPS,
     BalancerFlows,
 )
+from citronwinch.coordination.flows._chosen_server import ChosenServer
 from citronwinch.coordination.flows._configuration_follower import (
     ConfigurationFollower,
     StoreStep,
@@ -81,7 +82,7 @@
     compute_read_turn,
 )
 from citronwinch.coordination.flows._server_liveness import ServerCheck
-from citronwinch.coordination.flows._server_selector import ChosenServer, ServerSelector
+from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._store_position import (
     UNKNOWN_POSITION,
     StorePosition,
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -10,6 +10,7 @@
     SendMessage,
     record,
 )
+from citronwinch.coordination.flows._chosen_server import ChosenServer
 from citronwinch.coordination.flows._deployment import (
     Route,
     order_services,
@@ -38,7 +39,7 @@
     Verdict,
 )
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
-from citronwinch.coordination.flows._server_selector import ChosenServer, ServerSelector
+from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
 
 AGENT_CONFIRMATION_TIMEOUT_MS = 120
--- a/citronwinch/coordination/flows/_control_pace.py
+++ b/citronwinch/coordination/flows/_control_pace.py
@@ -8,7 +8,7 @@
 BALANCER_HEARTBEAT_MS = 1_000
 """The shortest interval of heartbeats to another balancer, in milliseconds."""
 
-BALANCER_HEARTBEATS_PER_S = 20
+BALANCER_HEARTBEATS_PER_S = 10
 """The most heartbeats to other balancers per second, announcements excluded."""
 
 AGENT_HEARTBEAT_MS = 300
@@ -21,7 +21,7 @@
 """The shortest interval of heartbeats to an agent of another zone, in milliseconds;
 traffic between zones is expensive."""
 
-REMOTE_AGENT_HEARTBEATS_PER_S = 20
+REMOTE_AGENT_HEARTBEATS_PER_S = 8
 """The most heartbeats per second to agents of other zones."""
 
 
@@ -58,29 +58,25 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.sent_ms: dict[str, int] = {}
-        """When each receiver got its latest message."""
+        self.due_ms: dict[str, int] = {}
+        """When the next message of each receiver is due."""
 
     def list_due(self, receivers: Iterable[str], interval_ms: int) -> list[str]:
         """Return the receivers that get a message now, and record that as sent."""
-        now_ms = self.clock.now_ms()
-        due = [ip for ip in receivers if self._is_due(ip, now_ms, interval_ms)]
-        self.record_sent(due)
+        now_ms, due_ms = self.clock.now_ms(), self.due_ms
+        due = [ip for ip in receivers if due_ms.get(ip, 0) <= now_ms]
+        self.record_sent(due, interval_ms)
         return due
 
-    def _is_due(self, ip: str, now_ms: int, interval_ms: int) -> bool:
-        sent_ms = self.sent_ms.get(ip)
-        if sent_ms is None:
-            return True
-        offset_ms = zlib.crc32(ip.encode()) % interval_ms
-        slot = (now_ms - offset_ms) // interval_ms
-        return slot > (sent_ms - offset_ms) // interval_ms
-
-    def record_sent(self, receivers: Iterable[str]) -> None:
+    def record_sent(self, receivers: Iterable[str], interval_ms: int) -> None:
         """Record that some receivers get a message now."""
-        self.sent_ms |= dict.fromkeys(receivers, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        for ip in receivers:
+            offset_ms = zlib.crc32(ip.encode()) % interval_ms
+            since_slot_ms = (now_ms - offset_ms) % interval_ms
+            self.due_ms[ip] = now_ms - since_slot_ms + interval_ms
 
     def retain(self, receivers: Iterable[str]) -> None:
         """Remove all receivers but the given ones."""
-        for ip in self.sent_ms.keys() - set(receivers):
-            del self.sent_ms[ip]
+        for ip in self.due_ms.keys() - set(receivers):
+            del self.due_ms[ip]
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -6,10 +6,14 @@
 
 import random
 from collections.abc import Collection, Sequence
-from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._agent_state import AgentState
+from citronwinch.coordination.flows._chosen_server import (
+    ChosenServer,
+    compute_full_pressure,
+    compute_remote_cost,
+)
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import LoadReport
 
@@ -19,13 +23,6 @@
 BUSY_SHARE_WEIGHT = 20.0
 """How many open flows a backend server without idle time counts for in its load."""
 
-SATURATED_PRESSURE = 2.0
-"""The pressure at which a service is saturated. At 20 ms a request, the next request
-then waits for a third of the tightest latency objective."""
-
-SATURATED_BUSY_SHARE = 0.75
-"""The busy share at which a service is saturated; queues grow fast above it."""
-
 SPILLOVER_MIN_PRESSURE_GAP = 1.5
 """How much lower the pressure of another service must be before the new flows of a
 saturated service spill over to it."""
@@ -34,29 +31,8 @@
 """How much lower the busy share of another service must be instead; either difference
 is enough."""
 
-MAX_FULL_PRESSURE = 7.0
-"""The pressure at which a new flow of a route with the loosest latency objective waits
-in the balancer; no route has a higher limit. At a slightly higher pressure, backend
-servers refuse requests."""
-
-MIN_FULL_PRESSURE = 3.0
-"""The pressure at which a new flow of a route with the tightest latency objective waits
-in the balancer; no route has a lower limit. It keeps a backend server busy until its
-agent's next report."""
-
-OBJECTIVE_MS_PER_WAITING_REQUEST = 35.0
-"""How many milliseconds of its route's latency objective a new flow needs for each unit
-of pressure; a request takes 15 to 25 ms."""
-
-REMOTE_ZONE_COST = 8.0
-"""The load, in open flows per slot, that a backend server in another availability zone
-is charged with. It equals two waiting requests, or 30 to 40 ms, although the round trip
-to another zone takes only 10 ms; the rest reduces the traffic between zones."""
-
-OBJECTIVE_MS_PER_ADDED_REMOTE_COST = 40.0
-"""How many milliseconds of the route's latency objective add one open flow per slot to
-the cost of a remote server, REMOTE_ZONE_COST: a flow that tolerates a longer queue can
-stay in its zone."""
+MANY_CANDIDATES = 24
+"""With more candidates than this, those of the own zone are compared first."""
 
 MAX_SLOWNESS = 4.0
 """The largest factor by which a high latency multiplies a backend server's load."""
@@ -89,53 +65,6 @@
 then the agent has reported the request, or the server has answered it."""
 
 
-class ChosenServer(NamedTuple):
-    """A chosen backend server, with the figures that decided the choice."""
-
-    server: BackendServer
-    """The backend server."""
-
-    score: float
-    """Its load at that moment, in open flows per slot: the lowest of the candidates
-    with room for the flow, or of all candidates if none has room."""
-
-    candidates: int
-    """The number of candidates."""
-
-    pressure: float
-    """Its pressure: its waiting requests per slot."""
-
-    busy_share: float
-    """The share of recent time in which it had work, 0 to 1."""
-
-    @property
-    def is_saturated(self) -> bool:
-        """Whether this server, the least loaded of its service, has hardly any room.
-
-        The whole service is then considered saturated.
-        """
-        return (
-            self.pressure >= SATURATED_PRESSURE
-            or self.busy_share >= SATURATED_BUSY_SHARE
-        )
-
-    def is_full(self, latency_objective_ms: int) -> bool:
-        """Return whether the server would answer one more request late or refuse it."""
-        return self.pressure >= compute_full_pressure(latency_objective_ms)
-
-
-def compute_full_pressure(latency_objective_ms: int) -> float:
-    """Return the pressure at which new flows of a route wait in the balancer.
-
-    Example::
-
-        >>> compute_full_pressure(120), compute_full_pressure(500)
-        (3.4285714285714284, 7.0)
-    """
-    unbounded = latency_objective_ms / OBJECTIVE_MS_PER_WAITING_REQUEST
-    return min(max(unbounded, MIN_FULL_PRESSURE), MAX_FULL_PRESSURE)
-
-
 class ServerSelector:
     """Chooses servers for new flows by the agents' reports and recent placements."""
 
@@ -144,6 +73,8 @@
         self.clock = clock
         self.rng = rng
         self.agents: dict[str, AgentState] = {}
+        self.last_message_ms: int | None = None
+        """When the latest message of any agent arrived, None before the first."""
         self.local_timeout_ms = LOCAL_AGENT_TIMEOUT_MS
         self.remote_timeout_ms = REMOTE_AGENT_TIMEOUT_MS
 
@@ -163,7 +94,7 @@
         agent = self.agents.get(ip)
         if agent is None:
             agent = self.agents[ip] = AgentState(now_ms)
-        agent.last_message_ms = now_ms
+        agent.last_message_ms = self.last_message_ms = now_ms
         if report is not None:
             agent.report = report
             agent.placed_ms.clear()
@@ -184,10 +115,9 @@
 
         Such a balancer is cut off, and other balancers serve its callers better.
         """
-        if not self.agents:
+        if not self.agents or self.last_message_ms is None:
             return False
-        last_message_ms = max(agent.last_message_ms for agent in self.agents.values())
-        return self.clock.now_ms() - last_message_ms > LOCAL_AGENT_TIMEOUT_MS
+        return self.clock.now_ms() - self.last_message_ms > LOCAL_AGENT_TIMEOUT_MS
 
     def has_recent_message(self, ip: str) -> bool:
         """Return whether an agent sent a message within the time of a remote agent.
@@ -253,6 +183,32 @@
         candidates = self._exclude_outliers(available or untried)
         if not candidates:
             return None
+        if len(candidates) > MANY_CANDIDATES:
+            chosen = self._choose_local(candidates, latency_objective_ms)
+            if chosen is not None:
+                return chosen
+        return self._choose_least_loaded(candidates, latency_objective_ms)
+
+    def _choose_local(
+        self, candidates: Sequence[BackendServer], latency_objective_ms: int
+    ) -> ChosenServer | None:
+        """Return the least loaded server of the own zone if no other can be better.
+
+        A server of another zone has at least the load that its zone is charged with.
+        Without the other zones, a choice among many servers takes less time.
+        """
+        local = [s for s in candidates if s.availability_zone == self.zone]
+        if not local:
+            return None
+        chosen = self._choose_least_loaded(local, latency_objective_ms)
+        if chosen.is_full(latency_objective_ms):
+            return None
+        remote_cost = compute_remote_cost(latency_objective_ms)
+        return chosen if chosen.score <= remote_cost else None
+
+    def _choose_least_loaded(
+        self, candidates: Sequence[BackendServer], latency_objective_ms: int
+    ) -> ChosenServer:
         median_latency_ms = self._compute_median_latency_ms(candidates)
         full_pressure = compute_full_pressure(latency_objective_ms)
         readings = [
@@ -260,9 +216,7 @@
             for server in candidates
         ]
         with_room = [reading for reading in readings if reading[1] < full_pressure]
-        remote_cost = (
-            REMOTE_ZONE_COST + latency_objective_ms / OBJECTIVE_MS_PER_ADDED_REMOTE_COST
-        )
+        remote_cost = compute_remote_cost(latency_objective_ms)
         scored = [
             (
                 self._score(
--- a/citronwinch/coordination/flows/tests/test_high_load.py
+++ b/citronwinch/coordination/flows/tests/test_high_load.py
@@ -4,6 +4,7 @@
 another server or service has room, or that serve late openings before urgent ones.
 """
 
+import random
 from collections import Counter
 from typing import Any
 
@@ -28,6 +29,7 @@
     make_configuration,
     make_packet,
     make_route,
+    make_server,
 )
 
 
@@ -218,3 +220,20 @@
     balancer.handle_packet(fresh)
     order = [held.packet for held in balancer.held_openings.list_by_priority()]
     assert order == [fresh, retransmitted, older]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_choice_among_many_servers_is_as_good_as_a_comparison_of_all(
+    clock: ManualClock, seed: int
+) -> None:
+    rng = random.Random(seed)
+    servers = [make_server(n, zone="abcde"[n % 5]) for n in range(1, 110)]
+    selector = ServerSelector("a", clock, rng)
+    for server in servers:
+        busy = server.availability_zone == "a" and seed % 2
+        flows, waiting = rng.randint(0, 60 if busy else 20), rng.randint(0, 4)
+        report = LoadReport("gauging", flows, waiting, 20, 0.3, True)
+        selector.record_message(server.address.ip, report)
+    chosen = selector.choose(servers, (), 426)
+    assert chosen is not None
+    assert chosen.score == selector._choose_least_loaded(servers, 426).score
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -2,7 +2,8 @@
 
 import random
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
 
 import structlog
 import trio
@@ -15,6 +16,7 @@
     BALANCER_HEARTBEATS_PER_S,
     REMOTE_AGENT_HEARTBEAT_MS,
     REMOTE_AGENT_HEARTBEATS_PER_S,
+    BackendServer,
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
@@ -78,6 +80,25 @@
 log = structlog.get_logger()
 
 
+class AgentTargets(NamedTuple):
+    """The agents of listed servers, which get heartbeats."""
+
+    by_service: Mapping[str, Sequence[BackendServer]]
+    """The servers of the view from which the targets were derived."""
+
+    is_isolated: bool
+    """Whether the balancer was isolated at that time."""
+
+    local: tuple[str, ...]
+    """The addresses of the agents that get frequent heartbeats."""
+
+    remote: tuple[str, ...]
+    """The addresses of the other agents."""
+
+    server_started_ms: Mapping[str, int]
+    """The incarnations of the agents' backend servers, by the agent's address."""
+
+
 class BalancerProcess(ForwarderProcess):
     """A balancer: forwards callers' packets to agents and serves its view."""
 
@@ -106,6 +127,7 @@
         self.is_isolated = False
         self.balancer_pace = MessagePace(self.clock)
         self.agent_pace = MessagePace(self.clock)
+        self.agent_targets = AgentTargets({}, False, (), (), {})
         self.members_sent_ms = self.started_ms
 
     def is_ready(self) -> bool:
@@ -233,44 +255,63 @@
         )
 
     def _send_due_agent_heartbeats(self) -> None:
-        started_ms: dict[str, int] = {}
-        local: list[str] = []
-        remote: list[str] = []
-        for server in self.view.list_servers():
-            ip = server.address.ip
-            started_ms[ip] = server.started_ms
-            # An isolated balancer probes all agents as often as those of its own zone.
-            is_local = self.is_isolated or (
-                server.availability_zone == self.settings.availability_zone
-            )
-            (local if is_local else remote).append(ip)
+        targets = self._find_agent_targets()
         local_ms = compute_interval_ms(
-            AGENT_HEARTBEAT_MS, len(local), AGENT_HEARTBEATS_PER_S
+            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
         )
         remote_ms = compute_interval_ms(
-            REMOTE_AGENT_HEARTBEAT_MS, len(remote), REMOTE_AGENT_HEARTBEATS_PER_S
+            REMOTE_AGENT_HEARTBEAT_MS,
+            len(targets.remote),
+            REMOTE_AGENT_HEARTBEATS_PER_S,
         )
         self.selector.set_heartbeat_intervals(local_ms, remote_ms)
         # Heartbeats show whether the agent of a former server still answers; if not,
         # the flows of the server are lost.
         former = [server.address.ip for server in self.view.list_former()]
         groups = (
-            (local, local_ms),
-            (remote, remote_ms),
+            (targets.local, local_ms),
+            (targets.remote, remote_ms),
             (former, AGENT_HEARTBEAT_MS),
         )
         for ips, interval_ms in groups:
             for ip in self.agent_pace.list_due(ips, interval_ms):
-                heartbeat = self.make_heartbeat((), started_ms.get(ip, 0), interval_ms)
-                self.send(ip, heartbeat)
+                started_ms = targets.server_started_ms.get(ip, 0)
+                self.send(ip, self.make_heartbeat((), started_ms, interval_ms))
+
+    def _find_agent_targets(self) -> AgentTargets:
+        """Return the agents that get heartbeats; they change with the listing only.
+
+        An isolated balancer probes all agents as often as those of its own zone.
+        """
+        targets = self.agent_targets
+        if (
+            targets.by_service is self.view.by_service
+            and targets.is_isolated is self.is_isolated
+        ):
+            return targets
+        local: list[str] = []
+        remote: list[str] = []
+        servers = self.view.list_servers()
+        for server in servers:
+            zone = server.availability_zone
+            is_local = self.is_isolated or zone == self.settings.availability_zone
+            (local if is_local else remote).append(server.address.ip)
+        self.agent_targets = AgentTargets(
+            self.view.by_service,
+            self.is_isolated,
+            tuple(local),
+            tuple(remote),
+            {server.address.ip: server.started_ms for server in servers},
+        )
+        return self.agent_targets
 
     def send_balancer_heartbeat(
         self, ips: Collection[str], *, with_members: bool
     ) -> None:
         """Send a heartbeat to balancers; `with_members` adds all known balancers."""
-        self.balancer_pace.record_sent(ips)
-        known = tuple(sorted(self.members.members)) if with_members else ()
         interval_ms = self._compute_balancer_interval_ms()
+        self.balancer_pace.record_sent(ips, interval_ms)
+        known = tuple(sorted(self.members.members)) if with_members else ()
         self.send_to_all(ips, self.make_heartbeat(known, interval_ms=interval_ms))
 
     def announce_view(self) -> None:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from citronwinch.coordination.flows import (
+    READ_INTERVAL_MS,
     READ_RETRY_MS,
     UNKNOWN_POSITION,
     Heartbeat,
@@ -89,6 +90,8 @@
         if self.is_reading_listing or self.clock.now_ms() < self.listing_retry_at_ms:
             return
         age_ms = self.view.age_ms
+        if age_ms is not None and age_ms < READ_INTERVAL_MS:
+            return
         turn = compute_read_turn(
             self.process.settings.ip, self.process.members.list_live()
         )
