Send fewer heartbeats in large zones, and tick less often while idle

Change: at most 12 heartbeats a second to agents of the zone, 5 to those of other zones, 5 to balancers. Idle balancers that do not read the store tick every 250 ms, idle agents before many balancers every 500 ms.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -55,6 +55,7 @@
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._load_reporting import (
+    ALL_CHANGES_RECEIVERS,
     REPORT_INTERVAL_MS,
     REPORTS_PER_S,
     LoadReporting,
@@ -97,6 +98,7 @@
 
 __all__ = [
     "AGENT_HEARTBEATS_PER_S",
+    "ALL_CHANGES_RECEIVERS",
     "AGENT_HEARTBEAT_MS",
     "BALANCER_HEARTBEATS_PER_S",
     "BALANCER_HEARTBEAT_MS",
--- a/citronwinch/coordination/flows/_control_pace.py
+++ b/citronwinch/coordination/flows/_control_pace.py
@@ -8,20 +8,20 @@
 BALANCER_HEARTBEAT_MS = 1_000
 """The shortest interval of heartbeats to another balancer, in milliseconds."""
 
-BALANCER_HEARTBEATS_PER_S = 10
+BALANCER_HEARTBEATS_PER_S = 5
 """The most heartbeats to other balancers per second, announcements excluded."""
 
 AGENT_HEARTBEAT_MS = 300
 """The shortest interval of heartbeats to an agent of the own zone, in milliseconds."""
 
-AGENT_HEARTBEATS_PER_S = 25
+AGENT_HEARTBEATS_PER_S = 12
 """The most heartbeats per second to agents of the own zone."""
 
 REMOTE_AGENT_HEARTBEAT_MS = 2_000
 """The shortest interval of heartbeats to an agent of another zone, in milliseconds;
 traffic between zones is expensive."""
 
-REMOTE_AGENT_HEARTBEATS_PER_S = 8
+REMOTE_AGENT_HEARTBEATS_PER_S = 5
 """The most heartbeats per second to agents of other zones."""
 
 
@@ -30,9 +30,9 @@
 
     Example::
 
-        >>> compute_interval_ms(300, receivers=4, messages_per_s=25)
+        >>> compute_interval_ms(300, receivers=3, messages_per_s=12)
         300
-        >>> compute_interval_ms(300, receivers=50, messages_per_s=25)
+        >>> compute_interval_ms(300, receivers=24, messages_per_s=12)
         2000
     """
     return max(shortest_ms, receivers * 1_000 // messages_per_s)
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -3,6 +3,7 @@
 import trio
 
 from citronwinch.coordination.flows import (
+    ALL_CHANGES_RECEIVERS,
     REPORT_INTERVAL_MS,
     REPORTS_PER_S,
     AgentFlows,
@@ -24,8 +25,11 @@
 agent, in milliseconds; traffic between zones is expensive."""
 
 AGENT_IDLE_TICK_MS = 200
-"""The interval between ticks while no request waits, in milliseconds; below it, a
-silent backend server would be noticed no earlier."""
+"""The interval between ticks while no request waits, in milliseconds."""
+
+AGENT_SLOW_TICK_MS = 500
+"""The same where many balancers receive load reports, of which small changes may
+wait, in milliseconds."""
 
 BALANCER_TIMEOUT_MS = 2_000
 """How long after its last heartbeat or opening packet a balancer at least still
@@ -52,8 +56,6 @@
 class AgentProcess(ForwarderProcess):
     """An agent: runs beside one backend server and forwards its packets."""
 
-    idle_tick_ms = AGENT_IDLE_TICK_MS
-
     def __init__(
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
     ) -> None:
@@ -86,6 +88,12 @@
         )
         return min(report_ms, AGENT_IDLE_TICK_MS)
 
+    @property
+    def idle_tick_ms(self) -> int:  # type: ignore[override]
+        """The interval between ticks while no request waits, in milliseconds."""
+        has_many = len(self.local_balancers) > ALL_CHANGES_RECEIVERS
+        return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
+
     def is_ready(self) -> bool:
         """Return True: an agent can deliver packets without any prior state."""
         return True
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -44,8 +44,13 @@
 are held, in milliseconds. The shortest timeout is that for an answer from an agent of
 the own zone about a flow."""
 
-BALANCER_IDLE_TICK_MS = 100
-"""The interval at which a balancer checks its other timeouts, in milliseconds."""
+READER_TICK_MS = 100
+"""The interval at which a balancer that reads the store checks its other timeouts, in
+milliseconds."""
+
+IDLE_TICK_MS = 250
+"""The same for a balancer that does not read the store, in milliseconds; less than the
+time between two turns at reading."""
 
 MEMBERS_INTERVAL_MS = 3_000
 """The interval of heartbeats that list the balancers known to the sender, in
@@ -103,7 +108,6 @@
     """A balancer: forwards callers' packets to agents and serves its view."""
 
     tick_ms = BALANCER_TICK_MS
-    idle_tick_ms = BALANCER_IDLE_TICK_MS
 
     def __init__(
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
@@ -220,6 +224,12 @@
             balancers.append(self.settings.ip)
         self.apply_actions([*self.flows.directory.set_balancers(balancers)])
 
+    @property
+    def idle_tick_ms(self) -> int:  # type: ignore[override]
+        """The interval between ticks while nothing is pending, in milliseconds."""
+        is_reader = self.view_exchange.configuration_watch.is_listing_reader()
+        return READER_TICK_MS if is_reader else IDLE_TICK_MS
+
     def has_pending_work(self) -> bool:
         """Return whether the process starts, searches run or openings are held."""
         return (
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -79,7 +79,7 @@
         """Follow the configuration while this balancer is a reader of the listing."""
         await self._await_first_configuration()
         while True:
-            if self._is_listing_reader():
+            if self.is_listing_reader():
                 await self._follow_once()
             else:
                 self.listing_was_read = trio.Event()
@@ -105,7 +105,7 @@
             await self.read_configuration()
             await trio.sleep(READ_RETRY_MS / 1000)
 
-    def _is_listing_reader(self) -> bool:
+    def is_listing_reader(self) -> bool:
         """Return whether this balancer has read the listing recently."""
         return self.clock.now_ms() - self.listing_read_ms < LISTING_READER_TIMEOUT_MS
 
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -117,6 +117,8 @@
         self.last_tick_ms = self.started_ms
         self.current_tick_ms = 0
         """The interval until the next tick, in milliseconds."""
+        self.is_idle = False
+        """Whether nothing was pending at the last tick."""
         self.tick_requested = trio.Event()
         self.is_finished = trio.Event()
         """Set when a requested stop is complete."""
@@ -202,7 +204,8 @@
         """Handle an event; log an error instead of raising it."""
         try:
             self._handle_event(event)
-            if self.current_tick_ms == self.idle_tick_ms and self.has_pending_work():
+            is_stopping = self.stop_requested_ms is not None
+            if self.is_idle and (is_stopping or self.has_pending_work()):
                 self.tick_requested.set()
         except Exception:
             # Exiting here would break every flow because of a single event.
@@ -341,8 +344,9 @@
         Each wake-up costs processor time, of which a small instance has little.
         """
         while True:
-            is_pending = self.stop_requested_ms is not None or self.has_pending_work()
-            self.current_tick_ms = self.tick_ms if is_pending else self.idle_tick_ms
+            is_stopping = self.stop_requested_ms is not None
+            self.is_idle = not is_stopping and not self.has_pending_work()
+            self.current_tick_ms = self.idle_tick_ms if self.is_idle else self.tick_ms
             self.tick_requested = trio.Event()
             with trio.move_on_after(self.current_tick_ms / 1000) as scope:
                 await self.tick_requested.wait()
