Ask the balancers of the zone before a flow counts as dead

Change: when all agents have denied a flow, a balancer looks it up at the other balancers of its zone; the one that forwarded it before knows it. The test of the pattern fails without the lookup.

Send listings as differences

Cause: each balancer fetched the whole listing on each change, mostly from another zone.

Change: a balancer states the digest of its listing, and gets the entries that changed since if the source still has that listing (the last twelve); views are compressed.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -54,6 +54,10 @@
 )
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._listing_history import (
+    ListingDifference,
+    ListingHistory,
+)
 from citronwinch.coordination.flows._load_reporting import (
     ALL_CHANGES_RECEIVERS,
     REPORT_INTERVAL_MS,
@@ -136,6 +140,8 @@
     "FlowSearch",
     "ForwardedPacket",
     "Heartbeat",
+    "ListingDifference",
+    "ListingHistory",
     "LoadReport",
     "Measure",
     "Message",
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -300,8 +300,8 @@
         self.directory.silent.discard(sender)
         actions: list[Action] = []
         for location in message.locations:
-            if self.searches.is_awaiting_keeper(location.flow):
-                actions += self.searches.handle_location(location)
+            if self.searches.is_awaiting_location(location.flow):
+                actions += self.searches.handle_location(location, sender)
             elif location.agent:
                 self.directory.store(location)
         return actions
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -88,6 +88,10 @@
         self.is_paused = False
         self.keeper = ""
         """The keeper whose answer the search awaits before its first round, if any."""
+        self.pending_balancers: set[str] = set()
+        """The balancers of the zone whose answers the search awaits after all agents
+        have ruled the flow out."""
+        self.has_asked_balancers = False
         self.round = SearchRound((), 0, allows_trial=False)
         self.round_agents: list[str] = []
         self.is_in_trial = False
@@ -132,6 +136,12 @@
         self.keeper = keeper
         self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
 
+    def await_balancers(self, balancers: Collection[str]) -> None:
+        """Wait for the answers of the zone's balancers before the search ends."""
+        self.pending_balancers = set(balancers)
+        self.has_asked_balancers = True
+        self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
+
     def start(self) -> SearchStep:
         """Start the first round."""
         self.keeper = ""
@@ -142,7 +152,7 @@
         if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
-        if self.keeper:
+        if self.keeper or self.pending_balancers:
             return SearchStep()
         if self.is_paused:
             return SearchStep(is_exhausted=not self.list_unresolved())
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -117,18 +117,46 @@
         location = self.directory.find_location(key) or FlowLocation(key, "", "")
         return self.handle_location(location)
 
-    def handle_location(self, location: FlowLocation) -> list[Action]:
-        """Apply the keeper's answer: forward there, or ask the agents."""
+    def handle_location(self, location: FlowLocation, sender: str = "") -> list[Action]:
+        """Apply an answer to a lookup: forward there, or continue the search."""
         search = self[location.flow]
+        if search.pending_balancers:
+            return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
             return self._finish_found(location.flow, search, location.agent)
         return self._apply_step(location.flow, search, search.start())
 
-    def is_awaiting_keeper(self, key: FlowKey) -> bool:
-        """Return whether the search for a flow awaits the answer of its keeper."""
+    def is_awaiting_location(self, key: FlowKey) -> bool:
+        """Return whether the search for a flow awaits the answer to a lookup."""
         search = self.get(key)
-        return search is not None and bool(search.keeper)
+        return search is not None and bool(search.keeper or search.pending_balancers)
+
+    def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Look a flow up at all balancers of the zone before it counts as dead.
+
+        The backend server that holds it may be missing from this balancer's listing,
+        because it has just registered.
+        """
+        others = self.directory.balancers - {self.directory.own_ip}
+        search.await_balancers(others)
+        return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
+
+    def _handle_last_lookup(
+        self, search: FlowSearch, location: FlowLocation, sender: str
+    ) -> list[Action]:
+        key = location.flow
+        search.pending_balancers.discard(sender)
+        services = self.view.list_current_and_former_services(
+            extract_service_endpoint(key)
+        )
+        is_new = bool(location.agent) and location.agent not in search.verdicts
+        if is_new and location.service in services:
+            search.services[location.agent] = location.service
+            return self._finish_found(key, search, location.agent)
+        if search.pending_balancers:
+            return []
+        return self._finish_not_found(key, search)
 
     def handle_verdict(
         self, key: FlowKey, agent: str, verdict: Verdict
@@ -147,6 +175,10 @@
                     self.directory.silent.add(search.keeper)
                     self.counters["lookups_unanswered"] += 1
                     step = search.start()
+                elif search.pending_balancers:
+                    search.pending_balancers.clear()
+                    actions += self._finish_not_found(key, search)
+                    continue
                 elif search.is_paused:
                     step = search.resume(
                         *self._list_servers_to_query(search.held_packets[0])
@@ -235,6 +267,9 @@
         silent -= self._list_ended(services)
         uncertain = search.list_uncertain(services)
         is_dead = not silent and not uncertain and self.view.is_settled()
+        has_peers = len(self.directory.balancers) > 1
+        if is_dead and has_peers and not search.has_asked_balancers:
+            return self._ask_balancers(key, search)
         if not is_dead and search.has_time_left():
             search.pause()
             return []
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -181,7 +181,8 @@
     """A balancer's view, for another balancer whose view is outdated."""
 
     listing: ServerListing
-    """Its listing of backend servers."""
+    """Its listing of backend servers; with `base_digest`, only the entries that
+    changed since the listing with that digest."""
 
     listing_age_ms: int
     """How long ago the listing was confirmed, in milliseconds."""
@@ -198,6 +199,13 @@
     configuration_position: StorePosition = UNKNOWN_POSITION
     """The latest position of the store known to have no newer configuration."""
 
+    base_digest: int = 0
+    """The digest of the listing that `listing` and `removed` change; 0 if `listing` is
+    whole."""
+
+    removed: tuple[str, ...] = ()
+    """The names of the entries that were removed since that listing."""
+
 
 Message = (
     Heartbeat
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -11,6 +11,11 @@
     ServerListing,
     ServerState,
 )
+from citronwinch.coordination.flows._listing_history import (
+    ListingDifference,
+    ListingHistory,
+    apply_difference,
+)
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
 from citronwinch.coordination.flows._store_position import (
     UNKNOWN_POSITION,
@@ -68,6 +73,7 @@
         """The latest position from which the store has no history any more."""
         self.listing = EMPTY_LISTING
         self.listing_digest = EMPTY_LISTING.digest
+        self.history = ListingHistory()
         self.confirmed_ms: int | None = None
         """When the store last had this listing, None without a listing."""
         self.grace_until_ms = 0
@@ -174,6 +180,7 @@
             self.grace_until_ms = now_ms + OUTAGE_GRACE_MS
         previous, previous_digest = self.listing.servers, self.listing_digest
         self.listing, self.listing_digest = listing, listing.digest
+        self.history.record(self.listing_digest, listing.servers)
         self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
         for name, server in (previous | self.retained).items():
             if name not in listing.servers:
@@ -199,6 +206,22 @@
             self.restored_until_ms = now_ms + RESTORED_DISTRUST_MS
             self.grace_until_ms = now_ms + OUTAGE_GRACE_MS
 
+    def apply_listing_difference(
+        self,
+        base_digest: int,
+        difference: ListingDifference,
+        position: StorePosition,
+        confirmed_ms: int,
+    ) -> bool:
+        """Change the listing by a difference; return whether its content changed.
+
+        A difference to another listing than the current one is ignored.
+        """
+        if base_digest != self.listing_digest:
+            return False
+        servers = apply_difference(self.listing.servers, difference)
+        return self.accept_listing(ServerListing(position, servers), confirmed_ms)
+
     @property
     def remaining_grace_ms(self) -> int:
         """The rest of the grace time after an outage of the store, in milliseconds."""
--- a/citronwinch/coordination/flows/tests/test_rotation_changes.py
+++ b/citronwinch/coordination/flows/tests/test_rotation_changes.py
@@ -23,10 +23,12 @@
     FlowQuestion,
     ForwardedPacket,
     Packet,
+    ResetFlow,
     SendMessage,
     ServerSelector,
     Verdict,
 )
+from citronwinch.coordination.flows._known_flows import KnownFlow
 from citronwinch.coordination.flows.tests.conftest import (
     list_forwards,
     list_questions,
@@ -54,6 +56,7 @@
         self.down: set[str] = set()
         self.holders: dict[bytes, str] = {}
         self.messages: Counter[str] = Counter()
+        self.resets = 0
         for ip in BALANCERS:
             self.start(ip)
 
@@ -103,6 +106,7 @@
     def apply(self, sender: str, actions: list[Action]) -> None:
         """Carry messages to balancers and agents, with their answers."""
         for action in actions:
+            self.resets += isinstance(action, ResetFlow)
             if not isinstance(action, SendMessage):
                 continue
             message = action.message
@@ -293,3 +297,32 @@
         and isinstance(action.message, ForwardedPacket)
     ]
     assert forwarded == [packet.raw, second.raw]
+
+
+def test_a_flow_at_a_server_that_is_not_listed_yet_is_not_reset(
+    zone: Zone, clock: ManualClock
+) -> None:
+    joined = make_server(200)
+    opener, mover = (zone.balancers[ip] for ip in BALANCERS[:2])
+    listing = make_listing(11, *zone.servers, joined)
+    opener.view.accept_listing(listing, clock.now_ms())
+    packet = make_packet(1, payload=100)
+    opener.flows.store(
+        packet.flow, KnownFlow(joined.address.ip, "gauging", clock.now_ms())
+    )
+    zone.holders[packet.flow] = joined.address.ip
+    zone.send_packet(BALANCERS[1], packet)
+    zone.advance(60)
+    assert mover.flows[packet.flow].agent == joined.address.ip
+    assert zone.resets == 0
+
+
+def test_a_dead_flow_is_reset_after_the_balancers_of_the_zone_were_asked(
+    zone: Zone,
+) -> None:
+    packet = make_packet(1, payload=100)
+    zone.down.add(BALANCERS[4])
+    zone.send_packet(BALANCERS[1], packet)
+    zone.advance(60)
+    assert zone.resets == 1
+    assert zone.messages["FlowQuestion"] == LOCAL_AGENTS + REMOTE_AGENTS
--- a/citronwinch/flow_peers/__init__.py
+++ b/citronwinch/flow_peers/__init__.py
@@ -2,12 +2,16 @@
 
 from citronwinch.flow_peers._codec import (
     ViewEncoder,
+    compress_view,
+    decode_compressed_view,
     decode_flow_message,
     decode_view,
     encode_flow_message,
 )
 
 __all__ = [
+    "compress_view",
+    "decode_compressed_view",
     "decode_flow_message",
     "decode_view",
     "encode_flow_message",
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -51,11 +51,12 @@
 KIND_CONTROL = 3
 
 COMPRESSION_LEVEL = 1
-"""The zlib level for configurations, 1 to 9; higher ones cost time and save little."""
+"""The zlib level for configurations and views, 1 to 9; higher ones cost time and save
+little."""
 
-MAX_CONFIGURATION_BYTES = 4 << 20
-"""The largest size of a decompressed configuration, in bytes; four times the platform's
-largest value."""
+MAX_DECOMPRESSED_BYTES = 4 << 20
+"""The largest size of a decompressed configuration or view, in bytes; four times the
+platform's largest value."""
 
 MAX_MESSAGE_WORDS = 1 << 20
 """The most 8-byte words that a decoded message may hold."""
@@ -260,6 +261,8 @@
     builder.configurationVersion = view.configuration_version
     builder.configurationEra = view.configuration_position.era
     builder.configurationRevision = view.configuration_position.revision
+    builder.baseDigest = view.base_digest
+    builder.removed = list(view.removed)
     packed: bytes = builder.to_bytes_packed()
     return packed
 
@@ -292,6 +295,19 @@
             share_body.service, share_body.weight = share
 
 
+def compress_view(encoded: bytes) -> bytes:
+    """Return an encoded view in compressed form; names in a listing repeat much."""
+    return zlib.compress(encoded, COMPRESSION_LEVEL)
+
+
+def decode_compressed_view(data: bytes) -> ViewAnswer:
+    """Decode a compressed view; raise MalformedMessageError if it is malformed."""
+    try:
+        return decode_view(_decompress(data, "view"))
+    except (ValueError, zlib.error) as error:
+        raise MalformedMessageError(f"view: {error}") from error
+
+
 def decode_view(data: bytes) -> ViewAnswer:
     """Decode a view; raise MalformedMessageError if it is malformed."""
     try:
@@ -312,23 +328,30 @@
             retained,
             reader.configurationVersion,
             StorePosition(reader.configurationEra, reader.configurationRevision),
+            reader.baseDigest,
+            tuple(reader.removed),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
 
 
 def _decode_configuration(data: bytes) -> Configuration:
+    packed = _decompress(data, "configuration")
+    reader = SCHEMA.Configuration.from_bytes_packed(
+        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS
+    )
+    return _read_configuration(reader)
+
+
+def _decompress(data: bytes, content: str) -> bytes:
     inflater = zlib.decompressobj()
-    packed = inflater.decompress(data, MAX_CONFIGURATION_BYTES)
+    packed = inflater.decompress(data, MAX_DECOMPRESSED_BYTES)
     if inflater.unconsumed_tail or not inflater.eof:
         raise ValueError(
-            f"configuration: expected up to {MAX_CONFIGURATION_BYTES} bytes, "
+            f"{content}: expected up to {MAX_DECOMPRESSED_BYTES} bytes, "
             "found more, or not all of them"
         )
-    reader = SCHEMA.Configuration.from_bytes_packed(
-        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS
-    )
-    return _read_configuration(reader)
+    return packed
 
 
 def _read_server(body: Any) -> BackendServer:
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -104,4 +104,7 @@
   configurationRevision @6 :UInt64;
   era @7 :UInt32;
   configurationEra @8 :UInt32;
+  # With a base, servers has only the entries that changed since that listing.
+  baseDigest @9 :UInt64;
+  removed @10 :List(Text);
 }
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -31,6 +31,8 @@
 )
 from citronwinch.flow_peers import (
     ViewEncoder,
+    compress_view,
+    decode_compressed_view,
     decode_flow_message,
     decode_view,
     encode_flow_message,
@@ -87,10 +89,13 @@
         (server._replace(name="i-2"),),
         3,
         StorePosition(3, 77),
+        (1 << 64) - 1,
+        ("i-7", "i-8"),
     )
     encoder = ViewEncoder()
     assert decode_view(encoder.encode(view)) == view
     assert decode_view(encoder.encode(view)) == view
+    assert decode_compressed_view(compress_view(encoder.encode(view))) == view
 
 
 @pytest.mark.parametrize(
@@ -112,6 +117,21 @@
         decode_view(encoder.encode(view))
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"?not compressed", id="not compressed"),
+        pytest.param(zlib.compress(bytes(5 << 20)), id="too large"),
+        pytest.param(zlib.compress(b"1234567"), id="no view"),
+        pytest.param(zlib.compress(bytes(64))[:-3], id="cut"),
+    ],
+)
+def test_a_damaged_compressed_view_is_rejected(data: bytes) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_compressed_view(data)
+
+
 def test_mutated_messages_raise_only_malformed_message_errors() -> None:
     rng = random.Random(20)
     for _ in range(3_000):
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -11,6 +11,7 @@
     READ_RETRY_MS,
     UNKNOWN_POSITION,
     Heartbeat,
+    ListingDifference,
     ViewAnswer,
     ViewAnswerPacing,
     choose_view_source,
@@ -18,7 +19,12 @@
     compute_read_turn,
     list_view_sources,
 )
-from citronwinch.flow_peers import ViewEncoder, decode_view
+from citronwinch.flow_peers import (
+    ViewEncoder,
+    compress_view,
+    decode_compressed_view,
+    decode_view,
+)
 from citronwinch.forwarder._configuration_watch import ConfigurationWatch
 from citronwinch.network import (
     HttpError,
@@ -36,6 +42,9 @@
 VIEW_PATH = "/view"
 """The HTTP path at which a balancer serves its view to other balancers."""
 
+COMPRESSED_TYPE = "application/zlib"
+"""The media type of a compressed view."""
+
 FETCH_TIMEOUT_MS = 600
 """The timeout for fetching the view of another balancer, in milliseconds."""
 
@@ -241,12 +250,15 @@
         endpoint = self.process.make_peer_endpoint(ip)
         requested_ms = self.clock.now_ms()
         try:
-            target = f"{VIEW_PATH}?after={version}"
+            digest = self.view.listing_digest
+            target = f"{VIEW_PATH}?after={version}&listing={digest}"
             response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
             if response.status != 200:
                 self.process.metrics.count("view_fetches_put_off_total")
                 return
-            answer = decode_view(response.body)
+            is_compressed = response.content_type == COMPRESSED_TYPE
+            decode = decode_compressed_view if is_compressed else decode_view
+            answer = decode(response.body)
         except (HttpError, MalformedMessageError) as error:
             self.process.metrics.count("view_fetch_errors_total")
             log.info("view_not_fetched", balancer=ip, reason=str(error))
@@ -259,12 +271,22 @@
         )
         if answer.listing.position != UNKNOWN_POSITION:
             confirmed_ms = requested_ms - answer.listing_age_ms
-            if self.view.accept_listing(answer.listing, confirmed_ms):
+            if self._accept_listing(answer, confirmed_ms):
                 self.log_listing(ip)
             view = self.view
             view.accept_grace(view.remaining_grace_ms, answer.retained)
             self.process.handle_early_packets()
 
+    def _accept_listing(self, answer: ViewAnswer, confirmed_ms: int) -> bool:
+        """Accept the listing of a view, whole or as a difference to the own one."""
+        listing = answer.listing
+        if not answer.base_digest:
+            return self.view.accept_listing(listing, confirmed_ms)
+        difference = ListingDifference(listing.servers, answer.removed)
+        return self.view.apply_listing_difference(
+            answer.base_digest, difference, listing.position, confirmed_ms
+        )
+
     async def _answer_view(self, request: HttpRequest) -> HttpResponse:
         after = request.query.get("after", "0")
         known_version = int(after) if after.isdigit() else 0
@@ -283,7 +305,29 @@
             version,
             view.configuration_position,
         )
+        # A balancer of an earlier version neither states its listing nor accepts a
+        # compressed view.
+        digest = request.query.get("listing", "")
+        content_type = "application/octet-stream"
+        if digest.isdecimal():
+            answer = self._shorten_view(answer, int(digest))
+            content_type = COMPRESSED_TYPE
         encoded = self.encoder.encode(answer)
+        if content_type == COMPRESSED_TYPE:
+            encoded = compress_view(encoded)
         if not self.pacing.admit(len(encoded)):
             return HttpResponse(503, b'{"error":"ask another balancer"}')
-        return HttpResponse(200, encoded, "application/octet-stream")
+        return HttpResponse(200, encoded, content_type)
+
+    def _shorten_view(self, answer: ViewAnswer, base_digest: int) -> ViewAnswer:
+        """Replace the listing by the difference to one that the requester has."""
+        difference = self.view.history.make_difference(
+            base_digest, answer.listing.servers
+        )
+        if difference is None:
+            return answer
+        return answer._replace(
+            listing=answer.listing._replace(servers=difference.changed),
+            base_digest=base_digest,
+            removed=difference.removed,
+        )
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -6,9 +6,12 @@
 
 from typing import Any
 
+import pytest
 import trio
 
+from citronwinch.coordination.flows import ViewAnswer
 from citronwinch.forwarder._balancer_process import BalancerProcess
+from citronwinch.forwarder._view_exchange import ViewExchange
 from citronwinch.forwarder.tests.conftest import (
     ROUTE_ADDRESS,
     LoopbackDeployment,
@@ -203,6 +206,35 @@
     run_scenario(scenario, 120)
 
 
+def test_a_changed_listing_is_fetched_as_a_difference(
+    run_scenario: RunScenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(deployment: LoopbackDeployment) -> None:
+        await start_small_deployment(deployment)
+        balancers = list_balancers(deployment)
+        answers: list[ViewAnswer] = []
+        shorten = ViewExchange._shorten_view
+
+        def record(self: ViewExchange, answer: ViewAnswer, digest: int) -> ViewAnswer:
+            answers.append(shorten(self, answer, digest))
+            return answers[-1]
+
+        monkeypatch.setattr(ViewExchange, "_shorten_view", record)
+        deployment.add_server(33)
+        await deployment.wait_for(
+            lambda: all(len(b.view.listing.servers) == 4 for b in balancers)
+        )
+        deployment.store.delete("servers/i-32")
+        await deployment.wait_for(
+            lambda: all(len(b.view.listing.servers) == 3 for b in balancers)
+        )
+        assert answers
+        assert all(answer.base_digest for answer in answers)
+        assert {name for a in answers for name in a.listing.servers} == {"i-33"}
+
+    run_scenario(scenario, 121)
+
+
 def list_balancers(deployment: LoopbackDeployment) -> list[BalancerProcess]:
     return [
         process
