--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -159,7 +159,9 @@
         actions: list[Action] = [DeliverToServer(packet.raw)]
         if flow.state is not FlowState.OPEN:
             self._mark_open(flow)
-            actions.append(SendMessage(balancer, FlowAnswer(packet.flow, Verdict.HELD)))
+            if balancer != flow.informed_balancer:
+                held = FlowAnswer(packet.flow, Verdict.HELD)
+                actions.append(SendMessage(balancer, held))
         flow.balancer = balancer
         flow.acknowledged = packet.acknowledged
         self._touch(packet.flow, flow)
@@ -192,6 +194,7 @@
                 flow.state = FlowState.ACCEPTED
             flow.server_first_sequence = packet.sequence
             if flow.balancer and flow.state is FlowState.ACCEPTED:
+                flow.informed_balancer = flow.balancer
                 answer = FlowAnswer(packet.flow, Verdict.OPENING)
                 actions.append(SendMessage(flow.balancer, answer))
             return actions
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -277,7 +277,7 @@
             del self.flows[answer.flow]
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
-            if answer.verdict is Verdict.HELD:
+            if answer.verdict in (Verdict.OPENING, Verdict.HELD):
                 self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -36,6 +36,8 @@
         self.last_packet_ms = now_ms
         self.balancer = ""
         """The balancer that sent the flow's latest packet, empty if none has."""
+        self.informed_balancer = ""
+        """The balancer that knows from this agent where the flow is, empty if none."""
         self.server_first_sequence = 0
         """The sequence number with which the backend server accepted the flow."""
         self.acknowledged = 0
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -265,3 +265,20 @@
     open_flow(agent)
     reset = make_packet(reset=True)
     assert agent.handle_from_server(reset) == [DeliverToCaller(reset)]
+
+
+@pytest.mark.parametrize(
+    ("confirming_balancer", "is_informed"), [(BALANCER, False), ("10.0.1.2", True)]
+)
+def test_only_a_balancer_that_does_not_know_of_the_flow_is_told_that_it_is_open(
+    agent: AgentFlows, confirming_balancer: str, is_informed: bool
+) -> None:
+    forward(agent, opening=True)
+    agent.handle_from_server(make_packet(opening=True, sequence=500))
+    packet = make_packet(acknowledged=501)
+    actions = agent.handle_forwarded(
+        ForwardedPacket("gauging", packet.raw), packet, confirming_balancer
+    )
+    held = SendMessage(confirming_balancer, FlowAnswer(packet.flow, Verdict.HELD))
+    assert is_delivered(actions)
+    assert (held in actions) is is_informed
--- a/citronwinch/network/tests/test_datagram_socket.py
+++ b/citronwinch/network/tests/test_datagram_socket.py
@@ -54,3 +54,28 @@
         return first_scope.cancelled_caught and second_scope.cancelled_caught
 
     assert trio.run(run)
+
+
+def test_datagrams_that_arrive_together_during_the_wait_are_all_received(
+    datagram_socket: DatagramSocket,
+) -> None:
+    expected = [b"%d" % number for number in range(5)]
+
+    async def run() -> list[bytes]:
+        received: list[bytes] = []
+
+        async def receive_all() -> None:
+            while len(received) < len(expected):
+                batch = await datagram_socket.receive_next()
+                received.extend(datagram.data for datagram in batch)
+
+        with trio.fail_after(2):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(receive_all)
+                await trio.testing.wait_all_tasks_blocked()
+                for data in expected:
+                    sender.sendto(data, datagram_socket.endpoint)
+        return received
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        assert trio.run(run) == expected
