--- a/citronwinch/network/_datagram_socket.py
+++ b/citronwinch/network/_datagram_socket.py
@@ -18,7 +18,7 @@
 
 
 BURST_GAP_S = 0.002
-"""Up to this time between two reads, in seconds, more datagrams are expected to wait."""
+"""Up to this time between two reads, in seconds, more datagrams probably wait."""
 
 
 class Datagram(NamedTuple):
