Repeat failed reads of the store less often in large fleets

Cause: while the store was down, each balancer repeated its read every 400 ms and each watch every 100 ms, and the store charges for refused calls: 150 calls a second from 59 balancers (computed, not measured).

Change: all balancers together repeat at most 20 reads a second, at random times; a failed watch waits 100, 200, then 400 ms.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -84,6 +84,7 @@
     READ_INTERVAL_MS,
     READ_RETRY_MS,
     compute_read_age_ms,
+    compute_read_retry_ms,
     compute_read_turn,
 )
 from citronwinch.coordination.flows._server_liveness import ServerCheck
@@ -164,6 +165,7 @@
     "Verdict",
     "ViewAnswer",
     "compute_read_age_ms",
+    "compute_read_retry_ms",
     "compute_read_turn",
     "order_services",
     "pack_route_address",
--- a/citronwinch/coordination/flows/_read_turns.py
+++ b/citronwinch/coordination/flows/_read_turns.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from citronwinch.coordination._placement import hash_seed
+from citronwinch.coordination.flows._control_pace import compute_interval_ms
 
 READ_INTERVAL_MS = 700
 """The age of the listing at which the first balancer in turn reads again, in
@@ -22,7 +23,12 @@
 the fleet reads within READ_INTERVAL_MS + MAX_DELAYED_TURN * TURN_STEP_MS."""
 
 READ_RETRY_MS = 400
-"""How long a balancer waits after a failed read of the store, in milliseconds."""
+"""The least time that a balancer waits after a failed read of the store, in
+milliseconds."""
+
+FAILED_READS_PER_S = 20
+"""The most reads per second that all balancers together repeat while the store is down.
+The store charges for refused calls, and one successful read is announced to all."""
 
 
 def compute_read_turn(own_ip: str, balancers: Iterable[str]) -> int:
@@ -41,6 +47,17 @@
     return sum((hash_seed(ip), ip) < own for ip in set(balancers) - {own_ip})
 
 
+def compute_read_retry_ms(balancers: int) -> int:
+    """Return how long a balancer waits after a failed read, in milliseconds.
+
+    Example::
+
+        >>> compute_read_retry_ms(6), compute_read_retry_ms(60)
+        (400, 3000)
+    """
+    return compute_interval_ms(READ_RETRY_MS, balancers, FAILED_READS_PER_S)
+
+
 def compute_read_age_ms(turn: int) -> int:
     """Return the age of the listing at which it is read again, in milliseconds."""
     return READ_INTERVAL_MS + min(turn, MAX_DELAYED_TURN) * TURN_STEP_MS
--- a/citronwinch/coordination/flows/tests/test_control_load.py
+++ b/citronwinch/coordination/flows/tests/test_control_load.py
@@ -17,6 +17,7 @@
     AGENT_HEARTBEATS_PER_S,
     BALANCER_HEARTBEAT_MS,
     BALANCER_HEARTBEATS_PER_S,
+    READ_RETRY_MS,
     REMOTE_AGENT_HEARTBEAT_MS,
     REMOTE_AGENT_HEARTBEATS_PER_S,
     REPORTS_PER_S,
@@ -28,6 +29,7 @@
     ServerSelector,
     StorePosition,
     compute_interval_ms,
+    compute_read_retry_ms,
 )
 
 TICK_MS = 100
@@ -161,3 +163,10 @@
     assert members.expire() == []
     clock.advance(1)
     assert members.expire() == ["10.0.0.2"]
+
+
+@pytest.mark.parametrize("balancers", [1, 6, 21, 59, 1_700])
+def test_failed_reads_of_the_store_do_not_grow_with_the_fleet(balancers: int) -> None:
+    retry_ms = compute_read_retry_ms(balancers)
+    assert retry_ms >= READ_RETRY_MS
+    assert balancers * 1_000 / retry_ms <= 20
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -24,8 +24,11 @@
 time within which a balancer must apply a change."""
 
 WATCH_RETRY_DELAY_S = 0.1
-"""The delay before a failed watch is retried, in seconds; the store charges for each
-watch."""
+"""The delay before a failed watch is retried, in seconds. It doubles with each further
+failure, since the store charges for each watch."""
+
+MAX_WATCH_RETRY_DELAY_S = 0.4
+"""The longest delay before a failed watch is retried, in seconds."""
 
 LISTING_READER_TIMEOUT_MS = 2_000
 """How long after its last read of the listing a balancer watches the configuration in
@@ -55,6 +58,7 @@
             self.process.settings.link_mbps
         )
         self.has_configuration = trio.Event()
+        self.watch_retry_delay_s = WATCH_RETRY_DELAY_S
         self.watch_scope = trio.CancelScope()
         """The scope of the running watch, if any."""
 
@@ -145,6 +149,7 @@
         if result.is_error():
             await self._handle_watch_error(result.error, position)
             return
+        self.watch_retry_delay_s = WATCH_RETRY_DELAY_S
         configuration = result.ok.configuration
         if self.follower.handle_watch(configuration, result.ok.position, position):
             self.exchange.handle_newer_configuration("store")
@@ -165,7 +170,10 @@
             return
         if not error.is_temporary:
             self.follower.must_read = True
-        await trio.sleep(WATCH_RETRY_DELAY_S)
+        await trio.sleep(self.watch_retry_delay_s)
+        self.watch_retry_delay_s = min(
+            2 * self.watch_retry_delay_s, MAX_WATCH_RETRY_DELAY_S
+        )
 
     async def _await_position(self) -> None:
         """Wait for the store's position at which the configuration is current.
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -8,7 +8,6 @@
 
 from citronwinch.coordination.flows import (
     READ_INTERVAL_MS,
-    READ_RETRY_MS,
     UNKNOWN_POSITION,
     Heartbeat,
     ListingDifference,
@@ -16,6 +15,7 @@
     ViewAnswerPacing,
     choose_view_source,
     compute_read_age_ms,
+    compute_read_retry_ms,
     compute_read_turn,
     list_view_sources,
 )
@@ -48,6 +48,10 @@
 FETCH_TIMEOUT_MS = 600
 """The timeout for fetching the view of another balancer, in milliseconds."""
 
+READ_RETRY_JITTER = (0.7, 1.3)
+"""The range of a random factor on the time until a failed read is repeated, so that
+balancers whose reads failed together do not repeat them together."""
+
 FETCH_RETRY_DELAY_S = (0.02, 0.08)
 """The shortest and longest delay after an unsuccessful fetch, in seconds. The delay is
 random, so that balancers that were refused together do not retry together."""
@@ -114,7 +118,10 @@
         self.is_reading_listing = False
         self.process.metrics.set_gauge("store_calls", self.store.calls)
         if result.is_error():
-            self.listing_retry_at_ms = self.clock.now_ms() + READ_RETRY_MS
+            balancers = 1 + len(self.process.members.members)
+            retry_ms = compute_read_retry_ms(balancers)
+            jitter = self.rng.uniform(*READ_RETRY_JITTER)
+            self.listing_retry_at_ms = self.clock.now_ms() + round(retry_ms * jitter)
             self.record_read_failure(result.error)
             return
         self.record_read_success()
