--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -282,3 +282,13 @@
     held = SendMessage(confirming_balancer, FlowAnswer(packet.flow, Verdict.HELD))
     assert is_delivered(actions)
     assert (held in actions) is is_informed
+
+
+def test_a_restarted_agent_delivers_the_rest_of_an_answer(agent: AgentFlows) -> None:
+    # The restart falls between two packets of an answer; the server repeats what was
+    # not acknowledged, and the new process knows nothing of the flow.
+    rest = make_packet(sequence=900, payload=600)
+    assert DeliverToCaller(rest) in agent.handle_from_server(rest)
+    assert query_verdict(agent) is Verdict.HELD
+    acknowledgement = forward(agent, acknowledged=1_500)
+    assert is_delivered(acknowledgement) and not is_returned(acknowledgement)
