Treat a rise from era 0 as a return of the store, and apply shorter intervals at once

A keeper that was passed over stayed so after a restart until it sent locations. When the interval of heartbeats became shorter, agents that were due by the longer one seemed silent.

Each has a test that failed before, but for the keeper's heartbeat.

--- a/citronwinch/coordination/flows/_configuration_follower.py
+++ b/citronwinch/coordination/flows/_configuration_follower.py
@@ -35,8 +35,8 @@
 
     def __init__(self, view: DeploymentView) -> None:
         self.view = view
-        self.era = 0
-        """The highest era of the store that any of its answers had."""
+        self.era: int | None = None
+        """The highest era that an answer of the store had, None before the first."""
         self.must_read = False
         """Whether changes may have been missed since the last read."""
 
@@ -46,16 +46,14 @@
         The era of a balancer's first answer is not a return unless the view has a
         position of an earlier era.
         """
-        if era <= self.era:
+        if self.era is not None and era <= self.era:
             return False
-        known_era = max(
-            self.era,
-            self.view.configuration_position.era,
-            self.view.listing.position.era,
-        )
+        known_eras = [] if self.era is None else [self.era]
+        positions = (self.view.configuration_position, self.view.listing.position)
+        known_eras += [p.era for p in positions if p != UNKNOWN_POSITION]
+        is_restored = max(known_eras, default=era) < era
         self.era = era
         self.view.forget_position(StorePosition(era, 0))
-        is_restored = 0 < known_era < era
         self.must_read = self.must_read or is_restored
         return is_restored
 
@@ -78,7 +76,7 @@
         """
         is_newer = self._accept(configuration)
         current = self.view.configuration
-        if position.era >= self.era:
+        if self.era is None or position.era >= self.era:
             self.must_read = False
             if current is not None:
                 self.view.confirm_configuration(current.version, position)
--- a/citronwinch/coordination/flows/_control_pace.py
+++ b/citronwinch/coordination/flows/_control_pace.py
@@ -62,9 +62,16 @@
         """When the next message of each receiver is due."""
 
     def list_due(self, receivers: Iterable[str], interval_ms: int) -> list[str]:
-        """Return the receivers that get a message now, and record that as sent."""
+        """Return the receivers that get a message now, and record that as sent.
+
+        After the interval has become shorter, receivers whose message would be due too
+        late by it get one now.
+        """
         now_ms, due_ms = self.clock.now_ms(), self.due_ms
-        due = [ip for ip in receivers if due_ms.get(ip, 0) <= now_ms]
+        latest_ms = now_ms + interval_ms
+        due = [
+            ip for ip in receivers if not now_ms < due_ms.get(ip, now_ms) <= latest_ms
+        ]
         self.record_sent(due, interval_ms)
         return due
 
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -198,10 +198,8 @@
 
         They start when the era rises: the store has come back from an older copy.
         """
-        if (
-            self.confirmed_ms is not None
-            and position.era > self.listing.position.era > 0
-        ):
+        has_listing = self.confirmed_ms is not None
+        if has_listing and position.era > self.listing.position.era:
             now_ms = self.clock.now_ms()
             self.restored_until_ms = now_ms + RESTORED_DISTRUST_MS
             self.grace_until_ms = now_ms + OUTAGE_GRACE_MS
--- a/citronwinch/coordination/flows/tests/test_control_load.py
+++ b/citronwinch/coordination/flows/tests/test_control_load.py
@@ -170,3 +170,14 @@
     retry_ms = compute_read_retry_ms(balancers)
     assert retry_ms >= READ_RETRY_MS
     assert balancers * 1_000 / retry_ms <= 20
+
+
+def test_a_shorter_interval_applies_at_once(clock: ManualClock) -> None:
+    # Otherwise an agent that was asked every 11 s would seem silent after 7 s.
+    pace, addresses = MessagePace(clock), make_addresses(40)
+    pace.list_due(addresses, 11_000)
+    clock.advance(100)
+    due = pace.list_due(addresses, 300)
+    assert len(due) >= 30
+    clock.advance(300)
+    assert len(set(due) | set(pace.list_due(addresses, 300))) == 40
--- a/citronwinch/coordination/flows/tests/test_restored_store.py
+++ b/citronwinch/coordination/flows/tests/test_restored_store.py
@@ -306,3 +306,31 @@
         balancer.hear(balancers[reader])
         assert balancer.version == newest
         assert balancer.versions == sorted(balancer.versions)
+
+
+def test_a_rise_from_era_0_is_a_return_of_the_store_as_well(clock: ManualClock) -> None:
+    view = DeploymentView(clock)
+    view.accept_configuration(make_configuration(5))
+    follower = ConfigurationFollower(view)
+    assert not follower.record_era(0)
+    follower.handle_read(make_configuration(5), StorePosition(0, 30))
+    servers = (make_server(1), make_server(2))
+    view.accept_listing(make_listing(30, *servers, era=0), clock.now_ms())
+    view.accept_listing(make_listing(31, make_server(1), era=0), clock.now_ms())
+    assert follower.record_era(1)
+    assert follower.choose_step() is StoreStep.READ
+    joined = make_server(3)
+    view.accept_listing(make_listing(20, *servers, joined, era=1), clock.now_ms())
+    assert list_ready_names(view) == {"s1", "s3"}
+    assert not view.is_settled()
+
+
+def test_a_balancer_that_knows_an_earlier_era_from_others_reads(
+    clock: ManualClock,
+) -> None:
+    view = DeploymentView(clock)
+    view.accept_configuration(make_configuration(5))
+    view.confirm_configuration(5, StorePosition(0, 30))
+    follower = ConfigurationFollower(view)
+    assert follower.record_era(1)
+    assert follower.choose_step() is StoreStep.READ
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -176,6 +176,7 @@
             self._handle_heartbeat(message, sender)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
+        self.flows.directory.silent.discard(sender)
         if self.members.handle_heartbeat(sender, heartbeat):
             log.info(
                 "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
@@ -207,8 +208,11 @@
         self.apply_actions(self.flows.tick())
         for server in self.view.expire():
             log.info("server_gone", server=server.name, service=server.service)
-        for ip in self.members.expire():
+        lost = self.members.expire()
+        for ip in lost:
             log.info("balancer_lost", balancer=ip)
+        if lost:
+            self.balancer_pace.retain(self.members.list_heartbeat_targets())
         self._update_isolation()
         self._send_due_heartbeats()
         self.view_exchange.tick()
