Limit the lists of balancers, and split the heartbeats to agents off

Cause: when two balancers meet for the first time, and every three seconds, lists of all balancers were sent: 1 KB for 59 of them.

Change: a list names at most 24 balancers at random, that of a seed 64. Fleets of up to 24 send what they did. The heartbeats to agents have a module of their own, and one method states the time until the next tick.

--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -77,23 +77,19 @@
         self.remote_reported_ms = self.started_ms
         self.last_remote_report: LoadReport | None = None
 
-    @property
-    def tick_ms(self) -> int:  # type: ignore[override]
-        """The interval between ticks while requests wait, in milliseconds.
+    def compute_tick_ms(self, *, is_idle: bool) -> int:
+        """Return the time until the next tick, in milliseconds.
 
-        The more balancers receive reports, the less frequent these are.
+        While requests wait, each tick may send load reports; the more balancers receive
+        them, the less frequent they are.
         """
-        report_ms = compute_interval_ms(
-            REPORT_INTERVAL_MS, len(self.local_balancers), REPORTS_PER_S
-        )
+        balancers = len(self.local_balancers)
+        if is_idle:
+            has_many = balancers > ALL_CHANGES_RECEIVERS
+            return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
+        report_ms = compute_interval_ms(REPORT_INTERVAL_MS, balancers, REPORTS_PER_S)
         return min(report_ms, AGENT_IDLE_TICK_MS)
 
-    @property
-    def idle_tick_ms(self) -> int:  # type: ignore[override]
-        """The interval between ticks while no request waits, in milliseconds."""
-        has_many = len(self.local_balancers) > ALL_CHANGES_RECEIVERS
-        return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
-
     def is_ready(self) -> bool:
         """Return True: an agent can deliver packets without any prior state."""
         return True
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -2,21 +2,15 @@
 
 import random
 from collections import deque
-from collections.abc import Collection, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Collection
 
 import structlog
 import trio
 
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
-    AGENT_HEARTBEAT_MS,
-    AGENT_HEARTBEATS_PER_S,
     BALANCER_HEARTBEAT_MS,
     BALANCER_HEARTBEATS_PER_S,
-    REMOTE_AGENT_HEARTBEAT_MS,
-    REMOTE_AGENT_HEARTBEATS_PER_S,
-    BackendServer,
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
@@ -32,6 +26,7 @@
     ServerSelector,
     compute_interval_ms,
 )
+from citronwinch.forwarder._agent_heartbeats import AgentHeartbeats
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
@@ -60,6 +55,13 @@
 MEMBERS_RECEIVERS = 6
 """The most balancers that receive the list at the same time, chosen at random."""
 
+LISTED_MEMBERS_LIMIT = 24
+"""The most balancers in such a list, chosen at random. The lists of several balancers
+complete each other, and a list of all would grow with the fleet."""
+
+SEED_LISTED_MEMBERS_LIMIT = 64
+"""The same in the list of a seed, from which a joining balancer learns the others."""
+
 STOP_MS = 2_500
 """How long a stopping balancer still forwards, in milliseconds. Routers check a
 balancer's readiness twice a second and remove the balancer from rotation after two
@@ -85,30 +87,9 @@
 log = structlog.get_logger()
 
 
-class AgentTargets(NamedTuple):
-    """The agents of listed servers, which get heartbeats."""
-
-    by_service: Mapping[str, Sequence[BackendServer]]
-    """The servers of the view from which the targets were derived."""
-
-    is_isolated: bool
-    """Whether the balancer was isolated at that time."""
-
-    local: tuple[str, ...]
-    """The addresses of the agents that get frequent heartbeats."""
-
-    remote: tuple[str, ...]
-    """The addresses of the other agents."""
-
-    server_started_ms: Mapping[str, int]
-    """The incarnations of the agents' backend servers, by the agent's address."""
-
-
 class BalancerProcess(ForwarderProcess):
     """A balancer: forwards callers' packets to agents and serves its view."""
 
-    tick_ms = BALANCER_TICK_MS
-
     def __init__(
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
     ) -> None:
@@ -130,8 +111,7 @@
         self.has_been_ready = False
         self.is_isolated = False
         self.balancer_pace = MessagePace(self.clock)
-        self.agent_pace = MessagePace(self.clock)
-        self.agent_targets = AgentTargets({}, False, (), (), {})
+        self.agent_heartbeats = AgentHeartbeats(self)
         self.members_sent_ms = self.started_ms
 
     def is_ready(self) -> bool:
@@ -228,9 +208,10 @@
             balancers.append(self.settings.ip)
         self.apply_actions([*self.flows.directory.set_balancers(balancers)])
 
-    @property
-    def idle_tick_ms(self) -> int:  # type: ignore[override]
-        """The interval between ticks while nothing is pending, in milliseconds."""
+    def compute_tick_ms(self, *, is_idle: bool) -> int:
+        """Return the time until the next tick, in milliseconds."""
+        if not is_idle:
+            return BALANCER_TICK_MS
         is_reader = self.view_exchange.configuration_watch.is_listing_reader()
         return READER_TICK_MS if is_reader else IDLE_TICK_MS
 
@@ -260,7 +241,7 @@
         due = self.balancer_pace.list_due(targets, self._compute_balancer_interval_ms())
         if due:
             self.send_balancer_heartbeat(due, with_members=False)
-        self._send_due_agent_heartbeats()
+        self.agent_heartbeats.send_due()
 
     def _compute_balancer_interval_ms(self) -> int:
         targets = len(self.members.list_heartbeat_targets())
@@ -268,66 +249,22 @@
             BALANCER_HEARTBEAT_MS, targets, BALANCER_HEARTBEATS_PER_S
         )
 
-    def _send_due_agent_heartbeats(self) -> None:
-        targets = self._find_agent_targets()
-        local_ms = compute_interval_ms(
-            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
-        )
-        remote_ms = compute_interval_ms(
-            REMOTE_AGENT_HEARTBEAT_MS,
-            len(targets.remote),
-            REMOTE_AGENT_HEARTBEATS_PER_S,
-        )
-        self.selector.set_heartbeat_intervals(local_ms, remote_ms)
-        # Heartbeats show whether the agent of a former server still answers; if not,
-        # the flows of the server are lost.
-        former = [server.address.ip for server in self.view.list_former()]
-        groups = (
-            (targets.local, local_ms),
-            (targets.remote, remote_ms),
-            (former, AGENT_HEARTBEAT_MS),
-        )
-        for ips, interval_ms in groups:
-            for ip in self.agent_pace.list_due(ips, interval_ms):
-                started_ms = targets.server_started_ms.get(ip, 0)
-                self.send(ip, self.make_heartbeat((), started_ms, interval_ms))
-
-    def _find_agent_targets(self) -> AgentTargets:
-        """Return the agents that get heartbeats; they change with the listing only.
-
-        An isolated balancer probes all agents as often as those of its own zone.
-        """
-        targets = self.agent_targets
-        if (
-            targets.by_service is self.view.by_service
-            and targets.is_isolated is self.is_isolated
-        ):
-            return targets
-        local: list[str] = []
-        remote: list[str] = []
-        servers = self.view.list_servers()
-        for server in servers:
-            zone = server.availability_zone
-            is_local = self.is_isolated or zone == self.settings.availability_zone
-            (local if is_local else remote).append(server.address.ip)
-        self.agent_targets = AgentTargets(
-            self.view.by_service,
-            self.is_isolated,
-            tuple(local),
-            tuple(remote),
-            {server.address.ip: server.started_ms for server in servers},
-        )
-        return self.agent_targets
-
     def send_balancer_heartbeat(
         self, ips: Collection[str], *, with_members: bool
     ) -> None:
-        """Send a heartbeat to balancers; `with_members` adds all known balancers."""
+        """Send a heartbeat to balancers; `with_members` names other balancers in it."""
         interval_ms = self._compute_balancer_interval_ms()
         self.balancer_pace.record_sent(ips, interval_ms)
-        known = tuple(sorted(self.members.members)) if with_members else ()
+        known = self._list_named_members() if with_members else ()
         self.send_to_all(ips, self.make_heartbeat(known, interval_ms=interval_ms))
 
+    def _list_named_members(self) -> tuple[str, ...]:
+        """Return the balancers that this one names to others."""
+        is_seed = self.settings.ip in {seed.ip for seed in self.settings.seeds}
+        limit = SEED_LISTED_MEMBERS_LIMIT if is_seed else LISTED_MEMBERS_LIMIT
+        known = sorted(self.members.members)
+        return tuple(self.rng.sample(known, min(len(known), limit)))
+
     def announce_view(self) -> None:
         """Announce a new configuration or listing to the other balancers.
 
@@ -337,7 +274,7 @@
         known = [server.address.ip for server in self.view.list_servers()]
         known += [former.server.address.ip for former in self.view.former.values()]
         self.selector.retain_agents(known)
-        self.agent_pace.retain(known)
+        self.agent_heartbeats.pace.retain(known)
         self.send_balancer_heartbeat(
             self.members.list_heartbeat_targets(), with_members=False
         )
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -94,12 +94,6 @@
     not wait, so that events are handled one after the other.
     """
 
-    tick_ms: int
-    """The interval between calls of `tick` while something is pending, in ms."""
-
-    idle_tick_ms: int
-    """The interval between calls of `tick` while nothing is pending, in ms."""
-
     def __init__(
         self,
         settings: ForwarderSettings,
@@ -149,6 +143,13 @@
     def has_pending_work(self) -> bool:
         """Return whether something is pending that needs frequent ticks."""
 
+    @abstractmethod
+    def compute_tick_ms(self, *, is_idle: bool) -> int:
+        """Return the time until the next tick, in milliseconds.
+
+        `is_idle` tells that nothing is pending.
+        """
+
     @abstractmethod
     def begin_stop(self) -> None:
         """Announce the stop to the other processes."""
@@ -346,7 +347,7 @@
         while True:
             is_stopping = self.stop_requested_ms is not None
             self.is_idle = not is_stopping and not self.has_pending_work()
-            self.current_tick_ms = self.idle_tick_ms if self.is_idle else self.tick_ms
+            self.current_tick_ms = self.compute_tick_ms(is_idle=self.is_idle)
             self.tick_requested = trio.Event()
             with trio.move_on_after(self.current_tick_ms / 1000) as scope:
                 await self.tick_requested.wait()
--- /dev/null
+++ b/citronwinch/forwarder/tests/test_member_lists.py
@@ -0,0 +1,100 @@
+"""The balancers that a balancer names to others, and how long its ticks are.
+
+Guards against lists that grow with the fleet: when 59 balancers meet for the first
+time, each pair of them exchanges a list.
+"""
+
+import pytest
+
+from citronwinch.coordination.flows import Heartbeat, StorePosition
+from citronwinch.forwarder import parse_forwarder_settings
+from citronwinch.forwarder._agent_process import AgentProcess
+from citronwinch.forwarder._balancer_process import BalancerProcess
+from citronwinch.forwarder.tests.conftest import AGENT, BALANCER
+from citronwinch.network import DatagramSocket
+
+SEED_IP = "127.95.0.11"
+
+
+@pytest.fixture
+def open_sockets():
+    sockets = []
+
+    def open_socket(endpoint):
+        sockets.append(DatagramSocket(endpoint._replace(ip="127.0.0.1", port=0)))
+        return sockets[-1]
+
+    yield open_socket
+    for opened in sockets:
+        opened.close()
+
+
+def make_balancer(open_socket, ip):
+    text = BALANCER.format(
+        number=1,
+        zone="a",
+        ip=ip,
+        peer_port=21_200,
+        seed=SEED_IP,
+        store="127.0.0.1:1",
+        link_mbps=100,
+    )
+    return BalancerProcess(parse_forwarder_settings(text, "x").ok, open_socket)
+
+
+def meet(process, count):
+    heartbeat = Heartbeat(1, "a", False, StorePosition(1, 1), 1, 0, 1, ())
+    for number in range(count):
+        process.members.handle_heartbeat(
+            f"10.9.{number // 250}.{number % 250}", heartbeat
+        )
+
+
+@pytest.mark.parametrize(
+    ("ip", "members", "expected"),
+    [
+        ("127.95.0.12", 5, 5),
+        ("127.95.0.12", 24, 24),
+        ("127.95.0.12", 400, 24),
+        (SEED_IP, 59, 59),
+        (SEED_IP, 400, 64),
+    ],
+)
+def test_lists_of_members_have_a_limit(open_sockets, ip, members, expected):
+    process = make_balancer(open_sockets, ip)
+    meet(process, members)
+    named = process._list_named_members()
+    assert len(set(named)) == expected
+    assert set(named) <= process.members.members.keys()
+
+
+def test_a_balancer_ticks_often_only_while_something_is_pending(open_sockets):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    assert process.has_pending_work()
+    assert process.compute_tick_ms(is_idle=False) == 20
+    process.has_been_ready = True
+    assert not process.has_pending_work()
+    assert process.compute_tick_ms(is_idle=True) == 250
+    process.view_exchange.configuration_watch.record_listing_read()
+    assert process.compute_tick_ms(is_idle=True) == 100
+
+
+@pytest.mark.parametrize(
+    ("balancers", "pending_ms", "idle_ms"), [(0, 40, 200), (3, 40, 200), (12, 160, 500)]
+)
+def test_an_agent_ticks_less_often_before_many_balancers(
+    open_sockets, balancers, pending_ms, idle_ms
+):
+    text = AGENT.format(
+        number=1,
+        zone="a",
+        ip="127.95.0.31",
+        peer_port=21_200,
+        service="gauging",
+        first="false",
+    )
+    settings = parse_forwarder_settings(text, "x").ok
+    process = AgentProcess(settings, open_sockets)
+    process.local_balancers = {f"10.9.0.{n}": 0 for n in range(balancers)}
+    assert process.compute_tick_ms(is_idle=False) == pending_ms
+    assert process.compute_tick_ms(is_idle=True) == idle_ms
