Choose the demo's ports below those that the kernel gives out, and check all three

Only two of the three ports were checked.

Change: ports from 24,000 to 32,000, all three checked. The test draws each port that overlaps the ones in use and expects the next free one; before, it drew one at random.

--- a/citronwinch/demo/_ports.py
+++ b/citronwinch/demo/_ports.py
@@ -1,15 +1,21 @@
 """Chooses ports for a demo, so that several can run on the same machine."""
 
 import errno
+import random
 import socket
 
-PORT_COUNT = 2
+PORT_COUNT = 3
 """The number of consecutive ports that are checked, from the base port on."""
 
 MAX_ATTEMPTS = 50
 """The number of port ranges that are tried before the search fails."""
 
-HIGHEST_PORT = 65_535
+FIRST_PORT = 24_000
+"""The lowest base port that is chosen."""
+
+END_PORT = 32_000
+"""The end of the range of base ports, below the ports that the kernel gives to other
+processes, which could take a port between the choice and its use."""
 
 
 def choose_base_port(requested_port: int = 0) -> int:
@@ -27,11 +33,8 @@
                 )
         return requested_port
     for _ in range(MAX_ATTEMPTS):
-        with socket.socket() as probe_socket:
-            probe_socket.bind(("127.0.0.1", 0))
-            base_port: int = probe_socket.getsockname()[1]
-        ports = range(base_port, base_port + PORT_COUNT)
-        if ports[-1] <= HIGHEST_PORT and all(_is_free(port) for port in ports):
+        base_port = random.randrange(FIRST_PORT, END_PORT)
+        if all(_is_free(port) for port in range(base_port, base_port + PORT_COUNT)):
             return base_port
     raise OSError(errno.EADDRINUSE, "no free ports for the demo")
 
--- a/citronwinch/demo/tests/test_ports.py
+++ b/citronwinch/demo/tests/test_ports.py
@@ -11,14 +11,17 @@
 from citronwinch.tool import main
 
 
-def test_ports_in_use_are_not_chosen() -> None:
+def test_ports_in_use_are_not_chosen(monkeypatch: pytest.MonkeyPatch) -> None:
     first = choose_base_port()
+    drawn = [*range(first - PORT_COUNT + 1, first + PORT_COUNT), first + 2 * PORT_COUNT]
+    draws = iter(drawn)
+    monkeypatch.setattr("random.randrange", lambda *_: next(draws))
     bound_sockets = []
     for port in range(first, first + PORT_COUNT):
         bound_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         bound_socket.bind(("127.0.3.1", port))
         bound_sockets.append(bound_socket)
-    assert choose_base_port() not in range(first - 1, first + PORT_COUNT)
+    assert choose_base_port() == drawn[-1]
     for bound_socket in bound_sockets:
         bound_socket.close()
 
