Empty a socket at each wake-up again

Cause: since a process read one datagram for each wake-up unless two wake-ups came within 2 ms. Where a pass of the event loop takes longer, as in an overloaded process, that reads one datagram a pass although many wait.

Change: the reader of before, which reads until the socket is empty.

--- a/citronwinch/network/_datagram_socket.py
+++ b/citronwinch/network/_datagram_socket.py
@@ -17,10 +17,6 @@
 """The requested size of the kernel's receive and send buffers, in bytes."""
 
 
-BURST_GAP_S = 0.002
-"""Up to this time between two reads, in seconds, more datagrams probably wait."""
-
-
 class Datagram(NamedTuple):
     """One received datagram."""
 
@@ -55,8 +51,6 @@
         self.receive_errors = 0
         self.was_emptied = False
         self.was_idle = False
-        self.read_at_s = 0.0
-        """When `receive_next` last found the socket readable, in seconds."""
 
     async def receive(self) -> list[Datagram]:
         """Wait until the socket has data and return up to BATCH_LIMIT datagrams."""
@@ -69,22 +63,12 @@
         """Receive like `receive`, but without updating `was_idle`.
 
         When the last read emptied the socket, this waits for data without trying to
-        read first, which saves a system call and an event loop pass per batch. At a
-        low rate it reads a single datagram and takes the socket for empty, which saves
-        another system call; if it is not empty, the next wait returns at once.
+        read first, which saves a system call and an event loop pass per batch.
         """
-        batch: list[Datagram] = []
-        if not self.was_emptied:
-            await trio.lowlevel.checkpoint()
-            batch = self.receive_nowait()
-        while not batch:
-            await trio.lowlevel.wait_readable(self.socket)
-            now_s = trio.current_time()
-            is_burst = now_s - self.read_at_s < BURST_GAP_S
-            self.read_at_s = now_s
-            batch = self.receive_nowait(BATCH_LIMIT if is_burst else 1)
-            self.was_emptied = self.was_emptied or not is_burst
-        return batch
+        if self.was_emptied:
+            return await self._receive_when_readable()
+        await trio.lowlevel.checkpoint()
+        return self.receive_nowait() or await self._receive_when_readable()
 
     async def _receive_when_readable(self) -> list[Datagram]:
         batch: list[Datagram] = []
@@ -93,12 +77,12 @@
             batch = self.receive_nowait()
         return batch
 
-    def receive_nowait(self, limit: int = BATCH_LIMIT) -> list[Datagram]:
-        """Return up to `limit` datagrams from the kernel buffer, possibly none."""
+    def receive_nowait(self) -> list[Datagram]:
+        """Return up to BATCH_LIMIT datagrams from the kernel buffer, possibly none."""
         batch: list[Datagram] = []
         self.was_emptied = False
         receive = self.socket.recvfrom
-        while len(batch) < limit:
+        while len(batch) < BATCH_LIMIT:
             try:
                 data, sender = receive(DATAGRAM_LIMIT_BYTES)
             except BlockingIOError:
