Add the messages and values for evacuations, cold servers and request classes

Cause: evacuation of a zone, cold servers, the order of requests beside a server and learned service times are built side by side, and need the same messages.

Change: heartbeats carry evacuations and what a server's agent has to know of it; load reports the service time, held requests and room for openings; an opening may be forwarded with its route's class. The store's entries and configuration are decoded up to their warm-up fields. Nothing uses them yet.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -48,10 +48,13 @@
     Route,
     ServerListing,
     ServerState,
+    ServiceLimits,
     ServiceShare,
     order_services,
     pack_route_address,
+    round_up_warmup_ms,
 )
+from citronwinch.coordination.flows._evacuations import ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._listing_history import (
@@ -66,11 +69,13 @@
 )
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
+    UNLIMITED_OPENINGS,
     FlowAnswer,
     FlowLocation,
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
     LoadReport,
@@ -87,6 +92,7 @@
     compute_read_retry_ms,
     compute_read_turn,
 )
+from citronwinch.coordination.flows._route_class import RouteClass
 from citronwinch.coordination.flows._server_liveness import ServerCheck
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._store_position import (
@@ -139,6 +145,7 @@
     "FlowLookup",
     "FlowQuestion",
     "FlowSearch",
+    "ForwardedOpening",
     "ForwardedPacket",
     "Heartbeat",
     "ListingDifference",
@@ -153,21 +160,26 @@
     "ResetFlow",
     "ReturnedPacket",
     "Route",
+    "RouteClass",
     "SearchStep",
     "SendMessage",
     "ServerCheck",
     "ServerListing",
     "ServerState",
+    "ServiceLimits",
     "ServiceShare",
     "StorePosition",
     "StoreStep",
     "UNKNOWN_POSITION",
+    "UNLIMITED_OPENINGS",
     "Verdict",
     "ViewAnswer",
+    "ZoneEvacuation",
     "compute_read_age_ms",
     "compute_read_retry_ms",
     "compute_read_turn",
     "order_services",
     "pack_route_address",
     "record",
+    "round_up_warmup_ms",
 ]
--- a/citronwinch/coordination/flows/_deployment.py
+++ b/citronwinch/coordination/flows/_deployment.py
@@ -1,6 +1,8 @@
 """The platform's data: the configuration of routes and the listing of servers."""
 
+from collections.abc import Mapping
 from enum import IntEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
 import xxhash
@@ -16,6 +18,10 @@
     StorePosition,
 )
 
+WARMUP_STEP_MS = 500
+"""The step to which the remaining time of a cold server is rounded up, in
+milliseconds."""
+
 
 class ServiceShare(NamedTuple):
     """The share of a route's new flows that goes to one service."""
@@ -49,6 +55,14 @@
     """The time after which an answer has no value, in milliseconds."""
 
 
+class ServiceLimits(NamedTuple):
+    """What the operators' configuration states about the servers of a service."""
+
+    warmup_per_s: float
+    """The requests per second that a backend server bears while it is cold; 0 for no
+    limit."""
+
+
 class Configuration(NamedTuple):
     """One accepted version of the operators' configuration."""
 
@@ -62,6 +76,9 @@
     """How long a flow without packets is held before it may be removed, in
     milliseconds."""
 
+    services: Mapping[str, ServiceLimits] = MappingProxyType({})
+    """The limits of services by name; a service without any is left out."""
+
 
 class ServerState(IntEnum):
     """Whether a backend server accepts new flows."""
@@ -94,6 +111,11 @@
     started_ms: int
     """Its incarnation: the Unix time of its start, in milliseconds."""
 
+    warmup_left_ms: int = 0
+    """For how long it stays cold, that is slow after its start, in milliseconds. It is
+    rounded up to steps of `WARMUP_STEP_MS`, so that a listing does not change with
+    every registration."""
+
 
 class ServerListing(NamedTuple):
     """All backend servers at one position of the store."""
@@ -143,3 +165,14 @@
             return [share.service, *(other.service for other in others)]
         point -= share.weight
     raise AssertionError("the point is not below the sum of the weights")
+
+
+def round_up_warmup_ms(warmup_left_ms: int) -> int:
+    """Return the remaining time of a cold server, rounded up to `WARMUP_STEP_MS`.
+
+    Example::
+
+        >>> round_up_warmup_ms(0), round_up_warmup_ms(1_930)
+        (0, 2000)
+    """
+    return -(-warmup_left_ms // WARMUP_STEP_MS) * WARMUP_STEP_MS
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -9,11 +9,17 @@
     Configuration,
     ServerListing,
 )
+from citronwinch.coordination.flows._evacuations import ZoneEvacuation
+from citronwinch.coordination.flows._route_class import RouteClass
 from citronwinch.coordination.flows._store_position import (
     UNKNOWN_POSITION,
     StorePosition,
 )
 
+UNLIMITED_OPENINGS = 65_535
+"""The room for openings of an agent that bounds them by nothing but its server's
+load."""
+
 
 class Heartbeat(NamedTuple):
     """A balancer informs balancers and agents of its state and its view."""
@@ -57,6 +63,20 @@
     """How often the balancer sends heartbeats to the receiver, in milliseconds; 0 if
     unknown."""
 
+    evacuations: tuple[ZoneEvacuation, ...] = ()
+    """The requested and removed evacuations of zones that the balancer knows."""
+
+    server_slots: int = 0
+    """In heartbeats to an agent, the slots of its backend server; 0 if unknown."""
+
+    server_warmup_left_ms: int = 0
+    """In heartbeats to an agent, for how long its backend server stays cold, in
+    milliseconds."""
+
+    warmup_per_s: float = 0.0
+    """In heartbeats to an agent, the requests per second that its backend server bears
+    while it is cold; 0 for no limit."""
+
 
 class LoadReport(NamedTuple):
     """An agent reports the load of its backend server to balancers."""
@@ -87,6 +107,17 @@
     """In the last reports of a stopping agent whose backend server has ended, the
     incarnation of that server; 0 otherwise."""
 
+    service_ms: int = 0
+    """The mean time that its backend server takes for a request, without time in a
+    queue, in milliseconds; 0 if unknown."""
+
+    queued: int = 0
+    """The number of requests among `waiting` that the agent holds."""
+
+    opening_room: int = UNLIMITED_OPENINGS
+    """How many more openings the agent accepts in the current second;
+    `UNLIMITED_OPENINGS` for no bound."""
+
 
 class Verdict(IntEnum):
     """Whether the backend server of an agent holds a flow."""
@@ -170,6 +201,23 @@
     """The packet."""
 
 
+class ForwardedOpening(NamedTuple):
+    """A balancer forwards a caller's opening packet to an agent."""
+
+    service: str
+    """The service that the packet is for; the agent compares it with its own."""
+
+    route_class: RouteClass
+    """The priority and the time limits of the requests on the route."""
+
+    is_last_choice: bool
+    """Whether the opening has been returned before and should not be returned for lack
+    of room again."""
+
+    raw: bytes
+    """The packet."""
+
+
 class ReturnedPacket(NamedTuple):
     """An agent returns a packet that its backend server bounced or must not receive."""
 
@@ -215,6 +263,7 @@
     | FlowLocations
     | FlowLookup
     | ForwardedPacket
+    | ForwardedOpening
     | ReturnedPacket
 )
 """The content of one datagram between balancers and agents."""
--- a/citronwinch/coordination/flows/_packets.py
+++ b/citronwinch/coordination/flows/_packets.py
@@ -36,6 +36,10 @@
     raw: bytes
     """The datagram, which is forwarded unchanged."""
 
+    is_full_size: bool = False
+    """Whether the packet has as much data as a packet can have, so that more data of
+    the same request is likely to follow."""
+
 
 def make_placeholder_packet(
     flow: FlowKey, acknowledged: int, *, is_opening: bool = False
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -8,6 +8,7 @@
 A view is packed Cap'n Proto without a kind; balancers fetch it over HTTP.
 """
 
+import struct
 import zlib
 from collections.abc import Collection
 from functools import singledispatch
@@ -25,18 +26,22 @@
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
     LoadReport,
     Message,
     ReturnedPacket,
     Route,
+    RouteClass,
     ServerListing,
     ServerState,
+    ServiceLimits,
     ServiceShare,
     StorePosition,
     Verdict,
     ViewAnswer,
+    ZoneEvacuation,
     pack_route_address,
 )
 from citronwinch.network import MalformedMessageError
@@ -49,6 +54,14 @@
 KIND_FORWARDED = 1
 KIND_RETURNED = 2
 KIND_CONTROL = 3
+KIND_OPENING = 4
+
+OPENING_HEADER = struct.Struct("!BBBHI")
+"""What follows the kind of a forwarded opening: layout version, whether it is the last
+choice, priority, latency objective and timeout in milliseconds."""
+
+OPENING_VERSION = 1
+"""The layout of `OPENING_HEADER`."""
 
 COMPRESSION_LEVEL = 1
 """The zlib level for configurations and views, 1 to 9; higher ones cost time and save
@@ -74,6 +87,21 @@
     return bytes((KIND_FORWARDED, len(service))) + service + message.raw
 
 
+@encode_flow_message.register
+def _(message: ForwardedOpening) -> bytes:
+    service = message.service.encode()
+    route_class = message.route_class
+    header = OPENING_HEADER.pack(
+        OPENING_VERSION,
+        message.is_last_choice,
+        min(route_class.priority, 0xFF),
+        min(route_class.latency_objective_ms, 0xFFFF),
+        min(route_class.timeout_ms, 0xFFFFFFFF),
+    )
+    kind = bytes((KIND_OPENING,))
+    return kind + header + bytes((len(service),)) + service + message.raw
+
+
 @encode_flow_message.register
 def _(message: ReturnedPacket) -> bytes:
     return bytes((KIND_RETURNED,)) + message.raw
@@ -95,6 +123,13 @@
     body.settlesInMs = message.remaining_grace_ms
     body.configurationEra, body.configurationRevision = message.configuration_position
     body.intervalMs = message.interval_ms
+    entries = body.init("evacuations", len(message.evacuations))
+    for entry, evacuation in zip(entries, message.evacuations, strict=True):
+        entry.zone, entry.isActive = evacuation.zone, evacuation.is_active
+        entry.era, entry.revision = evacuation.position
+    body.serverSlots = message.server_slots
+    body.serverWarmupLeftMs = message.server_warmup_left_ms
+    body.warmupPerS = message.warmup_per_s
     return _pack(builder)
 
 
@@ -110,6 +145,9 @@
     body.acceptsFlows = message.accepts_flows
     body.failedThousandths = round(message.failed_share * 1000)
     body.endedServerMs = message.ended_server_ms
+    body.serviceMs = message.service_ms
+    body.queued = message.queued
+    body.openingRoom = message.opening_room
     return _pack(builder)
 
 
@@ -161,6 +199,8 @@
             return ForwardedPacket(data[2:start].decode(), data[start:])
         except UnicodeDecodeError as error:
             raise MalformedMessageError(f"service name: {error}") from error
+    if kind == KIND_OPENING:
+        return _decode_opening(data)
     if kind == KIND_RETURNED:
         return ReturnedPacket(data[1:])
     if kind != KIND_CONTROL:
@@ -171,6 +211,24 @@
         raise MalformedMessageError(f"control message: {error}") from error
 
 
+def _decode_opening(data: bytes) -> ForwardedOpening:
+    name_start = 2 + OPENING_HEADER.size
+    if len(data) <= name_start or data[1] != OPENING_VERSION:
+        raise MalformedMessageError(
+            f"opening: expected layout {OPENING_VERSION} and more than {name_start} "
+            f"bytes, found {data[1:2]!r} and {len(data)}"
+        )
+    _, is_last_choice, *numbers = OPENING_HEADER.unpack_from(data, 1)
+    start = name_start + data[name_start - 1]
+    try:
+        service = data[name_start:start].decode()
+    except UnicodeDecodeError as error:
+        raise MalformedMessageError(f"service name: {error}") from error
+    return ForwardedOpening(
+        service, RouteClass(*numbers), bool(is_last_choice), data[start:]
+    )
+
+
 def _decode_control(data: bytes) -> Message:
     reader = SCHEMA.FlowMessage.from_bytes_packed(
         data, traversal_limit_in_words=MAX_MESSAGE_WORDS
@@ -191,6 +249,15 @@
             body.settlesInMs,
             StorePosition(body.configurationEra, body.configurationRevision),
             body.intervalMs,
+            tuple(
+                ZoneEvacuation(
+                    entry.zone, entry.isActive, StorePosition(entry.era, entry.revision)
+                )
+                for entry in body.evacuations
+            ),
+            body.serverSlots,
+            body.serverWarmupLeftMs,
+            body.warmupPerS,
         )
     if kind == "loadReport":
         body = reader.loadReport
@@ -203,6 +270,9 @@
             body.acceptsFlows,
             body.failedThousandths / 1000,
             body.endedServerMs,
+            body.serviceMs,
+            body.queued,
+            body.openingRoom,
         )
     if kind == "question":
         body = reader.question
@@ -277,12 +347,18 @@
         body.state = int(server.state)
         body.slots = server.slots
         body.startedMs = server.started_ms
+        body.warmupLeftMs = server.warmup_left_ms
 
 
 def _fill_configuration(builder: Any, configuration: Configuration) -> None:
     # `builder` and each `body` are Cap'n Proto builders.
     builder.version = configuration.version
     builder.flowIdleMs = configuration.flow_idle_ms
+    services = builder.init("services", len(configuration.services))
+    for body, (name, limits) in zip(
+        services, configuration.services.items(), strict=True
+    ):
+        body.name, body.warmupPerS = name, limits.warmup_per_s
     routes = builder.init("routes", len(configuration.routes))
     for body, route in zip(routes, configuration.routes.values(), strict=True):
         body.name = route.name
@@ -364,6 +440,7 @@
         ServerState(body.state),
         body.slots,
         body.startedMs,
+        body.warmupLeftMs,
     )
 
 
@@ -383,4 +460,7 @@
             route_body.timeoutMs,
         )
         routes[pack_route_address(route.address)] = route
-    return Configuration(body.version, routes, body.flowIdleMs)
+    services = {
+        limits.name: ServiceLimits(limits.warmupPerS) for limits in body.services
+    }
+    return Configuration(body.version, routes, body.flowIdleMs, services)
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -17,6 +17,18 @@
   era @11 :UInt32;
   configurationEra @12 :UInt32;
   intervalMs @13 :UInt32;
+  evacuations @14 :List(ZoneEvacuation);
+  # In heartbeats to an agent: what the listing and the configuration say of its server.
+  serverSlots @15 :UInt32;
+  serverWarmupLeftMs @16 :UInt32;
+  warmupPerS @17 :Float32;
+}
+
+struct ZoneEvacuation {
+  zone @0 :Text;
+  isActive @1 :Bool;
+  era @2 :UInt32;
+  revision @3 :UInt64;
 }
 
 struct LoadReport {
@@ -28,6 +40,9 @@
   busyThousandths @5 :UInt16;
   failedThousandths @6 :UInt16;
   endedServerMs @7 :UInt64;
+  serviceMs @8 :UInt32;
+  queued @9 :UInt32;
+  openingRoom @10 :UInt16 = 65535;
 }
 
 struct FlowQuestion {
@@ -70,6 +85,12 @@
   state @5 :UInt8;
   slots @6 :UInt32;
   startedMs @7 :UInt64;
+  warmupLeftMs @8 :UInt32;
+}
+
+struct ServiceLimits {
+  name @0 :Text;
+  warmupPerS @1 :Float32;
 }
 
 struct Share {
@@ -91,6 +112,7 @@
   version @0 :UInt64;
   routes @1 :List(Route);
   flowIdleMs @2 :UInt32;
+  services @3 :List(ServiceLimits);
 }
 
 struct View {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -15,18 +15,22 @@
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
     LoadReport,
     Message,
     ReturnedPacket,
     Route,
+    RouteClass,
     ServerListing,
     ServerState,
+    ServiceLimits,
     ServiceShare,
     StorePosition,
     Verdict,
     ViewAnswer,
+    ZoneEvacuation,
     pack_route_address,
 )
 from citronwinch.flow_peers import (
@@ -53,8 +57,17 @@
         900,
         StorePosition(2, 8),
         1_200,
+        (
+            ZoneEvacuation("a", True, StorePosition(2, 8)),
+            ZoneEvacuation("b", False, StorePosition(0, 1 << 60)),
+        ),
+        2,
+        1_500,
+        12.5,
     ),
-    LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292),
+    LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292, 69, 2, 0),
+    LoadReport("gauging", 40, 3, 17, 0.625, True),
+    ForwardedOpening("gauging", RouteClass(1, 400, 13_614), True, bytes(36)),
     FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
     FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
     FlowLocations(
@@ -80,12 +93,20 @@
     route = Route("r", address, (ServiceShare("gauging", 1),), 1, 120, 1_000)
     routes = {pack_route_address(address): route}
     server = BackendServer(
-        "i-1", "gauging", Endpoint("10.0.0.9", 80), "a", ServerState.LEAVING, 1, 5
+        "i-1",
+        "gauging",
+        Endpoint("10.0.0.9", 80),
+        "a",
+        ServerState.LEAVING,
+        slots=1,
+        started_ms=5,
+        warmup_left_ms=1_500,
     )
+    services = {"gauging": ServiceLimits(2.5)}
     view = ViewAnswer(
         ServerListing(StorePosition(4, 9), {"i-1": server}),
         450,
-        Configuration(3, routes, 15_000) if with_configuration else None,
+        Configuration(3, routes, 15_000, services) if with_configuration else None,
         (server._replace(name="i-2"),),
         3,
         StorePosition(3, 77),
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -8,6 +8,7 @@
     REPORTS_PER_S,
     AgentFlows,
     FlowQuestion,
+    ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
     LoadReport,
@@ -109,6 +110,8 @@
 
     def handle_message(self, message: Message, sender: str) -> None:
         """Handle a message of a balancer."""
+        if isinstance(message, ForwardedOpening):
+            message = ForwardedPacket(message.service, message.raw)
         if isinstance(message, ForwardedPacket):
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_forwarded_total")
--- a/citronwinch/platform/_entries.py
+++ b/citronwinch/platform/_entries.py
@@ -10,8 +10,10 @@
     Configuration,
     Route,
     ServerState,
+    ServiceLimits,
     ServiceShare,
     pack_route_address,
+    round_up_warmup_ms,
 )
 
 # The store calls a backend server that is leaving "draining".
@@ -29,7 +31,21 @@
         route = _decode_route(item)
         routes[pack_route_address(route.address)] = route
     idle_ms = _read_non_negative_int(fields["limits"], "idle_timeout_ms")
-    return Configuration(_read_non_negative_int(fields, "version"), routes, idle_ms)
+    version = _read_non_negative_int(fields, "version")
+    return Configuration(version, routes, idle_ms, _decode_services(fields))
+
+
+def _decode_services(fields: dict[str, Any]) -> dict[str, ServiceLimits]:
+    services = {}
+    for item in fields.get("services", ()):
+        rate = item.get("warmup_per_s", 0)
+        if isinstance(rate, bool) or not isinstance(rate, int | float) or rate < 0:
+            raise ValueError(
+                f"warmup_per_s: expected a non-negative number, found {rate!r:.40}"
+            )
+        if rate:
+            services[_read_string(item, "name")] = ServiceLimits(float(rate))
+    return services
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
@@ -79,6 +95,11 @@
         max(1, _read_non_negative_int(fields, "concurrency")),
         # "born": when the backend server process started, in Unix milliseconds.
         _read_non_negative_int(fields, "born") if "born" in fields else 0,
+        round_up_warmup_ms(
+            _read_non_negative_int(fields, "warmup_left_ms")
+            if "warmup_left_ms" in fields
+            else 0
+        ),
     )
 
 
--- a/citronwinch/platform/_packet_codec.py
+++ b/citronwinch/platform/_packet_codec.py
@@ -115,6 +115,7 @@
         acknowledged=header.ack,
         payload_bytes=header.len,
         raw=data,
+        is_full_size=header.len == PAYLOAD_LIMIT_BYTES,
     )
 
 
