--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -70,6 +70,12 @@
 """The states whose flows are reset when the backend server has died. In any other state
 the backend server does not hold the flow, or is not known to hold it."""
 
+_STATES_BEFORE_OPENING = (FlowState.ABSENT, FlowState.TRIED, FlowState.CLOSED)
+"""The states in which an opening begins a new flow, from the port of an earlier one."""
+
+_STATES_AFTER_CONFIRMATION = (FlowState.OPEN, FlowState.CLOSED)
+"""The states in which the caller has confirmed this backend server's acceptance."""
+
 
 class AgentFlows:
     """The flows of one backend server, as its agent learns them from their packets.
@@ -138,7 +144,7 @@
 
     def _deliver_opening(self, packet: Packet, balancer: str) -> list[Action]:
         flow = self.flows.get(packet.flow)
-        if flow is None or flow.state in (FlowState.ABSENT, FlowState.TRIED):
+        if flow is None or flow.state in _STATES_BEFORE_OPENING:
             flow = self._add_flow(packet.flow, FlowState.ASKED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
@@ -157,7 +163,7 @@
 
     def _deliver(self, packet: Packet, balancer: str, flow: FlowEntry) -> list[Action]:
         actions: list[Action] = [DeliverToServer(packet.raw)]
-        if flow.state is not FlowState.OPEN:
+        if flow.state not in _STATES_AFTER_CONFIRMATION:
             self._mark_open(flow)
             if balancer != flow.informed_balancer:
                 held = FlowAnswer(packet.flow, Verdict.HELD)
@@ -177,6 +183,9 @@
             self.outcome_meter.record_outcome(seems_failed=True)
         if packet.is_reset:
             self._remove_flow(packet.flow)
+        elif packet.is_finishing:
+            flow.has_caller_finished = True
+            self._close_if_finished(flow)
         return actions
 
     def handle_from_server(self, packet: Packet) -> list[Action]:
@@ -201,12 +210,15 @@
         if flow is None:
             flow = self._add_flow(packet.flow, FlowState.OPEN)
             self.open_flows += 1
-        elif flow.state is not FlowState.OPEN:
+        elif flow.state not in _STATES_AFTER_CONFIRMATION:
             self._mark_open(flow)
             if flow.balancer:
                 answer = FlowAnswer(packet.flow, Verdict.HELD)
                 actions.append(SendMessage(flow.balancer, answer))
         self._touch(packet.flow, flow)
+        if packet.is_finishing:
+            flow.has_server_finished = True
+            self._close_if_finished(flow)
         if packet.payload_bytes and flow.request_ms is not None:
             actions.append(self._record_answer(packet.flow, flow))
         return actions
@@ -218,7 +230,7 @@
         Each other server answers later packets of the flow with a reset, which must not
         end the flow at the confirmed server.
         """
-        if flow is None or flow.state is FlowState.OPEN:
+        if flow is None or flow.state in _STATES_AFTER_CONFIRMATION:
             if packet.flow in self.waiting_requests:
                 self.outcome_meter.record_outcome(seems_failed=True)
             self._remove_flow(packet.flow)
@@ -297,7 +309,7 @@
                 self.clock.now_ms() - self.started_ms < LEARNING_PERIOD_MS
             )
             verdict = Verdict.UNCERTAIN if may_hold else Verdict.ABSENT
-        elif flow.state is FlowState.OPEN:
+        elif flow.state in _STATES_AFTER_CONFIRMATION:
             verdict = Verdict.HELD
         elif flow.state is FlowState.ACCEPTED:
             is_confirmed = _is_confirmed_by(flow, question.acknowledged)
@@ -359,6 +371,12 @@
         flow.state = FlowState.OPEN
         self.open_flows += 1
 
+    def _close_if_finished(self, flow: FlowEntry) -> None:
+        is_finished = flow.has_caller_finished and flow.has_server_finished
+        if is_finished and flow.state is FlowState.OPEN:
+            flow.state = FlowState.CLOSED
+            self.open_flows -= 1
+
     def _touch(self, key: FlowKey, flow: FlowEntry) -> None:
         # `expire_idle` removes a flow some time after its last packet.
         flow.last_packet_ms = self.clock.now_ms()
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -27,6 +27,10 @@
     """A packet was delivered to find out whether the backend server holds the flow; it
     has not answered."""
 
+    CLOSED = 5
+    """Caller and backend server have both finished sending. Late copies of their last
+    packets still belong to the backend server."""
+
 
 class FlowEntry:
     """The agent's knowledge of one flow."""
@@ -44,6 +48,10 @@
         """The caller's latest acknowledgement number, which a reset has to match."""
         self.request_ms: int | None = None
         """When the request that waits for an answer was received, if any."""
+        self.has_caller_finished = False
+        """Whether the caller will send no more data."""
+        self.has_server_finished = False
+        """Whether the backend server will send no more data."""
         self.received_end: int | None = None
         """The end of the caller's data received so far, as a sequence number."""
 
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -292,3 +292,56 @@
     assert query_verdict(agent) is Verdict.HELD
     acknowledgement = forward(agent, acknowledged=1_500)
     assert is_delivered(acknowledgement) and not is_returned(acknowledgement)
+
+
+def finish_flow(agent: AgentFlows, port: int = 4000) -> None:
+    forward(agent, finishing=True, acknowledged=900, port=port)
+    agent.handle_from_server(make_packet(finishing=True, sequence=900, port=port))
+
+
+def test_flows_that_both_ends_finished_do_not_count_as_open(agent: AgentFlows) -> None:
+    # A service whose callers open a flow for each request reported all flows of the
+    # last minute, so that a server that had just started seemed to have no load.
+    for port in range(4_000, 4_020):
+        open_flow(agent, port)
+        finish_flow(agent, port)
+    open_flow(agent, 5_000)
+    assert agent.make_load_report().open_flows == 1
+
+
+@pytest.mark.parametrize("has_caller_finished", [True, False])
+def test_a_flow_that_one_end_has_finished_counts_as_open(
+    agent: AgentFlows, has_caller_finished: bool
+) -> None:
+    open_flow(agent)
+    if has_caller_finished:
+        forward(agent, finishing=True, acknowledged=900)
+    else:
+        agent.handle_from_server(make_packet(finishing=True, sequence=900))
+    assert agent.make_load_report().open_flows == 1
+
+
+def test_late_packets_of_a_finished_flow_still_reach_the_server(
+    agent: AgentFlows,
+) -> None:
+    open_flow(agent)
+    finish_flow(agent)
+    assert is_delivered(forward(agent, finishing=True, acknowledged=901))
+    assert query_verdict(agent) is Verdict.HELD
+    assert agent.make_load_report().open_flows == 0
+
+
+def test_a_finished_flow_is_not_reset_when_the_server_dies(agent: AgentFlows) -> None:
+    open_flow(agent)
+    finish_flow(agent)
+    actions = agent.handle_server_check(ServerCheck.REFUSED)
+    assert not any(isinstance(action, ResetFlow) for action in actions)
+
+
+def test_a_caller_can_open_a_new_flow_from_the_port_of_a_finished_one(
+    agent: AgentFlows,
+) -> None:
+    open_flow(agent)
+    finish_flow(agent)
+    open_flow(agent)
+    assert agent.make_load_report().open_flows == 1
