Refuse uploads at a balancer whose link cannot carry them

Cause: routers give balancers of 5 and of 100 Mbit/s equal parts of the packets.

Change: the adapter tells uploads by their route's type. A balancer accepts as many at a time as let their windows pass its link within the callers' resend time, and refuses further openings at once. The caller's next flow comes from another port and most likely to another balancer; no server has seen the refused opening.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -40,6 +40,7 @@
 )
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
 from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._upload_admission import UploadAdmission
 from citronwinch.coordination.flows._view import DeploymentView
 
 AGENT_CONFIRMATION_TIMEOUT_MS = 120
@@ -96,6 +97,7 @@
             link_mbps,
         )
         self.held_openings = HeldOpenings(clock)
+        self.uploads = UploadAdmission(clock, link_mbps)
 
     def handle_packet(self, packet: Packet) -> list[Action]:
         """Forward, hold, refuse or search for the flow of a caller's packet."""
@@ -105,6 +107,8 @@
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
+            if known.has_large_request:
+                self.uploads.record_data(packet)
             return [forward_to_agent(known.agent, known.service, packet)]
         return self._search_flow(packet)
 
@@ -123,6 +127,8 @@
         route = self._find_route(packet)
         if route is None:
             return self._refuse_unknown_address(packet)
+        if known is None and route.has_large_requests and self.uploads.is_full():
+            return self._refuse_opening(packet, route, set(), "link full")
         return self._place_opening(
             packet, route, known.tried_agents if known else set()
         )
@@ -140,7 +146,7 @@
             return self._refuse_opening(
                 packet, route, tried_agents, "too many openings wait"
             )
-        return self._forward_opening(packet, chosen, tried_agents)
+        return self._forward_opening(packet, route, chosen, tried_agents)
 
     def _choose_server(
         self, packet: Packet, route: Route, tried_agents: set[str]
@@ -158,7 +164,11 @@
         return self.selector.choose_service(by_preference) if by_preference else None
 
     def _forward_opening(
-        self, packet: Packet, chosen: ChosenServer, tried_agents: set[str]
+        self,
+        packet: Packet,
+        route: Route,
+        chosen: ChosenServer,
+        tried_agents: set[str],
     ) -> list[Action]:
         self.held_openings.remove(packet.flow)
         self.selector.record_placed_flow(chosen.server)
@@ -166,6 +176,9 @@
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
         flow.unconfirmed_since_ms, flow.tried_agents = now_ms, tried_agents
+        flow.has_large_request = route.has_large_requests
+        if route.has_large_requests:
+            self.uploads.record_opening(packet.flow)
         self.flows.store(packet.flow, flow)
         self.counters["openings_placed"] += 1
         placed = record(
@@ -222,7 +235,9 @@
                     actions += self._refuse_held_opening(held, "no server left")
                     continue
                 if not _must_wait(chosen, held.route, is_late=is_late):
-                    actions += self._forward_opening(held.packet, chosen, set())
+                    actions += self._forward_opening(
+                        held.packet, held.route, chosen, set()
+                    )
                     continue
                 full_kinds.add(kind)
             if now_ms >= held.deadline_ms:
--- a/citronwinch/coordination/flows/_deployment.py
+++ b/citronwinch/coordination/flows/_deployment.py
@@ -54,6 +54,9 @@
     timeout_ms: int
     """The time after which an answer has no value, in milliseconds."""
 
+    has_large_requests: bool = False
+    """Whether its requests carry a lot of data, such as files that callers send."""
+
 
 class ServiceLimits(NamedTuple):
     """What the operators' configuration states about the servers of a service."""
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -366,6 +366,7 @@
         body.priority = route.priority
         body.latencyObjectiveMs = route.latency_objective_ms
         body.timeoutMs = route.timeout_ms
+        body.hasLargeRequests = route.has_large_requests
         shares = body.init("shares", len(route.shares))
         for share_body, share in zip(shares, route.shares, strict=True):
             share_body.service, share_body.weight = share
@@ -458,6 +459,7 @@
             route_body.priority,
             route_body.latencyObjectiveMs,
             route_body.timeoutMs,
+            route_body.hasLargeRequests,
         )
         routes[pack_route_address(route.address)] = route
     services = {
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -106,6 +106,7 @@
   priority @4 :UInt32;
   latencyObjectiveMs @5 :UInt32;
   timeoutMs @6 :UInt32;
+  hasLargeRequests @7 :Bool;
 }
 
 struct Configuration {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -90,7 +90,7 @@
 @pytest.mark.parametrize("with_configuration", [True, False])
 def test_a_decoded_view_equals_the_encoded_one(with_configuration: bool) -> None:
     address = Endpoint("198.18.0.1", 443)
-    route = Route("r", address, (ServiceShare("gauging", 1),), 1, 120, 1_000)
+    route = Route("r", address, (ServiceShare("gauging", 1),), 1, 120, 1_000, True)
     routes = {pack_route_address(address): route}
     server = BackendServer(
         "i-1",
--- a/citronwinch/platform/_entries.py
+++ b/citronwinch/platform/_entries.py
@@ -19,6 +19,9 @@
 # The store calls a backend server that is leaving "draining".
 _SERVER_STATES = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
 
+# The type of the routes on which callers send files.
+_UPLOAD_TYPE = "ingress"
+
 
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the configuration.
@@ -70,6 +73,7 @@
         _read_non_negative_int(item, "priority"),
         _read_non_negative_int(item, "target_latency_ms"),
         _read_non_negative_int(item, "timeout_ms"),
+        item.get("type") == _UPLOAD_TYPE,
     )
 
 
