--- a/citronwinch/coordination/flows/_upload_admission.py
+++ b/citronwinch/coordination/flows/_upload_admission.py
@@ -14,8 +14,8 @@
 milliseconds."""
 
 UPLOAD_LINK_SHARE = 0.5
-"""The share of the link that large requests may fill. Each packet passes the link on its
-way in and on its way out."""
+"""The share of the link that large requests may fill. Each packet passes the link
+twice, on its way in and on its way out."""
 
 UPLOAD_PAUSE_MS = 400
 """How long after its last packet a large request no longer counts, in milliseconds:
