Learn service times in the agent, and decide there when requests are delivered

Cause: a backend server queues requests in the order of their arrival and refuses the rest, although others could have been served in time first. Only the agent knows when a request was handed to its server.

Change: ServerRequests holds the requests for which no slot is free and delivers them by priority, lateness and the callers' shares. ServerSlots and ServiceTimes learn the time that the server takes; LoadReport carries it as service_ms, and the held requests as queued. Nothing is held until the server's slots are known, which no process states yet. The share of failed requests counts the time from the delivery, so that a held request that fails at once still counts as failed. test_failing_servers.py reads that share at its new place.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -8,32 +8,27 @@
     Action,
     DeliverToCaller,
     DeliverToServer,
-    Measure,
     ResetFlow,
     SendMessage,
     record,
 )
-from citronwinch.coordination.flows._busy_meter import BusyMeter
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
-from citronwinch.coordination.flows._flow_entry import (
-    SEQUENCE_RANGE,
-    FlowEntry,
-    FlowState,
-)
+from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
+    ForwardedOpening,
     ForwardedPacket,
     LoadReport,
     ReturnedPacket,
     Verdict,
 )
-from citronwinch.coordination.flows._outcome_meter import OutcomeMeter
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
 from citronwinch.coordination.flows._server_liveness import (
     ServerCheck,
     ServerLiveness,
 )
+from citronwinch.coordination.flows._server_requests import ServerRequests
 
 OPEN_FLOW_TIMEOUT_MS = 60_000
 """An open flow without packets for this long is removed, in milliseconds; the
@@ -51,17 +46,6 @@
 """A backend server that started at most this long before its agent has not received
 any flow yet, in milliseconds; an agent takes about half of this to start."""
 
-CALLER_CONFIRMATION_MAX_DISTANCE = 2
-"""How far beyond the backend server's first sequence number a caller's acknowledgement
-may be to confirm that server's acceptance, in sequence numbers."""
-
-LATENCY_WEIGHT = 0.15
-"""The weight of the newest answer in the moving average of the latency."""
-
-REQUEST_TIMEOUT_MS = 3_000
-"""A request without an answer for this long no longer counts as waiting, in
-milliseconds; for most kinds of requests the caller has given up by then."""
-
 SHARE_STEPS = 20
 """Shares from 0 to 1 are rounded to this many steps in load reports."""
 
@@ -86,6 +70,7 @@
         *,
         knows_all_flows: bool,
         started_unix_ms: int = 0,
+        holds_requests: bool = True,
     ) -> None:
         self.service = service
         self.clock = clock
@@ -101,17 +86,20 @@
         """Whether the backend server holds only flows that the agent knows."""
         self.flows: OrderedDict[FlowKey, FlowEntry] = OrderedDict()
         self.expiry_pass = ExpiryPass(clock)
-        self.waiting_requests: OrderedDict[FlowKey, int] = OrderedDict()
-        """The flows whose request waits for an answer, with the time of its receipt."""
         self.open_flows = 0
-        self.latency_ms = 0.0
-        self.busy_meter = BusyMeter(clock)
-        self.outcome_meter = OutcomeMeter(clock)
         self.is_leaving = False
         self.server_liveness = ServerLiveness(clock)
+        self.requests = ServerRequests(
+            clock, self.server_liveness, holds_requests=holds_requests
+        )
+
+    @property
+    def waiting_requests(self) -> OrderedDict[FlowKey, int]:
+        """The flows whose request waits for an answer, with the time since when."""
+        return self.requests.waiting
 
     def handle_forwarded(
-        self, message: ForwardedPacket, packet: Packet, balancer: str
+        self, message: ForwardedPacket | ForwardedOpening, packet: Packet, balancer: str
     ) -> list[Action]:
         """Deliver a caller's packet from a balancer, or return it to that balancer."""
         if message.service != self.service:
@@ -128,14 +116,33 @@
         if packet.is_opening:
             if self.server_liveness.is_down:
                 return [SendMessage(balancer, ReturnedPacket(packet.raw))]
+            if isinstance(message, ForwardedOpening):
+                return self._handle_opening(message, packet, balancer)
             return self._deliver_opening(packet, balancer)
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
-        if flow.state is FlowState.ABSENT or not _may_belong_to(flow, packet):
+        if flow.state is FlowState.ABSENT or not flow.may_include(packet):
             return [SendMessage(balancer, ReturnedPacket(packet.raw))]
         return self._deliver(packet, balancer, flow)
 
+    def _handle_opening(
+        self, message: ForwardedOpening, packet: Packet, balancer: str
+    ) -> list[Action]:
+        """Deliver an opening, or return it if its requests would wait too long here."""
+        self.requests.record_class(packet.flow, message.route_class)
+        flow = self.flows.get(packet.flow)
+        is_new = flow is None or flow.state in (FlowState.ABSENT, FlowState.TRIED)
+        if is_new and not message.is_last_choice:
+            long_wait = self.requests.find_long_wait(packet, message.route_class)
+            if long_wait is not None:
+                returned = ReturnedPacket(packet.raw)
+                messages = (self.make_load_report(), returned)
+                return [*(SendMessage(balancer, m) for m in messages), long_wait]
+        actions = self._deliver_opening(packet, balancer)
+        self.flows[packet.flow].route_class = message.route_class
+        return actions
+
     def _deliver_opening(self, packet: Packet, balancer: str) -> list[Action]:
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state in (FlowState.ABSENT, FlowState.TRIED):
@@ -152,36 +159,43 @@
             flow = self._add_flow(packet.flow, FlowState.TRIED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
-        self.server_liveness.record_delivery()
-        return [DeliverToServer(packet.raw)]
+        return self.requests.deliver_trial(packet, flow)
 
     def _deliver(self, packet: Packet, balancer: str, flow: FlowEntry) -> list[Action]:
-        actions: list[Action] = [DeliverToServer(packet.raw)]
+        informing: list[Action] = []
         if flow.state is not FlowState.OPEN:
             self._mark_open(flow)
             if balancer != flow.informed_balancer:
                 held = FlowAnswer(packet.flow, Verdict.HELD)
-                actions.append(SendMessage(balancer, held))
+                informing.append(SendMessage(balancer, held))
         flow.balancer = balancer
         flow.acknowledged = packet.acknowledged
         self._touch(packet.flow, flow)
-        if not packet.is_reset:
-            self.server_liveness.record_delivery()
-        if packet.payload_bytes and flow.record_data(packet):
-            flow.request_ms = flow.last_packet_ms
-            self.waiting_requests[packet.flow] = flow.last_packet_ms
-            self.busy_meter.record_waiting_requests(len(self.waiting_requests))
         is_abandoned = packet.is_reset or packet.is_finishing
-        if is_abandoned and packet.flow in self.waiting_requests:
-            del self.waiting_requests[packet.flow]
-            self.outcome_meter.record_outcome(seems_failed=True)
+        if packet.payload_bytes and not packet.is_reset:
+            actions = self.requests.handle_data(packet, flow)
+        else:
+            actions = [DeliverToServer(packet.raw)]
+            if not packet.is_reset:
+                self.server_liveness.record_delivery()
+        actions += informing
+        if is_abandoned:
+            self.requests.abandon(packet.flow, flow)
         if packet.is_reset:
             self._remove_flow(packet.flow)
+        if is_abandoned:
+            actions += self.requests.release()
         return actions
 
     def handle_from_server(self, packet: Packet) -> list[Action]:
         """Handle a packet that the backend server has sent or bounced."""
         self.server_liveness.mark_alive()
+        actions = self._handle_from_server(packet)
+        if self.requests.queue.held:
+            actions += self.requests.release()
+        return actions
+
+    def _handle_from_server(self, packet: Packet) -> list[Action]:
         if packet.is_bounced:
             return self._handle_bounced(packet)
         flow = self.flows.get(packet.flow)
@@ -207,8 +221,10 @@
                 answer = FlowAnswer(packet.flow, Verdict.HELD)
                 actions.append(SendMessage(flow.balancer, answer))
         self._touch(packet.flow, flow)
-        if packet.payload_bytes and flow.request_ms is not None:
-            actions.append(self._record_answer(packet.flow, flow))
+        if packet.payload_bytes:
+            actions += self.requests.record_answer(packet.flow, flow)
+        if packet.is_finishing:
+            actions += self.requests.release_flow(packet.flow)
         return actions
 
     def _handle_reset(self, packet: Packet, flow: FlowEntry | None) -> list[Action]:
@@ -219,8 +235,7 @@
         end the flow at the confirmed server.
         """
         if flow is None or flow.state is FlowState.OPEN:
-            if packet.flow in self.waiting_requests:
-                self.outcome_meter.record_outcome(seems_failed=True)
+            self.requests.record_reset(packet.flow)
             self._remove_flow(packet.flow)
             return [DeliverToCaller(packet)]
         state, balancer = flow.state, flow.balancer
@@ -278,6 +293,7 @@
         if server_started_unix_ms <= self.server_started_unix_ms:
             return []
         self.server_started_unix_ms = server_started_unix_ms
+        self.requests.service_times.reset()
         if server_started_unix_ms >= self.started_unix_ms - SERVER_START_MARGIN_MS:
             self.knows_all_flows = True
         return [
@@ -300,7 +316,7 @@
         elif flow.state is FlowState.OPEN:
             verdict = Verdict.HELD
         elif flow.state is FlowState.ACCEPTED:
-            is_confirmed = _is_confirmed_by(flow, question.acknowledged)
+            is_confirmed = flow.is_confirmed_by(question.acknowledged)
             verdict = Verdict.HELD if is_confirmed else Verdict.ABSENT
         elif flow.state is FlowState.TRIED:
             verdict = Verdict.UNCERTAIN
@@ -308,25 +324,21 @@
 
     def make_load_report(self) -> LoadReport:
         """Time out unanswered requests and return the load of the backend server."""
-        now_ms = self.clock.now_ms()
-        while self.waiting_requests:
-            key, since_ms = next(iter(self.waiting_requests.items()))
-            if now_ms - since_ms < REQUEST_TIMEOUT_MS:
-                break
-            del self.waiting_requests[key]
-            self.outcome_meter.record_outcome(seems_failed=True)
-        self.busy_meter.record_waiting_requests(len(self.waiting_requests))
+        requests = self.requests
+        requests.time_out()
         return LoadReport(
             self.service,
             self.open_flows,
-            len(self.waiting_requests),
-            round(self.latency_ms),
-            _round_share(self.busy_meter.read_busy_share()),
+            len(requests.waiting),
+            round(requests.latency_ms),
+            _round_share(requests.busy_meter.read_busy_share()),
             not self.is_leaving and self.server_liveness.accepts_flows,
-            _round_share(self.outcome_meter.read_failed_share()),
+            _round_share(requests.outcome_meter.read_failed_share()),
             self.server_started_unix_ms
             if self.is_leaving and self.server_liveness.is_down
             else 0,
+            requests.service_times.service_ms,
+            len(requests.queue.held),
         )
 
     def expire_idle(self) -> None:
@@ -351,7 +363,7 @@
 
     def _remove_flow(self, key: FlowKey) -> None:
         flow = self.flows.pop(key, None)
-        self.waiting_requests.pop(key, None)
+        self.requests.forget(key)
         if flow is not None and flow.state is FlowState.OPEN:
             self.open_flows -= 1
 
@@ -363,33 +375,7 @@
         # `expire_idle` removes a flow some time after its last packet.
         flow.last_packet_ms = self.clock.now_ms()
 
-    def _record_answer(self, key: FlowKey, flow: FlowEntry) -> Measure:
-        assert flow.request_ms is not None
-        latency_ms = self.clock.now_ms() - flow.request_ms
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
-        self.outcome_meter.record_answer(latency_ms)
-        flow.request_ms = None
-        self.waiting_requests.pop(key, None)
-        self.busy_meter.record_waiting_requests(len(self.waiting_requests))
-        return Measure("request_ms", latency_ms)
-
 
 def _round_share(share: float) -> float:
     """Round a share, so that small changes of it do not cause a new load report."""
     return round(share * SHARE_STEPS) / SHARE_STEPS
-
-
-def _may_belong_to(flow: FlowEntry, packet: Packet) -> bool:
-    """Return whether a caller's packet may belong to this flow.
-
-    While the flow is only accepted, a packet that confirms another backend server's
-    acceptance of the same opening does not belong to it.
-    """
-    if flow.state is FlowState.ACCEPTED:
-        return _is_confirmed_by(flow, packet.acknowledged)
-    return True
-
-
-def _is_confirmed_by(flow: FlowEntry, acknowledged: int) -> bool:
-    distance = (acknowledged - flow.server_first_sequence) % SEQUENCE_RANGE
-    return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -3,11 +3,30 @@
 from enum import IntEnum
 
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._route_class import RouteClass
+
+CALLER_CONFIRMATION_MAX_DISTANCE = 2
+"""How far beyond the backend server's first sequence number a caller's acknowledgement
+may be to confirm that server's acceptance, in sequence numbers."""
 
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits and wrap around at this value."""
 
 
+def compute_sequence_distance(sequence: int, start: int) -> int:
+    """Return how far a sequence number is after another one; negative if before.
+
+    Example::
+
+        >>> compute_sequence_distance(5, SEQUENCE_RANGE - 5)
+        10
+        >>> compute_sequence_distance(100, 150)
+        -50
+    """
+    half = SEQUENCE_RANGE // 2
+    return (sequence - start + half) % SEQUENCE_RANGE - half
+
+
 class FlowState(IntEnum):
     """What the agent knows about a flow at its backend server."""
 
@@ -46,16 +65,37 @@
         """When the request that waits for an answer was received, if any."""
         self.received_end: int | None = None
         """The end of the caller's data received so far, as a sequence number."""
+        self.route_class: RouteClass | None = None
+        """The class of the flow's requests, if the agent has seen its opening."""
+
+    def is_confirmed_by(self, acknowledged: int) -> bool:
+        """Return whether a caller's acknowledgement confirms the acceptance."""
+        distance = (acknowledged - self.server_first_sequence) % SEQUENCE_RANGE
+        return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
+
+    def may_include(self, packet: Packet) -> bool:
+        """Return whether a caller's packet may belong to this flow.
+
+        While the flow is only accepted, a packet that confirms another backend server's
+        acceptance of the same opening does not belong to it.
+        """
+        if self.state is FlowState.ACCEPTED:
+            return self.is_confirmed_by(packet.acknowledged)
+        return True
+
+    def has_new_data(self, packet: Packet) -> bool:
+        """Return whether a packet has data beyond what was received; copies do not."""
+        if self.received_end is None:
+            return True
+        end = packet.sequence + packet.payload_bytes
+        return compute_sequence_distance(end, self.received_end) > 0
 
     def record_data(self, packet: Packet) -> bool:
         """Record a packet with data; return whether it begins a request.
 
         A retransmission does not, nor does data while a request waits for its answer.
         """
-        end = (packet.sequence + packet.payload_bytes) % SEQUENCE_RANGE
-        if self.received_end is not None:
-            ahead = (end - self.received_end) % SEQUENCE_RANGE
-            if ahead == 0 or ahead >= SEQUENCE_RANGE // 2:
-                return False
-        self.received_end = end
+        if not self.has_new_data(packet):
+            return False
+        self.received_end = (packet.sequence + packet.payload_bytes) % SEQUENCE_RANGE
         return self.request_ms is None
--- /dev/null
+++ b/citronwinch/coordination/flows/_request_queue.py
@@ -0,0 +1,163 @@
+"""The requests that an agent holds, and the order in which they are delivered."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination._address import FlowKey
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._caller_shares import CallerShares, extract_caller
+from citronwinch.coordination.flows._flow_entry import (
+    FlowEntry,
+    compute_sequence_distance,
+)
+from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._route_class import RouteClass
+from citronwinch.coordination.flows._service_times import ServiceTimes
+
+HELD_REQUESTS_LIMIT = 256
+"""The most requests that are held; with requests of 25 ms at one slot, the last of them
+would wait 6 s, longer than most callers do."""
+
+HELD_PACKETS_LIMIT = 16
+"""The most packets that are held for one request; callers wait for an answer before
+they send more."""
+
+DELIVERIES_PER_LOWER_PRIORITY = 8
+"""One of this many deliveries goes to a lower priority while requests of one wait, so
+that no priority starves."""
+
+
+class HeldRequest(NamedTuple):
+    """A request that waits beside the backend server."""
+
+    flow: FlowKey
+    """The flow of the request."""
+
+    packets: tuple[Packet, ...]
+    """The packet that completes the request, and later packets of the flow."""
+
+    route_class: RouteClass
+    """The priority and the time limits of the request."""
+
+    received_ms: int
+    """When the first packet of the request was received."""
+
+    held_ms: int
+    """When the request was complete and was held."""
+
+    entry: FlowEntry
+    """What the agent knows about the flow."""
+
+    @property
+    def caller(self) -> bytes:
+        """The packed IP number of the caller."""
+        return extract_caller(self.flow)
+
+
+class RequestQueue:
+    """The held requests of one backend server, at most one for each flow."""
+
+    def __init__(
+        self, clock: Clock, service_times: ServiceTimes, shares: CallerShares
+    ) -> None:
+        self.clock = clock
+        self.service_times = service_times
+        self.shares = shares
+        self.held: dict[FlowKey, HeldRequest] = {}
+        self.passed_over = 0
+        """The deliveries since a request of a lower priority had its turn, as far as
+        such a request waited."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request is held."""
+        return len(self.held) >= HELD_REQUESTS_LIMIT
+
+    def add(self, request: HeldRequest) -> None:
+        """Hold a request."""
+        self.held[request.flow] = request
+
+    def add_packet(self, packet: Packet) -> bool:
+        """Add a packet to the held request of its flow; return whether it is held.
+
+        A retransmission replaces the held packet. Later data of the flow is held too,
+        as the backend server would receive it in the wrong order otherwise. Data from
+        before the held packet was delivered earlier and is not held.
+        """
+        request = self.held[packet.flow]
+        first = request.packets[0].sequence
+        if compute_sequence_distance(packet.sequence, first) < 0:
+            return False
+        by_position = {
+            compute_sequence_distance(held.sequence, first): held
+            for held in (*request.packets, packet)
+        }
+        if len(by_position) > HELD_PACKETS_LIMIT:
+            return False
+        packets = tuple(by_position[position] for position in sorted(by_position))
+        self.held[packet.flow] = request._replace(packets=packets)
+        return True
+
+    def remove(self, flow: FlowKey) -> HeldRequest | None:
+        """Remove and return the held request of a flow, if any."""
+        return self.held.pop(flow, None)
+
+    def remove_expired(self) -> list[HeldRequest]:
+        """Remove and return the requests whose callers have given up."""
+        now_ms = self.clock.now_ms()
+        expired = [
+            request
+            for request in self.held.values()
+            if now_ms - request.received_ms >= request.route_class.timeout_ms
+        ]
+        for request in expired:
+            del self.held[request.flow]
+        return expired
+
+    def remove_next(self) -> HeldRequest:
+        """Remove and return the request that is delivered next."""
+        request = self._choose_next()
+        del self.held[request.flow]
+        return request
+
+    def count_ahead(self, priority: int) -> int:
+        """Return how many held requests a new one of a priority would wait for."""
+        return sum(
+            request.route_class.priority < priority
+            or (request.route_class.priority == priority and self._is_timely(request))
+            for request in self.held.values()
+        )
+
+    def _choose_next(self) -> HeldRequest:
+        requests = list(self.held.values())
+        first = min(request.route_class.priority for request in requests)
+        highest = [r for r in requests if r.route_class.priority == first]
+        if len(highest) < len(requests):
+            self.passed_over += 1
+            if self.passed_over >= DELIVERIES_PER_LOWER_PRIORITY:
+                self.passed_over = 0
+                lower = [r for r in requests if r.route_class.priority != first]
+                return min(lower, key=_get_received_ms)
+        timely = [request for request in highest if self._is_timely(request)]
+        if not timely:
+            return max(highest, key=_get_received_ms)
+        return min(self._exclude_above_share(timely), key=_get_received_ms)
+
+    def _exclude_above_share(
+        self, requests: Sequence[HeldRequest]
+    ) -> Sequence[HeldRequest]:
+        """Return the requests of callers that have not had more than their share."""
+        if len(requests) == 1:
+            return requests
+        above = self.shares.find_above_share({request.caller for request in requests})
+        return [r for r in requests if r.caller not in above] or requests
+
+    def _is_timely(self, request: HeldRequest) -> bool:
+        """Return whether a request can still be answered within its objective."""
+        waited_ms = self.clock.now_ms() - request.received_ms
+        limit_ms = request.route_class.latency_objective_ms
+        return waited_ms + self.service_times.service_ms <= limit_ms
+
+
+def _get_received_ms(request: HeldRequest) -> int:
+    return request.received_ms
--- a/citronwinch/coordination/flows/tests/test_failing_servers.py
+++ b/citronwinch/coordination/flows/tests/test_failing_servers.py
@@ -147,13 +147,15 @@
     simulation = FailingServerSimulation(clock, None)
     simulation.step(SERVERS)
     before = [
-        agent.outcome_meter.read_failed_share() for agent in simulation.agents.values()
+        agent.requests.outcome_meter.read_failed_share()
+        for agent in simulation.agents.values()
     ]
     port = next(iter(simulation.flows))
     simulation.send_request(port)
     simulation.send(port, b"", acknowledged=501, sequence=200, **{end: True})
     after = [
-        agent.outcome_meter.read_failed_share() for agent in simulation.agents.values()
+        agent.requests.outcome_meter.read_failed_share()
+        for agent in simulation.agents.values()
     ]
     assert sum(after) > sum(before)
 
