Hold requests in agents whose settings ask for it

Cause: agents could decide when to deliver a request, but were told neither the class of a flow's requests nor whether to hold them.

Change: balancers forward openings with the class of their route, and as the last choice from the third attempt on, or when a single candidate is left. Held requests are released on each answer and on ticks, every 40 ms while requests are held, and all of them when the agent stops.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -94,6 +94,7 @@
 )
 from citronwinch.coordination.flows._route_class import RouteClass
 from citronwinch.coordination.flows._server_liveness import ServerCheck
+from citronwinch.coordination.flows._server_requests import LONG_WAIT_REASON
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._store_position import (
     UNKNOWN_POSITION,
@@ -113,6 +114,7 @@
     "AGENT_HEARTBEAT_MS",
     "BALANCER_HEARTBEATS_PER_S",
     "BALANCER_HEARTBEAT_MS",
+    "LONG_WAIT_REASON",
     "LoadReporting",
     "MessagePace",
     "REMOTE_AGENT_HEARTBEATS_PER_S",
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -26,9 +26,11 @@
     is_retransmission,
 )
 from citronwinch.coordination.flows._known_flows import (
+    LAST_CHOICE_ATTEMPT,
     KnownFlow,
     KnownFlows,
     confirm_opening,
+    forward_opening,
     forward_to_agent,
 )
 from citronwinch.coordination.flows._messages import (
@@ -117,7 +119,7 @@
                 and now_ms - known.unconfirmed_since_ms > AGENT_CONFIRMATION_TIMEOUT_MS
             )
             if not is_overdue:
-                return [forward_to_agent(known.agent, known.service, packet)]
+                return [forward_opening(known, packet, self._find_route(packet))]
             known.tried_agents.add(known.agent)
             self.selector.record_unconfirmed_flow(known.agent)
         route = self._find_route(packet)
@@ -166,6 +168,9 @@
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
         flow.unconfirmed_since_ms, flow.tried_agents = now_ms, tried_agents
+        attempt = len(tried_agents) + 1
+        # With a single candidate left, a returned opening would have to be refused.
+        flow.is_last_choice = attempt >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
         self.flows.store(packet.flow, flow)
         self.counters["openings_placed"] += 1
         placed = record(
@@ -178,10 +183,10 @@
             pressure=chosen.pressure,
             busy_share=chosen.busy_share,
             candidates=chosen.candidates,
-            attempt=len(tried_agents) + 1,
+            attempt=attempt,
             view_age_ms=self.view.age_ms,
         )
-        return [forward_to_agent(agent, service, packet), placed]
+        return [forward_opening(flow, packet, self._find_route(packet)), placed]
 
     def _refuse_opening(
         self, packet: Packet, route: Route, tried_agents: set[str], reason: str
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -6,9 +6,15 @@
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import Action, Measure, SendMessage
+from citronwinch.coordination.flows._deployment import Route
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
-from citronwinch.coordination.flows._messages import ForwardedPacket
+from citronwinch.coordination.flows._messages import ForwardedOpening, ForwardedPacket
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._route_class import RouteClass
+
+LAST_CHOICE_ATTEMPT = 3
+"""From this attempt to place an opening on, its agent should not return it for lack of
+room: load reports were misleading twice, and the caller waits."""
 
 FLOW_LIMIT = 120_000
 """The most flows that a balancer stores; they take about 50 MB, which the smallest
@@ -28,6 +34,8 @@
         """When an unconfirmed opening was forwarded; None for other flows."""
         self.tried_agents: set[str] = set()
         """The agents that returned the opening or did not confirm it in time."""
+        self.is_last_choice = False
+        """Whether no agent should return the opening any more for lack of room."""
 
 
 class KnownFlows(OrderedDict[FlowKey, KnownFlow]):
@@ -74,3 +82,19 @@
 def forward_to_agent(agent: str, service: str, packet: Packet) -> SendMessage:
     """Return the action that forwards a packet to an agent of a service."""
     return SendMessage(agent, ForwardedPacket(service, packet.raw))
+
+
+def forward_opening(known: KnownFlow, packet: Packet, route: Route | None) -> Action:
+    """Return the action that forwards an opening with the class of its route.
+
+    Without a route, which was removed after the opening was placed, it has no class.
+    """
+    if route is None:
+        return forward_to_agent(known.agent, known.service, packet)
+    route_class = RouteClass(
+        route.priority, route.latency_objective_ms, route.timeout_ms
+    )
+    opening = ForwardedOpening(
+        known.service, route_class, known.is_last_choice, packet.raw
+    )
+    return SendMessage(known.agent, opening)
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -4,6 +4,7 @@
 
 from citronwinch.coordination.flows import (
     ALL_CHANGES_RECEIVERS,
+    LONG_WAIT_REASON,
     REPORT_INTERVAL_MS,
     REPORTS_PER_S,
     AgentFlows,
@@ -19,6 +20,7 @@
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramSocket, try_connection
+from citronwinch.operators import MetricKey
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
 REMOTE_REPORT_INTERVAL_MS = 300
@@ -28,10 +30,17 @@
 AGENT_IDLE_TICK_MS = 200
 """The interval between ticks while no request waits, in milliseconds."""
 
+HELD_REQUESTS_TICK_MS = 40
+"""The interval between ticks while requests are held, in milliseconds: how late the
+agent may notice that a request that occupies a slot may be hung."""
+
 AGENT_SLOW_TICK_MS = 500
 """The same where many balancers receive load reports, of which small changes may
 wait, in milliseconds."""
 
+COUNTER_REASONS = {"openings_returned": LONG_WAIT_REASON}
+"""The label `reason` of the counters of `ServerRequests` that have one."""
+
 BALANCER_TIMEOUT_MS = 2_000
 """How long after its last heartbeat or opening packet a balancer at least still
 receives load reports, in milliseconds."""
@@ -67,6 +76,7 @@
             self.clock,
             knows_all_flows=settings.is_first_start,
             started_unix_ms=self.incarnation // 1_000_000,
+            holds_requests=settings.holds_requests,
         )
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
@@ -89,7 +99,8 @@
             has_many = balancers > ALL_CHANGES_RECEIVERS
             return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
         report_ms = compute_interval_ms(REPORT_INTERVAL_MS, balancers, REPORTS_PER_S)
-        return min(report_ms, AGENT_IDLE_TICK_MS)
+        has_held = bool(self.flows.requests.queue.held)
+        return min(report_ms, HELD_REQUESTS_TICK_MS if has_held else AGENT_IDLE_TICK_MS)
 
     def is_ready(self) -> bool:
         """Return True: an agent can deliver packets without any prior state."""
@@ -110,9 +121,7 @@
 
     def handle_message(self, message: Message, sender: str) -> None:
         """Handle a message of a balancer."""
-        if isinstance(message, ForwardedOpening):
-            message = ForwardedPacket(message.service, message.raw)
-        if isinstance(message, ForwardedPacket):
+        if isinstance(message, ForwardedPacket | ForwardedOpening):
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_forwarded_total")
             if packet.is_opening:
@@ -130,6 +139,9 @@
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
+            # A balancer whose listing lacks the server does not state its slots.
+            slots = self.flows.requests.slots
+            slots.slots = message.server_slots or slots.slots
             self.send(sender, self.flows.make_load_report())
 
     def handle_packet(self, data: bytes) -> None:
@@ -141,6 +153,7 @@
         """Check the backend server, expire idle flows and report a changed load."""
         if self.flows.server_liveness.start_check_if_due():
             self.nursery.start_soon(self._check_server)
+        self.apply_actions(self.flows.requests.release())
         self.flows.expire_idle()
         report = self.flows.make_load_report()
         self.metrics.set_gauge("open_flows", report.open_flows)
@@ -148,6 +161,7 @@
         self.metrics.set_gauge("server_busy_share", report.busy_share)
         self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
+        self._export_request_counters(report)
         self._discard_silent(self.local_balancers)
         if self.reporting.is_due(report, len(self.local_balancers)):
             self.send_to_all(self.local_balancers, report)
@@ -159,6 +173,12 @@
             self.remote_reported_ms, self.last_remote_report = now_ms, report
             self._send_remote_report(report)
 
+    def _export_request_counters(self, report: LoadReport) -> None:
+        self.metrics.set_gauge("held_requests", report.queued)
+        for name, count in self.flows.requests.counters.items():
+            reason = COUNTER_REASONS.get(name, "")
+            self.metrics.counters[MetricKey(f"{name}_total", reason)] = count
+
     def has_pending_work(self) -> bool:
         """Return whether requests wait, or the backend server has not answered."""
         return (
@@ -187,6 +207,7 @@
     def begin_stop(self) -> None:
         """Report to the balancers of the own zone that this agent is stopping."""
         self.flows.is_leaving = True
+        self.apply_actions(self.flows.requests.release_all())
         self._discard_silent(self.local_balancers)
         self.send_to_all(self.local_balancers, self.flows.make_load_report())
         # An agent is often stopped because its backend server has exited. If the check
--- a/citronwinch/forwarder/_settings.py
+++ b/citronwinch/forwarder/_settings.py
@@ -77,6 +77,9 @@
     link_mbps: int
     """The bandwidth of the instance's link, in megabits a second."""
 
+    holds_requests: bool
+    """Whether an agent holds requests while its backend server has no free slot."""
+
 
 def _parse_flag(value: str) -> bool:
     if value not in ("true", "false"):
@@ -127,6 +130,7 @@
         "stop", "timeout_s", "stop_timeout_s", parse_number(1, 3_600, "seconds"), 6
     ),
     SettingSpec("limits", "link_mbps", "link_mbps", _parse_link, DEFAULT_LINK_MBPS),
+    SettingSpec("requests", "queue", "holds_requests", _parse_flag, False),
 )
 """All settings. Other sections and keys are reported as problems."""
 
