Send agents the slots of their backend server

Cause: an agent does not know how many requests its server processes at once, so that it can neither hold requests for a slot nor bound openings.

Change: a balancer's heartbeat to an agent carries server_slots from the listing. The fixture for balancers without tasks moves to the conftest of the forwarder's tests.

--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -9,6 +9,7 @@
     REMOTE_AGENT_HEARTBEAT_MS,
     REMOTE_AGENT_HEARTBEATS_PER_S,
     BackendServer,
+    Heartbeat,
     MessagePace,
     compute_interval_ms,
 )
@@ -32,8 +33,8 @@
     remote: tuple[str, ...]
     """The addresses of the other agents."""
 
-    server_started_ms: Mapping[str, int]
-    """The incarnations of the agents' backend servers, by the agent's address."""
+    servers: Mapping[str, BackendServer]
+    """The agents' backend servers, by the agent's address."""
 
 
 class AgentHeartbeats:
@@ -67,10 +68,15 @@
         )
         for ips, interval_ms in groups:
             for ip in self.pace.list_due(ips, interval_ms):
-                started_ms = targets.server_started_ms.get(ip, 0)
-                self.process.send(
-                    ip, self.process.make_heartbeat((), started_ms, interval_ms)
-                )
+                self.process.send(ip, self._make_heartbeat(ip, interval_ms))
+
+    def _make_heartbeat(self, ip: str, interval_ms: int) -> Heartbeat:
+        """Return a heartbeat that describes the server of the agent at an address."""
+        server = self.targets.servers.get(ip)
+        if server is None:
+            return self.process.make_heartbeat((), 0, interval_ms)
+        heartbeat = self.process.make_heartbeat((), server.started_ms, interval_ms)
+        return heartbeat._replace(server_slots=server.slots)
 
     def _find_targets(self) -> AgentTargets:
         """Return the agents that get heartbeats; they change with the listing only.
@@ -98,6 +104,6 @@
             self.process.is_isolated,
             tuple(local),
             tuple(remote),
-            {server.address.ip: server.started_ms for server in servers},
+            {server.address.ip: server for server in servers},
         )
         return self.targets
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -13,6 +13,7 @@
 from citronwinch.forwarder._agent_process import AgentProcess
 from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._process import ForwarderProcess, StopRequested
+from citronwinch.network import DatagramSocket
 from citronwinch.platform.standins import (
     Caller,
     Router,
@@ -24,6 +25,8 @@
 OTHER_ROUTE_ADDRESS = Endpoint("198.18.0.2", 443)
 CALLER_PORT = 21_172
 PEER_PORT = 21_200
+SEED_IP = "127.95.0.11"
+"""The seed of the balancers that `make_balancer` returns."""
 WAIT_TIMEOUT_S = 10.0
 """The timeout of a wait for a condition."""
 
@@ -267,3 +270,29 @@
         trio.run(run)
 
     return run_on_network
+
+
+@pytest.fixture
+def open_sockets():
+    sockets = []
+
+    def open_socket(endpoint):
+        sockets.append(DatagramSocket(endpoint._replace(ip="127.0.0.1", port=0)))
+        return sockets[-1]
+
+    yield open_socket
+    for opened in sockets:
+        opened.close()
+
+
+def make_balancer(open_socket, ip):
+    text = BALANCER.format(
+        number=1,
+        zone="a",
+        ip=ip,
+        peer_port=21_200,
+        seed=SEED_IP,
+        store="127.0.0.1:1",
+        link_mbps=100,
+    )
+    return BalancerProcess(parse_forwarder_settings(text, "x").ok, open_socket)
--- a/citronwinch/forwarder/tests/test_member_lists.py
+++ b/citronwinch/forwarder/tests/test_member_lists.py
@@ -9,37 +9,7 @@
 from citronwinch.coordination.flows import Heartbeat, StorePosition
 from citronwinch.forwarder import parse_forwarder_settings
 from citronwinch.forwarder._agent_process import AgentProcess
-from citronwinch.forwarder._balancer_process import BalancerProcess
-from citronwinch.forwarder.tests.conftest import AGENT, BALANCER
-from citronwinch.network import DatagramSocket
-
-SEED_IP = "127.95.0.11"
-
-
-@pytest.fixture
-def open_sockets():
-    sockets = []
-
-    def open_socket(endpoint):
-        sockets.append(DatagramSocket(endpoint._replace(ip="127.0.0.1", port=0)))
-        return sockets[-1]
-
-    yield open_socket
-    for opened in sockets:
-        opened.close()
-
-
-def make_balancer(open_socket, ip):
-    text = BALANCER.format(
-        number=1,
-        zone="a",
-        ip=ip,
-        peer_port=21_200,
-        seed=SEED_IP,
-        store="127.0.0.1:1",
-        link_mbps=100,
-    )
-    return BalancerProcess(parse_forwarder_settings(text, "x").ok, open_socket)
+from citronwinch.forwarder.tests.conftest import AGENT, SEED_IP, make_balancer
 
 
 def meet(process, count):
