Limit the openings of cold servers, and place them where there is room

Cause: a server is slow for 2 s after its start. Balancers do not know that and place openings at it by its short queue, so that it refuses requests or answers them late.

Change: a balancer derives from the listing until when each server is cold, and tells its agent in heartbeats, at once when a server becomes cold. The agent limits the openings of the last second to warmup_per_s and returns the others with a load report that states its room. A restarted agent, which does not know what its predecessor delivered, earns its allowance with time. Balancers choose among agents with room, and hold openings if there is none. A held copy of an opening that was accepted after all is dropped.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -28,6 +28,7 @@
     ReturnedPacket,
     Verdict,
 )
+from citronwinch.coordination.flows._opening_rate import OpeningRateLimit
 from citronwinch.coordination.flows._outcome_meter import OutcomeMeter
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
 from citronwinch.coordination.flows._server_liveness import (
@@ -65,7 +66,6 @@
 SHARE_STEPS = 20
 """Shares from 0 to 1 are rounded to this many steps in load reports."""
 
-
 _STATES_RESET_ON_SERVER_DEATH = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
 """The states whose flows are reset when the backend server has died. In any other state
 the backend server does not hold the flow, or is not known to hold it."""
@@ -109,6 +109,7 @@
         self.outcome_meter = OutcomeMeter(clock)
         self.is_leaving = False
         self.server_liveness = ServerLiveness(clock)
+        self.opening_limit = OpeningRateLimit(clock)
 
     def handle_forwarded(
         self, message: ForwardedPacket, packet: Packet, balancer: str
@@ -126,8 +127,9 @@
                 ),
             ]
         if packet.is_opening:
-            if self.server_liveness.is_down:
-                return [SendMessage(balancer, ReturnedPacket(packet.raw))]
+            if self.server_liveness.is_down or not self.opening_limit.accept_opening():
+                report = SendMessage(balancer, self.make_load_report())
+                return [report, SendMessage(balancer, ReturnedPacket(packet.raw))]
             return self._deliver_opening(packet, balancer)
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
@@ -245,6 +247,7 @@
         self.server_liveness.record_check(check)
         if check is not ServerCheck.REFUSED:
             return [record("server_checked", outcome=check.name.lower())]
+        self.opening_limit.expect_restart()
         keys = [
             key
             for key, flow in self.flows.items()
@@ -327,6 +330,7 @@
             self.server_started_unix_ms
             if self.is_leaving and self.server_liveness.is_down
             else 0,
+            opening_room=self.opening_limit.count_room(),
         )
 
     def expire_idle(self) -> None:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -82,6 +82,7 @@
     ) -> None:
         self.view = view
         self.selector = selector
+        selector.opening_rooms.cold_servers = view.cold_servers
         self.clock = clock
         self.flows = KnownFlows(clock)
         self.counters: Counter[str] = Counter()
@@ -105,6 +106,7 @@
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
+            self.held_openings.remove(packet.flow)
             return [forward_to_agent(known.agent, known.service, packet)]
         return self._search_flow(packet)
 
@@ -256,7 +258,8 @@
             route = self._find_route(packet)
             if route is None:
                 return self._refuse_unknown_address(packet)
-            known.tried_agents.add(agent)
+            if not self.selector.opening_rooms.is_exhausted(agent):
+                known.tried_agents.add(agent)
             return self._place_opening(packet, route, known.tried_agents)
         if packet.flow in self.searches:
             return self.searches.handle_verdict(packet.flow, agent, Verdict.ABSENT)
@@ -278,6 +281,8 @@
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
             if answer.verdict in (Verdict.OPENING, Verdict.HELD):
+                # The server accepted an earlier copy of a returned opening.
+                self.held_openings.remove(answer.flow)
                 self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
--- a/citronwinch/coordination/flows/_load_reporting.py
+++ b/citronwinch/coordination/flows/_load_reporting.py
@@ -23,6 +23,9 @@
 LARGE_FLOWS_CHANGE = 4
 """The same for open flows; half of what another zone costs."""
 
+LARGE_ROOM_CHANGE = 2
+"""The same for the room for openings; a change from or to no room is always large."""
+
 LARGE_BUSY_CHANGE = 0.2
 """The same for the busy share."""
 
@@ -68,7 +71,9 @@
     """Return whether a change of load matters for the choice of a server soon."""
     latencies_ms = sorted((max(1, old.latency_ms), max(1, new.latency_ms)))
     return (
-        abs(new.waiting - old.waiting) >= LARGE_WAITING_CHANGE
+        (new.opening_room == 0) is not (old.opening_room == 0)
+        or abs(new.opening_room - old.opening_room) >= LARGE_ROOM_CHANGE
+        or abs(new.waiting - old.waiting) >= LARGE_WAITING_CHANGE
         or abs(new.open_flows - old.open_flows) >= LARGE_FLOWS_CHANGE
         or abs(new.busy_share - old.busy_share) >= LARGE_BUSY_CHANGE
         or abs(new.failed_share - old.failed_share) >= LARGE_FAILED_CHANGE
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -4,6 +4,7 @@
 placed at it recently, after its agent's last report, count as waiting requests.
 """
 
+import math
 import random
 from collections.abc import Collection, Sequence
 
@@ -16,6 +17,7 @@
 )
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import LoadReport
+from citronwinch.coordination.flows._opening_rooms import OpeningRooms
 
 WAITING_REQUEST_WEIGHT = 4.0
 """How many open flows a waiting request counts for in a backend server's load."""
@@ -73,6 +75,7 @@
         self.clock = clock
         self.rng = rng
         self.agents: dict[str, AgentState] = {}
+        self.opening_rooms = OpeningRooms(clock)
         self.last_message_ms: int | None = None
         """When the latest message of any agent arrived, None before the first."""
         self.local_timeout_ms = LOCAL_AGENT_TIMEOUT_MS
@@ -99,6 +102,7 @@
             agent.report = report
             agent.placed_ms.clear()
             agent.unconfirmed_flows = 0
+            self.opening_rooms.record_report(ip, report)
 
     def record_unconfirmed_flow(self, ip: str) -> None:
         """Record that an agent did not confirm a new flow in time."""
@@ -109,6 +113,7 @@
         """Remove all agents except those at the given addresses."""
         for ip in self.agents.keys() - set(ips):
             del self.agents[ip]
+        self.opening_rooms.retain(set(ips))
 
     def is_isolated(self) -> bool:
         """Return whether all known agents have been silent for too long.
@@ -174,15 +179,19 @@
         """Return the least loaded backend server, None if all agents have been tried.
 
         Servers whose agents seem unresponsive or accept no flows are candidates only if
-        no other server is left.
+        no other server is left. If no agent has room for another opening, the server is
+        one with infinite pressure.
         """
         untried = [
             server for server in servers if server.address.ip not in tried_agents
         ]
         available = [server for server in untried if not self._is_last_resort(server)]
-        candidates = self._exclude_outliers(available or untried)
-        if not candidates:
+        if not untried:
             return None
+        with_room = self.opening_rooms.list_with_room(available or untried)
+        if not with_room:
+            return ChosenServer((available or untried)[0], math.inf, 0, math.inf, 1.0)
+        candidates = self._exclude_outliers(with_room)
         if len(candidates) > MANY_CANDIDATES:
             chosen = self._choose_local(candidates, latency_objective_ms)
             if chosen is not None:
@@ -265,6 +274,7 @@
             server.address.ip, AgentState(-self.remote_timeout_ms)
         )
         agent.placed_ms.append(self.clock.now_ms())
+        self.opening_rooms.record_placed(server.address.ip)
 
     def _is_last_resort(self, server: BackendServer) -> bool:
         """Return whether a server's agent seems unresponsive or accepts no flows.
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._cold_servers import ColdServers
 from citronwinch.coordination.flows._deployment import (
     EMPTY_LISTING,
     BackendServer,
@@ -89,6 +90,7 @@
         """The missing servers that count as listed during the grace time, by name."""
         self.by_service: dict[str, list[BackendServer]] = {}
         """The listed and retained servers by service."""
+        self.cold_servers = ColdServers(clock)
         self.former_services_ms: dict[tuple[bytes, str], int] = {}
         """When a route that sent flows to a service was last changed, by route address
         and service, in milliseconds."""
@@ -113,6 +115,7 @@
         if current is not None:
             self._record_former_services(current, configuration)
         self.configuration = configuration
+        self.cold_servers.limits = configuration.services
         self.configuration_position = UNKNOWN_POSITION
         return True
 
@@ -362,6 +365,7 @@
             other = newest.get(server.address.ip)
             if other is None or server.started_ms >= other.started_ms:
                 newest[server.address.ip] = server
+        self.cold_servers.update(newest.values())
         self.by_service = {}
         for server in newest.values():
             self.by_service.setdefault(server.service, []).append(server)
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -1,5 +1,6 @@
 """The heartbeats of a balancer to agents."""
 
+from collections import deque
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -14,6 +15,10 @@
     compute_interval_ms,
 )
 
+URGENT_HEARTBEATS_PER_S = 12
+"""The most heartbeats per second that are sent before their turn to agents that do not
+know whether their server is cold; as many as regular ones to agents of the own zone."""
+
 if TYPE_CHECKING:
     from citronwinch.forwarder._balancer_process import BalancerProcess
 
@@ -45,10 +50,17 @@
         self.view = process.view
         self.pace = MessagePace(process.clock)
         self.targets = AgentTargets({}, False, (), (), {})
+        self.urgent: set[str] = set()
+        """The agents that should receive a heartbeat before their turn."""
+        self.urgent_sent_ms: deque[int] = deque(maxlen=URGENT_HEARTBEATS_PER_S)
 
     def send_due(self) -> None:
         """Send the heartbeats that are due, and set the timeouts of the agents."""
         targets = self._find_targets()
+        if self.view.cold_servers.limits:
+            self.urgent |= self.view.cold_servers.newly_cold
+        self.view.cold_servers.newly_cold.clear()
+        self.urgent &= targets.servers.keys()
         local_ms = compute_interval_ms(
             AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
         )
@@ -69,6 +81,29 @@
         for ips, interval_ms in groups:
             for ip in self.pace.list_due(ips, interval_ms):
                 self.process.send(ip, self._make_heartbeat(ip, interval_ms))
+                self.urgent.discard(ip)
+        for ip in self._pop_urgent():
+            interval_ms = local_ms if ip in targets.local else remote_ms
+            self.process.send(ip, self._make_heartbeat(ip, interval_ms))
+            self.pace.record_sent([ip], interval_ms)
+
+    def _pop_urgent(self) -> list[str]:
+        """Return the agents that receive a heartbeat before their turn.
+
+        Agents of the own zone come first, because most openings go to them.
+        """
+        allowed = URGENT_HEARTBEATS_PER_S - self._count_urgent_sent()
+        local = self.targets.local
+        urgent = sorted(self.urgent, key=lambda ip: (ip not in local, ip))[:allowed]
+        self.urgent.difference_update(urgent)
+        self.urgent_sent_ms.extend([self.process.clock.now_ms()] * len(urgent))
+        return urgent
+
+    def _count_urgent_sent(self) -> int:
+        since_ms = self.process.clock.now_ms() - 1_000
+        while self.urgent_sent_ms and self.urgent_sent_ms[0] <= since_ms:
+            self.urgent_sent_ms.popleft()
+        return len(self.urgent_sent_ms)
 
     def _make_heartbeat(self, ip: str, interval_ms: int) -> Heartbeat:
         """Return a heartbeat that describes the server of the agent at an address."""
@@ -76,7 +111,12 @@
         if server is None:
             return self.process.make_heartbeat((), 0, interval_ms)
         heartbeat = self.process.make_heartbeat((), server.started_ms, interval_ms)
-        return heartbeat._replace(server_slots=server.slots)
+        warmup = self.view.cold_servers.get_warmup(server)
+        return heartbeat._replace(
+            server_slots=server.slots,
+            server_warmup_left_ms=warmup.left_ms,
+            warmup_per_s=warmup.per_s,
+        )
 
     def _find_targets(self) -> AgentTargets:
         """Return the agents that get heartbeats; they change with the listing only.
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -19,6 +19,7 @@
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramSocket, try_connection
+from citronwinch.operators import MetricKey
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
 REMOTE_REPORT_INTERVAL_MS = 300
@@ -68,6 +69,7 @@
             knows_all_flows=settings.is_first_start,
             started_unix_ms=self.incarnation // 1_000_000,
         )
+        self.flows.opening_limit.await_heartbeat()
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
@@ -130,6 +132,7 @@
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
+            self.flows.opening_limit.apply_heartbeat(message)
             self.send(sender, self.flows.make_load_report())
 
     def handle_packet(self, data: bytes) -> None:
@@ -148,6 +151,10 @@
         self.metrics.set_gauge("server_busy_share", report.busy_share)
         self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
+        self.metrics.set_gauge("opening_room", report.opening_room)
+        self.metrics.counters[MetricKey("openings_returned_total", "cold")] = (
+            self.flows.opening_limit.returned
+        )
         self._discard_silent(self.local_balancers)
         if self.reporting.is_due(report, len(self.local_balancers)):
             self.send_to_all(self.local_balancers, report)
@@ -160,9 +167,10 @@
             self._send_remote_report(report)
 
     def has_pending_work(self) -> bool:
-        """Return whether requests wait, or the backend server has not answered."""
+        """Return whether requests wait, or the backend server is cold or silent."""
         return (
             bool(self.flows.waiting_requests)
+            or self.flows.opening_limit.is_filling
             or self.flows.server_liveness.first_unanswered_ms is not None
             or self.flows.server_liveness.is_down
         )
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -145,6 +145,9 @@
         elif isinstance(message, ReturnedPacket):
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_returned_total")
+            if self.selector.opening_rooms.is_exhausted(sender):
+                # The agent may have restarted and not know that its server is warm.
+                self.agent_heartbeats.urgent.add(sender)
             self.apply_actions(self.flows.handle_returned(packet, sender))
         elif isinstance(message, FlowLookup):
             self.send(sender, self.flows.answer_lookup(message))
@@ -177,6 +180,8 @@
         """Handle the packets that were queued until the view was complete."""
         if self.early_packets and self.view.is_complete:
             log.info("early_packets_handled", count=len(self.early_packets))
+            # Agents that have restarted as well learn of their servers first.
+            self.agent_heartbeats.send_due()
             while self.early_packets:
                 self.apply_actions(
                     self.flows.handle_packet(self.early_packets.popleft())
@@ -199,6 +204,7 @@
         for name, count in self.flows.counters.items():
             self.metrics.counters[MetricKey(f"{name}_total")] = count
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
+        self.metrics.set_gauge("cold_servers", self.view.cold_servers.count_limited())
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
     def _update_directory(self) -> None:
--- a/citronwinch/forwarder/tests/test_agent_heartbeats.py
+++ b/citronwinch/forwarder/tests/test_agent_heartbeats.py
@@ -1,7 +1,8 @@
 """What a balancer's heartbeat tells an agent about the agent's backend server.
 
-Guards against an agent that does not learn the slots of its server: it would deliver
-every request at once, and the server would queue or refuse them.
+Guards against an agent that does not learn the slots of its server, or learns too late
+that it is cold: it would deliver more requests than the server can queue. It also
+guards against heartbeats before their turn whose number grows with the fleet.
 """
 
 from citronwinch.coordination import Endpoint
@@ -11,8 +12,10 @@
     Heartbeat,
     ServerListing,
     ServerState,
+    ServiceLimits,
     StorePosition,
 )
+from citronwinch.forwarder._agent_heartbeats import URGENT_HEARTBEATS_PER_S
 from citronwinch.forwarder.tests.conftest import make_balancer
 
 AGENT_IP = "10.0.0.1"
@@ -44,3 +47,39 @@
     [(ip, heartbeat)] = send_due_heartbeats(process)
     assert (ip, heartbeat.server_slots) == (AGENT_IP, 2)
     assert heartbeat.server_started_ms == 1_234
+
+
+def test_a_server_that_becomes_cold_is_announced_to_its_agent_at_once(open_sockets):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    services = {"gauging": ServiceLimits(9.0)}
+    list_server(process, make_server(), services=services)
+    send_due_heartbeats(process)
+    assert not send_due_heartbeats(process)
+    restarted = make_server(started_ms=2_000)._replace(warmup_left_ms=1_500)
+    list_server(process, restarted, revision=2)
+    [(_, heartbeat)] = send_due_heartbeats(process)
+    assert heartbeat.server_started_ms == 2_000
+    assert 1_000 < heartbeat.server_warmup_left_ms <= 1_500
+    assert heartbeat.warmup_per_s == 9.0
+    assert not send_due_heartbeats(process)
+
+
+def test_heartbeats_before_their_turn_have_a_rate_that_does_not_grow(open_sockets):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    servers = {
+        f"s{n}": make_server()._replace(
+            name=f"s{n}", address=Endpoint(f"10.0.0.{n}", 80)
+        )
+        for n in range(1, 100)
+    }
+    services = {"gauging": ServiceLimits(9.0)}
+    process.view.accept_configuration(Configuration(1, {}, 15_000, services))
+    for revision, left_ms in ((1, 0), (2, 2_000)):
+        listed = {
+            name: server._replace(warmup_left_ms=left_ms)
+            for name, server in servers.items()
+        }
+        listing = ServerListing(StorePosition(1, revision), listed)
+        process.view.accept_listing(listing, process.clock.now_ms())
+        sent = send_due_heartbeats(process)
+    assert URGENT_HEARTBEATS_PER_S <= len(sent) < 2 * URGENT_HEARTBEATS_PER_S
