--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -23,6 +23,7 @@
     ReturnedPacket,
     Verdict,
 )
+from citronwinch.coordination.flows._opening_rate import OpeningRateLimit
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
 from citronwinch.coordination.flows._server_liveness import (
     ServerCheck,
@@ -49,7 +50,6 @@
 SHARE_STEPS = 20
 """Shares from 0 to 1 are rounded to this many steps in load reports."""
 
-
 _STATES_RESET_ON_SERVER_DEATH = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
 """The states whose flows are reset when the backend server has died. In any other state
 the backend server does not hold the flow, or is not known to hold it."""
@@ -98,6 +98,7 @@
         self.requests = ServerRequests(
             clock, self.server_liveness, holds_requests=holds_requests
         )
+        self.opening_limit = OpeningRateLimit(clock)
 
     @property
     def waiting_requests(self) -> OrderedDict[FlowKey, int]:
@@ -120,11 +121,7 @@
                 ),
             ]
         if packet.is_opening:
-            if self.server_liveness.is_down:
-                return [SendMessage(balancer, ReturnedPacket(packet.raw))]
-            if isinstance(message, ForwardedOpening):
-                return self._handle_opening(message, packet, balancer)
-            return self._deliver_opening(packet, balancer)
+            return self._handle_opening(message, packet, balancer)
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
@@ -133,22 +130,35 @@
         return self._deliver(packet, balancer, flow)
 
     def _handle_opening(
-        self, message: ForwardedOpening, packet: Packet, balancer: str
+        self, message: ForwardedPacket | ForwardedOpening, packet: Packet, balancer: str
     ) -> list[Action]:
         """Deliver an opening, or return it if its requests would wait too long here."""
-        self.requests.record_class(packet.flow, message.route_class)
-        flow = self.flows.get(packet.flow)
-        is_new = flow is None or flow.state in _STATES_BEFORE_OPENING
-        if is_new and not message.is_last_choice:
-            long_wait = self.requests.find_long_wait(packet, message.route_class)
-            if long_wait is not None:
-                returned = ReturnedPacket(packet.raw)
-                messages = (self.make_load_report(), returned)
-                return [*(SendMessage(balancer, m) for m in messages), long_wait]
+        if self.server_liveness.is_down:
+            return self._return_opening(packet, balancer)
+        route_class = None
+        if isinstance(message, ForwardedOpening):
+            route_class = message.route_class
+            self.requests.record_class(packet.flow, route_class)
+            flow = self.flows.get(packet.flow)
+            is_new = flow is None or flow.state in _STATES_BEFORE_OPENING
+            if is_new and not message.is_last_choice:
+                long_wait = self.requests.find_long_wait(packet, route_class)
+                if long_wait is not None:
+                    return [*self._return_opening(packet, balancer), long_wait]
+        if not self.opening_limit.accept_opening():
+            return self._return_opening(packet, balancer)
         actions = self._deliver_opening(packet, balancer)
-        self.flows[packet.flow].route_class = message.route_class
+        if route_class is not None:
+            self.flows[packet.flow].route_class = route_class
         return actions
 
+    def _return_opening(self, packet: Packet, balancer: str) -> list[Action]:
+        """Return an opening; the report arrives first, so that it is used at once."""
+        return [
+            SendMessage(balancer, self.make_load_report()),
+            SendMessage(balancer, ReturnedPacket(packet.raw)),
+        ]
+
     def _deliver_opening(self, packet: Packet, balancer: str) -> list[Action]:
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state in _STATES_BEFORE_OPENING:
@@ -271,6 +281,7 @@
         self.server_liveness.record_check(check)
         if check is not ServerCheck.REFUSED:
             return [record("server_checked", outcome=check.name.lower())]
+        self.opening_limit.expect_restart()
         keys = [
             key
             for key, flow in self.flows.items()
@@ -350,6 +361,7 @@
             else 0,
             requests.service_times.service_ms,
             len(requests.queue.held),
+            opening_room=self.opening_limit.count_room(),
         )
 
     def expire_idle(self) -> None:
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -78,6 +78,7 @@
             started_unix_ms=self.incarnation // 1_000_000,
             holds_requests=settings.holds_requests,
         )
+        self.flows.opening_limit.await_heartbeat()
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
@@ -142,6 +143,7 @@
             # A balancer whose listing lacks the server does not state its slots.
             slots = self.flows.requests.slots
             slots.slots = message.server_slots or slots.slots
+            self.flows.opening_limit.apply_heartbeat(message)
             self.send(sender, self.flows.make_load_report())
 
     def handle_packet(self, data: bytes) -> None:
@@ -162,6 +164,10 @@
         self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
         self._export_request_counters(report)
+        self.metrics.set_gauge("opening_room", report.opening_room)
+        self.metrics.counters[MetricKey("openings_returned_total", "cold")] = (
+            self.flows.opening_limit.returned
+        )
         self._discard_silent(self.local_balancers)
         if self.reporting.is_due(report, len(self.local_balancers)):
             self.send_to_all(self.local_balancers, report)
@@ -180,9 +186,10 @@
             self.metrics.counters[MetricKey(f"{name}_total", reason)] = count
 
     def has_pending_work(self) -> bool:
-        """Return whether requests wait, or the backend server has not answered."""
+        """Return whether requests wait, or the backend server is cold or silent."""
         return (
             bool(self.flows.waiting_requests)
+            or self.flows.opening_limit.is_filling
             or self.flows.server_liveness.first_unanswered_ms is not None
             or self.flows.server_liveness.is_down
         )
