Weigh the load of servers by their learned service times

Flows and waiting requests counted the same at every server, so that a slow server was given as many flows as a fast one until its latency rose.

Flows, waiting requests and flows placed since the last report are now weighed by the server's service time relative to the median of the candidates. A server is full for a route when a request is expected to wait for half of its objective. The limits that were numbers of requests of the first customers are times: OBJECTIVE_MS_PER_WAITING_REQUEST and the range of the full pressure, REMOTE_ZONE_COST, and the gap for spillover. The scoring is a module of its own.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -177,6 +177,8 @@
             score=chosen.score,
             pressure=chosen.pressure,
             busy_share=chosen.busy_share,
+            expected_wait_ms=round(chosen.expected_wait_ms),
+            service_ms=round(chosen.service_ms),
             candidates=chosen.candidates,
             attempt=len(tried_agents) + 1,
             view_age_ms=self.view.age_ms,
--- a/citronwinch/coordination/flows/_chosen_server.py
+++ b/citronwinch/coordination/flows/_chosen_server.py
@@ -5,35 +5,33 @@
 from citronwinch.coordination.flows._deployment import BackendServer
 
 SATURATED_PRESSURE = 2.0
-"""The pressure at which a service is saturated. At 20 ms a request, the next request
-then waits for a third of the tightest latency objective."""
+"""The pressure at which a service is saturated: behind each request in progress another
+one waits, so that its servers have no idle time between two requests."""
 
 SATURATED_BUSY_SHARE = 0.75
 """The busy share at which a service is saturated; queues grow fast above it."""
 
-MAX_FULL_PRESSURE = 7.0
-"""The pressure at which a new flow of a route with the loosest latency objective waits
-in the balancer; no route has a higher limit. At a slightly higher pressure, backend
-servers refuse requests."""
+FULL_WAIT_SHARE = 0.5
+"""The share of its route's latency objective that a request may be expected to wait at
+a server; the rest is for the request itself, for its packets and for errors of the
+estimate. Beyond it, the server is full for new flows of the route."""
 
-MIN_FULL_PRESSURE = 3.0
-"""The pressure at which a new flow of a route with the tightest latency objective waits
-in the balancer; no route has a lower limit. It keeps a backend server busy until its
-agent's next report."""
+MIN_FULL_WAIT_MS = 52
+"""The expected waiting time below which no server is full, in milliseconds: the work
+that keeps it busy until its agent's next report has arrived (REPORT_INTERVAL_MS)."""
 
-OBJECTIVE_MS_PER_WAITING_REQUEST = 35.0
-"""How many milliseconds of its route's latency objective a new flow needs for each unit
-of pressure; a request takes 15 to 25 ms."""
+MAX_DELIVERED_PRESSURE = 7.0
+"""The requests per slot that a server may have received, beside those that its agent
+holds, before it is full for every route. Servers refuse requests from 8 per slot on."""
 
-REMOTE_ZONE_COST = 8.0
-"""The load, in open flows per slot, that a backend server in another availability zone
-is charged with. It equals two waiting requests, or 30 to 40 ms, although the round trip
-to another zone takes only 10 ms; the rest reduces the traffic between zones."""
+REMOTE_ZONE_COST_MS = 35.0
+"""The waiting time that a backend server in another availability zone is charged with,
+in milliseconds. The round trips of an opening and a request take 6 to 20 ms of it; the
+rest reduces the traffic between zones, which is charged by the byte."""
 
-OBJECTIVE_MS_PER_ADDED_REMOTE_COST = 40.0
-"""How many milliseconds of the route's latency objective add one open flow per slot to
-the cost of a remote server, REMOTE_ZONE_COST: a flow that tolerates a longer queue can
-stay in its zone."""
+REMOTE_ZONE_COST_SHARE = 7 / 64
+"""The share of the route's latency objective that is added to REMOTE_ZONE_COST_MS: a
+flow that tolerates a longer queue can stay in its zone."""
 
 
 class ChosenServer(NamedTuple):
@@ -43,8 +41,9 @@
     """The backend server."""
 
     score: float
-    """Its load at that moment, in open flows per slot: the lowest of the candidates
-    with room for the flow, or of all candidates if none has room."""
+    """Its load at that moment, in open flows per slot of a server with the median
+    service time: the lowest of the candidates with room for the flow, or of all
+    candidates if none has room."""
 
     candidates: int
     """The number of candidates."""
@@ -55,6 +54,18 @@
     busy_share: float
     """The share of recent time in which it had work, 0 to 1."""
 
+    delivered_pressure: float
+    """The part of the pressure that its agent does not hold."""
+
+    service_ms: float
+    """The time that it takes for a request, without time in a queue, in milliseconds:
+    learned by its agent, or the median of the candidates."""
+
+    @property
+    def expected_wait_ms(self) -> float:
+        """How long a new request would wait for a slot, in milliseconds."""
+        return self.pressure * self.service_ms
+
     @property
     def is_saturated(self) -> bool:
         """Whether this server, the least loaded of its service, has hardly any room.
@@ -68,21 +79,31 @@
 
     def is_full(self, latency_objective_ms: int) -> bool:
         """Return whether the server would answer one more request late or refuse it."""
-        return self.pressure >= compute_full_pressure(latency_objective_ms)
+        return is_full(
+            self.expected_wait_ms, self.delivered_pressure, latency_objective_ms
+        )
 
 
-def compute_full_pressure(latency_objective_ms: int) -> float:
-    """Return the pressure at which new flows of a route wait in the balancer.
+def is_full(
+    expected_wait_ms: float, delivered_pressure: float, latency_objective_ms: int
+) -> bool:
+    """Return whether new flows of a route wait in the balancer for a server's room.
 
     Example::
 
-        >>> compute_full_pressure(120), compute_full_pressure(500)
-        (3.4285714285714284, 7.0)
+        >>> is_full(59, 3, 120), is_full(60, 3, 120), is_full(60, 7, 500)
+        (False, True, True)
     """
-    unbounded = latency_objective_ms / OBJECTIVE_MS_PER_WAITING_REQUEST
-    return min(max(unbounded, MIN_FULL_PRESSURE), MAX_FULL_PRESSURE)
+    limit_ms = max(FULL_WAIT_SHARE * latency_objective_ms, MIN_FULL_WAIT_MS)
+    return expected_wait_ms >= limit_ms or delivered_pressure >= MAX_DELIVERED_PRESSURE
 
 
-def compute_remote_cost(latency_objective_ms: int) -> float:
-    """Return the load that a server of another zone is charged with for a route."""
-    return REMOTE_ZONE_COST + latency_objective_ms / OBJECTIVE_MS_PER_ADDED_REMOTE_COST
+def compute_remote_cost_ms(latency_objective_ms: int) -> float:
+    """Return the waiting time that a server of another zone is charged with.
+
+    Example::
+
+        >>> compute_remote_cost_ms(320)
+        70.0
+    """
+    return REMOTE_ZONE_COST_MS + REMOTE_ZONE_COST_SHARE * latency_objective_ms
--- /dev/null
+++ b/citronwinch/coordination/flows/_server_scoring.py
@@ -0,0 +1,152 @@
+"""Scores backend servers by their load and by the time that they take for a request.
+
+The load of a server is compared in open flows per slot of a server that takes the
+median time for a request: a server that takes twice as long has the same score with
+half of the flows and half of the waiting requests.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from citronwinch.coordination.flows._agent_state import AgentState
+from citronwinch.coordination.flows._chosen_server import (
+    compute_remote_cost_ms,
+    is_full,
+)
+
+WAITING_REQUEST_WEIGHT = 4.0
+"""How many open flows a waiting request counts for in a backend server's load."""
+
+BUSY_SHARE_WEIGHT = 20.0
+"""How many open flows a backend server without idle time counts for in its load."""
+
+MAX_SLOWNESS = 4.0
+"""The largest factor by which a high latency multiplies a backend server's load."""
+
+MIN_RELATIVE_SERVICE_TIME = 0.25
+"""The least service time that a server is credited with, as a factor of the median. A
+wrong low value then attracts at most four times the flows."""
+
+UNREPORTED_SERVICE_MS = 17.5
+"""The service time that is assumed until any server of a service reports one, in
+milliseconds."""
+
+PLACED_FLOW_PENDING_MS = 90
+"""How long a flow counts as a waiting request after its placement, in milliseconds. By
+then the agent has reported the request, or the server has answered it."""
+
+
+class ServerLoad(NamedTuple):
+    """The load of one backend server as a balancer knows it."""
+
+    flows_per_slot: float
+    """Its open flows per slot, with those placed recently."""
+
+    pressure: float
+    """Its waiting requests per slot, with the flows placed recently."""
+
+    delivered_pressure: float
+    """The part of `pressure` that its agent does not hold."""
+
+    busy_share: float
+    """The share of recent time in which it had work, 0 to 1."""
+
+    latency_ms: int | None
+    """Its recent mean time from a request to its answer; None without a report."""
+
+    service_ms: int
+    """Its time for a request, without time in a queue; 0 if unknown."""
+
+
+class ServiceMedians(NamedTuple):
+    """What is usual among the candidates, to which each of them is compared."""
+
+    service_ms: float
+    """The median of the known service times, in milliseconds."""
+
+    latency_ms: float
+    """The median of the latencies, each divided by the server's relative service time,
+    in milliseconds."""
+
+
+def read_load(agent: AgentState | None, slots: int, now_ms: int) -> ServerLoad:
+    """Return the load of a server with some slots from what is known of its agent."""
+    if agent is None:
+        return ServerLoad(0.0, 0.0, 0.0, 0.0, None, 0)
+    slots = max(slots, 1)
+    placed = agent.count_placed_flows(now_ms - PLACED_FLOW_PENDING_MS)
+    report = agent.report
+    if report is None:
+        return ServerLoad(placed / slots, placed / slots, placed / slots, 0.0, None, 0)
+    waiting = report.waiting + placed
+    return ServerLoad(
+        (report.open_flows + placed) / slots,
+        waiting / slots,
+        max(waiting - report.queued, 0) / slots,
+        report.busy_share,
+        report.latency_ms,
+        report.service_ms,
+    )
+
+
+def compute_medians(loads: Sequence[ServerLoad]) -> ServiceMedians:
+    """Return the medians of some candidates."""
+    service_ms = _find_median(
+        (load.service_ms for load in loads if load.service_ms > 0),
+        UNREPORTED_SERVICE_MS,
+    )
+    latency_ms = _find_median(
+        (
+            load.latency_ms / _compute_relative_service_time(load, service_ms)
+            for load in loads
+            if load.latency_ms is not None
+        ),
+        1.0,
+    )
+    return ServiceMedians(service_ms, max(1.0, latency_ms))
+
+
+def _find_median(values: Iterable[float], default: float) -> float:
+    ordered = sorted(values)
+    return ordered[len(ordered) // 2] if ordered else default
+
+
+def _compute_relative_service_time(load: ServerLoad, median_ms: float) -> float:
+    """Return a server's service time as a factor of the median, 1.0 if unknown."""
+    if load.service_ms <= 0:
+        return 1.0
+    return max(load.service_ms / median_ms, MIN_RELATIVE_SERVICE_TIME)
+
+
+def is_load_full(
+    load: ServerLoad, medians: ServiceMedians, latency_objective_ms: int
+) -> bool:
+    """Return whether a server has no room for a flow of a route."""
+    expected_wait_ms = load.pressure * (load.service_ms or medians.service_ms)
+    return is_full(expected_wait_ms, load.delivered_pressure, latency_objective_ms)
+
+
+def compute_remote_cost(medians: ServiceMedians, latency_objective_ms: int) -> float:
+    """Return the load that a server of another zone is charged with for a route.
+
+    It is the number of open flows that weigh as much as the requests that a server with
+    the median service time completes in the time that another zone costs.
+    """
+    requests = compute_remote_cost_ms(latency_objective_ms) / medians.service_ms
+    return WAITING_REQUEST_WEIGHT * requests
+
+
+def compute_score(load: ServerLoad, medians: ServiceMedians) -> float:
+    """Return the load of a server, in open flows per slot of a median server.
+
+    The busy share is a share of time, which needs no weighing. The latency, which a
+    slow server has without being loaded, is compared after division by the relative
+    service time.
+    """
+    relative = _compute_relative_service_time(load, medians.service_ms)
+    work = load.flows_per_slot + WAITING_REQUEST_WEIGHT * load.pressure
+    score = relative * work + BUSY_SHARE_WEIGHT * load.busy_share
+    if load.latency_ms is None:
+        return score
+    slowness = load.latency_ms / relative / medians.latency_ms
+    return score * min(max(slowness, 1.0), MAX_SLOWNESS)
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -1,7 +1,8 @@
 """Selects the backend server that receives a new flow.
 
 The pressure of a backend server is the number of its waiting requests per slot. Flows
-placed at it recently, after its agent's last report, count as waiting requests.
+placed at it recently, after its agent's last report, count as waiting requests. The
+pressure times the server's service time is the time that a new request would wait.
 """
 
 import random
@@ -9,23 +10,22 @@
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._agent_state import AgentState
-from citronwinch.coordination.flows._chosen_server import (
-    ChosenServer,
-    compute_full_pressure,
-    compute_remote_cost,
-)
+from citronwinch.coordination.flows._chosen_server import ChosenServer
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import LoadReport
+from citronwinch.coordination.flows._server_scoring import (
+    ServerLoad,
+    ServiceMedians,
+    compute_medians,
+    compute_remote_cost,
+    compute_score,
+    is_load_full,
+    read_load,
+)
 
-WAITING_REQUEST_WEIGHT = 4.0
-"""How many open flows a waiting request counts for in a backend server's load."""
-
-BUSY_SHARE_WEIGHT = 20.0
-"""How many open flows a backend server without idle time counts for in its load."""
-
-SPILLOVER_MIN_PRESSURE_GAP = 1.5
-"""How much lower the pressure of another service must be before the new flows of a
-saturated service spill over to it."""
+SPILLOVER_MIN_WAIT_GAP_MS = 26
+"""How much less a request must be expected to wait at another service, in milliseconds,
+before the new flows of a saturated service spill over to it."""
 
 SPILLOVER_MIN_BUSY_GAP = 0.2
 """How much lower the busy share of another service must be instead; either difference
@@ -34,9 +34,6 @@
 MANY_CANDIDATES = 24
 """With more candidates than this, those of the own zone are compared first."""
 
-MAX_SLOWNESS = 4.0
-"""The largest factor by which a high latency multiplies a backend server's load."""
-
 LOCAL_AGENT_TIMEOUT_MS = 1_100
 """How long an agent of the balancer's own zone may at least send nothing before its
 server is chosen as a last resort only, in milliseconds: three heartbeats at their
@@ -60,10 +57,6 @@
 """The largest share of the candidates that is excluded as outliers. If more of them
 fail requests, the cause is outside the servers."""
 
-PLACED_FLOW_PENDING_MS = 90
-"""How long a flow counts as a waiting request after its placement, in milliseconds. By
-then the agent has reported the request, or the server has answered it."""
-
 
 class ServerSelector:
     """Chooses servers for new flows by the agents' reports and recent placements."""
@@ -183,55 +176,75 @@
         candidates = self._exclude_outliers(available or untried)
         if not candidates:
             return None
+        loads = [self._read_load(server) for server in candidates]
+        medians = compute_medians(loads)
+        loaded = list(zip(candidates, loads, strict=True))
         if len(candidates) > MANY_CANDIDATES:
-            chosen = self._choose_local(candidates, latency_objective_ms)
+            chosen = self._choose_local(loaded, medians, latency_objective_ms)
             if chosen is not None:
                 return chosen
-        return self._choose_least_loaded(candidates, latency_objective_ms)
+        return self._choose_lowest_score(loaded, medians, latency_objective_ms)
 
     def _choose_local(
-        self, candidates: Sequence[BackendServer], latency_objective_ms: int
+        self,
+        loaded: Sequence[tuple[BackendServer, ServerLoad]],
+        medians: ServiceMedians,
+        latency_objective_ms: int,
     ) -> ChosenServer | None:
         """Return the least loaded server of the own zone if no other can be better.
 
         A server of another zone has at least the load that its zone is charged with.
         Without the other zones, a choice among many servers takes less time.
         """
-        local = [s for s in candidates if s.availability_zone == self.zone]
+        local = [entry for entry in loaded if entry[0].availability_zone == self.zone]
         if not local:
             return None
-        chosen = self._choose_least_loaded(local, latency_objective_ms)
+        chosen = self._choose_lowest_score(local, medians, latency_objective_ms)
         if chosen.is_full(latency_objective_ms):
             return None
-        remote_cost = compute_remote_cost(latency_objective_ms)
+        remote_cost = compute_remote_cost(medians, latency_objective_ms)
         return chosen if chosen.score <= remote_cost else None
 
     def _choose_least_loaded(
         self, candidates: Sequence[BackendServer], latency_objective_ms: int
     ) -> ChosenServer:
-        median_latency_ms = self._compute_median_latency_ms(candidates)
-        full_pressure = compute_full_pressure(latency_objective_ms)
-        readings = [
-            (server, *self._get_pressure_and_busy_share(server))
-            for server in candidates
+        loads = [self._read_load(server) for server in candidates]
+        loaded = list(zip(candidates, loads, strict=True))
+        return self._choose_lowest_score(
+            loaded, compute_medians(loads), latency_objective_ms
+        )
+
+    def _choose_lowest_score(
+        self,
+        loaded: Sequence[tuple[BackendServer, ServerLoad]],
+        medians: ServiceMedians,
+        latency_objective_ms: int,
+    ) -> ChosenServer:
+        with_room = [
+            entry
+            for entry in loaded
+            if not is_load_full(entry[1], medians, latency_objective_ms)
         ]
-        with_room = [reading for reading in readings if reading[1] < full_pressure]
-        remote_cost = compute_remote_cost(latency_objective_ms)
+        remote_cost = compute_remote_cost(medians, latency_objective_ms)
         scored = [
             (
-                self._score(
-                    server, pressure, busy_share, median_latency_ms, remote_cost
-                ),
+                compute_score(load, medians)
+                + (remote_cost if server.availability_zone != self.zone else 0.0),
                 self.rng.random(),
                 server,
-                pressure,
-                busy_share,
+                load,
             )
-            for server, pressure, busy_share in with_room or readings
+            for server, load in with_room or loaded
         ]
-        score, _, server, pressure, busy_share = min(scored)
+        score, _, server, load = min(scored)
         return ChosenServer(
-            server, round(score, 1), len(candidates), pressure, busy_share
+            server,
+            round(score, 1),
+            len(loaded),
+            load.pressure,
+            load.busy_share,
+            load.delivered_pressure,
+            load.service_ms or medians.service_ms,
         )
 
     def choose_service(
@@ -249,11 +262,12 @@
         with_more_room = [
             other
             for other in by_preference[1:]
-            if other.pressure + SPILLOVER_MIN_PRESSURE_GAP <= first.pressure
+            if other.expected_wait_ms + SPILLOVER_MIN_WAIT_GAP_MS
+            <= first.expected_wait_ms
             or other.busy_share + SPILLOVER_MIN_BUSY_GAP <= first.busy_share
         ]
         unsaturated = [other for other in with_more_room if not other.is_saturated]
-        return min(unsaturated, key=lambda other: other.pressure, default=first)
+        return min(unsaturated, key=lambda other: other.expected_wait_ms, default=first)
 
     def record_placed_flow(self, server: BackendServer) -> None:
         """Count a new flow in a server's load until its agent's next report.
@@ -299,53 +313,6 @@
         report = agent.report if agent is not None else None
         return report.failed_share if report is not None else 0.0
 
-    def _compute_median_latency_ms(self, servers: Sequence[BackendServer]) -> float:
-        latencies = sorted(
-            agent.report.latency_ms
-            for server in servers
-            if (agent := self.agents.get(server.address.ip)) and agent.report
-        )
-        return max(1.0, latencies[len(latencies) // 2]) if latencies else 1.0
-
-    def _get_pressure_and_busy_share(
-        self, server: BackendServer
-    ) -> tuple[float, float]:
-        """Return the pressure and the busy share of a server."""
+    def _read_load(self, server: BackendServer) -> ServerLoad:
         agent = self.agents.get(server.address.ip)
-        if agent is None:
-            return 0.0, 0.0
-        since_ms = self.clock.now_ms() - PLACED_FLOW_PENDING_MS
-        waiting, busy_share = float(agent.count_placed_flows(since_ms)), 0.0
-        if agent.report is not None:
-            waiting += agent.report.waiting
-            busy_share = agent.report.busy_share
-        return waiting / max(server.slots, 1), busy_share
-
-    def _score(
-        self,
-        server: BackendServer,
-        pressure: float,
-        busy_share: float,
-        median_latency_ms: float,
-        remote_cost: float,
-    ) -> float:
-        """Return the load of a server, in open flows per slot."""
-        agent = self.agents.get(server.address.ip)
-        flows = 0.0
-        slowness = 1.0
-        if agent is not None:
-            flows = len(agent.placed_ms)
-            if agent.report is not None:
-                flows += agent.report.open_flows
-                slowness = agent.report.latency_ms / median_latency_ms
-        slowness = min(max(slowness, 1.0), MAX_SLOWNESS)
-        flows_per_slot = flows / max(server.slots, 1)
-        score = (
-            flows_per_slot
-            + WAITING_REQUEST_WEIGHT * pressure
-            + BUSY_SHARE_WEIGHT * busy_share
-        )
-        score *= slowness
-        if server.availability_zone != self.zone:
-            score += remote_cost
-        return score
+        return read_load(agent, server.slots, self.clock.now_ms())
