--- a/citronwinch/coordination/flows/_load_reporting.py
+++ b/citronwinch/coordination/flows/_load_reporting.py
@@ -32,18 +32,32 @@
 LARGE_LATENCY_FACTOR = 1.5
 """The same for the latency, as a factor in either direction."""
 
+LARGE_SERVICE_FACTOR = 4 / 3
+"""The same for the service time; a third more or less changes how many flows the
+server should hold by as much."""
+
+LARGE_QUEUED_CHANGE = 2
+"""The same for the requests that the agent holds."""
+
 
 class LoadReporting:
     """Tells whether the balancers of the zone get a load report now.
 
     Few balancers get each change. With more of them, reports are less frequent, and
     small changes wait, so that an agent sends at most `REPORTS_PER_S`.
+
+    When the room for openings runs out or comes back, a report is due at once, because
+    the agent returns the openings that it gets meanwhile. The room of a cold server may
+    change many times a second; such reports have a pace of their own with the same
+    limit.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.last_report: LoadReport | None = None
         self.reported_ms = clock.now_ms()
+        self.room_reported_ms: int | None = None
+        """When a report was last sent early for a change of the room for openings."""
 
     def is_due(self, report: LoadReport, receivers: int) -> bool:
         """Return whether a report is due; if so, record it as sent."""
@@ -51,26 +65,58 @@
         if last == report:
             return False
         if last is not None and last.accepts_flows == report.accepts_flows:
-            waited_ms = self.clock.now_ms() - self.reported_ms
-            if waited_ms < receivers * 1_000 // REPORTS_PER_S:
-                return False
-            is_small = receivers > ALL_CHANGES_RECEIVERS and not is_large_change(
-                last, report
+            is_due_by_room = has_room_change(last, report) and self._may_report_room(
+                receivers
             )
-            if is_small and waited_ms < SMALL_CHANGE_INTERVAL_MS:
+            if not is_due_by_room and not self._is_due_by_pace(last, report, receivers):
                 return False
         self.last_report = report
         self.reported_ms = self.clock.now_ms()
         return True
 
+    def _may_report_room(self, receivers: int) -> bool:
+        """Return whether a change of the room is due now; if so, record its time."""
+        now_ms = self.clock.now_ms()
+        if (
+            self.room_reported_ms is not None
+            and now_ms - self.room_reported_ms < receivers * 1_000 // REPORTS_PER_S
+        ):
+            return False
+        self.room_reported_ms = now_ms
+        return True
+
+    def _is_due_by_pace(
+        self, last: LoadReport, report: LoadReport, receivers: int
+    ) -> bool:
+        waited_ms = self.clock.now_ms() - self.reported_ms
+        if waited_ms < receivers * 1_000 // REPORTS_PER_S:
+            return False
+        is_small = receivers > ALL_CHANGES_RECEIVERS and not is_large_change(
+            last, report
+        )
+        return not is_small or waited_ms >= SMALL_CHANGE_INTERVAL_MS
+
+
+def has_room_change(old: LoadReport, new: LoadReport) -> bool:
+    """Return whether the room for openings has run out or has come back."""
+    return (old.opening_room == 0) != (new.opening_room == 0)
+
 
 def is_large_change(old: LoadReport, new: LoadReport) -> bool:
     """Return whether a change of load matters for the choice of a server soon."""
-    latencies_ms = sorted((max(1, old.latency_ms), max(1, new.latency_ms)))
     return (
         abs(new.waiting - old.waiting) >= LARGE_WAITING_CHANGE
         or abs(new.open_flows - old.open_flows) >= LARGE_FLOWS_CHANGE
         or abs(new.busy_share - old.busy_share) >= LARGE_BUSY_CHANGE
         or abs(new.failed_share - old.failed_share) >= LARGE_FAILED_CHANGE
-        or latencies_ms[1] >= latencies_ms[0] * LARGE_LATENCY_FACTOR
+        or abs(new.queued - old.queued) >= LARGE_QUEUED_CHANGE
+        or has_room_change(old, new)
+        or _compute_factor(old.latency_ms, new.latency_ms) >= LARGE_LATENCY_FACTOR
+        or _compute_factor(old.service_ms, new.service_ms) >= LARGE_SERVICE_FACTOR
     )
+
+
+def _compute_factor(old_ms: int, new_ms: int) -> float:
+    """Return the factor by which a time has changed; less than 1 ms counts as 1 ms."""
+    shorter_ms, longer_ms = sorted((max(1, old_ms), max(1, new_ms)))
+    return longer_ms / shorter_ms
--- a/citronwinch/coordination/flows/tests/test_control_load.py
+++ b/citronwinch/coordination/flows/tests/test_control_load.py
@@ -93,7 +93,7 @@
         assert not selector.is_isolated()
 
 
-REPORT = LoadReport("gauging", 40, 0, 20, 0.4, True, 0.0)
+REPORT = LoadReport("gauging", 40, 0, 20, 0.4, True, 0.0, 0, service_ms=20)
 
 
 def make_changing_report(rng: random.Random) -> LoadReport:
@@ -126,6 +126,13 @@
         pytest.param({"failed_share": 0.3}, 160, id="fails requests"),
         pytest.param({"busy_share": 0.8}, 160, id="busy"),
         pytest.param({"latency_ms": 60}, 160, id="slow"),
+        pytest.param({"service_ms": 27}, 160, id="a third slower"),
+        pytest.param({"service_ms": 15}, 160, id="a third faster"),
+        pytest.param({"service_ms": 23}, 1_000, id="hardly slower"),
+        pytest.param({"queued": 2}, 160, id="held requests"),
+        pytest.param({"queued": 1}, 1_000, id="one held request"),
+        pytest.param({"opening_room": 0}, 0, id="no room for openings"),
+        pytest.param({"opening_room": 7}, 1_000, id="less room for openings"),
         pytest.param({"waiting": 1}, 1_000, id="one request"),
     ],
 )
@@ -143,6 +150,26 @@
     assert not reporting.is_due(changed, 12)
 
 
+def test_room_that_comes_back_is_reported_at_once(clock: ManualClock) -> None:
+    reporting = LoadReporting(clock)
+    assert reporting.is_due(REPORT._replace(opening_room=0), 12)
+    assert reporting.is_due(REPORT._replace(opening_room=1), 12)
+
+
+@pytest.mark.parametrize("receivers", [1, 5, 12, 106])
+def test_room_that_comes_and_goes_causes_a_bounded_number_of_reports(
+    clock: ManualClock, receivers: int
+) -> None:
+    # The room of a cold server that is offered more than it bears changes with every
+    # opening.
+    reporting = LoadReporting(clock)
+    reports = 0
+    for step in range(SECONDS * 100):
+        reports += reporting.is_due(REPORT._replace(opening_room=step % 2), receivers)
+        clock.advance(10)
+    assert reports * receivers <= 2 * REPORTS_PER_S * SECONDS * 1.1
+
+
 def test_three_balancers_learn_of_each_change(clock: ManualClock) -> None:
     reporting = LoadReporting(clock)
     for waiting in range(20):
