--- a/citronwinch/coordination/flows/_server_scoring.py
+++ b/citronwinch/coordination/flows/_server_scoring.py
@@ -89,12 +89,18 @@
     )
 
 
-def compute_medians(loads: Sequence[ServerLoad]) -> ServiceMedians:
-    """Return the medians of some candidates."""
-    service_ms = _find_median(
-        (load.service_ms for load in loads if load.service_ms > 0),
-        UNREPORTED_SERVICE_MS,
-    )
+def compute_medians(
+    loads: Sequence[ServerLoad], service_ms: float | None = None
+) -> ServiceMedians:
+    """Return the medians of some candidates.
+
+    A part of the candidates is compared by the service time of all, `service_ms`.
+    """
+    if service_ms is None:
+        service_ms = _find_median(
+            (load.service_ms for load in loads if load.service_ms > 0),
+            UNREPORTED_SERVICE_MS,
+        )
     latency_ms = _find_median(
         (
             load.latency_ms / _compute_relative_service_time(load, service_ms)
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -199,7 +199,8 @@
         local = [entry for entry in loaded if entry[0].availability_zone == self.zone]
         if not local:
             return None
-        chosen = self._choose_lowest_score(local, medians, latency_objective_ms)
+        local_medians = compute_medians([load for _, load in local], medians.service_ms)
+        chosen = self._choose_lowest_score(local, local_medians, latency_objective_ms)
         if chosen.is_full(latency_objective_ms):
             return None
         remote_cost = compute_remote_cost(medians, latency_objective_ms)
