--- a/citronwinch/coordination/flows/_server_scoring.py
+++ b/citronwinch/coordination/flows/_server_scoring.py
@@ -135,10 +135,13 @@
 def compute_remote_cost(medians: ServiceMedians, latency_objective_ms: int) -> float:
     """Return the load that a server of another zone is charged with for a route.
 
-    It is the number of open flows that weigh as much as the requests that a server with
-    the median service time completes in the time that another zone costs.
+    It is the number of open flows that weigh as much as the requests that a server
+    completes in the time that another zone costs. Servers that take long for a request
+    count as if they took UNREPORTED_SERVICE_MS: queues differ at random by two or three
+    requests, which would otherwise be a reason to leave the zone.
     """
-    requests = compute_remote_cost_ms(latency_objective_ms) / medians.service_ms
+    service_ms = min(medians.service_ms, UNREPORTED_SERVICE_MS)
+    requests = compute_remote_cost_ms(latency_objective_ms) / service_ms
     return WAITING_REQUEST_WEIGHT * requests
 
 
