--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -197,6 +197,8 @@
             score=chosen.score,
             pressure=chosen.pressure,
             busy_share=chosen.busy_share,
+            expected_wait_ms=round(chosen.expected_wait_ms),
+            service_ms=round(chosen.service_ms),
             candidates=chosen.candidates,
             attempt=attempt,
             view_age_ms=self.view.age_ms,
