Decide on openings while zones are evacuated

Cause: the operators need to keep new flows away from the backend servers of a zone, while its established flows go on.

Change: Evacuations merges what the store and other balancers state; the latest position wins, and a request outlives a restored copy for the time of its distrust. Balancers leave out the servers of active zones, also for held, returned and unconfirmed openings, and refuse with the reason 'zones evacuated'. An agent returns each opening that its server has not accepted.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -54,7 +54,7 @@
     pack_route_address,
     round_up_warmup_ms,
 )
-from citronwinch.coordination.flows._evacuations import ZoneEvacuation
+from citronwinch.coordination.flows._evacuations import Evacuations, ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._listing_history import (
@@ -138,6 +138,7 @@
     "DeliverToServer",
     "DeploymentView",
     "EMPTY_LISTING",
+    "Evacuations",
     "FlowAnswer",
     "FlowDirectory",
     "FlowLocation",
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -1,6 +1,6 @@
 """Tracks for an agent the flows of its backend server and decides what to deliver."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
@@ -16,11 +16,14 @@
 from citronwinch.coordination.flows._busy_meter import BusyMeter
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._flow_entry import (
-    SEQUENCE_RANGE,
     FlowEntry,
     FlowState,
+    has_accepted,
+    is_confirmed_by,
+    may_belong_to,
 )
 from citronwinch.coordination.flows._messages import (
+    UNLIMITED_OPENINGS,
     FlowAnswer,
     FlowQuestion,
     ForwardedPacket,
@@ -51,10 +54,6 @@
 """A backend server that started at most this long before its agent has not received
 any flow yet, in milliseconds; an agent takes about half of this to start."""
 
-CALLER_CONFIRMATION_MAX_DISTANCE = 2
-"""How far beyond the backend server's first sequence number a caller's acknowledgement
-may be to confirm that server's acceptance, in sequence numbers."""
-
 LATENCY_WEIGHT = 0.15
 """The weight of the newest answer in the moving average of the latency."""
 
@@ -108,6 +107,10 @@
         self.busy_meter = BusyMeter(clock)
         self.outcome_meter = OutcomeMeter(clock)
         self.is_leaving = False
+        self.is_evacuated = False
+        """Whether the operators have evacuated the zone of the backend server."""
+        self.returned_openings: Counter[str] = Counter()
+        """How many openings were returned to their balancer, by reason."""
         self.server_liveness = ServerLiveness(clock)
 
     def handle_forwarded(
@@ -128,11 +131,13 @@
         if packet.is_opening:
             if self.server_liveness.is_down:
                 return [SendMessage(balancer, ReturnedPacket(packet.raw))]
+            if self.is_evacuated and not has_accepted(self.flows.get(packet.flow)):
+                return self._return_evacuated(packet, balancer)
             return self._deliver_opening(packet, balancer)
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
-        if flow.state is FlowState.ABSENT or not _may_belong_to(flow, packet):
+        if flow.state is FlowState.ABSENT or not may_belong_to(flow, packet):
             return [SendMessage(balancer, ReturnedPacket(packet.raw))]
         return self._deliver(packet, balancer, flow)
 
@@ -145,6 +150,15 @@
         self.server_liveness.record_delivery()
         return [DeliverToServer(packet.raw)]
 
+    def _return_evacuated(self, packet: Packet, balancer: str) -> list[Action]:
+        """Return an opening; the report arrives first, so that it is used at once."""
+        self.returned_openings["evacuated"] += 1
+        return [
+            SendMessage(balancer, self.make_load_report()),
+            SendMessage(balancer, ReturnedPacket(packet.raw)),
+            record("opening_returned", packet, balancer=balancer, reason="evacuated"),
+        ]
+
     def _deliver_trial(
         self, packet: Packet, balancer: str, flow: FlowEntry | None
     ) -> list[Action]:
@@ -164,6 +178,7 @@
                 actions.append(SendMessage(balancer, held))
         flow.balancer = balancer
         flow.acknowledged = packet.acknowledged
+        flow.is_finished |= packet.is_finishing
         self._touch(packet.flow, flow)
         if not packet.is_reset:
             self.server_liveness.record_delivery()
@@ -193,6 +208,7 @@
                 flow = flow or self._add_flow(packet.flow, FlowState.ACCEPTED)
                 flow.state = FlowState.ACCEPTED
             flow.server_first_sequence = packet.sequence
+            flow.is_finished = False
             if flow.balancer and flow.state is FlowState.ACCEPTED:
                 flow.informed_balancer = flow.balancer
                 answer = FlowAnswer(packet.flow, Verdict.OPENING)
@@ -300,7 +316,7 @@
         elif flow.state is FlowState.OPEN:
             verdict = Verdict.HELD
         elif flow.state is FlowState.ACCEPTED:
-            is_confirmed = _is_confirmed_by(flow, question.acknowledged)
+            is_confirmed = is_confirmed_by(flow, question.acknowledged)
             verdict = Verdict.HELD if is_confirmed else Verdict.ABSENT
         elif flow.state is FlowState.TRIED:
             verdict = Verdict.UNCERTAIN
@@ -327,6 +343,7 @@
             self.server_started_unix_ms
             if self.is_leaving and self.server_liveness.is_down
             else 0,
+            opening_room=0 if self.is_evacuated else UNLIMITED_OPENINGS,
         )
 
     def expire_idle(self) -> None:
@@ -377,19 +394,3 @@
 def _round_share(share: float) -> float:
     """Round a share, so that small changes of it do not cause a new load report."""
     return round(share * SHARE_STEPS) / SHARE_STEPS
-
-
-def _may_belong_to(flow: FlowEntry, packet: Packet) -> bool:
-    """Return whether a caller's packet may belong to this flow.
-
-    While the flow is only accepted, a packet that confirms another backend server's
-    acceptance of the same opening does not belong to it.
-    """
-    if flow.state is FlowState.ACCEPTED:
-        return _is_confirmed_by(flow, packet.acknowledged)
-    return True
-
-
-def _is_confirmed_by(flow: FlowEntry, acknowledged: int) -> bool:
-    distance = (acknowledged - flow.server_first_sequence) % SEQUENCE_RANGE
-    return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -39,6 +39,7 @@
     Verdict,
 )
 from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
+from citronwinch.coordination.flows._refusal_reasons import explain_missing_server
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
 
@@ -116,10 +117,14 @@
                 known.unconfirmed_since_ms is not None
                 and now_ms - known.unconfirmed_since_ms > AGENT_CONFIRMATION_TIMEOUT_MS
             )
-            if not is_overdue:
+            must_move = known.unconfirmed_since_ms is not None and (
+                is_overdue or self.view.is_evacuated(known.agent)
+            )
+            if not must_move:
                 return [forward_to_agent(known.agent, known.service, packet)]
             known.tried_agents.add(known.agent)
-            self.selector.record_unconfirmed_flow(known.agent)
+            if is_overdue:
+                self.selector.record_unconfirmed_flow(known.agent)
         route = self._find_route(packet)
         if route is None:
             return self._refuse_unknown_address(packet)
@@ -132,7 +137,8 @@
     ) -> list[Action]:
         chosen = self._choose_server(packet, route, tried_agents)
         if chosen is None:
-            return self._refuse_opening(packet, route, tried_agents, "no server left")
+            reason = explain_missing_server(self.view, route)
+            return self._refuse_opening(packet, route, tried_agents, reason)
         if _must_wait(chosen, route, is_late=is_retransmission(packet)):
             if self.held_openings.hold_opening(packet, route):
                 self.counters["openings_held"] += 1
@@ -219,7 +225,8 @@
             if kind not in full_kinds:
                 chosen = self._choose_server(held.packet, held.route, set())
                 if chosen is None:
-                    actions += self._refuse_held_opening(held, "no server left")
+                    reason = explain_missing_server(self.view, held.route)
+                    actions += self._refuse_held_opening(held, reason)
                     continue
                 if not _must_wait(chosen, held.route, is_late=is_late):
                     actions += self._forward_opening(held.packet, chosen, set())
--- a/citronwinch/coordination/flows/_configuration_follower.py
+++ b/citronwinch/coordination/flows/_configuration_follower.py
@@ -54,12 +54,13 @@
         is_restored = max(known_eras, default=era) < era
         self.era = era
         self.view.forget_position(StorePosition(era, 0))
+        self.view.evacuations.record_era(era)
         self.must_read = self.must_read or is_restored
         return is_restored
 
     def choose_step(self) -> StoreStep:
         """Return what to do next."""
-        if self.must_read:
+        if self.must_read or self.view.evacuations.needs_read():
             return StoreStep.READ
         if self.view.configuration_position == UNKNOWN_POSITION:
             return StoreStep.AWAIT_POSITION
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -7,6 +7,10 @@
 SEQUENCE_RANGE = 1 << 32
 """Sequence numbers have 32 bits and wrap around at this value."""
 
+CALLER_CONFIRMATION_MAX_DISTANCE = 2
+"""How far beyond the backend server's first sequence number a caller's acknowledgement
+may be to confirm that server's acceptance, in sequence numbers."""
+
 
 class FlowState(IntEnum):
     """What the agent knows about a flow at its backend server."""
@@ -46,6 +50,9 @@
         """When the request that waits for an answer was received, if any."""
         self.received_end: int | None = None
         """The end of the caller's data received so far, as a sequence number."""
+        self.is_finished = False
+        """Whether the caller has finished the flow, so that a later opening packet
+        opens a new flow between the same ports."""
 
     def record_data(self, packet: Packet) -> bool:
         """Record a packet with data; return whether it begins a request.
@@ -59,3 +66,26 @@
                 return False
         self.received_end = end
         return self.request_ms is None
+
+
+def has_accepted(flow: FlowEntry | None) -> bool:
+    """Return whether the backend server has accepted the flow of an opening packet."""
+    if flow is None or flow.is_finished:
+        return False
+    return flow.state in (FlowState.ACCEPTED, FlowState.OPEN)
+
+
+def may_belong_to(flow: FlowEntry, packet: Packet) -> bool:
+    """Return whether a caller's packet may belong to this flow.
+
+    While the flow is only accepted, a packet that confirms another backend server's
+    acceptance of the same opening does not belong to it.
+    """
+    if flow.state is FlowState.ACCEPTED:
+        return is_confirmed_by(flow, packet.acknowledged)
+    return True
+
+
+def is_confirmed_by(flow: FlowEntry, acknowledged: int) -> bool:
+    distance = (acknowledged - flow.server_first_sequence) % SEQUENCE_RANGE
+    return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
--- a/citronwinch/coordination/flows/_store_position.py
+++ b/citronwinch/coordination/flows/_store_position.py
@@ -2,6 +2,11 @@
 
 from typing import NamedTuple
 
+RESTORED_DISTRUST_MS = 10_000
+"""How long after the store has come back from an older copy its answers may lack or
+revert what was written before, in milliseconds. Entries of servers that are gone expire
+within three heartbeats of the servers, and live servers register again."""
+
 
 class StorePosition(NamedTuple):
     """A state of the store; a later state compares greater.
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -11,6 +11,7 @@
     ServerListing,
     ServerState,
 )
+from citronwinch.coordination.flows._evacuations import Evacuations
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
     ListingHistory,
@@ -18,6 +19,7 @@
 )
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
 from citronwinch.coordination.flows._store_position import (
+    RESTORED_DISTRUST_MS,
     UNKNOWN_POSITION,
     StorePosition,
 )
@@ -36,11 +38,6 @@
 adopted, in milliseconds. It is many times the delay of a message, so that two balancers
 do not extend each other's grace time."""
 
-RESTORED_DISTRUST_MS = 10_000
-"""How long after the store has come back from an older copy a listing may revert what
-backend servers had registered before, in milliseconds. Entries of servers that are gone
-expire within three heartbeats of the servers, and live servers register again."""
-
 FORMER_RETENTION_MS = 60_000
 """How long the agents of former backend servers are still queried about flows, in
 milliseconds; the platform's longest lifetime of a flow."""
@@ -92,6 +89,7 @@
         self.former_services_ms: dict[tuple[bytes, str], int] = {}
         """When a route that sent flows to a service was last changed, by route address
         and service, in milliseconds."""
+        self.evacuations = Evacuations(clock)
 
     @property
     def age_ms(self) -> int | None:
@@ -311,13 +309,36 @@
         return dropped
 
     def list_ready(self, service: str) -> list[BackendServer]:
-        """Return the backend servers of a service that accept new flows."""
+        """Return the backend servers of a service that accept new flows.
+
+        Servers of evacuated zones are left out.
+        """
+        evacuated = self.evacuations.active_zones
         return [
             server
             for server in self.by_service.get(service, ())
             if server.state is ServerState.READY
+            and server.availability_zone not in evacuated
         ]
 
+    def list_evacuated(self, service: str) -> list[BackendServer]:
+        """Return the servers that `list_ready` leaves out for their zone alone."""
+        evacuated = self.evacuations.active_zones
+        return [
+            server
+            for server in self.by_service.get(service, ())
+            if server.state is ServerState.READY
+            and server.availability_zone in evacuated
+        ]
+
+    def is_evacuated(self, ip: str) -> bool:
+        """Return whether the server at an address is in an evacuated zone."""
+        evacuated = self.evacuations.active_zones
+        return bool(evacuated) and any(
+            server.address.ip == ip and server.availability_zone in evacuated
+            for server in self.list_servers()
+        )
+
     def count_servers(self, service: str, zone: str) -> int:
         """Return how many listed or retained servers a service has in a zone."""
         return sum(
--- a/citronwinch/coordination/flows/tests/conftest.py
+++ b/citronwinch/coordination/flows/tests/conftest.py
@@ -28,6 +28,7 @@
     ServerState,
     ServiceShare,
     StorePosition,
+    ZoneEvacuation,
     pack_route_address,
 )
 
@@ -85,6 +86,12 @@
     return Packet(key, *flags, raw)
 
 
+def make_entry(
+    zone: str = "a", *, active: bool = True, revision: int = 20, era: int = 1
+) -> ZoneEvacuation:
+    return ZoneEvacuation(zone, active, StorePosition(era, revision))
+
+
 @pytest.fixture
 def clock() -> ManualClock:
     return ManualClock(100_000)
