Read evacuations from the store and spread them in heartbeats

Cause: balancers watched op/config only.

Change: the balancers that read the store read and watch the prefix op/ with as many calls as before. Heartbeats carry the entries; a balancer whose active zones change tells all balancers and the agents of these zones at once. The position of a fetched view counts only as far as a heartbeat has stated it, since views carry no evacuations. Both processes log and count the changes. Evacuations are applied beside a configuration that cannot be decoded.

--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -1,6 +1,6 @@
 """The heartbeats of a balancer to agents."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from citronwinch.coordination.flows import (
@@ -48,14 +48,7 @@
     def send_due(self) -> None:
         """Send the heartbeats that are due, and set the timeouts of the agents."""
         targets = self._find_targets()
-        local_ms = compute_interval_ms(
-            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
-        )
-        remote_ms = compute_interval_ms(
-            REMOTE_AGENT_HEARTBEAT_MS,
-            len(targets.remote),
-            REMOTE_AGENT_HEARTBEATS_PER_S,
-        )
+        local_ms, remote_ms = _compute_intervals_ms(targets)
         self.process.selector.set_heartbeat_intervals(local_ms, remote_ms)
         # Heartbeats show whether the agent of a former server still answers; if not,
         # the flows of the server are lost.
@@ -67,10 +60,29 @@
         )
         for ips, interval_ms in groups:
             for ip in self.pace.list_due(ips, interval_ms):
-                started_ms = targets.server_started_ms.get(ip, 0)
-                self.process.send(
-                    ip, self.process.make_heartbeat((), started_ms, interval_ms)
-                )
+                self._send(ip, targets, interval_ms)
+
+    def send_to_zones(self, zones: Collection[str]) -> None:
+        """Send heartbeats to the agents of some zones now."""
+        targets = self._find_targets()
+        local_ms, remote_ms = _compute_intervals_ms(targets)
+        in_zones = {
+            server.address.ip
+            for server in self.view.list_servers()
+            if server.availability_zone in zones
+        }
+        for group, interval_ms in (
+            (targets.local, local_ms),
+            (targets.remote, remote_ms),
+        ):
+            ips = [ip for ip in group if ip in in_zones]
+            self.pace.record_sent(ips, interval_ms)
+            for ip in ips:
+                self._send(ip, targets, interval_ms)
+
+    def _send(self, ip: str, targets: AgentTargets, interval_ms: int) -> None:
+        started_ms = targets.server_started_ms.get(ip, 0)
+        self.process.send(ip, self.process.make_heartbeat((), started_ms, interval_ms))
 
     def _find_targets(self) -> AgentTargets:
         """Return the agents that get heartbeats; they change with the listing only.
@@ -101,3 +113,17 @@
             {server.address.ip: server.started_ms for server in servers},
         )
         return self.targets
+
+
+def _compute_intervals_ms(targets: AgentTargets) -> tuple[int, int]:
+    """Return the intervals of heartbeats to local and to remote agents."""
+    return (
+        compute_interval_ms(
+            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
+        ),
+        compute_interval_ms(
+            REMOTE_AGENT_HEARTBEAT_MS,
+            len(targets.remote),
+            REMOTE_AGENT_HEARTBEATS_PER_S,
+        ),
+    )
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -7,6 +7,7 @@
     REPORT_INTERVAL_MS,
     REPORTS_PER_S,
     AgentFlows,
+    Evacuations,
     FlowQuestion,
     ForwardedOpening,
     ForwardedPacket,
@@ -16,9 +17,11 @@
     Message,
     compute_interval_ms,
 )
+from citronwinch.forwarder._evacuation_log import EvacuationLog
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramSocket, try_connection
+from citronwinch.operators import MetricKey
 from citronwinch.platform import decode_caller_packet, decode_server_packet
 
 REMOTE_REPORT_INTERVAL_MS = 300
@@ -68,6 +71,8 @@
             knows_all_flows=settings.is_first_start,
             started_unix_ms=self.incarnation // 1_000_000,
         )
+        self.evacuations = Evacuations(self.clock)
+        self.evacuation_log = EvacuationLog(self.evacuations, self.metrics)
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
@@ -127,11 +132,18 @@
             self.all_balancers[sender] = until_ms
             if message.availability_zone == self.settings.availability_zone:
                 self.local_balancers[sender] = until_ms
+            self._apply_evacuations(message, sender)
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
             self.send(sender, self.flows.make_load_report())
 
+    def _apply_evacuations(self, heartbeat: Heartbeat, sender: str) -> None:
+        if heartbeat.evacuations and self.evacuations.merge(heartbeat.evacuations):
+            self.evacuation_log.record_changes(sender)
+            zone = self.settings.availability_zone
+            self.flows.is_evacuated = zone in self.evacuations.active_zones
+
     def handle_packet(self, data: bytes) -> None:
         """Handle a packet of the backend server."""
         self.metrics.count("packets_from_server_total")
@@ -148,6 +160,9 @@
         self.metrics.set_gauge("server_busy_share", report.busy_share)
         self.metrics.set_gauge("server_failed_share", report.failed_share)
         self.metrics.set_gauge("request_latency_ms", report.latency_ms)
+        for reason, count in self.flows.returned_openings.items():
+            key = MetricKey("openings_returned_total", reason)
+            self.metrics.counters[key] = count
         self._discard_silent(self.local_balancers)
         if self.reporting.is_due(report, len(self.local_balancers)):
             self.send_to_all(self.local_balancers, report)
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -27,6 +27,7 @@
     compute_interval_ms,
 )
 from citronwinch.forwarder._agent_heartbeats import AgentHeartbeats
+from citronwinch.forwarder._evacuation_log import EvacuationLog
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
@@ -107,6 +108,7 @@
         )
         seeds = [seed.ip for seed in settings.seeds]
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
+        self.evacuation_log = EvacuationLog(self.view.evacuations, self.metrics)
         self.view_exchange = ViewExchange(self)
         self.has_been_ready = False
         self.is_isolated = False
@@ -162,8 +164,20 @@
                 "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
             )
             self.send_balancer_heartbeat([sender], with_members=True)
+        if heartbeat.evacuations:
+            self.view.evacuations.merge(heartbeat.evacuations)
+            self.handle_evacuations(sender)
         self.view_exchange.handle_heartbeat(heartbeat, sender)
 
+    def handle_evacuations(self, source: str) -> None:
+        """Announce a change of the evacuated zones to balancers and to their agents."""
+        changed = self.evacuation_log.record_changes(source)
+        if changed:
+            self.send_balancer_heartbeat(
+                self.members.list_heartbeat_targets(), with_members=False
+            )
+            self.agent_heartbeats.send_to_zones(changed)
+
     def handle_packet(self, data: bytes) -> None:
         """Handle a packet of a caller; queue it while the view is incomplete."""
         packet = decode_caller_packet(data)
@@ -302,6 +316,7 @@
             view.remaining_grace_ms,
             view.configuration_position,
             interval_ms,
+            view.evacuations.list_entries(),
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -1,4 +1,4 @@
-"""Reads the configuration from the store and watches it for changes."""
+"""Reads what the operators wrote to the store and watches it for changes."""
 
 from typing import TYPE_CHECKING
 
@@ -38,7 +38,7 @@
 
 
 class ConfigurationWatch:
-    """Runs the task that follows the configuration in the store.
+    """Runs the task that follows the configuration and the evacuations in the store.
 
     Only the balancers that read the listing watch the configuration, because the store
     charges for each watch. They announce a change to the other balancers, which fetch
@@ -129,10 +129,18 @@
         if result.is_error():
             self.exchange.record_read_failure(result.error)
             return False
-        self.exchange.record_read_success()
         self._record_era()
-        configuration, position = result.ok.configuration, result.ok.position
-        if self.follower.handle_read(configuration, position):
+        read = result.ok
+        # Evacuations are applied first: a position that heartbeats state as that of the
+        # configuration implies that the sender knows all evacuations up to it.
+        zones = {evacuation.zone for evacuation in read.evacuations}
+        self.view.evacuations.accept_read(zones, read.position)
+        self.process.handle_evacuations("store")
+        if read.configuration_error is not None:
+            self.exchange.record_read_failure(read.configuration_error)
+            return False
+        self.exchange.record_read_success()
+        if self.follower.handle_read(read.configuration, read.position):
             self.exchange.handle_newer_configuration("store")
         return True
 
@@ -149,9 +157,14 @@
         if result.is_error():
             await self._handle_watch_error(result.error, position)
             return
+        answer = result.ok
+        self.view.evacuations.merge(answer.evacuations)
+        self.process.handle_evacuations("store")
+        if answer.configuration_error is not None:
+            await self._handle_watch_error(answer.configuration_error, position)
+            return
         self.watch_retry_delay_s = WATCH_RETRY_DELAY_S
-        configuration = result.ok.configuration
-        if self.follower.handle_watch(configuration, result.ok.position, position):
+        if self.follower.handle_watch(answer.configuration, answer.position, position):
             self.exchange.handle_newer_configuration("store")
 
     async def _handle_watch_error(
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -11,6 +11,7 @@
     UNKNOWN_POSITION,
     Heartbeat,
     ListingDifference,
+    StorePosition,
     ViewAnswer,
     ViewAnswerPacing,
     choose_view_source,
@@ -274,7 +275,7 @@
         if configuration is not None and self.view.accept_configuration(configuration):
             self.handle_newer_configuration(ip)
         self.view.confirm_configuration(
-            answer.configuration_version, answer.configuration_position
+            answer.configuration_version, self._find_watchable_position(ip, answer)
         )
         if answer.listing.position != UNKNOWN_POSITION:
             confirmed_ms = requested_ms - answer.listing_age_ms
@@ -284,6 +285,18 @@
             view.accept_grace(view.remaining_grace_ms, answer.retained)
             self.process.handle_early_packets()
 
+    def _find_watchable_position(self, ip: str, answer: ViewAnswer) -> StorePosition:
+        """Return the position of a view from which a watch misses no evacuation.
+
+        Heartbeats carry the evacuations up to the position that they state; views do
+        not.
+        """
+        member = self.process.members.members.get(ip)
+        if member is None:
+            return UNKNOWN_POSITION
+        stated = member.heartbeat.configuration_position
+        return min(stated, answer.configuration_position)
+
     def _accept_listing(self, answer: ViewAnswer, confirmed_ms: int) -> bool:
         """Accept the listing of a view, whole or as a difference to the own one."""
         listing = answer.listing
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -13,13 +13,18 @@
     Configuration,
     ServerListing,
     StorePosition,
+    ZoneEvacuation,
 )
 from citronwinch.network import HttpError, fetch
 from citronwinch.platform._entries import decode_configuration, decode_server
+from citronwinch.platform._evacuation_keys import decode_evacuations
 
 CONFIGURATION_KEY = "op/config"
 """The key that holds the operators' configuration."""
 
+OPERATORS_PREFIX = "op/"
+"""Prefix of all keys that the operators write."""
+
 SERVERS_PREFIX = "servers/"
 """Prefix of the keys under which backend servers register themselves."""
 
@@ -43,7 +48,7 @@
     """A call that failed and returned no data."""
 
     step: str
-    """The operation that failed, such as `GET /kv-key`; a label in the metrics."""
+    """The operation that failed, such as `GET /kv-range`; a label in the metrics."""
 
     peer: Endpoint
     """The address of the store."""
@@ -70,26 +75,43 @@
 
 
 class ConfigurationRead(NamedTuple):
-    """The result of a read or a watch of the configuration."""
+    """The result of a read or a watch of what the operators have written."""
 
     position: StorePosition
-    """The store's position at the read, after which the next watch continues; with
-    revision 0 when the configuration's key does not exist."""
+    """The store's position at the read, after which the next watch continues."""
 
     configuration: Configuration | None
-    """The configuration; None when it has not changed or its key does not exist."""
+    """The configuration; None when it has not changed, its key does not exist or its
+    value could not be decoded."""
+
+    evacuations: tuple[ZoneEvacuation, ...] = ()
+    """All requested evacuations in a read, the changed ones in a watch."""
+
+    configuration_error: StoreError | None = None
+    """Why the configuration could not be decoded. The evacuations are valid all the
+    same."""
 
 
 class StoreAnswer(NamedTuple):
     """The decoded body of a successful call."""
 
     body: Any
-    """The decoded JSON, None for a key that does not exist."""
+    """The decoded JSON."""
 
     era: int
     """The era of the store that answered, 0 from a store without eras."""
 
 
+class RangeRead(NamedTuple):
+    """All items under a prefix."""
+
+    position: StorePosition
+    """The store's position at the read of the first page."""
+
+    items: list[Any]
+    """The items as the store sent them, ordered by key."""
+
+
 class StoreClient:
     """The calls that a balancer makes to the store.
 
@@ -103,13 +125,20 @@
         self.era = 0
 
     async def read_servers(self) -> Result[ListingRead, StoreError]:
-        """Return all backend servers, reading page after page until the last."""
+        """Return all backend servers."""
+        answer = await self._read_range("read servers", SERVERS_PREFIX, READ_TIMEOUT_MS)
+        return answer.map(lambda items: _decode_listing(items.position, items.items))
+
+    async def _read_range(
+        self, step: str, prefix: str, timeout_ms: int
+    ) -> Result[RangeRead, StoreError]:
+        """Return all items under a prefix, reading page after page until the last."""
         items: list[Any] = []
         after = ""
         position: StorePosition | None = None
         while True:
-            query = {"prefix": SERVERS_PREFIX} | ({"after": after} if after else {})
-            answer = await self._get("/kv-range", query, READ_TIMEOUT_MS)
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            answer = await self._get("/kv-range", query, timeout_ms)
             if answer.is_error():
                 return Error(answer.error)
             body, era = answer.ok
@@ -120,39 +149,35 @@
                 items += page
                 if era != position.era:
                     reason = f"era {position.era} became {era} between two pages"
-                    return Error(
-                        self._make_error("read servers", reason, is_temporary=True)
-                    )
+                    return Error(self._make_error(step, reason, is_temporary=True))
                 if not body["has_more"]:
-                    return Ok(_decode_listing(position, items))
+                    return Ok(RangeRead(position, items))
                 after = str(page[-1]["key"])
             except (KeyError, TypeError, ValueError, IndexError) as error:
-                return Error(
-                    self._make_error("read servers", f"malformed answer: {error!r}")
-                )
+                return Error(self._make_error(step, f"malformed answer: {error!r}"))
 
     async def read_configuration(
         self, transfer_ms: int = 0
     ) -> Result[ConfigurationRead, StoreError]:
-        """Return the newest configuration.
+        """Return the newest configuration and all requested evacuations.
 
         `transfer_ms` extends the timeout for the transfer of a large configuration.
         """
-        query = {"key": CONFIGURATION_KEY}
-        answer = await self._get("/kv-key", query, READ_TIMEOUT_MS + transfer_ms)
+        step = "read configuration"
+        answer = await self._read_range(
+            step, OPERATORS_PREFIX, READ_TIMEOUT_MS + transfer_ms
+        )
         if answer.is_error():
             return Error(answer.error)
-        body, era = answer.ok
-        if body is None:
-            return Ok(ConfigurationRead(StorePosition(era, 0), None))
-        return self._decode_configuration_item(answer.ok, body)
+        return self._decode_operator_items(step, *answer.ok)
 
     async def watch_configuration(
         self, after_revision: int, wait_ms: int
     ) -> Result[ConfigurationRead, StoreError]:
-        """Wait up to `wait_ms` for a change of the configuration after a revision."""
+        """Wait up to `wait_ms` for a change by the operators after a revision."""
+        step = "watch configuration"
         query = {
-            "prefix": CONFIGURATION_KEY,
+            "prefix": OPERATORS_PREFIX,
             "after": after_revision,
             "wait_ms": wait_ms,
         }
@@ -161,34 +186,34 @@
             return Error(answer.error)
         body, era = answer.ok
         try:
-            events = [
-                event
-                for event in body["events"]
-                if event["key"] == CONFIGURATION_KEY and not event.get("deleted")
-            ]
-            if not events:
-                position = StorePosition(era, int(body["at"]))
-                return Ok(ConfigurationRead(position, None))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            return Error(
-                self._make_error("watch configuration", f"malformed answer: {error!r}")
-            )
-        return self._decode_configuration_item(answer.ok, events[-1])
+            position = StorePosition(era, int(body["at"]))
+            return self._decode_operator_items(step, position, body["events"])
+        except (KeyError, TypeError, ValueError) as error:
+            return Error(self._make_error(step, f"malformed answer: {error!r}"))
 
-    def _decode_configuration_item(
-        self, answer: StoreAnswer, item: Any
+    def _decode_operator_items(
+        self, step: str, position: StorePosition, items: list[Any]
     ) -> Result[ConfigurationRead, StoreError]:
-        # `item` contains the configuration, and the store's `answer` its revision. A
-        # read returns the item as the answer itself; a watch returns a list of items.
+        """Decode the items of a read or the events of a watch."""
         try:
-            value = base64.b64decode(item["value"], validate=True)
+            evacuations = decode_evacuations(items, position)
+            found = [
+                item
+                for item in items
+                if item["key"] == CONFIGURATION_KEY and not item.get("deleted")
+            ]
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            return Error(self._make_error(step, f"malformed answer: {error!r}"))
+        if not found:
+            return Ok(ConfigurationRead(position, None, evacuations))
+        try:
+            value = base64.b64decode(found[-1]["value"], validate=True)
             configuration = decode_configuration(value)
-            position = StorePosition(answer.era, int(answer.body["at"]))
-            return Ok(ConfigurationRead(position, configuration))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            return Error(
-                self._make_error("decode configuration", f"malformed answer: {error!r}")
-            )
+            reason = f"malformed answer: {error!r}"
+            failure = self._make_error("decode configuration", reason)
+            return Ok(ConfigurationRead(position, None, evacuations, failure))
+        return Ok(ConfigurationRead(position, configuration, evacuations))
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_ms: int
@@ -208,8 +233,6 @@
             return Error(self._make_error(step, reason))
         era = int(era_text)
         self.era = max(self.era, era)
-        if response.status == 404 and path == "/kv-key":
-            return Ok(StoreAnswer(None, era))
         if response.status != 200:
             refusal = self._make_error(
                 step,
--- a/citronwinch/platform/standins/_store.py
+++ b/citronwinch/platform/standins/_store.py
@@ -107,6 +107,14 @@
         self.items.pop(key, None)
         self._record_change(key)
 
+    def evacuate_zone(self, zone: str) -> None:
+        """Request the evacuation of an availability zone, as the operators do."""
+        self.write(f"op/evacuate/{zone}", b"{}")
+
+    def restore_zone(self, zone: str) -> None:
+        """Remove the request to evacuate an availability zone."""
+        self.delete(f"op/evacuate/{zone}")
+
     def _record_change(self, key: str) -> None:
         self.changes.append((self.revision, key))
         now_ms = self.clock.now_ms()
--- a/citronwinch/platform/tests/test_store_contract.py
+++ b/citronwinch/platform/tests/test_store_contract.py
@@ -256,3 +256,88 @@
         assert len((await client.read_servers()).ok.listing.servers) == 1
 
     run_with_store(check)
+
+
+def test_a_read_returns_the_requested_evacuations_beside_the_configuration() -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        store.evacuate_zone("b")
+        store.write("op/evacuate/c", b"\xff not json")
+        for ignored in ("op/evacuate/", "op/evacuate/" + "z" * 65, "op/other/d"):
+            store.write(ignored, b"{}")
+        read = (await client.read_configuration()).ok
+        assert read.configuration is not None
+        assert read.configuration.version == 3
+        assert {entry.zone for entry in read.evacuations} == {"b", "c"}
+        assert read.position == (1, store.revision)
+        assert client.calls == 1
+
+    run_with_store(check)
+
+
+def test_a_watch_returns_the_last_state_of_each_changed_evacuation() -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        before = store.revision
+        store.evacuate_zone("b")
+        store.evacuate_zone("c")
+        store.restore_zone("b")
+        answer = (await client.watch_configuration(before, 2_000)).ok
+        assert answer.configuration is None
+        assert sorted(answer.evacuations) == [
+            ("b", False, (1, before + 3)),
+            ("c", True, (1, before + 2)),
+        ]
+
+    run_with_store(check)
+
+
+def test_evacuations_are_read_beside_a_configuration_that_cannot_be_decoded() -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        before = store.revision
+        store.write("op/config", b"{]")
+        store.evacuate_zone("b")
+        for answer in (
+            await client.read_configuration(),
+            await client.watch_configuration(before, 2_000),
+        ):
+            assert answer.ok.configuration is None
+            assert answer.ok.configuration_error is not None
+            assert answer.ok.configuration_error.step == "decode configuration"
+            assert not answer.ok.configuration_error.is_temporary
+            assert [entry.zone for entry in answer.ok.evacuations] == ["b"]
+
+    run_with_store(check)
+
+
+def test_evacuations_on_several_pages_are_read_whole() -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        for number in range(510):
+            store.evacuate_zone(f"z-{number}")
+        read = (await client.read_configuration()).ok
+        assert len(read.evacuations) == 510
+        assert read.configuration is not None
+        assert client.calls == 2
+
+    run_with_store(check)
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        pytest.param(7, id="no list"),
+        pytest.param([7], id="no object"),
+        pytest.param([{"value": "e30="}], id="no key"),
+        pytest.param([{"key": 7}], id="key is a number"),
+        pytest.param([{"key": "op/evacuate/b", "revision": "x"}], id="revision"),
+    ],
+)
+def test_malformed_events_are_an_error(
+    events: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        store.evacuate_zone("b")
+        monkeypatch.setattr(store, "_find_changes", lambda *_: events)
+        answer = await client.watch_configuration(1, 50)
+        assert answer.is_error()
+        assert answer.error.step == "watch configuration"
+
+    run_with_store(check)
