--- a/citronwinch/coordination/flows/tests/test_evacuations.py
+++ b/citronwinch/coordination/flows/tests/test_evacuations.py
@@ -72,6 +72,21 @@
     assert len(ordered.entries) <= MAX_EVACUATIONS
 
 
+def test_a_removal_is_not_forgotten_before_older_requests(clock: ManualClock) -> None:
+    evacuations = Evacuations(clock)
+    requests = [
+        make_entry(f"z{number}", revision=100 - number)
+        for number in range(MAX_EVACUATIONS)
+    ]
+    evacuations.merge(requests)
+    evacuations.merge([make_entry("z0", active=False, revision=130)])
+    evacuations.merge([make_entry("later", revision=131)])
+    evacuations.merge(requests)
+    assert "later" in evacuations.active_zones
+    assert "z0" not in evacuations.active_zones
+    assert len(evacuations.entries) == MAX_EVACUATIONS
+
+
 @st.composite
 def draw_steps(draw: st.DrawFn) -> list[tuple[str, object]]:
     """Draw merges, reads and pauses as one process may see them."""
@@ -111,23 +126,23 @@
 
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.tuples(st.sampled_from("ab"), st.booleans()), max_size=8), st.data())
-def test_two_processes_agree_whether_they_read_or_hear(
+def test_a_process_that_reads_and_one_that_gets_heartbeats_agree(
     changes: list[tuple[str, bool]], data: st.DataObject
 ) -> None:
-    """One process reads at some positions, the other one hears each change late."""
+    """One process reads at some positions, the other gets each change out of order."""
     reader, listener = Evacuations(ManualClock(0)), Evacuations(ManualClock(0))
     active: set[str] = set()
-    heard = []
+    received = []
     for revision, (zone, is_active) in enumerate(changes, start=1):
         active = active | {zone} if is_active else active - {zone}
-        heard.append(make_entry(zone, active=is_active, revision=revision))
+        received.append(make_entry(zone, active=is_active, revision=revision))
         if data.draw(st.booleans()):
             reader.accept_read(active, StorePosition(1, revision))
     reader.accept_read(active, StorePosition(1, len(changes)))
-    listener.merge(data.draw(st.permutations(heard)))
+    listener.merge(data.draw(st.permutations(received)))
     assert reader.active_zones == listener.active_zones == active
     listener.merge(reader.list_entries())
-    reader.merge(heard)
+    reader.merge(received)
     assert reader.active_zones == listener.active_zones == active
 
 
@@ -147,7 +162,7 @@
                 make_entry("a", revision=8),
             ],
             {"a"},
-            id="requested again, heard in reverse",
+            id="requested again, received in reverse",
         ),
         pytest.param(
             [make_entry("a", revision=90), make_entry("a", active=False, era=2)],
@@ -248,7 +263,7 @@
 def test_a_process_that_starts_after_the_restore_does_not_end_the_evacuation(
     clock: ManualClock,
 ) -> None:
-    """Its first read lacks the request that it then hears of from a balancer."""
+    """Its first read lacks the request that a heartbeat then contains."""
     evacuations = Evacuations(clock)
     evacuations.accept_read((), StorePosition(2, 70))
     evacuations.merge([make_entry("b", revision=90)])
