--- a/citronwinch/soak/_checks.py
+++ b/citronwinch/soak/_checks.py
@@ -6,6 +6,10 @@
 DRAIN_EFFECT_LIMIT_S = 3.0
 """How long a draining backend server may still get new flows, in seconds."""
 
+EVACUATION_EFFECT_LIMIT_S = 5.0
+"""How long after the store's acknowledgement an opening may still reach a backend
+server of an evacuated zone, in seconds."""
+
 MIN_RECOVERY_SERVED_SHARE = 0.98
 """The least share of `recovery_requests` that must be answered."""
 
@@ -33,6 +37,9 @@
         self.openings_at_draining_servers: list[tuple[str, float]] = []
         """Flows opened at a draining backend server, each with the seconds since the
         server was marked as draining."""
+        self.openings_at_evacuated_servers: list[tuple[str, float]] = []
+        """Flows whose opening reached a backend server of an evacuated zone, each with
+        the seconds from the request to evacuate the zone to the opening."""
         self.refused_new_routes: list[str] = []
         """Addresses that refused a flow although the edit that added their route had
         had the time to take effect."""
@@ -81,6 +88,11 @@
         for text, seconds in observations.openings_at_draining_servers
         if seconds > DRAIN_EFFECT_LIMIT_S
     ]
+    violations += [
+        Violation("evacuated zones", f"{text} after {seconds:.1f} s")
+        for text, seconds in observations.openings_at_evacuated_servers
+        if seconds > EVACUATION_EFFECT_LIMIT_S
+    ]
     violations += [Violation("edits", text) for text in observations.refused_new_routes]
     violations += [
         Violation("edits", text) for text in observations.served_removed_routes
--- a/citronwinch/soak/_fault_injection.py
+++ b/citronwinch/soak/_fault_injection.py
@@ -9,8 +9,10 @@
 from citronwinch.coordination import Endpoint
 from citronwinch.platform.standins import DEAF_PERIOD_MS, FlowOutcome, StoreFault
 from citronwinch.soak._checks import DRAIN_EFFECT_LIMIT_S
+from citronwinch.soak._evacuation import evacuate_zone, rewrite_evacuations
 from citronwinch.soak._faults import Fault, FaultKind
 from citronwinch.soak._link import LinkFault
+from citronwinch.soak._probe_flows import open_probe_flows
 from citronwinch.soak._services import ADDED_ROUTE_BASE_PORT, SERVICES
 
 if TYPE_CHECKING:
@@ -19,12 +21,6 @@
 EDIT_EFFECT_LIMIT_S = 3.0
 """How long balancers may take to apply an edit, in seconds."""
 
-PROBE_FLOW_COUNT = 15
-"""The number of flows opened to check that a draining backend server gets none.
-
-It is three for each backend server of the larger service, replacement included.
-"""
-
 RESTORE_AWAY_S = 0.5
 """How long the store is away before it comes back from a copy, in seconds."""
 
@@ -69,6 +65,8 @@
         await _drop_store_history(soak)
     elif kind is FaultKind.JOIN_BALANCER:
         soak.add_balancer(max(soak.balancer_numbers) + 1)
+    elif kind is FaultKind.EVACUATION:
+        await evacuate_zone(soak, fault)
     else:
         await _signal_instances(soak, fault)
 
@@ -97,6 +95,7 @@
     soak.store.fault = StoreFault.NONE
     await trio.sleep(REWRITE_DELAY_S)
     soak.write_configuration()
+    rewrite_evacuations(soak)
     for number in soak.service_by_server:
         if number not in soak.gone_servers:
             is_draining = number in soak.draining_since_s
@@ -211,17 +210,9 @@
     soak.write_server(number, "draining")
     soak.draining_since_s[number] = time.monotonic()
     await trio.sleep(DRAIN_EFFECT_LIMIT_S + 0.3)
-    await _open_probe_flows(soak, SERVICES[soak.service_by_server[number]])
+    await open_probe_flows(soak, SERVICES[soak.service_by_server[number]])
     soak.store.delete(f"servers/{soak.servers[number].name}")
     soak.server_scopes[number].cancel()
     soak.servers[number].flows.clear()
     soak.gone_servers.add(number)
     soak.fleet.remove(f"agent-{number}")
-
-
-async def _open_probe_flows(soak: "Soak", address: Endpoint) -> None:
-    """Open and close flows; soak.open_flow() records those at a draining server."""
-    for _ in range(PROBE_FLOW_COUNT):
-        port = soak.allocate_port()
-        if await soak.open_flow(port, address) is FlowOutcome.DONE:
-            soak.caller.close(port, address)
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -38,6 +38,8 @@
     """Watches hear nothing for a second, during an edit; then the history is gone."""
     JOIN_BALANCER = "join balancer"
     """A balancer is added to the deployment."""
+    EVACUATION = "evacuation"
+    """The operators evacuate a zone for some seconds."""
 
 
 FAULT_KINDS = tuple(FaultKind)
@@ -50,6 +52,9 @@
 FIRST_KINDS = FAULT_KINDS[:19]
 """The kinds up to `SERVER_LEAVES`, from which the first regression seeds were drawn."""
 
+KINDS_BEFORE_EVACUATIONS = FAULT_KINDS[:22]
+"""The kinds up to `JOIN_BALANCER`, from which the next ones were drawn."""
+
 MEAN_FAULT_INTERVAL_S = 1.2
 """The mean time between the starts of two faults, in seconds.
 
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -21,6 +21,7 @@
     Violation,
     find_violations,
 )
+from citronwinch.soak._evacuation import record_evacuated_opening
 from citronwinch.soak._fault_injection import inject_fault
 from citronwinch.soak._faults import RECOVERY_PERIOD_S, Fault, generate_faults
 from citronwinch.soak._fleet import (
@@ -124,6 +125,8 @@
         """The start of each backend server in Unix time, in milliseconds, by number."""
         self.draining_since_s: dict[int, float] = {}
         """The monotonic time at which a backend server began to drain, by number."""
+        self.evacuated_since_s: dict[str, float] = {}
+        """The monotonic time of the request to evacuate a zone, by zone."""
         self.gone_servers: set[int] = set()
         """The numbers of the backend servers that were removed after draining."""
         self.balancer_numbers: list[int] = []
@@ -277,13 +280,15 @@
             await trio.sleep(0.05)
 
     async def open_flow(self, port: int, address: Endpoint) -> FlowOutcome:
-        """Open a flow, and record it if a draining backend server accepted it.
+        """Open a flow, and record it if a draining or evacuated server accepted it.
 
         Recording is skipped if the store, a link or a process was disrupted after the
-        server was marked as draining.
+        server was marked as draining, or after the request to evacuate its zone.
         """
+        opened_s = time.monotonic()
         outcome = await self.caller.open(port, address)
         key = self.make_flow_key(port, address)
+        record_evacuated_opening(self, key, opened_s)
         for number, drain_started_s in self.draining_since_s.items():
             flow = self.servers[number].flows.get(key)
             is_undisrupted = drain_started_s > max(
--- a/citronwinch/soak/tests/broken_launch.py
+++ b/citronwinch/soak/tests/broken_launch.py
@@ -16,6 +16,7 @@
     AgentFlows,
     BalancerFlows,
     DeploymentView,
+    Evacuations,
     FlowAnswer,
     Verdict,
 )
@@ -39,6 +40,11 @@
     )
 
 
+def ignore_evacuations() -> None:
+    """Make balancers and agents ignore all requests to evacuate a zone."""
+    Evacuations.merge = lambda self, entries: False  # type: ignore[method-assign]
+
+
 def ignore_configuration_edits() -> None:
     """Make balancers ignore all configurations but the first."""
     accept = DeploymentView.accept_configuration
@@ -103,6 +109,7 @@
     "whole answers": corrupt_answers,
     "processes": exit_unexpectedly,
     "recovery": stop_forwarding,
+    "evacuated zones": ignore_evacuations,
 }
 """The defect that breaks each promise.
 
--- a/citronwinch/soak/tests/test_broken_daemons.py
+++ b/citronwinch/soak/tests/test_broken_daemons.py
@@ -24,6 +24,7 @@
     "live flows": [FaultKind.KILL_BALANCER],
     "leaving servers": [FaultKind.SERVER_LEAVES],
     "edits": [FaultKind.EDIT, FaultKind.EDIT],
+    "evacuated zones": [FaultKind.EVACUATION],
 }
 """The faults that expose a defect, by the promise that the defect breaks.
 
--- a/citronwinch/soak/tests/test_checks.py
+++ b/citronwinch/soak/tests/test_checks.py
@@ -14,6 +14,7 @@
         ("i-2", "reporting", "reporting 2"),
     ]
     observations.openings_at_draining_servers = [("i-1 took port 7", 2.9)]
+    observations.openings_at_evacuated_servers = [("i-2 took port 8", 4.9)]
     observations.recovery_requests, observations.recovery_served = 100, 99
     return observations
 
@@ -36,6 +37,9 @@
     "leaving servers": lambda observations: (
         observations.openings_at_draining_servers.append(("i-1", 3.1))
     ),
+    "evacuated zones": lambda observations: (
+        observations.openings_at_evacuated_servers.append(("i-1", 5.1))
+    ),
     "processes": lambda observations: observations.unexpected_exits.append(
         "balancer-11 ended with 1"
     ),
--- a/citronwinch/soak/tests/test_soak.py
+++ b/citronwinch/soak/tests/test_soak.py
@@ -6,8 +6,8 @@
 
 from citronwinch.soak import SoakOptions, run_seed
 from citronwinch.soak._faults import (
-    FAULT_KINDS,
     FIRST_KINDS,
+    KINDS_BEFORE_EVACUATIONS,
     Fault,
     FaultKind,
     generate_faults,
@@ -23,7 +23,7 @@
     # A server with an unconfirmed acceptance reset a flow that was open elsewhere.
     40: FIRST_KINDS,
     # The soak counted requests as unanswered that were in flight at its end.
-    501: FAULT_KINDS,
+    501: KINDS_BEFORE_EVACUATIONS,
 }
 """Seeds that CI runs, with the kinds of faults from which they draw, and the cause of
 the past failure of each."""
@@ -51,3 +51,14 @@
     )
     options = SoakOptions(seconds=16.0, network=129, faults=faults)
     assert run_seed(7, options, tmp_path).violations == ()
+
+
+def test_an_evacuation_amid_faults_breaks_no_promise(tmp_path: Path) -> None:
+    faults = (
+        Fault(0.5, FaultKind.KILL_AGENT, 1, 0.0),
+        Fault(1.0, FaultKind.EVACUATION, 0, 2.0),
+        Fault(1.1, FaultKind.EVACUATION, 1, 1.0),
+        Fault(2.0, FaultKind.STOP_BALANCER, 1, 0.0),
+    )
+    options = SoakOptions(seconds=14.0, network=128, faults=faults)
+    assert run_seed(7, options, tmp_path).violations == ()
