Merge evacuation of zones

Change: balancers read the operators' keys with the configuration, spread evacuations in heartbeats and place no opening there; agents of the zone return openings.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -1,6 +1,6 @@
 """Tracks for an agent the flows of its backend server and decides what to deliver."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
@@ -13,7 +13,11 @@
     record,
 )
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
-from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
+from citronwinch.coordination.flows._flow_entry import (
+    FlowEntry,
+    FlowState,
+    has_accepted,
+)
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -94,6 +98,10 @@
         self.expiry_pass = ExpiryPass(clock)
         self.open_flows = 0
         self.is_leaving = False
+        self.is_evacuated = False
+        """Whether the operators have evacuated the zone of the backend server."""
+        self.returned_openings: Counter[str] = Counter()
+        """How many openings were returned to their balancer, by reason."""
         self.server_liveness = ServerLiveness(clock)
         self.requests = ServerRequests(
             clock, self.server_liveness, holds_requests=holds_requests
@@ -135,6 +143,12 @@
         """Deliver an opening, or return it if its requests would wait too long here."""
         if self.server_liveness.is_down:
             return self._return_opening(packet, balancer)
+        if self.is_evacuated and not has_accepted(self.flows.get(packet.flow)):
+            self.returned_openings["evacuated"] += 1
+            returned = record(
+                "opening_returned", packet, balancer=balancer, reason="evacuated"
+            )
+            return [*self._return_opening(packet, balancer), returned]
         route_class = None
         if isinstance(message, ForwardedOpening):
             route_class = message.route_class
@@ -226,6 +240,7 @@
                 flow = flow or self._add_flow(packet.flow, FlowState.ACCEPTED)
                 flow.state = FlowState.ACCEPTED
             flow.server_first_sequence = packet.sequence
+            flow.has_caller_finished = flow.has_server_finished = False
             if flow.balancer and flow.state is FlowState.ACCEPTED:
                 flow.informed_balancer = flow.balancer
                 answer = FlowAnswer(packet.flow, Verdict.OPENING)
@@ -361,7 +376,7 @@
             else 0,
             requests.service_times.service_ms,
             len(requests.queue.held),
-            opening_room=self.opening_limit.count_room(),
+            opening_room=0 if self.is_evacuated else self.opening_limit.count_room(),
         )
 
     def expire_idle(self) -> None:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -5,13 +5,13 @@
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 
+SEQUENCE_RANGE = 1 << 32
+"""Sequence numbers have 32 bits and wrap around at this value."""
+
 CALLER_CONFIRMATION_MAX_DISTANCE = 2
 """How far beyond the backend server's first sequence number a caller's acknowledgement
 may be to confirm that server's acceptance, in sequence numbers."""
 
-SEQUENCE_RANGE = 1 << 32
-"""Sequence numbers have 32 bits and wrap around at this value."""
-
 
 def compute_sequence_distance(sequence: int, start: int) -> int:
     """Return how far a sequence number is after another one; negative if before.
@@ -107,3 +107,10 @@
             return False
         self.received_end = (packet.sequence + packet.payload_bytes) % SEQUENCE_RANGE
         return self.request_ms is None
+
+
+def has_accepted(flow: FlowEntry | None) -> bool:
+    """Return whether the backend server has accepted the flow of an opening packet."""
+    if flow is None or flow.has_caller_finished:
+        return False
+    return flow.state in (FlowState.ACCEPTED, FlowState.OPEN)
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -1,7 +1,7 @@
 """The heartbeats of a balancer to agents."""
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from citronwinch.coordination.flows import (
@@ -61,14 +61,7 @@
             self.urgent |= self.view.cold_servers.newly_cold
         self.view.cold_servers.newly_cold.clear()
         self.urgent &= targets.servers.keys()
-        local_ms = compute_interval_ms(
-            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
-        )
-        remote_ms = compute_interval_ms(
-            REMOTE_AGENT_HEARTBEAT_MS,
-            len(targets.remote),
-            REMOTE_AGENT_HEARTBEATS_PER_S,
-        )
+        local_ms, remote_ms = _compute_intervals_ms(targets)
         self.process.selector.set_heartbeat_intervals(local_ms, remote_ms)
         # Heartbeats show whether the agent of a former server still answers; if not,
         # the flows of the server are lost.
@@ -118,6 +111,24 @@
             warmup_per_s=warmup.per_s,
         )
 
+    def send_to_zones(self, zones: Collection[str]) -> None:
+        """Send heartbeats to the agents of some zones now."""
+        targets = self._find_targets()
+        local_ms, remote_ms = _compute_intervals_ms(targets)
+        in_zones = {
+            server.address.ip
+            for server in self.view.list_servers()
+            if server.availability_zone in zones
+        }
+        for group, interval_ms in (
+            (targets.local, local_ms),
+            (targets.remote, remote_ms),
+        ):
+            ips = [ip for ip in group if ip in in_zones]
+            self.pace.record_sent(ips, interval_ms)
+            for ip in ips:
+                self.process.send(ip, self._make_heartbeat(ip, interval_ms))
+
     def _find_targets(self) -> AgentTargets:
         """Return the agents that get heartbeats; they change with the listing only.
 
@@ -147,3 +158,17 @@
             {server.address.ip: server for server in servers},
         )
         return self.targets
+
+
+def _compute_intervals_ms(targets: AgentTargets) -> tuple[int, int]:
+    """Return the intervals of heartbeats to local and to remote agents."""
+    return (
+        compute_interval_ms(
+            AGENT_HEARTBEAT_MS, len(targets.local), AGENT_HEARTBEATS_PER_S
+        ),
+        compute_interval_ms(
+            REMOTE_AGENT_HEARTBEAT_MS,
+            len(targets.remote),
+            REMOTE_AGENT_HEARTBEATS_PER_S,
+        ),
+    )
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -8,6 +8,7 @@
     REPORT_INTERVAL_MS,
     REPORTS_PER_S,
     AgentFlows,
+    Evacuations,
     FlowQuestion,
     ForwardedOpening,
     ForwardedPacket,
@@ -17,6 +18,7 @@
     Message,
     compute_interval_ms,
 )
+from citronwinch.forwarder._evacuation_log import EvacuationLog
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.network import DatagramSocket, try_connection
@@ -79,6 +81,8 @@
             holds_requests=settings.holds_requests,
         )
         self.flows.opening_limit.await_heartbeat()
+        self.evacuations = Evacuations(self.clock)
+        self.evacuation_log = EvacuationLog(self.evacuations, self.metrics)
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
@@ -137,6 +141,7 @@
             self.all_balancers[sender] = until_ms
             if message.availability_zone == self.settings.availability_zone:
                 self.local_balancers[sender] = until_ms
+            self._apply_evacuations(message, sender)
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
@@ -146,6 +151,12 @@
             self.flows.opening_limit.apply_heartbeat(message)
             self.send(sender, self.flows.make_load_report())
 
+    def _apply_evacuations(self, heartbeat: Heartbeat, sender: str) -> None:
+        if heartbeat.evacuations and self.evacuations.merge(heartbeat.evacuations):
+            self.evacuation_log.record_changes(sender)
+            zone = self.settings.availability_zone
+            self.flows.is_evacuated = zone in self.evacuations.active_zones
+
     def handle_packet(self, data: bytes) -> None:
         """Handle a packet of the backend server."""
         self.metrics.count("packets_from_server_total")
@@ -168,6 +179,9 @@
         self.metrics.counters[MetricKey("openings_returned_total", "cold")] = (
             self.flows.opening_limit.returned
         )
+        for reason, count in self.flows.returned_openings.items():
+            key = MetricKey("openings_returned_total", reason)
+            self.metrics.counters[key] = count
         self._discard_silent(self.local_balancers)
         if self.reporting.is_due(report, len(self.local_balancers)):
             self.send_to_all(self.local_balancers, report)
