--- a/citronwinch/forwarder/tests/test_zone_evacuation.py
+++ b/citronwinch/forwarder/tests/test_zone_evacuation.py
@@ -95,7 +95,7 @@
                 gauges = deployment.processes[number].metrics.gauges
                 assert gauges[MetricKey("evacuated_zones")] == 1
             deployment.store.restore_zone("a")
-            # A zone's agents are told at once, those of other zones in turn.
+            # Agents of the zone get heartbeats at once, those of other zones when due.
             await wait_for_zones(deployment, set(), (11, 12, 31, 32))
             await wait_for_zones(deployment, set())
         for event in ("zone_evacuated", "zone_restored"):
