--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -8,6 +8,7 @@
     "control_bytes_refused": "control traffic not sent for lack of budget, by priority",
     "control_bytes_sent": "control traffic sent, bytes by priority",
     "datagrams_not_sent": "datagrams that the kernel did not take, since the start",
+    "evacuated_zones": "availability zones that get no new flows",
     "flow_tombstones": "ended flows that are remembered for a while",
     "flows_held": "flows whose packets wait until their owner is known",
     "flows_owned": "flows that this agent owns",
