--- a/citronwinch/coordination/flows/tests/test_openings.py
+++ b/citronwinch/coordination/flows/tests/test_openings.py
@@ -2,25 +2,33 @@
 
 Guards against openings that are placed at a busy or remote server without need, placed
 again at an agent that did not confirm them, placed at a second server although they are
-confirmed, held although no server is ready, or refused because of an outdated view.
+confirmed, held although no server is ready, or refused because of an outdated view, and
+against openings without the class of their route, which agents need to order requests.
 """
 
 import pytest
 
 from citronwinch.coordination import Endpoint, ManualClock
 from citronwinch.coordination.flows import (
+    Action,
     BalancerFlows,
     DeploymentView,
     FlowAnswer,
+    ForwardedOpening,
     LoadReport,
+    RouteClass,
+    SendMessage,
     ServerSelector,
     Verdict,
 )
 from citronwinch.coordination.flows.tests.conftest import (
+    REPORTING,
     has_reset,
     list_forwards,
+    make_configuration,
     make_listing,
     make_packet,
+    make_route,
     make_server,
 )
 
@@ -86,3 +94,52 @@
     clock.advance(age_ms)
     packet = make_packet(opening=True, address=Endpoint("198.18.0.9", 80))
     assert has_reset(balancer.handle_packet(packet)) is refused
+
+
+def list_openings(actions: list[Action]) -> list[ForwardedOpening]:
+    messages = [action.message for action in actions if isinstance(action, SendMessage)]
+    return [message for message in messages if isinstance(message, ForwardedOpening)]
+
+
+def test_an_opening_and_its_copies_carry_the_class_of_their_route(
+    balancer: BalancerFlows, view: DeploymentView
+) -> None:
+    packet = make_packet(opening=True)
+    expected = ForwardedOpening("gauging", RouteClass(1, 120, 1_000), False, packet.raw)
+    for _ in range(2):
+        assert list_openings(balancer.handle_packet(packet)) == [expected]
+    # The route is removed before the next copy, which follows the first one.
+    view.accept_configuration(make_configuration(2, make_route("x", REPORTING, "x")))
+    actions = balancer.handle_packet(packet)
+    assert len(list_forwards(actions)) == 1 and not list_openings(actions)
+
+
+@pytest.mark.parametrize(
+    ("servers", "last_choices"),
+    [
+        pytest.param(1, [True], id="one server"),
+        pytest.param(2, [False, True], id="no third server is left"),
+        pytest.param(4, [False, False, True, True], id="the third attempt"),
+    ],
+)
+def test_returned_openings_are_the_last_choice_of_a_later_server(
+    balancer: BalancerFlows,
+    view: DeploymentView,
+    selector: ServerSelector,
+    clock: ManualClock,
+    servers: int,
+    last_choices: list[bool],
+) -> None:
+    listed = [make_server(number) for number in range(11, 11 + servers)]
+    view.accept_listing(make_listing(11, *listed), clock.now_ms())
+    clock.advance(5_000)
+    for server in listed:
+        selector.record_message(server.address.ip)
+    packet = make_packet(opening=True)
+    found = []
+    actions = balancer.handle_packet(packet)
+    while openings := list_openings(actions):
+        [(agent, _)] = list_forwards(actions)
+        found += [opening.is_last_choice for opening in openings]
+        actions = balancer.handle_returned(packet, agent)
+    assert found == last_choices
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -62,6 +62,8 @@
 service = {service}
 address = {ip}:21165
 outbound = {ip}:21162
+[requests]
+queue = true
 [stop]
 timeout_s = 2
 """
