--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -30,6 +30,7 @@
     KnownFlow,
     KnownFlows,
     confirm_opening,
+    count_attempts,
     forward_opening,
     forward_to_agent,
 )
@@ -168,9 +169,11 @@
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
         flow.unconfirmed_since_ms, flow.tried_agents = now_ms, tried_agents
-        attempt = len(tried_agents) + 1
+        flow.attempts += count_attempts(self.flows.get(packet.flow))
         # With a single candidate left, a returned opening would have to be refused.
-        flow.is_last_choice = attempt >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
+        flow.is_last_choice = (
+            flow.attempts >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
+        )
         self.flows.store(packet.flow, flow)
         self.counters["openings_placed"] += 1
         placed = record(
@@ -183,7 +186,7 @@
             pressure=chosen.pressure,
             busy_share=chosen.busy_share,
             candidates=chosen.candidates,
-            attempt=attempt,
+            attempt=flow.attempts,
             view_age_ms=self.view.age_ms,
         )
         return [forward_opening(flow, packet, self._find_route(packet)), placed]
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -34,6 +34,8 @@
         """When an unconfirmed opening was forwarded; None for other flows."""
         self.tried_agents: set[str] = set()
         """The agents that returned the opening or did not confirm it in time."""
+        self.attempts = 1
+        """How often the opening was placed, also after it waited in the balancer."""
         self.is_last_choice = False
         """Whether no agent should return the opening any more for lack of room."""
 
@@ -79,6 +81,13 @@
     return [Measure("opening_wait_ms", now_ms - unconfirmed_since_ms)]
 
 
+def count_attempts(known: KnownFlow | None) -> int:
+    """Return how often an opening was placed before; 0 if it is a new one."""
+    if known is None or known.unconfirmed_since_ms is None:
+        return 0
+    return known.attempts
+
+
 def forward_to_agent(agent: str, service: str, packet: Packet) -> SendMessage:
     """Return the action that forwards a packet to an agent of a service."""
     return SendMessage(agent, ForwardedPacket(service, packet.raw))
--- a/citronwinch/coordination/flows/tests/test_openings.py
+++ b/citronwinch/coordination/flows/tests/test_openings.py
@@ -143,3 +143,28 @@
         found += [opening.is_last_choice for opening in openings]
         actions = balancer.handle_returned(packet, agent)
     assert found == last_choices
+
+
+def test_an_opening_that_waits_between_its_attempts_keeps_their_number(
+    balancer: BalancerFlows, selector: ServerSelector
+) -> None:
+    # An opening that waited may be placed at the same server again.
+    def report(waiting: int) -> None:
+        busy_share = 1.0 if waiting else 0.0
+        for number in (1, 2, 3):
+            load = LoadReport("gauging", 0, waiting, 20, busy_share, True)
+            selector.record_message(f"10.0.0.{number}", load)
+
+    packet = make_packet(opening=True)
+    report(waiting=0)
+    actions = balancer.handle_packet(packet)
+    found = []
+    for _ in range(3):
+        [opening] = list_openings(actions)
+        [(agent, _)] = list_forwards(actions)
+        found.append(opening.is_last_choice)
+        report(waiting=9)
+        assert not list_openings(balancer.handle_returned(packet, agent))
+        report(waiting=0)
+        actions = balancer.tick()
+    assert found == [False, False, True]
