Count the time of a held request from its own receipt

The next request of that flow, if held, expired at once. A route without a timeout had all of its held requests expire.

Change: the next request of such a flow has its own time and counts as waiting. Requests of a route without a timeout are not held.

--- a/citronwinch/coordination/flows/_server_requests.py
+++ b/citronwinch/coordination/flows/_server_requests.py
@@ -117,7 +117,8 @@
     def handle_data(self, packet: Packet, entry: FlowEntry) -> list[Action]:
         """Deliver or hold a caller's packet with data of an open flow."""
         is_new = entry.has_new_data(packet)
-        if entry.record_data(packet):
+        # A request that has timed out here does not delay the next one of its flow.
+        if entry.record_data(packet) or (is_new and packet.flow not in self.waiting):
             entry.request_ms = self.clock.now_ms()
             self.waiting[packet.flow] = entry.request_ms
             self.busy_meter.record_waiting_requests(len(self.waiting))
@@ -150,6 +151,7 @@
         now_ms = self.clock.now_ms()
         if (
             route_class is None
+            or not route_class.timeout_ms
             or not self.holds_requests
             or not self.slots.slots
             or self.queue.is_full
--- a/citronwinch/coordination/flows/tests/test_server_requests.py
+++ b/citronwinch/coordination/flows/tests/test_server_requests.py
@@ -314,6 +314,26 @@
     assert answer(busy_agent, FIRST) == [4003]
 
 
+def test_a_request_after_one_that_was_never_answered_is_held_as_a_new_one(
+    busy_agent: AgentFlows, clock: ManualClock
+) -> None:
+    # It was dropped as expired when its time counted from the earlier request.
+    clock.advance(16_000)
+    busy_agent.make_load_report()
+    assert send(busy_agent, SECOND) == [SECOND]
+    assert send(busy_agent, FIRST, 150) == []
+    report = busy_agent.make_load_report()
+    assert (report.waiting, report.queued) == (2, 1)
+    assert answer(busy_agent, SECOND) == [FIRST]
+
+
+def test_a_request_of_a_route_without_a_timeout_is_not_held(
+    busy_agent: AgentFlows,
+) -> None:
+    open_flow(busy_agent, 4003, RouteClass(1, 0, 0))
+    assert send(busy_agent, 4003) == [4003]
+
+
 def test_a_stopping_agent_delivers_what_it_holds_and_holds_no_more(
     busy_agent: AgentFlows,
 ) -> None:
