--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -151,8 +151,7 @@
             return [*self._return_opening(packet, balancer), returned]
         route_class = None
         if isinstance(message, ForwardedOpening):
-            route_class = message.route_class
-            self.requests.record_class(packet.flow, route_class)
+            route_class = self.requests.record_class(packet.flow, message.route_class)
             flow = self.flows.get(packet.flow)
             is_new = flow is None or flow.state in _STATES_BEFORE_OPENING
             if is_new and not message.is_last_choice:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -30,6 +30,7 @@
     KnownFlow,
     KnownFlows,
     confirm_opening,
+    count_attempts,
     forward_opening,
     forward_to_agent,
 )
@@ -189,9 +190,11 @@
         flow.has_large_request = route.has_large_requests
         if route.has_large_requests:
             self.uploads.record_opening(packet.flow)
-        attempt = len(tried_agents) + 1
+        flow.attempts += count_attempts(self.flows.get(packet.flow))
         # With a single candidate left, a returned opening would have to be refused.
-        flow.is_last_choice = attempt >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
+        flow.is_last_choice = (
+            flow.attempts >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
+        )
         self.flows.store(packet.flow, flow)
         self.counters["openings_placed"] += 1
         placed = record(
@@ -206,7 +209,7 @@
             expected_wait_ms=round(chosen.expected_wait_ms),
             service_ms=round(chosen.service_ms),
             candidates=chosen.candidates,
-            attempt=attempt,
+            attempt=flow.attempts,
             view_age_ms=self.view.age_ms,
         )
         return [forward_opening(flow, packet, self._find_route(packet)), placed]
--- a/citronwinch/coordination/flows/_chosen_server.py
+++ b/citronwinch/coordination/flows/_chosen_server.py
@@ -1,6 +1,5 @@
 """A backend server chosen for a new flow, and the limits of its load."""
 
-import math
 from typing import NamedTuple
 
 from citronwinch.coordination.flows._deployment import BackendServer
@@ -25,6 +24,10 @@
 """The requests per slot that a server may have received, beside those that its agent
 holds, before it is full for every route. Servers refuse requests from 8 per slot on."""
 
+NO_ROOM_PRESSURE = 1e6
+"""The pressure of a choice among servers that accept no openings now; it is full for
+every route, and can be logged, unlike infinity."""
+
 REMOTE_ZONE_COST_MS = 35.0
 """The waiting time that a backend server in another availability zone is charged with,
 in milliseconds. The round trips of an opening and a request take 6 to 20 ms of it; the
@@ -113,11 +116,11 @@
     """
     return ChosenServer(
         server,
-        score=math.inf,
+        score=NO_ROOM_PRESSURE,
         candidates=0,
-        pressure=math.inf,
+        pressure=NO_ROOM_PRESSURE,
         busy_share=1.0,
-        delivered_pressure=math.inf,
+        delivered_pressure=NO_ROOM_PRESSURE,
         service_ms=1.0,
     )
 
