--- a/citronwinch/platform/standins/_store.py
+++ b/citronwinch/platform/standins/_store.py
@@ -174,6 +174,7 @@
         zone: str,
         state: str = "ready",
         started_ms: int = 1,
+        slots: int = 1,
     ) -> None:
         """Write the entry of a backend server."""
         entry = {
@@ -181,7 +182,7 @@
             "address": str(address),
             "zone": zone,
             "version": "v1",
-            "concurrency": 1,
+            "concurrency": slots,
             "state": state,
             "warmup_left_ms": 0,
             "sequence": self.revision,
