Import less before the first packet of a process

Nearly all of the time from a process's start to its first packet is spent on imports. A balancer or agent now loads aioprometheus, hdrhistogram, h11, orjson, pycapnp and the schema at their first use, and asyncio, ssl, hmac, idna, subprocess, structlog and expression not at all unless a library needs them. trio no longer runs ldconfig to find the library that names threads.

--- a/citronwinch/benches/_case_packet_cost.py
+++ b/citronwinch/benches/_case_packet_cost.py
@@ -52,7 +52,7 @@
 from citronwinch.forwarder._agent_process import AgentProcess
 from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._process import ForwarderProcess, PacketBatch, PeerBatch
-from citronwinch.operators import configure_logging
+from citronwinch.operators import process_log
 from citronwinch.platform.standins import StandInStore
 
 STARTS = 7
@@ -211,7 +211,7 @@
 
 def make_process(role: str, addresses: Addresses) -> ForwarderProcess:
     """Return a process with sockets in memory; a balancer knows its only server."""
-    configure_logging("json", io.StringIO())
+    process_log.write_to(io.StringIO())
     settings = parse_forwarder_settings(
         format_settings(role, addresses), f"{role}.ini"
     ).ok
--- a/citronwinch/coordination/_table.py
+++ b/citronwinch/coordination/_table.py
@@ -1,5 +1,6 @@
 """The table of services and backend servers, as a value."""
 
+import functools
 import hashlib
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -70,7 +71,11 @@
             pack_service_endpoint(row.protocol, row.service_address): row.service
             for row in self.rows
         }
-        self.digest: bytes = digest_rows(self.rows)
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """The digest of the rows, computed at its first use."""
+        return digest_rows(self.rows)
 
     def find_service(self, key: FlowKey) -> str | None:
         """Return the service that a flow is addressed to, or None if it has none."""
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -46,9 +46,23 @@
 )
 from citronwinch.network import MalformedMessageError
 
-capnp.remove_import_hook()
-SCHEMA: Any = capnp.load(str(Path(__file__).with_name("flows.capnp")))
-"""The loaded schema of the messages."""
+
+class Schema:
+    """The schema of the messages, which is loaded at the first use of a type."""
+
+    def __getattr__(self, name: str) -> Any:
+        capnp.remove_import_hook()
+        schema = capnp.load(str(Path(__file__).with_name("flows.capnp")))
+        self.__dict__ |= {
+            "Configuration": schema.Configuration,
+            "FlowMessage": schema.FlowMessage,
+            "View": schema.View,
+        }
+        return getattr(schema, name)
+
+
+SCHEMA: Any = Schema()
+"""The schema of the messages."""
 
 # The kinds of messages; a control message is packed Cap'n Proto.
 KIND_FORWARDED = 1
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Collection
 
-import structlog
 import trio
 
 from citronwinch.coordination import Endpoint
@@ -31,7 +30,7 @@
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
 from citronwinch.network import DatagramSocket
-from citronwinch.operators import MetricKey
+from citronwinch.operators import MetricKey, process_log
 from citronwinch.platform import decode_caller_packet
 
 BALANCER_TICK_MS = 20
@@ -84,7 +83,7 @@
 """The time after which a starting balancer with a complete view is ready regardless of
 the listing's age, in milliseconds."""
 
-log = structlog.get_logger()
+log = process_log
 
 
 class BalancerProcess(ForwarderProcess):
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-import structlog
 import trio
 
 from citronwinch.coordination.flows import (
@@ -13,6 +12,7 @@
     StoreStep,
     compute_configuration_transfer_ms,
 )
+from citronwinch.operators import process_log
 from citronwinch.platform import StoreError
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
 """How long after its last read of the listing a balancer watches the configuration in
 the store, in milliseconds."""
 
-log = structlog.get_logger()
+log = process_log
 
 
 class ConfigurationWatch:
--- a/citronwinch/forwarder/_decision_log.py
+++ b/citronwinch/forwarder/_decision_log.py
@@ -1,15 +1,14 @@
 """Rate-limited log lines of decisions."""
 
-import structlog
-
 from citronwinch.coordination import Clock, unpack_flow_key
 from citronwinch.coordination.flows import Record
+from citronwinch.operators import process_log
 
 MAX_LINES_PER_SECOND = 60
 """The most decisions that a process logs in a second; writing one log line takes about
 40 us."""
 
-log = structlog.get_logger()
+log = process_log
 
 
 class DecisionLog:
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-import structlog
 import trio
 
 from citronwinch.coordination import Endpoint, MonotonicClock
@@ -37,7 +36,7 @@
     MalformedMessageError,
     serve,
 )
-from citronwinch.operators import Metrics
+from citronwinch.operators import Metrics, process_log
 from citronwinch.platform import READY_PATH, encode_reset
 
 PAUSE_THRESHOLD_MS = 500
@@ -50,7 +49,7 @@
 RELOADABLE_SETTINGS = frozenset({"seeds", "stop_timeout_s"})
 """The settings that a running process applies; all others require a restart."""
 
-log = structlog.get_logger()
+log = process_log
 
 
 class PeerBatch(NamedTuple):
--- a/citronwinch/forwarder/_run.py
+++ b/citronwinch/forwarder/_run.py
@@ -11,7 +11,7 @@
 from citronwinch.forwarder._process import ForwarderProcess
 from citronwinch.forwarder._settings import parse_forwarder_settings
 from citronwinch.network import DatagramSocket
-from citronwinch.operators import configure_logging
+from citronwinch.operators import process_log
 
 EXIT_OK = 0
 """Exit code after a requested stop."""
@@ -41,7 +41,7 @@
 
     `bound` maps addresses to UDP sockets that are already bound to them.
     """
-    configure_logging("json", sys.stdout)
+    process_log.write_to(sys.stdout)
     parsed = parse_forwarder_settings(text, file)
     if parsed.is_error():
         for problem in parsed.error:
--- a/citronwinch/forwarder/_settings.py
+++ b/citronwinch/forwarder/_settings.py
@@ -2,8 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from expression import Error, Ok, Result
-
+from citronwinch._results import Error, Ok, Result
 from citronwinch.coordination import Endpoint, InstanceRole
 from citronwinch.coordination.flows import DEFAULT_LINK_MBPS
 from citronwinch.operators import (
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -3,7 +3,6 @@
 import random
 from typing import TYPE_CHECKING
 
-import structlog
 import trio
 
 from citronwinch.coordination.flows import (
@@ -34,6 +33,7 @@
     fetch,
     serve,
 )
+from citronwinch.operators import process_log
 from citronwinch.platform import StoreClient, StoreError
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
 from the store, in milliseconds: a third of the shortest time within which a balancer
 must apply a new configuration."""
 
-log = structlog.get_logger()
+log = process_log
 
 
 class ViewExchange:
--- /dev/null
+++ b/citronwinch/forwarder/tests/test_deferred_imports.py
@@ -0,0 +1,86 @@
+"""Imports that delay the first packet of a starting process.
+
+A module that a balancer or agent imports without need adds to the time callers wait
+after a loss of power. It comes about by an import at the top of a module, or by a first
+use of a deferred module during the start.
+"""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from citronwinch._deferred_imports import import_names_on_demand
+
+LIST_LOADED_MODULES = """
+import json, sys
+from citronwinch._deferred_imports import (
+    DeferredModule, defer_modules, skip_library_search
+)
+defer_modules()
+with skip_library_search():
+    import trio
+import citronwinch.forwarder
+import citronwinch.forwarder._{role}_process
+loaded = [n for n, m in sys.modules.items() if not isinstance(m, DeferredModule)]
+print(json.dumps(loaded))
+"""
+
+NEEDLESS_MODULES = [
+    "aioprometheus",
+    "asyncio",
+    "capnp",
+    "ctypes.util",
+    "expression",
+    "h11",
+    "hashlib",
+    "hdrh.histogram",
+    "orjson",
+    "ssl",
+    "structlog",
+    "citronwinch.operators._table_csv",
+    "citronwinch.operators._settings",
+]
+
+
+def run_python(code: str) -> str:
+    command = [sys.executable, "-c", code]
+    return subprocess.run(command, check=True, capture_output=True, text=True).stdout
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_a_starting_process_loads_no_needless_module(role: str) -> None:
+    loaded = json.loads(run_python(LIST_LOADED_MODULES.format(role=role)))
+    assert not set(loaded) & set(NEEDLESS_MODULES)
+
+
+def test_a_deferred_module_is_loaded_at_its_first_use() -> None:
+    code = """
+from citronwinch._deferred_imports import defer_modules
+defer_modules()
+import orjson
+import orjson as again
+import capnp.version
+print(orjson.loads(again.dumps([1])), capnp.KjException.__name__)
+"""
+    assert run_python(code) == "[1] KjException\n"
+
+
+def test_a_missing_module_is_reported_by_its_import() -> None:
+    code = """
+from citronwinch import _deferred_imports
+_deferred_imports.DEFERRED_MODULES = {"missing_module"}
+_deferred_imports.defer_modules()
+try:
+    import missing_module
+except ModuleNotFoundError as error:
+    print(error.name)
+"""
+    assert run_python(code) == "missing_module\n"
+
+
+def test_an_unknown_name_of_a_package_is_an_attribute_error() -> None:
+    get_name = import_names_on_demand("citronwinch.operators", {})
+    with pytest.raises(AttributeError, match="no attribute 'missing'"):
+        get_name("missing")
--- a/citronwinch/launch.py
+++ b/citronwinch/launch.py
@@ -70,6 +70,11 @@
     sockets = bind_early(text)
     # Collections during the imports would free nothing, but delay the start.
     gc.disable()
+    from citronwinch._deferred_imports import defer_modules, skip_library_search
+
+    defer_modules()
+    with skip_library_search():
+        import trio  # noqa: F401
     from citronwinch.forwarder import run_forwarder
 
     return run_forwarder(text, file, sockets)
--- a/citronwinch/network/_http.py
+++ b/citronwinch/network/_http.py
@@ -1,5 +1,7 @@
 """A small HTTP/1.1 server and client on trio; h11 implements the protocol."""
 
+from __future__ import annotations
+
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -66,8 +68,6 @@
 CONNECTION_LIMIT = 4_096
 """The highest number of connections that a server has open at the same time."""
 
-log = structlog.get_logger()
-
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 """A function that answers one request."""
 
@@ -149,7 +149,7 @@
         return await handler(request)
     except Exception:
         on_error("handler")
-        log.exception("http_handler_failed", path=request.path)
+        structlog.get_logger().exception("http_handler_failed", path=request.path)
         return HttpResponse(500, b'{"error":"internal error"}')
 
 
--- a/citronwinch/operators/_metrics.py
+++ b/citronwinch/operators/_metrics.py
@@ -1,15 +1,11 @@
 """Metrics of a daemon, exported by aioprometheus."""
 
+from __future__ import annotations
+
 from collections import Counter
 from typing import NamedTuple
 
-from aioprometheus import (
-    Counter as ExportedCounter,
-    Gauge as ExportedGauge,
-    Histogram,
-    Registry,
-)
-from aioprometheus.formats import text
+import aioprometheus
 
 from citronwinch.operators._metric_help import METRIC_HELP
 from citronwinch.operators._service_levels import LATENCY_BUCKETS_MS, ServiceLevels
@@ -42,7 +38,7 @@
     def __init__(self) -> None:
         self.counters: Counter[MetricKey] = Counter()
         self.gauges: dict[MetricKey, float] = {}
-        self.histograms: dict[str, Histogram] = {}
+        self.histograms: dict[str, aioprometheus.Histogram] = {}
         self.service_levels = ServiceLevels()
 
     def count(self, name: str, reason: str = "", amount: int = 1) -> None:
@@ -62,21 +58,23 @@
             help_text = METRIC_HELP.get(name, name.replace("_", " "))
             # Several daemons may run in one interpreter, so a histogram must not be
             # added to the exporter's global registry.
-            histogram = self.histograms[name] = Histogram(
+            histogram = self.histograms[name] = aioprometheus.Histogram(
                 f"citronwinch_{name}",
                 help_text,
                 buckets=LATENCY_BUCKETS_MS,
-                registry=Registry(),
+                registry=aioprometheus.Registry(),
             )
         histogram.observe({}, value_ms)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        registry = Registry()
-        exported: dict[str, ExportedCounter | ExportedGauge] = {}
+        from aioprometheus.formats import text
+
+        registry = aioprometheus.Registry()
+        exported: dict[str, aioprometheus.Counter | aioprometheus.Gauge] = {}
         for exporter_class, values in (
-            (ExportedCounter, self.counters),
-            (ExportedGauge, self.gauges),
+            (aioprometheus.Counter, self.counters),
+            (aioprometheus.Gauge, self.gauges),
         ):
             for key, value in sorted(values.items()):
                 key = MetricKey(*key)
--- a/citronwinch/operators/_service_levels.py
+++ b/citronwinch/operators/_service_levels.py
@@ -1,12 +1,15 @@
 """Recent outcomes of flows and requests by service, in bounded memory."""
 
+from __future__ import annotations
+
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 from enum import IntEnum
+from functools import cached_property
 from typing import Any, NamedTuple
 
-from aioprometheus import Histogram, Registry
-from hdrh.histogram import HdrHistogram
+import aioprometheus
+import hdrh.histogram
 
 from citronwinch.operators._objectives import Objective
 
@@ -87,12 +90,22 @@
         self.open_flows: Counter[str] = Counter()
         self.pending: OrderedDict[bytes, PendingRequest] = OrderedDict()
         self.untracked_requests = 0
-        self.latencies: dict[str, HdrHistogram] = {}
-        self.registry = Registry()
-        self.exported_latency = Histogram(
+        self.latencies: dict[str, hdrh.histogram.HdrHistogram] = {}
+
+    @cached_property
+    def registry(self) -> aioprometheus.Registry:
+        """The exporter's registry, with the histogram of latencies."""
+        registry = aioprometheus.Registry()
+        registry.register(self.exported_latency)
+        return registry
+
+    @cached_property
+    def exported_latency(self) -> aioprometheus.Histogram:
+        """The exported histogram of latencies."""
+        return aioprometheus.Histogram(
             "citronwinch_answer_latency_ms",
             "time from a request's arrival to its answer in milliseconds",
-            registry=self.registry,
+            registry=aioprometheus.Registry(),
             buckets=LATENCY_BUCKETS_MS,
         )
 
@@ -174,7 +187,9 @@
         """Add a latency to the service's histograms."""
         histogram = self.latencies.get(service)
         if histogram is None:
-            histogram = self.latencies[service] = HdrHistogram(1, LATENCY_LIMIT_MS, 2)
+            histogram = self.latencies[service] = hdrh.histogram.HdrHistogram(
+                1, LATENCY_LIMIT_MS, 2
+            )
         histogram.record_value(min(max(1, latency_ms), LATENCY_LIMIT_MS))
         self.exported_latency.observe({"service": service}, latency_ms)
 
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -5,8 +5,8 @@
 from urllib.parse import urlencode
 
 import orjson
-from expression import Error, Ok, Result
 
+from citronwinch._results import Error, Ok, Result
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
     BackendServer,
