Import each public name of a package at its first use in a starting process

The packages' public faces import all their submodules, so that an agent imported the decisions of balancers, and both roles imported the settings and the table of other programs. READY_PATH and DEFAULT_LINK_MBPS move to modules that import nothing.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -6,9 +6,9 @@
 
 import importlib
 import sys
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-from importlib.machinery import ModuleSpec, PathFinder
+from importlib.machinery import ModuleSpec, PathFinder, SourceFileLoader
 from types import ModuleType
 from typing import TYPE_CHECKING
 
@@ -38,6 +38,20 @@
 `hmac`, `idna`, `ssl` and `subprocess` are imported by libraries for functions that a
 balancer or agent never calls."""
 
+DEFERRED_PACKAGES = frozenset(
+    {
+        "citronwinch.coordination",
+        "citronwinch.coordination.flows",
+        "citronwinch.flow_peers",
+        "citronwinch.forwarder",
+        "citronwinch.network",
+        "citronwinch.operators",
+        "citronwinch.platform",
+    }
+)
+"""The packages of which each name is imported at its first use. An agent, for example,
+needs no module that decides for a balancer."""
+
 THREAD_LIBRARY = "libc.so.6"
 """The library with the function that names threads, in glibc 2.34 and later."""
 
@@ -59,11 +73,31 @@
         return getattr(self, name)
 
 
+class DeferredPackage(DeferredModule):
+    """A package that imports a public name from its submodule at the first use.
+
+    For any other name, the package is loaded as usual.
+    """
+
+    def __getattr__(self, name: str) -> object:
+        spec = self.__spec__
+        assert spec is not None
+        assert isinstance(spec.loader, DeferredLoader)
+        submodule = spec.loader.list_imported_names(self.__name__).get(name)
+        if submodule is None:
+            return super().__getattr__(name)
+        value = getattr(importlib.import_module(submodule), name)
+        setattr(self, name, value)
+        return value
+
+
 class DeferredLoader(Loader):
     """Creates a module with another loader, which executes it later."""
 
-    def __init__(self, loader: Loader) -> None:
+    def __init__(self, loader: Loader, deferred_class: type[DeferredModule]) -> None:
         self.loader = loader
+        self.deferred_class = deferred_class
+        self.module_by_name: dict[str, str] = {}
 
     def create_module(self, spec: ModuleSpec) -> ModuleType | None:
         """Return the module that the other loader creates."""
@@ -71,7 +105,21 @@
 
     def exec_module(self, module: ModuleType) -> None:
         """Have the module executed at its first use."""
-        module.__class__ = DeferredModule
+        module.__class__ = self.deferred_class
+
+    def list_imported_names(self, package: str) -> dict[str, str]:
+        """Return the names that a package imports, with the module of each."""
+        if not self.module_by_name:
+            import ast
+
+            assert isinstance(self.loader, SourceFileLoader)
+            self.module_by_name = {
+                name.name: statement.module
+                for statement in ast.parse(self.loader.get_source(package) or "").body
+                if isinstance(statement, ast.ImportFrom) and statement.module
+                for name in statement.names
+            }
+        return self.module_by_name
 
 
 class DeferredModuleFinder(MetaPathFinder):
@@ -84,11 +132,15 @@
         target: ModuleType | None = None,
     ) -> ModuleSpec | None:
         """Return the spec of a deferred module."""
-        if fullname not in DEFERRED_MODULES:
+        if fullname in DEFERRED_PACKAGES:
+            deferred_class: type[DeferredModule] = DeferredPackage
+        elif fullname in DEFERRED_MODULES:
+            deferred_class = DeferredModule
+        else:
             return None
         spec = PathFinder.find_spec(fullname, path, target)
         if spec is not None and spec.loader is not None:
-            spec.loader = DeferredLoader(spec.loader)
+            spec.loader = DeferredLoader(spec.loader, deferred_class)
         return spec
 
 
@@ -120,22 +172,3 @@
     finally:
         del sys.modules["ctypes.util"]
         delattr(ctypes, "util")
-
-
-def import_names_on_demand(
-    package: str, module_by_name: Mapping[str, str]
-) -> Callable[[str], object]:
-    """Return a `__getattr__` for a package that imports public names at first use.
-
-    `module_by_name` has the submodule of each name.
-    """
-
-    def get_name(name: str) -> object:
-        if name not in module_by_name:
-            raise AttributeError(f"module {package!r} has no attribute {name!r}")
-        module = importlib.import_module(f"{package}.{module_by_name[name]}")
-        value = getattr(module, name)
-        setattr(sys.modules[package], name, value)
-        return value
-
-    return get_name
--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -22,10 +22,7 @@
     record,
 )
 from citronwinch.coordination.flows._agent_flows import AgentFlows
-from citronwinch.coordination.flows._balancer_flows import (
-    DEFAULT_LINK_MBPS,
-    BalancerFlows,
-)
+from citronwinch.coordination.flows._balancer_flows import BalancerFlows
 from citronwinch.coordination.flows._chosen_server import ChosenServer
 from citronwinch.coordination.flows._configuration_follower import (
     ConfigurationFollower,
@@ -57,6 +54,7 @@
 from citronwinch.coordination.flows._evacuations import ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._link import DEFAULT_LINK_MBPS
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
     ListingHistory,
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -31,6 +31,7 @@
     confirm_opening,
     forward_to_agent,
 )
+from citronwinch.coordination.flows._link import DEFAULT_LINK_MBPS
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowLocation,
@@ -55,10 +56,6 @@
 """How long a backend server must be missing from the listing before its flows are
 considered dead, in milliseconds; its agent is contacted several times before that."""
 
-DEFAULT_LINK_MBPS = 1_000
-"""The assumed link bandwidth of an instance that does not configure it, in megabits per
-second."""
-
 CURRENT_VIEW_MAX_AGE_MS = 2_500
 """The maximum age of a view at which it justifies refusing an unknown address, in
 milliseconds; an older view may lack a new route."""
--- a/citronwinch/forwarder/tests/test_deferred_imports.py
+++ b/citronwinch/forwarder/tests/test_deferred_imports.py
@@ -11,8 +11,6 @@
 
 import pytest
 
-from citronwinch._deferred_imports import import_names_on_demand
-
 LIST_LOADED_MODULES = """
 import json, sys
 from citronwinch._deferred_imports import (
@@ -27,6 +25,12 @@
 print(json.dumps(loaded))
 """
 
+NEEDLESS_MODULES_BY_ROLE = {
+    "agent": ["_balancer_flows", "_server_selector", "_view"],
+    "balancer": ["_agent_flows"],
+}
+"""The modules of `citronwinch.coordination.flows` that a role does not need."""
+
 NEEDLESS_MODULES = [
     "aioprometheus",
     "asyncio",
@@ -52,7 +56,11 @@
 @pytest.mark.parametrize("role", ["balancer", "agent"])
 def test_a_starting_process_loads_no_needless_module(role: str) -> None:
     loaded = json.loads(run_python(LIST_LOADED_MODULES.format(role=role)))
-    assert not set(loaded) & set(NEEDLESS_MODULES)
+    needless = [
+        f"citronwinch.coordination.flows.{name}"
+        for name in NEEDLESS_MODULES_BY_ROLE[role]
+    ]
+    assert not set(loaded) & {*NEEDLESS_MODULES, *needless}
 
 
 def test_a_deferred_module_is_loaded_at_its_first_use() -> None:
@@ -80,7 +88,16 @@
     assert run_python(code) == "missing_module\n"
 
 
-def test_an_unknown_name_of_a_package_is_an_attribute_error() -> None:
-    get_name = import_names_on_demand("citronwinch.operators", {})
-    with pytest.raises(AttributeError, match="no attribute 'missing'"):
-        get_name("missing")
+def test_names_of_a_deferred_package_are_imported_from_their_submodules() -> None:
+    code = """
+import sys
+from citronwinch._deferred_imports import defer_modules
+defer_modules()
+from citronwinch.coordination.flows import AgentFlows
+print("citronwinch.coordination.flows._balancer_flows" in sys.modules)
+from citronwinch.coordination import flows
+print(sorted(name for name in flows.__all__ if not hasattr(flows, name)))
+from citronwinch.platform import READY_PATH
+print(AgentFlows is flows.AgentFlows, hasattr(flows, "missing"), READY_PATH)
+"""
+    assert run_python(code).splitlines() == ["False", "[]", "True False /readyz"]
--- a/citronwinch/platform/__init__.py
+++ b/citronwinch/platform/__init__.py
@@ -10,6 +10,7 @@
     decode_server_packet,
     encode_reset,
 )
+from citronwinch.platform._readiness import READY_PATH
 from citronwinch.platform._store import (
     ConfigurationRead,
     ListingRead,
@@ -17,9 +18,6 @@
     StoreError,
 )
 
-READY_PATH = "/readyz"
-"""HTTP path that the platform's routers query for the readiness of a balancer."""
-
 __all__ = [
     "ConfigurationRead",
     "ListingRead",
