Load no asyncio for pycapnp, and encode no message without receivers

pycapnp imports all of asyncio for the base class of one class that balancers and agents never use, and a balancer encoded its first heartbeat, which loads pycapnp, before its first packet even when it knew no other balancer. The names of deferred packages are now found by a regular expression instead of a parser.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -5,8 +5,9 @@
 """
 
 import importlib
+import re
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from importlib.machinery import ModuleSpec, PathFinder, SourceFileLoader
 from types import ModuleType
@@ -21,7 +22,6 @@
 DEFERRED_MODULES = frozenset(
     {
         "aioprometheus",
-        "asyncio",
         "capnp",
         "h11",
         "hashlib",
@@ -34,9 +34,14 @@
         "subprocess",
     }
 )
-"""The modules that are loaded at the first use of one of their attributes. `asyncio`,
-`hmac`, `idna`, `ssl` and `subprocess` are imported by libraries for functions that a
-balancer or agent never calls."""
+"""The modules that are loaded at the first use of one of their attributes. Libraries
+import `hmac`, `idna`, `ssl` and `subprocess` for functions that a balancer or agent never
+calls."""
+
+DEFERRED_NAMES = {"asyncio": {"BufferedProtocol": "asyncio.protocols"}}
+"""The names that are imported from a submodule without loading the deferred package.
+pycapnp derives a class from this one, which a balancer or agent never uses; all of
+asyncio takes longer to import than pycapnp."""
 
 DEFERRED_PACKAGES = frozenset(
     {
@@ -52,6 +57,10 @@
 """The packages of which each name is imported at its first use. An agent, for example,
 needs no module that decides for a balancer."""
 
+IMPORT_STATEMENT = re.compile(r"^from (\S+) import (?:\(([^)]*)\)|(.*))$", re.M)
+"""An import in the `__init__` of a deferred package: the module and the names. Parsing
+the whole file would take ten times as long."""
+
 THREAD_LIBRARY = "libc.so.6"
 """The library with the function that names threads, in glibc 2.34 and later."""
 
@@ -94,10 +103,15 @@
 class DeferredLoader(Loader):
     """Creates a module with another loader, which executes it later."""
 
-    def __init__(self, loader: Loader, deferred_class: type[DeferredModule]) -> None:
+    def __init__(
+        self,
+        loader: Loader,
+        deferred_class: type[DeferredModule],
+        module_by_name: Mapping[str, str],
+    ) -> None:
         self.loader = loader
         self.deferred_class = deferred_class
-        self.module_by_name: dict[str, str] = {}
+        self.module_by_name = module_by_name
 
     def create_module(self, spec: ModuleSpec) -> ModuleType | None:
         """Return the module that the other loader creates."""
@@ -107,17 +121,15 @@
         """Have the module executed at its first use."""
         module.__class__ = self.deferred_class
 
-    def list_imported_names(self, package: str) -> dict[str, str]:
+    def list_imported_names(self, package: str) -> Mapping[str, str]:
         """Return the names that a package imports, with the module of each."""
         if not self.module_by_name:
-            import ast
-
             assert isinstance(self.loader, SourceFileLoader)
+            source = self.loader.get_data(self.loader.get_filename(package)).decode()
             self.module_by_name = {
-                name.name: statement.module
-                for statement in ast.parse(self.loader.get_source(package) or "").body
-                if isinstance(statement, ast.ImportFrom) and statement.module
-                for name in statement.names
+                name: module
+                for module, lines, line in IMPORT_STATEMENT.findall(source)
+                for name in (lines or line).replace(",", " ").split()
             }
         return self.module_by_name
 
@@ -132,7 +144,7 @@
         target: ModuleType | None = None,
     ) -> ModuleSpec | None:
         """Return the spec of a deferred module."""
-        if fullname in DEFERRED_PACKAGES:
+        if fullname in DEFERRED_PACKAGES or fullname in DEFERRED_NAMES:
             deferred_class: type[DeferredModule] = DeferredPackage
         elif fullname in DEFERRED_MODULES:
             deferred_class = DeferredModule
@@ -140,7 +152,9 @@
             return None
         spec = PathFinder.find_spec(fullname, path, target)
         if spec is not None and spec.loader is not None:
-            spec.loader = DeferredLoader(spec.loader, deferred_class)
+            spec.loader = DeferredLoader(
+                spec.loader, deferred_class, DEFERRED_NAMES.get(fullname, {})
+            )
         return spec
 
 
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -325,8 +325,10 @@
             encode_flow_message(message), (ip, self.settings.peer_port)
         )
 
-    def send_to_all(self, ips: Iterable[str], message: Message) -> None:
+    def send_to_all(self, ips: Collection[str], message: Message) -> None:
         """Send a message to several instances, encoding it only once."""
+        if not ips:
+            return
         data = encode_flow_message(message)
         for ip in ips:
             self.peer_socket.send(data, (ip, self.settings.peer_port))
--- a/citronwinch/forwarder/tests/test_deferred_imports.py
+++ b/citronwinch/forwarder/tests/test_deferred_imports.py
@@ -71,8 +71,10 @@
 import orjson as again
 import capnp.version
 print(orjson.loads(again.dumps([1])), capnp.KjException.__name__)
+import asyncio, sys
+print("asyncio.events" in sys.modules, asyncio.run.__name__)
 """
-    assert run_python(code) == "[1] KjException\n"
+    assert run_python(code) == "[1] KjException\nFalse run\n"
 
 
 def test_a_missing_module_is_reported_by_its_import() -> None:
