--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -11,7 +11,7 @@
 import struct
 import zlib
 from collections.abc import Collection
-from functools import singledispatch
+from functools import lru_cache, singledispatch
 from pathlib import Path
 from typing import Any
 
@@ -46,9 +46,23 @@
 )
 from citronwinch.network import MalformedMessageError
 
-capnp.remove_import_hook()
-SCHEMA: Any = capnp.load(str(Path(__file__).with_name("flows.capnp")))
-"""The loaded schema of the messages."""
+
+class Schema:
+    """The schema of the messages, which is loaded at the first use of a type."""
+
+    def __getattr__(self, name: str) -> Any:
+        capnp.remove_import_hook()
+        schema = capnp.load(str(Path(__file__).with_name("flows.capnp")))
+        self.__dict__ |= {
+            "Configuration": schema.Configuration,
+            "FlowMessage": schema.FlowMessage,
+            "View": schema.View,
+        }
+        return getattr(schema, name)
+
+
+SCHEMA: Any = Schema()
+"""The schema of the messages."""
 
 # The kinds of messages; a control message is packed Cap'n Proto.
 KIND_FORWARDED = 1
@@ -81,10 +95,17 @@
     raise TypeError(f"no encoding for {type(message).__name__}")
 
 
+@lru_cache(maxsize=1024)
+def _encode_forwarded_prefix(service: str) -> bytes:
+    """Return what stands before a forwarded packet of a service."""
+    name = service.encode()
+    return bytes((KIND_FORWARDED, len(name))) + name
+
+
 @encode_flow_message.register
-def _(message: ForwardedPacket) -> bytes:
-    service = message.service.encode()
-    return bytes((KIND_FORWARDED, len(service))) + service + message.raw
+def encode_forwarded(message: ForwardedPacket) -> bytes:
+    """Return the datagram of a forwarded packet."""
+    return _encode_forwarded_prefix(message.service) + message.raw
 
 
 @encode_flow_message.register
