--- a/citronwinch/benches/_case_packet_cost.py
+++ b/citronwinch/benches/_case_packet_cost.py
@@ -185,6 +185,8 @@
         steps_by_flow = [list_steps(n, peers.addresses.caller) for n in group]
         if role == "balancer":
             peers.send_load_report()
+        else:
+            peers.send_heartbeat()
         for steps in zip(*steps_by_flow, strict=True):
             for step in steps:
                 send_step(peers, role, step)
--- a/citronwinch/benches/_launched_process.py
+++ b/citronwinch/benches/_launched_process.py
@@ -14,7 +14,7 @@
 
 import citronwinch
 from citronwinch.coordination import Endpoint
-from citronwinch.coordination.flows import LoadReport
+from citronwinch.coordination.flows import UNKNOWN_POSITION, Heartbeat, LoadReport
 from citronwinch.flow_peers import encode_flow_message
 from citronwinch.flow_peers._codec import KIND_FORWARDED, KIND_OPENING
 
@@ -177,6 +177,11 @@
         report = LoadReport(SERVICE, 0, 0, 5, 0.1, True, 0.0)
         self.send_to_peer_socket(encode_flow_message(report))
 
+    def send_heartbeat(self) -> None:
+        """Send the heartbeat of a balancer, without which an agent limits openings."""
+        heartbeat = Heartbeat(1, "a", False, UNKNOWN_POSITION, 0, 0, 1, ())
+        self.send_to_peer_socket(encode_flow_message(heartbeat))
+
     def receive(self, opened: socket.socket) -> bool:
         """Receive a packet; return False if none arrives in RECEIVE_TIMEOUT_S.
 
