Hand the flows of a stopping agent over to its next run

Cause: an agent that was stopped kept its flows until they ended or its stop timeout passed, and then ended them; only request records reached its next run.

It is drained once no request is in progress and all have acknowledged. Without a peer, or without every acknowledgement, the agent keeps its flows as before.

--- a/citronwinch/backend_servers/_udp_delivery.py
+++ b/citronwinch/backend_servers/_udp_delivery.py
@@ -48,6 +48,11 @@
         self.nursery.start_soon(self._receive, flow, flow_socket, scope)
         return int(flow_socket.getsockname()[1])
 
+    def find_local_port(self, flow: FlowKey) -> int:
+        """Return the local port of the flow's socket, 0 without a socket."""
+        flow_socket = self.sockets.get(flow)
+        return int(flow_socket.getsockname()[1]) if flow_socket is not None else 0
+
     def send(self, flow: FlowKey, data: bytes) -> bool:
         """Send a datagram of the flow; return False when it was not sent."""
         try:
--- a/citronwinch/coordination/steering/__init__.py
+++ b/citronwinch/coordination/steering/__init__.py
@@ -15,8 +15,14 @@
     Packet,
     Route,
 )
+from citronwinch.coordination.steering._flow_handover import ReturnedTransfer
 from citronwinch.coordination.steering._messages import (
+    FlowsQuery,
+    FlowTransfer,
+    FlowTransferAck,
+    FlowTransferEnd,
     Forward,
+    HandoverMessage,
     Hint,
     LeaseAnswer,
     LeaseRequest,
@@ -27,6 +33,7 @@
     Register,
     RegisterAck,
     SteeringMessage,
+    TransferredFlow,
 )
 from citronwinch.coordination.steering._owned import OwnedFlow
 
@@ -36,8 +43,13 @@
     "BalancerSteering",
     "Deliver",
     "EndFlow",
+    "FlowTransfer",
+    "FlowTransferAck",
+    "FlowTransferEnd",
+    "FlowsQuery",
     "Forward",
     "ForwardToAgent",
+    "HandoverMessage",
     "Hint",
     "LeaseAnswer",
     "LeaseRequest",
@@ -50,8 +62,10 @@
     "Refuse",
     "Register",
     "RegisterAck",
+    "ReturnedTransfer",
     "Route",
     "Send",
     "SendHint",
     "SteeringMessage",
+    "TransferredFlow",
 ]
--- a/citronwinch/coordination/steering/_agent.py
+++ b/citronwinch/coordination/steering/_agent.py
@@ -11,8 +11,9 @@
     Send,
     make_refusal,
 )
-from citronwinch.coordination.steering._decisions import OwnerDecisions
+from citronwinch.coordination.steering._agent_handover import HandoverSteering
 from citronwinch.coordination.steering._held import QUERY_RETRY_MS, HeldFlow
+from citronwinch.coordination.steering._held_transfers import AwayFlow
 from citronwinch.coordination.steering._leases import ServiceLeases
 from citronwinch.coordination.steering._messages import Forward, Query
 from citronwinch.coordination.steering._owned import OwnedFlow
@@ -30,7 +31,7 @@
 """The sustained rate limit on queries, in bytes per second."""
 
 
-class AgentSteering(OwnerDecisions):
+class AgentSteering(HandoverSteering):
     """Decides what happens to packets at the agent of one backend server.
 
     Packets of owned flows are delivered. Any other packet is forwarded to the flow's
@@ -112,6 +113,9 @@
         agent queries all members for the owner.
         """
         leases = self.leases_of(message.service)
+        away = self.find_away(message.flow, message.service)
+        if away is not None:
+            return self.forward_to_next_run(message, away, leases)
         owner = self.owner_registry.owners.get(message.flow)
         if owner is not None:
             return self.forward_to_owner(message, owner, leases)
@@ -154,6 +158,29 @@
         )
         return [ForwardToAgent(owner, forwarded)]
 
+    def forward_to_next_run(
+        self, message: Forward, away: AwayFlow, leases: ServiceLeases
+    ) -> list[AgentAction]:
+        """Forward a packet to the agent that transferred its flow, if it is back.
+
+        The packet is dropped while that agent is away: a refusal would end the flow,
+        and by an answer "unknown" the caller would give a request up.
+        """
+        if leases.is_unavailable(away.agent):
+            self.counters["packets_awaiting_owner"] += 1
+            return []
+        if message.hops >= HOPS_LIMIT:
+            return [make_refusal(message, "too_many_hops", is_certain=False)]
+        forwarded = message._replace(
+            hops=message.hops + 1,
+            pinned=True,
+            decider=self.backend_server,
+            decision=0,
+            revision=0,
+            declined=(),
+        )
+        return [ForwardToAgent(away.agent, forwarded)]
+
     def forward_to_agent(self, message: Forward, agent: str) -> ForwardToAgent:
         """Forward a message to an agent that may know the owner or has a newer table.
 
@@ -261,7 +288,11 @@
         if flow in self.flows.owned:
             return self.retry_owned(flow, held, leases)
         home = self.find_home(flow, held.service)
-        is_known = flow in self.owner_registry.owners or leases.is_fenced
+        is_known = (
+            flow in self.owner_registry.owners
+            or leases.is_fenced
+            or self.find_away(flow, held.service) is not None
+        )
         if held.is_search and not is_known and home not in (None, self.backend_server):
             return self.retry_search(flow, held, leases, home or "")
         if is_known or home != self.backend_server:
--- a/citronwinch/coordination/steering/_decisions.py
+++ b/citronwinch/coordination/steering/_decisions.py
@@ -139,6 +139,7 @@
             self.counters["registry_full"] += 1
             return [self.refuse_as_decider(message, "full")]
         decision = Decision(self.flows.next_decision_number(), self.table.revision)
+        self.transfers.discard(message.flow)
         self.owner_registry.assign(message.flow, owner, decision)
         assigned = message._replace(
             hops=message.hops + 1,
@@ -188,12 +189,14 @@
         )
 
     def discard_owner(self, flow: FlowKey, owner: str) -> None:
-        """Remove an owner that declined the flow from the owner registry."""
+        """Remove an owner that declined the flow, as owner and as away."""
+        self.transfers.discard(flow, owner)
         if self.owner_registry.owners.get(flow) == owner:
             self.owner_registry.discard(flow)
 
     def open_flow(self, message: Forward, decision_number: int) -> list[AgentAction]:
         """Become the owner of a flow and deliver its first packet."""
+        self.transfers.discard(message.flow)
         self.flows.open(message.flow, message.service, decision_number)
         if decision_number:
             self.registrations.record_home(message.flow, message.decider)
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -189,6 +189,12 @@
     owner: str
     """The owner that the sender knows; empty when it knows none."""
 
+    away_ms: int = 0
+    """How long the owner's transfer of the flow is still valid, in milliseconds.
+
+    It is 0 unless the owner has stopped and transferred the flow to the sender.
+    """
+
 
 class Probe(NamedTuple):
     """Checks that an agent is reachable: a balancer's probe or the agent's answer."""
@@ -204,6 +210,100 @@
     """The agent that does not answer."""
 
 
+class TransferredFlow(NamedTuple):
+    """A flow of a stopping agent, as its next run needs it."""
+
+    flow: FlowKey
+    """The flow."""
+
+    decision_number: int = 0
+    """The number of the decision that assigned it to the agent, 0 without one."""
+
+    local_port: int = 0
+    """The port of its socket towards the backend server; 0 without a socket."""
+
+
+class FlowTransfer(NamedTuple):
+    """One part of the flows that a stopping agent transfers to its peers.
+
+    The peers return the same parts to the agent's next run. A peer without a valid
+    transfer answers the query of that run with `part_count` 0.
+    """
+
+    agent: str
+    """The agent that owns the flows."""
+
+    incarnation: int
+    """The run of that agent that stops."""
+
+    number: int
+    """The number of the transfer within that run; a later one replaces it."""
+
+    age_ms: int = 0
+    """How long ago the flows were listed, in milliseconds."""
+
+    service: str = ""
+    """The service of the flows."""
+
+    path: str = ""
+    """The addresses of the agent and its backend server.
+
+    With another path the backend server would not see the same peer.
+    """
+
+    receivers: tuple[tuple[str, int], ...] = ()
+    """The peers that get the transfer, each with its incarnation."""
+
+    part: int = 0
+    """The number of this part, from 0."""
+
+    part_count: int = 0
+    """The number of parts of the transfer."""
+
+    flows: tuple[TransferredFlow, ...] = ()
+    """The flows in this part."""
+
+
+class FlowTransferAck(NamedTuple):
+    """Acknowledges one part of a transfer, and names the receiver's run."""
+
+    number: int
+    """The number of the transfer."""
+
+    part: int
+    """The number of the part."""
+
+    incarnation: int
+    """The run of the receiver, which loses the transfer when it restarts."""
+
+
+class FlowTransferEnd(NamedTuple):
+    """Commits a transfer, or voids it with all earlier ones of the sender.
+
+    A stopping agent sends it last. Its next run voids the transfer with number 0 of its
+    own run once the peers need none of the earlier ones any more.
+    """
+
+    incarnation: int
+    """The run of the sender that made the transfer."""
+
+    number: int
+    """The number of the transfer."""
+
+    is_committed: bool
+    """Whether all receivers have acknowledged all parts; otherwise it is void."""
+
+
+class FlowsQuery(NamedTuple):
+    """Asks a peer for the flows that the sender's previous run transferred."""
+
+    incarnation: int
+    """The run of the sender."""
+
+
+HandoverMessage = FlowTransfer | FlowTransferAck | FlowTransferEnd | FlowsQuery
+"""Any message that transfers flows from one run of an agent to the next."""
+
 SteeringMessage = (
     Forward
     | Hint
@@ -215,5 +315,6 @@
     | QueryAnswer
     | Probe
     | MemberSilent
+    | HandoverMessage
 )
 """Any message between balancers and agents about flows."""
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -10,8 +10,10 @@
 from citronwinch.coordination._table import EMPTY_TABLE, Table, TableRow
 from citronwinch.coordination.steering._actions import AgentAction, EndFlow, Send
 from citronwinch.coordination.steering._held import HeldPackets
+from citronwinch.coordination.steering._held_transfers import AwayFlow, HeldTransfers
 from citronwinch.coordination.steering._leases import LEASE_MS, ServiceLeases
 from citronwinch.coordination.steering._messages import (
+    HandoverMessage,
     LeaseAnswer,
     LeaseRequest,
     MemberSilent,
@@ -49,6 +51,7 @@
     members of a service, that the platform does not list. `query_grants` has, for each
     queried flow, the member that may decide on the flow and when that right expires.
     `uncertain_flows` are owned flows that other members may have given another owner.
+    `transfers` has the flows of stopped agents, which are kept for their next runs.
     """
 
     def __init__(self, backend_server: str, clock: Clock, incarnation: int = 1) -> None:
@@ -64,6 +67,7 @@
         self.leases: dict[str, ServiceLeases] = {}
         self.registrations = Registrations(clock, incarnation)
         self.owner_registry = OwnerRegistry()
+        self.transfers = HeldTransfers(clock)
         self.held = HeldPackets(clock)
         self.query_grants: dict[FlowKey, tuple[str, int]] = {}
         self.unavailable_members: frozenset[tuple[str, str]] = frozenset()
@@ -231,7 +235,9 @@
             self.owner_registry.discard_owners([sender])
         if leases.mark_alive(sender) or is_restarted:
             self.update_homes()
-        is_complete = self.registrations.is_complete(sender, message.service)
+        is_complete = self.registrations.is_complete(
+            sender, message.service
+        ) and self.transfers.is_informed(sender, message.incarnation, message.service)
         answer = leases.answer_request(sender, message, is_complete=is_complete)
         answer = answer._replace(
             is_leaving=self.is_leaving or self.is_backend_failing,
@@ -253,6 +259,7 @@
         actions: list[AgentAction] = [Send(sender, RegisterAck(message.number))]
         fence = self.leases_of(message.service).fence_revision
         for flow in message.flows:
+            self.discard_transfer_to_other(flow, sender)
             if flow in self.flows.owned:
                 self.counters["owner_conflicts"] += 1
                 self.owner_registry.discard(flow)
@@ -274,14 +281,33 @@
         leases.mark_alive(sender)
         if message.revision >= leases.fence_revision:
             leases.raise_fence(message.revision, sender)
-        owner = ""
+        owner, away_ms = "", 0
+        away = self.find_away(message.flow, message.service)
         if message.flow in self.flows.owned:
             owner = self.backend_server
+        elif away is not None:
+            owner, away_ms = away.agent, away.expires_ms - self.clock.now_ms()
         elif message.flow in self.owner_registry.owners:
             owner = self.owner_registry.owners[message.flow]
         if not owner and not self.grant_query(message.flow, sender):
             return []
-        return [Send(sender, QueryAnswer(message.flow, leases.fence_revision, owner))]
+        answer = QueryAnswer(message.flow, leases.fence_revision, owner, away_ms)
+        return [Send(sender, answer)]
+
+    def find_away(self, flow: FlowKey, service: str) -> AwayFlow | None:
+        """Return the valid transfer of a flow, None without one.
+
+        If the flow is registered for another owner, the transfer is outdated.
+        """
+        away = self.transfers.find(flow, service)
+        owner = self.owner_registry.owners.get(flow)
+        return away if away is not None and owner in (None, away.agent) else None
+
+    def discard_transfer_to_other(self, flow: FlowKey, owner: str) -> None:
+        """Discard the transfer of a flow that another agent than its maker owns."""
+        away = self.transfers.away_flows.get(flow)
+        if away is not None and away.agent != owner:
+            self.transfers.discard(flow)
 
     def grant_query(self, flow: FlowKey, sender: str) -> bool:
         """Grant the sender of a query the decision on its flow.
@@ -307,6 +333,8 @@
             return self.resolve_uncertain_flow(message.flow, message.owner)
         leases = self.leases_of(held.service)
         leases.raise_fence(message.revision, sender)
+        if message.away_ms and message.flow not in self.flows.owned:
+            return self.accept_away(message, held.service)
         if held.revision != leases.revision or message.revision > held.revision:
             return []
         has_declined = message.owner in held.messages[0].declined
@@ -317,6 +345,14 @@
             return actions + self.retry_flow(message.flow)
         return self.retry_flow(message.flow)
 
+    def accept_away(self, message: QueryAnswer, service: str) -> list[AgentAction]:
+        """Record that a queried flow belongs to a stopped agent, if there is room."""
+        if not self.transfers.record_away(
+            message.flow, service, message.owner, message.away_ms
+        ):
+            return []
+        return self.retry_flow(message.flow)
+
     def resolve_uncertain_flow(self, flow: FlowKey, owner: str) -> list[AgentAction]:
         """End a flow of uncertain ownership when another agent owns it."""
         if owner in ("", self.backend_server) or flow not in self.uncertain_flows:
@@ -354,6 +390,14 @@
         """Record another agent as the owner of a flow."""
         raise NotImplementedError
 
+    @handle.register
+    def _(self, message: HandoverMessage, sender: str) -> list[AgentAction]:
+        return self.handle_handover(message, sender)
+
+    def handle_handover(self, message: object, sender: str) -> list[AgentAction]:
+        """Return the actions for a message about the transfer of flows."""
+        raise NotImplementedError
+
     @handle.register
     def _(self, message: Probe, sender: str) -> list[AgentAction]:
         return [] if message.is_answer else [Send(sender, Probe(True))]
@@ -373,6 +417,7 @@
         self.mark_uncertain_flows()
         self.expire_query_grants(now_ms)
         self.flows.expire()
+        self.transfers.expire()
         actions = self.request_leases()
         self.update_unavailable_members()
         actions += self.notify_balancers()
@@ -478,6 +523,7 @@
             "held_bytes": self.held.count.size_bytes,
             "flow_tombstones": len(self.flows.tombstones),
             "query_grants": len(self.query_grants),
+            "flows_transferred_here": len(self.transfers.away_flows),
             "registrations_unacknowledged": len(self.registrations.unacknowledged),
         }
 
--- a/citronwinch/coordination/steering/_registrations.py
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -122,6 +122,12 @@
             for registration in self.unacknowledged.values()
         )
 
+    def has_outstanding(self) -> bool:
+        """Return whether any home has not acknowledged a flow yet."""
+        return any(any(flows.values()) for flows in self.pending.values()) or any(
+            registration.message.flows for registration in self.unacknowledged.values()
+        )
+
     def acknowledge(self, sender: str, number: int) -> None:
         """Record the acknowledgement of a registration."""
         registration = self.unacknowledged.get(number)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -34,6 +34,7 @@
     SendHint,
     SteeringMessage,
 )
+from citronwinch.daemon._agent_flows import FlowHandler
 from citronwinch.daemon._agent_load import LoadExchange
 from citronwinch.daemon._agent_requests import RequestHandler
 from citronwinch.daemon._agent_service_levels import AgentServiceLevels
@@ -73,6 +74,7 @@
         self.udp_delivery: UdpDelivery | None = None
         self.tun_delivery: TunDelivery | None = None
         self.nursery: trio.Nursery | None = None
+        self.flow_handler = FlowHandler(self)
         self.request_handler = RequestHandler(self, random.Random(settings.name))
         self.service_levels = AgentServiceLevels(
             self.metrics.service_levels, self.clock
@@ -112,6 +114,7 @@
             )
             self.open_tun_delivery(row.backend_server_address, self.nursery)
         self.apply_actions(actions)
+        self.flow_handler.advance()
 
     def open_tun_delivery(self, server: Endpoint, nursery: trio.Nursery) -> None:
         """Open the layer-3 TUN device for TCP services if the settings name one."""
@@ -131,17 +134,24 @@
         self.nursery = nursery
 
     def is_drained(self) -> bool:
-        """Return whether no flow is left and no request is in progress.
+        """Return whether no flow is left to end and no request is in progress.
 
-        Also transfer the request records to the other agents when that is due.
+        A flow that the other agents keep for the next run is not left. Also transfer
+        the request records to the other agents when that is due.
         """
-        return self.request_handler.try_finish(has_flows=bool(self.steering.owned))
+        if not self.request_handler.requests.is_idle():
+            return False
+        has_flows = (
+            bool(self.steering.owned) and not self.flow_handler.has_transferred_all()
+        )
+        return self.request_handler.try_finish(has_flows)
 
     def finish(self) -> None:
         """Notify the other agents that this agent makes no more decisions.
 
-        They may then decide in its place at once.
+        They may then decide in its place at once, except about transferred flows.
         """
+        self.flow_handler.end_transfer()
         self.apply_actions(self.steering.depart())
 
     def queue_reply(self, reply: Reply) -> None:
@@ -175,8 +185,10 @@
             self.steering.begin_stop()
             self.request_handler.begin_stop()
             self.load_exchange.load.begin_stop()
+            self.flow_handler.advance()
         elif isinstance(event, Tick):
             self.apply_actions(self.steering.tick())
+            self.flow_handler.advance()
             self.apply_actions(self.steering.end_idle_flows(self.settings.flow_idle_ms))
             self.load_exchange.tick(self.flow_count, self.instances)
             self.service_levels.tick(self.flow_count)
@@ -184,6 +196,9 @@
 
     def handle_forward(self, message: Forward) -> None:
         """Handle a forwarded packet as a request if possible, else by steering."""
+        if self.flow_handler.is_restoring and message.flow not in self.steering.owned:
+            self.metrics.count("packets_dropped_total", "restoring")
+            return
         if self.request_handler.intercept(message):
             return
         self.apply_actions(self.steering.handle_forward(message))
@@ -326,12 +341,14 @@
         """Return the status, with state "ready" only if new requests can be served.
 
         The agent is not ready before its request records cover every request that is
-        sent from now on, and before its steering may decide.
+        sent from now on, before its steering may decide, and before the flows of its
+        previous run are restored.
         """
         status = super().read_status()
         can_serve = (
             self.request_handler.requests.covers_new_requests()
             and self.steering.has_finished_learning()
+            and not self.flow_handler.is_restoring
         )
         if status.state == "ready" and not can_serve:
             return status._replace(state="starting")
--- a/citronwinch/daemon/_agent_requests.py
+++ b/citronwinch/daemon/_agent_requests.py
@@ -107,7 +107,11 @@
             return True
         steering = self.process.steering
         is_owned = message.flow in steering.owned
-        is_known = is_owned or message.flow in steering.owner_registry.owners
+        is_known = (
+            is_owned
+            or message.flow in steering.owner_registry.owners
+            or message.flow in steering.transfers.away_flows
+        )
         actions = self.requests.receive(arrival, is_known)
         is_late = self.process.clock.now_ms() - self.earliest_arrival_ms > WAIT_LIMIT_MS
         if not actions and is_late and not is_owned:
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -6,6 +6,9 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
 from citronwinch.coordination.steering import (
+    FlowsQuery,
+    FlowTransferAck,
+    FlowTransferEnd,
     Forward,
     Hint,
     LeaseAnswer,
@@ -19,6 +22,7 @@
     SteeringMessage,
 )
 from citronwinch.peers._codec import fill_message
+from citronwinch.peers._handover_codec import read_flow_transfer
 
 
 @fill_message.register
@@ -152,6 +156,7 @@
     builder.flow = message.flow
     builder.revision = message.revision
     builder.owner = message.owner
+    builder.awayMs = message.away_ms
 
 
 @fill_message.register
@@ -245,8 +250,16 @@
         reader.service, FlowKey(bytes(reader.flow)), reader.revision
     ),
     "queryAnswer": lambda reader: QueryAnswer(
-        FlowKey(bytes(reader.flow)), reader.revision, reader.owner
+        FlowKey(bytes(reader.flow)), reader.revision, reader.owner, reader.awayMs
     ),
     "probe": lambda reader: Probe(reader.isAnswer),
     "memberSilent": lambda reader: MemberSilent(reader.agent),
+    "flowTransfer": read_flow_transfer,
+    "flowTransferAck": lambda reader: FlowTransferAck(
+        reader.number, reader.part, reader.incarnation
+    ),
+    "flowTransferEnd": lambda reader: FlowTransferEnd(
+        reader.incarnation, reader.number, reader.isCommitted
+    ),
+    "flowsQuery": lambda reader: FlowsQuery(reader.incarnation),
 }
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -75,6 +75,7 @@
   flow @0 :Data;
   revision @1 :UInt64;
   owner @2 :Text;
+  awayMs @3 :UInt32;
 }
 
 struct Probe {
@@ -85,6 +86,46 @@
   agent @0 :Text;
 }
 
+struct Receiver {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct TransferredFlow {
+  flow @0 :Data;
+  decisionNumber @1 :UInt64;
+  localPort @2 :UInt16;
+}
+
+struct FlowTransfer {
+  agent @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt32;
+  ageMs @3 :UInt32;
+  service @4 :Text;
+  path @5 :Text;
+  receivers @6 :List(Receiver);
+  part @7 :UInt16;
+  partCount @8 :UInt16;
+  flows @9 :List(TransferredFlow);
+}
+
+struct FlowTransferAck {
+  number @0 :UInt32;
+  part @1 :UInt16;
+  incarnation @2 :UInt64;
+}
+
+struct FlowTransferEnd {
+  incarnation @0 :UInt64;
+  number @1 :UInt32;
+  isCommitted @2 :Bool;
+}
+
+struct FlowsQuery {
+  incarnation @0 :UInt64;
+}
+
 struct SteeringMessage {
   union {
     leaseRequest @0 :LeaseRequest;
@@ -95,5 +136,9 @@
     queryAnswer @5 :QueryAnswer;
     probe @6 :Probe;
     memberSilent @7 :MemberSilent;
+    flowTransfer @8 :FlowTransfer;
+    flowTransferAck @9 :FlowTransferAck;
+    flowTransferEnd @10 :FlowTransferEnd;
+    flowsQuery @11 :FlowsQuery;
   }
 }
--- a/citronwinch/peers/tests/test_steering_codec.py
+++ b/citronwinch/peers/tests/test_steering_codec.py
@@ -55,6 +55,7 @@
     RegisterAck(1 << 60),
     Query("gauging", V4, 7),
     QueryAnswer(V6, 7, "gauging-1"),
+    QueryAnswer(V4, 7, "gauging-1", 30_000),
     Probe(True),
     MemberSilent("gauging-1"),
 ]
