Return a transfer in answers of 64 parts

Cause: a peer answered each query with all parts at once. The answers of several peers with thousands of flows do not fit the receive buffer of the next run.

Change: a query names the first part that is missing, and an answer has up to 64 parts. Queries follow every 100 ms, so that about 38,000 flows can be restored within the 3 s.

Result: a test restores 2,580 flows over several answers.

--- a/citronwinch/coordination/steering/_agent_handover.py
+++ b/citronwinch/coordination/steering/_agent_handover.py
@@ -89,7 +89,9 @@
 
     @handle_handover.register
     def _(self, message: FlowsQuery, sender: str) -> list[AgentAction]:
-        parts = self.transfers.return_parts(sender, message.incarnation)
+        parts = self.transfers.return_parts(
+            sender, message.incarnation, message.first_part
+        )
         return [Send(sender, part) for part in parts]
 
     def find_receivers(self) -> dict[str, int]:
--- a/citronwinch/coordination/steering/_flow_handover.py
+++ b/citronwinch/coordination/steering/_flow_handover.py
@@ -27,8 +27,11 @@
 It leaves the next run 15 s of the 20 s in which the peers return a transfer.
 """
 
-QUERY_RETRY_MS = 200
-"""How soon an unanswered query is sent again, in milliseconds."""
+QUERY_RETRY_MS = 100
+"""How soon the next query is sent, in milliseconds.
+
+An answer has up to 64 parts, so that about 38,000 flows can be restored in time.
+"""
 
 RESTORATION_TIMEOUT_MS = 3_000
 """How long a started agent waits for the flows of its previous run, in milliseconds.
@@ -177,9 +180,18 @@
         if self.is_finished or is_waiting:
             return []
         self.queried_ms = now_ms
-        query = FlowsQuery(self.incarnation)
+        query = FlowsQuery(self.incarnation, self.find_missing_part())
         return [(name, query) for name in peers if name not in self.answered]
 
+    def find_missing_part(self) -> int:
+        """Return the first missing part of the latest transfer that was returned."""
+        if not self.parts:
+            return 0
+        parts = self.parts[max(self.parts)]
+        last_part = next(iter(parts.values())).part_count - 1
+        missing = (part for part in range(last_part) if part not in parts)
+        return next(missing, last_part)
+
     def accept(self, sender: str, message: FlowTransfer) -> None:
         """Record the answer of a peer, or one part of it."""
         if self.is_finished:
--- a/citronwinch/coordination/steering/_held_transfers.py
+++ b/citronwinch/coordination/steering/_held_transfers.py
@@ -36,6 +36,9 @@
 TRANSFERRED_FLOWS_LIMIT = 65_536
 """The most flows of other agents that are stored."""
 
+RETURNED_PARTS = 64
+"""The most parts in the answer to one query, so that no receive buffer overflows."""
+
 PARTS_LIMIT = 4_096
 """The most parts of one transfer."""
 
@@ -140,11 +143,14 @@
         elif not message.is_committed and held.version <= version:
             self.discard_agent(agent)
 
-    def return_parts(self, agent: str, incarnation: int) -> list[FlowTransfer]:
+    def return_parts(
+        self, agent: str, incarnation: int, first_part: int = 0
+    ) -> list[FlowTransfer]:
         """Return the transfer of an agent's previous run to its run `incarnation`.
 
-        Only one run gets it. Without a committed transfer that is recent enough, the
-        answer is one message without parts.
+        The answer has up to `RETURNED_PARTS` parts. Only one run gets them. Without a
+        committed transfer that is recent enough, the answer is one message without
+        parts.
         """
         held = self.by_agent.get(agent)
         now_ms = self.clock.now_ms()
@@ -162,6 +168,7 @@
                 age_ms=now_ms - held.listed_ms, part=part, flows=flows
             )
             for part, flows in sorted(held.parts.items())
+            if first_part <= part < first_part + RETURNED_PARTS
         ]
 
     def find(self, flow: FlowKey, service: str) -> AwayFlow | None:
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -300,6 +300,9 @@
     incarnation: int
     """The run of the sender."""
 
+    first_part: int = 0
+    """The first part that the sender does not have yet."""
+
 
 HandoverMessage = FlowTransfer | FlowTransferAck | FlowTransferEnd | FlowsQuery
 """Any message that transfers flows from one run of an agent to the next."""
--- a/citronwinch/coordination/steering/tests/test_handover.py
+++ b/citronwinch/coordination/steering/tests/test_handover.py
@@ -19,6 +19,7 @@
 )
 from citronwinch.coordination.steering._flow_handover import TRANSFER_FLOWS
 from citronwinch.coordination.steering._held_transfers import (
+    RETURNED_PARTS,
     TRANSFER_MS,
     TRANSFER_RETURN_MS,
     HeldTransfers,
@@ -67,6 +68,22 @@
     assert group.agents[AWAY].owned[flow].decision_number == 77
 
 
+def test_flows_of_several_answers_are_restored(group):
+    """One answer with all flows would overflow the receive buffer of the next run."""
+    count = (2 * RETURNED_PARTS + 1) * TRANSFER_FLOWS
+    for number in range(count):
+        group.agents[AWAY].flows.open(make_key(number), "gauging")
+    group.begin_stop(AWAY)
+    group.settle(1_500)
+    assert group.end(AWAY)
+    answer = group.agents[HOLDER].transfers.return_parts(AWAY, 1 << 60)
+    assert len(answer) == RETURNED_PARTS
+    group.agents[HOLDER].transfers.by_agent[AWAY].claimed_by = 0
+    group.start(AWAY)
+    group.settle()
+    assert len(group.agents[AWAY].owned) == count
+
+
 def test_many_flows_are_transferred_in_bounded_messages(group):
     agent = group.agents[AWAY]
     for number in range(70):
--- a/citronwinch/peers/_handover_codec.py
+++ b/citronwinch/peers/_handover_codec.py
@@ -55,6 +55,7 @@
 def _(message: FlowsQuery, envelope_builder: Any) -> None:
     builder = envelope_builder.init("steering").init("flowsQuery")
     builder.incarnation = message.incarnation
+    builder.firstPart = message.first_part
 
 
 def read_flow_transfer(reader: Any) -> FlowTransfer:
--- a/citronwinch/peers/_steering_codec.py
+++ b/citronwinch/peers/_steering_codec.py
@@ -261,5 +261,5 @@
     "flowTransferEnd": lambda reader: FlowTransferEnd(
         reader.incarnation, reader.number, reader.isCommitted
     ),
-    "flowsQuery": lambda reader: FlowsQuery(reader.incarnation),
+    "flowsQuery": lambda reader: FlowsQuery(reader.incarnation, reader.firstPart),
 }
--- a/citronwinch/peers/steering.capnp
+++ b/citronwinch/peers/steering.capnp
@@ -124,6 +124,7 @@
 
 struct FlowsQuery {
   incarnation @0 :UInt64;
+  firstPart @1 :UInt16;
 }
 
 struct SteeringMessage {
--- a/citronwinch/peers/tests/test_handover_codec.py
+++ b/citronwinch/peers/tests/test_handover_codec.py
@@ -42,6 +42,7 @@
     FlowTransferEnd(1 << 60, 3, True),
     FlowTransferEnd(1 << 60, 0, False),
     FlowsQuery(1 << 60),
+    FlowsQuery(1 << 60, 4_095),
 ]
 MALFORMED = {
     "short key": TRANSFER._replace(flows=(TransferredFlow(FlowKey(b"short")),)),
