--- a/citronwinch/benches/_launched_process.py
+++ b/citronwinch/benches/_launched_process.py
@@ -179,7 +179,7 @@
 
     def send_heartbeat(self) -> None:
         """Send the heartbeat of a balancer, without which an agent limits openings."""
-        heartbeat = Heartbeat(1, "a", False, UNKNOWN_POSITION, 0, 0, 1, ())
+        heartbeat = Heartbeat(1, "a", False, UNKNOWN_POSITION, 0, 0, 1, (), 1)
         self.send_to_peer_socket(encode_flow_message(heartbeat))
 
     def receive(self, opened: socket.socket) -> bool:
