Count the flow to be placed in the score, by the server's service time

The median service time is read before the loads, so that a choice in the own zone does not read the loads of the others.

--- a/citronwinch/coordination/flows/_chosen_server.py
+++ b/citronwinch/coordination/flows/_chosen_server.py
@@ -79,23 +79,21 @@
 
     def is_full(self, latency_objective_ms: int) -> bool:
         """Return whether the server would answer one more request late or refuse it."""
-        return is_full(
-            self.expected_wait_ms, self.delivered_pressure, latency_objective_ms
+        return (
+            self.expected_wait_ms >= compute_full_wait_ms(latency_objective_ms)
+            or self.delivered_pressure >= MAX_DELIVERED_PRESSURE
         )
 
 
-def is_full(
-    expected_wait_ms: float, delivered_pressure: float, latency_objective_ms: int
-) -> bool:
-    """Return whether new flows of a route wait in the balancer for a server's room.
+def compute_full_wait_ms(latency_objective_ms: int) -> float:
+    """Return the expected waiting time from which on a server is full for a route.
 
     Example::
 
-        >>> is_full(59, 3, 120), is_full(60, 3, 120), is_full(60, 7, 500)
-        (False, True, True)
+        >>> compute_full_wait_ms(80), compute_full_wait_ms(356)
+        (52, 178.0)
     """
-    limit_ms = max(FULL_WAIT_SHARE * latency_objective_ms, MIN_FULL_WAIT_MS)
-    return expected_wait_ms >= limit_ms or delivered_pressure >= MAX_DELIVERED_PRESSURE
+    return max(MIN_FULL_WAIT_MS, FULL_WAIT_SHARE * latency_objective_ms)
 
 
 def compute_remote_cost_ms(latency_objective_ms: int) -> float:
--- a/citronwinch/coordination/flows/_server_scoring.py
+++ b/citronwinch/coordination/flows/_server_scoring.py
@@ -5,18 +5,22 @@
 half of the flows and half of the waiting requests.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from citronwinch.coordination.flows._agent_state import AgentState
 from citronwinch.coordination.flows._chosen_server import (
+    MAX_DELIVERED_PRESSURE,
     compute_remote_cost_ms,
-    is_full,
 )
 
 WAITING_REQUEST_WEIGHT = 4.0
 """How many open flows a waiting request counts for in a backend server's load."""
 
+ADDED_FLOW_WEIGHT = 1.0 + WAITING_REQUEST_WEIGHT
+"""How many open flows the flow to be placed counts for: it is open, and its first
+request waits."""
+
 BUSY_SHARE_WEIGHT = 20.0
 """How many open flows a backend server without idle time counts for in its load."""
 
@@ -57,6 +61,9 @@
     service_ms: int
     """Its time for a request, without time in a queue; 0 if unknown."""
 
+    slots: int
+    """The number of requests that it processes concurrently."""
+
 
 class ServiceMedians(NamedTuple):
     """What is usual among the candidates, to which each of them is compared."""
@@ -71,13 +78,14 @@
 
 def read_load(agent: AgentState | None, slots: int, now_ms: int) -> ServerLoad:
     """Return the load of a server with some slots from what is known of its agent."""
-    if agent is None:
-        return ServerLoad(0.0, 0.0, 0.0, 0.0, None, 0)
     slots = max(slots, 1)
+    if agent is None:
+        return ServerLoad(0.0, 0.0, 0.0, 0.0, None, 0, slots)
     placed = agent.count_placed_flows(now_ms - PLACED_FLOW_PENDING_MS)
     report = agent.report
     if report is None:
-        return ServerLoad(placed / slots, placed / slots, placed / slots, 0.0, None, 0)
+        per_slot = placed / slots
+        return ServerLoad(per_slot, per_slot, per_slot, 0.0, None, 0, slots)
     waiting = report.waiting + placed
     return ServerLoad(
         (report.open_flows + placed) / slots,
@@ -86,35 +94,31 @@
         report.busy_share,
         report.latency_ms,
         report.service_ms,
+        slots,
     )
 
 
-def compute_medians(
-    loads: Sequence[ServerLoad], service_ms: float | None = None
-) -> ServiceMedians:
-    """Return the medians of some candidates.
+def find_median_service_ms(service_ms: Sequence[int]) -> float:
+    """Return the median of the service times that are known, those above 0.
 
-    A part of the candidates is compared by the service time of all, `service_ms`.
+    Example::
+
+        >>> find_median_service_ms([20, 0, 48, 21]), find_median_service_ms([0])
+        (21, 17.5)
     """
-    if service_ms is None:
-        service_ms = _find_median(
-            (load.service_ms for load in loads if load.service_ms > 0),
-            UNREPORTED_SERVICE_MS,
-        )
-    latency_ms = _find_median(
-        (
-            load.latency_ms / _compute_relative_service_time(load, service_ms)
-            for load in loads
-            if load.latency_ms is not None
-        ),
-        1.0,
-    )
-    return ServiceMedians(service_ms, max(1.0, latency_ms))
+    known_ms = sorted(value for value in service_ms if value > 0)
+    return known_ms[len(known_ms) // 2] if known_ms else UNREPORTED_SERVICE_MS
 
 
-def _find_median(values: Iterable[float], default: float) -> float:
-    ordered = sorted(values)
-    return ordered[len(ordered) // 2] if ordered else default
+def compute_medians(loads: Sequence[ServerLoad], service_ms: float) -> ServiceMedians:
+    """Return what is usual among some candidates with a median service time."""
+    latencies_ms = sorted(
+        load.latency_ms / _compute_relative_service_time(load, service_ms)
+        for load in loads
+        if load.latency_ms is not None
+    )
+    latency_ms = latencies_ms[len(latencies_ms) // 2] if latencies_ms else 1.0
+    return ServiceMedians(service_ms, max(1.0, latency_ms))
 
 
 def _compute_relative_service_time(load: ServerLoad, median_ms: float) -> float:
@@ -124,15 +128,18 @@
     return max(load.service_ms / median_ms, MIN_RELATIVE_SERVICE_TIME)
 
 
-def is_load_full(
-    load: ServerLoad, medians: ServiceMedians, latency_objective_ms: int
-) -> bool:
-    """Return whether a server has no room for a flow of a route."""
-    expected_wait_ms = load.pressure * (load.service_ms or medians.service_ms)
-    return is_full(expected_wait_ms, load.delivered_pressure, latency_objective_ms)
+def is_load_full(load: ServerLoad, median_ms: float, limit_ms: float) -> bool:
+    """Return whether a server has no room for a flow of a route.
+
+    `limit_ms` is what `compute_full_wait_ms` returns for the route.
+    """
+    return (
+        load.pressure * (load.service_ms or median_ms) >= limit_ms
+        or load.delivered_pressure >= MAX_DELIVERED_PRESSURE
+    )
 
 
-def compute_remote_cost(medians: ServiceMedians, latency_objective_ms: int) -> float:
+def compute_remote_cost(median_ms: float, latency_objective_ms: int) -> float:
     """Return the load that a server of another zone is charged with for a route.
 
     It is the number of open flows that weigh as much as the requests that a server
@@ -140,7 +147,7 @@
     count as if they took UNREPORTED_SERVICE_MS: queues differ at random by two or three
     requests, which would otherwise be a reason to leave the zone.
     """
-    service_ms = min(medians.service_ms, UNREPORTED_SERVICE_MS)
+    service_ms = min(median_ms, UNREPORTED_SERVICE_MS)
     requests = compute_remote_cost_ms(latency_objective_ms) / service_ms
     return WAITING_REQUEST_WEIGHT * requests
 
@@ -151,11 +158,18 @@
     The busy share is a share of time, which needs no weighing. The latency, which a
     slow server has without being loaded, is compared after division by the relative
     service time.
+
+    The flow to be placed counts as well, as far as it is more work at this server than
+    at a median server. Where servers hold four flows per slot, one flow more than its
+    share overloads a server that takes twice as long. The limit lets a server whose
+    learned time is far too long, because it hung, still get a flow now and then, whose
+    requests correct that time.
     """
     relative = _compute_relative_service_time(load, medians.service_ms)
+    added = (min(relative, MAX_SLOWNESS) - 1.0) * ADDED_FLOW_WEIGHT / load.slots
     work = load.flows_per_slot + WAITING_REQUEST_WEIGHT * load.pressure
     score = relative * work + BUSY_SHARE_WEIGHT * load.busy_share
     if load.latency_ms is None:
-        return score
+        return score + added
     slowness = load.latency_ms / relative / medians.latency_ms
-    return score * min(max(slowness, 1.0), MAX_SLOWNESS)
+    return score * min(max(slowness, 1.0), MAX_SLOWNESS) + added
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -10,15 +10,17 @@
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._agent_state import AgentState
-from citronwinch.coordination.flows._chosen_server import ChosenServer
+from citronwinch.coordination.flows._chosen_server import (
+    ChosenServer,
+    compute_full_wait_ms,
+)
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import LoadReport
 from citronwinch.coordination.flows._server_scoring import (
-    ServerLoad,
-    ServiceMedians,
     compute_medians,
     compute_remote_cost,
     compute_score,
+    find_median_service_ms,
     is_load_full,
     read_load,
 )
@@ -176,57 +178,60 @@
         candidates = self._exclude_outliers(available or untried)
         if not candidates:
             return None
-        loads = [self._read_load(server) for server in candidates]
-        medians = compute_medians(loads)
-        loaded = list(zip(candidates, loads, strict=True))
+        service_ms = self._find_median_service_ms(candidates)
         if len(candidates) > MANY_CANDIDATES:
-            chosen = self._choose_local(loaded, medians, latency_objective_ms)
+            chosen = self._choose_local(candidates, service_ms, latency_objective_ms)
             if chosen is not None:
                 return chosen
-        return self._choose_lowest_score(loaded, medians, latency_objective_ms)
+        return self._choose_least_loaded(candidates, latency_objective_ms, service_ms)
 
     def _choose_local(
         self,
-        loaded: Sequence[tuple[BackendServer, ServerLoad]],
-        medians: ServiceMedians,
+        candidates: Sequence[BackendServer],
+        service_ms: float,
         latency_objective_ms: int,
     ) -> ChosenServer | None:
-        """Return the least loaded server of the own zone if no other can be better.
+        """Return the least loaded server of the own zone if no other is much better.
 
-        A server of another zone has at least the load that its zone is charged with.
+        A server of another zone has about the load that its zone is charged with.
         Without the other zones, a choice among many servers takes less time.
         """
-        local = [entry for entry in loaded if entry[0].availability_zone == self.zone]
+        local = [s for s in candidates if s.availability_zone == self.zone]
         if not local:
             return None
-        local_medians = compute_medians([load for _, load in local], medians.service_ms)
-        chosen = self._choose_lowest_score(local, local_medians, latency_objective_ms)
+        chosen = self._choose_least_loaded(local, latency_objective_ms, service_ms)
         if chosen.is_full(latency_objective_ms):
             return None
-        remote_cost = compute_remote_cost(medians, latency_objective_ms)
+        remote_cost = compute_remote_cost(service_ms, latency_objective_ms)
         return chosen if chosen.score <= remote_cost else None
 
     def _choose_least_loaded(
-        self, candidates: Sequence[BackendServer], latency_objective_ms: int
-    ) -> ChosenServer:
-        loads = [self._read_load(server) for server in candidates]
-        loaded = list(zip(candidates, loads, strict=True))
-        return self._choose_lowest_score(
-            loaded, compute_medians(loads), latency_objective_ms
-        )
-
-    def _choose_lowest_score(
         self,
-        loaded: Sequence[tuple[BackendServer, ServerLoad]],
-        medians: ServiceMedians,
+        candidates: Sequence[BackendServer],
         latency_objective_ms: int,
+        service_ms: float | None = None,
     ) -> ChosenServer:
+        """Return the candidate with the lowest score of those that have room.
+
+        `service_ms` is the median service time if more servers than these were
+        candidates.
+        """
+        if service_ms is None:
+            service_ms = self._find_median_service_ms(candidates)
+        now_ms = self.clock.now_ms()
+        loads = [
+            read_load(self.agents.get(server.address.ip), server.slots, now_ms)
+            for server in candidates
+        ]
+        medians = compute_medians(loads, service_ms)
+        loaded = list(zip(candidates, loads, strict=True))
+        limit_ms = compute_full_wait_ms(latency_objective_ms)
         with_room = [
             entry
             for entry in loaded
-            if not is_load_full(entry[1], medians, latency_objective_ms)
+            if not is_load_full(entry[1], service_ms, limit_ms)
         ]
-        remote_cost = compute_remote_cost(medians, latency_objective_ms)
+        remote_cost = compute_remote_cost(service_ms, latency_objective_ms)
         scored = [
             (
                 compute_score(load, medians)
@@ -241,11 +246,11 @@
         return ChosenServer(
             server,
             round(score, 1),
-            len(loaded),
+            len(candidates),
             load.pressure,
             load.busy_share,
             load.delivered_pressure,
-            load.service_ms or medians.service_ms,
+            load.service_ms or service_ms,
         )
 
     def choose_service(
@@ -314,6 +319,8 @@
         report = agent.report if agent is not None else None
         return report.failed_share if report is not None else 0.0
 
-    def _read_load(self, server: BackendServer) -> ServerLoad:
-        agent = self.agents.get(server.address.ip)
-        return read_load(agent, server.slots, self.clock.now_ms())
+    def _find_median_service_ms(self, servers: Sequence[BackendServer]) -> float:
+        agents = [self.agents.get(server.address.ip) for server in servers]
+        return find_median_service_ms(
+            [agent.report.service_ms for agent in agents if agent and agent.report]
+        )
