Give each socket a receive buffer of its own

Sockets that are read in different threads overwrote each other's datagrams in the buffer that they shared. A process reads all its sockets in one thread; the soak's tests, which run several fleets in threads, failed with malformed packets. The new test fails with a shared buffer.

--- a/citronwinch/network/_datagram_socket.py
+++ b/citronwinch/network/_datagram_socket.py
@@ -16,10 +16,6 @@
 BUFFER_BYTES = 4 << 20
 """The requested size of the kernel's receive and send buffers, in bytes."""
 
-_RECEIVE_VIEW = memoryview(bytearray(DATAGRAM_LIMIT_BYTES))
-"""The buffer that all sockets of the process receive into. Without it, each read would
-allocate the space for the longest datagram."""
-
 
 class Datagram(NamedTuple):
     """One received datagram."""
@@ -51,6 +47,9 @@
         if bound is None:
             self.socket.bind((endpoint.ip, endpoint.port))
         self.endpoint = Endpoint(*self.socket.getsockname()[:2])
+        # Without this buffer, each read would allocate the space for the longest
+        # datagram. Sockets do not share it: they may be read in different threads.
+        self.receive_view = memoryview(bytearray(DATAGRAM_LIMIT_BYTES))
         self.dropped_sends = 0
         self.receive_errors = 0
         self.was_emptied = False
@@ -93,7 +92,7 @@
         """Return up to BATCH_LIMIT datagrams from the kernel buffer, possibly none."""
         batch: list[Datagram] = []
         self.was_emptied = False
-        receive, view = self.socket.recvfrom_into, _RECEIVE_VIEW
+        receive, view = self.socket.recvfrom_into, self.receive_view
         while len(batch) < BATCH_LIMIT:
             try:
                 length, sender = receive(view)
--- a/citronwinch/network/tests/test_datagram_socket.py
+++ b/citronwinch/network/tests/test_datagram_socket.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import trio
@@ -79,3 +80,24 @@
 
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         assert trio.run(run) == expected
+
+
+def test_sockets_in_different_threads_do_not_share_a_buffer() -> None:
+    # With one buffer for all sockets, a thread's read overwrote another's datagram
+    # before it was copied.
+    def exchange(byte: bytes) -> set[bytes]:
+        receiver = DatagramSocket(Endpoint("127.0.0.1", 0))
+        try:
+            received: set[bytes] = set()
+            for _ in range(300):
+                for _ in range(8):
+                    receiver.send(byte * 60_000, receiver.endpoint)
+                received |= {d.data for d in receiver.receive_nowait()}
+            return received
+        finally:
+            receiver.close()
+
+    contents = [b"a", b"b", b"c", b"d"]
+    with ThreadPoolExecutor(len(contents)) as pool:
+        results = list(pool.map(exchange, contents))
+    assert results == [{byte * 60_000} for byte in contents]
