--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -182,6 +182,6 @@
     """Return the agent of a backend server."""
     role_settings = (
         f"[server]\nservice = {service}\naddress = {ip}:{SERVER_PORT}\n"
-        f"outbound = {ip}:{OUTBOUND_PORT}\n"
+        f"outbound = {ip}:{OUTBOUND_PORT}\n[requests]\nqueue = true\n"
     )
     return Instance(f"agent-{number}", "agent", ip, zone, role_settings)
