Split lost servers and verdicts from the modules of flow decisions

Change: lost servers have a module of their own, a flow's entry states its verdict. Result: all tests of coordination/flows and forwarder pass. No behaviour changes.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -14,10 +14,13 @@
 )
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._flow_entry import (
+    STATES_AFTER_CONFIRMATION,
+    STATES_BEFORE_OPENING,
     FlowEntry,
     FlowState,
     has_accepted,
 )
+from citronwinch.coordination.flows._load_reporting import round_share
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowQuestion,
@@ -51,19 +54,10 @@
 """A backend server that started at most this long before its agent has not received
 any flow yet, in milliseconds; an agent takes about half of this to start."""
 
-SHARE_STEPS = 20
-"""Shares from 0 to 1 are rounded to this many steps in load reports."""
-
 _STATES_RESET_ON_SERVER_DEATH = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
 """The states whose flows are reset when the backend server has died. In any other state
 the backend server does not hold the flow, or is not known to hold it."""
 
-_STATES_BEFORE_OPENING = (FlowState.ABSENT, FlowState.TRIED, FlowState.CLOSED)
-"""The states in which an opening begins a new flow, from the port of an earlier one."""
-
-_STATES_AFTER_CONFIRMATION = (FlowState.OPEN, FlowState.CLOSED)
-"""The states in which the caller has confirmed this backend server's acceptance."""
-
 
 class AgentFlows:
     """The flows of one backend server, as its agent learns them from their packets.
@@ -153,7 +147,7 @@
         if isinstance(message, ForwardedOpening):
             route_class = self.requests.record_class(packet.flow, message.route_class)
             flow = self.flows.get(packet.flow)
-            is_new = flow is None or flow.state in _STATES_BEFORE_OPENING
+            is_new = flow is None or flow.state in STATES_BEFORE_OPENING
             if is_new and not message.is_last_choice:
                 long_wait = self.requests.find_long_wait(packet, route_class)
                 if long_wait is not None:
@@ -174,7 +168,7 @@
 
     def _deliver_opening(self, packet: Packet, balancer: str) -> list[Action]:
         flow = self.flows.get(packet.flow)
-        if flow is None or flow.state in _STATES_BEFORE_OPENING:
+        if flow is None or flow.state in STATES_BEFORE_OPENING:
             flow = self._add_flow(packet.flow, FlowState.ASKED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
@@ -192,7 +186,7 @@
 
     def _deliver(self, packet: Packet, balancer: str, flow: FlowEntry) -> list[Action]:
         informing: list[Action] = []
-        if flow.state not in _STATES_AFTER_CONFIRMATION:
+        if flow.state not in STATES_AFTER_CONFIRMATION:
             self._mark_open(flow)
             if balancer != flow.informed_balancer:
                 held = FlowAnswer(packet.flow, Verdict.HELD)
@@ -248,7 +242,7 @@
         if flow is None:
             flow = self._add_flow(packet.flow, FlowState.OPEN)
             self.open_flows += 1
-        elif flow.state not in _STATES_AFTER_CONFIRMATION:
+        elif flow.state not in STATES_AFTER_CONFIRMATION:
             self._mark_open(flow)
             if flow.balancer:
                 answer = FlowAnswer(packet.flow, Verdict.HELD)
@@ -269,7 +263,7 @@
         Each other server answers later packets of the flow with a reset, which must not
         end the flow at the confirmed server.
         """
-        if flow is None or flow.state in _STATES_AFTER_CONFIRMATION:
+        if flow is None or flow.state in STATES_AFTER_CONFIRMATION:
             self.requests.record_reset(packet.flow)
             self._remove_flow(packet.flow)
             return [DeliverToCaller(packet)]
@@ -301,16 +295,7 @@
             for key, flow in self.flows.items()
             if flow.state in _STATES_RESET_ON_SERVER_DEATH
         ]
-        actions: list[Action] = [
-            ResetFlow(
-                make_placeholder_packet(
-                    key,
-                    self.flows[key].acknowledged,
-                    is_opening=self.flows[key].state is FlowState.ASKED,
-                )
-            )
-            for key in keys
-        ]
+        actions: list[Action] = [_make_reset(key, self.flows[key]) for key in keys]
         for key in keys:
             self._remove_flow(key)
         if not was_down or keys:
@@ -343,19 +328,13 @@
     def answer_question(self, question: FlowQuestion) -> FlowAnswer:
         """Return the verdict whether the backend server holds a flow."""
         flow = self.flows.get(question.flow)
-        verdict = Verdict.ABSENT
-        if flow is None:
+        if flow is not None:
+            verdict = flow.find_verdict(question.acknowledged)
+        else:
             may_hold = not self.knows_all_flows and (
                 self.clock.now_ms() - self.started_ms < LEARNING_PERIOD_MS
             )
             verdict = Verdict.UNCERTAIN if may_hold else Verdict.ABSENT
-        elif flow.state in _STATES_AFTER_CONFIRMATION:
-            verdict = Verdict.HELD
-        elif flow.state is FlowState.ACCEPTED:
-            is_confirmed = flow.is_confirmed_by(question.acknowledged)
-            verdict = Verdict.HELD if is_confirmed else Verdict.ABSENT
-        elif flow.state is FlowState.TRIED:
-            verdict = Verdict.UNCERTAIN
         return FlowAnswer(question.flow, verdict)
 
     def make_load_report(self) -> LoadReport:
@@ -367,9 +346,9 @@
             self.open_flows,
             len(requests.waiting),
             round(requests.latency_ms),
-            _round_share(requests.busy_meter.read_busy_share()),
+            round_share(requests.busy_meter.read_busy_share()),
             not self.is_leaving and self.server_liveness.accepts_flows,
-            _round_share(requests.outcome_meter.read_failed_share()),
+            round_share(requests.outcome_meter.read_failed_share()),
             self.server_started_unix_ms
             if self.is_leaving and self.server_liveness.is_down
             else 0,
@@ -419,6 +398,8 @@
         flow.last_packet_ms = self.clock.now_ms()
 
 
-def _round_share(share: float) -> float:
-    """Round a share, so that small changes of it do not cause a new load report."""
-    return round(share * SHARE_STEPS) / SHARE_STEPS
+def _make_reset(key: FlowKey, flow: FlowEntry) -> ResetFlow:
+    is_opening = flow.state is FlowState.ASKED
+    return ResetFlow(
+        make_placeholder_packet(key, flow.acknowledged, is_opening=is_opening)
+    )
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -35,6 +35,7 @@
     forward_to_agent,
 )
 from citronwinch.coordination.flows._link import DEFAULT_LINK_MBPS
+from citronwinch.coordination.flows._lost_servers import end_flows_of_lost_servers
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
     FlowLocation,
@@ -42,7 +43,7 @@
     FlowLookup,
     Verdict,
 )
-from citronwinch.coordination.flows._packets import Packet, make_placeholder_packet
+from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._refusal_reasons import explain_missing_server
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._upload_admission import UploadAdmission
@@ -57,10 +58,6 @@
 """A late opening is placed only at a backend server with a lower pressure than this;
 below it the server counts as idle."""
 
-LOST_SERVER_TIMEOUT_MS = 1_500
-"""How long a backend server must be missing from the listing before its flows are
-considered dead, in milliseconds; its agent is contacted several times before that."""
-
 CURRENT_VIEW_MAX_AGE_MS = 2_500
 """The maximum age of a view at which it justifies refusing an unknown address, in
 milliseconds; an older view may lack a new route."""
@@ -368,39 +365,10 @@
         configuration = self.view.configuration
         if configuration is not None:
             self.flows.expire_idle(configuration.flow_idle_ms)
-        actions += self._end_flows_of_lost_servers()
-        return actions + self._place_held_openings()
-
-    def _end_flows_of_lost_servers(self) -> list[Action]:
-        """Reset the flows of servers that left the listing and whose agents are lost.
-
-        Without a reset a caller would lose its next request on an idle flow, or would
-        wait for the deadline of a request that is already sent.
-        """
-        if not self.view.is_settled() or self.selector.is_isolated():
-            return []
-        former_servers = self.view.list_former(LOST_SERVER_TIMEOUT_MS)
-        lost_agents = {
-            s.address.ip
-            for s in former_servers
-            if self.selector.is_unavailable(s.address.ip)
-        }
-        if not lost_agents:
-            return []
-        self.view.remove_former(lost_agents)
-        reset_flows = self.flows.pop_by_agents(lost_agents)
-        actions: list[Action] = [
-            ResetFlow(make_placeholder_packet(key, flow.acknowledged))
-            for key, flow in reset_flows.items()
-        ]
-        self.counters["flows_reset"] += len(reset_flows)
-        lost_servers = record(
-            "servers_lost",
-            agents=sorted(lost_agents),
-            flows_reset=len(reset_flows),
-            view_age_ms=self.view.age_ms,
+        actions += end_flows_of_lost_servers(
+            self.view, self.selector, self.flows, self.counters
         )
-        return [*actions, lost_servers]
+        return actions + self._place_held_openings()
 
     def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
         if packet.flow not in self.searches and self._find_route(packet) is None:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -2,6 +2,7 @@
 
 from enum import IntEnum
 
+from citronwinch.coordination.flows._messages import Verdict
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 
@@ -51,6 +52,13 @@
     packets still belong to the backend server."""
 
 
+STATES_BEFORE_OPENING = (FlowState.ABSENT, FlowState.TRIED, FlowState.CLOSED)
+"""The states in which an opening begins a new flow, from the port of an earlier one."""
+
+STATES_AFTER_CONFIRMATION = (FlowState.OPEN, FlowState.CLOSED)
+"""The states in which the caller has confirmed this backend server's acceptance."""
+
+
 class FlowEntry:
     """The agent's knowledge of one flow."""
 
@@ -91,6 +99,16 @@
             return self.is_confirmed_by(packet.acknowledged)
         return True
 
+    def find_verdict(self, acknowledged: int) -> Verdict:
+        """Return whether the backend server holds the flow of a balancer's question."""
+        if self.state in STATES_AFTER_CONFIRMATION:
+            return Verdict.HELD
+        if self.state is FlowState.ACCEPTED and self.is_confirmed_by(acknowledged):
+            return Verdict.HELD
+        if self.state is FlowState.TRIED:
+            return Verdict.UNCERTAIN
+        return Verdict.ABSENT
+
     def has_new_data(self, packet: Packet) -> bool:
         """Return whether a packet has data beyond what was received; copies do not."""
         if self.received_end is None:
--- a/citronwinch/coordination/flows/_load_reporting.py
+++ b/citronwinch/coordination/flows/_load_reporting.py
@@ -42,6 +42,9 @@
 LARGE_QUEUED_CHANGE = 2
 """The same for the requests that the agent holds."""
 
+SHARE_STEPS = 20
+"""Shares from 0 to 1 are rounded to this many steps in load reports."""
+
 
 class LoadReporting:
     """Tells whether the balancers of the zone get a load report now.
@@ -125,3 +128,8 @@
     """Return the factor by which a time has changed; less than 1 ms counts as 1 ms."""
     shorter_ms, longer_ms = sorted((max(1, old_ms), max(1, new_ms)))
     return longer_ms / shorter_ms
+
+
+def round_share(share: float) -> float:
+    """Round a share, so that small changes of it do not cause a new load report."""
+    return round(share * SHARE_STEPS) / SHARE_STEPS
