--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -131,7 +131,8 @@
             Measure: self._apply_measurement,
             Record: self._apply_record,
         }
-        """The method that applies each type of action."""
+        """The method that applies each type of action. For each packet, a lookup takes
+        less time than a dispatch by type."""
 
     @abstractmethod
     def is_ready(self) -> bool:
