Keep the soak's probe flows open at the same time

The probes were opened one after the other and closed at once. Since closed flows no longer count as load, all of them may go to the least loaded server, so that a leaving server shows only by chance. Change: the probe flows are opened first and closed together.

--- a/citronwinch/soak/_probe_flows.py
+++ b/citronwinch/soak/_probe_flows.py
@@ -16,8 +16,15 @@
 
 
 async def open_probe_flows(soak: "Soak", address: Endpoint) -> None:
-    """Open and close flows; soak.open_flow() records those that break a promise."""
+    """Open some flows, then close them; soak.open_flow() records broken promises.
+
+    All are open at the same time: balancers would give flows that follow each other all
+    to the least loaded backend server, and none to one that must not get any.
+    """
+    opened = []
     for _ in range(PROBE_FLOW_COUNT):
         port = soak.allocate_port()
         if await soak.open_flow(port, address) is FlowOutcome.DONE:
-            soak.caller.close(port, address)
+            opened.append(port)
+    for port in opened:
+        soak.caller.close(port, address)
