Pace the malformed datagrams by the daemons that read them

All daemons share one event loop; the sender was paced by time alone. Trace of a failing run: 45,477 datagrams were dropped for full receive buffers (RcvbufErrors), and the backend server received its next request 1.8 s after the one before. Change: after each 125 datagrams the sender waits until every other task is blocked, that is, until all of them have been read. The number of datagrams, the checks and the 2 s for an answer are as before.

--- a/citronwinch/daemon/tests/test_bad_input.py
+++ b/citronwinch/daemon/tests/test_bad_input.py
@@ -5,6 +5,7 @@
 
 import orjson
 import trio
+import trio.testing
 
 from citronwinch.coordination import Endpoint, Flow, TransportProtocol
 from citronwinch.coordination.requests import RequestKind, RequestMetadata
@@ -88,9 +89,11 @@
             *deployment.service_addresses.values(),
         ):
             sender.sendto(mutate(rng, rng.choice(frames)), address)
-        # All daemons share this event loop, which must not be overloaded.
+        # All daemons share this event loop. Datagrams that they have not read yet delay
+        # requests and fill the kernel's receive buffers, which then drop requests.
         if i % 5 == 0:
             await trio.sleep(0.01)
+            await trio.testing.wait_all_tasks_blocked()
 
 
 async def send_http(endpoint, data):
