Add messages for batches of questions and ages of openings

Cause: after a loss of power a balancer asks each agent about each flow with a message of its own, and agents do not know how long the caller of an opening has been trying. Change: FlowQuestions and FlowAnswers, the age of a forwarded opening, and AttemptAges, which the parts on recovery use. An agent of an earlier version takes an opening with an age for a last choice. Result: round trips of the codec, 32 questions in less than 1,200 B; nothing sends them yet.

--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -161,6 +161,26 @@
     """Whether its backend server holds the flow."""
 
 
+class FlowQuestions(NamedTuple):
+    """A balancer asks an agent about several flows with one message."""
+
+    number: int
+    """The number of the batch; the balancer's batches have increasing numbers."""
+
+    questions: tuple[FlowQuestion, ...]
+    """The questions."""
+
+
+class FlowAnswers(NamedTuple):
+    """An agent answers a batch of questions."""
+
+    number: int
+    """The number of the batch."""
+
+    verdicts: tuple[Verdict, ...]
+    """The verdicts, in the order of the questions."""
+
+
 class FlowLocation(NamedTuple):
     """The agent whose backend server holds a flow, as far as the sender knows."""
 
@@ -217,6 +237,10 @@
     raw: bytes
     """The packet."""
 
+    age_ms: int = 0
+    """How long ago the caller began to try, as far as the balancer knows, in
+    milliseconds."""
+
 
 class ReturnedPacket(NamedTuple):
     """An agent returns a packet that its backend server bounced or must not receive."""
@@ -260,6 +284,8 @@
     | LoadReport
     | FlowQuestion
     | FlowAnswer
+    | FlowQuestions
+    | FlowAnswers
     | FlowLocations
     | FlowLookup
     | ForwardedPacket
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -15,10 +15,12 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import (
     FlowAnswer,
+    FlowAnswers,
     FlowLocation,
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    FlowQuestions,
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
@@ -40,8 +42,18 @@
 KIND_OPENING = 4
 
 OPENING_HEADER = struct.Struct("!BBBHI")
-"""What follows the kind of a forwarded opening: layout version, whether it is the last
-choice, priority, latency objective and timeout in milliseconds."""
+"""What follows the kind of a forwarded opening: layout version, flags and age,
+priority, latency objective and timeout in milliseconds."""
+
+LAST_CHOICE_FLAG = 1
+"""The bit of the flags and age that marks a last choice."""
+
+OPENING_AGE_STEP_MS = 16
+"""The resolution of the age, in milliseconds. It is stored in the 7 bits above the
+flag; an agent of an earlier version takes an opening with an age for a last choice."""
+
+MAX_OPENING_AGE_STEPS = 127
+"""The highest age, in steps."""
 
 OPENING_VERSION = 1
 """The layout of `OPENING_HEADER`."""
@@ -72,7 +84,7 @@
     route_class = message.route_class
     header = OPENING_HEADER.pack(
         OPENING_VERSION,
-        message.is_last_choice,
+        _encode_flags_and_age(message),
         min(route_class.priority, 0xFF),
         min(route_class.latency_objective_ms, 0xFFFF),
         min(route_class.timeout_ms, 0xFFFFFFFF),
@@ -81,6 +93,11 @@
     return kind + header + bytes((len(service),)) + service + message.raw
 
 
+def _encode_flags_and_age(message: ForwardedOpening) -> int:
+    steps = min(max(message.age_ms, 0) // OPENING_AGE_STEP_MS, MAX_OPENING_AGE_STEPS)
+    return steps << 1 | (LAST_CHOICE_FLAG if message.is_last_choice else 0)
+
+
 @encode_flow_message.register
 def _(message: ReturnedPacket) -> bytes:
     return bytes((KIND_RETURNED,)) + message.raw
@@ -148,6 +165,25 @@
     return _pack(builder)
 
 
+@encode_flow_message.register
+def _(message: FlowQuestions) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    body = builder.init("questions")
+    body.number = message.number
+    body.flows = [question.flow for question in message.questions]
+    body.acknowledged = [question.acknowledged for question in message.questions]
+    return _pack(builder)
+
+
+@encode_flow_message.register
+def _(message: FlowAnswers) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    body = builder.init("answers")
+    body.number = message.number
+    body.verdicts = bytes(message.verdicts)
+    return _pack(builder)
+
+
 @encode_flow_message.register
 def _(message: FlowLocations) -> bytes:
     builder = SCHEMA.FlowMessage.new_message()
@@ -183,7 +219,7 @@
     if kind == KIND_RETURNED:
         return ReturnedPacket(data[1:])
     if kind != KIND_CONTROL:
-        raise MalformedMessageError(f"expected a message kind of 1 to 3, found {kind}")
+        raise MalformedMessageError(f"expected a message kind of 1 to 4, found {kind}")
     try:
         return _decode_control(data[1:])
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
@@ -197,14 +233,18 @@
             f"opening: expected layout {OPENING_VERSION} and more than {name_start} "
             f"bytes, found {data[1:2]!r} and {len(data)}"
         )
-    _, is_last_choice, *numbers = OPENING_HEADER.unpack_from(data, 1)
+    _, flags_and_age, *numbers = OPENING_HEADER.unpack_from(data, 1)
     start = name_start + data[name_start - 1]
     try:
         service = data[name_start:start].decode()
     except UnicodeDecodeError as error:
         raise MalformedMessageError(f"service name: {error}") from error
     return ForwardedOpening(
-        service, RouteClass(*numbers), bool(is_last_choice), data[start:]
+        service,
+        RouteClass(*numbers),
+        bool(flags_and_age & LAST_CHOICE_FLAG),
+        data[start:],
+        (flags_and_age >> 1) * OPENING_AGE_STEP_MS,
     )
 
 
@@ -256,6 +296,12 @@
     if kind == "question":
         body = reader.question
         return FlowQuestion(FlowKey(bytes(body.flow)), body.acknowledged)
+    if kind == "questions":
+        return _decode_questions(reader.questions)
+    if kind == "answers":
+        body = reader.answers
+        verdicts = tuple(Verdict(value) for value in bytes(body.verdicts))
+        return FlowAnswers(body.number, verdicts)
     if kind == "locations":
         return FlowLocations(
             tuple(
@@ -267,3 +313,19 @@
         return FlowLookup(FlowKey(bytes(reader.lookup.flow)))
     body = reader.answer
     return FlowAnswer(FlowKey(bytes(body.flow)), Verdict(body.verdict))
+
+
+def _decode_questions(body: Any) -> FlowQuestions:
+    flows, acknowledged = list(body.flows), list(body.acknowledged)
+    if len(flows) != len(acknowledged):
+        raise MalformedMessageError(
+            f"questions: expected one acknowledgement for each of {len(flows)} flows, "
+            f"found {len(acknowledged)}"
+        )
+    return FlowQuestions(
+        body.number,
+        tuple(
+            FlowQuestion(FlowKey(bytes(flow)), number)
+            for flow, number in zip(flows, acknowledged, strict=True)
+        ),
+    )
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -55,6 +55,19 @@
   verdict @1 :UInt8;
 }
 
+struct FlowQuestions {
+  number @0 :UInt32;
+  flows @1 :List(Data);
+  # One number for each flow.
+  acknowledged @2 :List(UInt32);
+}
+
+struct FlowAnswers {
+  number @0 :UInt32;
+  # One byte for each flow of the batch.
+  verdicts @1 :Data;
+}
+
 struct FlowLocation {
   flow @0 :Data;
   agent @1 :Text;
@@ -73,6 +86,8 @@
     answer @3 :FlowAnswer;
     locations @4 :List(FlowLocation);
     lookup @5 :FlowLookup;
+    questions @6 :FlowQuestions;
+    answers @7 :FlowAnswers;
   }
 }
 
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -11,10 +11,12 @@
     BackendServer,
     Configuration,
     FlowAnswer,
+    FlowAnswers,
     FlowLocation,
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    FlowQuestions,
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
@@ -41,6 +43,8 @@
     decode_view,
     encode_flow_message,
 )
+from citronwinch.flow_peers._codec import KIND_CONTROL
+from citronwinch.flow_peers._schema import SCHEMA
 from citronwinch.network import MalformedMessageError
 
 MESSAGES: list[Message] = [
@@ -68,7 +72,16 @@
     LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292, 69, 2, 0),
     LoadReport("gauging", 40, 3, 17, 0.625, True),
     ForwardedOpening("gauging", RouteClass(1, 400, 13_614), True, bytes(36)),
+    ForwardedOpening("gauging", RouteClass(1, 400, 13_614), True, bytes(36), 608),
     FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
+    FlowQuestions(
+        7,
+        (
+            FlowQuestion(FlowKey(bytes(13)), (1 << 32) - 1),
+            FlowQuestion(FlowKey(bytes(range(37))), 0),
+        ),
+    ),
+    FlowAnswers(7, (Verdict.HELD, Verdict.ABSENT)),
     FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
     FlowLocations(
         (
@@ -87,6 +100,39 @@
     assert decode_flow_message(encode_flow_message(message)) == message
 
 
+@pytest.mark.parametrize(
+    ("age_ms", "decoded_ms"), [(-5, 0), (15, 0), (16, 16), (99, 96), (60_000, 2_032)]
+)
+@pytest.mark.parametrize("is_last_choice", [True, False])
+def test_age_of_an_opening_is_rounded_down_and_limited(
+    age_ms: int, decoded_ms: int, is_last_choice: bool
+) -> None:
+    opening = ForwardedOpening(
+        "gauging", RouteClass(1, 400, 1_000), is_last_choice, bytes(36), age_ms
+    )
+    decoded = decode_flow_message(encode_flow_message(opening))
+    assert decoded == opening._replace(age_ms=decoded_ms)
+
+
+def test_a_full_batch_of_questions_fits_into_a_packet() -> None:
+    rng = random.Random(1)
+    questions = tuple(
+        FlowQuestion(FlowKey(b"\x06" + rng.randbytes(12)), rng.randrange(1 << 32))
+        for _ in range(32)
+    )
+    assert len(encode_flow_message(FlowQuestions(1 << 31, questions))) < 1_200
+
+
+def test_questions_without_an_acknowledgement_are_malformed() -> None:
+    builder = SCHEMA.FlowMessage.new_message()
+    body = builder.init("questions")
+    body.flows = [bytes(13), bytes(13)]
+    body.acknowledged = [1]
+    data = bytes((KIND_CONTROL,)) + builder.to_bytes_packed()
+    with pytest.raises(MalformedMessageError, match="one acknowledgement for each of"):
+        decode_flow_message(data)
+
+
 @pytest.mark.parametrize("with_configuration", [True, False])
 def test_a_decoded_view_equals_the_encoded_one(with_configuration: bool) -> None:
     address = Endpoint("198.18.0.1", 443)
