Derive the local port of a flow's UDP socket from its key

Cause: the system chooses the port of each socket, so that the backend server sees a new peer after every restart of an agent whose flows no other agent keeps. Change: LocalPorts derives a port from a flow's key, in the range that the system gives to local sockets without the ports that it reserves; both are read. UdpDelivery binds a flow's socket to that port, and takes any other one if it is taken. It binds without SO_REUSEADDR, with which two sockets would share the port and mix up their answers. Nothing hands the ports of the system to a delivery yet.

--- a/citronwinch/backend_servers/__init__.py
+++ b/citronwinch/backend_servers/__init__.py
@@ -1,6 +1,12 @@
 """Delivery of packets to a backend server, and the request header of payloads."""
 
 from citronwinch.backend_servers._delivery import Delivery, Reply
+from citronwinch.backend_servers._local_ports import (
+    NO_LOCAL_PORTS,
+    LocalPorts,
+    LocalPortsError,
+    read_local_ports,
+)
 from citronwinch.backend_servers._request_header import (
     HEADER_BYTES,
     add_request_header,
@@ -13,11 +19,15 @@
 __all__ = [
     "Delivery",
     "HEADER_BYTES",
+    "LocalPorts",
+    "LocalPortsError",
+    "NO_LOCAL_PORTS",
     "PacketDevice",
     "Reply",
     "TunDelivery",
     "TunDevice",
     "UdpDelivery",
     "add_request_header",
+    "read_local_ports",
     "read_request_header",
 ]
--- a/citronwinch/backend_servers/tests/test_udp_delivery.py
+++ b/citronwinch/backend_servers/tests/test_udp_delivery.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from citronwinch.backend_servers import UdpDelivery
+from citronwinch.backend_servers import UdpDelivery, read_local_ports
 from citronwinch.coordination import Endpoint, Flow, TransportProtocol
 
 HOSTS = {"ipv4": "127.0.0.1", "ipv6": "::1"}
@@ -103,6 +103,70 @@
     run_with_delivery(server, check)
 
 
+def find_free_flow(delivery):
+    """Return a flow whose derived port no other socket of this system has."""
+    for number in range(100):
+        flow = make_flow(number)
+        family = socket.AF_INET6 if ":" in delivery.server.ip else socket.AF_INET
+        with socket.socket(family, socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind(("", delivery.derive_local_port(flow)))
+            except OSError:
+                continue
+        return flow
+    raise AssertionError("expected a free derived port")
+
+
+def test_socket_has_the_derived_port_in_each_run(server):
+    async def check(delivery):
+        delivery.local_ports = read_local_ports()
+        flow = find_free_flow(delivery)
+        for _ in range(2):
+            delivery.send(flow, b"same peer")
+            port = delivery.derive_local_port(flow)
+            assert server.socket.recvfrom(100)[1][1] == port
+            assert delivery.find_local_port(flow) == port
+            delivery.close(flow)
+
+    run_with_delivery(server, check)
+
+
+@pytest.mark.parametrize("is_restored", [False, True], ids=["derived", "restored"])
+def test_flow_whose_derived_port_is_taken_has_its_own_port(server, is_restored):
+    """Two agents at one address, or two flows with one derived port.
+
+    If they shared the port, the answers to one would reach the other.
+    """
+
+    async def check(first):
+        first.local_ports = read_local_ports()
+        flow = find_free_flow(first)
+        second = UdpDelivery(
+            server.endpoint,
+            first.nursery,
+            server.replies.append,
+            first.on_unreachable,
+            first.local_ports,
+        )
+        if is_restored:
+            first.open(flow, first.derive_local_port(flow))
+        deliveries = {b"first": first, b"second": second}
+        for name, delivery in deliveries.items():
+            assert delivery.send(flow, name)
+            assert server.socket.recvfrom(100)[0] == name
+        ports = [found.find_local_port(flow) for found in deliveries.values()]
+        assert ports[0] == first.derive_local_port(flow)
+        assert ports[1] not in (0, ports[0])
+        for number, port in enumerate(ports):
+            server.socket.sendto(b"%d" % number, (server.endpoint.ip, port))
+            await wait_until(
+                lambda expected=number + 1: len(server.replies) == expected
+            )
+        second.close(flow)
+
+    run_with_delivery(server, check)
+
+
 def test_file_descriptor_limit_only_drops_the_datagram(server):
     async def check(delivery):
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
