Decide which flows an agent without peers leaves to its next run

Cause: an agent whose service has no other member has nobody to transfer its flows to, and keeps them until its stop timeout. With derived ports the next run can continue them. Change: find_left_flows sorts the flows of a stopping agent: UDP flows with their derived port, or without a socket, can be left. Flows that share a derived port cannot, because any of them may get it in the next run. HandoverSteering leaves none if there are peers, a drained row or a leaving instance, and none that the next run would refuse. No process uses it yet.

--- a/citronwinch/coordination/steering/__init__.py
+++ b/citronwinch/coordination/steering/__init__.py
@@ -16,6 +16,7 @@
     Route,
 )
 from citronwinch.coordination.steering._flow_handover import ReturnedTransfer
+from citronwinch.coordination.steering._left_flows import LeftFlows
 from citronwinch.coordination.steering._messages import (
     FlowsQuery,
     FlowTransfer,
@@ -53,6 +54,7 @@
     "Hint",
     "LeaseAnswer",
     "LeaseRequest",
+    "LeftFlows",
     "MemberSilent",
     "OwnedFlow",
     "Packet",
--- a/citronwinch/coordination/steering/_agent_handover.py
+++ b/citronwinch/coordination/steering/_agent_handover.py
@@ -1,9 +1,11 @@
-"""Hands the flows of a stopping agent over to its next run, through its peers."""
+"""Hands the flows of a stopping agent over to its next run, through its peers.
 
-from collections.abc import Callable
+An agent without peers leaves its flows to the next run by their local ports.
+"""
+
+from collections import Counter
 from functools import singledispatchmethod
 
-from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.load import OwnerChooser
 from citronwinch.coordination.steering._actions import AgentAction, Send
@@ -13,6 +15,11 @@
     OutgoingTransfer,
 )
 from citronwinch.coordination.steering._leases import SILENT_MS
+from citronwinch.coordination.steering._left_flows import (
+    FindLocalPort,
+    LeftFlows,
+    find_left_flows,
+)
 from citronwinch.coordination.steering._messages import (
     FlowsQuery,
     FlowTransfer,
@@ -30,9 +37,6 @@
 VOID_INTERVAL_MS = 1_000
 """The time between these messages, in milliseconds."""
 
-FindLocalPort = Callable[[FlowKey], int]
-"""Returns the local port of a flow's socket, 0 without a socket."""
-
 
 class HandoverSteering(OwnerDecisions):
     """Transfers flows when the agent stops, and restores them when it starts.
@@ -163,6 +167,42 @@
         flows = self.list_transferable(find_local_port)
         return len(flows) == len(self.owned) and self.outgoing.flows.issuperset(flows)
 
+    def has_peers(self) -> bool:
+        """Return whether the service has other members, which may decide on flows.
+
+        The next run counts a member of the table as a peer even if it does not answer.
+        """
+        row = self.row
+        return row is not None and bool(
+            self.leases_of(row.service).list_other_members()
+        )
+
+    def find_left_flows(
+        self, find_local_port: FindLocalPort, derive_local_port: FindLocalPort
+    ) -> LeftFlows:
+        """Return which owned flows the next run can continue without a handover.
+
+        It can continue none if there are peers, which get the flows instead, or if no
+        next run is expected. It does not continue flows that it would not accept:
+        those of another service, and more than the connection limit allows.
+        """
+        row = self.row
+        if row is None or self.has_peers() or not self.may_transfer():
+            return LeftFlows((), +Counter(not_expected=len(self.owned)))
+        candidates = [
+            flow
+            for flow, owned in self.flows.owned.items()
+            if owned.service == row.service == self.table.find_service(flow)
+            and flow not in self.uncertain_flows
+        ]
+        found = find_left_flows(candidates, find_local_port, derive_local_port)
+        reasons = Counter(
+            other_service=len(self.owned) - len(candidates),
+            limit=max(0, len(found.flows) - row.connection_limit),
+        )
+        left = found.flows[: row.connection_limit]
+        return LeftFlows(left, found.ending + reasons)
+
     def end_transfer(self, *, is_committed: bool) -> list[AgentAction]:
         """Return the messages that commit or void the transfer before the departure."""
         if not self.outgoing.parts:
