End an agent without peers when its next run can continue its flows

Cause: an agent that is the only one of its service kept its flows up to its stop timeout of 30 s, and then they ended, because no other agent can keep them. Change: the agent derives the ports of its flows' sockets from the system's range, which it reads when it opens its delivery and again when it stops. It is drained when no request is in progress and find_left_flows finds no flow that ends; this is evaluated at ticks, because it looks at every flow. It counts flows_left_to_next_run_total and logs flows_left_to_next_run; flows_await_their_end says at the stop request why an agent goes on. FakeDelivery gets the methods find_local_port and derive_local_port of the real delivery.

--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -1,11 +1,24 @@
-"""Handover of an agent's flows to its next run, with their sockets' local ports."""
+"""Handover of an agent's flows to its next run, with their sockets' local ports.
+
+An agent without peers leaves its flows to its next run, which derives the same ports.
+"""
 
 from typing import TYPE_CHECKING
 
 import structlog
 
+from citronwinch.backend_servers import (
+    NO_LOCAL_PORTS,
+    LocalPorts,
+    LocalPortsError,
+    read_local_ports,
+)
 from citronwinch.coordination import FlowKey, TransportProtocol
-from citronwinch.coordination.steering import ReturnedTransfer, TransferredFlow
+from citronwinch.coordination.steering import (
+    LeftFlows,
+    ReturnedTransfer,
+    TransferredFlow,
+)
 
 if TYPE_CHECKING:
     from citronwinch.daemon._agent_process import AgentProcess
@@ -21,11 +34,15 @@
     """Transfers the flows of a stopping agent, and restores them after its start.
 
     Only the deciding task of the agent uses this class.
+
+    `can_leave_all` tells whether the next run can continue all flows without a
+    transfer. It holds only until the next event, which may change the flows.
     """
 
     def __init__(self, process: "AgentProcess") -> None:
         self.process = process
         self.has_restored = False
+        self.can_leave_all = False
         self.started_ms = process.clock.now_ms()
 
     @property
@@ -54,10 +71,40 @@
         delivery = self.process.udp_delivery
         return delivery.find_local_port(flow) if delivery is not None else 0
 
+    def derive_local_port(self, flow: FlowKey) -> int:
+        """Return the local port that is derived from a flow's key, 0 without one."""
+        delivery = self.process.udp_delivery
+        return delivery.derive_local_port(flow) if delivery is not None else 0
+
+    def read_local_ports(self) -> LocalPorts:
+        """Return the system's ports for local sockets, none if they are unknown."""
+        try:
+            return read_local_ports()
+        except LocalPortsError as error:
+            log.warning("local_ports_not_read", reason=str(error))
+            return NO_LOCAL_PORTS
+
+    def begin_stop(self) -> None:
+        """Derive ports as the next run will; log which flows cannot be left to it."""
+        delivery = self.process.udp_delivery
+        if delivery is not None:
+            delivery.local_ports = self.read_local_ports()
+        ending = self.find_left_flows().ending
+        if ending and not self.process.steering.has_peers():
+            log.info("flows_await_their_end", **ending)
+
+    def find_left_flows(self) -> LeftFlows:
+        """Return which flows the next run can continue without a transfer."""
+        return self.process.steering.find_left_flows(
+            self.find_local_port, self.derive_local_port
+        )
+
     def advance(self) -> None:
         """Send what is due, and restore the returned flows."""
         process = self.process
         steering = process.steering
+        if steering.is_stopping:
+            self.can_leave_all = not self.find_left_flows().ending
         process.apply_actions(
             steering.advance_transfer(self.path, self.find_local_port)
         )
@@ -83,6 +130,10 @@
             self.process.metrics.count("flows_handed_over_total", amount=amount)
             log.info("flows_handed_over", flows=amount)
         self.process.apply_actions(steering.end_transfer(is_committed=is_committed))
+        left, ending = self.find_left_flows()
+        if left:
+            self.process.metrics.count("flows_left_to_next_run_total", amount=len(left))
+            log.info("flows_left_to_next_run", flows=len(left), ended=ending.total())
 
     def restore(self, returned: ReturnedTransfer | None) -> None:
         """Own the flows of the previous run again if nothing changed for them.
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -111,6 +111,7 @@
                 self.nursery,
                 self.queue_reply,
                 self.end_unreachable_flow,
+                self.flow_handler.read_local_ports(),
             )
             self.open_tun_delivery(row.backend_server_address, self.nursery)
         self.apply_actions(actions)
@@ -136,13 +137,16 @@
     def is_drained(self) -> bool:
         """Return whether no flow is left to end and no request is in progress.
 
-        A flow that the other agents keep for the next run is not left. Also transfer
-        the request records to the other agents when that is due.
+        A flow that the other agents keep for the next run has not to end, nor has one
+        that the next run of an agent without peers continues. Also transfer the request
+        records to the other agents when that is due.
         """
         if not self.request_handler.requests.is_idle():
             return False
         has_flows = (
-            bool(self.steering.owned) and not self.flow_handler.has_transferred_all()
+            bool(self.steering.owned)
+            and not self.flow_handler.can_leave_all
+            and not self.flow_handler.has_transferred_all()
         )
         return self.request_handler.try_finish(has_flows)
 
@@ -163,6 +167,7 @@
 
     def handle(self, event: Event) -> None:
         """Handle messages, replies, changed instances, a stop request and ticks."""
+        self.flow_handler.can_leave_all = False
         if isinstance(event, PeerBatch):
             self.request_handler.begin_batch(event.earliest_arrival_ms)
             for envelope in event.envelopes:
@@ -185,6 +190,7 @@
             self.steering.begin_stop()
             self.request_handler.begin_stop()
             self.load_exchange.load.begin_stop()
+            self.flow_handler.begin_stop()
             self.flow_handler.advance()
         elif isinstance(event, Tick):
             self.apply_actions(self.steering.tick())
--- a/citronwinch/daemon/tests/test_agent_requests.py
+++ b/citronwinch/daemon/tests/test_agent_requests.py
@@ -81,6 +81,12 @@
     def close(self, flow):
         self.closed.append(flow)
 
+    def derive_local_port(self, flow):
+        return 40_000
+
+    def find_local_port(self, flow):
+        return self.derive_local_port(flow) if self.sent else 0
+
 
 def make_row(name):
     address = Endpoint("127.0.0.1", 10)
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -12,6 +12,7 @@
     "flow_tombstones": "ended flows that are remembered for a while",
     "flows_handed_over_total": "flows handed over for the next run of this agent",
     "flows_held": "flows whose packets wait until their owner is known",
+    "flows_left_to_next_run_total": "flows that the next run of this agent continues",
     "flows_not_restored_total": "flows of the run before that ended, by reason",
     "flows_owned": "flows that this agent owns",
     "flows_registered_here": "flows of other agents that this agent knows the owner of",
