--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -99,6 +99,20 @@
             self.find_local_port, self.derive_local_port
         )
 
+    def may_be_left(self, flow: FlowKey) -> bool:
+        """Return whether a previous run may have left a flow to this one.
+
+        This run cannot tell such a flow from a new one. Later than the idle timeout
+        after the start, the flow has expired or is owned.
+        """
+        process = self.process
+        run_ms = process.clock.now_ms() - self.started_ms
+        return (
+            flow[0] == TransportProtocol.UDP
+            and run_ms < process.settings.flow_idle_ms
+            and not process.steering.has_peers()
+        )
+
     def advance(self) -> None:
         """Send what is due, and restore the returned flows."""
         process = self.process
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -301,6 +301,10 @@
         self.metrics.count("packets_refused_total", action.reason)
         if not action.is_certain:
             return
+        if self.flow_handler.may_be_left(action.flow):
+            # The refusal would end a flow that may be open.
+            self.metrics.count("packets_dropped_total", "may_be_left")
+            return
         send_refusal(
             self.peers.datagram_socket,
             self.settings.fabric_return,
