Test the late answer to a request that a crash interrupted

Change: the crash test sends the answer to the reopened port. Result: the caller gets nothing, and request_packets_discarded_total is 1.

--- a/citronwinch/daemon/tests/test_derived_ports.py
+++ b/citronwinch/daemon/tests/test_derived_ports.py
@@ -260,6 +260,13 @@
         assert await send(caller, copy) is RequestKind.UNKNOWN
         assert lone.server.executed[request.request_id] == 1
         assert await send(caller, make_request(2)) is RequestKind.ANSWER
+        late = add_request_header(request._replace(kind=RequestKind.ANSWER), b"late")
+        peer = (lone.deployment.host, lone.find_port(caller))
+        lone.server.datagram_socket.send(late, peer)
+        with trio.move_on_after(0.3) as waiting:
+            await caller.socket.recv(100)
+        assert waiting.cancelled_caught
+        assert lone.count("request_packets_discarded_total") == 1
 
     run_lone_agent(check)
 
