Deliver a dropped packet of a possibly open flow when it is repeated

Cause: an agent without peers drops a plain UDP packet that it would refuse, but remembers it as refused. A caller that got no refusal and repeats the same bytes was dropped for another second, although there was room by then. Change: RefusedPackets.remove forgets the packet when its refusal is not sent. Result: test_dropped_packet_is_delivered_when_it_is_repeated failed (nothing delivered) and passes; the tests of steering, test_flow_handover.py and test_agent_requests.py pass.

--- a/citronwinch/coordination/steering/_refusals.py
+++ b/citronwinch/coordination/steering/_refusals.py
@@ -30,6 +30,10 @@
         self.expires_ms[digest] = self.clock.now_ms() + RETRY_AFTER_MS
         return True
 
+    def remove(self, packet: bytes) -> None:
+        """Remove a packet whose caller is not told that it was refused."""
+        self.expires_ms.pop(xxhash.xxh3_64_intdigest(packet), None)
+
     def contains(self, packet: bytes) -> bool:
         """Return whether this packet was refused and its caller may not retry yet."""
         if not self.expires_ms:
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -302,7 +302,9 @@
         if not action.is_certain:
             return
         if self.flow_handler.may_be_left(action.flow):
-            # The refusal would end a flow that may be open.
+            # The refusal would end a flow that may be open. Without it the caller may
+            # repeat the packet at once.
+            self.steering.refused_packets.remove(action.packet)
             self.metrics.count("packets_dropped_total", "may_be_left")
             return
         send_refusal(
--- a/citronwinch/daemon/tests/test_left_flows.py
+++ b/citronwinch/daemon/tests/test_left_flows.py
@@ -11,7 +11,7 @@
 from citronwinch.backend_servers import LocalPorts, LocalPortsError
 from citronwinch.coordination import Table, TransportProtocol
 from citronwinch.coordination.requests import RequestKind
-from citronwinch.coordination.steering import Refuse
+from citronwinch.coordination.steering import Forward, Refuse
 from citronwinch.daemon._events import StopRequested, Tick
 from citronwinch.daemon.tests.test_agent_requests import (
     FLOW,
@@ -107,6 +107,23 @@
     assert harness.count("packets_dropped_total", "may_be_left") == (not is_refused)
 
 
+def test_dropped_packet_is_delivered_when_it_is_repeated(harness):
+    """Its caller got no refusal, and repeats the same bytes within 1 s.
+
+    A packet that is remembered as refused is not delivered for that time.
+    """
+    process = harness.process
+    packet = build_udp(FLOW, b"x", to_caller=False)
+    message = Forward(FLOW.key, "gauging", packet, "balancer-1", opens=True)
+    row = make_row("gauging-1")
+    process.apply_table(Table(2, [row._replace(connection_limit=0)]))
+    harness.receive(message)
+    assert harness.count("packets_dropped_total", "may_be_left") == 1
+    process.apply_table(Table(3, [row]))
+    harness.receive(message)
+    assert harness.delivery.sent == [b"x"]
+
+
 def test_only_udp_flows_may_be_left(harness):
     """A TCP segment of an unknown flow is refused at once, as without this rule."""
     assert harness.process.flow_handler.may_be_left(FLOW.key)
