End an agent without peers as soon as no request is in progress

Cause: the flows were examined at each tick, and the result held only until the next event. A busy agent was drained only if none of its requests was in progress at a tick, every 100 ms, whereas one with peers is drained after any event. Change: the flows are examined after each event without a request in progress. Once flows that cannot be left were found, they are examined again at the next tick, so that packets do not pay for it. Tests: test_flow_that_changes_between_ticks_is_examined_again asserted that an agent whose flows had not changed is not drained between ticks. It now changes the flow's port between two ticks, which is the failure that it names.

--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -35,14 +35,14 @@
 
     Only the deciding task of the agent uses this class.
 
-    `can_leave_all` tells whether the next run can continue all flows without a
-    transfer. It holds only until the next event, which may change the flows.
+    `has_ending_flows` tells whether flows that cannot be left to the next run were
+    found since the last tick. They are not examined again until the next one.
     """
 
     def __init__(self, process: "AgentProcess") -> None:
         self.process = process
         self.has_restored = False
-        self.can_leave_all = False
+        self.has_ending_flows = False
         self.started_ms = process.clock.now_ms()
 
     @property
@@ -99,6 +99,12 @@
             self.find_local_port, self.derive_local_port
         )
 
+    def can_leave_all(self) -> bool:
+        """Return whether the next run can continue all flows without a transfer."""
+        if not self.has_ending_flows:
+            self.has_ending_flows = bool(self.find_left_flows().ending)
+        return not self.has_ending_flows
+
     def may_be_left(self, flow: FlowKey) -> bool:
         """Return whether a previous run may have left a flow to this one.
 
@@ -117,8 +123,7 @@
         """Send what is due, and restore the returned flows."""
         process = self.process
         steering = process.steering
-        if steering.is_stopping:
-            self.can_leave_all = not self.find_left_flows().ending
+        self.has_ending_flows = False
         process.apply_actions(
             steering.advance_transfer(self.path, self.find_local_port)
         )
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -145,7 +145,7 @@
             return False
         has_flows = (
             bool(self.steering.owned)
-            and not self.flow_handler.can_leave_all
+            and not self.flow_handler.can_leave_all()
             and not self.flow_handler.has_transferred_all()
         )
         return self.request_handler.try_finish(has_flows)
@@ -167,7 +167,6 @@
 
     def handle(self, event: Event) -> None:
         """Handle messages, replies, changed instances, a stop request and ticks."""
-        self.flow_handler.can_leave_all = False
         if isinstance(event, PeerBatch):
             self.request_handler.begin_batch(event.earliest_arrival_ms)
             for envelope in event.envelopes:
--- a/citronwinch/daemon/tests/test_left_flows.py
+++ b/citronwinch/daemon/tests/test_left_flows.py
@@ -64,18 +64,42 @@
     assert harness.process.is_drained()
 
 
+def test_agent_ends_as_soon_as_no_request_is_in_progress(harness):
+    """A busy agent is idle for moments, which the next tick may miss."""
+    harness.forward()
+    harness.process.handle(StopRequested())
+    assert not harness.process.is_drained()
+    harness.reply(RequestKind.ANSWER)
+    assert harness.process.is_drained()
+
+
 def test_flow_that_changes_between_ticks_is_examined_again(harness):
     """A flow of the last tick may have got a socket with another port since."""
     harness.forward()
-    harness.reply(RequestKind.ANSWER)
     harness.process.handle(StopRequested())
-    assert harness.process.is_drained()
-    harness.pass_time(10)
+    harness.process.handle(Tick(harness.clock.now_ms()))
+    harness.delivery.find_local_port = lambda flow: 40_001
+    harness.reply(RequestKind.ANSWER)
     assert not harness.process.is_drained()
+    harness.delivery.find_local_port = harness.delivery.derive_local_port
     harness.process.handle(Tick(harness.clock.now_ms()))
     assert harness.process.is_drained()
 
 
+def test_flows_that_cannot_be_left_are_examined_once_a_tick(harness):
+    """Examining thousands of flows at each packet would take the processor's time."""
+    harness.forward()
+    harness.reply(RequestKind.ANSWER)
+    calls = []
+    harness.delivery.find_local_port = lambda flow: calls.append(flow) or 40_001
+    harness.process.handle(StopRequested())
+    calls.clear()
+    for _ in range(5):
+        assert not harness.process.is_drained()
+        harness.pass_time(10)
+    assert len(calls) == 1
+
+
 def list_refusals(harness):
     """Return the packets without a request that were sent to callers."""
     packets = []
