Name uncertain flows of an agent without peers as such

Cause: flows_await_their_end counted flows of uncertain ownership as other_service, which means that the table gives them to another service. Change: they are counted as uncertain. Result: the new case of test_flows_that_the_next_run_can_continue failed with other_service and passes.

--- a/citronwinch/coordination/steering/_agent_handover.py
+++ b/citronwinch/coordination/steering/_agent_handover.py
@@ -184,20 +184,22 @@
 
         It can continue none if there are peers, which get the flows instead, or if no
         next run is expected. It does not continue flows that it would not accept:
-        those of another service, and more than the connection limit allows.
+        those of another service, and more than the connection limit allows. Flows of
+        uncertain ownership are not left either: another agent may own them.
         """
         row = self.row
         if row is None or self.has_peers() or not self.may_transfer():
             return LeftFlows((), +Counter(not_expected=len(self.owned)))
-        candidates = [
+        served = [
             flow
             for flow, owned in self.flows.owned.items()
             if owned.service == row.service == self.table.find_service(flow)
-            and flow not in self.uncertain_flows
         ]
+        candidates = [flow for flow in served if flow not in self.uncertain_flows]
         found = find_left_flows(candidates, find_local_port, derive_local_port)
         reasons = Counter(
-            other_service=len(self.owned) - len(candidates),
+            other_service=len(self.owned) - len(served),
+            uncertain=len(served) - len(candidates),
             limit=max(0, len(found.flows) - row.connection_limit),
         )
         left = found.flows[: row.connection_limit]
--- a/citronwinch/coordination/steering/tests/test_left_flows.py
+++ b/citronwinch/coordination/steering/tests/test_left_flows.py
@@ -101,6 +101,10 @@
     lone.derive_local_port = find_none
 
 
+def lose_certainty(lone):
+    lone.agent.uncertain_flows.add(UDP)
+
+
 def lower_limit(lone):
     change_row(lone, connection_limit=0)
 
@@ -136,6 +140,7 @@
     "shared port": (add_flow_with_same_port, 0, {"shared_port": 2}),
     "other service": (add_flow_of_other_service, 1, {"other_service": 1}),
     "moved address": (add_flow_of_moved_address, 1, {"other_service": 1}),
+    "uncertain owner": (lose_certainty, 0, {"uncertain": 1}),
     "limit": (lower_limit, 0, {"limit": 1}),
     "drained row": (drain_row, 0, {"not_expected": 1}),
     "leaving": (list_as_leaving, 0, {"not_expected": 1}),
