--- a/citronwinch/daemon/tests/test_left_flows.py
+++ b/citronwinch/daemon/tests/test_left_flows.py
@@ -90,14 +90,13 @@
     """Examining thousands of flows at each packet would take the processor's time."""
     harness.forward()
     harness.reply(RequestKind.ANSWER)
-    calls = []
-    harness.delivery.find_local_port = lambda flow: calls.append(flow) or 40_001
+    harness.delivery.find_local_port = mock.Mock(return_value=40_001)
     harness.process.handle(StopRequested())
-    calls.clear()
+    harness.delivery.find_local_port.reset_mock()
     for _ in range(5):
         assert not harness.process.is_drained()
         harness.pass_time(10)
-    assert len(calls) == 1
+    harness.delivery.find_local_port.assert_called_once()
 
 
 def list_refusals(harness):
