Shorten the tests of derived ports with real sockets

Cause: the ten tests took 75 s, most of which were 17 starts that wait 3 s for former members. Change: the clock of all processes runs four times as fast while processes start, as run_deployment already sets it ahead; during the checks it runs at its usual rate. No check was changed.

--- a/citronwinch/daemon/tests/test_derived_ports.py
+++ b/citronwinch/daemon/tests/test_derived_ports.py
@@ -6,7 +6,7 @@
 """
 
 import socket
-from contextlib import ExitStack
+from contextlib import AsyncExitStack, ExitStack, contextmanager
 from unittest import mock
 
 import pytest
@@ -35,14 +35,43 @@
 EARLY_STOP_SECONDS = 1
 STOP_TIMEOUT_MS = 2_000
 OLD_REQUEST_AGE_MS = 20_000
+START_CLOCK_RATE = 4
+
+
+class StartClock:
+    """The time of all processes, which is faster while processes start.
+
+    A started agent waits for 3 s of that time to learn of former members.
+    """
+
+    def __init__(self):
+        self.read_time = MonotonicClock.now_ms
+        self.skipped_ms = 0
+        self.faster_since_ms = None
+
+    def now_ms(self, clock):
+        now_ms = self.read_time(clock)
+        since_ms = now_ms if self.faster_since_ms is None else self.faster_since_ms
+        return now_ms + self.skipped_ms + (now_ms - since_ms) * (START_CLOCK_RATE - 1)
+
+    @contextmanager
+    def run_faster(self):
+        clock = MonotonicClock()
+        self.faster_since_ms = self.read_time(clock)
+        try:
+            yield
+        finally:
+            self.skipped_ms = self.now_ms(clock) - self.read_time(clock)
+            self.faster_since_ms = None
 
 
 class LoneAgent:
     """A deployment in which the agent of the service "reporting" has no peer."""
 
-    def __init__(self, deployment, nursery):
+    def __init__(self, deployment, nursery, clock):
         self.deployment = deployment
         self.nursery = nursery
+        self.clock = clock
         self.server = deployment.servers[NAME]
         self.address = deployment.service_addresses[SERVICE]
         self.callers = []
@@ -97,7 +126,10 @@
             with mock.patch.object(MonotonicClock, "now_ms", read_earlier_time):
                 return make_process(name)
 
-        with mock.patch.object(self.deployment, "make_process", make_settled_process):
+        with (
+            mock.patch.object(self.deployment, "make_process", make_settled_process),
+            self.clock.run_faster(),
+        ):
             return await start(self.deployment, nursery or self.nursery, NAME)
 
     def count(self, name):
@@ -110,12 +142,17 @@
 
 
 def run_lone_agent(check):
+    clock = StartClock()
+
     async def run():
-        async with trio.open_nursery() as nursery, run_deployment() as deployment:
-            await check(LoneAgent(deployment, nursery))
+        async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
+            with clock.run_faster():
+                deployment = await stack.enter_async_context(run_deployment())
+            await check(LoneAgent(deployment, nursery, clock))
             nursery.cancel_scope.cancel()
 
-    trio.run(run)
+    with mock.patch.object(MonotonicClock, "now_ms", lambda own: clock.now_ms(own)):
+        trio.run(run)
 
 
 async def echo(caller, text):
