--- a/citronwinch/daemon/tests/test_derived_ports.py
+++ b/citronwinch/daemon/tests/test_derived_ports.py
@@ -320,7 +320,8 @@
     lone.callers.append(caller)
 
 
-async def open_tcp_flow(lone):
+async def open_flow_of_other_protocol(lone):
+    """Own a TCP flow, as after an edit that gave the row another protocol."""
     flow = Flow(TransportProtocol.TCP, Endpoint("192.0.2.1", 4_000), lone.address)
     lone.process.steering.flows.open(flow.key, SERVICE)
 
@@ -352,7 +353,7 @@
 
 LASTING_CASES = {
     "port taken": (take_port, 1),
-    "TCP flow": (open_tcp_flow, 1),
+    "other protocol": (open_flow_of_other_protocol, 1),
     "drained row": (drain_row, 0),
     "leaving instance": (list_as_leaving, 0),
 }
