--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -12,6 +12,8 @@
 from types import ModuleType
 from typing import TYPE_CHECKING
 
+from citronwinch._start_image import ImageFinder
+
 if TYPE_CHECKING:
     from importlib.abc import Loader, MetaPathFinder
 else:
@@ -55,6 +57,10 @@
 """The packages of which each name is imported at its first use. An agent, for example,
 needs no module that decides for a balancer."""
 
+DEFERRED_LIBRARIES: frozenset[str] = frozenset()
+"""The modules of libraries of which each name is imported at its first use if a start
+image records the names. The library then loads only what is used of it."""
+
 THREAD_LIBRARY = "libc.so.6"
 """The library with the function that names threads, in glibc 2.34 and later."""
 
@@ -67,31 +73,45 @@
     """
 
     def __getattr__(self, name: str) -> object:
-        spec = self.__spec__
-        assert spec is not None
-        assert isinstance(spec.loader, DeferredLoader)
+        loader = _get_loader(self).loader
         self.__class__ = ModuleType  # type: ignore[assignment]
-        self.__loader__ = spec.loader = spec.loader.loader
-        spec.loader.exec_module(self)
+        assert self.__spec__ is not None
+        self.__loader__ = self.__spec__.loader = loader
+        loader.exec_module(self)
         return getattr(self, name)
 
 
 class DeferredPackage(DeferredModule):
     """A package that imports a public name from its submodule at the first use.
 
-    For any other name, the package is loaded as usual.
+    For any other name that is not a submodule, the package is loaded as usual.
     """
 
     def __getattr__(self, name: str) -> object:
-        spec = self.__spec__
-        assert spec is not None
-        assert isinstance(spec.loader, DeferredLoader)
-        submodule = spec.loader.list_imported_names(self.__name__).get(name)
-        if submodule is None:
-            return super().__getattr__(name)
-        value = getattr(importlib.import_module(submodule), name)
-        setattr(self, name, value)
-        return value
+        loader = _get_loader(self)
+        origin = loader.list_imported_names(self.__name__).get(name)
+        if origin is not None:
+            submodule, _, imported_name = origin.partition(":")
+            value = getattr(importlib.import_module(submodule), imported_name or name)
+            setattr(self, name, value)
+            return value
+        if loader.is_submodule(f"{self.__name__}.{name}"):
+            return importlib.import_module(f"{self.__name__}.{name}")
+        return super().__getattr__(name)
+
+    def __setattr__(self, name: str, value: object) -> None:
+        # The import system sets each loaded submodule as an attribute. A name that the
+        # package imports replaces a submodule of the same name, as in
+        # `from .compose import compose`.
+        is_submodule = (
+            isinstance(value, ModuleType)
+            and value.__name__ == f"{self.__name__}.{name}"
+        )
+        if is_submodule and name in _get_loader(self).list_imported_names(
+            self.__name__
+        ):
+            return
+        super().__setattr__(name, value)
 
 
 class DeferredLoader(Loader):
@@ -101,11 +121,15 @@
         self,
         loader: Loader,
         deferred_class: type[DeferredModule],
-        module_by_name: Mapping[str, str],
+        module_by_name: Mapping[str, str] | None,
+        image: ImageFinder | None = None,
     ) -> None:
         self.loader = loader
         self.deferred_class = deferred_class
         self.module_by_name = module_by_name
+        """The names that a package imports, or None before its source is read."""
+
+        self.image = image
 
     def create_module(self, spec: ModuleSpec) -> ModuleType | None:
         """Return the module that the other loader creates."""
@@ -117,13 +141,24 @@
 
     def list_imported_names(self, package: str) -> Mapping[str, str]:
         """Return the names that a package imports, with the module of each."""
-        if not self.module_by_name:
+        if self.module_by_name is None:
             assert isinstance(self.loader, SourceFileLoader)
             file = self.loader.get_filename(package)
             source = self.loader.get_data(file).decode()
             self.module_by_name = _find_imported_names(source)
         return self.module_by_name
 
+    def is_submodule(self, fullname: str) -> bool:
+        """Return whether the start image has a submodule."""
+        return self.image is not None and fullname in self.image.index
+
+
+def _get_loader(module: DeferredModule) -> DeferredLoader:
+    assert module.__spec__ is not None
+    loader = module.__spec__.loader
+    assert isinstance(loader, DeferredLoader)
+    return loader
+
 
 def _find_imported_names(source: str) -> dict[str, str]:
     """Return the names that formatted source imports, with the module of each.
@@ -147,6 +182,9 @@
 class DeferredModuleFinder(MetaPathFinder):
     """Finds the deferred modules, and has them loaded at their first use."""
 
+    def __init__(self, image: ImageFinder | None = None) -> None:
+        self.image = image
+
     def find_spec(
         self,
         fullname: str,
@@ -154,23 +192,32 @@
         target: ModuleType | None = None,
     ) -> ModuleSpec | None:
         """Return the spec of a deferred module."""
-        if fullname in DEFERRED_PACKAGES or fullname in DEFERRED_NAMES:
+        names = self._find_names(fullname)
+        if fullname in DEFERRED_PACKAGES or names is not None:
             deferred_class: type[DeferredModule] = DeferredPackage
         elif fullname in DEFERRED_MODULES:
             deferred_class = DeferredModule
         else:
             return None
-        spec = PathFinder.find_spec(fullname, path, target)
+        spec = self.image.find_spec(fullname) if self.image is not None else None
+        spec = spec or PathFinder.find_spec(fullname, path, target)
         if spec is not None and spec.loader is not None:
-            spec.loader = DeferredLoader(
-                spec.loader, deferred_class, DEFERRED_NAMES.get(fullname, {})
-            )
+            spec.loader = DeferredLoader(spec.loader, deferred_class, names, self.image)
         return spec
 
+    def _find_names(self, fullname: str) -> Mapping[str, str] | None:
+        """Return the names that a deferred package imports, if they are known."""
+        if fullname in DEFERRED_NAMES:
+            return DEFERRED_NAMES[fullname]
+        entry = self.image.index.get(fullname) if self.image is not None else None
+        if entry is None or fullname not in DEFERRED_PACKAGES | DEFERRED_LIBRARIES:
+            return None
+        return entry[-1]
+
 
-def defer_modules() -> None:
+def defer_modules(image: ImageFinder | None = None) -> None:
     """Load the deferred modules of this interpreter at their first use."""
-    sys.meta_path.insert(0, DeferredModuleFinder())
+    sys.meta_path.insert(0, DeferredModuleFinder(image))
 
 
 @contextmanager
--- a/citronwinch/forwarder/tests/test_launch.py
+++ b/citronwinch/forwarder/tests/test_launch.py
@@ -43,7 +43,9 @@
         process.wait()
 
 
-@pytest.mark.parametrize("arguments", [[], ["A", "B"], ["CITRONWINCH_NOT_SET"]])
+@pytest.mark.parametrize(
+    "arguments", [[], ["A", "B"], ["A", "B", "C"], ["CITRONWINCH_NOT_SET"]]
+)
 def test_a_missing_settings_file_is_a_usage_error(arguments: list[str]) -> None:
     assert main(arguments) == 2
 
