--- a/citronwinch/benches/_case_packet_cost.py
+++ b/citronwinch/benches/_case_packet_cost.py
@@ -1,10 +1,11 @@
 """The cost of process starts and of packets, for a balancer and an agent.
 
 A start is measured from the launch of the process until it sends on its first packet,
-which waits in its socket or is repeated until then. Packets are measured in a process
-with sockets on loopback, which reports its own processor time, and without sockets. In
-a burst, all datagrams are sent before the first is received; without one, each datagram
-wakes the process up.
+which waits in its socket or is repeated until then, with a start image and without it.
+System calls are counted in one more start, whose time does not count. Packets are
+measured in a process with sockets on loopback, which reports its own processor time,
+and without sockets. In a burst, all datagrams are sent before the first is received;
+without one, each datagram wakes the process up.
 
 The processor time of a busy machine varies by a tenth or more from run to run; compare
 two versions in alternation.
@@ -17,7 +18,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -34,9 +35,11 @@
     format_settings,
     read_processor_ms,
     start_process,
+    write_start_image,
 )
 from citronwinch.benches._memory_socket import add_incoming, open_memory_socket
 from citronwinch.benches._packet_mix import LIST_STEPS_BY_ROLE, Step, Via
+from citronwinch.benches._system_calls import accept_tracing, count_system_calls
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
     BackendServer,
@@ -126,15 +129,13 @@
         raise RuntimeError(f"{role}: expected a packet within 2 s, received none")
 
 
-def await_first_packet(
-    process: subprocess.Popen[bytes], peers: Peers, role: str
-) -> None:
+def await_first_packet(is_running: Callable[[], bool], peers: Peers, role: str) -> None:
     """Send an opening until the process sends it on."""
     opening = LIST_STEPS_BY_ROLE[role](0, peers.addresses.caller)[0]
     receiver = peers.server if role == "agent" else peers.peer
     receiver.settimeout(PROBE_INTERVAL_S)
     deadline_s = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline_s and process.poll() is None:
+    while time.monotonic() < deadline_s and is_running():
         send_step(peers, role, opening)
         if peers.receive(receiver):
             return
@@ -143,15 +144,15 @@
 
 @contextmanager
 def run_role(
-    role: str, addresses: Addresses
+    role: str, addresses: Addresses, image: Path | None = None
 ) -> Iterator[tuple[subprocess.Popen[bytes], Peers, dict[str, float]]]:
     """Start a process, and wait until it sends its first packet on."""
     peers = Peers(addresses)
     try:
         with tempfile.TemporaryDirectory() as directory:
             begin_s = time.monotonic()
-            with start_process(role, addresses, Path(directory)) as process:
-                await_first_packet(process, peers, role)
+            with start_process(role, addresses, Path(directory), image) as process:
+                await_first_packet(lambda: process.poll() is None, peers, role)
                 figures = {
                     "wall_ms": (time.monotonic() - begin_s) * 1000,
                     "processor_ms": read_processor_ms(process.pid),
@@ -162,18 +163,38 @@
         peers.close()
 
 
-def measure_starts(role: str, addresses: Addresses) -> dict[str, float]:
+def measure_starts(
+    role: str, addresses: Addresses, image: Path | None = None
+) -> dict[str, float]:
     """Return the median times of the starts of a role, in milliseconds."""
     samples = []
     for _ in range(STARTS):
-        with run_role(role, addresses) as (process, _, figures):
+        with run_role(role, addresses, image) as (process, _, figures):
             time.sleep(SETTLED_AFTER_S)
             settled_ms = read_processor_ms(process.pid)
             samples.append(figures | {"settled_processor_ms": settled_ms})
     return {
         name: round(statistics.median(sample[name] for sample in samples), 1)
         for name in samples[0]
-    }
+    } | {"system_calls": count_start_calls(role, addresses, image)}
+
+
+def count_start_calls(role: str, addresses: Addresses, image: Path | None) -> int:
+    """Return the system calls of one start up to the first packet."""
+    peers = Peers(addresses)
+    try:
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            start_process(
+                role, addresses, Path(directory), image, accept_tracing
+            ) as process,
+        ):
+            # `poll` would take the stops of the process from the thread that traces it.
+            return count_system_calls(
+                process, lambda: await_first_packet(lambda: True, peers, role)
+            )
+    finally:
+        peers.close()
 
 
 def exchange(peers: Peers, role: str, flows: range, burst: int) -> int:
@@ -288,10 +309,13 @@
     """Return all figures; the seed determines the addresses."""
     addresses = choose_addresses(seed)
     result: dict[str, Any] = {"seed": seed}
-    with run_store(addresses):
+    with run_store(addresses), tempfile.TemporaryDirectory() as directory:
+        image = Path(directory) / "start.image"
+        write_start_image(image)
         for role in LIST_STEPS_BY_ROLE:
             result[role] = {
                 "start": measure_starts(role, addresses),
+                "start_with_image": measure_starts(role, addresses, image),
                 "ms_per_1000_packets": measure_with_sockets(role, addresses),
                 "ms_per_1000_packets_without_sockets": measure_without_sockets(
                     role, addresses
--- a/citronwinch/benches/_launched_process.py
+++ b/citronwinch/benches/_launched_process.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import NamedTuple
@@ -95,25 +95,45 @@
     )
 
 
+def format_python_path() -> str:
+    """Return the path on which a process without site packages finds all modules."""
+    root = Path(citronwinch.__file__).parent.parent
+    packages = [path for path in sys.path if path.endswith("site-packages")]
+    return os.pathsep.join([str(root), *packages])
+
+
+def write_start_image(file: Path) -> None:
+    """Write a start image as the build of deployments does."""
+    subprocess.run(
+        [sys.executable, "-S", "-m", "citronwinch.start_image", str(file)],
+        env=os.environ | {"PYTHONPATH": format_python_path()},
+        check=True,
+    )
+
+
 @contextmanager
 def start_process(
-    role: str, addresses: Addresses, directory: Path
+    role: str,
+    addresses: Addresses,
+    directory: Path,
+    image: Path | None = None,
+    before_start: Callable[[], None] | None = None,
 ) -> Iterator[subprocess.Popen[bytes]]:
-    """Start a balancer or agent as deployments do, and end it after the block."""
+    """Start a balancer or agent as deployments do, and end it after the block.
+
+    Its output is in a log file of the directory. `before_start` is called in the new
+    process, before the interpreter.
+    """
     file = directory / f"{role}.ini"
     file.write_text(format_settings(role, addresses))
-    root = Path(citronwinch.__file__).parent.parent
-    packages = [path for path in sys.path if path.endswith("site-packages")]
-    environment = os.environ | {
-        VARIABLE: str(file),
-        "PYTHONPATH": os.pathsep.join([str(root), *packages]),
-    }
+    images = [] if image is None else [str(image)]
     with (directory / f"{role}.log").open("wb") as output:
         process = subprocess.Popen(
-            [sys.executable, "-S", "-m", "citronwinch.launch", VARIABLE],
-            env=environment,
+            [sys.executable, "-S", "-m", "citronwinch.launch", VARIABLE, *images],
+            env=os.environ | {VARIABLE: str(file), "PYTHONPATH": format_python_path()},
             stdout=output,
             stderr=output,
+            preexec_fn=before_start,
         )
     try:
         yield process
