Import of libraries only what processes use, with a start image

trio, structlog, expression and attrs import all of their modules, although a process uses few of them before its first packet; expression loads all of asyncio. The image records the names that these packages import, so that each name is loaded from its module at its first use, as it already was for our own packages. Without an image they are imported as before.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -57,7 +57,21 @@
 """The packages of which each name is imported at its first use. An agent, for example,
 needs no module that decides for a balancer."""
 
-DEFERRED_LIBRARIES: frozenset[str] = frozenset()
+DEFERRED_LIBRARIES = frozenset(
+    {
+        "attr",
+        "attrs",
+        "expression",
+        "expression.core",
+        "outcome",
+        "sortedcontainers",
+        "structlog",
+        "trio",
+        "trio._core",
+        "trio.abc",
+        "trio.lowlevel",
+    }
+)
 """The modules of libraries of which each name is imported at its first use if a start
 image records the names. The library then loads only what is used of it."""
 
