--- a/citronwinch/launch.py
+++ b/citronwinch/launch.py
@@ -84,11 +84,14 @@
 
 
 def use_image(file: str) -> "tuple[ImageFinder | None, str]":
-    """Have modules imported from a start image; else return why it is not used."""
-    from citronwinch._start_image import StartImageError, read_image
+    """Have modules imported from a start image; else return why it is not used.
+
+    A relative file is relative to the repository, wherever the process is started.
+    """
+    from citronwinch._start_image import ROOT, StartImageError, read_image
 
     try:
-        image = read_image(file)
+        image = read_image(os.path.join(ROOT, file))
     except StartImageError as error:
         return None, str(error)
     sys.meta_path.insert(0, image)
