Keep the byte code of generated methods in the start image

attrs, dataclasses and named tuples generate methods as text and compile it for each class. The build step records the byte code of these texts; a process with an image looks a text up and compiles it only if it is not there. The names that expression takes from typing_extensions come from typing, which has them in Python 3.11.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -43,6 +43,11 @@
 DEFERRED_NAMES = {
     "asyncio": {"BufferedProtocol": "asyncio.protocols"},
     "pickle": {"PicklingError": "_pickle"},
+    "typing_extensions": {
+        "TypeVarTuple": "typing",
+        "Unpack": "typing",
+        "dataclass_transform": "typing",
+    },
 }
 """The names that are imported from a submodule without loading the deferred package.
 pycapnp derives a class from this one, which a balancer or agent never uses; all of
--- a/citronwinch/forwarder/tests/test_start_image.py
+++ b/citronwinch/forwarder/tests/test_start_image.py
@@ -43,12 +43,15 @@
 USE_IMAGE = """
 import sys
 from citronwinch.launch import use_image
+from citronwinch._compiled_texts import CompiledTexts, use_compiled_texts
 from citronwinch._deferred_imports import (
     DeferredModule, defer_modules, skip_library_search
 )
 image, problem = use_image(sys.argv[1])
 assert not problem, problem
 defer_modules(image)
+texts = CompiledTexts(image.texts)
+use_compiled_texts(texts)
 with skip_library_search():
     from trio import run
 """
@@ -94,6 +97,39 @@
 """
 
 
+DEFINE_CLASSES = """
+import attrs, dataclasses
+from typing import NamedTuple
+class Named(NamedTuple):
+    name_of_no_other_class: int
+    other: str = "x"
+@dataclasses.dataclass(frozen=True, order=True)
+class Data:
+    name_of_no_other_class: int
+    other: str = "x"
+@attrs.frozen
+class Attributes:
+    name_of_no_other_class: int
+    other: str = "x"
+print(Named(1), Data(1) < Data(2), Attributes(1) == Attributes(1, "x"))
+try:
+    Data()
+except TypeError as error:
+    print(error)
+"""
+
+COUNT_KNOWN_TEXTS = """
+class CountedTexts(CompiledTexts):
+    found = 0
+    def compile(self, text, file, mode):
+        CountedTexts.found += (mode, file, text) in self.known
+        return super().compile(text, file, mode)
+use_compiled_texts(CountedTexts(image.texts))
+import citronwinch.forwarder._balancer_process
+print(CountedTexts.found > 50)
+"""
+
+
 @pytest.fixture(scope="module")
 def image_file(tmp_path_factory: pytest.TempPathFactory) -> Path:
     file: Path = tmp_path_factory.mktemp("image") / "start.image"
@@ -206,7 +242,7 @@
 ) -> None:
     index = {name: image.index[name] for name in sorted(image.index)[::5]}
     file = tmp_path / "few.image"
-    file.write_bytes(format_image(index, bytes(image.byte_code)))
+    file.write_bytes(format_image(index, {}, bytes(image.byte_code)))
     lines = handle_packet(peers, tmp_path, file)
     assert "start_image_unused" not in [line["event"] for line in lines]
 
@@ -277,6 +313,25 @@
     assert (ended.stderr, ended.stdout) == ("", "True\n")
 
 
+def test_classes_that_the_image_does_not_know_get_their_methods(
+    image_file: Path,
+) -> None:
+    ended = run_with_image(image_file, DEFINE_CLASSES)
+    assert (ended.stderr, ended.stdout.splitlines()) == (
+        "",
+        [
+            "Named(name_of_no_other_class=1, other='x') True True",
+            "Data.__init__() missing 1 required positional argument:"
+            " 'name_of_no_other_class'",
+        ],
+    )
+
+
+def test_the_image_knows_the_methods_that_libraries_generate(image_file: Path) -> None:
+    ended = run_with_image(image_file, COUNT_KNOWN_TEXTS)
+    assert (ended.stderr, ended.stdout) == ("", "True\n")
+
+
 def test_a_traceback_has_file_line_and_source(image_file: Path) -> None:
     ended = run_with_image(image_file, RAISE_IN_A_MODULE)
     file = Path(_start_image.ROOT) / "citronwinch/operators/_setting_values.py"
@@ -305,10 +360,10 @@
     small_module: FoundModule, tmp_path: Path
 ) -> None:
     file = tmp_path / "small.image"
-    write_image([small_module], file)
+    write_image([small_module], {}, file)
     Path(small_module.file).write_text("VALUE = 2\n")
     assert execute(read_image(str(file)), "small_module")["VALUE"] == 1
-    write_image([small_module], file)
+    write_image([small_module], {}, file)
     assert execute(read_image(str(file)), "small_module")["VALUE"] == 2
 
 
@@ -318,7 +373,7 @@
     file = tmp_path / "small.image"
     monkeypatch.setattr("citronwinch.start_image.ROOT", str(tmp_path))
     monkeypatch.setattr(_start_image, "ROOT", str(tmp_path))
-    write_image([small_module], file)
+    write_image([small_module], {}, file)
     moved = tmp_path / "moved"
     moved.mkdir()
     Path(small_module.file).rename(moved / "small_module.py")
