Do not load deferred modules when their path is asked for

A module that is no package now denies the attribute, and a test names the modules that a start from an image must not load. Ports above 65,535 in the settings no longer raise while sockets are bound.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -32,7 +32,6 @@
         "orjson",
         "ssl",
         "subprocess",
-        "textwrap",
         "tokenize",
     }
 )
@@ -44,14 +43,16 @@
     "asyncio": {"BufferedProtocol": "asyncio.protocols"},
     "pickle": {"PicklingError": "_pickle"},
     "typing_extensions": {
+        "ParamSpec": "typing",
         "TypeVarTuple": "typing",
         "Unpack": "typing",
         "dataclass_transform": "typing",
     },
 }
-"""The names that are imported from a submodule without loading the deferred package.
-pycapnp derives a class from this one, which a balancer or agent never uses; all of
-asyncio takes longer to import than pycapnp."""
+"""The names that are imported from another module without loading the deferred one.
+pycapnp derives a class from the protocol, which a balancer or agent never uses; all of
+asyncio takes longer to import than pycapnp. structlog needs one exception of pickle.
+expression takes names from typing_extensions that Python 3.11 has."""
 
 DEFERRED_PACKAGES = frozenset(
     {
@@ -112,6 +113,9 @@
     """
 
     def __getattr__(self, name: str) -> object:
+        # The import system asks for it; a module that is no package has none.
+        if name == "__path__":
+            raise AttributeError(f"{self.__name__} is not a package")
         loader = _get_loader(self)
         origin = loader.list_imported_names(self.__name__).get(name)
         if origin is not None:
--- a/citronwinch/forwarder/tests/test_settings.py
+++ b/citronwinch/forwarder/tests/test_settings.py
@@ -91,6 +91,16 @@
     assert parse_forwarder_settings(text, "local.ini").ok.link_mbps == link_mbps
 
 
-@pytest.mark.parametrize("text", ["", "no section", "[listen]\nip = x\npeer_ports = 1"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "no section",
+        "[listen]\nip = x\npeer_ports = 1",
+        "[listen]\nip = x\npeer_ports = 1\npackets = x:2",
+        "[listen]\nip = 127.0.0.1\npeer_ports = 70000\npackets = 127.0.0.1:70000",
+        "; [listen]\n[listen]\n# ip = 127.0.0.1\npeer_ports = 1\npackets = x:1",
+    ],
+)
 def test_invalid_settings_bind_no_sockets(text: str) -> None:
     assert bind_early(text) == {}
--- a/citronwinch/forwarder/tests/test_start_image.py
+++ b/citronwinch/forwarder/tests/test_start_image.py
@@ -70,6 +70,33 @@
 ]))
 """
 
+LIST_LOADED_MODULES = """
+import json
+import citronwinch.forwarder
+import citronwinch.forwarder._{role}_process
+print(json.dumps([
+    name for name, module in sys.modules.items()
+    if not isinstance(module, DeferredModule)
+]))
+"""
+
+NEEDLESS_MODULES = {
+    "asyncio",
+    "asyncio.events",
+    "ctypes.util",
+    "expression.collections",
+    "pickle",
+    "ssl",
+    "structlog.stdlib",
+    "subprocess",
+    "tokenize",
+    "trio._dtls",
+    "trio._ssl",
+    "trio._subprocess",
+    "typing_extensions",
+}
+"""Modules of libraries that no process needs before its first packet."""
+
 COMPARE_NAMES = """
 import importlib, json
 wrong = []
@@ -296,6 +323,15 @@
     assert (ended.stderr, ended.stdout) == ("", "[]\n")
 
 
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_a_start_from_an_image_loads_no_needless_module(
+    role: str, image_file: Path
+) -> None:
+    ended = run_with_image(image_file, LIST_LOADED_MODULES.format(role=role))
+    assert ended.stderr == ""
+    assert not set(json.loads(ended.stdout)) & NEEDLESS_MODULES
+
+
 def test_deferred_libraries_export_their_usual_names(image_file: Path) -> None:
     packages = sorted(DEFERRED_LIBRARIES | DEFERRED_PACKAGES)
     ended = run_with_image(image_file, COMPARE_NAMES.format(packages=packages))
--- a/citronwinch/launch.py
+++ b/citronwinch/launch.py
@@ -44,7 +44,7 @@
             bound_socket.setsockopt(_socket.SOL_SOCKET, _socket.SO_RCVBUF, BUFFER_BYTES)
             bound_socket.bind(address)
             bound[address] = bound_socket
-        except OSError:
+        except (OSError, OverflowError):
             bound_socket.close()
     return bound
 
