Test deleted sources and moved extension modules of a start image

No change of behaviour: the byte code is used with its file and line, and the import of the extension module fails with its file.

--- a/citronwinch/forwarder/tests/test_start_image.py
+++ b/citronwinch/forwarder/tests/test_start_image.py
@@ -11,6 +11,7 @@
 import traceback
 from collections.abc import Callable, Iterator
 from importlib.machinery import ModuleSpec, PathFinder
+from importlib.util import module_from_spec
 from pathlib import Path
 
 import pytest
@@ -403,6 +404,31 @@
     assert execute(read_image(str(file)), "small_module")["VALUE"] == 2
 
 
+def test_a_module_works_after_its_source_was_deleted(
+    small_module: FoundModule, tmp_path: Path
+) -> None:
+    file = tmp_path / "small.image"
+    write_image([small_module], {}, file)
+    Path(small_module.file).unlink()
+    attributes = execute(read_image(str(file)), "small_module")
+    with pytest.raises(ValueError) as caught:
+        attributes["fail"]()  # type: ignore[operator]
+    frame = traceback.extract_tb(caught.value.__traceback__)[-1]
+    assert (frame.filename, frame.lineno) == (small_module.file, 4)
+
+
+def test_an_extension_module_that_was_moved_is_reported_by_its_import(
+    tmp_path: Path,
+) -> None:
+    file = tmp_path / "small.image"
+    extension = tmp_path / "moved.so"
+    write_image([FoundModule("moved", str(extension), False, True)], {}, file)
+    spec = read_image(str(file)).find_spec("moved")
+    assert spec is not None
+    with pytest.raises(ImportError, match="cannot open shared object file"):
+        module_from_spec(spec)
+
+
 def test_files_of_a_moved_repository_are_those_of_its_new_place(
     small_module: FoundModule, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
