--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -8,6 +8,8 @@
 import pytest
 import trio
 
+from citronwinch._start_image import ImageFinder, read_image
+from citronwinch.benches._launched_process import write_start_image
 from citronwinch.coordination import Endpoint
 from citronwinch.forwarder import parse_forwarder_settings
 from citronwinch.forwarder._agent_process import AgentProcess
@@ -298,3 +300,17 @@
         link_mbps=100,
     )
     return BalancerProcess(parse_forwarder_settings(text, "x").ok, open_socket)
+
+
+@pytest.fixture(scope="session")
+def image_file(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Return a start image that a process of its own has written."""
+    file: Path = tmp_path_factory.mktemp("image") / "start.image"
+    write_start_image(file)
+    return file
+
+
+@pytest.fixture(scope="session")
+def image(image_file: Path) -> ImageFinder:
+    """Return the modules of the start image."""
+    return read_image(str(image_file))
