Remove the byte code of generated methods from the start image

The number of the image's format changes, so that an image with these texts is refused. The two tests of the removed functions go with them: classes get their methods from the libraries alone.

--- a/citronwinch/_start_image.py
+++ b/citronwinch/_start_image.py
@@ -14,9 +14,7 @@
 from importlib.util import MAGIC_NUMBER, source_hash
 from types import CodeType
 
-from citronwinch._compiled_texts import TextKey
-
-MAGIC = b"citronwinch start image 1\n"
+MAGIC = b"citronwinch start image 2\n"
 """The first bytes of an image. The number changes with the format."""
 
 HASH_BYTES = 8
@@ -53,11 +51,9 @@
     return source_hash(repr(properties).encode())
 
 
-def format_image(
-    index: dict[str, Entry], texts: dict[TextKey, bytes], byte_code: bytes
-) -> bytes:
+def format_image(index: dict[str, Entry], byte_code: bytes) -> bytes:
     """Return the content of an image file."""
-    packed = marshal.dumps((ROOT, index, texts))
+    packed = marshal.dumps((ROOT, index))
     content = len(packed).to_bytes(SIZE_BYTES, "big") + packed + byte_code
     return MAGIC + hash_interpreter() + source_hash(content) + content
 
@@ -79,8 +75,8 @@
     if hashes[HASH_BYTES:] != source_hash(content):
         raise StartImageError("content differs from its hash; build again")
     end = SIZE_BYTES + int.from_bytes(content[:SIZE_BYTES], "big")
-    root, index, texts = marshal.loads(content[SIZE_BYTES:end])
-    return ImageFinder(index, texts, content[end:], is_moved=root != ROOT)
+    root, index = marshal.loads(content[SIZE_BYTES:end])
+    return ImageFinder(index, content[end:], is_moved=root != ROOT)
 
 
 class ImageFinder:
@@ -89,14 +85,10 @@
     def __init__(
         self,
         index: dict[str, Entry],
-        texts: dict[TextKey, bytes],
         byte_code: memoryview,
         is_moved: bool,
     ) -> None:
         self.index = index
-        self.texts = texts
-        """The byte code of texts that libraries compile."""
-
         self.byte_code = byte_code
         self.is_moved = is_moved
         """Whether the repository was elsewhere when the image was written."""
--- a/citronwinch/forwarder/tests/test_image_modules.py
+++ b/citronwinch/forwarder/tests/test_image_modules.py
@@ -21,15 +21,12 @@
 USE_IMAGE = """
 import sys
 from citronwinch.launch import use_image
-from citronwinch._compiled_texts import CompiledTexts, use_compiled_texts
 from citronwinch._deferred_imports import (
     DeferredModule, defer_modules, skip_library_search
 )
 image, problem = use_image(sys.argv[1])
 assert not problem, problem
 defer_modules(image)
-texts = CompiledTexts(image.texts)
-use_compiled_texts(texts)
 with skip_library_search():
     from trio import run
 """
@@ -102,39 +99,6 @@
 """
 
 
-DEFINE_CLASSES = """
-import attrs, dataclasses
-from typing import NamedTuple
-class Named(NamedTuple):
-    name_of_no_other_class: int
-    other: str = "x"
-@dataclasses.dataclass(frozen=True, order=True)
-class Data:
-    name_of_no_other_class: int
-    other: str = "x"
-@attrs.frozen
-class Attributes:
-    name_of_no_other_class: int
-    other: str = "x"
-print(Named(1), Data(1) < Data(2), Attributes(1) == Attributes(1, "x"))
-try:
-    Data()
-except TypeError as error:
-    print(error)
-"""
-
-COUNT_KNOWN_TEXTS = """
-class CountedTexts(CompiledTexts):
-    found = 0
-    def compile(self, text, file, mode):
-        CountedTexts.found += (mode, file, text) in self.known
-        return super().compile(text, file, mode)
-use_compiled_texts(CountedTexts(image.texts))
-import citronwinch.forwarder._balancer_process
-print(CountedTexts.found > 50)
-"""
-
-
 def run_with_image(image_file: Path, code: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, "-S", "-c", USE_IMAGE + code, str(image_file)],
@@ -178,25 +142,6 @@
     assert (ended.stderr, ended.stdout) == ("", "True\n")
 
 
-def test_classes_that_the_image_does_not_know_get_their_methods(
-    image_file: Path,
-) -> None:
-    ended = run_with_image(image_file, DEFINE_CLASSES)
-    assert (ended.stderr, ended.stdout.splitlines()) == (
-        "",
-        [
-            "Named(name_of_no_other_class=1, other='x') True True",
-            "Data.__init__() missing 1 required positional argument:"
-            " 'name_of_no_other_class'",
-        ],
-    )
-
-
-def test_the_image_knows_the_methods_that_libraries_generate(image_file: Path) -> None:
-    ended = run_with_image(image_file, COUNT_KNOWN_TEXTS)
-    assert (ended.stderr, ended.stdout) == ("", "True\n")
-
-
 def test_a_traceback_has_file_line_and_source(image_file: Path) -> None:
     ended = run_with_image(image_file, RAISE_IN_A_MODULE)
     file = Path(_start_image.ROOT) / "citronwinch/operators/_setting_values.py"
--- a/citronwinch/forwarder/tests/test_launch_with_image.py
+++ b/citronwinch/forwarder/tests/test_launch_with_image.py
@@ -43,7 +43,7 @@
         "content differs",
     ),
     "another format": (
-        lambda data: data.replace(b"image 1", b"image 0", 1),
+        lambda data: data.replace(b"image 2", b"image 1", 1),
         "expected a start image of this version",
     ),
     "another interpreter": (
@@ -124,7 +124,7 @@
 ) -> None:
     index = {name: image.index[name] for name in sorted(image.index)[::5]}
     file = tmp_path / "few.image"
-    file.write_bytes(format_image(index, {}, bytes(image.byte_code)))
+    file.write_bytes(format_image(index, bytes(image.byte_code)))
     lines = handle_packet(peers, tmp_path, file)
     assert "start_image_unused" not in [line["event"] for line in lines]
 
--- a/citronwinch/forwarder/tests/test_start_image.py
+++ b/citronwinch/forwarder/tests/test_start_image.py
@@ -65,10 +65,10 @@
     small_module: FoundModule, tmp_path: Path
 ) -> None:
     file = tmp_path / "small.image"
-    write_image([small_module], {}, file)
+    write_image([small_module], file)
     Path(small_module.file).write_text("VALUE = 2\n")
     assert execute(read_image(str(file)), "small_module")["VALUE"] == 1
-    write_image([small_module], {}, file)
+    write_image([small_module], file)
     assert execute(read_image(str(file)), "small_module")["VALUE"] == 2
 
 
@@ -76,7 +76,7 @@
     small_module: FoundModule, tmp_path: Path
 ) -> None:
     file = tmp_path / "small.image"
-    write_image([small_module], {}, file)
+    write_image([small_module], file)
     Path(small_module.file).unlink()
     attributes = execute(read_image(str(file)), "small_module")
     with pytest.raises(ValueError) as caught:
@@ -90,7 +90,7 @@
 ) -> None:
     file = tmp_path / "small.image"
     extension = tmp_path / "moved.so"
-    write_image([FoundModule("moved", str(extension), False, True)], {}, file)
+    write_image([FoundModule("moved", str(extension), False, True)], file)
     spec = read_image(str(file)).find_spec("moved")
     assert spec is not None
     with pytest.raises(ImportError, match="cannot open shared object file"):
@@ -103,7 +103,7 @@
     file = tmp_path / "small.image"
     monkeypatch.setattr("citronwinch.start_image.ROOT", str(tmp_path))
     monkeypatch.setattr(_start_image, "ROOT", str(tmp_path))
-    write_image([small_module], {}, file)
+    write_image([small_module], file)
     moved = tmp_path / "moved"
     moved.mkdir()
     Path(small_module.file).rename(moved / "small_module.py")
--- a/citronwinch/launch.py
+++ b/citronwinch/launch.py
@@ -133,12 +133,9 @@
     # Collections during the imports would free nothing, but delay the start.
     gc.disable()
     image, problem = use_image(image_files[0]) if image_files else (None, "")
-    from citronwinch._compiled_texts import CompiledTexts, use_compiled_texts
     from citronwinch._deferred_imports import defer_modules, skip_library_search
 
     defer_modules(image)
-    if image is not None:
-        use_compiled_texts(CompiledTexts(image.texts))
     with skip_library_search():
         from trio import run  # noqa: F401
     from citronwinch.forwarder import run_forwarder
--- a/citronwinch/start_image.py
+++ b/citronwinch/start_image.py
@@ -17,12 +17,10 @@
 from types import ModuleType
 from typing import NamedTuple
 
-from citronwinch._compiled_texts import RecordedTexts, TextKey, use_compiled_texts
 from citronwinch._deferred_imports import DEFERRED_MODULES
 from citronwinch._start_image import ROOT, Entry, format_image
 
 PROCESS_MODULES = (
-    "citronwinch._compiled_texts",
     "citronwinch._deferred_imports",
     "citronwinch.forwarder",
     "citronwinch.forwarder._agent_process",
@@ -122,9 +120,7 @@
     return origin if ":" in origin else f"{origin}:{value.id}"
 
 
-def write_image(
-    modules: Iterable[FoundModule], texts: dict[TextKey, bytes], file: Path
-) -> None:
+def write_image(modules: Iterable[FoundModule], file: Path) -> None:
     """Write the image of modules; an image that exists is replaced as a whole."""
     index: dict[str, Entry] = {}
     byte_code = bytearray()
@@ -141,7 +137,7 @@
         byte_code += code
     file.parent.mkdir(parents=True, exist_ok=True)
     part = file.with_name(f"{file.name}.{os.getpid()}")
-    part.write_bytes(format_image(index, texts, bytes(byte_code)))
+    part.write_bytes(format_image(index, bytes(byte_code)))
     part.replace(file)
 
 
@@ -151,9 +147,7 @@
         print("usage: python3 -S -m citronwinch.start_image FILE", file=sys.stderr)
         return 2
     try:
-        texts = RecordedTexts({})
-        use_compiled_texts(texts)
-        write_image(list(find_modules()), texts.known, Path(arguments[0]))
+        write_image(list(find_modules()), Path(arguments[0]))
     except ImportError as error:
         print(f"{error}; PYTHONPATH must name the libraries", file=sys.stderr)
         return 1
