Import submodules that a start image lacks without their package

A package of a library that is in the image is deferred. A module that asks it for a submodule outside the image had the whole package loaded in the middle of that module's import: a circular import, which ended the process ("cannot import name 'NOTHING' from partially initialized module 'attr._make'"). It was no matter of the load.

A submodule is now also looked for on the package's path.

--- a/citronwinch/_deferred_imports.py
+++ b/citronwinch/_deferred_imports.py
@@ -123,8 +123,9 @@
             value = getattr(importlib.import_module(submodule), imported_name or name)
             setattr(self, name, value)
             return value
-        if loader.is_submodule(f"{self.__name__}.{name}"):
-            return importlib.import_module(f"{self.__name__}.{name}")
+        fullname = f"{self.__name__}.{name}"
+        if loader.is_submodule(fullname, vars(self).get("__path__", ())):
+            return importlib.import_module(fullname)
         return super().__getattr__(name)
 
     def __setattr__(self, name: str, value: object) -> None:
@@ -176,9 +177,18 @@
             self.module_by_name = _find_imported_names(source)
         return self.module_by_name
 
-    def is_submodule(self, fullname: str) -> bool:
-        """Return whether the start image has a submodule."""
-        return self.image is not None and fullname in self.image.index
+    def is_submodule(self, fullname: str, path: Sequence[str]) -> bool:
+        """Return whether a submodule is in the start image or on a package's path.
+
+        To load the whole package instead, while one of its modules is being imported,
+        would be a circular import. Without an image, packages are loaded whole.
+        """
+        if self.image is None:
+            return False
+        return (
+            fullname in self.image.index
+            or PathFinder.find_spec(fullname, path) is not None
+        )
 
 
 def _get_loader(module: DeferredModule) -> DeferredLoader:
--- a/citronwinch/forwarder/tests/test_image_modules.py
+++ b/citronwinch/forwarder/tests/test_image_modules.py
@@ -8,12 +8,16 @@
 import os
 import subprocess
 import sys
+import zlib
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import pytest
 
 from citronwinch import _start_image
 from citronwinch._deferred_imports import DEFERRED_LIBRARIES, DEFERRED_PACKAGES
+from citronwinch._start_image import ImageFinder, format_image
 from citronwinch.benches._launched_process import (
     format_python_path,
 )
@@ -86,6 +90,13 @@
 print(json.dumps(wrong))
 """
 
+IMPORT_BOTH_ROLES = """
+import trio
+import citronwinch.forwarder._agent_process
+import citronwinch.forwarder._balancer_process
+print(issubclass(trio.ClosedResourceError, Exception))
+"""
+
 ENCODE_HEARTBEAT = """
 from citronwinch.coordination.flows import UNKNOWN_POSITION, Heartbeat
 from citronwinch.flow_peers import decode_flow_message, encode_flow_message
@@ -137,6 +148,38 @@
     assert (ended.stderr, ended.stdout) == ("", "3\n")
 
 
+def is_in_fifth(first: int, name: str) -> bool:
+    """Return whether a module is in one of five samples of all modules."""
+    return zlib.crc32(name.encode()) % 5 == first
+
+
+MODULES_BY_CASE: dict[str, Callable[[str], bool]] = {
+    "no module": lambda name: False,
+    "packages only": lambda name: name in DEFERRED_LIBRARIES | DEFERRED_PACKAGES,
+    "libraries only": lambda name: name in DEFERRED_LIBRARIES,
+    "trio only": lambda name: name == "trio",
+    "attr only": lambda name: name == "attr",
+    "all but packages": lambda name: name not in DEFERRED_LIBRARIES | DEFERRED_PACKAGES,
+    **{f"each fifth, from {first}": partial(is_in_fifth, first) for first in range(5)},
+}
+"""Images that lack modules: the modules that they have."""
+
+
+@pytest.mark.parametrize("case", MODULES_BY_CASE)
+def test_a_start_succeeds_whichever_modules_an_image_lacks(
+    case: str, image: ImageFinder, tmp_path: Path
+) -> None:
+    index = {
+        name: entry
+        for name, entry in image.index.items()
+        if MODULES_BY_CASE[case](name)
+    }
+    file = tmp_path / "few.image"
+    file.write_bytes(format_image(index, bytes(image.byte_code)))
+    ended = run_with_image(file, IMPORT_BOTH_ROLES)
+    assert (ended.stderr, ended.stdout) == ("", "True\n")
+
+
 def test_package_data_is_read_from_beside_the_package(image_file: Path) -> None:
     ended = run_with_image(image_file, ENCODE_HEARTBEAT)
     assert (ended.stderr, ended.stdout) == ("", "True\n")
