Free the byte code of a start image after the imports

A process kept the whole file in memory for its life: with an image enlarged by 100 MB, an agent had 131 MB (VmRSS) after its first packet. Small instances have 100 MB. run_forwarder now has the byte code freed when the modules of the role are imported. A module that is first used later is read singly, if the file is still the one that was checked; else its source is used. The check of a running agent in the launch tests shows the agent's log.

--- a/citronwinch/_start_image.py
+++ b/citronwinch/_start_image.py
@@ -26,6 +26,9 @@
 HEADER_BYTES = len(MAGIC) + 2 * HASH_BYTES + SIZE_BYTES
 """The length of everything in front of the index, in bytes."""
 
+FileIdentity = tuple[int, int, int, int]
+"""Device, inode, size and time of modification of a file."""
+
 Entry = tuple[str, bool, int, int, dict[str, str]]
 """A module of the image: its file, relative to the repository if it is inside; whether
 it is a package; offset and size of its byte code, which an extension module lacks; and
@@ -58,10 +61,17 @@
     return MAGIC + hash_interpreter() + source_hash(content) + content
 
 
+def identify_file(descriptor: int) -> FileIdentity:
+    """Return what tells an open file from another one and from a changed one."""
+    status = os.fstat(descriptor)
+    return status.st_dev, status.st_ino, status.st_size, status.st_mtime_ns
+
+
 def read_image(file: str) -> "ImageFinder":
     """Read an image; raise StartImageError if it cannot be used."""
     try:
         with open(file, "rb", buffering=0) as stream:
+            identity = identify_file(stream.fileno())
             data = stream.read()
     except OSError as error:
         raise StartImageError(f"cannot be read: {error.strerror}") from error
@@ -76,7 +86,27 @@
         raise StartImageError("content differs from its hash; build again")
     end = SIZE_BYTES + int.from_bytes(content[:SIZE_BYTES], "big")
     root, index = marshal.loads(content[SIZE_BYTES:end])
-    return ImageFinder(index, content[end:], is_moved=root != ROOT)
+    place = FilePlace(file, identity, HEADER_BYTES - SIZE_BYTES + end)
+    return ImageFinder(index, content[end:], place, is_moved=root != ROOT)
+
+
+class FilePlace:
+    """The place of the byte code in the file of an image."""
+
+    def __init__(self, file: str, identity: FileIdentity, begin: int) -> None:
+        self.file = file
+        self.identity = identity
+        self.begin = begin
+
+    def read(self, offset: int, size: int) -> bytes | None:
+        """Read byte code, or return None if the file is missing or has changed."""
+        try:
+            with open(self.file, "rb", buffering=0) as stream:
+                if identify_file(stream.fileno()) != self.identity:
+                    return None
+                return os.pread(stream.fileno(), size, self.begin + offset)
+        except OSError:
+            return None
 
 
 class ImageFinder:
@@ -86,13 +116,29 @@
         self,
         index: dict[str, Entry],
         byte_code: memoryview,
+        place: FilePlace,
         is_moved: bool,
     ) -> None:
         self.index = index
-        self.byte_code = byte_code
+        self.byte_code: memoryview | None = byte_code
+        """The byte code of all modules, or None after the imports of the start."""
+
+        self.place = place
         self.is_moved = is_moved
         """Whether the repository was elsewhere when the image was written."""
 
+    def release_byte_code(self) -> None:
+        """Free the byte code. Modules that are imported later are read singly."""
+        self.byte_code = None
+
+    def read_byte_code(self, fullname: str) -> bytes | memoryview | None:
+        """Return the byte code of a module, or None if the file has changed."""
+        _, _, offset, size, _ = self.index[fullname]
+        byte_code = self.byte_code
+        if byte_code is None:
+            return self.place.read(offset, size)
+        return byte_code[offset : offset + size]
+
     def find_spec(
         self, fullname: str, path: object = None, target: object = None
     ) -> ModuleSpec | None:
@@ -121,10 +167,12 @@
         super().__init__(fullname, path)
         self.finder = finder
 
-    def get_code(self, fullname: str) -> CodeType:
-        """Return the byte code of the module."""
-        _, _, offset, size, _ = self.finder.index[fullname]
-        code: CodeType = marshal.loads(self.finder.byte_code[offset : offset + size])
+    def get_code(self, fullname: str) -> CodeType | None:
+        """Return the byte code of the module; compile it if the image has changed."""
+        byte_code = self.finder.read_byte_code(fullname)
+        if byte_code is None:
+            return super().get_code(fullname)
+        code: CodeType = marshal.loads(byte_code)
         if self.finder.is_moved:
             _imp._fix_co_filename(code, self.path)  # type: ignore[attr-defined]
         return code
--- a/citronwinch/forwarder/_run.py
+++ b/citronwinch/forwarder/_run.py
@@ -3,7 +3,7 @@
 import gc
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import trio
 
@@ -35,11 +35,15 @@
 
 
 def run_forwarder(
-    text: str, file: str, bound: Mapping[tuple[str, int], socket.socket]
+    text: str,
+    file: str,
+    bound: Mapping[tuple[str, int], socket.socket],
+    after_imports: Callable[[], None] | None = None,
 ) -> int:
     """Run the process that INI settings describe; return its exit code.
 
     `bound` maps addresses to UDP sockets that are already bound to them.
+    `after_imports` is called when the modules of the role are imported.
     """
     configure_logging("json", sys.stdout)
     parsed = parse_forwarder_settings(text, file)
@@ -64,6 +68,8 @@
     except OSError as error:
         print(f"{file}: cannot listen: {error}", file=sys.stderr)
         return EXIT_SYSTEM
+    if after_imports is not None:
+        after_imports()
     process.watch_settings_file(file)
     # What the imports created stays for the life of the process; later collections
     # need not visit it.
--- a/citronwinch/forwarder/tests/test_image_modules.py
+++ b/citronwinch/forwarder/tests/test_image_modules.py
@@ -175,6 +175,7 @@
         if MODULES_BY_CASE[case](name)
     }
     file = tmp_path / "few.image"
+    assert image.byte_code is not None
     file.write_bytes(format_image(index, bytes(image.byte_code)))
     ended = run_with_image(file, IMPORT_BOTH_ROLES)
     assert (ended.stderr, ended.stdout) == ("", "True\n")
--- a/citronwinch/forwarder/tests/test_launch_with_image.py
+++ b/citronwinch/forwarder/tests/test_launch_with_image.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -34,6 +35,9 @@
 """Determines the loopback network of these tests."""
 
 
+MEMORY_LIMIT_KB = 100 << 10
+"""The memory of a small instance, and the size of a large image, in KiB."""
+
 CHANGES_BY_CASE: dict[str, tuple[Callable[[bytes], bytes], str]] = {
     "empty": (lambda data: b"", "expected a start image of this version"),
     "truncated header": (lambda data: data[:HEADER_BYTES], "content differs"),
@@ -79,17 +83,28 @@
         opened.close()
 
 
-def handle_packet(peers: Peers, directory: Path, image: Path) -> list[dict[str, str]]:
-    """Have a started agent handle an opening; return its log lines."""
+@contextmanager
+def run_agent(
+    peers: Peers, directory: Path, image: Path
+) -> Iterator[subprocess.Popen[bytes]]:
+    """Start an agent, have it handle an opening, and run it during the block."""
     opening = LIST_STEPS_BY_ROLE["agent"](0, peers.addresses.caller)[0]
     with start_process("agent", peers.addresses, directory, image) as process:
         for _ in range(10):
             peers.send_to_peer_socket(opening.data)
             if peers.receive(peers.server):
                 break
-            assert process.poll() is None
+            log = (directory / "agent.log").read_text()
+            assert process.poll() is None, f"expected a running agent:\n{log}"
         else:
             raise AssertionError("expected a packet at the server, received none")
+        yield process
+
+
+def handle_packet(peers: Peers, directory: Path, image: Path) -> list[dict[str, str]]:
+    """Have a started agent handle an opening; return its log lines."""
+    with run_agent(peers, directory, image):
+        pass
     log = (directory / "agent.log").read_text()
     return [json.loads(line) for line in log.splitlines()]
 
@@ -124,11 +139,29 @@
 ) -> None:
     index = {name: image.index[name] for name in sorted(image.index)[::5]}
     file = tmp_path / "few.image"
+    assert image.byte_code is not None
     file.write_bytes(format_image(index, bytes(image.byte_code)))
     lines = handle_packet(peers, tmp_path, file)
     assert "start_image_unused" not in [line["event"] for line in lines]
 
 
+def test_a_process_does_not_keep_its_image_in_memory(
+    peers: Peers, image: ImageFinder, tmp_path: Path
+) -> None:
+    """On an instance with 100 MB, memory that nothing uses ends the process."""
+    assert image.byte_code is not None
+    file = tmp_path / "large.image"
+    padding = bytes(MEMORY_LIMIT_KB << 10)
+    file.write_bytes(format_image(image.index, bytes(image.byte_code) + padding))
+
+    def read_memory_kb(pid: int) -> int:
+        status = Path(f"/proc/{pid}/status").read_text()
+        return int(status.partition("VmRSS:")[2].split()[0])
+
+    with run_agent(peers, tmp_path, file) as process:
+        assert read_memory_kb(process.pid) < MEMORY_LIMIT_KB
+
+
 @pytest.mark.parametrize("has_image", [False, True])
 def test_a_startup_error_is_reported_in_one_line(
     has_image: bool, image_file: Path, tmp_path: Path
--- a/citronwinch/forwarder/tests/test_start_image.py
+++ b/citronwinch/forwarder/tests/test_start_image.py
@@ -57,7 +57,9 @@
     assert spec is not None
     assert isinstance(spec.loader, _start_image.ImageLoader)
     attributes: dict[str, object] = {}
-    exec(spec.loader.get_code(name), attributes)
+    code = spec.loader.get_code(name)
+    assert code is not None
+    exec(code, attributes)
     return attributes
 
 
@@ -85,6 +87,37 @@
     assert (frame.filename, frame.lineno) == (small_module.file, 4)
 
 
+def test_a_module_that_is_imported_late_is_read_from_the_same_image(
+    small_module: FoundModule, tmp_path: Path
+) -> None:
+    """A module that is first used after the start would be another version's."""
+    file = tmp_path / "small.image"
+    write_image([small_module], file)
+    image = read_image(str(file))
+    image.release_byte_code()
+    Path(small_module.file).write_text("VALUE = 2\n")
+    assert execute(image, "small_module")["VALUE"] == 1
+
+
+@pytest.mark.parametrize("change", ["replaced", "truncated", "deleted"])
+def test_a_module_that_is_imported_late_is_not_read_from_a_changed_image(
+    change: str, small_module: FoundModule, tmp_path: Path
+) -> None:
+    """Offsets into another file would unmarshal arbitrary bytes."""
+    file = tmp_path / "small.image"
+    write_image([small_module], file)
+    image = read_image(str(file))
+    image.release_byte_code()
+    Path(small_module.file).write_text("VALUE = 2\n")
+    if change == "replaced":
+        write_image([small_module], file)
+    elif change == "truncated":
+        os.truncate(file, 100)
+    else:
+        file.unlink()
+    assert execute(image, "small_module")["VALUE"] == 2
+
+
 def test_an_extension_module_that_was_moved_is_reported_by_its_import(
     tmp_path: Path,
 ) -> None:
--- a/citronwinch/launch.py
+++ b/citronwinch/launch.py
@@ -142,7 +142,8 @@
 
     if problem:
         log_unused_image(image_files[0], problem)
-    return run_forwarder(text, file, wrap_sockets(bound))
+    release = image.release_byte_code if image is not None else None
+    return run_forwarder(text, file, wrap_sockets(bound), release)
 
 
 if __name__ == "__main__":
