--- a/citronwinch/benches/_case_packet_cost.py
+++ b/citronwinch/benches/_case_packet_cost.py
@@ -1,10 +1,10 @@
 """The cost of process starts and of packets, for a balancer and an agent.
 
 A start is measured from the launch of the process until it sends on its first packet,
-which waits in its socket or is repeated until then. Packets are measured in a process
-with sockets on loopback, which reports its own processor time, and without sockets. In
-a burst, all datagrams are sent before the first is received; without one, each datagram
-wakes the process up.
+which waits in its socket or is repeated until then, with a start image and without it.
+Packets are measured in a process with sockets on loopback, which reports its own
+processor time, and without sockets. In a burst, all datagrams are sent before the first
+is received; without one, each datagram wakes the process up.
 
 The processor time of a busy machine varies by a tenth or more from run to run; compare
 two versions in alternation.
@@ -34,6 +34,7 @@
     format_settings,
     read_processor_ms,
     start_process,
+    write_start_image,
 )
 from citronwinch.benches._memory_socket import add_incoming, open_memory_socket
 from citronwinch.benches._packet_mix import LIST_STEPS_BY_ROLE, Step, Via
@@ -143,14 +144,14 @@
 
 @contextmanager
 def run_role(
-    role: str, addresses: Addresses
+    role: str, addresses: Addresses, image: Path | None = None
 ) -> Iterator[tuple[subprocess.Popen[bytes], Peers, dict[str, float]]]:
     """Start a process, and wait until it sends its first packet on."""
     peers = Peers(addresses)
     try:
         with tempfile.TemporaryDirectory() as directory:
             begin_s = time.monotonic()
-            with start_process(role, addresses, Path(directory)) as process:
+            with start_process(role, addresses, Path(directory), image) as process:
                 await_first_packet(process, peers, role)
                 figures = {
                     "wall_ms": (time.monotonic() - begin_s) * 1000,
@@ -162,11 +163,13 @@
         peers.close()
 
 
-def measure_starts(role: str, addresses: Addresses) -> dict[str, float]:
+def measure_starts(
+    role: str, addresses: Addresses, image: Path | None = None
+) -> dict[str, float]:
     """Return the median times of the starts of a role, in milliseconds."""
     samples = []
     for _ in range(STARTS):
-        with run_role(role, addresses) as (process, _, figures):
+        with run_role(role, addresses, image) as (process, _, figures):
             time.sleep(SETTLED_AFTER_S)
             settled_ms = read_processor_ms(process.pid)
             samples.append(figures | {"settled_processor_ms": settled_ms})
@@ -288,10 +291,13 @@
     """Return all figures; the seed determines the addresses."""
     addresses = choose_addresses(seed)
     result: dict[str, Any] = {"seed": seed}
-    with run_store(addresses):
+    with run_store(addresses), tempfile.TemporaryDirectory() as directory:
+        image = Path(directory) / "start.image"
+        write_start_image(image)
         for role in LIST_STEPS_BY_ROLE:
             result[role] = {
                 "start": measure_starts(role, addresses),
+                "start_with_image": measure_starts(role, addresses, image),
                 "ms_per_1000_packets": measure_with_sockets(role, addresses),
                 "ms_per_1000_packets_without_sockets": measure_without_sockets(
                     role, addresses
