Forward openings with the time since their caller's first attempt

Cause: agents order requests by age, but ForwardedOpening.age_ms was always 0. Refused openings are recorded. A new flow on a reused port starts with age 0. FlowSearches declares attempt_ages, which BalancerFlows replaces by its own. opening_placed has age_ms.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -7,6 +7,7 @@
     Action,
     SendMessage,
 )
+from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._flow_directory import (
     MIN_AGENTS,
     FlowDirectory,
@@ -65,9 +66,17 @@
             self.directory,
             link_mbps,
         )
+        self.attempt_ages = AttemptAges(clock)
+        self.searches.attempt_ages = self.attempt_ages
         self.uploads = UploadAdmission(clock, link_mbps)
         self.admission = OpeningAdmission(
-            view, selector, clock, self.flows, self.counters, self.uploads
+            view,
+            selector,
+            clock,
+            self.flows,
+            self.counters,
+            self.uploads,
+            self.attempt_ages,
         )
         self.held_openings = self.admission.held_openings
 
@@ -96,7 +105,9 @@
                 return self.admission.refuse_unknown_address(packet)
             if not self.selector.opening_rooms.is_exhausted(agent):
                 known.tried_agents.add(agent)
-            return self.admission.place_opening(packet, route, known.tried_agents)
+            return self.admission.place_opening(
+                packet, route, known.times, known.tried_agents
+            )
         if packet.flow in self.searches:
             return self.searches.handle_verdict(packet.flow, agent, Verdict.ABSENT)
         if known is not None and known.agent != agent:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -13,6 +13,7 @@
     SendMessage,
     record,
 )
+from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._flow_directory import (
     MIN_AGENTS,
@@ -81,6 +82,8 @@
         self.counters = counters
         self.not_found: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows of unsuccessful searches, with the time at which each ended."""
+        self.attempt_ages = AttemptAges(clock)
+        """The attempts that were ended; replaced by those of the balancer."""
         rate = round(link_mbps * 125_000 * QUESTION_BANDWIDTH_SHARE)
         self.question_budget = ByteBudget(clock, round(rate * QUESTION_BURST_S), rate)
 
--- a/citronwinch/coordination/flows/_held_openings.py
+++ b/citronwinch/coordination/flows/_held_openings.py
@@ -5,6 +5,7 @@
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._deployment import Route
+from citronwinch.coordination.flows._opening_times import OpeningTimes
 from citronwinch.coordination.flows._packets import Packet
 
 HOLD_TIMEOUT_MS = 400
@@ -34,6 +35,9 @@
     route: Route
     """The route of the packet's service address."""
 
+    times: OpeningTimes
+    """When the caller sent the opening."""
+
     received_ms: int
     """When the opening was received."""
 
@@ -48,7 +52,7 @@
         self.clock = clock
         self.openings: dict[FlowKey, HeldOpening] = {}
 
-    def hold_opening(self, packet: Packet, route: Route) -> bool:
+    def hold_opening(self, packet: Packet, route: Route, times: OpeningTimes) -> bool:
         """Hold an opening; return False if too many are held already."""
         if packet.flow in self.openings:
             return True
@@ -56,7 +60,9 @@
             return False
         now_ms = self.clock.now_ms()
         deadline_ms = now_ms + HOLD_TIMEOUT_MS
-        self.openings[packet.flow] = HeldOpening(packet, route, now_ms, deadline_ms)
+        self.openings[packet.flow] = HeldOpening(
+            packet, route, times, now_ms, deadline_ms
+        )
         return True
 
     def list_by_priority(self) -> list[HeldOpening]:
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -9,6 +9,7 @@
 from citronwinch.coordination.flows._deployment import Route
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._messages import ForwardedOpening, ForwardedPacket
+from citronwinch.coordination.flows._opening_times import OpeningTimes
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 
@@ -30,6 +31,9 @@
         self.last_packet_ms = now_ms
         self.acknowledged = 0
         """The caller's latest acknowledgement number, which a reset has to match."""
+        self.times = OpeningTimes(now_ms, now_ms)
+        """When the caller sent the opening; the time of discovery for a flow that was
+        found by a search."""
         self.unconfirmed_since_ms: int | None = None
         """When an unconfirmed opening was forwarded; None for other flows."""
         self.has_large_request = False
@@ -96,10 +100,12 @@
     return SendMessage(agent, ForwardedPacket(service, packet.raw))
 
 
-def forward_opening(known: KnownFlow, packet: Packet, route: Route | None) -> Action:
-    """Return the action that forwards an opening with the class of its route.
+def forward_opening(
+    known: KnownFlow, packet: Packet, route: Route | None, now_ms: int
+) -> Action:
+    """Return the action that forwards an opening with its class and its age.
 
-    Without a route, which was removed after the opening was placed, it has no class.
+    Without a route, which was removed after the opening was placed, it has neither.
     """
     if route is None:
         return forward_to_agent(known.agent, known.service, packet)
@@ -107,6 +113,10 @@
         route.priority, route.latency_objective_ms, route.timeout_ms
     )
     opening = ForwardedOpening(
-        known.service, route_class, known.is_last_choice, packet.raw
+        known.service,
+        route_class,
+        known.is_last_choice,
+        packet.raw,
+        age_ms=now_ms - known.times.first_ms,
     )
     return SendMessage(known.agent, opening)
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -5,6 +5,7 @@
 from citronwinch.coordination._address import extract_service_endpoint
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import Action, ResetFlow, record
+from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._chosen_server import ChosenServer
 from citronwinch.coordination.flows._deployment import Route, order_services
 from citronwinch.coordination.flows._held_openings import (
@@ -19,6 +20,10 @@
     count_attempts,
     forward_opening,
 )
+from citronwinch.coordination.flows._opening_times import (
+    OpeningTimes,
+    read_copy_age_ms,
+)
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._refusal_reasons import explain_missing_server
 from citronwinch.coordination.flows._server_selector import ServerSelector
@@ -50,6 +55,7 @@
         flows: KnownFlows,
         counters: Counter[str],
         uploads: UploadAdmission,
+        attempt_ages: AttemptAges,
     ) -> None:
         self.view = view
         self.selector = selector
@@ -57,6 +63,7 @@
         self.flows = flows
         self.counters = counters
         self.uploads = uploads
+        self.attempt_ages = attempt_ages
         self.held_openings = HeldOpenings(clock)
 
     def handle_opening(self, packet: Packet) -> list[Action]:
@@ -72,33 +79,53 @@
                 is_overdue or self.view.is_evacuated(known.agent)
             )
             if not must_move:
-                return [forward_opening(known, packet, self.find_route(packet))]
+                known.times = self._find_times(packet, known)
+                route = self.find_route(packet)
+                return [forward_opening(known, packet, route, now_ms)]
             known.tried_agents.add(known.agent)
             if is_overdue:
                 self.selector.record_unconfirmed_flow(known.agent)
         route = self.find_route(packet)
         if route is None:
             return self.refuse_unknown_address(packet)
+        times = self._find_times(packet, known)
         if known is None and route.has_large_requests and self.uploads.is_full():
-            return self._refuse_opening(packet, route, set(), "link full")
-        return self.place_opening(packet, route, known.tried_agents if known else set())
+            return self._refuse_opening(packet, route, times, set(), "link full")
+        tried_agents = known.tried_agents if known else set()
+        return self.place_opening(packet, route, times, tried_agents)
+
+    def _find_times(self, packet: Packet, known: KnownFlow | None) -> OpeningTimes:
+        """Return when the caller sent an opening that was received now."""
+        now_ms = self.clock.now_ms()
+        sent_ms = now_ms - read_copy_age_ms(packet)
+        held = self.held_openings.openings.get(packet.flow)
+        if held is not None:
+            return held.times
+        if known is not None and known.times.is_same_attempt(sent_ms):
+            return known.times.include_copy(sent_ms)
+        age_ms = self.attempt_ages.take_age_ms(packet.flow)
+        return OpeningTimes(min(sent_ms, now_ms - age_ms), sent_ms)
 
     def place_opening(
-        self, packet: Packet, route: Route, tried_agents: set[str]
+        self,
+        packet: Packet,
+        route: Route,
+        times: OpeningTimes,
+        tried_agents: set[str],
     ) -> list[Action]:
         """Place an opening at an agent that was not tried yet, hold it or refuse it."""
         chosen = self._choose_server(packet, route, tried_agents)
         if chosen is None:
             reason = explain_missing_server(self.view, route)
-            return self._refuse_opening(packet, route, tried_agents, reason)
+            return self._refuse_opening(packet, route, times, tried_agents, reason)
         if _must_wait(chosen, route, is_late=is_retransmission(packet)):
-            if self.held_openings.hold_opening(packet, route):
+            if self.held_openings.hold_opening(packet, route, times):
                 self.counters["openings_held"] += 1
                 return []
             return self._refuse_opening(
-                packet, route, tried_agents, "too many openings wait"
+                packet, route, times, tried_agents, "too many openings wait"
             )
-        return self._forward_opening(packet, route, chosen, tried_agents)
+        return self._forward_opening(packet, route, times, chosen, tried_agents)
 
     def _choose_server(
         self, packet: Packet, route: Route, tried_agents: set[str]
@@ -119,6 +146,7 @@
         self,
         packet: Packet,
         route: Route,
+        times: OpeningTimes,
         chosen: ChosenServer,
         tried_agents: set[str],
     ) -> list[Action]:
@@ -127,7 +155,8 @@
         agent, service = chosen.server.address.ip, chosen.server.service
         now_ms = self.clock.now_ms()
         flow = KnownFlow(agent, service, now_ms)
-        flow.unconfirmed_since_ms, flow.tried_agents = now_ms, tried_agents
+        flow.times, flow.tried_agents = times, tried_agents
+        flow.unconfirmed_since_ms = now_ms
         flow.has_large_request = route.has_large_requests
         if route.has_large_requests:
             self.uploads.record_opening(packet.flow)
@@ -151,13 +180,20 @@
             service_ms=round(chosen.service_ms),
             candidates=chosen.candidates,
             attempt=flow.attempts,
+            age_ms=now_ms - times.first_ms,
             view_age_ms=self.view.age_ms,
         )
-        return [forward_opening(flow, packet, self.find_route(packet)), placed]
+        return [forward_opening(flow, packet, route, now_ms), placed]
 
     def _refuse_opening(
-        self, packet: Packet, route: Route, tried_agents: set[str], reason: str
+        self,
+        packet: Packet,
+        route: Route,
+        times: OpeningTimes,
+        tried_agents: set[str],
+        reason: str,
     ) -> list[Action]:
+        self.attempt_ages.record_ended(packet.flow, times.first_ms)
         self.held_openings.remove(packet.flow)
         self.flows.pop(packet.flow, None)
         self.counters["openings_refused"] += 1
@@ -196,7 +232,7 @@
                     continue
                 if not _must_wait(chosen, held.route, is_late=is_late):
                     actions += self._forward_opening(
-                        held.packet, held.route, chosen, set()
+                        held.packet, held.route, held.times, chosen, set()
                     )
                     continue
                 full_kinds.add(kind)
@@ -205,7 +241,7 @@
         return actions
 
     def _refuse_held_opening(self, held: HeldOpening, reason: str) -> list[Action]:
-        return self._refuse_opening(held.packet, held.route, set(), reason)
+        return self._refuse_opening(held.packet, held.route, held.times, set(), reason)
 
     def refuse_unknown_address(self, packet: Packet) -> list[Action]:
         """Refuse a packet to an address without a route if the view is current."""
