--- a/citronwinch/coordination/flows/tests/crowd_model.py
+++ b/citronwinch/coordination/flows/tests/crowd_model.py
@@ -136,6 +136,9 @@
         self.requests: list[Request] = []
         self.placed: list[tuple[Attempt, int]] = []
         self.refusals: list[Refusal] = []
+        self.refused: set[Attempt] = set()
+        self.crossed: set[Attempt] = set()
+        """The refused attempts whose callers sent a copy before the reset came."""
         self.after_tick: Callable[[list[Action]], None] = lambda _actions: None
         for ip in self.servers:
             self.at(self.rng.randrange(REPORT_INTERVAL_MS), self._report, ip)
@@ -185,6 +188,8 @@
     def _receive_opening(self, flow: FlowKey, copy: int) -> None:
         if flow not in self.open_attempts or flow in self.accepted:
             return
+        if self.attempts[flow] in self.refused:
+            self.crossed.add(self.attempts[flow])
         raw = flow + bytes((copy,))
         packet = Packet(flow, True, False, False, False, 0, copy, 0, raw)
         self.packets[raw] = packet
@@ -221,6 +226,7 @@
             elif isinstance(action, Record) and action.event == "opening_refused":
                 assert action.packet is not None
                 attempt = self.attempts[action.packet.flow]
+                self.refused.add(attempt)
                 self.refusals.append(Refusal(attempt, now_ms, dict(action.fields)))
 
     # Servers
--- a/citronwinch/coordination/flows/tests/test_attempt_ages.py
+++ b/citronwinch/coordination/flows/tests/test_attempt_ages.py
@@ -6,7 +6,7 @@
 """
 
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from citronwinch.coordination import (
     Endpoint,
@@ -185,6 +185,7 @@
     assert [ages.take_age_ms(flow) for flow in flows] == [100, 0, 0]
 
 
+@settings(max_examples=25, deadline=None)
 @given(
     callers=st.lists(st.integers(0, 5_999), max_size=400),
     takes=st.lists(st.integers(0, 5_999), max_size=50),
