Keep a returned opening from early refusal if another copy may be accepted

Cause: an opening that its first agent did not confirm is forwarded to a second one. When that one returned it, the balancer took it for an opening that no server can accept, and refused it by an estimate although the first server may have accepted it. Change: KnownFlow.may_be_accepted is set when an unconfirmed opening is forwarded again, and is kept over further placements. Admission reads it instead of a parameter.

--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -36,6 +36,10 @@
         found by a search."""
         self.unconfirmed_since_ms: int | None = None
         """When an unconfirmed opening was forwarded; None for other flows."""
+        self.may_be_accepted = False
+        """Whether a server may accept a copy of the unconfirmed opening other than the
+        one forwarded last: an earlier one was not answered, or another one is on its
+        way."""
         self.has_large_request = False
         """Whether the flow's route has large requests; False if the balancer has not
         seen its opening."""
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -74,6 +74,7 @@
             must_move = known.unconfirmed_since_ms is not None and (
                 is_overdue or self.view.is_evacuated(known.agent)
             )
+            known.may_be_accepted |= known.unconfirmed_since_ms is not None
             if not must_move:
                 known.times = self._find_times(packet, known)
                 route = self.find_route(packet)
@@ -88,9 +89,7 @@
         if known is None and route.has_large_requests and self.uploads.is_full():
             return self.placement.refuse(packet, route, times, (), "link full")
         tried_agents = known.tried_agents if known else set()
-        return self.place_opening(
-            packet, route, times, tried_agents, may_be_accepted=known is not None
-        )
+        return self.place_opening(packet, route, times, tried_agents)
 
     def _find_times(self, packet: Packet, known: KnownFlow | None) -> OpeningTimes:
         """Return when the caller sent an opening that was received now."""
@@ -110,18 +109,15 @@
         route: Route,
         times: OpeningTimes,
         tried_agents: set[str],
-        *,
-        may_be_accepted: bool = False,
     ) -> list[Action]:
-        """Place an opening at an agent that was not tried yet, hold it or refuse it.
-
-        `may_be_accepted` tells that a server may still accept an earlier copy of it.
-        """
+        """Place an opening at an agent that was not tried yet, hold it or refuse it."""
         chosen = self.placement.choose_server(packet, route, tried_agents)
         if chosen is None:
             reason = explain_missing_server(self.view, route)
             return self.placement.refuse(packet, route, times, tried_agents, reason)
         now_ms = self.clock.now_ms()
+        known = self.flows.get(packet.flow)
+        may_be_accepted = known is not None and known.may_be_accepted
         held = make_held_opening(
             packet, route, times, now_ms, may_be_accepted=may_be_accepted
         )
--- a/citronwinch/coordination/flows/_opening_placement.py
+++ b/citronwinch/coordination/flows/_opening_placement.py
@@ -105,7 +105,13 @@
         flow.times, flow.tried_agents = times, tried_agents
         flow.unconfirmed_since_ms = now_ms
         flow.has_large_request = route.has_large_requests
-        flow.attempts += count_attempts(self.flows.get(packet.flow))
+        previous = self.flows.get(packet.flow)
+        flow.attempts += count_attempts(previous)
+        flow.may_be_accepted = (
+            previous is not None
+            and previous.unconfirmed_since_ms is not None
+            and previous.may_be_accepted
+        )
         # With a single candidate left, a returned opening would have to be refused.
         flow.is_last_choice = (
             flow.attempts >= LAST_CHOICE_ATTEMPT or chosen.candidates == 1
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -148,3 +148,24 @@
     clock.advance(PAUSE_MS + 500)
     rates.update_waiting({"gauging"})
     assert rates.estimate_per_s({"gauging"}) >= before_per_s
+
+
+def test_an_opening_that_its_second_agent_returned_is_not_refused_by_an_estimate(
+    balancer: BalancerFlows, selector: ServerSelector, clock: ManualClock
+) -> None:
+    """The first agent, which did not answer, may have accepted the original."""
+    fill(selector, waiting=0)
+    [first] = list_forwards(balancer.handle_packet(make_packet(opening=True)))
+    clock.advance(130)
+    copy = make_packet(opening=True, acknowledged=1)
+    [second] = list_forwards(balancer.handle_packet(copy))
+    assert second != first
+    fill(selector)
+    assert not balancer.handle_returned(copy, second[0])
+    clock.advance(10)
+    for port in range(5_000, 5_400):
+        assert not balancer.handle_packet(make_packet(port, opening=True))
+    clock.advance(90)
+    fill(selector)
+    assert has_reset(balancer.tick())
+    assert copy.flow in balancer.held_openings.openings
