Place an opening whose time is over at once if a server has room

Cause: a last copy, 600 ms after the original, can arrive first, e.g. when a link or another balancer failed. On a route whose half timeout is over by then, it queued behind late openings that wait for an idle server, and was refused at the next tick although servers had room. Change: HeldOpenings.must_queue is False for such an opening.

--- a/citronwinch/coordination/flows/_held_openings.py
+++ b/citronwinch/coordination/flows/_held_openings.py
@@ -46,10 +46,15 @@
         return True
 
     def must_queue(self, held: HeldOpening) -> bool:
-        """Return whether a new opening may have to let a held one go first."""
+        """Return whether a new opening may have to let a held one go first.
+
+        One whose time is over does not queue: it would be refused at the next tick.
+        """
         if not self.openings or held.packet.flow in self.openings:
             return False
         now_ms = self.clock.now_ms()
+        if now_ms >= held.deadline_ms:
+            return False
         return held.timely_until_ms < now_ms or now_ms <= self.latest_timely_ms
 
     def is_late(self, held: HeldOpening) -> bool:
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -169,3 +169,15 @@
     fill(selector)
     assert has_reset(balancer.tick())
     assert copy.flow in balancer.held_openings.openings
+
+
+def test_an_opening_past_its_time_does_not_queue_while_a_server_has_room(
+    balancer: BalancerFlows, selector: ServerSelector
+) -> None:
+    """The last copy is the first one to arrive, and a late opening is held."""
+    fill(selector)
+    assert not balancer.handle_packet(make_packet(opening=True, acknowledged=1))
+    # One request waits at each server: no server is idle, and none is full.
+    fill(selector, waiting=1)
+    last_copy = make_packet(5_000, opening=True, acknowledged=2)
+    assert list_forwards(balancer.handle_packet(last_copy))
