Count returned openings that are placed from the queue in its rate

Cause: only the first placement of an opening counted in the rate. Openings that an agent returned wait in the queue as well and are counted as ahead of others, so that the estimate was too low exactly when several balancers fill the same servers and agents return openings. Change: a placement from the queue always counts. Callers are still charged once.

--- a/citronwinch/coordination/flows/_opening_placement.py
+++ b/citronwinch/coordination/flows/_opening_placement.py
@@ -122,13 +122,15 @@
     def _count_placed(
         self, packet: Packet, chosen: ChosenServer, flow: KnownFlow
     ) -> None:
+        has_waited = packet.flow in self.held_openings.openings
         self.held_openings.remove(packet.flow)
         self.selector.record_placed_flow(chosen.server)
         self.counters["openings_placed"] += 1
         if flow.has_large_request:
             self.uploads.record_opening(packet.flow)
-        if flow.attempts == 1:
+        if flow.attempts == 1 or has_waited:
             self.held_openings.rates.record_placed(flow.service)
+        if flow.attempts == 1:
             caller = extract_caller(packet.flow)
             self.held_openings.shares.charge(caller, chosen.service_ms)
 
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -181,3 +181,20 @@
     fill(selector, waiting=1)
     last_copy = make_packet(5_000, opening=True, acknowledged=2)
     assert list_forwards(balancer.handle_packet(last_copy))
+
+
+def test_returned_openings_that_are_placed_from_the_queue_count_in_its_rate(
+    balancer: BalancerFlows, selector: ServerSelector
+) -> None:
+    """Openings that were ahead of others were missing in the estimate for these."""
+    fill(selector, waiting=0)
+    packet = make_packet(opening=True)
+    [(agent, _)] = list_forwards(balancer.handle_packet(packet))
+    fill(selector)
+    assert not balancer.handle_returned(packet, agent)
+    for port in range(5_000, 5_030):
+        assert not balancer.handle_packet(make_packet(port, opening=True))
+    fill(selector, waiting=0)
+    placed = len(list_forwards(balancer.tick()))
+    assert packet.flow not in balancer.held_openings.openings
+    assert balancer.held_openings.rates.count_placed({"gauging"})[0] == placed
