Estimate the turns of each lower priority by its own queue

Cause: the estimate counted the openings of all lower priorities as one queue. With 120 openings of the second priority ahead, one of the third was refused, although lower priorities take turns and its turn would have come. Change: a lower priority counts its own openings ahead, and the first of them is not refused by an estimate, since the next placement may be its turn.

--- a/citronwinch/coordination/flows/_held_placement.py
+++ b/citronwinch/coordination/flows/_held_placement.py
@@ -1,6 +1,6 @@
 """Places the openings that a balancer holds, and refuses those without a chance."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Sequence
 
 from citronwinch.coordination._clock import Clock
@@ -68,7 +68,8 @@
     def _refuse(self, pool: ServicePool, placing: "PlacingPass") -> list[Action]:
         """Refuse openings whose time is up or will be before their turn.
 
-        A lower priority gets one of every eight placements, whatever is ahead of it.
+        A lower priority may get one of every eight placements, whatever is ahead of it.
+        It is not known for how long other lower ones share these with it.
         """
         actions: list[Action] = []
         for held in placing.without_server:
@@ -78,12 +79,15 @@
         rates = self.held_openings.rates
         placed_per_s = rates.estimate_per_s(pool)
         placed, observed_ms = rates.count_placed(pool)
-        ahead = lower_ahead = 0
+        ahead = 0
+        ahead_by_priority = Counter[int]()
         highest = min((h.route.priority for h in placing.without_room), default=0)
         for held in placing.without_room:
-            turns = ahead
-            if held.route.priority != highest:
-                lower_turns = PLACEMENTS_PER_LOWER_PRIORITY * (lower_ahead + 1)
+            turns, priority = ahead, held.route.priority
+            if priority != highest:
+                lower_turns = (
+                    PLACEMENTS_PER_LOWER_PRIORITY * ahead_by_priority[priority]
+                )
                 turns = min(ahead, lower_turns)
             wait_ms = 1_000 * turns / (ESTIMATE_FACTOR * placed_per_s)
             has_chance = now_ms + wait_ms <= held.deadline_ms
@@ -91,7 +95,7 @@
                 has_chance = True
             if now_ms < held.deadline_ms and has_chance:
                 ahead += 1
-                lower_ahead += held.route.priority != highest
+                ahead_by_priority[priority] += 1
                 continue
             actions += self._refuse_held(
                 held,
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -7,12 +7,14 @@
 
 import pytest
 
-from citronwinch.coordination import ManualClock
+from citronwinch.coordination import Endpoint, ManualClock
 from citronwinch.coordination.flows import (
     BalancerFlows,
     LoadReport,
     Packet,
+    Route,
     ServerSelector,
+    ServiceShare,
 )
 from citronwinch.coordination.flows._held_opening import (
     NETWORK_PATH_MS,
@@ -28,6 +30,7 @@
 from citronwinch.coordination.flows.tests.conftest import (
     has_reset,
     list_forwards,
+    make_configuration,
     make_packet,
 )
 
@@ -183,6 +186,32 @@
     assert list_forwards(balancer.handle_packet(last_copy))
 
 
+def test_a_lower_priority_does_not_wait_for_all_openings_of_another_lower_one(
+    balancer: BalancerFlows, selector: ServerSelector, clock: ManualClock
+) -> None:
+    """Lower priorities take turns; the third one was refused for the second's queue."""
+    addresses = [Endpoint(f"198.18.0.{n}", 8443) for n in (11, 12, 13)]
+    share = (ServiceShare("gauging", 1),)
+    routes = [
+        Route(f"p{priority}", address, share, priority, 120, 1_000)
+        for priority, address in enumerate(addresses)
+    ]
+    balancer.view.accept_configuration(make_configuration(2, *routes))
+    fill(selector)
+    for port, address in enumerate(
+        [addresses[0], *[addresses[1]] * 120, addresses[2]], start=5_000
+    ):
+        assert not balancer.handle_packet(make_packet(port, address, opening=True))
+    for _ in range(5):
+        clock.advance(20)
+        # 100 placements per second.
+        for _ in range(2):
+            balancer.held_openings.rates.record_placed("gauging")
+    fill(selector)
+    assert has_reset(balancer.tick())
+    assert make_packet(5_121, addresses[2]).flow in balancer.held_openings.openings
+
+
 def test_returned_openings_that_are_placed_from_the_queue_count_in_its_rate(
     balancer: BalancerFlows, selector: ServerSelector
 ) -> None:
