Let no standstill after a crowd count as the rate of placements

Cause: when several balancers fill the same servers at once, nothing is placed until these have worked that off. The estimate took this time for a rate of nearly zero: 20 openings that three servers answer within 150 ms were refused from 40 ms on, though they had 400 ms. Change: for refusals, the rate is observed from the first placement of the last second on. Before it and for 30 ms after it, the rate is at least what the servers can process by their reports. After a whole second without a placement the observed rate holds as before. The rule for newest-first is unchanged.

--- a/citronwinch/coordination/flows/_held_placement.py
+++ b/citronwinch/coordination/flows/_held_placement.py
@@ -77,7 +77,9 @@
             actions += self._refuse_held(held, reason)
         now_ms = self.clock.now_ms()
         rates = self.held_openings.rates
-        placed_per_s = rates.estimate_per_s(pool)
+        most_per_s = ESTIMATE_FACTOR * rates.estimate_most_per_s(
+            pool, self.placement.estimate_capacity_per_s(pool)
+        )
         placed, observed_ms = rates.count_placed(pool)
         ahead = 0
         ahead_by_priority = Counter[int]()
@@ -89,7 +91,7 @@
                     PLACEMENTS_PER_LOWER_PRIORITY * ahead_by_priority[priority]
                 )
                 turns = min(ahead, lower_turns)
-            wait_ms = 1_000 * turns / (ESTIMATE_FACTOR * placed_per_s)
+            wait_ms = 1_000 * turns / most_per_s
             has_chance = now_ms + wait_ms <= held.deadline_ms
             if held.may_be_accepted or not placing.is_full(held):
                 has_chance = True
--- a/citronwinch/coordination/flows/_opening_placement.py
+++ b/citronwinch/coordination/flows/_opening_placement.py
@@ -8,7 +8,11 @@
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._caller_shares import extract_caller
 from citronwinch.coordination.flows._chosen_server import ChosenServer
-from citronwinch.coordination.flows._deployment import Route, order_services
+from citronwinch.coordination.flows._deployment import (
+    BackendServer,
+    Route,
+    order_services,
+)
 from citronwinch.coordination.flows._held_openings import HeldOpenings
 from citronwinch.coordination.flows._known_flows import (
     LAST_CHOICE_ATTEMPT,
@@ -19,6 +23,7 @@
 )
 from citronwinch.coordination.flows._opening_times import OpeningTimes
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._server_scoring import find_median_service_ms
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._upload_admission import UploadAdmission
 from citronwinch.coordination.flows._view import DeploymentView
@@ -62,6 +67,25 @@
         ]
         return self.selector.choose_service(by_preference) if by_preference else None
 
+    def estimate_capacity_per_s(self, services: Collection[str]) -> float:
+        """Return the requests per second that the servers of services can process."""
+        servers = [
+            server for service in services for server in self.view.list_ready(service)
+        ]
+        reported_ms = [self._read_service_ms(server) for server in servers]
+        median_ms = find_median_service_ms(reported_ms)
+        return sum(
+            1_000 * server.slots / (service_ms or median_ms)
+            for server, service_ms in zip(servers, reported_ms, strict=True)
+        )
+
+    def _read_service_ms(self, server: BackendServer) -> int:
+        """Return the service time that a server's agent reported; 0 if unknown."""
+        agent = self.selector.agents.get(server.address.ip)
+        if agent is None or agent.report is None:
+            return 0
+        return agent.report.service_ms
+
     def forward(
         self,
         packet: Packet,
--- a/citronwinch/coordination/flows/_placement_rates.py
+++ b/citronwinch/coordination/flows/_placement_rates.py
@@ -90,6 +90,33 @@
             return math.inf
         return 1_000 * (placed + 1) / observed_ms
 
+    def estimate_most_per_s(
+        self, services: Collection[str], capacity_per_s: float
+    ) -> float:
+        """Return the openings per second that the services may take from now on.
+
+        Until openings have been placed for long enough, that is what the servers can
+        process. They may still be working off what all balancers placed at once, which
+        says nothing about the rate afterwards; the observation therefore begins with
+        the first placement. Without any for a whole window, the servers stand still.
+        """
+        placed, waited_ms = self.count_placed(services)
+        per_s = self.estimate_per_s(services)
+        if not placed:
+            is_standstill = waited_ms >= RATE_WINDOW_MS
+            return per_s if is_standstill else max(per_s, capacity_per_s)
+        now_ms = self.clock.now_ms()
+        first_ms = min(
+            placed_ms
+            for service in services
+            for placed_ms in self.placed_ms.get(service, ())
+            if placed_ms >= now_ms - waited_ms
+        )
+        observed_ms = now_ms - first_ms
+        if observed_ms < MIN_OBSERVATION_MS:
+            return max(per_s, capacity_per_s)
+        return 1_000 * (placed + 1) / observed_ms
+
     def count_placed(self, services: Collection[str]) -> tuple[int, int]:
         """Return how many openings were placed, and in how many milliseconds."""
         now_ms = self.clock.now_ms()
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -153,6 +153,24 @@
     assert rates.estimate_per_s({"gauging"}) >= before_per_s
 
 
+def test_openings_wait_while_servers_work_off_what_other_balancers_placed(
+    balancer: BalancerFlows, selector: ServerSelector, clock: ManualClock
+) -> None:
+    """A standstill after a crowd at several balancers says little about the rate."""
+    fill(selector, waiting=16)
+    for port in range(5_000, 5_020):
+        assert not balancer.handle_packet(make_packet(port, opening=True))
+    placed = 0
+    for waited_ms in range(0, 420, 20):
+        # A server answers a request in 17.5 ms.
+        fill(selector, waiting=max(0, 16 - waited_ms // 17))
+        actions = balancer.tick()
+        assert not has_reset(actions), waited_ms
+        placed += len(list_forwards(actions))
+        clock.advance(20)
+    assert placed == 20
+
+
 def test_an_opening_that_its_second_agent_returned_is_not_refused_by_an_estimate(
     balancer: BalancerFlows, selector: ServerSelector, clock: ManualClock
 ) -> None:
