--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -1,8 +1,9 @@
 """How long a balancer holds one opening, and when it refuses it early.
 
 Guards against openings that are held longer than their callers wait or refused earlier,
-placed after their callers have given up, refused by an estimate that nothing has shown,
-or refused early although a server may have accepted them.
+placed after their callers have given up, refused by an estimate that nothing has shown
+or that takes a standstill, another priority's queue or uncounted placements for the
+rate, or refused early although a server may have accepted them or has room.
 """
 
 import pytest
