--- a/citronwinch/coordination/flows/_attempt_ages.py
+++ b/citronwinch/coordination/flows/_attempt_ages.py
@@ -17,8 +17,10 @@
 class AttemptAges:
     """The callers whose attempt this balancer has ended by a refusal or a reset.
 
-    The next flow of such a caller to the same service address carries a request that is
-    at least as old as the ended attempt.
+    The next flow of such a caller to the same service address carries a request that
+    is at least as old as the ended attempt. Only the latest attempt of a caller counts,
+    and for one flow: if all of them counted, most new requests of a crowd would be
+    taken for old ones, since few callers reach the same balancer again.
 
     Example::
 
