Count the age of an opening for the first request of its flow

Cause: an agent counts the time of a request from its first packet. A caller that tries again after a loss of power has waited before, and its request is served in the order of its last attempt, past its objective. Change: the first request of a flow is ordered, and expires, as if it had been received earlier by the age that its balancer states with the opening. Copies of the opening count with their highest age until data has arrived. Measured times and the learned service time do not include the age.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -143,8 +143,9 @@
                 "opening_returned", packet, balancer=balancer, reason="evacuated"
             )
             return [*self._return_opening(packet, balancer), returned]
-        route_class = None
+        route_class, age_ms = None, 0
         if isinstance(message, ForwardedOpening):
+            age_ms = message.age_ms
             route_class = self.requests.record_class(packet.flow, message.route_class)
             flow = self.flows.get(packet.flow)
             is_new = flow is None or flow.state in STATES_BEFORE_OPENING
@@ -156,7 +157,9 @@
             return self._return_opening(packet, balancer)
         actions = self._deliver_opening(packet, balancer)
         if route_class is not None:
-            self.flows[packet.flow].route_class = route_class
+            flow = self.flows[packet.flow]
+            flow.route_class = route_class
+            flow.record_opening_age(age_ms)
         return actions
 
     def _return_opening(self, packet: Packet, balancer: str) -> list[Action]:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -83,6 +83,9 @@
         """The end of the caller's data received so far, as a sequence number."""
         self.route_class: RouteClass | None = None
         """The class of the flow's requests, if the agent has seen its opening."""
+        self.opening_age_ms = 0
+        """How long the caller had been trying when its opening was forwarded, as far as
+        its balancer knew, until the flow's first request is complete."""
 
     def is_confirmed_by(self, acknowledged: int) -> bool:
         """Return whether a caller's acknowledgement confirms the acceptance."""
@@ -116,6 +119,16 @@
         end = packet.sequence + packet.payload_bytes
         return compute_sequence_distance(end, self.received_end) > 0
 
+    def record_opening_age(self, age_ms: int) -> None:
+        """Record the age of an opening; copies that arrive after data do not count."""
+        if self.received_end is None:
+            self.opening_age_ms = max(self.opening_age_ms, age_ms)
+
+    def take_opening_age(self) -> int:
+        """Return the age of the opening for the first request; 0 for later ones."""
+        age_ms, self.opening_age_ms = self.opening_age_ms, 0
+        return age_ms
+
     def record_data(self, packet: Packet) -> bool:
         """Record a packet with data; return whether it begins a request.
 
--- a/citronwinch/coordination/flows/_request_queue.py
+++ b/citronwinch/coordination/flows/_request_queue.py
@@ -41,7 +41,8 @@
     """The priority and the time limits of the request."""
 
     received_ms: int
-    """When the first packet of the request was received."""
+    """When the first packet of the request was received; for the first request of a
+    flow, earlier by the age of the opening."""
 
     held_ms: int
     """When the request was complete and was held."""
--- a/citronwinch/coordination/flows/_server_requests.py
+++ b/citronwinch/coordination/flows/_server_requests.py
@@ -146,6 +146,7 @@
         return [self._deliver(packet)]
 
     def _hold_or_start(self, packet: Packet, entry: FlowEntry) -> list[Action]:
+        age_ms = entry.take_opening_age()
         address = extract_service_endpoint(packet.flow)
         route_class = entry.route_class or self.route_classes.get(address)
         now_ms = self.clock.now_ms()
@@ -159,9 +160,8 @@
         ):
             return self._start(packet.flow, (packet,), wait_ms=0)
         received_ms = now_ms if entry.request_ms is None else entry.request_ms
-        self.queue.add(
-            make_held_request(packet, route_class, received_ms, now_ms, entry)
-        )
+        since_ms = received_ms - age_ms
+        self.queue.add(make_held_request(packet, route_class, since_ms, now_ms, entry))
         self.counters["requests_held"] += 1
         return self.release()
 
--- a/citronwinch/coordination/flows/tests/test_server_requests.py
+++ b/citronwinch/coordination/flows/tests/test_server_requests.py
@@ -50,10 +50,14 @@
 
 
 def open_flow(
-    agent: AgentFlows, port: int, route_class: RouteClass = ROUTE_CLASS
+    agent: AgentFlows,
+    port: int,
+    route_class: RouteClass = ROUTE_CLASS,
+    *,
+    age_ms: int = 0,
 ) -> None:
     opening = make_packet(port, opening=True)
-    message = ForwardedOpening("gauging", route_class, True, opening.raw)
+    message = ForwardedOpening("gauging", route_class, True, opening.raw, age_ms)
     agent.handle_forwarded(message, opening, BALANCER)
     agent.handle_from_server(make_packet(port, opening=True, sequence=500))
     forward(agent, make_packet(port, acknowledged=501))
@@ -108,6 +112,61 @@
     assert busy_agent.make_load_report().service_ms == 25
 
 
+def test_the_first_request_of_an_old_opening_goes_first(
+    busy_agent: AgentFlows, clock: ManualClock
+) -> None:
+    # Guards against a retry that waits as long as a request that has just begun.
+    open_flow(busy_agent, 4004, age_ms=208)
+    send(busy_agent, SECOND)
+    clock.advance(100)
+    send(busy_agent, 4004)
+    assert answer(busy_agent, FIRST) == [4004]
+    assert answer(busy_agent, 4004) == [SECOND]
+    # The age belongs to the first request of the flow alone.
+    send(busy_agent, FIRST, 150)
+    clock.advance(10)
+    send(busy_agent, 4004, 150)
+    assert answer(busy_agent, SECOND) == [FIRST]
+
+
+def test_the_highest_age_of_an_opening_counts_until_its_first_data(
+    busy_agent: AgentFlows,
+) -> None:
+    open_flow(busy_agent, 4004, age_ms=608)
+    open_flow(busy_agent, 4004, age_ms=192)
+    entry = busy_agent.flows[make_packet(4004).flow]
+    assert entry.opening_age_ms == 608
+    send(busy_agent, 4004)
+    open_flow(busy_agent, 4004, age_ms=800)
+    assert entry.opening_age_ms == 0
+
+
+def test_a_request_whose_caller_has_given_up_with_its_age_is_dropped(
+    busy_agent: AgentFlows, clock: ManualClock
+) -> None:
+    open_flow(busy_agent, 4004, age_ms=2_000)
+    send(busy_agent, 4004)
+    clock.advance(2_000)
+    (expired,) = busy_agent.requests.release()
+    assert isinstance(expired, Record)
+    assert expired.event == "request_expired"
+    assert ("waited_ms", 4_000) in expired.fields
+    # A caller that has not given up sends a copy, which is served.
+    assert send(busy_agent, 4004) == [4004]
+
+
+def test_the_age_of_an_opening_is_no_time_of_the_server(
+    busy_agent: AgentFlows, clock: ManualClock
+) -> None:
+    # Guards against a server that fails requests at once and looks slow instead.
+    open_flow(busy_agent, 4004, age_ms=2_000)
+    send(busy_agent, 4004)
+    answer(busy_agent, FIRST)
+    clock.advance(20)
+    answered = busy_agent.handle_from_server(make_packet(4004, payload=90))
+    assert Measure("request_ms", 20) in answered
+
+
 PASSED_THROUGH = [
     pytest.param(make_packet(SECOND, acknowledged=501), id="an acknowledgement"),
     pytest.param(
