Take the deviation of service times into account for lateness

Cause: a request counts as able to be in time if the mean service time fits into what is left of its objective. Where service times vary, many of the requests that are served last are late. Change: ServiceTimes learns the mean deviation, without requests of more than twice the mean, and RequestQueue adds it to the service time as a margin. Result: 3% of requests that take seven times as long leave a margin of 3 ms for requests of 30 ms, and a deviation of 10 ms is learned as 10 ms beside them (test_heavy_tail.py).

--- a/citronwinch/coordination/flows/_request_queue.py
+++ b/citronwinch/coordination/flows/_request_queue.py
@@ -186,7 +186,8 @@
 
     def _find_timely(self, requests: Sequence[HeldRequest]) -> list[HeldRequest]:
         """Return the requests that can still be answered within their objective."""
-        answered_ms = self.clock.now_ms() + self.service_times.service_ms
+        times = self.service_times
+        answered_ms = self.clock.now_ms() + times.service_ms + times.margin_ms
         return [r for r in requests if r.timely_until_ms >= answered_ms]
 
 
--- a/citronwinch/coordination/flows/_service_times.py
+++ b/citronwinch/coordination/flows/_service_times.py
@@ -19,11 +19,17 @@
 """A request counts for at most this many times the mean: a few requests in a hundred
 take 7 times as long as the others, and would dominate a mean of a dozen requests."""
 
+MAX_DEVIATION_FACTOR = 2
+"""A request that takes more than this many times the mean does not count for the mean
+deviation. The few long requests would otherwise make up two thirds of it, and requests
+that can be in time would count as late."""
+
 
 class ServiceTimes:
     """A moving mean of the time from the delivery of a request to its answer.
 
-    Time in a queue, beside the server or inside it, is not part of it.
+    Time in a queue, beside the server or inside it, is not part of it. The margin, the
+    mean deviation, tells how much longer than the mean requests often take.
 
     Example::
 
@@ -32,8 +38,13 @@
         >>> for _ in range(20):
         ...     times.record_answer(30)
         >>> times.record_answer(1)
-        >>> times.service_ms
-        30
+        >>> times.service_ms, times.margin_ms
+        (30, 0)
+        >>> for _ in range(20):
+        ...     times.record_answer(20)
+        ...     times.record_answer(40)
+        >>> times.service_ms, times.margin_ms
+        (30, 10)
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -41,6 +52,9 @@
         self.mean_ms = 0.0
         self.service_ms = 0
         """The mean in whole milliseconds; 0 if unknown."""
+        self.deviation_ms = 0.0
+        self.margin_ms = 0
+        """The mean deviation in whole milliseconds; 0 if unknown."""
         self.samples = 0
         self.updated_ms = clock.now_ms()
 
@@ -54,6 +68,10 @@
             service_ms = min(service_ms, round(MAX_SAMPLE_FACTOR * self.mean_ms))
         # The first requests have equal weights.
         weight = max(1 / self.samples, self._compute_weight(now_ms))
+        if self.samples > 1 and service_ms <= MAX_DEVIATION_FACTOR * self.mean_ms:
+            deviation_ms = abs(service_ms - self.mean_ms)
+            self.deviation_ms += weight * (deviation_ms - self.deviation_ms)
+            self.margin_ms = round(self.deviation_ms)
         self.mean_ms += weight * (service_ms - self.mean_ms)
         self.service_ms = round(self.mean_ms)
         self.updated_ms = now_ms
@@ -66,3 +84,4 @@
     def reset(self) -> None:
         """Discard what was learned; the server is a new incarnation."""
         self.mean_ms, self.service_ms, self.samples = 0.0, 0, 0
+        self.deviation_ms, self.margin_ms = 0.0, 0
--- a/citronwinch/coordination/flows/tests/test_heavy_tail.py
+++ b/citronwinch/coordination/flows/tests/test_heavy_tail.py
@@ -1,10 +1,12 @@
 """Requests that take 7 times as long as others, and requests that hang.
 
 Guards against agents that learn a service time which a few long requests dominate, that
-take a long request for a hung one, and that keep a slot for a request that never ends.
+take a long request for a hung one, that let long requests widen the margin, and that
+keep a slot for a request that never ends.
 """
 
 import pytest
+from hypothesis import given, strategies as st
 
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import RouteClass
@@ -77,10 +79,46 @@
     assert times.service_ms == service_ms
 
 
+@pytest.mark.parametrize(
+    ("answers_ms", "margin_ms"),
+    [
+        pytest.param([], 0, id="nothing is known"),
+        pytest.param([30], 0, id="one request shows no deviation"),
+        pytest.param([30] * 50, 0, id="equal requests"),
+        pytest.param([20, 40] * 50, 10, id="requests that vary by a third"),
+        pytest.param(([30] * 32 + [210]) * 9 + [30] * 16, 3, id="3 of 100 are long"),
+        pytest.param(([20, 40] * 16 + [210]) * 9, 10, id="varying and long ones"),
+        pytest.param([30] * 50 + [48] * 50, 1, id="the server becomes slower"),
+    ],
+)
+def test_the_margin_is_the_mean_deviation_of_all_but_long_requests(
+    times: ServiceTimes, answers_ms: list[int], margin_ms: int
+) -> None:
+    # Guards against a margin that long requests dominate, or that stays for ever.
+    for answer_ms in answers_ms:
+        times.record_answer(answer_ms)
+    assert times.margin_ms == margin_ms
+
+
+@given(
+    usual=st.lists(st.integers(20, 40), min_size=30, max_size=90),
+    long_at=st.integers(10, 29),
+)
+def test_one_long_request_leaves_the_margin_below_the_spread(
+    usual: list[int], long_at: int
+) -> None:
+    times = ServiceTimes(ManualClock())
+    for answer_ms in [*usual[:long_at], 210, *usual[long_at:]]:
+        times.record_answer(answer_ms)
+    assert 0 <= times.margin_ms <= 30
+
+
 def test_a_new_incarnation_is_learned_afresh(times: ServiceTimes) -> None:
     for _ in range(50):
         times.record_answer(72)
+        times.record_answer(60)
+    assert times.margin_ms > 0
     times.reset()
-    assert times.service_ms == 0
+    assert (times.service_ms, times.margin_ms) == (0, 0)
     times.record_answer(30)
     assert times.service_ms == 30
