Deliver the newest requests first while a queue is overloaded

Cause: during a surge a queue delivers each request with little time left of its objective. A caller has waited longer than its agent knows, on the network and for earlier attempts, so that many answers are late. Change: QueueOverload tells that the work of the requests of a priority that can still be in time exceeds twice their objective, and for one objective after that. The queue delivers the newest of them first then. Callers above their share, late requests and the turns of lower priorities are as before. The model of callers and a server gets work that varies, cold servers, callers that have waited, and time that an agent does not see. Its loops no longer end a request twice.

--- a/citronwinch/coordination/flows/_request_queue.py
+++ b/citronwinch/coordination/flows/_request_queue.py
@@ -11,7 +11,9 @@
     compute_sequence_distance,
 )
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._queue_overload import QueueLength, QueueOverload
 from citronwinch.coordination.flows._route_class import RouteClass
+from citronwinch.coordination.flows._server_slots import ServerSlots
 from citronwinch.coordination.flows._service_times import ServiceTimes
 
 HELD_REQUESTS_LIMIT = 256
@@ -85,11 +87,19 @@
     """The held requests of one backend server, at most one for each flow."""
 
     def __init__(
-        self, clock: Clock, service_times: ServiceTimes, shares: CallerShares
+        self,
+        clock: Clock,
+        service_times: ServiceTimes,
+        shares: CallerShares,
+        slots: ServerSlots,
     ) -> None:
         self.clock = clock
         self.service_times = service_times
         self.shares = shares
+        self.slots = slots
+        self.overload = QueueOverload(clock)
+        self.delivered_newest_first = 0
+        """The deliveries in the order of an overloaded queue."""
         self.held: dict[FlowKey, HeldRequest] = {}
         self.next_expiry_ms = 0
         """No held request expires before this time."""
@@ -171,7 +181,24 @@
         timely = self._find_timely(highest)
         if not timely:
             return max(highest, key=_get_received_ms)
-        return min(self._exclude_above_share(timely), key=_get_received_ms)
+        return self._choose_timely(first, self._exclude_above_share(timely))
+
+    def _choose_timely(
+        self, priority: int, requests: Sequence[HeldRequest]
+    ) -> HeldRequest:
+        """Return the oldest request, or the newest one of an overloaded queue."""
+        newest = max(requests, key=_get_received_ms)
+        times = self.service_times
+        length = QueueLength(
+            len(requests),
+            newest.route_class.latency_objective_ms,
+            times.service_ms + times.margin_ms,
+            self.slots.slots,
+        )
+        if not self.overload.update(priority, length):
+            return min(requests, key=_get_received_ms)
+        self.delivered_newest_first += 1
+        return newest
 
     def _exclude_above_share(
         self, requests: Sequence[HeldRequest]
--- a/citronwinch/coordination/flows/_server_requests.py
+++ b/citronwinch/coordination/flows/_server_requests.py
@@ -63,7 +63,7 @@
         self.service_times = ServiceTimes(clock)
         self.shares = CallerShares(clock)
         self.slots = ServerSlots(clock, self.service_times)
-        self.queue = RequestQueue(clock, self.service_times, self.shares)
+        self.queue = RequestQueue(clock, self.service_times, self.shares, self.slots)
         self.route_classes: OrderedDict[bytes, RouteClass] = OrderedDict()
         """The latest class by service address, for flows whose opening was not seen."""
         self.waiting: OrderedDict[FlowKey, int] = OrderedDict()
@@ -176,6 +176,8 @@
             if oldest.held_ms < request.held_ms:
                 self.counters["requests_overtaken"] += 1
             actions += self._start_held(request)
+        newest_first = self.queue.delivered_newest_first
+        self.counters["requests_delivered_newest_first"] = newest_first
         return actions
 
     def release_all(self) -> list[Action]:
--- a/citronwinch/coordination/flows/tests/request_load.py
+++ b/citronwinch/coordination/flows/tests/request_load.py
@@ -46,6 +46,9 @@
     callers: int = 1
     """The requests come from this many callers, with addresses from `caller` on."""
 
+    work_spread: float = 0.0
+    """The work of a request differs from `work_ms` by up to this share of it."""
+
 
 class Request(NamedTuple):
     """A request as its caller and the server know it."""
@@ -54,6 +57,8 @@
     flow: FlowKey
     raw: bytes
     sent_ms: int
+    """When its caller began to try."""
+
     work_ms: int
 
 
@@ -113,16 +118,26 @@
     """Plays callers whose requests come at random times, each on a flow of its own."""
 
     def __init__(
-        self, kinds: list[Kind], *, holds: bool, slots: int = 1, seed: int = 1
+        self,
+        kinds: list[Kind],
+        *,
+        holds: bool,
+        slots: int = 1,
+        seed: int = 1,
+        speed: float = 1.0,
+        unseen_ms: int = 0,
     ) -> None:
         self.clock = ManualClock(100_000)
+        self.unseen_ms = unseen_ms
+        """How long each caller has waited before the agent sees its request, beyond
+        any age: on the network, and for the acceptance of its flow."""
         self.rng = random.Random(seed)
         self.kinds = kinds
         self.agent = AgentFlows(
             "gauging", self.clock, knows_all_flows=True, holds_requests=holds
         )
         self.agent.requests.slots.slots = slots
-        self.server = FakeServer(self.clock, slots)
+        self.server = FakeServer(self.clock, slots, speed)
         self.sent: dict[bytes, Request] = {}
         self.open_requests: dict[bytes, Request] = {}
         self.resends_ms: dict[bytes, tuple[int, int]] = {}
@@ -151,13 +166,17 @@
         now_ms = self.clock.now_ms()
         for done in self.server.finish():
             self._answer(done, ANSWER_BYTES)
+        # The end of one request may release another one, which the server refuses.
         for raw, (due_ms, gap_ms) in list(self.resends_ms.items()):
-            if now_ms >= due_ms:
+            if now_ms >= due_ms and raw in self.open_requests:
                 next_ms = min(2 * gap_ms, LONGEST_RESEND_MS)
                 self.resends_ms[raw] = now_ms + next_ms, next_ms
                 self._forward(self.open_requests[raw])
         for request in list(self.open_requests.values()):
-            if now_ms - request.sent_ms >= request.kind.route_class.timeout_ms:
+            waited_ms = now_ms - request.sent_ms
+            if request.raw not in self.open_requests:
+                continue
+            if waited_ms >= request.kind.route_class.timeout_ms:
                 self._end(request, None)
                 self._apply(self._handle(request, is_reset=True, payload_bytes=0))
         if now_ms % TICK_MS == 0:
@@ -168,7 +187,28 @@
         """Send a request that the server never answers."""
         self._send(kind, ENDLESS_WORK_MS)
 
-    def _send(self, kind: Kind, work_ms: int | None = None) -> None:
+    def send_waited(self, duration_ms: int, known_ages: float) -> None:
+        """Send at once what arrived in the past; a share of the ages is known."""
+        waited = [
+            (kind, age_ms)
+            for age_ms in range(duration_ms, 0, -1)
+            for kind in self.kinds
+            if self.rng.random() < kind.per_s / 1_000
+        ]
+        # Callers that try again do not return in the order of their first attempts.
+        self.rng.shuffle(waited)
+        for kind, age_ms in waited:
+            is_known = self.rng.random() < known_ages
+            self._send(kind, age_ms=age_ms, is_age_known=is_known)
+
+    def _send(
+        self,
+        kind: Kind,
+        work_ms: int | None = None,
+        *,
+        age_ms: int = 0,
+        is_age_known: bool = True,
+    ) -> None:
         self.next_port += 1
         caller = bytearray(pack_ip(kind.caller))
         caller[3] += self.rng.randrange(kind.callers)
@@ -180,18 +220,28 @@
             443,
         )
         if work_ms is None:
-            is_long = self.rng.random() < LONG_REQUEST_SHARE
-            work_ms = kind.work_ms * (LONG_REQUEST_FACTOR if is_long else 1)
+            work_ms = self._draw_work(kind)
         raw = self.next_port.to_bytes(4, "big")
-        request = Request(kind, flow, raw, self.clock.now_ms(), work_ms)
+        now_ms = self.clock.now_ms()
+        began_ms = now_ms - age_ms - self.unseen_ms
+        request = Request(kind, flow, raw, began_ms, work_ms)
         self.open_requests[raw] = self.sent[raw] = request
-        self.resends_ms[raw] = request.sent_ms + FIRST_RESEND_MS, FIRST_RESEND_MS
+        self.resends_ms[raw] = now_ms + FIRST_RESEND_MS, FIRST_RESEND_MS
         opening = make_flow_packet(flow, b"", is_opening=True)
-        message = ForwardedOpening("gauging", kind.route_class, True, b"")
+        stated_ms = age_ms if is_age_known else 0
+        message = ForwardedOpening("gauging", kind.route_class, True, b"", stated_ms)
         self.agent.handle_forwarded(message, opening, BALANCER)
         self.agent.handle_from_server(opening._replace(sequence=500))
         self._forward(request)
 
+    def _draw_work(self, kind: Kind) -> int:
+        is_long = self.rng.random() < LONG_REQUEST_SHARE
+        work_ms = kind.work_ms * (LONG_REQUEST_FACTOR if is_long else 1)
+        if kind.work_spread:
+            spread = kind.work_spread
+            work_ms = round(work_ms * self.rng.uniform(1 - spread, 1 + spread))
+        return work_ms
+
     def _forward(self, request: Request) -> None:
         self._apply(self._handle(request, payload_bytes=REQUEST_BYTES))
 
--- a/citronwinch/coordination/flows/tests/test_request_queue.py
+++ b/citronwinch/coordination/flows/tests/test_request_queue.py
@@ -24,6 +24,7 @@
     RequestQueue,
     make_held_request,
 )
+from citronwinch.coordination.flows._server_slots import ServerSlots
 from citronwinch.coordination.flows._service_times import ServiceTimes
 from citronwinch.coordination.flows.tests.conftest import make_packet
 
@@ -198,7 +199,9 @@
 def queue(clock: ManualClock) -> RequestQueue:
     times = ServiceTimes(clock)
     times.record_answer(30)
-    return RequestQueue(clock, times, CallerShares(clock))
+    slots = ServerSlots(clock, times)
+    slots.slots = 1
+    return RequestQueue(clock, times, CallerShares(clock), slots)
 
 
 def hold(
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -86,6 +86,7 @@
     "request_wait_ms": "time that a held request waited for a free slot, milliseconds",
     "request_window_bytes": "memory of the duplicate window",
     "request_window_limit_bytes": "limit of the duplicate window's memory",
+    "requests_delivered_newest_first_total": "held requests of overloaded queues",
     "requests_held_total": "requests that waited for a free slot",
     "requests_not_run_total": "requests whose callers were told not run, by reason",
     "requests_open": "requests that the backend server works on",
