Leave requests far below the mean out of the deviation

Cause: a long first request sets the mean, and each usual one after it counted with its distance from that mean. Requests of 30 ms had a margin of 45 ms after a dozen of them, and requests that could be in time counted as late just after a server's start. Change: requests of less than half the mean do not count for the deviation, as those of more than twice the mean. Result: the margin in that case is 11 ms; the new case failed with 45 before.

--- a/citronwinch/coordination/flows/_service_times.py
+++ b/citronwinch/coordination/flows/_service_times.py
@@ -20,9 +20,10 @@
 take 7 times as long as the others, and would dominate a mean of a dozen requests."""
 
 MAX_DEVIATION_FACTOR = 2
-"""A request that takes more than this many times the mean does not count for the mean
-deviation. The few long requests would otherwise make up two thirds of it, and requests
-that can be in time would count as late."""
+"""A request that differs from the mean by more than this factor does not count for the
+mean deviation. The few long requests would otherwise make up two thirds of it, and
+requests that can be in time would count as late. After a long first request the usual
+ones differ that much, until the mean has come down."""
 
 
 class ServiceTimes:
@@ -68,7 +69,7 @@
             service_ms = min(service_ms, round(MAX_SAMPLE_FACTOR * self.mean_ms))
         # The first requests have equal weights.
         weight = max(1 / self.samples, self._compute_weight(now_ms))
-        if self.samples > 1 and service_ms <= MAX_DEVIATION_FACTOR * self.mean_ms:
+        if self._counts_for_deviation(service_ms):
             deviation_ms = abs(service_ms - self.mean_ms)
             self.deviation_ms += weight * (deviation_ms - self.deviation_ms)
             self.margin_ms = round(self.deviation_ms)
@@ -76,6 +77,11 @@
         self.service_ms = round(self.mean_ms)
         self.updated_ms = now_ms
 
+    def _counts_for_deviation(self, service_ms: int) -> bool:
+        """Return whether a request resembles the mean of those before it."""
+        factor = MAX_DEVIATION_FACTOR
+        return self.mean_ms / factor <= service_ms <= factor * self.mean_ms
+
     def _compute_weight(self, now_ms: int) -> float:
         """Return the weight of a request now; it grows with the age of the mean."""
         age_share = (now_ms - self.updated_ms) / AGEING_MS
--- a/citronwinch/coordination/flows/tests/test_heavy_tail.py
+++ b/citronwinch/coordination/flows/tests/test_heavy_tail.py
@@ -89,6 +89,7 @@
         pytest.param(([30] * 32 + [210]) * 9 + [30] * 16, 3, id="3 of 100 are long"),
         pytest.param(([20, 40] * 16 + [210]) * 9, 10, id="varying and long ones"),
         pytest.param([30] * 50 + [48] * 50, 1, id="the server becomes slower"),
+        pytest.param([210] + [30] * 11, 11, id="the first of a dozen is long"),
     ],
 )
 def test_the_margin_is_the_mean_deviation_of_all_but_long_requests(
