Keep the end of an overload when a shorter objective extends it

Cause: the end of an overload was set from the objective of the newest request alone. Where routes of one priority differ in their objectives, a request of a shorter one ended an overload early. Change: the later of both ends counts. Result: the new test of a shorter objective failed before and passes.

--- a/citronwinch/coordination/flows/_queue_overload.py
+++ b/citronwinch/coordination/flows/_queue_overload.py
@@ -64,5 +64,7 @@
         """Return whether the queue of a priority is overloaded, given its length."""
         now_ms = self.clock.now_ms()
         if length.compute_work_ms() > OVERLOAD_FACTOR * length.objective_ms:
-            self.until_ms[priority] = now_ms + length.objective_ms
+            # Routes of one priority may differ in their objectives.
+            until_ms = now_ms + length.objective_ms
+            self.until_ms[priority] = max(until_ms, self.until_ms.get(priority, 0))
         return now_ms < self.until_ms.get(priority, now_ms)
--- a/citronwinch/coordination/flows/tests/test_queue_overload.py
+++ b/citronwinch/coordination/flows/tests/test_queue_overload.py
@@ -76,6 +76,19 @@
         assert is_overloaded == (clock.now_ms() - last_sign_ms < OBJECTIVE_MS)
 
 
+def test_a_request_of_a_shorter_objective_does_not_shorten_an_overload(
+    clock: ManualClock,
+) -> None:
+    # Guards against an order that changes early where routes share a priority.
+    overload = QueueOverload(clock)
+    assert overload.update(1, make_length(27))
+    assert overload.update(1, make_length(27)._replace(objective_ms=100))
+    clock.advance(OBJECTIVE_MS - 1)
+    assert overload.update(1, make_length(1))
+    clock.advance(1)
+    assert not overload.update(1, make_length(1))
+
+
 def test_an_overloaded_queue_delivers_the_newest_first_then_late_ones(
     clock: ManualClock,
 ) -> None:
