Clear the age of an opening when the first request is answered

Cause: the age was taken when a request was complete. A first request whose last packet is full-size is delivered without that, and the second request of the flow was ordered, and expired, by the age of the opening. Change: the age is cleared when the flow's request ends. Result: the new test failed before, with the second request delivered first, and passes.

--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -85,7 +85,7 @@
         """The class of the flow's requests, if the agent has seen its opening."""
         self.opening_age_ms = 0
         """How long the caller had been trying when its opening was forwarded, as far as
-        its balancer knew, until the flow's first request is complete."""
+        its balancer knew, until the flow's first request is complete or answered."""
 
     def is_confirmed_by(self, acknowledged: int) -> bool:
         """Return whether a caller's acknowledgement confirms the acceptance."""
--- a/citronwinch/coordination/flows/_server_requests.py
+++ b/citronwinch/coordination/flows/_server_requests.py
@@ -295,6 +295,7 @@
 
     def _stop_waiting(self, flow: FlowKey, entry: FlowEntry) -> None:
         entry.request_ms = None
+        entry.take_opening_age()
         self.waiting.pop(flow, None)
         self.busy_meter.record_waiting_requests(len(self.waiting))
 
--- a/citronwinch/coordination/flows/tests/test_server_requests.py
+++ b/citronwinch/coordination/flows/tests/test_server_requests.py
@@ -129,6 +129,20 @@
     assert answer(busy_agent, SECOND) == [FIRST]
 
 
+def test_the_age_of_an_opening_ends_with_a_first_request_that_is_not_held(
+    busy_agent: AgentFlows, clock: ManualClock
+) -> None:
+    # Guards against a second request that is ordered and expires by the opening's age.
+    open_flow(busy_agent, 4004, age_ms=208)
+    upload = make_request(4004)._replace(is_full_size=True)
+    assert list_ports(forward(busy_agent, upload)) == [4004]
+    answer(busy_agent, 4004)
+    send(busy_agent, SECOND)
+    clock.advance(10)
+    send(busy_agent, 4004, 150)
+    assert answer(busy_agent, FIRST) == [SECOND]
+
+
 def test_the_highest_age_of_an_opening_counts_until_its_first_data(
     busy_agent: AgentFlows,
 ) -> None:
