--- a/citronwinch/coordination/flows/_server_requests.py
+++ b/citronwinch/coordination/flows/_server_requests.py
@@ -63,7 +63,7 @@
         self.service_times = ServiceTimes(clock)
         self.shares = CallerShares(clock)
         self.slots = ServerSlots(clock, self.service_times)
-        self.queue = RequestQueue(clock, self.service_times, self.shares)
+        self.queue = RequestQueue(clock, self.service_times, self.shares, self.slots)
         self.route_classes: OrderedDict[bytes, RouteClass] = OrderedDict()
         """The latest class by service address, for flows whose opening was not seen."""
         self.waiting: OrderedDict[FlowKey, int] = OrderedDict()
@@ -146,6 +146,7 @@
         return [self._deliver(packet)]
 
     def _hold_or_start(self, packet: Packet, entry: FlowEntry) -> list[Action]:
+        age_ms = entry.take_opening_age()
         address = extract_service_endpoint(packet.flow)
         route_class = entry.route_class or self.route_classes.get(address)
         now_ms = self.clock.now_ms()
@@ -159,9 +160,8 @@
         ):
             return self._start(packet.flow, (packet,), wait_ms=0)
         received_ms = now_ms if entry.request_ms is None else entry.request_ms
-        self.queue.add(
-            make_held_request(packet, route_class, received_ms, now_ms, entry)
-        )
+        since_ms = received_ms - age_ms
+        self.queue.add(make_held_request(packet, route_class, since_ms, now_ms, entry))
         self.counters["requests_held"] += 1
         return self.release()
 
@@ -176,6 +176,8 @@
             if oldest.held_ms < request.held_ms:
                 self.counters["requests_overtaken"] += 1
             actions += self._start_held(request)
+        newest_first = self.queue.delivered_newest_first
+        self.counters["requests_delivered_newest_first"] = newest_first
         return actions
 
     def release_all(self) -> list[Action]:
@@ -293,6 +295,7 @@
 
     def _stop_waiting(self, flow: FlowKey, entry: FlowEntry) -> None:
         entry.request_ms = None
+        entry.take_opening_age()
         self.waiting.pop(flow, None)
         self.busy_meter.record_waiting_requests(len(self.waiting))
 
