Answer a batch of questions about flows in the agent

Cause: after a loss of power each agent gets a question for each dead flow, and answers each with a message of its own. FlowQuestions and FlowAnswers exist, but agents ignore them. Change: an agent answers FlowQuestions with the verdicts in the order of the questions. Result: a test of the order of the verdicts; no balancer sends batches yet.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -23,7 +23,9 @@
 from citronwinch.coordination.flows._load_reporting import round_share
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
+    FlowAnswers,
     FlowQuestion,
+    FlowQuestions,
     ForwardedOpening,
     ForwardedPacket,
     LoadReport,
@@ -337,6 +339,11 @@
             verdict = Verdict.UNCERTAIN if may_hold else Verdict.ABSENT
         return FlowAnswer(question.flow, verdict)
 
+    def answer_questions(self, batch: FlowQuestions) -> FlowAnswers:
+        """Return the verdicts on the flows of a batch, in the order of its flows."""
+        verdicts = [self.answer_question(each).verdict for each in batch.questions]
+        return FlowAnswers(batch.number, tuple(verdicts))
+
     def make_load_report(self) -> LoadReport:
         """Time out unanswered requests and return the load of the backend server."""
         requests = self.requests
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -16,7 +16,9 @@
     DeliverToCaller,
     DeliverToServer,
     FlowAnswer,
+    FlowAnswers,
     FlowQuestion,
+    FlowQuestions,
     ForwardedPacket,
     ResetFlow,
     ReturnedPacket,
@@ -52,6 +54,16 @@
     return agent.answer_question(question).verdict
 
 
+def test_a_batch_is_answered_in_the_order_of_its_questions(agent: AgentFlows) -> None:
+    """Guards against verdicts that the balancer assigns to other flows."""
+    open_flow(agent, port=4001)
+    ports = (4000, 4001, 4002)
+    questions = tuple(FlowQuestion(make_packet(port).flow, 501) for port in ports)
+    answers = agent.answer_questions(FlowQuestions(7, questions))
+    verdicts = (Verdict.UNCERTAIN, Verdict.HELD, Verdict.UNCERTAIN)
+    assert answers == FlowAnswers(7, verdicts)
+
+
 def is_delivered(actions: list[Action]) -> bool:
     return any(isinstance(action, DeliverToServer) for action in actions)
 
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -10,6 +10,7 @@
     AgentFlows,
     Evacuations,
     FlowQuestion,
+    FlowQuestions,
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
@@ -135,6 +136,8 @@
             self.apply_actions(self.flows.handle_forwarded(message, packet, sender))
         elif isinstance(message, FlowQuestion):
             self.send(sender, self.flows.answer_question(message))
+        elif isinstance(message, FlowQuestions):
+            self.send(sender, self.flows.answer_questions(message))
         elif isinstance(message, Heartbeat):
             intervals_ms = BALANCER_TIMEOUT_INTERVALS * message.interval_ms
             until_ms = self.clock.now_ms() + max(BALANCER_TIMEOUT_MS, intervals_ms)
