Collect questions to an agent that owes an answer, and ask all at once after a loss

Cause: after a loss of power a balancer asked each of 50 agents about each flow with a message of its own, step after step; a link of 5 Mbit/s allows 58 such searches per second. On loopback each search also waited 63 ms for an agent of an unrelated service that had gone, and 21 ms for a balancer of the zone that did not answer, until their entries expired: the deadline is 60 or 15 ms, and ticks come every 20 ms. Without a silent instance a search took 1 to 4 ms there. The wait for a balancer agrees with the 42 ms of the specification; on the deployment itself this was not traced.

Change: QuestionBatches sends a question at once to an agent that owes no answer. Otherwise it collects questions and sends them as a batch when the answer arrives or is overdue. Their bytes stay below 0.3 of the link; messages are limited to 120 per second and Mbit/s, as a fifth of today's messages cannot be reached at 60 evenly spaced flows per second by waiting for answers alone. Silent agents are asked again after the pause with single questions. An agent that answers questions but no batches is of an earlier version and gets single ones. When 8 of the last 16 searches ended with a dead flow, a search asks all agents and the balancers of the zone at the same time. Nothing waits for an agent that left its last question unanswered if the reset does not depend on its verdict, nor for a balancer that left two lookups in a row unanswered; both are still asked, and waited for again once they send a message. A reset is recorded in AttemptAges. The conditions for a reset are unchanged.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -296,6 +296,11 @@
         return self._search_flow(packet, absent_at=agent)
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
+        """Apply an agent's verdict on a flow; send the questions that waited for it."""
+        actions = self._apply_answer(answer, agent)
+        return actions + self.searches.record_answer(answer.flow, agent)
+
+    def _apply_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
         """Apply an agent's verdict on a flow to its search or its hint."""
         if answer.flow in self.searches:
             return self.searches.handle_verdict(answer.flow, agent, answer.verdict)
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -37,6 +37,9 @@
     agents_to_query: tuple[str, ...] = ()
     """The agents that get a question."""
 
+    silent_agents: frozenset[str] = frozenset()
+    """Those of them that have left an earlier question of this search unanswered."""
+
     trial_agents: tuple[str, ...] = ()
     """The uncertain agents that get the held packets as a trial."""
 
@@ -56,8 +59,8 @@
     answer_timeout_ms: int
     """How long the agents may take to answer, in milliseconds."""
 
-    allows_trial: bool
-    """Whether uncertain agents get the held packets as a trial."""
+    trial_agents: frozenset[str]
+    """The agents that get the held packets as a trial if they are uncertain."""
 
 
 class FlowSearch:
@@ -68,6 +71,9 @@
     trial at the wrong server costs a few packets and has no other effect. The last
     round queries agents of other services, because an earlier configuration may have
     sent the flow there; it makes no trials.
+
+    A search in a single step has one round with the agents of all three: a flow that is
+    presumed dead needs the verdicts of all of them.
     """
 
     def __init__(
@@ -76,11 +82,21 @@
         route_servers: Sequence[BackendServer],
         other_servers: Sequence[BackendServer],
         clock: Clock,
+        *,
+        is_single_step: bool = False,
     ) -> None:
         self.clock = clock
+        self.is_single_step = is_single_step
         self.started_ms = clock.now_ms()
         self.deadline_ms = self.started_ms
         self.zone = zone
+        self.local_agents: set[str] = set()
+        """The agents of the own zone."""
+        self.expendable_agents: frozenset[str] = frozenset()
+        """The agents whose verdict no round waits for: they have been silent for some
+        time, and a reset does not depend on them."""
+        self.unsent_agents: set[str] = set()
+        """The queried agents whose question has not been sent yet."""
         self.services: dict[str, str] = {}
         """The service of each agent's backend server, by the agent's address."""
         self.rounds: list[SearchRound] = []
@@ -89,11 +105,16 @@
         self.keeper = ""
         """The keeper whose answer the search awaits before its first round, if any."""
         self.pending_balancers: set[str] = set()
-        """The balancers of the zone whose answers the search awaits after all agents
-        have ruled the flow out."""
+        """The balancers of the zone whose answers the search awaits before it ends."""
         self.has_asked_balancers = False
-        self.round = SearchRound((), 0, allows_trial=False)
+        self.balancers_deadline_ms = self.started_ms
+        """Until when the balancers may answer."""
+        self.is_awaiting_balancers = False
+        """Whether all agents have ruled the flow out; only balancers are awaited."""
+        self.round = SearchRound((), 0, frozenset())
         self.round_agents: list[str] = []
+        self.awaited_agents: set[str] = set()
+        """The agents that the round still waits for."""
         self.is_in_trial = False
         self.verdicts: dict[str, Verdict | None] = {}
         """The verdict of each queried agent, None until it answers."""
@@ -106,25 +127,26 @@
         route_servers: Sequence[BackendServer],
         other_servers: Sequence[BackendServer],
     ) -> None:
-        self.services |= {
-            server.address.ip: server.service
-            for server in (*other_servers, *route_servers)
+        servers = (*other_servers, *route_servers)
+        self.services |= {server.address.ip: server.service for server in servers}
+        self.local_agents = {
+            s.address.ip for s in servers if s.availability_zone == self.zone
         }
-        local = [
-            s.address.ip for s in route_servers if s.availability_zone == self.zone
-        ]
-        remote = [
-            s.address.ip for s in route_servers if s.availability_zone != self.zone
-        ]
+        route_agents = [s.address.ip for s in route_servers]
+        other_agents = [s.address.ip for s in other_servers]
+        local = [ip for ip in route_agents if ip in self.local_agents]
+        remote = [ip for ip in route_agents if ip not in self.local_agents]
+        trial_agents = frozenset(route_agents)
         self.rounds = [
-            SearchRound(tuple(local), LOCAL_ANSWER_TIMEOUT_MS, allows_trial=True),
-            SearchRound(tuple(remote), REMOTE_ANSWER_TIMEOUT_MS, allows_trial=True),
-            SearchRound(
-                tuple(s.address.ip for s in other_servers),
-                REMOTE_ANSWER_TIMEOUT_MS,
-                allows_trial=False,
-            ),
+            SearchRound(tuple(local), LOCAL_ANSWER_TIMEOUT_MS, trial_agents),
+            SearchRound(tuple(remote), REMOTE_ANSWER_TIMEOUT_MS, trial_agents),
+            SearchRound(tuple(other_agents), REMOTE_ANSWER_TIMEOUT_MS, frozenset()),
         ]
+        if self.is_single_step:
+            everyone = tuple(dict.fromkeys((*local, *remote, *other_agents)))
+            self.rounds = [
+                SearchRound(everyone, REMOTE_ANSWER_TIMEOUT_MS, trial_agents)
+            ]
 
     def hold_packet(self, packet: Packet) -> None:
         """Hold a packet until the flow is found; drop it beyond the limit."""
@@ -136,11 +158,28 @@
         self.keeper = keeper
         self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
 
-    def await_balancers(self, balancers: Collection[str]) -> None:
-        """Wait for the answers of the zone's balancers before the search ends."""
+    def ask_balancers(self, balancers: Collection[str]) -> None:
+        """Expect the answers of the zone's balancers."""
         self.pending_balancers = set(balancers)
         self.has_asked_balancers = True
-        self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
+        self.balancers_deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
+
+    def await_balancers(self) -> None:
+        """Wait for the answers of the zone's balancers before the search ends."""
+        self.is_awaiting_balancers = True
+        self.deadline_ms = self.balancers_deadline_ms
+
+    def get_answer_timeout_ms(self, agent: str) -> int:
+        """Return how long an agent may take to answer, in milliseconds."""
+        if agent in self.local_agents:
+            return LOCAL_ANSWER_TIMEOUT_MS
+        return REMOTE_ANSWER_TIMEOUT_MS
+
+    def record_sent(self, agent: str) -> None:
+        """Record that the question to an agent was sent; its time begins now."""
+        self.unsent_agents.discard(agent)
+        if self.round_agents and not self.is_awaiting_balancers:
+            self._set_deadline()
 
     def start(self) -> SearchStep:
         """Start the first round."""
@@ -152,7 +191,9 @@
         if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
-        if self.keeper or self.pending_balancers:
+        if not self.is_in_trial or verdict is not Verdict.UNCERTAIN:
+            self.awaited_agents.discard(agent)
+        if self.keeper or self.is_awaiting_balancers:
             return SearchStep()
         if self.is_paused:
             return SearchStep(is_exhausted=not self.list_unresolved())
@@ -165,7 +206,9 @@
     def pause(self) -> None:
         """Wait before querying the agents again that have not ruled the flow out."""
         self.is_paused = True
+        self.is_awaiting_balancers = False
         self.round_agents = []
+        self.unsent_agents.clear()
         # The packets of a trial that the agent has not confirmed by now may be lost.
         self.trial_packet_counts.clear()
         self.deadline_ms = self.clock.now_ms() + RETRY_PAUSE_MS
@@ -181,11 +224,12 @@
         return self._start_next_round()
 
     def list_unresolved(self) -> list[str]:
-        """Return the agents that have not ruled the flow out."""
+        """Return the agents that have not ruled the flow out and may still do so."""
         return [
             ip
             for ip, received in self.verdicts.items()
             if received is not Verdict.ABSENT
+            and (received is not None or ip not in self.expendable_agents)
         ]
 
     def handle_timeout(self) -> SearchStep:
@@ -220,21 +264,21 @@
     def _continue_round(self) -> SearchStep:
         if not self.round_agents:
             return SearchStep()
-        pending_verdicts = (None, Verdict.UNCERTAIN) if self.is_in_trial else (None,)
-        if any(self.verdicts[ip] in pending_verdicts for ip in self.round_agents):
+        if self.awaited_agents:
             return SearchStep()
         uncertain = self._list_trial_agents()
         return self._start_trial(uncertain) if uncertain else self._start_next_round()
 
     def _list_trial_agents(self) -> list[str]:
-        if not self.round.allows_trial:
-            return []
         return [
-            ip for ip in self.round_agents if self.verdicts[ip] is Verdict.UNCERTAIN
+            ip
+            for ip in self.round_agents
+            if ip in self.round.trial_agents and self.verdicts[ip] is Verdict.UNCERTAIN
         ]
 
     def _start_trial(self, agents: list[str]) -> SearchStep:
         self.is_in_trial = True
+        self.awaited_agents.update(agents)
         self.trial_packet_counts |= dict.fromkeys(agents, len(self.held_packets))
         self._set_deadline()
         return SearchStep(trial_agents=tuple(agents))
@@ -249,9 +293,15 @@
                 if self.verdicts.get(ip) is not Verdict.ABSENT
             ]
             if self.round_agents:
+                silent = frozenset(
+                    ip
+                    for ip in self.round_agents
+                    if ip in self.verdicts and self.verdicts[ip] is None
+                )
                 self.verdicts |= dict.fromkeys(self.round_agents)
+                self.awaited_agents = set(self.round_agents) - self.expendable_agents
                 self._set_deadline()
-                return SearchStep(agents_to_query=tuple(self.round_agents))
+                return SearchStep(tuple(self.round_agents), silent_agents=silent)
         return SearchStep(is_exhausted=True)
 
     def _set_deadline(self) -> None:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
-from citronwinch.coordination._byte_budget import ByteBudget
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._actions import (
     Action,
@@ -13,6 +12,7 @@
     SendMessage,
     record,
 )
+from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._flow_directory import (
     MIN_AGENTS,
@@ -31,6 +31,15 @@
     Verdict,
 )
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._question_batches import (
+    QuestionBatches,
+    list_questions,
+)
+from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
+from citronwinch.coordination.flows._searched_servers import (
+    list_optional_agents,
+    list_servers_to_query,
+)
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
 
@@ -38,21 +47,13 @@
 """How long after an unsuccessful search a balancer starts no new search for the flow,
 in milliseconds; shorter than a caller's retransmission interval."""
 
-QUESTION_BYTES = 64
-"""The size of one question on a link, with its headers, in bytes."""
-
-QUESTION_BANDWIDTH_SHARE = 0.3
-"""The share of the link's bandwidth that questions may take. Answers return over the
-same link, and both must leave room for callers' packets: on a full link no answers
-arrive, every search repeats its questions, and the link stays full."""
 
-QUESTION_BURST_S = 0.5
-"""The largest burst of questions, in seconds of their permitted rate."""
+COLLECTED_QUESTIONS_WAIT_MS = 8
+"""How long collected questions wait at most for the next check whether the budgets
+allow them, in milliseconds; in a surge, answers and packets cause most checks."""
 
-UNRELATED_SERVERS_LIMIT = 200
-"""Servers of unrelated services, which the route is not known to have ever had, are
-searched only if there are at most this many; beyond it the questions cost more than
-they find."""
+EXACT_DEADLINES_LIMIT = 16
+"""Up to this many running searches are advanced exactly at their deadlines."""
 
 
 class FlowSearches(dict[FlowKey, FlowSearch]):
@@ -81,32 +82,54 @@
         self.counters = counters
         self.not_found: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows of unsuccessful searches, with the time at which each ended."""
-        rate = round(link_mbps * 125_000 * QUESTION_BANDWIDTH_SHARE)
-        self.question_budget = ByteBudget(clock, round(rate * QUESTION_BURST_S), rate)
+        self.attempt_ages = AttemptAges(clock)
+        """The callers whose dead flows were reset, for the age of their next ones."""
+        self.outcomes = SearchOutcomes()
+        self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
+        self.unresponsive_balancers: set[str] = set()
+        """The balancers that have left two lookups in a row unanswered. They are asked,
+        but not waited for until they send a message."""
 
     def search(self, packet: Packet, absent_at: str = "") -> list[Action]:
         """Hold a packet and search for its flow.
 
         `absent_at` is an agent that has already ruled the flow out, if any.
         """
-        search = self.get(packet.flow)
+        key = packet.flow
+        search = self.get(key)
         if search is not None:
             search.hold_packet(packet)
             return []
-        if packet.flow in self.not_found:
+        if key in self.not_found:
             return []
-        route_servers, other_servers = self._list_servers_to_query(packet)
+        route_servers, other_servers = list_servers_to_query(self.view, key)
         search = FlowSearch(
-            self.selector.zone, route_servers, other_servers, self.clock
+            self.selector.zone,
+            route_servers,
+            other_servers,
+            self.clock,
+            is_single_step=self.outcomes.presume_dead(),
         )
+        search.expendable_agents = self._list_expendable(key, other_servers)
         search.hold_packet(packet)
-        self[packet.flow] = search
+        self[key] = search
         self.counters["searches"] += 1
         if absent_at:
             search.handle_verdict(absent_at, Verdict.ABSENT)
-        elif len(search.rounds[0].agents) > MIN_AGENTS:
-            return self._look_up(packet.flow, search)
-        return self._apply_step(packet.flow, search, search.start())
+        if search.is_single_step:
+            return self._start_single_step(key, search)
+        if not absent_at and len(search.rounds[0].agents) > MIN_AGENTS:
+            return self._look_up(key, search)
+        return self._apply_step(key, search, search.start())
+
+    def _start_single_step(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Ask the agents and the balancers of the zone at the same time."""
+        self.counters["searches_in_single_step"] += 1
+        location = self.directory.find_location(key)
+        if location is not None and location.agent not in search.verdicts:
+            return self.handle_location(location)
+        lookups = self._ask_balancers(key, search)
+        return [*lookups, *self._apply_step(key, search, search.start())]
 
     def _look_up(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Look a flow up in the directory of the zone before agents are asked."""
@@ -132,16 +155,27 @@
         search = self.get(key)
         return search is not None and bool(search.keeper or search.pending_balancers)
 
-    def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+    def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[SendMessage]:
         """Look a flow up at all balancers of the zone before it counts as dead.
 
         The backend server that holds it may be missing from this balancer's listing,
         because it has just registered.
         """
         others = self.directory.balancers - {self.directory.own_ip}
-        search.await_balancers(others)
+        self.unresponsive_balancers &= others & self.directory.silent
+        search.ask_balancers(others - self.unresponsive_balancers)
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
+    def _give_up_balancers(self, search: FlowSearch) -> None:
+        """Stop waiting for balancers that have not answered in time."""
+        if self.clock.now_ms() < search.balancers_deadline_ms:
+            return
+        pending = search.pending_balancers
+        self.counters["lookups_unanswered"] += len(pending)
+        self.unresponsive_balancers |= pending & self.directory.silent
+        self.directory.silent |= pending
+        search.pending_balancers = set()
+
     def _handle_last_lookup(
         self, search: FlowSearch, location: FlowLocation, sender: str
     ) -> list[Action]:
@@ -154,10 +188,15 @@
         if is_new and location.service in services:
             search.services[location.agent] = location.service
             return self._finish_found(key, search, location.agent)
-        if search.pending_balancers:
+        if search.pending_balancers or not search.is_awaiting_balancers:
             return []
         return self._finish_not_found(key, search)
 
+    def record_answer(self, key: FlowKey, agent: str) -> list[Action]:
+        """Record that an agent has answered; send the questions that waited for it."""
+        self.batches.record_answer(agent, key)
+        return [*self._send_questions()]
+
     def handle_verdict(
         self, key: FlowKey, agent: str, verdict: Verdict
     ) -> list[Action]:
@@ -167,25 +206,13 @@
 
     def tick(self) -> list[Action]:
         """Advance searches past their deadline; expire entries of flows not found."""
-        actions: list[Action] = []
+        self.batches.give_up_overdue()
+        self.batches.expire()
+        actions: list[Action] = [*self._send_questions()]
         now_ms = self.clock.now_ms()
         for key, search in list(self.items()):
             if now_ms >= search.deadline_ms:
-                if search.keeper:
-                    self.directory.silent.add(search.keeper)
-                    self.counters["lookups_unanswered"] += 1
-                    step = search.start()
-                elif search.pending_balancers:
-                    search.pending_balancers.clear()
-                    actions += self._finish_not_found(key, search)
-                    continue
-                elif search.is_paused:
-                    step = search.resume(
-                        *self._list_servers_to_query(search.held_packets[0])
-                    )
-                else:
-                    step = search.handle_timeout()
-                actions += self._apply_step(key, search, step)
+                actions += self._advance(key, search)
         while self.not_found:
             key, since_ms = next(iter(self.not_found.items()))
             if now_ms - since_ms < NOT_FOUND_RETENTION_MS:
@@ -193,41 +220,71 @@
             del self.not_found[key]
         return actions
 
-    def _list_servers_to_query(
-        self, packet: Packet
-    ) -> tuple[list[BackendServer], list[BackendServer]]:
-        """Return the servers of the route's services, and other servers to query.
+    def compute_wait_ms(self, longest_ms: int) -> int:
+        """Return the time until `tick` has something to do, in milliseconds.
 
-        The other servers are those of services that the route had before and, unless
-        they are too many, those of unrelated services.
+        It is at most `longest_ms`. If many searches run, their exact deadlines do not
+        count: they would follow each other closely, and each tick has its own costs.
         """
-        address = extract_service_endpoint(packet.flow)
-        configuration = self.view.configuration
-        route = configuration.routes.get(address) if configuration else None
-        services = {share.service for share in route.shares} if route else set()
-        former_services = self.view.list_current_and_former_services(address) - services
-        route_servers = self.view.list_possible_holders(services)
-        other_servers = self.view.list_possible_holders(former_services)
-        unrelated_servers = self.view.list_possible_holders(
-            self.view.list_services() - services - former_services
+        if self.batches.has_collected():
+            longest_ms = min(longest_ms, COLLECTED_QUESTIONS_WAIT_MS)
+        if len(self) > EXACT_DEADLINES_LIMIT:
+            return longest_ms
+        now_ms = self.clock.now_ms()
+        waits_ms = [search.deadline_ms - now_ms for search in self.values()]
+        return min([longest_ms, *(wait for wait in waits_ms if wait > 0)])
+
+    def _advance(self, key: FlowKey, search: FlowSearch) -> list[Action]:
+        """Advance a search past its deadline."""
+        if search.is_awaiting_balancers:
+            return self._finish_not_found(key, search)
+        if search.keeper:
+            self.directory.silent.add(search.keeper)
+            self.counters["lookups_unanswered"] += 1
+            step = search.start()
+        elif search.is_paused:
+            route_servers, other_servers = list_servers_to_query(self.view, key)
+            search.expendable_agents = self._list_expendable(key, other_servers)
+            step = search.resume(route_servers, other_servers)
+        elif not search.unsent_agents:
+            step = search.handle_timeout()
+        elif search.has_time_left():
+            return []
+        else:
+            return self._finish_not_found(key, search)
+        return self._apply_step(key, search, step)
+
+    def _list_expendable(
+        self, key: FlowKey, servers: Collection[BackendServer]
+    ) -> frozenset[str]:
+        """Return the silent agents whose verdict a reset does not depend on."""
+        agents = list_optional_agents(self.view, key, servers)
+        return frozenset(
+            ip
+            for ip in agents
+            if (since_ms := self.batches.find_unanswered_since_ms(ip)) is not None
+            and not self.selector.has_message_since(ip, since_ms)
         )
-        if len(unrelated_servers) <= UNRELATED_SERVERS_LIMIT:
-            other_servers += unrelated_servers
-        return route_servers, other_servers
 
     def _apply_step(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
+        if not any(step):
+            return []
         if step.holder is not None:
             return self._finish_found(key, search, step.holder)
-        if step.agents_to_query and not self.question_budget.try_spend(
-            len(step.agents_to_query) * QUESTION_BYTES
-        ):
+        if not self.batches.spend_single_questions(len(step.silent_agents)):
             return self._defer(key, search)
+        question = FlowQuestion(key, search.held_packets[0].acknowledged)
+        # An agent of an earlier version leaves batches unanswered, not questions.
         actions: list[Action] = [
-            SendMessage(ip, FlowQuestion(key, search.held_packets[0].acknowledged))
-            for ip in step.agents_to_query
+            SendMessage(ip, question) for ip in sorted(step.silent_agents)
         ]
+        batched = [ip for ip in step.agents_to_query if ip not in step.silent_agents]
+        search.unsent_agents.update(batched)
+        for ip in batched:
+            self.batches.ask(ip, question, search.get_answer_timeout_ms(ip))
+        actions += self._send_questions()
         for ip in step.trial_agents:
             service = search.services[ip]
             actions += [
@@ -237,6 +294,19 @@
             actions += self._finish_not_found(key, search)
         return actions
 
+    def _send_questions(self) -> list[SendMessage]:
+        """Return the messages with the collected questions that are due."""
+        messages = self.batches.send_due()
+        for ip, message in messages:
+            for question in list_questions(message):
+                self[question.flow].record_sent(ip)
+        return messages
+
+    def _is_wanted(self, agent: str, key: FlowKey) -> bool:
+        """Return whether a search still waits for its question to be sent."""
+        search = self.get(key)
+        return search is not None and agent in search.unsent_agents
+
     def _defer(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Pause a search whose questions exceed the bandwidth limit, or end it."""
         self.counters["searches_put_off"] += 1
@@ -256,6 +326,7 @@
         are queried as well, because this balancer may have started after a change of
         the route, but the reset does not depend on their verdicts.
         """
+        self._give_up_balancers(search)
         packet = search.held_packets[0]
         services = self.view.list_current_and_former_services(
             extract_service_endpoint(packet.flow)
@@ -268,15 +339,20 @@
         uncertain = search.list_uncertain(services)
         is_dead = not silent and not uncertain and self.view.is_settled()
         has_peers = len(self.directory.balancers) > 1
+        lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
-            return self._ask_balancers(key, search)
+            lookups = self._ask_balancers(key, search)
+        if is_dead and search.pending_balancers:
+            search.await_balancers()
+            return [*lookups]
         if not is_dead and search.has_time_left():
             search.pause()
             return []
         del self[key]
         self.not_found[key] = self.clock.now_ms()
+        self.outcomes.record(is_dead=is_dead)
         if is_dead and packet.is_reset:
-            return []
+            return [*lookups]
         self.counters["flows_reset" if is_dead else "searches_failed"] += 1
         outcome = record(
             "dead_flow_reset" if is_dead else "flow_not_found",
@@ -287,7 +363,10 @@
             searched_ms=self.clock.now_ms() - search.started_ms,
             view_age_ms=self.view.age_ms,
         )
-        return [ResetFlow(packet), outcome] if is_dead else [outcome]
+        if not is_dead:
+            return [*lookups, outcome]
+        self.attempt_ages.record_ended(key, search.started_ms)
+        return [*lookups, ResetFlow(packet), outcome]
 
     def _list_ended(self, services: Collection[str]) -> set[str]:
         """Return the agents that stopped after their backend server had ended."""
@@ -299,6 +378,7 @@
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
         del self[key]
+        self.outcomes.record(is_dead=False)
         now_ms = self.clock.now_ms()
         service = search.services[holder]
         flow = KnownFlow(holder, service, now_ms)
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -130,6 +130,11 @@
             and self.clock.now_ms() - agent.last_message_ms <= self.remote_timeout_ms
         )
 
+    def has_message_since(self, ip: str, since_ms: int) -> bool:
+        """Return whether an agent has sent a message at a time or later."""
+        agent = self.agents.get(ip)
+        return agent is not None and agent.last_message_ms >= since_ms
+
     def is_unavailable(self, ip: str) -> bool:
         """Return whether an agent is silent or reports that it accepts no flows.
 
--- a/citronwinch/coordination/flows/tests/test_rotation_changes.py
+++ b/citronwinch/coordination/flows/tests/test_rotation_changes.py
@@ -16,11 +16,13 @@
     BalancerFlows,
     DeploymentView,
     FlowAnswer,
+    FlowAnswers,
     FlowDirectory,
     FlowLocation,
     FlowLocations,
     FlowLookup,
     FlowQuestion,
+    FlowQuestions,
     ForwardedPacket,
     Packet,
     ResetFlow,
@@ -120,6 +122,19 @@
                 self.apply(
                     sender, self.balancers[sender].handle_answer(answer, action.ip)
                 )
+            elif isinstance(message, FlowQuestions):
+                self.messages["FlowQuestion"] += len(message.questions)
+                self.answer_batch(sender, message, action.ip)
+
+    def answer_batch(self, sender: str, batch: FlowQuestions, agent: str) -> None:
+        held = (self.holders.get(each.flow) == agent for each in batch.questions)
+        verdicts = tuple(
+            Verdict.HELD if is_held else Verdict.ABSENT for is_held in held
+        )
+        balancer = self.balancers[sender]
+        message = FlowAnswers(batch.number, verdicts)
+        for answer in balancer.searches.batches.match_answers(agent, message):
+            self.apply(sender, balancer.handle_answer(answer, agent))
 
     def receive(self, ip: str, message: object, sender: str) -> list[Action]:
         balancer = self.balancers[ip]
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -15,6 +15,7 @@
     BalancerMembers,
     DeploymentView,
     FlowAnswer,
+    FlowAnswers,
     FlowLocations,
     FlowLookup,
     Heartbeat,
@@ -144,6 +145,10 @@
         if isinstance(message, FlowAnswer):
             self.selector.record_message(sender)
             self.apply_actions(self.flows.handle_answer(message, sender))
+        elif isinstance(message, FlowAnswers):
+            self.selector.record_message(sender)
+            for answer in self.flows.searches.batches.match_answers(sender, message):
+                self.apply_actions(self.flows.handle_answer(answer, sender))
         elif isinstance(message, ReturnedPacket):
             packet = decode_caller_packet(message.raw)
             self.metrics.count("packets_returned_total")
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -11,6 +11,7 @@
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import Heartbeat, StorePosition
 from citronwinch.forwarder._agent_process import AgentProcess
+from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._process import SettingsChanged
 from citronwinch.forwarder.tests.conftest import (
     OTHER_ROUTE_ADDRESS,
@@ -184,6 +185,42 @@
     run_scenario(scenario, 107)
 
 
+def test_many_dead_flows_are_reset_by_batches(run_scenario: RunScenario) -> None:
+    """Guards against a message per flow and agent after a loss of power."""
+
+    async def scenario(deployment: LoopbackDeployment) -> None:
+        await start_small_deployment(deployment)
+        ports = range(4000, 4040)
+        await open_flows(deployment, ports)
+        for number in (31, 32):
+            deployment.servers[number].flows.clear()
+        outcomes = []
+
+        async def send(port: int) -> None:
+            outcomes.append(await send_request(deployment, port))
+
+        balancers = [
+            process
+            for process in deployment.processes.values()
+            if isinstance(process, BalancerProcess)
+        ]
+        for balancer in balancers:
+            balancer.flows.flows.clear()
+        with trio.fail_after(1):
+            async with trio.open_nursery() as nursery:
+                for port in ports:
+                    nursery.start_soon(send, port)
+        assert outcomes == [FlowOutcome.RESET] * len(ports)
+        counters = [balancer.flows.counters for balancer in balancers]
+        questions = sum(each["questions"] for each in counters)
+        messages = sum(each["question_messages"] for each in counters)
+        assert questions >= 3 * len(ports)
+        assert messages <= questions / 2
+        assert sum(each["question_answers_ignored"] for each in counters) == 0
+
+    run_scenario(scenario, 129)
+
+
 def test_random_datagrams_are_counted_as_malformed_without_other_effect(
     run_scenario: RunScenario,
 ) -> None:
