Send a question at once when the last answer is overdue

Cause: a question to an agent whose last answer was lost waited for the next tick, which gives up overdue answers; and each sent question of a search set the search's deadline anew. Change: asking gives up an overdue answer, too. The deadline is set with the last question. Result: a test of the first; 100 searches one after the other took 52 to 58 ms of the balancer's processor time before and after, so that the second change has no measured effect.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -176,9 +176,10 @@
         return REMOTE_ANSWER_TIMEOUT_MS
 
     def record_sent(self, agent: str) -> None:
-        """Record that the question to an agent was sent; its time begins now."""
+        """Record that the question to an agent was sent; with the last, time begins."""
         self.unsent_agents.discard(agent)
-        if self.round_agents and not self.is_awaiting_balancers:
+        has_sent_all = not self.unsent_agents
+        if has_sent_all and self.round_agents and not self.is_awaiting_balancers:
             self._set_deadline()
 
     def start(self) -> SearchStep:
--- a/citronwinch/coordination/flows/_question_batches.py
+++ b/citronwinch/coordination/flows/_question_batches.py
@@ -201,9 +201,10 @@
             self.agents[agent] = state
         state.answer_timeout_ms = answer_timeout_ms
         state.collected.append(question)
-        if state.awaited is not None:
+        if state.awaited is not None and not self._give_up_if_overdue(state):
             self.blocked[agent] = state
         else:
+            self.blocked.pop(agent, None)
             self.due.setdefault(agent, state)
 
     def has_collected(self) -> bool:
@@ -294,13 +295,17 @@
 
     def give_up_overdue(self) -> None:
         """Stop waiting for overdue answers of agents with collected questions."""
-        now_ms = self.clock.now_ms()
         for agent, state in list(self.blocked.items()):
-            if state.is_overdue(now_ms):
-                self.counters["question_messages_unanswered"] += 1
-                state.give_up_answer()
+            if self._give_up_if_overdue(state):
                 self._unblock(agent)
 
+    def _give_up_if_overdue(self, state: AgentQuestions) -> bool:
+        if not state.is_overdue(self.clock.now_ms()):
+            return False
+        self.counters["question_messages_unanswered"] += 1
+        state.give_up_answer()
+        return True
+
     def _unblock(self, agent: str) -> None:
         state = self.blocked.pop(agent, None)
         if state is not None:
--- a/citronwinch/coordination/flows/tests/test_question_batches.py
+++ b/citronwinch/coordination/flows/tests/test_question_batches.py
@@ -127,6 +127,13 @@
     assert asker.counters["question_messages_unanswered"] == 1
 
 
+def test_a_question_after_an_overdue_answer_is_sent_at_once(asker: Asker) -> None:
+    """Guards against searches that wait for a tick because an answer was lost."""
+    asker.ask(1)
+    asker.clock.advance(TIMEOUT_MS)
+    assert list_ports(asker.ask(2)) == [[2]]
+
+
 def test_an_agent_that_ignores_batches_gets_single_questions(asker: Asker) -> None:
     """Guards against searches that no agent of an earlier version answers in time."""
     send_batch(asker)
