--- a/citronwinch/coordination/flows/tests/search_load.py
+++ b/citronwinch/coordination/flows/tests/search_load.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -14,6 +14,7 @@
     DeploymentView,
     FlowAnswer,
     FlowAnswers,
+    FlowLocation,
     FlowLocations,
     FlowLookup,
     FlowQuestion,
@@ -24,10 +25,12 @@
     ServerSelector,
     StorePosition,
 )
+from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
 from citronwinch.coordination.flows._question_batches import (
     compute_bytes,
     list_questions,
 )
+from citronwinch.coordination.flows._search_outcomes import MIN_DEAD_OUTCOMES
 from citronwinch.coordination.flows.tests.conftest import (
     make_configuration,
     make_listing,
@@ -93,8 +96,12 @@
         )
         self.peers = set(peers)
         self.balancer.directory.set_balancers({BALANCER_IP, *self.peers})
+        self.locations: dict[FlowKey, FlowLocation] = {}
+        """The locations of flows that the other balancers know."""
         self.first_packet_ms: dict[FlowKey, float] = {}
         self.reset_ms: dict[FlowKey, float] = {}
+        self.answers: deque[tuple[str, Message]] = deque(maxlen=50)
+        """The latest answers of agents and balancers."""
         self.question_bytes = 0
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
@@ -115,6 +122,17 @@
 
         self.schedule(100_000 + at_ms, arrive)
 
+    def open_flow(self, port: int, agent: str) -> None:
+        """Let the backend server of an agent hold a flow."""
+        flow = make_packet(port).flow
+        entry = FlowEntry(FlowState.OPEN, self.clock.now_ms())
+        self.agents[agent].flows[flow] = entry
+
+    def presume_dead(self) -> None:
+        """Let the next searches have a single step."""
+        for _ in range(MIN_DEAD_OUTCOMES):
+            self.balancer.searches.outcomes.record(is_dead=True)
+
     def run(self, until_ms: float) -> None:
         """Run the events up to a time after the start."""
         while self.events and self.events[0][0] <= 100_000 + until_ms:
@@ -160,12 +178,12 @@
         elif isinstance(message, FlowQuestions):
             answer = self.agents[ip].answer_questions(message)
         elif isinstance(message, FlowLookup) and ip in self.peers:
-            answer = BalancerFlows(self.view, self.selector, self.clock).answer_lookup(
-                message
-            )
+            unknown = FlowLocation(message.flow, "", "")
+            answer = FlowLocations((self.locations.get(message.flow, unknown),))
         if answer is None or self.network.is_lost(ip, answer):
             return
         received = answer
+        self.answers.append((ip, answer))
 
         def arrive() -> None:
             at_ms = self._pass_link("down", OTHER_MESSAGE_BYTES)
@@ -173,6 +191,11 @@
 
         self.schedule(self.now + latency_ms, arrive)
 
+    def repeat_answers(self) -> None:
+        """Let copies of the latest answers arrive."""
+        for ip, message in list(self.answers):
+            self._receive(ip, message)
+
     def _receive(self, ip: str, message: Message) -> None:
         self.received[type(message).__name__] += 1
         if isinstance(message, FlowLocations):
--- a/citronwinch/coordination/flows/tests/test_search_waits.py
+++ b/citronwinch/coordination/flows/tests/test_search_waits.py
@@ -75,8 +75,8 @@
 ) -> None:
     """Flows that only moved cost no questions to other zones."""
     load = SearchLoad(peers=PEER_IPS)
-    for _ in range(8):
-        load.balancer.searches.outcomes.record(is_dead=is_presumed_dead)
+    if is_presumed_dead:
+        load.presume_dead()
     load.send_packet(2_000, 10)
     load.run(10.2)
     zones = {load.zones.get(ip, "") for ip in load.balancer.searches.batches.agents}
