Test that a reset records the age of its caller's attempt

Cause: the call of AttemptAges.record_ended, which the part on held openings relies on, had no test. Change: a test that the caller's next flow is as old as the search for the reset one.

--- a/citronwinch/coordination/flows/tests/test_crowd_after_a_loss.py
+++ b/citronwinch/coordination/flows/tests/test_crowd_after_a_loss.py
@@ -16,6 +16,7 @@
     QUESTION_BANDWIDTH_SHARE,
     QUESTION_BURST_S,
 )
+from citronwinch.coordination.flows.tests.conftest import make_packet
 from citronwinch.coordination.flows.tests.search_load import (
     PEER_IPS,
     Network,
@@ -116,3 +117,14 @@
     load.run(4_000)
     assert not load.reset_ms
     assert not load.balancer.searches
+
+
+def test_the_next_flow_of_a_reset_caller_is_as_old_as_its_search() -> None:
+    """Guards against retries that count as new requests and are served too late."""
+    load = SearchLoad(AGENTS, LINK_MBPS, Network(), PEER_IPS)
+    load.send_packet(2_000, 10)
+    load.run(100)
+    ages = load.balancer.searches.attempt_ages
+    searched_from_ms = 100_010
+    age_ms = load.clock.now_ms() - searched_from_ms
+    assert ages.take_age_ms(make_packet(2_001).flow) == age_ms
