Wait 60 ms for an agent of an unrelated service before passing it over

Cause: a search did not wait for an agent of a service that the route is not known to have had, once an earlier question was overdue, which is after 15 ms in the own zone. A balancer that started after a change of the route could so reset an open flow whose agent answers after 40 ms; before, searches waited 60 ms for the agents of other services.

Change: such an agent is passed over only if it has sent nothing for REMOTE_ANSWER_TIMEOUT_MS since the question.

Result: test_a_slow_agent_of_an_unrelated_service_is_waited_for failed and passes; test_search_waits.py passes with its limits unchanged.

--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -4,6 +4,7 @@
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._flow_search import REMOTE_ANSWER_TIMEOUT_MS
 from citronwinch.coordination.flows._question_batches import QuestionBatches
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
@@ -60,10 +61,12 @@
 def list_silent_agents(
     selector: ServerSelector, batches: QuestionBatches, agents: Iterable[str]
 ) -> frozenset[str]:
-    """Return the agents that sent nothing since a question became overdue."""
+    """Return the agents that sent nothing since a question, for the longest timeout."""
+    latest_ms = batches.clock.now_ms() - REMOTE_ANSWER_TIMEOUT_MS
     return frozenset(
         ip
         for ip in agents
         if (since_ms := batches.find_unanswered_since_ms(ip)) is not None
+        and since_ms <= latest_ms
         and not selector.has_message_since(ip, since_ms)
     )
--- a/citronwinch/coordination/flows/tests/search_load.py
+++ b/citronwinch/coordination/flows/tests/search_load.py
@@ -3,7 +3,7 @@
 import heapq
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from citronwinch.coordination import FlowKey, ManualClock
@@ -56,6 +56,9 @@
     is_lost: Callable[[str, Message], bool] = lambda ip, message: False
     """Whether a message to or from an instance is lost."""
 
+    delays_ms: Mapping[str, float] = {}
+    """How much later than others an instance answers, in milliseconds."""
+
 
 class SearchLoad:
     """Runs a balancer and its agents through a load of packets of unknown flows."""
@@ -189,6 +192,7 @@
             at_ms = self._pass_link("down", OTHER_MESSAGE_BYTES)
             self.schedule(at_ms, lambda: self._receive(ip, received))
 
+        latency_ms += self.network.delays_ms.get(ip, 0.0)
         self.schedule(self.now + latency_ms, arrive)
 
     def repeat_answers(self) -> None:
--- a/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
+++ b/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
@@ -90,3 +90,15 @@
     sent = [action for action in actions if isinstance(action, SendMessage)]
     assert [action.ip for action in sent] == ["10.0.0.5"]
     assert isinstance(sent[0].message, ForwardedPacket)
+
+
+def test_a_slow_agent_of_an_unrelated_service_is_waited_for() -> None:
+    """Guards against a reset 15 ms after an earlier question became overdue."""
+    holder = "10.0.0.12"
+    load = SearchLoad(network=Network(delays_ms={holder: 40.0}), peers=PEER_IPS)
+    load.presume_dead()
+    load.open_flow(2_000, holder)
+    load.send_packet(3_000, 10)
+    load.send_packet(2_000, 30)
+    load.run(200)
+    assert load.balancer.flows[make_packet(2_000).flow].agent == holder
