Count answers of silent balancers, and ask balancers again after a pause

Cause: three ways in which a flow that another balancer of the zone knows was reset. - Answers to lookups counted only while some balancer was waited for. In a single-step search, the answer of a balancer that was not waited for was ignored while the agents still answered. - A balancer counted as unresponsive after two unanswered lookups in a row, also if both were sent in the same millisecond: a loss of some milliseconds was enough in a surge. - A search that paused did not look the flow up again; in a single-step search the lookups may have been sent 2 s before the reset.

Change: answers count as long as the search runs; the second lookup must have been sent after the first was overdue; the balancers are asked again before a reset that follows a pause.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -114,6 +114,8 @@
         """The keeper whose answer the search awaits before its first round, if any."""
         self.pending_balancers: set[str] = set()
         """The balancers of the zone whose answers the search awaits before it ends."""
+        self.silent_balancers: frozenset[str] = frozenset()
+        """The balancers that had left an earlier lookup unanswered when asked."""
         self.has_asked_balancers = False
         self.balancers_deadline_ms = self.started_ms
         """Until when the balancers may answer."""
@@ -166,9 +168,10 @@
         self.keeper = keeper
         self.deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
 
-    def ask_balancers(self, balancers: Collection[str]) -> None:
-        """Expect the answers of the zone's balancers."""
+    def ask_balancers(self, balancers: Collection[str], silent: frozenset[str]) -> None:
+        """Expect answers of the zone's balancers, some of which have been silent."""
         self.pending_balancers = set(balancers)
+        self.silent_balancers = silent
         self.has_asked_balancers = True
         self.balancers_deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
 
@@ -230,8 +233,12 @@
         route_servers: Sequence[BackendServer],
         other_servers: Sequence[BackendServer],
     ) -> SearchStep:
-        """Start the rounds again after a pause, with servers listed in the meantime."""
-        self.is_paused = False
+        """Start the rounds again after a pause, with servers listed in the meantime.
+
+        The balancers are asked again as well: the first answers may have been lost.
+        """
+        self.is_paused = self.has_asked_balancers = False
+        self.pending_balancers = set()
         self._plan_rounds(route_servers, other_servers)
         return self._start_next_round()
 
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -144,7 +144,7 @@
     def handle_location(self, location: FlowLocation, sender: str = "") -> list[Action]:
         """Apply an answer to a lookup: forward there, or continue the search."""
         search = self[location.flow]
-        if search.pending_balancers:
+        if search.has_asked_balancers:
             return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
@@ -152,9 +152,9 @@
         return self._apply_step(location.flow, search, search.start())
 
     def is_awaiting_location(self, key: FlowKey) -> bool:
-        """Return whether the search for a flow awaits the answer to a lookup."""
+        """Return whether an answer to a lookup counts for the search for a flow."""
         search = self.get(key)
-        return search is not None and bool(search.keeper or search.pending_balancers)
+        return search is not None and bool(search.keeper or search.has_asked_balancers)
 
     def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[SendMessage]:
         """Look a flow up at all balancers of the zone before it counts as dead.
@@ -163,18 +163,19 @@
         """
         others = self.directory.balancers - {self.directory.own_ip}
         self.unresponsive_balancers &= others & self.directory.silent
-        search.ask_balancers(others - self.unresponsive_balancers)
+        silent = others & self.directory.silent
+        search.ask_balancers(others - self.unresponsive_balancers, silent)
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
     def _give_up_balancers(self, search: FlowSearch) -> None:
         """Stop waiting for balancers that have not answered in time."""
         if self.clock.now_ms() < search.balancers_deadline_ms:
             return
-        pending = search.pending_balancers
+        pending, search.pending_balancers = search.pending_balancers, set()
         self.counters["lookups_unanswered"] += len(pending)
-        self.unresponsive_balancers |= pending & self.directory.silent
+        still_silent = search.silent_balancers & self.directory.silent
+        self.unresponsive_balancers |= pending & still_silent
         self.directory.silent |= pending
-        search.pending_balancers = set()
 
     def _handle_last_lookup(
         self, search: FlowSearch, location: FlowLocation, sender: str
@@ -293,9 +294,8 @@
 
         A search that has begun goes on: its end makes room for the next one.
         """
-        return (
-            bool(search.asked_agents) or self.batches.has_room()
-        ) and self.batches.spend_single_questions(len(step.silent_agents))
+        may_ask = bool(search.asked_agents) or self.batches.has_room()
+        return may_ask and self.batches.spend_single_questions(len(step.silent_agents))
 
     def _send_questions(self) -> list[SendMessage]:
         """Return the messages with the collected questions that are due."""
--- a/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
+++ b/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
@@ -92,6 +92,35 @@
     assert isinstance(sent[0].message, ForwardedPacket)
 
 
+def test_the_answer_of_a_balancer_that_was_silent_counts_in_a_single_step() -> None:
+    """Guards against a reset while the answer with the location is ignored."""
+    [peer] = peers = PEER_IPS[:1]
+    network = Network(is_lost=lambda ip, message: ip == peer and load.now < 101_000)
+    load = SearchLoad(network=network, peers=peers)
+    load.presume_dead()
+    for number in range(3):
+        load.send_packet(3_000 + number, 10 + number * 200)
+    flow = make_packet(2_000).flow
+    load.locations[flow] = FlowLocation(flow, UNLISTED_AGENT, "gauging")
+    load.send_packet(2_000, 1_100)
+    load.run(1_300)
+    assert flow not in load.reset_ms
+    assert load.balancer.flows[flow].agent == UNLISTED_AGENT
+
+
+def test_lookups_lost_at_the_same_time_do_not_make_a_balancer_unresponsive() -> None:
+    """Guards against resets without its answer after a loss of a few milliseconds."""
+    [peer] = peers = PEER_IPS[:1]
+    network = Network(is_lost=lambda ip, message: ip == peer and load.now < 100_030)
+    load = SearchLoad(network=network, peers=peers)
+    load.presume_dead()
+    for number in range(10):
+        load.send_packet(3_000 + number, 10)
+    load.run(60)
+    assert len(load.reset_ms) == 10
+    assert not load.balancer.searches.unresponsive_balancers
+
+
 def test_a_slow_agent_of_an_unrelated_service_is_waited_for() -> None:
     """Guards against a reset 15 ms after an earlier question became overdue."""
     holder = "10.0.0.12"
@@ -102,3 +131,17 @@
     load.send_packet(2_000, 30)
     load.run(200)
     assert load.balancer.flows[make_packet(2_000).flow].agent == holder
+
+
+def test_balancers_are_asked_again_after_a_pause() -> None:
+    """Guards against a reset after lookups that were lost 120 ms before."""
+    [peer] = peers = PEER_IPS[:1]
+    silent = (peer, "10.0.0.5")
+    network = Network(is_lost=lambda ip, message: ip in silent and load.now < 100_100)
+    load = SearchLoad(network=network, peers=peers)
+    load.presume_dead()
+    flow = make_packet(2_000).flow
+    load.locations[flow] = FlowLocation(flow, UNLISTED_AGENT, "gauging")
+    load.send_packet(2_000, 10)
+    load.run(400)
+    assert load.balancer.flows[flow].agent == UNLISTED_AGENT
