Describe put-off searches as they are since searches wait for room

Cause: the metric help said that only repeated questions find no room on the link, but a search is now put off before its first question as well. Result: the tests in operators that compare help and reference pass.

--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -100,7 +100,7 @@
     "searches_by_directory_total": "searches that the directory of the zone answered",
     "searches_failed_total": "searches that ended without knowing where a flow is",
     "searches_in_single_step_total": "searches that asked all agents at the same time",
-    "searches_put_off_total": "repeated questions that the link had no room for",
+    "searches_put_off_total": "times that a search had no room on the link",
     "searches_succeeded_total": "searches that found the agent of a flow",
     "searches_total": "searches for the agent of an unknown flow",
     "server_busy_share": "share of recent time in which the backend server had work",
