--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -111,6 +111,7 @@
                 self.nursery,
                 self.queue_reply,
                 self.end_unreachable_flow,
+                self.flow_handler.read_local_ports(),
             )
             self.open_tun_delivery(row.backend_server_address, self.nursery)
         self.apply_actions(actions)
@@ -136,13 +137,16 @@
     def is_drained(self) -> bool:
         """Return whether no flow is left to end and no request is in progress.
 
-        A flow that the other agents keep for the next run is not left. Also transfer
-        the request records to the other agents when that is due.
+        A flow that the other agents keep for the next run has not to end, nor has one
+        that the next run of an agent without peers continues. Also transfer the request
+        records to the other agents when that is due.
         """
         if not self.request_handler.requests.is_idle():
             return False
         has_flows = (
-            bool(self.steering.owned) and not self.flow_handler.has_transferred_all()
+            bool(self.steering.owned)
+            and not self.flow_handler.can_leave_all()
+            and not self.flow_handler.has_transferred_all()
         )
         return self.request_handler.try_finish(has_flows)
 
@@ -185,6 +189,7 @@
             self.steering.begin_stop()
             self.request_handler.begin_stop()
             self.load_exchange.load.begin_stop()
+            self.flow_handler.begin_stop()
             self.flow_handler.advance()
         elif isinstance(event, Tick):
             self.apply_actions(self.steering.tick())
@@ -295,6 +300,12 @@
         self.metrics.count("packets_refused_total", action.reason)
         if not action.is_certain:
             return
+        if self.flow_handler.may_be_left(action.flow):
+            # The refusal would end a flow that may be open. Without it the caller may
+            # repeat the packet at once.
+            self.steering.refused_packets.remove(action.packet)
+            self.metrics.count("packets_dropped_total", "may_be_left")
+            return
         send_refusal(
             self.peers.datagram_socket,
             self.settings.fabric_return,
