--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -83,7 +83,7 @@
         self.not_found: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows of unsuccessful searches, with the time at which each ended."""
         self.attempt_ages = AttemptAges(clock)
-        """The callers whose dead flows were reset, for the age of their next ones."""
+        """The attempts that were ended; replaced by those of the balancer."""
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.unresponsive_balancers: set[str] = set()
