Hold uploads while the link is full, and count found ones

Cause: on a link of 5 Mbit/s three uploads were accepted at once, whose windows take 190 ms to pass the link in and out; small packets wait behind them. Further uploads were refused at once. Uploads whose flows a balancer finds by a search did not count at all.

Further openings are held by HeldUploads, apart from those that wait for a server. The oldest is placed when an upload ends. One is refused with `link full`, `ahead` and `waited_ms` when its hold time is over or when the uploads ahead of it leave it no chance at the rate at which uploads ended. An upload whose flow is searched counts, and one that is found has `has_large_request` set from its route; a dead one no longer counts. The gauge `uploads_in_progress` is new.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -30,7 +30,10 @@
 from citronwinch.coordination.flows._opening_admission import OpeningAdmission
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._server_selector import ServerSelector
-from citronwinch.coordination.flows._upload_admission import UploadAdmission
+from citronwinch.coordination.flows._upload_admission import (
+    UploadAdmission,
+    is_upload_flow,
+)
 from citronwinch.coordination.flows._view import DeploymentView
 
 
@@ -69,6 +72,7 @@
         self.attempt_ages = AttemptAges(clock)
         self.searches.attempt_ages = self.attempt_ages
         self.uploads = UploadAdmission(clock, link_mbps)
+        self.searches.uploads = self.uploads
         self.admission = OpeningAdmission(
             view,
             selector,
@@ -79,16 +83,22 @@
             self.attempt_ages,
         )
         self.held_openings = self.admission.held_openings
+        self.held_uploads = self.admission.held_uploads
 
     def handle_packet(self, packet: Packet) -> list[Action]:
         """Forward, hold, refuse or search for the flow of a caller's packet."""
         if packet.is_opening:
             return self.admission.handle_opening(packet)
+        return self._handle_data(packet) + self.held_uploads.admit()
+
+    def _handle_data(self, packet: Packet) -> list[Action]:
+        """Forward a packet of an open flow, or search for its flow."""
         known = self.flows.get(packet.flow)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
             self.held_openings.remove(packet.flow)
+            self.held_uploads.remove(packet.flow)
             if known.has_large_request:
                 self.uploads.record_data(packet)
             return [forward_to_agent(known.agent, known.service, packet)]
@@ -194,7 +204,8 @@
         actions += end_flows_of_lost_servers(
             self.view, self.selector, self.flows, self.counters
         )
-        return actions + self.admission.held_placement.tick()
+        actions += self.admission.held_placement.tick()
+        return actions + self.held_uploads.tick()
 
     def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
         if (
@@ -202,4 +213,6 @@
             and self.admission.find_route(packet) is None
         ):
             return self.admission.refuse_unknown_address(packet)
+        if is_upload_flow(self.view, packet.flow):
+            self.uploads.record_data(packet)
         return self.searches.search(packet, absent_at)
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -14,10 +14,7 @@
 )
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._deployment import BackendServer
-from citronwinch.coordination.flows._flow_directory import (
-    MIN_AGENTS,
-    FlowDirectory,
-)
+from citronwinch.coordination.flows._flow_directory import MIN_AGENTS, FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._known_flows import (
     KnownFlow,
@@ -37,17 +34,21 @@
 )
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
 from citronwinch.coordination.flows._searched_servers import (
+    list_ended_agents,
     list_optional_agents,
     list_servers_to_query,
 )
 from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._upload_admission import (
+    UploadAdmission,
+    is_upload_flow,
+)
 from citronwinch.coordination.flows._view import DeploymentView
 
 NOT_FOUND_RETENTION_MS = 150
 """How long after an unsuccessful search a balancer starts no new search for the flow,
 in milliseconds; shorter than a caller's retransmission interval."""
 
-
 COLLECTED_QUESTIONS_WAIT_MS = 8
 """How long collected questions wait at most for the next check whether the budgets
 allow them, in milliseconds; in a surge, answers and packets cause most checks."""
@@ -84,6 +85,8 @@
         """The flows of unsuccessful searches, with the time at which each ended."""
         self.attempt_ages = AttemptAges(clock)
         """The attempts that were ended; replaced by those of the balancer."""
+        self.uploads = UploadAdmission(clock, link_mbps)
+        """The uploads in progress; replaced by those of the balancer."""
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.unresponsive_balancers: set[str] = set()
@@ -257,10 +260,9 @@
         self, key: FlowKey, servers: Collection[BackendServer]
     ) -> frozenset[str]:
         """Return the silent agents whose verdict a reset does not depend on."""
-        agents = list_optional_agents(self.view, key, servers)
         return frozenset(
             ip
-            for ip in agents
+            for ip in list_optional_agents(self.view, key, servers)
             if (since_ms := self.batches.find_unanswered_since_ms(ip)) is not None
             and not self.selector.has_message_since(ip, since_ms)
         )
@@ -334,7 +336,7 @@
         silent -= self.view.remove_former(
             [ip for ip in silent if not self.selector.has_recent_message(ip)]
         )
-        silent -= self._list_ended(services)
+        silent -= list_ended_agents(self.view, self.selector, services)
         uncertain = search.list_uncertain(services)
         is_dead = not silent and not uncertain and self.view.is_settled()
         has_peers = len(self.directory.balancers) > 1
@@ -365,14 +367,9 @@
         if not is_dead:
             return [*lookups, outcome]
         self.attempt_ages.record_ended(key, search.started_ms)
+        self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
-    def _list_ended(self, services: Collection[str]) -> set[str]:
-        """Return the agents that stopped after their backend server had ended."""
-        holders = self.view.list_possible_holders(services)
-        ended = {s.address.ip for s in holders if self.selector.has_ended(s)}
-        return ended - {s.address.ip for s in holders if not self.selector.has_ended(s)}
-
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
@@ -382,6 +379,7 @@
         service = search.services[holder]
         flow = KnownFlow(holder, service, now_ms)
         flow.acknowledged = search.held_packets[-1].acknowledged
+        flow.has_large_request = is_upload_flow(self.view, key)
         self.flows.store(key, flow)
         if search.verdicts:
             self.directory.request_registration(key)
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -37,8 +37,7 @@
         self.unconfirmed_since_ms: int | None = None
         """When an unconfirmed opening was forwarded; None for other flows."""
         self.has_large_request = False
-        """Whether the flow's route has large requests; False if the balancer has not
-        seen its opening."""
+        """Whether the flow's route has large requests."""
         self.tried_agents: set[str] = set()
         """The agents that returned the opening or did not confirm it in time."""
         self.attempts = 1
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -7,8 +7,12 @@
 from citronwinch.coordination.flows._actions import Action, ResetFlow, record
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._deployment import Route
-from citronwinch.coordination.flows._held_opening import make_held_opening
+from citronwinch.coordination.flows._held_opening import (
+    HeldOpening,
+    make_held_opening,
+)
 from citronwinch.coordination.flows._held_placement import HeldPlacement, must_wait
+from citronwinch.coordination.flows._held_uploads import HeldUploads
 from citronwinch.coordination.flows._known_flows import (
     KnownFlow,
     KnownFlows,
@@ -53,13 +57,15 @@
         self.clock = clock
         self.flows = flows
         self.counters = counters
-        self.uploads = uploads
         self.attempt_ages = attempt_ages
         self.placement = OpeningPlacement(
             view, selector, clock, flows, counters, uploads, attempt_ages
         )
         self.held_openings = self.placement.held_openings
         self.held_placement = HeldPlacement(self.placement, clock)
+        self.held_uploads = HeldUploads(
+            self.placement, clock, self._place_admitted_upload
+        )
 
     def handle_opening(self, packet: Packet) -> list[Action]:
         """Forward, hold or refuse an opening of a caller."""
@@ -85,18 +91,24 @@
         if route is None:
             return self.refuse_unknown_address(packet)
         times = self._find_times(packet, known)
-        if known is None and route.has_large_requests and self.uploads.is_full():
-            return self.placement.refuse(packet, route, times, (), "link full")
+        must_pass_link = known is None and route.has_large_requests
+        if must_pass_link and packet.flow not in self.held_openings.openings:
+            held = make_held_opening(packet, route, times, now_ms)
+            return self.held_uploads.handle_opening(held)
         tried_agents = known.tried_agents if known else set()
         return self.place_opening(
             packet, route, times, tried_agents, may_be_accepted=known is not None
         )
 
+    def _place_admitted_upload(self, held: HeldOpening) -> list[Action]:
+        return self.place_opening(held.packet, held.route, held.times, set())
+
     def _find_times(self, packet: Packet, known: KnownFlow | None) -> OpeningTimes:
         """Return when the caller sent an opening that was received now."""
         now_ms = self.clock.now_ms()
         sent_ms = now_ms - read_copy_age_ms(packet)
         held = self.held_openings.openings.get(packet.flow)
+        held = held or self.held_uploads.openings.get(packet.flow)
         if held is not None:
             return held.times
         if known is not None and known.times.is_same_attempt(sent_ms):
--- a/citronwinch/coordination/flows/_opening_placement.py
+++ b/citronwinch/coordination/flows/_opening_placement.py
@@ -139,6 +139,7 @@
         self.attempt_ages.record_ended(packet.flow, times.first_ms)
         self.held_openings.remove(packet.flow)
         self.flows.pop(packet.flow, None)
+        self.uploads.remove(packet.flow)
         self.counters["openings_refused"] += 1
         services = [share.service for share in route.shares]
         refusal = record(
--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -1,9 +1,10 @@
 """The backend servers whose agents are queried about a flow."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
 
 UNRELATED_SERVERS_LIMIT = 200
@@ -44,3 +45,12 @@
     """
     needed = view.list_current_and_former_services(extract_service_endpoint(key))
     return [server.address.ip for server in servers if server.service not in needed]
+
+
+def list_ended_agents(
+    view: DeploymentView, selector: ServerSelector, services: Collection[str]
+) -> set[str]:
+    """Return the agents that stopped after their backend server had ended."""
+    holders = view.list_possible_holders(services)
+    ended = {s.address.ip for s in holders if selector.has_ended(s)}
+    return ended - {s.address.ip for s in holders if not selector.has_ended(s)}
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -228,6 +228,7 @@
         for name, count in self.flows.counters.items():
             self.metrics.counters[MetricKey(f"{name}_total")] = count
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
+        self.metrics.set_gauge("uploads_in_progress", self.flows.uploads.count())
         self.metrics.set_gauge("cold_servers", self.view.cold_servers.count_limited())
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
@@ -252,6 +253,7 @@
             not self.has_been_ready
             or bool(self.flows.searches)
             or bool(self.flows.held_openings.openings)
+            or bool(self.flows.held_uploads.openings)
         )
 
     def _update_isolation(self) -> None:
