--- a/citronwinch/coordination/flows/_held_uploads.py
+++ b/citronwinch/coordination/flows/_held_uploads.py
@@ -93,11 +93,6 @@
         """Remove an opening whose flow turned out to be open."""
         self.openings.pop(flow, None)
 
-    def _has_room(self) -> bool:
-        self.awaiting_server &= self.placement.held_openings.openings.keys()
-        accepted = self.uploads.count() + len(self.awaiting_server)
-        return accepted < self.uploads.limit
-
     def list_in_order(self) -> list[HeldOpening]:
         """Return the openings, those that are not late first, then by age."""
         now_ms = self.clock.now_ms()
@@ -107,6 +102,11 @@
 
         return sorted(self.openings.values(), key=make_key)
 
+    def _has_room(self) -> bool:
+        self.awaiting_server &= self.placement.held_openings.openings.keys()
+        accepted = self.uploads.count() + len(self.awaiting_server)
+        return accepted < self.uploads.limit
+
     def _find_timely_until_ms(self, held: HeldOpening) -> float:
         """Return until when an upload can be admitted and still be in time."""
         mean_ms = self.uploads.mean_transfer_ms
