--- a/citronwinch/coordination/flows/tests/test_thin_link.py
+++ b/citronwinch/coordination/flows/tests/test_thin_link.py
@@ -186,6 +186,19 @@
     assert list_forwards(thin_balancer.handle_packet(copy))
 
 
+def test_a_held_upload_that_proves_open_is_not_refused(
+    thin_balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    """Guards against a reset of a flow whose opening another balancer placed."""
+    place_uploads(thin_balancer, range(4_000, 4_002))
+    actions = send_data(thin_balancer, 4_001, is_last=False)
+    assert not thin_balancer.held_uploads.openings
+    for _ in range(25):
+        send_data(thin_balancer, 4_000, is_last=False)
+        actions += tick_for(thin_balancer, clock, TICK_MS)
+    assert not has_reset(actions)
+
+
 @pytest.mark.parametrize("is_found", [False, True], ids=["searched", "found"])
 def test_an_upload_found_by_a_search_counts(
     thin_balancer: BalancerFlows, *, is_found: bool
