Search queued packets of an upload with a returned one

Cause: when an agent returned a packet, the queued packets of its flow were still forwarded to that agent. It returned them during the search, where returned packets are dropped, so that up to a window was lost and sent again by the caller. Without pacing these packets would have joined the search.

Change: a search takes the queued packets of its flow, behind a returned packet and before a new one. Queued packets that are due are forwarded after the returned packet has been handled, not before.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -114,7 +114,9 @@
 
     def handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         """Place an opening or locate a flow anew after an agent returned its packet."""
-        return self.pacing.forward_due() + self._handle_returned(packet, agent)
+        # Packets that are due must not go to the agent that returned this one.
+        actions = self._handle_returned(packet, agent)
+        return actions + self.pacing.forward_due()
 
     def _handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         known = self.flows.get(packet.flow)
@@ -221,6 +223,10 @@
         return actions + self.held_uploads.tick()
 
     def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
+        """Search for a packet's flow; its queued packets wait for the result as well.
+
+        A packet that `absent_at` returned was sent before the queued ones.
+        """
         if (
             packet.flow not in self.searches
             and self.admission.find_route(packet) is None
@@ -228,4 +234,13 @@
             return self.admission.refuse_unknown_address(packet)
         if is_upload_flow(self.view, packet.flow):
             self.uploads.record_data(packet)
-        return self.searches.search(packet, absent_at)
+        queued = self.pacing.take_queued(packet.flow)
+        packets = [packet, *queued] if absent_at else [*queued, packet]
+        actions: list[Action] = []
+        for waiting in packets:
+            known = self.flows.get(packet.flow)
+            if known is None:
+                actions += self.searches.search(waiting, absent_at)
+            else:
+                actions += self.pacing.forward(known, waiting)
+        return actions
--- a/citronwinch/coordination/flows/_upload_pacing.py
+++ b/citronwinch/coordination/flows/_upload_pacing.py
@@ -113,6 +113,15 @@
         self._remove(flow)
         return actions
 
+    def take_queued(self, flow: FlowKey) -> list[Packet]:
+        """Remove and return the queued packets of a flow whose agent is unknown."""
+        queue = self.queues.get(flow)
+        if queue is None:
+            return []
+        self.queued_packets -= len(queue)
+        self._remove(flow)
+        return [queued.packet for queued in queue]
+
     def stop(self) -> list[Action]:
         """Forward all queued packets at once, and queue none from now on."""
         self.is_active = False
--- a/citronwinch/coordination/flows/tests/test_upload_pacing.py
+++ b/citronwinch/coordination/flows/tests/test_upload_pacing.py
@@ -10,8 +10,10 @@
     Action,
     BalancerFlows,
     DeploymentView,
+    FlowAnswer,
     SendMessage,
     ServerSelector,
+    Verdict,
 )
 from citronwinch.coordination.flows._known_flows import KnownFlow, KnownFlows
 from citronwinch.coordination.flows._upload_pacing import UploadPacing
@@ -109,6 +111,28 @@
     assert forwards == [("10.0.0.3", "reporting")] * 3
 
 
+def test_queued_packets_join_the_search_for_a_returned_one(
+    transferring: BalancerFlows, clock: ManualClock
+) -> None:
+    """Guards against packets that go to an agent which has ruled the flow out.
+
+    It would return them during the search, where returned packets are dropped.
+    """
+    carry(transferring, 4_000, 3)
+    clock.advance(TICK_MS)
+    returned = make_packet(4_000, REPORTING, payload=1_200, sequence=7)
+    returned = returned._replace(is_full_size=True)
+    actions = transferring.handle_returned(returned, "10.0.0.4")
+    assert list_packets(actions) == []
+    assert len(transferring.searches[returned.flow].held_packets) == 4
+    answer = FlowAnswer(returned.flow, Verdict.HELD)
+    actions = transferring.handle_answer(answer, "10.0.0.3")
+    actions += tick_for(transferring, clock, 200)
+    queued = make_packet(4_000, REPORTING, payload=1_200).raw
+    assert list_packets(actions) == [returned.raw, *[queued] * 3]
+    assert set(list_forwards(actions)) == {("10.0.0.3", "gauging")}
+
+
 def test_a_stop_forwards_all_queued_packets(transferring: BalancerFlows) -> None:
     carry(transferring, 4_000, 5)
     carry(transferring, 4_001, 5)
