Forget an opening held for a server when data of its flow arrives

Cause: an admitted upload, or any opening, that waits for room at a server stayed held while data of its unknown flow arrived and was searched. Its refusal resets a flow that another balancer has opened.

Change: data removes the opening in both places, also while its flow is unknown.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -102,11 +102,11 @@
         """Forward a packet of an open flow, or search for its flow."""
         known = self.flows.get(packet.flow)
         # Another balancer may have placed a copy of the opening that is held here.
+        self.held_openings.remove(packet.flow)
         self.held_uploads.remove(packet.flow)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
-            self.held_openings.remove(packet.flow)
             if known.has_large_request:
                 self.uploads.record_data(packet)
             return self.pacing.forward(known, packet)
--- a/citronwinch/coordination/flows/tests/test_thin_link.py
+++ b/citronwinch/coordination/flows/tests/test_thin_link.py
@@ -199,6 +199,20 @@
     assert not has_reset(actions)
 
 
+def test_an_admitted_upload_that_proves_open_is_not_refused(
+    thin_balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    """Guards against a reset of an open flow while its opening awaits a server."""
+    place_uploads(thin_balancer, range(4_000, 4_002))
+    flow = make_packet(4_001, REPORTING).flow
+    held = thin_balancer.held_uploads.openings.pop(flow)
+    thin_balancer.held_openings.hold_opening(held)
+    thin_balancer.held_uploads.awaiting_server.add(flow)
+    actions = send_data(thin_balancer, 4_001, is_last=False)
+    assert not thin_balancer.held_openings.openings
+    assert not has_reset(actions + tick_for(thin_balancer, clock, 500))
+
+
 @pytest.mark.parametrize("is_found", [False, True], ids=["searched", "found"])
 def test_an_upload_found_by_a_search_counts(
     thin_balancer: BalancerFlows, *, is_found: bool
@@ -288,19 +302,6 @@
     assert len(failed) + len(finished) == 10
 
 
-def test_a_wide_link_serves_uploads_as_before() -> None:
-    latencies_ms = []
-    for is_former in (False, True):
-        model = ThinLinkModel(100, is_former=is_former)
-        model.run(make_arrivals(20, 3_000), 4_000, small_per_s=60)
-        latencies_ms.append(
-            [
-                (caller.finished_ms or 0) - caller.started_ms
-                for caller in model.callers.values()
-            ]
-        )
-        assert model.balancer.counters["openings_held"] == 0
-        assert model.balancer.counters["upload_packets_paced"] == 0
 def test_the_limit_keeps_a_crowded_thin_link_useful() -> None:
     """Guards against uploads that are late or unanswered after a crowd."""
     # Twelve callers come at once, then three a second: the whole paced share.
@@ -318,4 +319,17 @@
     assert unlimited.count_in_time(1_000) < 0.2 * len(arrivals_ms)
 
 
+def test_a_wide_link_serves_uploads_as_before() -> None:
+    latencies_ms = []
+    for is_former in (False, True):
+        model = ThinLinkModel(100, is_former=is_former)
+        model.run(make_arrivals(20, 3_000), 4_000, small_per_s=60)
+        latencies_ms.append(
+            [
+                (caller.finished_ms or 0) - caller.started_ms
+                for caller in model.callers.values()
+            ]
+        )
+        assert model.balancer.counters["openings_held"] == 0
+        assert model.balancer.counters["upload_packets_paced"] == 0
     assert latencies_ms[0] == latencies_ms[1]
