--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -30,7 +30,11 @@
 from citronwinch.coordination.flows._opening_admission import OpeningAdmission
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._server_selector import ServerSelector
-from citronwinch.coordination.flows._upload_admission import UploadAdmission
+from citronwinch.coordination.flows._upload_admission import (
+    UploadAdmission,
+    is_upload_flow,
+)
+from citronwinch.coordination.flows._upload_pacing import UploadPacing
 from citronwinch.coordination.flows._view import DeploymentView
 
 
@@ -69,6 +73,8 @@
         self.attempt_ages = AttemptAges(clock)
         self.searches.attempt_ages = self.attempt_ages
         self.uploads = UploadAdmission(clock, link_mbps)
+        self.pacing = UploadPacing(clock, link_mbps, self.flows, self.counters)
+        self.searches.uploads, self.searches.pacing = self.uploads, self.pacing
         self.admission = OpeningAdmission(
             view,
             selector,
@@ -79,23 +85,40 @@
             self.attempt_ages,
         )
         self.held_openings = self.admission.held_openings
+        self.held_uploads = self.admission.held_uploads
 
     def handle_packet(self, packet: Packet) -> list[Action]:
         """Forward, hold, refuse or search for the flow of a caller's packet."""
         if packet.is_opening:
-            return self.admission.handle_opening(packet)
+            # Late packets of an earlier flow from the same port must not come after.
+            actions = self.pacing.forward_queued(packet.flow)
+            actions += self.pacing.forward_due()
+            return actions + self.admission.handle_opening(packet)
+        actions = self.pacing.forward_due()
+        actions += self._handle_data(packet)
+        return actions + self.held_uploads.admit()
+
+    def _handle_data(self, packet: Packet) -> list[Action]:
+        """Forward a packet of an open flow, or search for its flow."""
         known = self.flows.get(packet.flow)
+        # Another balancer may have placed a copy of the opening that is held here.
+        self.held_openings.remove(packet.flow)
+        self.held_uploads.remove(packet.flow)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
-            self.held_openings.remove(packet.flow)
             if known.has_large_request:
                 self.uploads.record_data(packet)
-            return [forward_to_agent(known.agent, known.service, packet)]
+            return self.pacing.forward(known, packet)
         return self._search_flow(packet)
 
     def handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         """Place an opening or locate a flow anew after an agent returned its packet."""
+        # Packets that are due must not go to the agent that returned this one.
+        actions = self._handle_returned(packet, agent)
+        return actions + self.pacing.forward_due()
+
+    def _handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         known = self.flows.get(packet.flow)
         if packet.is_opening:
             if known is None or known.agent != agent:
@@ -118,7 +141,8 @@
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
         """Apply an agent's verdict on a flow; send the questions that waited for it."""
-        actions = self._apply_answer(answer, agent)
+        actions = self.pacing.forward_due()
+        actions += self._apply_answer(answer, agent)
         return actions + self.searches.record_answer(answer.flow, agent)
 
     def _apply_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
@@ -155,7 +179,7 @@
     def handle_locations(self, message: FlowLocations, sender: str) -> list[Action]:
         """Apply the answer to a lookup, or keep the locations of other balancers."""
         self.directory.silent.discard(sender)
-        actions: list[Action] = []
+        actions = self.pacing.forward_due()
         for location in message.locations:
             if self.searches.is_awaiting_location(location.flow):
                 actions += self.searches.handle_location(location, sender)
@@ -185,7 +209,8 @@
 
     def tick(self) -> list[Action]:
         """Advance timed-out searches, expire idle flows and place held openings."""
-        actions = self.searches.tick()
+        actions = self.pacing.forward_due()
+        actions += self.searches.tick()
         self.directory.expire()
         actions += self._register_flows()
         configuration = self.view.configuration
@@ -194,12 +219,28 @@
         actions += end_flows_of_lost_servers(
             self.view, self.selector, self.flows, self.counters
         )
-        return actions + self.admission.held_placement.tick()
+        actions += self.admission.held_placement.tick()
+        return actions + self.held_uploads.tick()
 
     def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
+        """Search for a packet's flow; its queued packets wait for the result as well.
+
+        A packet that `absent_at` returned was sent before the queued ones.
+        """
         if (
             packet.flow not in self.searches
             and self.admission.find_route(packet) is None
         ):
             return self.admission.refuse_unknown_address(packet)
-        return self.searches.search(packet, absent_at)
+        if is_upload_flow(self.view, packet.flow):
+            self.uploads.record_data(packet)
+        queued = self.pacing.take_queued(packet.flow)
+        packets = [packet, *queued] if absent_at else [*queued, packet]
+        actions: list[Action] = []
+        for waiting in packets:
+            known = self.flows.get(packet.flow)
+            if known is None:
+                actions += self.searches.search(waiting, absent_at)
+            else:
+                actions += self.pacing.forward(known, waiting)
+        return actions
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -14,10 +14,7 @@
 )
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._deployment import BackendServer
-from citronwinch.coordination.flows._flow_directory import (
-    MIN_AGENTS,
-    FlowDirectory,
-)
+from citronwinch.coordination.flows._flow_directory import MIN_AGENTS, FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._known_flows import (
     KnownFlow,
@@ -43,6 +40,11 @@
     list_silent_agents,
 )
 from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._upload_admission import (
+    UploadAdmission,
+    is_upload_flow,
+)
+from citronwinch.coordination.flows._upload_pacing import UploadPacing
 from citronwinch.coordination.flows._view import DeploymentView
 
 NOT_FOUND_RETENTION_MS = 150
@@ -85,6 +87,9 @@
         """The flows of unsuccessful searches, with the time at which each ended."""
         self.attempt_ages = AttemptAges(clock)
         """The attempts that were ended; replaced by those of the balancer."""
+        self.uploads = UploadAdmission(clock, link_mbps)
+        self.pacing = UploadPacing(clock, link_mbps, flows, counters)
+        """The uploads in progress; both are replaced by those of the balancer."""
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.unresponsive_balancers: set[str] = set()
@@ -370,6 +375,7 @@
         if not is_dead:
             return [*lookups, outcome]
         self.attempt_ages.record_ended(key, search.started_ms)
+        self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
     def _finish_found(
@@ -381,6 +387,7 @@
         service = search.services[holder]
         flow = KnownFlow(holder, service, now_ms)
         flow.acknowledged = search.held_packets[-1].acknowledged
+        flow.has_large_request = is_upload_flow(self.view, key)
         self.flows.store(key, flow)
         if search.verdicts:
             self.directory.request_registration(key)
@@ -392,8 +399,7 @@
             asked=len(search.verdicts),
             searched_ms=now_ms - search.started_ms,
         )
-        measure = Measure("search_ms", now_ms - search.started_ms)
         # The agent already has the packets that were forwarded to it in a trial.
         missing = search.held_packets[search.trial_packet_counts.get(holder, 0) :]
-        forwards = [forward_to_agent(holder, service, packet) for packet in missing]
-        return [*forwards, found, measure]
+        forwards = [a for packet in missing for a in self.pacing.forward(flow, packet)]
+        return [*forwards, found, Measure("search_ms", now_ms - search.started_ms)]
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -41,8 +41,7 @@
         one forwarded last: an earlier one was not answered, or another one is on its
         way."""
         self.has_large_request = False
-        """Whether the flow's route has large requests; False if the balancer has not
-        seen its opening."""
+        """Whether the flow's route has large requests."""
         self.tried_agents: set[str] = set()
         """The agents that returned the opening or did not confirm it in time."""
         self.attempts = 1
