--- a/citronwinch/soak/_probe_flows.py
+++ b/citronwinch/soak/_probe_flows.py
@@ -8,10 +8,12 @@
 if TYPE_CHECKING:
     from citronwinch.soak._run import Soak
 
-PROBE_FLOW_COUNT = 15
+PROBE_FLOW_COUNT = 60
 """The number of flows opened to check that some backend servers get none.
 
-It is three for each backend server of the larger service, replacement included.
+It is twelve for each backend server of the larger service, replacement included. A
+balancer takes another zone once its own one has eight more flows, so that with three
+for each server one of five often got none although it was ready.
 """
 
 
