Hold openings whose servers are about to be listed again

Cause: after a kill of all processes while the store is away, balancers know the configuration before the listing has a server.

Change: while the listing may lack live servers (not settled, or within the grace time after the first one), an opening of a route without a listed server is held until 100 ms before its caller gives up.

--- a/citronwinch/coordination/flows/_held_opening.py
+++ b/citronwinch/coordination/flows/_held_opening.py
@@ -76,8 +76,15 @@
     now_ms: int,
     *,
     may_be_accepted: bool = False,
+    awaits_server: bool = False,
 ) -> HeldOpening:
-    """Return the held opening for a packet that was received now."""
+    """Return the held opening for a packet that was received now.
+
+    `awaits_server` means that no server of the route is listed yet.
+    """
+    compute_limit_ms = (
+        compute_listing_wait_ms if awaits_server else compute_hold_limit_ms
+    )
     services = tuple(order_services(route, packet.flow))
     timely_ms = round(TIMELY_WAIT_SHARE * route.latency_objective_ms)
     return HeldOpening(
@@ -90,7 +97,7 @@
         frozenset(services),
         times.first_ms + timely_ms,
         times.attempt_ms + timely_ms,
-        times.attempt_ms + compute_hold_limit_ms(route.timeout_ms),
+        times.attempt_ms + compute_limit_ms(route.timeout_ms),
         may_be_accepted,
     )
 
@@ -106,3 +113,17 @@
         [300, 881, 1300]
     """
     return min(ATTEMPT_MS, int(HOLD_TIMEOUT_SHARE * timeout_ms)) - NETWORK_PATH_MS
+
+
+def compute_listing_wait_ms(timeout_ms: int) -> int:
+    """Return how long after it was sent an opening waits for a server to be listed.
+
+    That is until its caller gives up. Servers that return are idle, so that no part of
+    the timeout is reserved for a queue.
+
+    Example::
+
+        >>> [compute_listing_wait_ms(timeout_ms) for timeout_ms in (800, 3_000)]
+        [700, 1300]
+    """
+    return min(ATTEMPT_MS, timeout_ms) - NETWORK_PATH_MS
--- a/citronwinch/coordination/flows/_held_placement.py
+++ b/citronwinch/coordination/flows/_held_placement.py
@@ -13,7 +13,10 @@
     PLACEMENTS_PER_LOWER_PRIORITY,
     PriorityTurns,
 )
-from citronwinch.coordination.flows._refusal_reasons import explain_missing_server
+from citronwinch.coordination.flows._refusal_reasons import (
+    explain_missing_server,
+    may_get_server,
+)
 
 LATE_OPENING_PRESSURE_LIMIT = 1.0
 """A late opening is placed only at a backend server with a lower pressure than this;
@@ -72,10 +75,12 @@
         It is not known for how long other lower ones share these with it.
         """
         actions: list[Action] = []
-        for held in placing.without_server:
-            reason = explain_missing_server(self.placement.view, held.route)
-            actions += self._refuse_held(held, reason)
         now_ms = self.clock.now_ms()
+        view = self.placement.view
+        for held in placing.without_server:
+            if now_ms >= held.deadline_ms or not may_get_server(view, held.route):
+                reason = explain_missing_server(view, held.route)
+                actions += self._refuse_held(held, reason)
         rates = self.held_openings.rates
         most_per_s = ESTIMATE_FACTOR * rates.estimate_most_per_s(
             pool, self.placement.estimate_capacity_per_s(pool)
@@ -129,6 +134,8 @@
         self.turns = turns
         self.best_without_room: dict[OpeningKind, ChosenServer] = {}
         """The best server for each kind of openings that found no room."""
+        self.kinds_without_server: set[OpeningKind] = set()
+        """The kinds of openings whose route has no server."""
         self.without_server: list[HeldOpening] = []
         """The openings whose route has no server left."""
         self.without_room: list[HeldOpening] = []
@@ -168,8 +175,12 @@
         kind = self._make_kind(held)
         if kind in self.best_without_room:
             return []
+        if kind in self.kinds_without_server:
+            self.without_server.append(held)
+            return []
         chosen = self.placement.choose_server(held.packet, held.route)
         if chosen is None:
+            self.kinds_without_server.add(kind)
             self.without_server.append(held)
             return []
         if must_wait(chosen, held, self.now_ms):
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -24,7 +24,10 @@
     read_copy_age_ms,
 )
 from citronwinch.coordination.flows._packets import Packet
-from citronwinch.coordination.flows._refusal_reasons import explain_missing_server
+from citronwinch.coordination.flows._refusal_reasons import (
+    explain_missing_server,
+    may_get_server,
+)
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._upload_admission import UploadAdmission
 from citronwinch.coordination.flows._view import DeploymentView
@@ -125,8 +128,7 @@
         """Place an opening at an agent that was not tried yet, hold it or refuse it."""
         chosen = self.placement.choose_server(packet, route, tried_agents)
         if chosen is None:
-            reason = explain_missing_server(self.view, route)
-            return self.placement.refuse(packet, route, times, tried_agents, reason)
+            return self._hold_or_refuse(packet, route, times, tried_agents)
         now_ms = self.clock.now_ms()
         known = self.flows.get(packet.flow)
         may_be_accepted = known is not None and known.may_be_accepted
@@ -150,6 +152,24 @@
             return actions
         return self.placement.forward(packet, route, times, chosen, tried_agents)
 
+    def _hold_or_refuse(
+        self,
+        packet: Packet,
+        route: Route,
+        times: OpeningTimes,
+        tried_agents: set[str],
+    ) -> list[Action]:
+        """Hold an opening whose route may have a server again soon; refuse another."""
+        if may_get_server(self.view, route):
+            now_ms = self.clock.now_ms()
+            has_waited = packet.flow in self.held_openings.openings
+            held = make_held_opening(packet, route, times, now_ms, awaits_server=True)
+            if now_ms < held.deadline_ms and self.held_openings.hold_opening(held):
+                self.counters["openings_awaiting_listing"] += not has_waited
+                return []
+        reason = explain_missing_server(self.view, route)
+        return self.placement.refuse(packet, route, times, tried_agents, reason)
+
     def refuse_unknown_address(self, packet: Packet) -> list[Action]:
         """Refuse a packet to an address without a route if the view is current."""
         age_ms = self.view.age_ms
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -74,6 +74,8 @@
         self.history = ListingHistory()
         self.confirmed_ms: int | None = None
         """When the store last had this listing, None without a listing."""
+        self.first_listed_ms = 0
+        """When the first listing was accepted, in milliseconds."""
         self.grace_until_ms = 0
         """When the grace time after an outage of the store ends."""
         self.restored_until_ms = 0
@@ -168,6 +170,8 @@
         if self.confirmed_ms is not None and listing.position < self.listing.position:
             return False
         now_ms = self.clock.now_ms()
+        if self.confirmed_ms is None:
+            self.first_listed_ms = now_ms
         self._detect_restore(listing.position)
         if now_ms < self.restored_until_ms:
             former = {name: gone.server for name, gone in self.former.items()}
@@ -252,6 +256,16 @@
         is_current = age_ms is not None and age_ms <= OUTAGE_GAP_MS
         return is_current and self.clock.now_ms() >= self.grace_until_ms
 
+    def may_lack_servers(self) -> bool:
+        """Return whether live servers may be missing from the listing.
+
+        That is the case while the listing is not settled, and for OUTAGE_GRACE_MS after
+        the first one: a process that has just started cannot tell whether the store was
+        down before, so that servers are still registering again.
+        """
+        is_first = self.clock.now_ms() < self.first_listed_ms + OUTAGE_GRACE_MS
+        return is_first or not self.is_settled()
+
     def list_former(self, missing_for_ms: int = 0) -> list[BackendServer]:
         """Return the servers that have been missing for at least `missing_for_ms`.
 
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -50,6 +50,7 @@
     "open_flows": "flows that the backend server holds",
     "opening_wait_ms": "time until a backend server accepted a new flow, milliseconds",
     "openings_held_total": "new flows that waited for a backend server with room",
+    "openings_awaiting_listing_total": "new flows that waited for a listed server",
     "openings_placed_total": "new flows that were given to a backend server",
     "openings_refused_total": "new flows that were refused",
     "openings_returned_total": "new flows that an agent returned, by reason",
