Read the listing often while servers register again

Change: the interval of reads is 200 ms while the listing may lack live servers, and a successful read of the listing ends the pause before the next read of the configuration.

--- a/citronwinch/coordination/flows/_read_turns.py
+++ b/citronwinch/coordination/flows/_read_turns.py
@@ -14,6 +14,10 @@
 milliseconds. If the store refuses that balancer, the next one's read still completes
 within half of the shortest drain time."""
 
+UNSETTLED_READ_INTERVAL_MS = 200
+"""The same while servers may be registering again, in milliseconds: until the next
+read, callers wait for servers that are back."""
+
 TURN_STEP_MS = 300
 """How much longer each further balancer in turn waits, in milliseconds; longer than a
 slow store takes to answer."""
@@ -58,6 +62,15 @@
     return compute_interval_ms(READ_RETRY_MS, balancers, FAILED_READS_PER_S)
 
 
-def compute_read_age_ms(turn: int) -> int:
-    """Return the age of the listing at which it is read again, in milliseconds."""
-    return READ_INTERVAL_MS + min(turn, MAX_DELAYED_TURN) * TURN_STEP_MS
+def compute_read_age_ms(turn: int, *, may_lack_servers: bool = False) -> int:
+    """Return the age of the listing at which it is read again, in milliseconds.
+
+    `may_lack_servers` means that live servers may be missing from it.
+
+    Example::
+
+        >>> compute_read_age_ms(1), compute_read_age_ms(1, may_lack_servers=True)
+        (1000, 500)
+    """
+    interval_ms = UNSETTLED_READ_INTERVAL_MS if may_lack_servers else READ_INTERVAL_MS
+    return interval_ms + min(turn, MAX_DELAYED_TURN) * TURN_STEP_MS
--- a/citronwinch/coordination/flows/tests/test_read_turns_and_members.py
+++ b/citronwinch/coordination/flows/tests/test_read_turns_and_members.py
@@ -13,12 +13,15 @@
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import (
     BalancerMembers,
+    DeploymentView,
     Heartbeat,
     ServerSelector,
     StorePosition,
     compute_read_age_ms,
     compute_read_turn,
 )
+from citronwinch.coordination.flows._view import OUTAGE_GRACE_MS
+from citronwinch.coordination.flows.tests.conftest import make_listing
 
 MEMBERS = [f"10.0.0.{number}" for number in range(1, 16)]
 
@@ -47,6 +50,24 @@
     assert compute_read_age_ms(refused) < 3_000 - 500
 
 
+def test_the_listing_is_read_often_while_servers_register_again(
+    clock: ManualClock,
+) -> None:
+    # With one read in 700 ms, callers wait for servers that have been back for most of
+    # a second.
+    view = DeploymentView(clock)
+    view.accept_listing(make_listing(10), clock.now_ms())
+    reads = 0
+    for _ in range(0, 2 * OUTAGE_GRACE_MS, 20):
+        clock.advance(20)
+        age_ms, may_lack = view.age_ms, view.may_lack_servers()
+        assert age_ms is not None
+        if age_ms >= compute_read_age_ms(0, may_lack_servers=may_lack):
+            view.confirm_listing(view.listing.position, clock.now_ms())
+            reads += may_lack
+    assert 5 <= reads <= 10
+
+
 def test_members_are_learned_from_heartbeats_and_removed_when_silent(
     clock: ManualClock,
 ) -> None:
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -105,9 +105,12 @@
             nursery.cancel_scope.cancel()
 
     async def _read_until_known(self) -> None:
+        """Read the configuration again after a pause, or once the store answers."""
         while True:
+            self.listing_was_read = trio.Event()
             await self.read_configuration()
-            await trio.sleep(READ_RETRY_MS / 1000)
+            with trio.move_on_after(READ_RETRY_MS / 1000):
+                await self.listing_was_read.wait()
 
     def is_listing_reader(self) -> bool:
         """Return whether this balancer has read the listing recently."""
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -7,7 +7,6 @@
 import trio
 
 from citronwinch.coordination.flows import (
-    READ_INTERVAL_MS,
     UNKNOWN_POSITION,
     Heartbeat,
     ListingDifference,
@@ -104,15 +103,20 @@
         if self.is_reading_listing or self.clock.now_ms() < self.listing_retry_at_ms:
             return
         age_ms = self.view.age_ms
-        if age_ms is not None and age_ms < READ_INTERVAL_MS:
-            return
-        turn = compute_read_turn(
-            self.process.settings.ip, self.process.members.list_live()
-        )
-        if age_ms is None or age_ms >= compute_read_age_ms(turn):
+        if age_ms is None or age_ms >= self._compute_read_age_ms(age_ms):
             self.is_reading_listing = True
             self.nursery.start_soon(self._read_listing)
 
+    def _compute_read_age_ms(self, age_ms: int) -> int:
+        """Return the age of the listing at which this balancer reads it again."""
+        may_lack_servers = self.view.may_lack_servers()
+        earliest_ms = compute_read_age_ms(0, may_lack_servers=may_lack_servers)
+        if age_ms < earliest_ms:
+            return earliest_ms
+        members = self.process.members.list_live()
+        turn = compute_read_turn(self.process.settings.ip, members)
+        return compute_read_age_ms(turn, may_lack_servers=may_lack_servers)
+
     async def _read_listing(self) -> None:
         requested_ms = self.clock.now_ms()
         result = await self.store.read_servers()
