--- a/citronwinch/network/_connection_check.py
+++ b/citronwinch/network/_connection_check.py
@@ -9,8 +9,8 @@
 async def try_connection(endpoint: Endpoint, timeout_ms: int) -> ServerCheck:
     """Open and close a TCP connection; return how the endpoint reacted.
 
-    That is ACCEPTED, REFUSED when the connection was refused, and SILENT after a
-    timeout or any other error.
+    That is ACCEPTED, REFUSED when the connection was refused, SILENT after a timeout,
+    and FAILED after any other error.
     """
     try:
         with trio.fail_after(timeout_ms / 1000):
@@ -22,4 +22,4 @@
     except OSError as error:
         causes = [error, error.__cause__, *getattr(error.__cause__, "exceptions", ())]
         is_refused = any(isinstance(cause, ConnectionRefusedError) for cause in causes)
-        return ServerCheck.REFUSED if is_refused else ServerCheck.SILENT
+        return ServerCheck.REFUSED if is_refused else ServerCheck.FAILED
