Keep copies of the view on agents; drop what waited too long at a start

Cause: configuration and listing lived in balancers only. When all of them are killed while the store is down, nobody knows what agents and servers serve. Packets that queue in a balancer without a view were all handled as new ones, also those whose callers had given up.

Change: each agent keeps the encoded view of a balancer of its zone, offers it when all balancers are silent, and serves it; a starting balancer that the store does not answer fetches the newest offer. Early packets keep their age, and outdated ones are dropped. The soak learns the fault.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -51,6 +51,7 @@
     pack_route_address,
     round_up_warmup_ms,
 )
+from citronwinch.coordination.flows._early_packets import EarlyPackets
 from citronwinch.coordination.flows._evacuations import Evacuations, ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
@@ -83,10 +84,10 @@
     ReturnedPacket,
     Verdict,
     ViewAnswer,
+    ViewOffer,
 )
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._read_turns import (
-    READ_INTERVAL_MS,
     READ_RETRY_MS,
     compute_read_age_ms,
     compute_read_retry_ms,
@@ -101,6 +102,7 @@
     StorePosition,
 )
 from citronwinch.coordination.flows._view import DeploymentView
+from citronwinch.coordination.flows._view_copies import CopySource, ViewCopy, ViewOffers
 from citronwinch.coordination.flows._view_fetching import (
     ViewAnswerPacing,
     choose_view_source,
@@ -125,6 +127,9 @@
     "DEFAULT_LINK_MBPS",
     "ServerSelector",
     "ViewAnswerPacing",
+    "ViewCopy",
+    "ViewOffer",
+    "ViewOffers",
     "choose_view_source",
     "compute_configuration_transfer_ms",
     "list_view_sources",
@@ -138,8 +143,10 @@
     "ConfigurationFollower",
     "DeliverToCaller",
     "DeliverToServer",
+    "CopySource",
     "DeploymentView",
     "EMPTY_LISTING",
+    "EarlyPackets",
     "Evacuations",
     "FlowAnswer",
     "FlowAnswers",
@@ -159,7 +166,6 @@
     "Measure",
     "Message",
     "Packet",
-    "READ_INTERVAL_MS",
     "READ_RETRY_MS",
     "Record",
     "ResetFlow",
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -279,6 +279,22 @@
     """The names of the entries that were removed since that listing."""
 
 
+class ViewOffer(NamedTuple):
+    """An agent offers its copy of the view to a balancer that sends no heartbeats."""
+
+    configuration_version: int
+    """The version of the copied configuration."""
+
+    listing_position: StorePosition
+    """The store's position at which the copied listing was last confirmed."""
+
+    listing_age_ms: int
+    """How long ago the copied listing was confirmed, in milliseconds."""
+
+    evacuations: tuple[ZoneEvacuation, ...] = ()
+    """The requested and removed evacuations of zones that the agent knows."""
+
+
 Message = (
     Heartbeat
     | LoadReport
@@ -291,5 +307,6 @@
     | ForwardedPacket
     | ForwardedOpening
     | ReturnedPacket
+    | ViewOffer
 )
 """The content of one datagram between balancers and agents."""
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -70,8 +70,13 @@
             self.placement, clock, self._place_admitted_upload
         )
 
-    def handle_opening(self, packet: Packet) -> list[Action]:
-        """Forward, hold or refuse an opening of a caller."""
+    def handle_opening(
+        self, packet: Packet, received_ms: int | None = None
+    ) -> list[Action]:
+        """Forward, hold or refuse an opening of a caller.
+
+        `received_ms` is when it was received, if that is not now.
+        """
         now_ms = self.clock.now_ms()
         known = self.flows.get(packet.flow)
         is_overdue = False
@@ -85,7 +90,7 @@
             )
             known.may_be_accepted |= known.unconfirmed_since_ms is not None
             if not must_move:
-                known.times = self._find_times(packet, known)
+                known.times = self._find_times(packet, known, received_ms)
                 route = self.find_route(packet)
                 return [forward_opening(known, packet, route, now_ms)]
             known.tried_agents.add(known.agent)
@@ -94,7 +99,7 @@
         route = self.find_route(packet)
         if route is None:
             return self.refuse_unknown_address(packet)
-        times = self._find_times(packet, known)
+        times = self._find_times(packet, known, received_ms)
         must_pass_link = known is None and route.has_large_requests
         if must_pass_link and packet.flow not in self.held_openings.openings:
             held = make_held_opening(packet, route, times, now_ms)
@@ -105,10 +110,13 @@
     def _place_admitted_upload(self, held: HeldOpening) -> list[Action]:
         return self.place_opening(held.packet, held.route, held.times, set())
 
-    def _find_times(self, packet: Packet, known: KnownFlow | None) -> OpeningTimes:
-        """Return when the caller sent an opening that was received now."""
+    def _find_times(
+        self, packet: Packet, known: KnownFlow | None, received_ms: int | None
+    ) -> OpeningTimes:
+        """Return when the caller sent an opening; it was received now if not stated."""
         now_ms = self.clock.now_ms()
-        sent_ms = now_ms - read_copy_age_ms(packet)
+        received_ms = now_ms if received_ms is None else received_ms
+        sent_ms = received_ms - read_copy_age_ms(packet)
         held = self.held_openings.openings.get(packet.flow)
         held = held or self.held_uploads.openings.get(packet.flow)
         if held is not None:
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -30,6 +30,7 @@
     RouteClass,
     StorePosition,
     Verdict,
+    ViewOffer,
     ZoneEvacuation,
 )
 from citronwinch.flow_peers._schema import MAX_MESSAGE_WORDS, SCHEMA
@@ -119,16 +120,29 @@
     body.settlesInMs = message.remaining_grace_ms
     body.configurationEra, body.configurationRevision = message.configuration_position
     body.intervalMs = message.interval_ms
-    entries = body.init("evacuations", len(message.evacuations))
-    for entry, evacuation in zip(entries, message.evacuations, strict=True):
-        entry.zone, entry.isActive = evacuation.zone, evacuation.is_active
-        entry.era, entry.revision = evacuation.position
+    _set_evacuations(body, message.evacuations)
     body.serverSlots = message.server_slots
     body.serverWarmupLeftMs = message.server_warmup_left_ms
     body.warmupPerS = message.warmup_per_s
     return _pack(builder)
 
 
+def _set_evacuations(body: Any, evacuations: tuple[ZoneEvacuation, ...]) -> None:
+    entries = body.init("evacuations", len(evacuations))
+    for entry, evacuation in zip(entries, evacuations, strict=True):
+        entry.zone, entry.isActive = evacuation.zone, evacuation.is_active
+        entry.era, entry.revision = evacuation.position
+
+
+def _get_evacuations(body: Any) -> tuple[ZoneEvacuation, ...]:
+    return tuple(
+        ZoneEvacuation(
+            entry.zone, entry.isActive, StorePosition(entry.era, entry.revision)
+        )
+        for entry in body.evacuations
+    )
+
+
 @encode_flow_message.register
 def _(message: LoadReport) -> bytes:
     builder = SCHEMA.FlowMessage.new_message()
@@ -200,6 +214,17 @@
     return _pack(builder)
 
 
+@encode_flow_message.register
+def _(message: ViewOffer) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    body = builder.init("viewOffer")
+    body.configurationVersion = message.configuration_version
+    body.era, body.revision = message.listing_position
+    body.listingAgeMs = min(max(message.listing_age_ms, 0), 0xFFFFFFFF)
+    _set_evacuations(body, message.evacuations)
+    return _pack(builder)
+
+
 def _pack(builder: Any) -> bytes:
     packed: bytes = builder.to_bytes_packed()
     return bytes((KIND_CONTROL,)) + packed
@@ -268,12 +293,7 @@
             body.settlesInMs,
             StorePosition(body.configurationEra, body.configurationRevision),
             body.intervalMs,
-            tuple(
-                ZoneEvacuation(
-                    entry.zone, entry.isActive, StorePosition(entry.era, entry.revision)
-                )
-                for entry in body.evacuations
-            ),
+            _get_evacuations(body),
             body.serverSlots,
             body.serverWarmupLeftMs,
             body.warmupPerS,
@@ -309,6 +329,14 @@
                 for body in reader.locations
             )
         )
+    if kind == "viewOffer":
+        body = reader.viewOffer
+        return ViewOffer(
+            body.configurationVersion,
+            StorePosition(body.era, body.revision),
+            body.listingAgeMs,
+            _get_evacuations(body),
+        )
     if kind == "lookup":
         return FlowLookup(FlowKey(bytes(reader.lookup.flow)))
     body = reader.answer
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -78,6 +78,14 @@
   flow @0 :Data;
 }
 
+struct ViewOffer {
+  configurationVersion @0 :UInt64;
+  era @1 :UInt32;
+  revision @2 :UInt64;
+  listingAgeMs @3 :UInt32;
+  evacuations @4 :List(ZoneEvacuation);
+}
+
 struct FlowMessage {
   union {
     heartbeat @0 :Heartbeat;
@@ -88,6 +96,7 @@
     lookup @5 :FlowLookup;
     questions @6 :FlowQuestions;
     answers @7 :FlowAnswers;
+    viewOffer @8 :ViewOffer;
   }
 }
 
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -23,6 +23,7 @@
 from citronwinch.forwarder._evacuation_log import EvacuationLog
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
+from citronwinch.forwarder._view_copy_exchange import ViewCopyExchange
 from citronwinch.network import DatagramSocket, try_connection
 from citronwinch.operators import MetricKey
 from citronwinch.platform import decode_caller_packet, decode_server_packet
@@ -86,6 +87,7 @@
         self.flows.opening_limit.await_heartbeat()
         self.evacuations = Evacuations(self.clock)
         self.evacuation_log = EvacuationLog(self.evacuations, self.metrics)
+        self.view_copy_exchange = ViewCopyExchange(self)
         self.reporting = LoadReporting(self.clock)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
@@ -119,8 +121,9 @@
         return True
 
     def start_tasks(self, nursery: trio.Nursery) -> None:
-        """Store the nursery, in which checks of the backend server are started."""
+        """Start serving the copy of the view; store the nursery for other tasks."""
         self.nursery = nursery
+        self.view_copy_exchange.start_tasks(nursery)
 
     async def _check_server(self) -> None:
         address = self.settings.server_address
@@ -159,6 +162,7 @@
             if message.availability_zone == self.settings.availability_zone:
                 self.local_balancers[sender] = until_ms
             self._apply_evacuations(message, sender)
+            self.view_copy_exchange.handle_heartbeat(message, sender)
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
@@ -199,6 +203,7 @@
         for reason, count in self.flows.returned_openings.items():
             key = MetricKey("openings_returned_total", reason)
             self.metrics.counters[key] = count
+        self.view_copy_exchange.tick()
         self._discard_silent(self.local_balancers)
         self._report_if_due(report)
         now_ms = self.clock.now_ms()
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -1,7 +1,6 @@
 """The balancer process: receives callers' packets from the routers."""
 
 import random
-from collections import deque
 from collections.abc import Collection
 
 import structlog
@@ -14,6 +13,7 @@
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
+    EarlyPackets,
     FlowAnswer,
     FlowAnswers,
     FlowLocations,
@@ -22,9 +22,9 @@
     LoadReport,
     Message,
     MessagePace,
-    Packet,
     ReturnedPacket,
     ServerSelector,
+    ViewOffer,
     compute_interval_ms,
 )
 from citronwinch.forwarder._agent_heartbeats import AgentHeartbeats
@@ -78,11 +78,6 @@
 """The time between the exit of a stopping balancer and its stop timeout, at which it
 would be killed, in milliseconds; it exits earlier than after STOP_MS if necessary."""
 
-MAX_EARLY_PACKETS = 4_000
-"""The most packets that a starting balancer queues until its view is complete: about
-1.5 MB of openings and small requests, half a second of the heaviest traffic. A further
-packet replaces the oldest one."""
-
 READY_LISTING_AGE_MS = 1_500
 """The highest age of the listing with which a starting balancer is ready before
 READY_TIMEOUT_MS, in milliseconds."""
@@ -101,7 +96,6 @@
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
     ) -> None:
         super().__init__(settings, settings.packet_address, open_socket)
-        self.early_packets: deque[Packet] = deque(maxlen=MAX_EARLY_PACKETS)
         self.view = DeploymentView(self.clock)
         self.rng = random.Random(settings.name)
         self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
@@ -112,6 +106,7 @@
             settings.link_mbps,
             settings.ip,
         )
+        self.early_packets = EarlyPackets(self.clock, self.flows.counters)
         seeds = [seed.ip for seed in settings.seeds]
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
         self.evacuation_log = EvacuationLog(self.view.evacuations, self.metrics)
@@ -126,8 +121,9 @@
         """Return whether the balancer accepts packets.
 
         A starting balancer is ready when its view is complete and either its listing is
-        at most READY_LISTING_AGE_MS old or READY_TIMEOUT_MS have passed since the
-        start. From then on, it is ready unless all known agents are silent.
+        at most READY_LISTING_AGE_MS old, READY_TIMEOUT_MS have passed since the start,
+        or the store does not answer. From then on, it is ready unless all known agents
+        are silent.
         """
         if self.has_been_ready:
             return not self.is_isolated
@@ -136,7 +132,8 @@
         age_ms = self.view.age_ms
         waited_ms = self.clock.now_ms() - self.started_ms
         is_current = age_ms is not None and age_ms <= READY_LISTING_AGE_MS
-        if is_current or waited_ms >= READY_TIMEOUT_MS:
+        is_store_lost = self.view_exchange.is_store_lost
+        if is_current or is_store_lost or waited_ms >= READY_TIMEOUT_MS:
             self.has_been_ready = True
             log.info("ready", after_ms=waited_ms, view_age_ms=age_ms)
         return self.has_been_ready
@@ -169,6 +166,11 @@
             self.selector.record_message(sender, message)
         elif isinstance(message, Heartbeat):
             self._handle_heartbeat(message, sender)
+        elif isinstance(message, ViewOffer):
+            if message.evacuations:
+                self.view.evacuations.merge(message.evacuations)
+                self.handle_evacuations(sender)
+            self.view_exchange.handle_offer(message, sender)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
         self.flows.directory.silent.discard(sender)
@@ -198,18 +200,21 @@
         if self.view.is_complete:
             self.apply_actions(self.flows.handle_packet(packet))
         else:
-            self.early_packets.append(packet)
+            self.early_packets.add(packet)
 
     def handle_early_packets(self) -> None:
         """Handle the packets that were queued until the view was complete."""
-        if self.early_packets and self.view.is_complete:
-            log.info("early_packets_handled", count=len(self.early_packets))
-            # Agents that have restarted as well learn of their servers first.
-            self.agent_heartbeats.send_due()
-            while self.early_packets:
-                self.apply_actions(
-                    self.flows.handle_packet(self.early_packets.popleft())
-                )
+        configuration = self.view.configuration
+        if not self.early_packets.queue or not self.view.is_complete:
+            return
+        assert configuration is not None
+        queued = len(self.early_packets.queue)
+        # Agents that have restarted as well learn of their servers first.
+        self.agent_heartbeats.send_due()
+        while early := self.early_packets.take_next(configuration):
+            self.apply_actions(self.flows.handle_packet(*early))
+        outdated = self.flows.counters["early_packets_outdated"]
+        log.info("early_packets_handled", count=queued, outdated=outdated)
 
     def tick(self) -> None:
         """Apply timeouts, send the heartbeats that are due and update the metrics."""
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -13,6 +13,8 @@
     StorePosition,
     ViewAnswer,
     ViewAnswerPacing,
+    ViewOffer,
+    ViewOffers,
     choose_view_source,
     compute_read_age_ms,
     compute_read_retry_ms,
@@ -26,6 +28,11 @@
     decode_view,
 )
 from citronwinch.forwarder._configuration_watch import ConfigurationWatch
+from citronwinch.forwarder._view_requests import (
+    COMPRESSED_TYPE,
+    FETCH_TIMEOUT_MS,
+    VIEW_PATH,
+)
 from citronwinch.network import (
     HttpError,
     HttpRequest,
@@ -39,15 +46,6 @@
 if TYPE_CHECKING:
     from citronwinch.forwarder._balancer_process import BalancerProcess
 
-VIEW_PATH = "/view"
-"""The HTTP path at which a balancer serves its view to other balancers."""
-
-COMPRESSED_TYPE = "application/zlib"
-"""The media type of a compressed view."""
-
-FETCH_TIMEOUT_MS = 600
-"""The timeout for fetching the view of another balancer, in milliseconds."""
-
 READ_RETRY_JITTER = (0.7, 1.3)
 """The range of a random factor on the time until a failed read is repeated, so that
 balancers whose reads failed together do not repeat them together."""
@@ -87,6 +85,7 @@
         self.is_catching_up = False
         self.retained_sources: set[str] = set()
         self.rng = random.Random(process.settings.name)
+        self.offers = ViewOffers(self.clock, self.rng)
         self.encoder = ViewEncoder()
         self.pacing = ViewAnswerPacing(self.clock, process.settings.link_mbps)
         self.rejected_entries: tuple[str, ...] = ()
@@ -255,8 +254,33 @@
         zone = self.process.settings.availability_zone
         return choose_view_source(sources - failed, members, zone, self.rng)
 
-    async def _fetch_view(self, ip: str) -> None:
-        """Fetch the view of another balancer and merge it into the own view."""
+    def handle_offer(self, offer: ViewOffer, agent: str) -> None:
+        """Record an agent's copy of the view; fetch it if it is needed."""
+        self.offers.record(agent, offer)
+        if not self.is_catching_up and self._choose_copy() is not None:
+            self.is_catching_up = True
+            self.nursery.start_soon(self._fetch_copies)
+
+    def _choose_copy(self) -> str | None:
+        return self.offers.choose(self.view, is_store_lost=self.is_store_lost)
+
+    async def _fetch_copies(self) -> None:
+        """Fetch copies of agents, one at a time, while one is newer than the view."""
+        try:
+            while agent := self._choose_copy():
+                age_ms = self.offers.compute_age_ms(agent)
+                self.process.metrics.count("view_copies_fetched_total")
+                await self._fetch_view(agent, age_ms)
+                self.offers.remove(agent)
+        finally:
+            self.is_catching_up = False
+
+    async def _fetch_view(self, ip: str, listing_age_ms: int | None = None) -> None:
+        """Fetch a view from another process and merge it into the own view.
+
+        `listing_age_ms` is the age of the listing if the answer does not state it, as
+        that of an agent, which has the view as it was when the agent received it.
+        """
         version = self.view.configuration.version if self.view.configuration else 0
         self.retained_sources.discard(ip)
         endpoint = self.process.make_peer_endpoint(ip)
@@ -282,7 +306,9 @@
             answer.configuration_version, self._find_watchable_position(ip, answer)
         )
         if answer.listing.position != UNKNOWN_POSITION:
-            confirmed_ms = requested_ms - answer.listing_age_ms
+            if listing_age_ms is None:
+                listing_age_ms = answer.listing_age_ms
+            confirmed_ms = requested_ms - listing_age_ms
             if self._accept_listing(answer, confirmed_ms):
                 self.log_listing(ip)
             view = self.view
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -8,6 +8,7 @@
     "control_bytes_refused": "control traffic not sent for lack of budget, by priority",
     "control_bytes_sent": "control traffic sent, bytes by priority",
     "datagrams_not_sent": "datagrams that the kernel did not take, since the start",
+    "early_packets_outdated_total": "packets of a start whose callers had given up",
     "evacuated_zones": "availability zones that get no new flows",
     "flow_tombstones": "ended flows that are remembered for a while",
     "flows_handed_over_total": "flows handed over for the next run of this agent",
@@ -123,8 +124,11 @@
     "unknown_address_ignored_total": "packets to unknown addresses under an old view",
     "unknown_address_refused_total": "new flows to addresses without a route",
     "view_age_ms": "age of the listing of backend servers, milliseconds",
+    "view_copies_fetched_total": "copies of a view that were fetched from agents",
+    "view_copy_bytes": "size of the copy of the view that the agent keeps",
     "view_fetch_errors_total": "views that another balancer did not send",
     "view_fetches_put_off_total": "fetches that a balancer put off to spare its link",
+    "view_offers_total": "times that the agent offered its copy to silent balancers",
     "waiting_requests": "requests that the backend server has not begun to answer",
 }
 """The meaning of each metric by its name without the `citronwinch_` prefix."""
--- a/citronwinch/soak/_fault_injection.py
+++ b/citronwinch/soak/_fault_injection.py
@@ -27,6 +27,9 @@
 REWRITE_DELAY_S = 1.0
 """How long after that the lost data is written again, in seconds."""
 
+STORE_AWAY_BEFORE_KILL_S = 0.5
+"""How long the store is silent before all balancers are killed, in seconds."""
+
 ENTRY_EXPIRY_S = 2.5
 """How long after that the entries of servers that are gone expire, in seconds."""
 
@@ -67,20 +70,36 @@
         soak.add_balancer(max(soak.balancer_numbers) + 1)
     elif kind is FaultKind.EVACUATION:
         await evacuate_zone(soak, fault)
+    elif kind is FaultKind.BALANCERS_KILLED_STORE_AWAY:
+        await _kill_balancers_without_store(soak, fault)
     else:
         await _signal_instances(soak, fault)
 
 
 async def _inject_store_fault(soak: "Soak", fault: Fault) -> None:
     """Set the fault of the store, and keep the time of the last fault up to date."""
-    soak.store.fault = _STORE_FAULTS[fault.kind]
-    with trio.move_on_after(fault.duration_s):
+    await _disrupt_store(soak, _STORE_FAULTS[fault.kind], fault.duration_s)
+
+
+async def _disrupt_store(soak: "Soak", store_fault: StoreFault, seconds: float) -> None:
+    soak.store.fault = store_fault
+    with trio.move_on_after(seconds):
         while True:
             soak.last_store_fault_s = time.monotonic()
             await trio.sleep(0.05)
     soak.store.fault = StoreFault.NONE
 
 
+async def _kill_balancers_without_store(soak: "Soak", fault: Fault) -> None:
+    """Kill all balancers while the store is silent; agents and servers live on."""
+    seconds = STORE_AWAY_BEFORE_KILL_S + fault.duration_s
+    soak.nursery.start_soon(_disrupt_store, soak, StoreFault.SILENT, seconds)
+    await trio.sleep(STORE_AWAY_BEFORE_KILL_S)
+    soak.last_disruption_s = time.monotonic()
+    for name in soak.fleet.list_names("balancer"):
+        soak.fleet.signal(name, signal.SIGKILL)
+
+
 async def _restore_store(soak: "Soak", fault: Fault) -> None:
     """Let the store be away for a moment and come back from a copy some seconds old.
 
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -40,6 +40,8 @@
     """A balancer is added to the deployment."""
     EVACUATION = "evacuation"
     """The operators evacuate a zone for some seconds."""
+    BALANCERS_KILLED_STORE_AWAY = "balancers killed while the store is away"
+    """The store is silent, and all balancers are killed half a second later."""
 
 
 FAULT_KINDS = tuple(FaultKind)
@@ -55,6 +57,9 @@
 KINDS_BEFORE_EVACUATIONS = FAULT_KINDS[:22]
 """The kinds up to `JOIN_BALANCER`, from which the next ones were drawn."""
 
+KINDS_BEFORE_KILLED_BALANCERS = FAULT_KINDS[:23]
+"""The kinds up to `EVACUATION`, from which the next ones were drawn."""
+
 MEAN_FAULT_INTERVAL_S = 1.2
 """The mean time between the starts of two faults, in seconds.
 
--- a/citronwinch/soak/tests/broken_launch.py
+++ b/citronwinch/soak/tests/broken_launch.py
@@ -94,9 +94,11 @@
     handle = BalancerFlows.handle_packet
     started_s = time.monotonic()
 
-    def handle_until_failure(self: BalancerFlows, packet: Any) -> Any:
+    def handle_until_failure(
+        self: BalancerFlows, packet: Any, received_ms: int | None = None
+    ) -> Any:
         is_late = time.monotonic() - started_s > HEALTHY_S
-        return [] if is_late else handle(self, packet)
+        return [] if is_late else handle(self, packet, received_ms)
 
     BalancerFlows.handle_packet = handle_until_failure  # type: ignore[method-assign]
 
--- a/citronwinch/soak/tests/test_soak.py
+++ b/citronwinch/soak/tests/test_soak.py
@@ -53,6 +53,19 @@
     assert run_seed(7, options, tmp_path).violations == ()
 
 
+def test_balancers_killed_while_the_store_is_away_break_no_promise(
+    tmp_path: Path,
+) -> None:
+    faults = (
+        Fault(2.5, FaultKind.BALANCERS_KILLED_STORE_AWAY, 0, 3.0),
+        Fault(6.5, FaultKind.SERVER_LEAVES, 1, 0.0),
+    )
+    options = SoakOptions(seconds=14.0, network=127, faults=faults)
+    result = run_seed(7, options, tmp_path)
+    assert result.violations == ()
+    assert result.served > 100
+
+
 def test_an_evacuation_amid_faults_breaks_no_promise(tmp_path: Path) -> None:
     faults = (
         Fault(0.5, FaultKind.KILL_AGENT, 1, 0.0),
