--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -293,7 +293,7 @@
         """Apply the result of a connection check; reset the flows of a dead server."""
         was_down = self.server_liveness.is_down
         self.server_liveness.record_check(check)
-        if not self.server_liveness.is_down:
+        if check is not ServerCheck.REFUSED:
             return [record("server_checked", outcome=check.name.lower())]
         self.opening_limit.expect_restart()
         keys = [
@@ -305,18 +305,10 @@
         for key in keys:
             self._remove_flow(key)
         if not was_down or keys:
-            outcome = check.name.lower()
-            actions.append(
-                record("server_down", flows_reset=len(keys), outcome=outcome)
-            )
+            actions.append(record("server_down", flows_reset=len(keys)))
         self.knows_all_flows = True
         return actions
 
-    def start_check_if_due(self) -> bool:
-        """Return whether the backend server must be checked; record that it starts."""
-        service_ms = self.requests.service_times.service_ms
-        return self.server_liveness.start_check_if_due(service_ms)
-
     def handle_server_start(self, server_started_unix_ms: int) -> list[Action]:
         """Apply the backend server's incarnation, sent by a balancer in a heartbeat.
 
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -183,9 +183,9 @@
     open_flow(agent)
     for _ in range(3):
         forward(agent, payload=50, acknowledged=777)
-    assert not agent.start_check_if_due()
+    assert not agent.server_liveness.start_check_if_due()
     clock.advance(350)
-    assert agent.start_check_if_due()
+    assert agent.server_liveness.start_check_if_due()
     resets = [
         action.packet
         for action in agent.handle_server_check(ServerCheck.REFUSED)
@@ -219,7 +219,25 @@
             forward(agent, payload=50, acknowledged=501)
         clock.advance(300)
         agent.handle_from_server(make_packet())
-        assert not agent.start_check_if_due()
+        assert not agent.server_liveness.start_check_if_due()
+
+
+def test_acknowledgements_of_an_answer_need_no_answer(
+    agent: AgentFlows, clock: ManualClock
+) -> None:
+    # An idle server was checked every half second.
+    open_flow(agent)
+    for _ in range(20):
+        forward(agent, acknowledged=501)
+        clock.advance(300)
+        assert not agent.server_liveness.start_check_if_due()
+
+
+def test_a_check_that_could_not_be_made_says_nothing(agent: AgentFlows) -> None:
+    open_flow(agent)
+    for _ in range(9):
+        agent.handle_server_check(ServerCheck.FAILED)
+    assert agent.make_load_report().accepts_flows
 
 
 def test_a_silent_server_gets_no_new_flows_until_it_answers(
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -17,7 +17,6 @@
     LoadReport,
     LoadReporting,
     Message,
-    ServerCheck,
     compute_interval_ms,
 )
 from citronwinch.forwarder._evacuation_log import EvacuationLog
@@ -35,10 +34,9 @@
 AGENT_IDLE_TICK_MS = 200
 """The interval between ticks while no request waits, in milliseconds."""
 
-PROMPT_TICK_MS = 40
-"""The interval between ticks while requests are held or the backend server leaves
-packets unanswered, in milliseconds: how late the agent may notice that a request that
-occupies a slot may be hung, or that the server is silent."""
+HELD_REQUESTS_TICK_MS = 40
+"""The interval between ticks while requests are held, in milliseconds: how late the
+agent may notice that a request that occupies a slot may be hung."""
 
 AGENT_SLOW_TICK_MS = 500
 """The same where many balancers receive load reports, of which small changes may
@@ -59,9 +57,9 @@
 milliseconds. Requests usually take 20 ms, and all but the busiest servers have a moment
 without any request within this time."""
 
-CHECK_TIMEOUT_MS = 100
+CHECK_TIMEOUT_MS = 300
 """The timeout of the connection attempt that checks the backend server, in
-milliseconds; many times what a connection within an instance takes."""
+milliseconds."""
 
 IDLE_STOP_MS = 100
 """How long a stopping agent without requests in progress still forwards, in
@@ -109,12 +107,8 @@
             has_many = balancers > ALL_CHANGES_RECEIVERS
             return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
         report_ms = compute_interval_ms(REPORT_INTERVAL_MS, balancers, REPORTS_PER_S)
-        must_be_prompt = (
-            bool(self.flows.requests.queue.held)
-            or self.flows.server_liveness.has_unanswered_deliveries
-        )
-        longest_ms = PROMPT_TICK_MS if must_be_prompt else AGENT_IDLE_TICK_MS
-        return min(report_ms, longest_ms)
+        has_held = bool(self.flows.requests.queue.held)
+        return min(report_ms, HELD_REQUESTS_TICK_MS if has_held else AGENT_IDLE_TICK_MS)
 
     def is_ready(self) -> bool:
         """Return True: an agent can deliver packets without any prior state."""
@@ -128,17 +122,9 @@
     async def _check_server(self) -> None:
         address = self.settings.server_address
         assert address is not None
-        must_check = True
-        while must_check:
-            check = await try_connection(address, CHECK_TIMEOUT_MS)
-            self.metrics.count("server_checks_total", check.value)
-            self.apply_actions(self.flows.handle_server_check(check))
-            # Balancers place flows at the server until they get the report.
-            self._report_if_due()
-            must_check = (
-                check is ServerCheck.SILENT
-                and self.flows.server_liveness.must_repeat_check
-            )
+        check = await try_connection(address, CHECK_TIMEOUT_MS)
+        self.metrics.count("server_checks_total", check.value)
+        self.apply_actions(self.flows.handle_server_check(check))
         if self.stop_requested_ms is not None:
             self._send_last_reports()
 
@@ -185,7 +171,7 @@
 
     def tick(self) -> None:
         """Check the backend server, expire idle flows and report a changed load."""
-        if self.flows.start_check_if_due():
+        if self.flows.server_liveness.start_check_if_due():
             self.nursery.start_soon(self._check_server)
         self.apply_actions(self.flows.requests.release())
         self.flows.expire_idle()
@@ -205,7 +191,8 @@
             self.metrics.counters[key] = count
         self.view_copy_exchange.tick()
         self._discard_silent(self.local_balancers)
-        self._report_if_due(report)
+        if self.reporting.is_due(report, len(self.local_balancers)):
+            self.send_to_all(self.local_balancers, report)
         now_ms = self.clock.now_ms()
         if (
             report != self.last_remote_report
@@ -214,12 +201,6 @@
             self.remote_reported_ms, self.last_remote_report = now_ms, report
             self._send_remote_report(report)
 
-    def _report_if_due(self, report: LoadReport | None = None) -> None:
-        """Report the load to the balancers of the own zone if it has changed."""
-        report = report or self.flows.make_load_report()
-        if self.reporting.is_due(report, len(self.local_balancers)):
-            self.send_to_all(self.local_balancers, report)
-
     def _export_request_counters(self, report: LoadReport) -> None:
         self.metrics.set_gauge("held_requests", report.queued)
         for name, count in self.flows.requests.counters.items():
--- a/citronwinch/forwarder/tests/test_held_requests.py
+++ b/citronwinch/forwarder/tests/test_held_requests.py
@@ -9,7 +9,7 @@
 
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import Heartbeat, StorePosition
-from citronwinch.forwarder._agent_process import PROMPT_TICK_MS, AgentProcess
+from citronwinch.forwarder._agent_process import HELD_REQUESTS_TICK_MS, AgentProcess
 from citronwinch.forwarder.tests.conftest import (
     ROUTE_ADDRESS,
     LoopbackDeployment,
@@ -47,7 +47,7 @@
             nursery.start_soon(request, deployment)
             queue = agent.flows.requests.queue
             await deployment.wait_for(lambda: bool(queue.held))
-            assert agent.compute_tick_ms(is_idle=False) <= PROMPT_TICK_MS
+            assert agent.compute_tick_ms(is_idle=False) <= HELD_REQUESTS_TICK_MS
             assert sum(len(s.requests) for s in deployment.servers.values()) == 0
         await deployment.wait_for(
             lambda: b"citronwinch_requests_held_total 1" in agent.metrics.render()
