--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -102,13 +102,14 @@
     StorePosition,
 )
 from citronwinch.coordination.flows._view import DeploymentView
-from citronwinch.coordination.flows._view_copies import CopySource, ViewCopy, ViewOffers
+from citronwinch.coordination.flows._view_copies import CopySource, ViewCopy
 from citronwinch.coordination.flows._view_fetching import (
     ViewAnswerPacing,
     choose_view_source,
     compute_configuration_transfer_ms,
     list_view_sources,
 )
+from citronwinch.coordination.flows._view_offers import ViewOffers
 
 __all__ = [
     "AGENT_HEARTBEATS_PER_S",
--- a/citronwinch/coordination/flows/tests/test_all_balancers_killed.py
+++ b/citronwinch/coordination/flows/tests/test_all_balancers_killed.py
@@ -28,8 +28,8 @@
     OFFER_RECEIVERS_LIMIT,
     REMEMBERED_BALANCERS_LIMIT,
     SILENCE_BEFORE_OFFER_MS,
-    STORE_WAIT_MS,
 )
+from citronwinch.coordination.flows._view_offers import STORE_WAIT_MS
 from citronwinch.coordination.flows.tests.conftest import (
     make_configuration,
     make_listing,
