Bound the silence and the bytes of offered views by the size of the fleet

Cause: in a fleet whose balancers send each agent a heartbeat once in many seconds, 0.45 s without any is usual, so that agents would offer their copies all the time; and 500 bytes a second for copies made 3.5 KB/s at a balancer of the target size.

Change: silence is at least four mean gaps between heartbeats, as the heartbeats state them; copies take 250 bytes a second.

Measured: load test with 3, 12 and 32 balancers and intervals of 0.3, 2.25 and 62 s; at most 1% of an agent's ticks make an offer.

--- a/citronwinch/coordination/flows/_view_copies.py
+++ b/citronwinch/coordination/flows/_view_copies.py
@@ -15,9 +15,10 @@
 from citronwinch.coordination.flows._messages import Heartbeat, ViewOffer
 from citronwinch.coordination.flows._store_position import UNKNOWN_POSITION
 
-COPY_BYTES_PER_S = 500
-"""The mean rate at which an agent fetches copies after changes of the listing, in bytes
-a second; a quarter of what control may use. A large view is copied less often."""
+COPY_BYTES_PER_S = 250
+"""The mean rate at which an agent fetches copies, in bytes a second. A balancer serves
+some seven agents, and control may use 2 KB a second. A large view is copied less
+often."""
 
 MIN_COPY_INTERVAL_MS = 1_000
 """The shortest time between two fetches of an agent, in milliseconds."""
@@ -30,10 +31,14 @@
 """The largest copy that an agent keeps; the compressed view of 12,000 servers and 1,200
 routes has less."""
 
-SILENCE_BEFORE_OFFER_MS = 450
-"""How long all balancers must be silent before an agent offers its copy, in
+MIN_SILENCE_BEFORE_OFFER_MS = 450
+"""How long all balancers must at least be silent before an agent offers its copy, in
 milliseconds; longer than the shortest interval of their heartbeats."""
 
+SILENT_GAPS_BEFORE_OFFER = 4
+"""The same as a factor of the mean gap between two heartbeats. In a large fleet each
+balancer sends a heartbeat to an agent only once in many seconds."""
+
 OFFER_INTERVAL_MS = 150
 """The time between the first two offers, in milliseconds; it doubles each time."""
 
@@ -61,6 +66,16 @@
     """The heartbeat that described its view."""
 
 
+class KnownBalancer(NamedTuple):
+    """A balancer that has sent heartbeats."""
+
+    zone: str
+    """Its availability zone."""
+
+    interval_ms: int
+    """The interval of its heartbeats to this agent, in milliseconds; 0 if unknown."""
+
+
 class ViewCopy:
     """The copy of the view that one agent keeps, as it was received.
 
@@ -81,8 +96,8 @@
         """When the store last had the copied listing, in milliseconds."""
         self.source: CopySource | None = None
         """Where the next copy can be fetched; None while the copy is current."""
-        self.balancers: OrderedDict[str, str] = OrderedDict()
-        """The zones of the balancers that sent heartbeats, the latest one last."""
+        self.balancers: OrderedDict[str, KnownBalancer] = OrderedDict()
+        """The balancers that sent heartbeats by address, the latest one last."""
         self.last_heartbeat_ms = clock.now_ms()
         self.last_local_heartbeat_ms = clock.now_ms() - LOCAL_SOURCE_TIMEOUT_MS
         self.next_fetch_ms = clock.now_ms() + rng.randint(1, FIRST_COPY_DELAY_MS)
@@ -94,7 +109,9 @@
         now_ms = self.clock.now_ms()
         self.last_heartbeat_ms = now_ms
         self.next_offer_ms, self.offer_interval_ms = 0, OFFER_INTERVAL_MS
-        self.balancers[sender] = heartbeat.availability_zone
+        self.balancers[sender] = KnownBalancer(
+            heartbeat.availability_zone, heartbeat.interval_ms
+        )
         self.balancers.move_to_end(sender)
         while len(self.balancers) > REMEMBERED_BALANCERS_LIMIT:
             self.balancers.popitem(last=False)
@@ -160,17 +177,26 @@
         now_ms = self.clock.now_ms()
         if (
             not self.content
-            or now_ms - self.last_heartbeat_ms < SILENCE_BEFORE_OFFER_MS
             or now_ms < self.next_offer_ms
+            or now_ms - self.last_heartbeat_ms < self._compute_silence_ms()
         ):
             return []
         self.next_offer_ms = now_ms + self.offer_interval_ms
         self.offer_interval_ms = min(2 * self.offer_interval_ms, MAX_OFFER_INTERVAL_MS)
         latest = list(reversed(self.balancers))
-        local = [ip for ip in latest if self.balancers[ip] == self.zone]
+        local = [ip for ip in latest if self.balancers[ip].zone == self.zone]
         ips = dict.fromkeys((*local, *seeds, *latest))
         return list(ips)[:OFFER_RECEIVERS_LIMIT]
 
+    def _compute_silence_ms(self) -> int:
+        """Return how long all balancers are silent before the copy is offered."""
+        intervals_ms = [balancer.interval_ms for balancer in self.balancers.values()]
+        per_ms = sum(1 / interval_ms for interval_ms in intervals_ms if interval_ms)
+        if not per_ms:
+            return MIN_SILENCE_BEFORE_OFFER_MS
+        gaps_ms = round(SILENT_GAPS_BEFORE_OFFER / per_ms)
+        return max(MIN_SILENCE_BEFORE_OFFER_MS, gaps_ms)
+
     def make_offer(self, evacuations: tuple[ZoneEvacuation, ...]) -> ViewOffer:
         """Return the offer of the copy, with the evacuations that the agent knows."""
         return ViewOffer(
--- a/citronwinch/coordination/flows/tests/test_all_balancers_killed.py
+++ b/citronwinch/coordination/flows/tests/test_all_balancers_killed.py
@@ -25,9 +25,9 @@
     FIRST_COPY_DELAY_MS,
     MAX_OFFER_INTERVAL_MS,
     MIN_COPY_INTERVAL_MS,
+    MIN_SILENCE_BEFORE_OFFER_MS,
     OFFER_RECEIVERS_LIMIT,
     REMEMBERED_BALANCERS_LIMIT,
-    SILENCE_BEFORE_OFFER_MS,
 )
 from citronwinch.coordination.flows._view_offers import STORE_WAIT_MS
 from citronwinch.coordination.flows.tests.conftest import (
@@ -47,9 +47,20 @@
     zone: str = "a",
     age_ms: int = 0,
     leaving: bool = False,
+    interval_ms: int = 0,
 ) -> Heartbeat:
     position = StorePosition(1, revision)
-    return Heartbeat(1, zone, leaving, position, digest, age_ms, version, ())
+    return Heartbeat(
+        1,
+        zone,
+        leaving,
+        position,
+        digest,
+        age_ms,
+        version,
+        (),
+        interval_ms=interval_ms,
+    )
 
 
 @pytest.fixture
@@ -157,7 +168,7 @@
         clock.advance(HEARTBEAT_MS)
         assert copy.list_offer_receivers() == []
         copy.record_heartbeat(make_heartbeat(zone="b"), "10.0.2.1")
-    clock.advance(SILENCE_BEFORE_OFFER_MS)
+    clock.advance(MIN_SILENCE_BEFORE_OFFER_MS)
     assert copy.list_offer_receivers(["10.0.9.9"]) == [
         "10.0.1.1",
         "10.0.9.9",
@@ -184,6 +195,38 @@
     assert sum(count > 0 for count in sent) <= 65
 
 
+@pytest.mark.parametrize(
+    ("balancers", "interval_ms"),
+    [
+        pytest.param(3, 300, id="small zone"),
+        pytest.param(12, 2_250, id="27 agents a zone"),
+        pytest.param(32, 62_000, id="target size"),
+    ],
+)
+def test_rare_heartbeats_of_a_large_fleet_are_not_taken_for_silence(
+    copy: ViewCopy, clock: ManualClock, balancers: int, interval_ms: int
+) -> None:
+    rng = random.Random(3)
+    next_ms = {
+        f"10.0.1.{number}": clock.now_ms() + rng.randint(0, interval_ms)
+        for number in range(balancers)
+    }
+    heartbeat, offers, ticks = make_heartbeat(interval_ms=interval_ms), 0, 0
+    for ip in next_ms:
+        copy.record_heartbeat(heartbeat, ip)
+    fetch(copy)
+    end_ms = clock.now_ms() + 3 * interval_ms
+    while clock.now_ms() < end_ms:
+        clock.advance(100)
+        for ip, due_ms in next_ms.items():
+            if due_ms <= clock.now_ms():
+                copy.record_heartbeat(heartbeat, ip)
+                next_ms[ip] = due_ms + interval_ms
+        ticks += 1
+        offers += bool(copy.list_offer_receivers())
+    assert offers <= 0.01 * ticks
+
+
 def test_an_agent_without_a_copy_offers_nothing(
     copy: ViewCopy, clock: ManualClock
 ) -> None:
