Let a starting balancer learn which servers have left before it resets flows

A balancer that was restarted during a release knew only the listed servers; all their agents denied a flow of a server that had left the listing and still served it, and the flow was reset (traced).

Change: a starting balancer fetches the former servers from a balancer that is at least two seconds older. Until then denials are no proof: for at most two seconds, or 100 ms if no older balancer speaks. Agents that become known during a search are asked before its end.

--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -365,7 +365,13 @@
         )
         silent -= list_ended_agents(self.view, self.selector, services)
         uncertain = search.list_uncertain(services)
-        is_dead = not silent and not uncertain and self.view.is_settled()
+        is_dead = (
+            not silent
+            and not uncertain
+            and self.view.is_settled()
+            and self.view.former_knowledge.is_complete
+            and not self._list_unasked(search, services)
+        )
         has_peers = len(self.directory.balancers) > 1
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
@@ -397,6 +403,12 @@
         self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
+    def _list_unasked(self, search: FlowSearch, services: set[str]) -> list[str]:
+        """Return the agents of services that became known during a search."""
+        holders = self.view.list_possible_holders(services)
+        asked = search.verdicts
+        return [s.address.ip for s in holders if s.address.ip not in asked]
+
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -278,6 +278,10 @@
     removed: tuple[str, ...] = ()
     """The names of the entries that were removed since that listing."""
 
+    former: tuple[BackendServer, ...] = ()
+    """The servers that have left the listing within the lifetime of a flow, if the
+    requesting balancer asked for them."""
+
 
 class ViewOffer(NamedTuple):
     """An agent offers its copy of the view to a balancer that sends no heartbeats."""
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -13,6 +13,7 @@
     ServerState,
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
+from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
     ListingHistory,
@@ -94,6 +95,7 @@
         """When a route that sent flows to a service was last changed, by route address
         and service, in milliseconds."""
         self.evacuations = Evacuations(clock)
+        self.former_knowledge = FormerKnowledge(clock)
 
     @property
     def age_ms(self) -> int | None:
@@ -294,6 +296,14 @@
             and former.server.address.ip not in listed
         ]
 
+    def accept_former(self, servers: Iterable[BackendServer]) -> None:
+        """Add the servers that have left according to an older balancer."""
+        now_ms = self.clock.now_ms()
+        for server in servers:
+            if server.name not in self.listing.servers:
+                self.former.setdefault(server.name, FormerServer(server, now_ms))
+        self.former_knowledge.record_fetched()
+
     def remove_former(self, ips: Collection[str]) -> set[str]:
         """Remove the former servers at some addresses whose agents do not answer.
 
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -71,6 +71,7 @@
     builder.listingAgeMs = view.listing_age_ms
     _fill_servers(builder, "servers", view.listing.servers.values())
     _fill_servers(builder, "retained", view.retained)
+    _fill_servers(builder, "former", view.former)
     builder.configuration = configuration
     builder.configurationVersion = view.configuration_version
     builder.configurationEra = view.configuration_position.era
@@ -151,6 +152,7 @@
             StorePosition(reader.configurationEra, reader.configurationRevision),
             reader.baseDigest,
             tuple(reader.removed),
+            tuple(_read_server(body) for body in reader.former),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -154,4 +154,6 @@
   # With a base, servers has only the entries that changed since that listing.
   baseDigest @9 :UInt64;
   removed @10 :List(Text);
+  # Sent to balancers that have just started.
+  former @11 :List(Server);
 }
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -97,6 +97,8 @@
     ) -> None:
         super().__init__(settings, settings.packet_address, open_socket)
         self.view = DeploymentView(self.clock)
+        if not settings.is_first_start:
+            self.view.former_knowledge.start(self.incarnation)
         self.rng = random.Random(settings.name)
         self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
         self.flows = BalancerFlows(
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -8,6 +8,7 @@
 
 from citronwinch.coordination.flows import (
     UNKNOWN_POSITION,
+    BackendServer,
     Heartbeat,
     ListingDifference,
     StorePosition,
@@ -84,6 +85,8 @@
         self.configuration_watch = ConfigurationWatch(self)
         self.is_catching_up = False
         self.retained_sources: set[str] = set()
+        self.former_sources: set[str] = set()
+        """The older balancers from which former servers can be fetched."""
         self.rng = random.Random(process.settings.name)
         self.offers = ViewOffers(self.clock, self.rng)
         self.encoder = ViewEncoder()
@@ -216,9 +219,11 @@
         if may_lack_retained:
             self.retained_sources.add(sender)
         lacks_configuration = heartbeat.configuration_version > version
-        if (
-            lacks_listing or lacks_configuration or may_lack_retained
-        ) and not self.is_catching_up:
+        lacks_former = view.former_knowledge.must_fetch_from(heartbeat)
+        if lacks_former:
+            self.former_sources.add(sender)
+        lacks_servers = lacks_listing or may_lack_retained or lacks_former
+        if (lacks_servers or lacks_configuration) and not self.is_catching_up:
             self.is_catching_up = True
             self.nursery.start_soon(self._catch_up)
 
@@ -247,7 +252,11 @@
 
     def _choose_source(self, failed: set[str]) -> str | None:
         members = self.process.members.members
+        if self.view.former_knowledge.has_learned:
+            self.former_sources.clear()
         sources = {*list_view_sources(self.view, members), *self.retained_sources}
+        # Former servers come first: searches for flows wait for them.
+        sources = self.former_sources & members.keys() or sources
         sources &= members.keys()
         if sources and sources <= failed:
             failed.clear()
@@ -283,11 +292,14 @@
         """
         version = self.view.configuration.version if self.view.configuration else 0
         self.retained_sources.discard(ip)
+        asks_former = ip in self.former_sources
+        self.former_sources.discard(ip)
         endpoint = self.process.make_peer_endpoint(ip)
         requested_ms = self.clock.now_ms()
         try:
             digest = self.view.listing_digest
-            target = f"{VIEW_PATH}?after={version}&listing={digest}"
+            former = "&former=1" if asks_former else ""
+            target = f"{VIEW_PATH}?after={version}&listing={digest}{former}"
             response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
             if response.status != 200:
                 self.process.metrics.count("view_fetches_put_off_total")
@@ -299,6 +311,8 @@
             self.process.metrics.count("view_fetch_errors_total")
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
+        if asks_former:
+            self.view.accept_former(answer.former)
         configuration = answer.configuration
         if configuration is not None and self.view.accept_configuration(configuration):
             self.handle_newer_configuration(ip)
@@ -354,6 +368,7 @@
             retained,
             version,
             view.configuration_position,
+            former=self._list_former() if "former" in request.query else (),
         )
         # A balancer of an earlier version neither states its listing nor accepts a
         # compressed view.
@@ -369,6 +384,9 @@
             return HttpResponse(503, b'{"error":"ask another balancer"}')
         return HttpResponse(200, encoded, content_type)
 
+    def _list_former(self) -> tuple[BackendServer, ...]:
+        return tuple(former.server for former in self.view.former.values())
+
     def _shorten_view(self, answer: ViewAnswer, base_digest: int) -> ViewAnswer:
         """Replace the listing by the difference to one that the requester has."""
         difference = self.view.history.make_difference(
