--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -32,9 +32,9 @@
     QuestionBatches,
     list_questions,
 )
+from citronwinch.coordination.flows._search_evidence import gather_evidence
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
 from citronwinch.coordination.flows._searched_servers import (
-    list_ended_agents,
     list_optional_agents,
     list_servers_to_query,
     list_silent_agents,
@@ -359,19 +359,8 @@
         services = self.view.list_current_and_former_services(
             extract_service_endpoint(packet.flow)
         )
-        silent = search.list_silent(services)
-        silent -= self.view.remove_former(
-            [ip for ip in silent if not self.selector.has_recent_message(ip)]
-        )
-        silent -= list_ended_agents(self.view, self.selector, services)
-        uncertain = search.list_uncertain(services)
-        is_dead = (
-            not silent
-            and not uncertain
-            and self.view.is_settled()
-            and self.view.former_knowledge.is_complete
-            and not self._list_unasked(search, services)
-        )
+        evidence = gather_evidence(self.view, self.selector, search, services)
+        is_dead = evidence.is_dead
         has_peers = len(self.directory.balancers) > 1
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
@@ -392,8 +381,8 @@
             "dead_flow_reset" if is_dead else "flow_not_found",
             packet,
             absent=len(search.list_by_verdict(Verdict.ABSENT)),
-            silent=sorted(silent),
-            uncertain=sorted(uncertain),
+            silent=sorted(evidence.silent),
+            uncertain=sorted(evidence.uncertain),
             searched_ms=self.clock.now_ms() - search.started_ms,
             view_age_ms=self.view.age_ms,
         )
@@ -403,12 +392,6 @@
         self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
-    def _list_unasked(self, search: FlowSearch, services: set[str]) -> list[str]:
-        """Return the agents of services that became known during a search."""
-        holders = self.view.list_possible_holders(services)
-        asked = search.verdicts
-        return [s.address.ip for s in holders if s.address.ip not in asked]
-
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
--- /dev/null
+++ b/citronwinch/coordination/flows/_route_history.py
@@ -0,0 +1,45 @@
+"""The services that routes had before, whose flows are still open."""
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._deployment import Configuration
+
+ROUTE_HISTORY_MS = 60_000
+"""How long the former services of a route are kept, in milliseconds; the platform's
+longest lifetime of a flow."""
+
+
+class RouteHistory:
+    """The former services of routes; the flows that they have are kept open."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.changed_ms: dict[tuple[bytes, str], int] = {}
+        """When a route that sent flows to a service was last changed, by route address
+        and service, in milliseconds."""
+
+    def record_change(self, old: Configuration, new: Configuration) -> None:
+        """Record the services of the routes that a new configuration changes."""
+        now_ms = self.clock.now_ms()
+        for address, route in old.routes.items():
+            if new.routes.get(address) == route:
+                continue
+            for share in route.shares:
+                self.changed_ms[address, share.service] = now_ms
+
+    def list_services(self, address: bytes) -> set[str]:
+        """Return the services that a route had within the lifetime of a flow."""
+        since_ms = self.clock.now_ms() - ROUTE_HISTORY_MS
+        return {
+            service
+            for (route_address, service), changed_ms in self.changed_ms.items()
+            if route_address == address and changed_ms >= since_ms
+        }
+
+    def expire(self) -> None:
+        """Remove services whose flows have ended."""
+        since_ms = self.clock.now_ms() - ROUTE_HISTORY_MS
+        self.changed_ms = {
+            key: changed_ms
+            for key, changed_ms in self.changed_ms.items()
+            if changed_ms >= since_ms
+        }
--- /dev/null
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -0,0 +1,50 @@
+"""What the answers to a search prove about a flow that nobody has found."""
+
+from typing import NamedTuple
+
+from citronwinch.coordination.flows._flow_search import FlowSearch
+from citronwinch.coordination.flows._searched_servers import list_ended_agents
+from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._view import DeploymentView
+
+
+class SearchEvidence(NamedTuple):
+    """The agents that leave it open whether a flow exists."""
+
+    silent: set[str]
+    """Those that sent no answer, without those that stopped after their server."""
+
+    uncertain: set[str]
+    """Those that do not know all flows of their server."""
+
+    is_dead: bool
+    """Whether the flow certainly does not exist."""
+
+
+def gather_evidence(
+    view: DeploymentView,
+    selector: ServerSelector,
+    search: FlowSearch,
+    services: set[str],
+) -> SearchEvidence:
+    """Return what the answers of the agents of a route's services prove.
+
+    Agents of other services do not count. Denials prove nothing while the listing is
+    not settled, before a starting balancer knows the servers that have left, or while
+    an agent that became known during the search has not been asked.
+    """
+    silent = search.list_silent(services)
+    silent -= view.remove_former(
+        [ip for ip in silent if not selector.has_recent_message(ip)]
+    )
+    silent -= list_ended_agents(view, selector, services)
+    uncertain = search.list_uncertain(services)
+    holders = view.list_possible_holders(services)
+    is_dead = (
+        not silent
+        and not uncertain
+        and view.is_settled()
+        and view.former_knowledge.is_complete
+        and all(server.address.ip in search.verdicts for server in holders)
+    )
+    return SearchEvidence(silent, uncertain, is_dead)
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -20,6 +20,7 @@
     apply_difference,
 )
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
+from citronwinch.coordination.flows._route_history import RouteHistory
 from citronwinch.coordination.flows._store_position import (
     RESTORED_DISTRUST_MS,
     UNKNOWN_POSITION,
@@ -91,9 +92,7 @@
         self.by_service: dict[str, list[BackendServer]] = {}
         """The listed and retained servers by service."""
         self.cold_servers = ColdServers(clock)
-        self.former_services_ms: dict[tuple[bytes, str], int] = {}
-        """When a route that sent flows to a service was last changed, by route address
-        and service, in milliseconds."""
+        self.route_history = RouteHistory(clock)
         self.evacuations = Evacuations(clock)
         self.former_knowledge = FormerKnowledge(clock)
 
@@ -115,7 +114,7 @@
         if current is not None and configuration.version <= current.version:
             return False
         if current is not None:
-            self._record_former_services(current, configuration)
+            self.route_history.record_change(current, configuration)
         self.configuration = configuration
         self.cold_servers.limits = configuration.services
         self.configuration_position = UNKNOWN_POSITION
@@ -140,23 +139,9 @@
         if self.configuration_position <= self.forgotten_position:
             self.configuration_position = UNKNOWN_POSITION
 
-    def _record_former_services(self, old: Configuration, new: Configuration) -> None:
-        """Record the services of changed routes, which keep the routes' open flows."""
-        now_ms = self.clock.now_ms()
-        for address, route in old.routes.items():
-            if new.routes.get(address) == route:
-                continue
-            for share in route.shares:
-                self.former_services_ms[address, share.service] = now_ms
-
     def list_current_and_former_services(self, address: bytes) -> set[str]:
         """Return the services that a route has or had within a flow's lifetime."""
-        since_ms = self.clock.now_ms() - FORMER_RETENTION_MS
-        services = {
-            service
-            for (route_address, service), changed_ms in self.former_services_ms.items()
-            if route_address == address and changed_ms >= since_ms
-        }
+        services = self.route_history.list_services(address)
         route = self.configuration.routes.get(address) if self.configuration else None
         if route is not None:
             services |= {share.service for share in route.shares}
@@ -342,11 +327,7 @@
         ]
         for name in expired:
             del self.former[name]
-        self.former_services_ms = {
-            key: changed_ms
-            for key, changed_ms in self.former_services_ms.items()
-            if now_ms - changed_ms <= FORMER_RETENTION_MS
-        }
+        self.route_history.expire()
         return dropped
 
     def list_ready(self, service: str) -> list[BackendServer]:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -8,12 +8,10 @@
 
 from citronwinch.coordination.flows import (
     UNKNOWN_POSITION,
-    BackendServer,
     Heartbeat,
     ListingDifference,
     StorePosition,
     ViewAnswer,
-    ViewAnswerPacing,
     ViewOffer,
     ViewOffers,
     choose_view_source,
@@ -23,8 +21,6 @@
     list_view_sources,
 )
 from citronwinch.flow_peers import (
-    ViewEncoder,
-    compress_view,
     decode_compressed_view,
     decode_view,
 )
@@ -34,10 +30,9 @@
     FETCH_TIMEOUT_MS,
     VIEW_PATH,
 )
+from citronwinch.forwarder._view_server import ViewServer
 from citronwinch.network import (
     HttpError,
-    HttpRequest,
-    HttpResponse,
     MalformedMessageError,
     fetch,
     serve,
@@ -89,15 +84,14 @@
         """The older balancers from which former servers can be fetched."""
         self.rng = random.Random(process.settings.name)
         self.offers = ViewOffers(self.clock, self.rng)
-        self.encoder = ViewEncoder()
-        self.pacing = ViewAnswerPacing(self.clock, process.settings.link_mbps)
+        self.server = ViewServer(self.view, process.settings.link_mbps)
         self.rejected_entries: tuple[str, ...] = ()
 
     def start_tasks(self, nursery: trio.Nursery) -> None:
         """Start serving the view and watching the configuration in the store."""
         self.nursery = nursery
         endpoint = self.process.make_peer_endpoint(self.process.settings.ip)
-        nursery.start_soon(serve, endpoint, self._answer_view)
+        nursery.start_soon(serve, endpoint, self.server.answer)
         nursery.start_soon(self.configuration_watch.run)
 
     def tick(self) -> None:
@@ -350,52 +344,3 @@
         return self.view.apply_listing_difference(
             answer.base_digest, difference, listing.position, confirmed_ms
         )
-
-    async def _answer_view(self, request: HttpRequest) -> HttpResponse:
-        after = request.query.get("after", "0")
-        known_version = int(after) if after.isdigit() else 0
-        view = self.view
-        configuration = view.configuration
-        version = configuration.version if configuration is not None else 0
-        if version <= known_version:
-            configuration = None
-        age_ms = view.age_ms
-        retained = tuple(view.retained.values())
-        answer = ViewAnswer(
-            view.listing,
-            min(age_ms or 0, 0xFFFFFFFF),
-            configuration,
-            retained,
-            version,
-            view.configuration_position,
-            former=self._list_former() if "former" in request.query else (),
-        )
-        # A balancer of an earlier version neither states its listing nor accepts a
-        # compressed view.
-        digest = request.query.get("listing", "")
-        content_type = "application/octet-stream"
-        if digest.isdecimal():
-            answer = self._shorten_view(answer, int(digest))
-            content_type = COMPRESSED_TYPE
-        encoded = self.encoder.encode(answer)
-        if content_type == COMPRESSED_TYPE:
-            encoded = compress_view(encoded)
-        if not self.pacing.admit(len(encoded)):
-            return HttpResponse(503, b'{"error":"ask another balancer"}')
-        return HttpResponse(200, encoded, content_type)
-
-    def _list_former(self) -> tuple[BackendServer, ...]:
-        return tuple(former.server for former in self.view.former.values())
-
-    def _shorten_view(self, answer: ViewAnswer, base_digest: int) -> ViewAnswer:
-        """Replace the listing by the difference to one that the requester has."""
-        difference = self.view.history.make_difference(
-            base_digest, answer.listing.servers
-        )
-        if difference is None:
-            return answer
-        return answer._replace(
-            listing=answer.listing._replace(servers=difference.changed),
-            base_digest=base_digest,
-            removed=difference.removed,
-        )
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -11,7 +11,7 @@
 
 from citronwinch.coordination.flows import ViewAnswer
 from citronwinch.forwarder._balancer_process import BalancerProcess
-from citronwinch.forwarder._view_exchange import ViewExchange
+from citronwinch.forwarder._view_server import ViewServer
 from citronwinch.forwarder.tests.conftest import (
     ROUTE_ADDRESS,
     LoopbackDeployment,
@@ -233,13 +233,13 @@
         await start_small_deployment(deployment)
         balancers = list_balancers(deployment)
         answers: list[ViewAnswer] = []
-        shorten = ViewExchange._shorten_view
+        shorten = ViewServer._shorten
 
-        def record(self: ViewExchange, answer: ViewAnswer, digest: int) -> ViewAnswer:
+        def record(self: ViewServer, answer: ViewAnswer, digest: int) -> ViewAnswer:
             answers.append(shorten(self, answer, digest))
             return answers[-1]
 
-        monkeypatch.setattr(ViewExchange, "_shorten_view", record)
+        monkeypatch.setattr(ViewServer, "_shorten", record)
         deployment.add_server(33)
         await deployment.wait_for(
             lambda: all(len(b.view.listing.servers) == 4 for b in balancers)
