Keep only tried packets of a flow that a search has found

Cause: after a change of the rotation nearly all flows are searched for, and each kept its packets until the next one; 30,000 flows would keep some 8 MB. Only trials make agents return copies.

Change: packets are kept after a trial only, and the field says so.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -112,8 +112,8 @@
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
-            if packet.raw not in known.searched_packets:
-                known.searched_packets = ()
+            if packet.raw not in known.tried_packets:
+                known.tried_packets = ()
             if known.has_large_request:
                 self.uploads.record_data(packet)
             return self.pacing.forward(known, packet)
@@ -141,7 +141,7 @@
         if packet.flow in self.searches:
             return self.searches.handle_verdict(packet.flow, agent, Verdict.ABSENT)
         if known is not None and known.agent != agent:
-            if packet.raw in known.searched_packets:
+            if packet.raw in known.tried_packets:
                 return []
             return [forward_to_agent(known.agent, known.service, packet)]
         self.flows.pop(packet.flow, None)
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -402,7 +402,8 @@
         flow = KnownFlow(holder, service, now_ms)
         flow.acknowledged = search.held_packets[-1].acknowledged
         flow.has_large_request = is_upload_flow(self.view, key)
-        flow.searched_packets = tuple(packet.raw for packet in search.held_packets)
+        if search.trial_packet_counts:
+            flow.tried_packets = tuple(packet.raw for packet in search.held_packets)
         self.flows.store(key, flow)
         if search.verdicts:
             self.directory.request_registration(key)
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -40,9 +40,9 @@
         """Whether a server may accept a copy of the unconfirmed opening other than the
         one forwarded last: an earlier one was not answered, or another one is on its
         way."""
-        self.searched_packets: tuple[bytes, ...] = ()
-        """The packets that were forwarded when a search found the flow; other agents
-        may still return copies of them."""
+        self.tried_packets: tuple[bytes, ...] = ()
+        """The packets that a search sent as a trial before it found the flow, until
+        the next packet of the flow; other agents may still return copies of them."""
         self.has_large_request = False
         """Whether the flow's route has large requests."""
         self.tried_agents: set[str] = set()
--- a/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
+++ b/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
@@ -150,7 +150,7 @@
     load = RestartedLoad()
     packet = make_packet(payload=10)
     flow = KnownFlow("10.0.0.1", "gauging", load.clock.now_ms())
-    flow.searched_packets = (packet.raw,)
+    flow.tried_packets = (packet.raw,)
     load.balancer.flows.store(packet.flow, flow)
     assert not load.balancer.handle_returned(packet, "10.0.0.2")
     later = make_packet(payload=10, sequence=10)
