--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -51,7 +51,6 @@
     pack_route_address,
     round_up_warmup_ms,
 )
-from citronwinch.coordination.flows._early_packets import EarlyPackets
 from citronwinch.coordination.flows._evacuations import Evacuations, ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
@@ -147,7 +146,6 @@
     "CopySource",
     "DeploymentView",
     "EMPTY_LISTING",
-    "EarlyPackets",
     "Evacuations",
     "FlowAnswer",
     "FlowAnswers",
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -87,18 +87,13 @@
         self.held_openings = self.admission.held_openings
         self.held_uploads = self.admission.held_uploads
 
-    def handle_packet(
-        self, packet: Packet, received_ms: int | None = None
-    ) -> list[Action]:
-        """Forward, hold, refuse or search for the flow of a caller's packet.
-
-        `received_ms` is when it was received, if that is not now.
-        """
+    def handle_packet(self, packet: Packet) -> list[Action]:
+        """Forward, hold, refuse or search for the flow of a caller's packet."""
         if packet.is_opening:
             # Late packets of an earlier flow from the same port must not come after.
             actions = self.pacing.forward_queued(packet.flow)
             actions += self.pacing.forward_due()
-            return actions + self.admission.handle_opening(packet, received_ms)
+            return actions + self.admission.handle_opening(packet)
         actions = self.pacing.forward_due()
         actions += self._handle_data(packet)
         return actions + self.held_uploads.admit()
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -70,13 +70,8 @@
             self.placement, clock, self._place_admitted_upload
         )
 
-    def handle_opening(
-        self, packet: Packet, received_ms: int | None = None
-    ) -> list[Action]:
-        """Forward, hold or refuse an opening of a caller.
-
-        `received_ms` is when it was received, if that is not now.
-        """
+    def handle_opening(self, packet: Packet) -> list[Action]:
+        """Forward, hold or refuse an opening of a caller."""
         now_ms = self.clock.now_ms()
         known = self.flows.get(packet.flow)
         is_overdue = False
@@ -90,7 +85,7 @@
             )
             known.may_be_accepted |= known.unconfirmed_since_ms is not None
             if not must_move:
-                known.times = self._find_times(packet, known, received_ms)
+                known.times = self._find_times(packet, known)
                 route = self.find_route(packet)
                 return [forward_opening(known, packet, route, now_ms)]
             known.tried_agents.add(known.agent)
@@ -99,7 +94,7 @@
         route = self.find_route(packet)
         if route is None:
             return self.refuse_unknown_address(packet)
-        times = self._find_times(packet, known, received_ms)
+        times = self._find_times(packet, known)
         must_pass_link = known is None and route.has_large_requests
         if must_pass_link and packet.flow not in self.held_openings.openings:
             held = make_held_opening(packet, route, times, now_ms)
@@ -110,13 +105,10 @@
     def _place_admitted_upload(self, held: HeldOpening) -> list[Action]:
         return self.place_opening(held.packet, held.route, held.times, set())
 
-    def _find_times(
-        self, packet: Packet, known: KnownFlow | None, received_ms: int | None
-    ) -> OpeningTimes:
-        """Return when the caller sent an opening; it was received now if not stated."""
+    def _find_times(self, packet: Packet, known: KnownFlow | None) -> OpeningTimes:
+        """Return when the caller sent an opening that was received now."""
         now_ms = self.clock.now_ms()
-        received_ms = now_ms if received_ms is None else received_ms
-        sent_ms = received_ms - read_copy_age_ms(packet)
+        sent_ms = now_ms - read_copy_age_ms(packet)
         held = self.held_openings.openings.get(packet.flow)
         held = held or self.held_uploads.openings.get(packet.flow)
         if held is not None:
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -1,6 +1,7 @@
 """The balancer process: receives callers' packets from the routers."""
 
 import random
+from collections import deque
 from collections.abc import Collection
 
 import structlog
@@ -13,7 +14,6 @@
     BalancerFlows,
     BalancerMembers,
     DeploymentView,
-    EarlyPackets,
     FlowAnswer,
     FlowAnswers,
     FlowLocations,
@@ -22,6 +22,7 @@
     LoadReport,
     Message,
     MessagePace,
+    Packet,
     ReturnedPacket,
     ServerSelector,
     ViewOffer,
@@ -78,6 +79,11 @@
 """The time between the exit of a stopping balancer and its stop timeout, at which it
 would be killed, in milliseconds; it exits earlier than after STOP_MS if necessary."""
 
+MAX_EARLY_PACKETS = 4_000
+"""The most packets that a starting balancer queues until its view is complete: about
+1.5 MB of openings and small requests, half a second of the heaviest traffic. A further
+packet replaces the oldest one."""
+
 READY_LISTING_AGE_MS = 1_500
 """The highest age of the listing with which a starting balancer is ready before
 READY_TIMEOUT_MS, in milliseconds."""
@@ -96,6 +102,7 @@
         self, settings: ForwarderSettings, open_socket: OpenSocket = DatagramSocket
     ) -> None:
         super().__init__(settings, settings.packet_address, open_socket)
+        self.early_packets: deque[Packet] = deque(maxlen=MAX_EARLY_PACKETS)
         self.view = DeploymentView(self.clock)
         if not settings.is_first_start:
             self.view.former_knowledge.start(self.incarnation)
@@ -108,7 +115,6 @@
             settings.link_mbps,
             settings.ip,
         )
-        self.early_packets = EarlyPackets(self.clock, self.flows.counters)
         seeds = [seed.ip for seed in settings.seeds]
         self.members = BalancerMembers(settings.ip, seeds, self.clock)
         self.evacuation_log = EvacuationLog(self.view.evacuations, self.metrics)
@@ -202,21 +208,18 @@
         if self.view.is_complete:
             self.apply_actions(self.flows.handle_packet(packet))
         else:
-            self.early_packets.add(packet)
+            self.early_packets.append(packet)
 
     def handle_early_packets(self) -> None:
         """Handle the packets that were queued until the view was complete."""
-        configuration = self.view.configuration
-        if not self.early_packets.queue or not self.view.is_complete:
-            return
-        assert configuration is not None
-        queued = len(self.early_packets.queue)
-        # Agents that have restarted as well learn of their servers first.
-        self.agent_heartbeats.send_due()
-        while early := self.early_packets.take_next(configuration):
-            self.apply_actions(self.flows.handle_packet(*early))
-        outdated = self.flows.counters["early_packets_outdated"]
-        log.info("early_packets_handled", count=queued, outdated=outdated)
+        if self.early_packets and self.view.is_complete:
+            log.info("early_packets_handled", count=len(self.early_packets))
+            # Agents that have restarted as well learn of their servers first.
+            self.agent_heartbeats.send_due()
+            while self.early_packets:
+                self.apply_actions(
+                    self.flows.handle_packet(self.early_packets.popleft())
+                )
 
     def tick(self) -> None:
         """Apply timeouts, send the heartbeats that are due and update the metrics."""
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -8,7 +8,6 @@
     "control_bytes_refused": "control traffic not sent for lack of budget, by priority",
     "control_bytes_sent": "control traffic sent, bytes by priority",
     "datagrams_not_sent": "datagrams that the kernel did not take, since the start",
-    "early_packets_outdated_total": "packets of a start whose callers had given up",
     "evacuated_zones": "availability zones that get no new flows",
     "flow_tombstones": "ended flows that are remembered for a while",
     "flows_handed_over_total": "flows handed over for the next run of this agent",
--- a/citronwinch/soak/tests/broken_launch.py
+++ b/citronwinch/soak/tests/broken_launch.py
@@ -94,11 +94,9 @@
     handle = BalancerFlows.handle_packet
     started_s = time.monotonic()
 
-    def handle_until_failure(
-        self: BalancerFlows, packet: Any, received_ms: int | None = None
-    ) -> Any:
+    def handle_until_failure(self: BalancerFlows, packet: Any) -> Any:
         is_late = time.monotonic() - started_s > HEALTHY_S
-        return [] if is_late else handle(self, packet, received_ms)
+        return [] if is_late else handle(self, packet)
 
     BalancerFlows.handle_packet = handle_until_failure  # type: ignore[method-assign]
 
