Choose the ports of the demo's test outside the kernel's own range

The fixture took three ports below one that the kernel had just given out, from the range in which the kernel gives ports to other processes, and did not check them.

Change: the fixture uses the demo's own choice, which checks that the ports are free and stays below that range. The test is otherwise unchanged.

--- a/citronwinch/demo/tests/test_whole_path.py
+++ b/citronwinch/demo/tests/test_whole_path.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import socket
 
 import pytest
 import trio
@@ -10,6 +9,7 @@
 from citronwinch.coordination.requests import RequestOutcome
 from citronwinch.demo import Demo, DemoOptions, DeploymentShape, ServiceShape
 from citronwinch.demo._callers import Caller
+from citronwinch.demo._ports import choose_base_port
 
 SMALL = DeploymentShape(
     "small", ("zone-a",), (ServiceShape("gauging", 2), ServiceShape("reporting", 1))
@@ -22,10 +22,8 @@
 
 @pytest.fixture
 def demo(tmp_path):
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        base_port = probe.getsockname()[1] - 3
-    demo = Demo(SMALL, tmp_path, DemoOptions(base_port=base_port))
+    # A port of the range from which the kernel serves others could be taken meanwhile.
+    demo = Demo(SMALL, tmp_path, DemoOptions(base_port=choose_base_port()))
     demo.balancers = {"balancer-1": "live", "balancer-2": "live"}
     yield demo
     demo.end_processes()
