Record which servers a reset took as possible holders, and which not

Callers saw an open flow reset. The log of dead_flow_reset could not tell whether the flow's server was unknown to the balancer or had been left out because its agent was silent: it had counts only, and the list of silent agents after some had been taken out of it.

dead_flow_reset and flow_not_found now state the possible holders, those that were not asked, the former servers of the route's services that were removed before, with the reason and the time, the former servers known and from whom, the position of the listing, and the balancers that left a lookup unanswered. Lists have at most eight entries. The former servers have a module of their own; what they decide is unchanged.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -114,6 +114,10 @@
         """The keeper whose answer the search awaits before its first round, if any."""
         self.pending_balancers: set[str] = set()
         """The balancers of the zone whose answers the search awaits before it ends."""
+        self.asked_balancers: frozenset[str] = frozenset()
+        """The balancers of the zone whose answers the search has awaited."""
+        self.unanswered_balancers: set[str] = set()
+        """Those of them that did not answer in time."""
         self.silent_balancers: frozenset[str] = frozenset()
         """The balancers that had left an earlier lookup unanswered when asked."""
         self.has_asked_balancers = False
@@ -176,6 +180,8 @@
     def ask_balancers(self, balancers: Collection[str], silent: frozenset[str]) -> None:
         """Expect answers of the zone's balancers, some of which have been silent."""
         self.pending_balancers = set(balancers)
+        self.asked_balancers = frozenset(balancers)
+        self.unanswered_balancers.clear()
         self.silent_balancers = silent
         self.has_asked_balancers = True
         self.balancers_deadline_ms = self.clock.now_ms() + LOCAL_ANSWER_TIMEOUT_MS
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -60,6 +60,9 @@
 """How long collected questions wait at most for the next check whether the budgets
 allow them, in milliseconds; in a surge, answers and packets cause most checks."""
 
+LOGGED_AGENTS_LIMIT = 8
+"""The most agents in a list of a log line about a search without a result."""
+
 EXACT_DEADLINES_LIMIT = 16
 """Up to this many running searches are advanced exactly at their deadlines."""
 
@@ -176,6 +179,7 @@
         self.unresponsive_balancers &= others & self.directory.silent
         silent = others & self.directory.silent
         search.ask_balancers(others - self.unresponsive_balancers, silent)
+        search.unanswered_balancers |= others & self.unresponsive_balancers
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
     def _give_up_balancers(self, search: FlowSearch) -> None:
@@ -183,6 +187,7 @@
         if self.clock.now_ms() < search.balancers_deadline_ms:
             return
         pending, search.pending_balancers = search.pending_balancers, set()
+        search.unanswered_balancers |= pending
         self.counters["lookups_unanswered"] += len(pending)
         still_silent = search.silent_balancers & self.directory.silent
         self.unresponsive_balancers |= pending & still_silent
@@ -385,6 +390,15 @@
             uncertain=sorted(evidence.uncertain),
             searched_ms=self.clock.now_ms() - search.started_ms,
             view_age_ms=self.view.age_ms,
+            unasked=sorted(evidence.unasked)[:LOGGED_AGENTS_LIMIT],
+            holders=evidence.holders,
+            removed=self.view.former.describe_removals(services, LOGGED_AGENTS_LIMIT),
+            former=len(self.view.former),
+            former_source=self.view.former.source,
+            is_former_complete=self.view.former_knowledge.is_complete,
+            listing=tuple(self.view.listing.position),
+            balancers_asked=len(search.asked_balancers),
+            balancers_silent=sorted(search.unanswered_balancers),
         )
         if not is_dead:
             return [*lookups, outcome]
--- /dev/null
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -0,0 +1,121 @@
+"""The backend servers that have left the listing and may still hold flows."""
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from enum import Enum
+from typing import NamedTuple
+
+from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.flows._deployment import BackendServer
+
+REMEMBERED_REMOVALS = 16
+"""How many of the latest removals are kept for logs."""
+
+
+class RemovalReason(Enum):
+    """Why a former server is no longer a possible holder of flows."""
+
+    AGENT_SILENT = "agent_silent"
+    """Its agent did not answer a question about a flow."""
+
+    SERVER_LOST = "server_lost"
+    """The server is considered lost together with its flows."""
+
+    EXPIRED = "expired"
+    """It left longer ago than a flow may last."""
+
+
+class FormerServer(NamedTuple):
+    """A backend server that is no longer listed."""
+
+    server: BackendServer
+    """Its last entry in the listing."""
+
+    missing_since_ms: int
+    """When the listing first lacked it."""
+
+
+class FormerRemoval(NamedTuple):
+    """A former server that is not asked about flows any more."""
+
+    server: BackendServer
+    """Its last entry in the listing."""
+
+    reason: RemovalReason
+    """Why it was removed."""
+
+    removed_ms: int
+    """When it was removed, in milliseconds."""
+
+
+class FormerServers(dict[str, FormerServer]):
+    """The servers that have left the listing, by name.
+
+    Example::
+
+        >>> from citronwinch.coordination import Endpoint, ManualClock
+        >>> from citronwinch.coordination.flows import ServerState
+        >>> address = Endpoint("10.0.0.9", 8080)
+        >>> server = BackendServer(
+        ...     "s9", "gauging", address, "a", ServerState.READY, 1, 0
+        ... )
+        >>> former = FormerServers(ManualClock())
+        >>> former.record_missing([server])
+        >>> former.remove(["s9"], RemovalReason.EXPIRED)
+        >>> len(former), former.latest_removals[0].reason.value
+        (0, 'expired')
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self.clock = clock
+        self.removal_counts: Counter[RemovalReason] = Counter()
+        self.latest_removals: deque[FormerRemoval] = deque(maxlen=REMEMBERED_REMOVALS)
+        self.unreported_removals: deque[FormerRemoval] = deque(
+            maxlen=REMEMBERED_REMOVALS
+        )
+        """Those that `take_unreported_removals` has not returned yet."""
+        self.source = ""
+        """The balancer from which this one has learned former servers, if any."""
+
+    def record_missing(self, servers: Iterable[BackendServer]) -> None:
+        """Record that the listing lacks some servers; those known before keep their
+        time."""
+        now_ms = self.clock.now_ms()
+        for server in servers:
+            self.setdefault(server.name, FormerServer(server, now_ms))
+
+    def record_listed(self, names: Iterable[str]) -> None:
+        """Remove the servers that are listed again."""
+        for name in names:
+            self.pop(name, None)
+
+    def remove(self, names: Iterable[str], reason: RemovalReason) -> None:
+        """Remove servers that cannot hold flows any more, and record why."""
+        now_ms = self.clock.now_ms()
+        for name in names:
+            removal = FormerRemoval(self.pop(name).server, reason, now_ms)
+            self.latest_removals.append(removal)
+            self.unreported_removals.append(removal)
+            self.removal_counts[reason] += 1
+
+    def take_unreported_removals(self) -> list[FormerRemoval]:
+        """Return the removals since the last call, the latest ones if they are many."""
+        removals = list(self.unreported_removals)
+        self.unreported_removals.clear()
+        return removals
+
+    def describe_removals(self, services: Iterable[str], limit: int) -> list[str]:
+        """Return the latest removals of servers of some services, for a log line.
+
+        Each is the address of the agent, the reason and how long ago that was, in ms.
+        """
+        wanted = set(services)
+        now_ms = self.clock.now_ms()
+        described = [
+            f"{removal.server.address.ip} {removal.reason.value} "
+            f"{now_ms - removal.removed_ms}"
+            for removal in reversed(self.latest_removals)
+            if removal.server.service in wanted
+        ]
+        return described[:limit]
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from citronwinch.coordination.flows._actions import Action, ResetFlow, record
+from citronwinch.coordination.flows._former_servers import RemovalReason
 from citronwinch.coordination.flows._known_flows import KnownFlows
 from citronwinch.coordination.flows._packets import make_placeholder_packet
 from citronwinch.coordination.flows._server_selector import ServerSelector
@@ -32,7 +33,7 @@
     }
     if not lost_agents:
         return []
-    view.remove_former(lost_agents)
+    view.remove_former(lost_agents, RemovalReason.SERVER_LOST)
     reset_flows = flows.pop_by_agents(lost_agents)
     actions: list[Action] = [
         ResetFlow(make_placeholder_packet(key, flow.acknowledged))
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from citronwinch.coordination.flows._flow_search import FlowSearch
+from citronwinch.coordination.flows._former_servers import RemovalReason
 from citronwinch.coordination.flows._searched_servers import list_ended_agents
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
@@ -17,6 +18,12 @@
     uncertain: set[str]
     """Those that do not know all flows of their server."""
 
+    unasked: set[str]
+    """Those that have not been asked, because they became known during the search."""
+
+    holders: int
+    """The number of servers that might have held the flow."""
+
     is_dead: bool
     """Whether the flow certainly does not exist."""
 
@@ -35,16 +42,18 @@
     """
     silent = search.list_silent(services)
     silent -= view.remove_former(
-        [ip for ip in silent if not selector.has_recent_message(ip)]
+        [ip for ip in silent if not selector.has_recent_message(ip)],
+        RemovalReason.AGENT_SILENT,
     )
     silent -= list_ended_agents(view, selector, services)
     uncertain = search.list_uncertain(services)
     holders = view.list_possible_holders(services)
+    unasked = {server.address.ip for server in holders} - search.verdicts.keys()
     is_dead = (
         not silent
         and not uncertain
+        and not unasked
         and view.is_settled()
         and view.former_knowledge.is_complete
-        and all(server.address.ip in search.verdicts for server in holders)
     )
-    return SearchEvidence(silent, uncertain, is_dead)
+    return SearchEvidence(silent, uncertain, unasked, len(holders), is_dead)
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -1,7 +1,6 @@
 """The configuration and the server listing that a balancer knows, and their age."""
 
 from collections.abc import Collection, Iterable
-from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._cold_servers import ColdServers
@@ -14,6 +13,10 @@
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
 from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
+from citronwinch.coordination.flows._former_servers import (
+    FormerServers,
+    RemovalReason,
+)
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
     ListingHistory,
@@ -46,16 +49,6 @@
 milliseconds; the platform's longest lifetime of a flow."""
 
 
-class FormerServer(NamedTuple):
-    """A backend server that is no longer listed."""
-
-    server: BackendServer
-    """Its last entry in the listing."""
-
-    missing_since_ms: int
-    """When the listing first lacked it."""
-
-
 class DeploymentView:
     """The newest configuration and listing that this process has received.
 
@@ -85,7 +78,7 @@
         an older copy."""
         self.has_failed_read = False
         """Whether a read of the store has failed since the last accepted listing."""
-        self.former: dict[str, FormerServer] = {}
+        self.former = FormerServers(clock)
         """The servers that have left the listing, by name."""
         self.retained: dict[str, BackendServer] = {}
         """The missing servers that count as listed during the grace time, by name."""
@@ -174,13 +167,13 @@
         self.listing, self.listing_digest = listing, listing.digest
         self.history.record(self.listing_digest, listing.servers)
         self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
-        for name, server in (previous | self.retained).items():
-            if name not in listing.servers:
-                self.former.setdefault(name, FormerServer(server, now_ms))
-                if now_ms < self.grace_until_ms:
-                    self.retained[name] = server
+        known = previous | self.retained
+        missing = {k: v for k, v in known.items() if k not in listing.servers}
+        self.former.record_missing(missing.values())
+        if now_ms < self.grace_until_ms:
+            self.retained |= missing
+        self.former.record_listed(listing.servers)
         for name in listing.servers:
-            self.former.pop(name, None)
             self.retained.pop(name, None)
         self._rebuild_by_service()
         return self.listing_digest != previous_digest
@@ -281,15 +274,15 @@
             and former.server.address.ip not in listed
         ]
 
-    def accept_former(self, servers: Iterable[BackendServer]) -> None:
+    def accept_former(self, servers: Iterable[BackendServer], source: str = "") -> None:
         """Add the servers that have left according to an older balancer."""
-        now_ms = self.clock.now_ms()
-        for server in servers:
-            if server.name not in self.listing.servers:
-                self.former.setdefault(server.name, FormerServer(server, now_ms))
+        self.former.record_missing(
+            server for server in servers if server.name not in self.listing.servers
+        )
+        self.former.source = source
         self.former_knowledge.record_fetched()
 
-    def remove_former(self, ips: Collection[str]) -> set[str]:
+    def remove_former(self, ips: Collection[str], reason: RemovalReason) -> set[str]:
         """Remove the former servers at some addresses whose agents do not answer.
 
         Returns the addresses that have no listed server: the servers there are gone for
@@ -299,9 +292,12 @@
             return set()
         listed = {server.address.ip for server in self.list_servers()}
         dropped = set(ips) - listed
-        for name, former in list(self.former.items()):
-            if former.server.address.ip in dropped:
-                del self.former[name]
+        names = [
+            name
+            for name, former in self.former.items()
+            if former.server.address.ip in dropped
+        ]
+        self.former.remove(names, reason)
         return dropped
 
     def confirm_listing(self, position: StorePosition, confirmed_ms: int) -> None:
@@ -325,8 +321,7 @@
             for name, former in self.former.items()
             if now_ms - former.missing_since_ms > FORMER_RETENTION_MS
         ]
-        for name in expired:
-            del self.former[name]
+        self.former.remove(expired, RemovalReason.EXPIRED)
         self.route_history.expire()
         return dropped
 
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -306,7 +306,8 @@
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
         if asks_former:
-            self.view.accept_former(answer.former)
+            self.view.accept_former(answer.former, ip)
+            log.info("former_servers_learned", source=ip, servers=len(answer.former))
         configuration = answer.configuration
         if configuration is not None and self.view.accept_configuration(configuration):
             self.handle_newer_configuration(ip)
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -20,6 +20,8 @@
     "flows_restored_total": "flows taken up again from the run before",
     "flows_transferred_here": "flows kept for agents that stopped",
     "flows_unreachable_total": "flows ended because the backend server refused them",
+    "former_servers": "servers that left the listing and may still hold flows",
+    "former_servers_removed_total": "former servers not asked any more, by reason",
     "held_bytes": "memory of packets that wait until their flow's owner is known",
     "held_requests": "requests that wait beside the backend server for a free slot",
     "held_requests_expired_total": "held requests whose callers had given up",
