Do not take the silence of an agent for the end of its server

Callers saw an open flow reset while its server served it, when the server had left the listing and its agent was silent.

Cause: silence was taken as proof. A search removed a former server for good when its agent had not answered in time and had sent nothing within 5 s; in a balancer that has just started nobody has. Known flows were reset 1.1 s after the agent's last message, or as soon as the agent reported that it stops, because such a report and one of a dead server looked alike.

Why it works: a former server stays a possible holder until its agent says that the server has ended, does not reach it, or was silent for longer than a restart takes (the stop timeout of the settings and 4 s), while other agents are heard and this process runs. The last report of an agent that stops tells now whether its server is reachable.

Reports of an unreachable server state that, as agents do. Heartbeats to the agents of former servers are paced like others: 12 a second, not 3.3 for each.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -36,6 +36,7 @@
     REMOTE_AGENT_HEARTBEAT_MS,
     REMOTE_AGENT_HEARTBEATS_PER_S,
     MessagePace,
+    compute_former_interval_ms,
     compute_interval_ms,
 )
 from citronwinch.coordination.flows._deployment import (
@@ -123,6 +124,7 @@
     "REMOTE_AGENT_HEARTBEAT_MS",
     "REPORTS_PER_S",
     "REPORT_INTERVAL_MS",
+    "compute_former_interval_ms",
     "compute_interval_ms",
     "DEFAULT_LINK_MBPS",
     "ServerSelector",
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -366,6 +366,7 @@
             requests.service_times.service_ms,
             len(requests.queue.held),
             opening_room=0 if self.is_evacuated else self.opening_limit.count_room(),
+            is_server_unreachable=not self.server_liveness.accepts_flows,
         )
 
     def expire_idle(self) -> None:
--- a/citronwinch/coordination/flows/_control_pace.py
+++ b/citronwinch/coordination/flows/_control_pace.py
@@ -38,6 +38,13 @@
     return max(shortest_ms, receivers * 1_000 // messages_per_s)
 
 
+def compute_former_interval_ms(former_servers: int) -> int:
+    """Return the interval of heartbeats to the agent of each former server, in ms."""
+    return compute_interval_ms(
+        AGENT_HEARTBEAT_MS, former_servers, AGENT_HEARTBEATS_PER_S
+    )
+
+
 class MessagePace:
     """Tells to which receivers a regular message is due.
 
--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -12,14 +12,31 @@
 """How many of the latest removals are kept for logs."""
 
 
+MAX_CHECK_GAP_MS = 1_000
+"""The longest time between two checks of the former servers in normal operation, in
+milliseconds. After a longer gap this process has been paused itself, and the silence of
+agents in that time says nothing about them."""
+
+
+AGENT_START_MS = 4_000
+"""How long the start of an agent may take, in milliseconds, also on a slow instance."""
+
+DEFAULT_STOP_TIMEOUT_MS = 6_000
+"""How long an agent that is stopped may go on, in milliseconds, if the settings do not
+state it."""
+
+
 class RemovalReason(Enum):
     """Why a former server is no longer a possible holder of flows."""
 
     AGENT_SILENT = "agent_silent"
-    """Its agent did not answer a question about a flow."""
+    """Its agent has been silent for longer than a restart takes."""
+
+    SERVER_ENDED = "server_ended"
+    """Its agent said at its stop that the server had ended."""
 
-    SERVER_LOST = "server_lost"
-    """The server is considered lost together with its flows."""
+    SERVER_UNREACHABLE = "server_unreachable"
+    """Its agent does not reach the server either."""
 
     EXPIRED = "expired"
     """It left longer ago than a flow may last."""
@@ -34,6 +51,9 @@
     missing_since_ms: int
     """When the listing first lacked it."""
 
+    probed_since_ms: int
+    """From when on a silence of its agent counts, in milliseconds."""
+
 
 class FormerRemoval(NamedTuple):
     """A former server that is not asked about flows any more."""
@@ -75,6 +95,11 @@
             maxlen=REMEMBERED_REMOVALS
         )
         """Those that `take_unreported_removals` has not returned yet."""
+        self.agent_restart_ms = 0
+        """How long a restart of an agent may take, in milliseconds."""
+        self.set_stop_timeout(DEFAULT_STOP_TIMEOUT_MS)
+        self.checked_ms = clock.now_ms()
+        """When the agents' silence was last checked."""
         self.source = ""
         """The balancer from which this one has learned former servers, if any."""
 
@@ -83,7 +108,25 @@
         time."""
         now_ms = self.clock.now_ms()
         for server in servers:
-            self.setdefault(server.name, FormerServer(server, now_ms))
+            self.setdefault(server.name, FormerServer(server, now_ms, now_ms))
+
+    def set_stop_timeout(self, timeout_ms: int) -> None:
+        """Set how long an agent that is stopped may go on, in milliseconds."""
+        self.agent_restart_ms = timeout_ms + AGENT_START_MS
+
+    def restart_probes(self) -> None:
+        """Disregard the silence of agents until now."""
+        now_ms = self.clock.now_ms()
+        for name, former in self.items():
+            self[name] = former._replace(probed_since_ms=now_ms)
+
+    def record_check(self) -> None:
+        """Record that the agents' silence is checked now; after a pause of this process
+        it counts from now on."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.checked_ms > MAX_CHECK_GAP_MS:
+            self.restart_probes()
+        self.checked_ms = now_ms
 
     def record_listed(self, names: Iterable[str]) -> None:
         """Remove the servers that are listed again."""
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -1,17 +1,27 @@
-"""Ends the flows of backend servers that are lost together with their agents."""
+"""Ends the flows of backend servers that have left the listing and are lost.
+
+A server that has left the listing may serve its flows for a long time. Its agent may be
+silent meanwhile, for example because it is restarted, and then the flows go on when the
+agent is back. Silence alone therefore ends flows only after a time in which an agent
+has certainly restarted.
+"""
 
 from collections import Counter
 
 from citronwinch.coordination.flows._actions import Action, ResetFlow, record
-from citronwinch.coordination.flows._former_servers import RemovalReason
+from citronwinch.coordination.flows._control_pace import compute_former_interval_ms
+from citronwinch.coordination.flows._former_servers import FormerServer, RemovalReason
 from citronwinch.coordination.flows._known_flows import KnownFlows
 from citronwinch.coordination.flows._packets import make_placeholder_packet
-from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._server_selector import (
+    HEARTBEATS_PER_TIMEOUT,
+    ServerSelector,
+)
 from citronwinch.coordination.flows._view import DeploymentView
 
-LOST_SERVER_TIMEOUT_MS = 1_500
-"""How long a backend server must be missing from the listing before its flows are
-considered dead, in milliseconds; its agent is contacted several times before that."""
+UNREACHABLE_SERVER_TIMEOUT_MS = 1_500
+"""How long a backend server that its agent does not reach must be missing from the
+listing before its flows are considered dead, in milliseconds."""
 
 
 def end_flows_of_lost_servers(
@@ -20,30 +30,80 @@
     flows: KnownFlows,
     counters: Counter[str],
 ) -> list[Action]:
-    """Reset the flows of servers that left the listing and whose agents are lost.
+    """Reset the flows of servers that left the listing and are lost.
 
     Without a reset a caller would lose its next request on an idle flow, or would
     wait for the deadline of a request that is already sent.
     """
-    if not view.is_settled() or selector.is_isolated():
+    view.former.record_check()
+    if selector.is_isolated():
+        view.former.restart_probes()
         return []
-    former_servers = view.list_former(LOST_SERVER_TIMEOUT_MS)
-    lost_agents = {
-        s.address.ip for s in former_servers if selector.is_unavailable(s.address.ip)
-    }
-    if not lost_agents:
+    if not view.former or not view.is_settled():
         return []
-    view.remove_former(lost_agents, RemovalReason.SERVER_LOST)
-    reset_flows = flows.pop_by_agents(lost_agents)
-    actions: list[Action] = [
+    actions: list[Action] = []
+    for reason, agents in _find_lost(view, selector).items():
+        lost_agents = view.remove_former(agents, reason)
+        if lost_agents:
+            actions += _end_flows(view, flows, counters, lost_agents, reason)
+    return actions
+
+
+def _find_lost(
+    view: DeploymentView, selector: ServerSelector
+) -> dict[RemovalReason, set[str]]:
+    """Return the agents of lost servers, by the reason why these count as lost."""
+    lost: dict[RemovalReason, set[str]] = {}
+    for former in view.former.values():
+        reason = _find_reason(view, selector, former)
+        if reason is not None:
+            lost.setdefault(reason, set()).add(former.server.address.ip)
+    return lost
+
+
+def _find_reason(
+    view: DeploymentView, selector: ServerSelector, former: FormerServer
+) -> RemovalReason | None:
+    """Return why a former server is lost; None if its flows may live."""
+    now_ms = view.clock.now_ms()
+    agent = former.server.address.ip
+    if selector.has_ended(former.server):
+        return RemovalReason.SERVER_ENDED
+    missing_ms = now_ms - former.missing_since_ms
+    if selector.has_unreachable_server(agent):
+        is_lost = missing_ms >= UNREACHABLE_SERVER_TIMEOUT_MS
+        return RemovalReason.SERVER_UNREACHABLE if is_lost else None
+    last_sign_ms = max(former.probed_since_ms, selector.get_last_message_ms(agent))
+    if now_ms - last_sign_ms > _compute_silence_limit_ms(view):
+        return RemovalReason.AGENT_SILENT
+    return None
+
+
+def _compute_silence_limit_ms(view: DeploymentView) -> int:
+    """Return the longest silence of an agent whose server's flows may live, in ms."""
+    interval_ms = compute_former_interval_ms(len(view.former))
+    heartbeats_ms = HEARTBEATS_PER_TIMEOUT * interval_ms
+    return max(view.former.agent_restart_ms, heartbeats_ms)
+
+
+def _end_flows(
+    view: DeploymentView,
+    flows: KnownFlows,
+    counters: Counter[str],
+    agents: set[str],
+    reason: RemovalReason,
+) -> list[Action]:
+    reset_flows = flows.pop_by_agents(agents)
+    counters["flows_reset"] += len(reset_flows)
+    resets = [
         ResetFlow(make_placeholder_packet(key, flow.acknowledged))
         for key, flow in reset_flows.items()
     ]
-    counters["flows_reset"] += len(reset_flows)
     lost_servers = record(
         "servers_lost",
-        agents=sorted(lost_agents),
+        agents=sorted(agents),
+        reason=reason.value,
         flows_reset=len(reset_flows),
         view_age_ms=view.age_ms,
     )
-    return [*actions, lost_servers]
+    return [*resets, lost_servers]
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -118,6 +118,9 @@
     """How many more openings the agent accepts in the current second;
     `UNLIMITED_OPENINGS` for no bound."""
 
+    is_server_unreachable: bool = False
+    """Whether the agent's last attempt to connect to its backend server failed."""
+
 
 class Verdict(IntEnum):
     """Whether the backend server of an agent holds a flow."""
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from citronwinch.coordination.flows._flow_search import FlowSearch
-from citronwinch.coordination.flows._former_servers import RemovalReason
 from citronwinch.coordination.flows._searched_servers import list_ended_agents
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._view import DeploymentView
@@ -36,19 +35,16 @@
 ) -> SearchEvidence:
     """Return what the answers of the agents of a route's services prove.
 
-    Agents of other services do not count. Denials prove nothing while the listing is
-    not settled, before a starting balancer knows the servers that have left, or while
-    an agent that became known during the search has not been asked.
+    Agents of other services do not count, nor do those whose servers are lost. Denials
+    prove nothing while the listing is not settled, before a starting balancer knows the
+    servers that have left, or while an agent that became known during the search has
+    not been asked.
     """
-    silent = search.list_silent(services)
-    silent -= view.remove_former(
-        [ip for ip in silent if not selector.has_recent_message(ip)],
-        RemovalReason.AGENT_SILENT,
-    )
-    silent -= list_ended_agents(view, selector, services)
-    uncertain = search.list_uncertain(services)
-    holders = view.list_possible_holders(services)
-    unasked = {server.address.ip for server in holders} - search.verdicts.keys()
+    holders = {s.address.ip for s in view.list_possible_holders(services)}
+    holders -= list_ended_agents(view, selector, services)
+    silent = search.list_silent(services) & holders
+    uncertain = search.list_uncertain(services) & holders
+    unasked = holders - search.verdicts.keys()
     is_dead = (
         not silent
         and not uncertain
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -119,35 +119,28 @@
             return False
         return self.clock.now_ms() - self.last_message_ms > LOCAL_AGENT_TIMEOUT_MS
 
-    def has_recent_message(self, ip: str) -> bool:
-        """Return whether an agent sent a message within the time of a remote agent.
-
-        Such an agent may be silent only because it is restarting.
-        """
+    def get_last_message_ms(self, ip: str) -> int:
+        """Return when an agent last sent a message, in ms; 0 if it never has."""
         agent = self.agents.get(ip)
-        return (
-            agent is not None
-            and self.clock.now_ms() - agent.last_message_ms <= self.remote_timeout_ms
-        )
+        return max(0, agent.last_message_ms) if agent is not None else 0
 
     def has_message_since(self, ip: str, since_ms: int) -> bool:
         """Return whether an agent has sent a message at a time or later."""
         agent = self.agents.get(ip)
         return agent is not None and agent.last_message_ms >= since_ms
 
-    def is_unavailable(self, ip: str) -> bool:
-        """Return whether an agent is silent or reports that it accepts no flows.
+    def has_unreachable_server(self, ip: str) -> bool:
+        """Return whether an agent has lately reported that its server is unreachable.
 
-        This is for agents of former servers, which all get heartbeats at the shortest
-        interval. Unlike in `_is_last_resort`, unconfirmed flows do not count.
+        An agent that stops accepts no flows either, but its server may live.
         """
         agent = self.agents.get(ip)
-        if (
-            agent is None
-            or self.clock.now_ms() - agent.last_message_ms > LOCAL_AGENT_TIMEOUT_MS
-        ):
-            return True
-        return agent.report is not None and not agent.report.accepts_flows
+        return (
+            agent is not None
+            and agent.report is not None
+            and agent.report.is_server_unreachable
+            and self.clock.now_ms() - agent.last_message_ms <= LOCAL_AGENT_TIMEOUT_MS
+        )
 
     def has_ended(self, server: BackendServer) -> bool:
         """Return whether the agent of a server said at its stop that it has ended."""
@@ -304,8 +297,7 @@
     def _is_last_resort(self, server: BackendServer) -> bool:
         """Return whether a server's agent seems unresponsive or accepts no flows.
 
-        Unlike `is_unavailable`, this allows agents of other zones a longer silence and
-        counts unconfirmed flows.
+        Agents of other zones are allowed a longer silence.
         """
         if self.is_unresponsive(server):
             return True
--- a/citronwinch/coordination/flows/tests/test_silent_agents.py
+++ b/citronwinch/coordination/flows/tests/test_silent_agents.py
@@ -126,3 +126,21 @@
     assert list_forwards(with_flow.handle_packet(PACKET)) == [
         (LEFT.address.ip, "gauging")
     ]
+
+
+# A paused balancer reads none of the messages that agents send meanwhile.
+def test_the_time_in_which_the_balancer_was_paused_is_no_silence_of_the_agent(
+    with_flow: BalancerFlows, clock: ManualClock
+) -> None:
+    actions = run(with_flow, clock, 1_600)
+    clock.advance(20_000)
+    actions += run(with_flow, clock, RESTART_MS)
+    assert not has_reset(actions)
+
+
+def test_flows_of_a_server_that_has_ended_are_reset_at_once(
+    with_flow: BalancerFlows, clock: ManualClock
+) -> None:
+    ended = AGENT_STOPS._replace(ended_server_ms=LEFT.started_ms)
+    with_flow.selector.record_message(LEFT.address.ip, ended)
+    assert has_reset(run(with_flow, clock, TICK_MS))
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -158,6 +158,7 @@
     body.serviceMs = message.service_ms
     body.queued = message.queued
     body.openingRoom = message.opening_room
+    body.isServerUnreachable = message.is_server_unreachable
     return _pack(builder)
 
 
@@ -312,6 +313,7 @@
             body.serviceMs,
             body.queued,
             body.openingRoom,
+            body.isServerUnreachable,
         )
     if kind == "question":
         body = reader.question
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -43,6 +43,7 @@
   serviceMs @8 :UInt32;
   queued @9 :UInt32;
   openingRoom @10 :UInt16 = 65535;
+  isServerUnreachable @11 :Bool;
 }
 
 struct FlowQuestion {
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -12,6 +12,7 @@
     BackendServer,
     Heartbeat,
     MessagePace,
+    compute_former_interval_ms,
     compute_interval_ms,
 )
 
@@ -69,7 +70,7 @@
         groups = (
             (targets.local, local_ms),
             (targets.remote, remote_ms),
-            (former, AGENT_HEARTBEAT_MS),
+            (former, compute_former_interval_ms(len(former))),
         )
         for ips, interval_ms in groups:
             for ip in self.pace.list_due(ips, interval_ms):
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -104,6 +104,7 @@
         super().__init__(settings, settings.packet_address, open_socket)
         self.early_packets: deque[Packet] = deque(maxlen=MAX_EARLY_PACKETS)
         self.view = DeploymentView(self.clock)
+        self.view.former.set_stop_timeout(settings.stop_timeout_s * 1_000)
         if not settings.is_first_start:
             self.view.former_knowledge.start(self.incarnation)
         self.rng = random.Random(settings.name)
