State how far back a balancer knows the servers that have left

Callers saw an open flow reset by a balancer that had been restarted during a release.

Cause: a set that may be incomplete was taken as complete. A starting balancer counted its knowledge of former servers as complete after the answer of any balancer that was two seconds older, also if that one had given up itself; after two seconds in which no fetch had succeeded; and after 100 ms without a heartbeat, which are paced on a large fleet and may be lost. The time for which a former server is kept counted from when a balancer learned of it, and ended also while the server still had flows.

Change: each balancer states for how long it knows all departures, by its steady clock, in heartbeats and views. A starting one, and one that had no current listing for some time, fetches the former servers until no live balancer is known to know more. Departure times travel with the servers, which are kept beyond the lifetime of a flow while their agents report open flows. After a restart of the whole fleet agents that are not heard within 1.5 s do not delay resets.

--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -69,6 +69,7 @@
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
     UNLIMITED_OPENINGS,
+    DepartedServer,
     FlowAnswer,
     FlowAnswers,
     FlowLocation,
@@ -146,6 +147,7 @@
     "DeliverToCaller",
     "DeliverToServer",
     "CopySource",
+    "DepartedServer",
     "DeploymentView",
     "EMPTY_LISTING",
     "Evacuations",
--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -7,6 +7,7 @@
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._messages import DepartedServer
 
 REMEMBERED_REMOVALS = 16
 """How many of the latest removals are kept for logs."""
@@ -110,6 +111,21 @@
         for server in servers:
             self.setdefault(server.name, FormerServer(server, now_ms, now_ms))
 
+    def record_learned(self, departed: Iterable[DepartedServer]) -> None:
+        """Record servers that have left according to another balancer."""
+        now_ms = self.clock.now_ms()
+        for server, missing_ms in departed:
+            former = FormerServer(server, now_ms - missing_ms, now_ms)
+            self.setdefault(server.name, former)
+
+    def list_departed(self) -> tuple[DepartedServer, ...]:
+        """Return the servers that have left, for another balancer."""
+        now_ms = self.clock.now_ms()
+        return tuple(
+            DepartedServer(former.server, now_ms - former.missing_since_ms)
+            for former in self.values()
+        )
+
     def set_stop_timeout(self, timeout_ms: int) -> None:
         """Set how long an agent that is stopped may go on, in milliseconds."""
         self.agent_restart_ms = timeout_ms + AGENT_START_MS
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -10,6 +10,7 @@
 
 from citronwinch.coordination.flows._actions import Action, ResetFlow, record
 from citronwinch.coordination.flows._control_pace import compute_former_interval_ms
+from citronwinch.coordination.flows._former_knowledge import FORMER_RETENTION_MS
 from citronwinch.coordination.flows._former_servers import FormerServer, RemovalReason
 from citronwinch.coordination.flows._known_flows import KnownFlows
 from citronwinch.coordination.flows._packets import make_placeholder_packet
@@ -24,6 +25,11 @@
 listing before its flows are considered dead, in milliseconds."""
 
 
+RESTARTED_AGENT_WAIT_MS = 1_500
+"""How long after its first listing a balancer that has restarted with the whole fleet
+waits for agents of which it has heard nothing, in milliseconds."""
+
+
 def end_flows_of_lost_servers(
     view: DeploymentView,
     selector: ServerSelector,
@@ -44,7 +50,7 @@
     actions: list[Action] = []
     for reason, agents in _find_lost(view, selector).items():
         lost_agents = view.remove_former(agents, reason)
-        if lost_agents:
+        if lost_agents and reason is not RemovalReason.EXPIRED:
             actions += _end_flows(view, flows, counters, lost_agents, reason)
     return actions
 
@@ -70,15 +76,30 @@
     if selector.has_ended(former.server):
         return RemovalReason.SERVER_ENDED
     missing_ms = now_ms - former.missing_since_ms
+    if missing_ms > FORMER_RETENTION_MS and not selector.has_open_flows(agent):
+        return RemovalReason.EXPIRED
     if selector.has_unreachable_server(agent):
         is_lost = missing_ms >= UNREACHABLE_SERVER_TIMEOUT_MS
         return RemovalReason.SERVER_UNREACHABLE if is_lost else None
-    last_sign_ms = max(former.probed_since_ms, selector.get_last_message_ms(agent))
+    last_message_ms = selector.get_last_message_ms(agent)
+    if not last_message_ms and _has_waited_for_restarted_agents(view):
+        return RemovalReason.AGENT_SILENT
+    last_sign_ms = max(former.probed_since_ms, last_message_ms)
     if now_ms - last_sign_ms > _compute_silence_limit_ms(view):
         return RemovalReason.AGENT_SILENT
     return None
 
 
+def _has_waited_for_restarted_agents(view: DeploymentView) -> bool:
+    """Return whether the whole fleet has restarted, long enough ago for its agents.
+
+    Agents that lost power at the same time as the balancers are back at the same time.
+    """
+    if not view.former_knowledge.is_fleet_restarted:
+        return False
+    return view.clock.now_ms() >= view.first_listed_ms + RESTARTED_AGENT_WAIT_MS
+
+
 def _compute_silence_limit_ms(view: DeploymentView) -> int:
     """Return the longest silence of an agent whose server's flows may live, in ms."""
     interval_ms = compute_former_interval_ms(len(view.former))
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -77,6 +77,10 @@
     """In heartbeats to an agent, the requests per second that its backend server bears
     while it is cold; 0 for no limit."""
 
+    former_known_for_ms: int = 0
+    """For how long the balancer has known each server that left the listing, in
+    milliseconds; 0 if it does not state that."""
+
 
 class LoadReport(NamedTuple):
     """An agent reports the load of its backend server to balancers."""
@@ -252,6 +256,16 @@
     """The packet."""
 
 
+class DepartedServer(NamedTuple):
+    """A backend server that has left the listing and may still hold flows."""
+
+    server: BackendServer
+    """Its last entry in the listing."""
+
+    missing_ms: int
+    """How long ago the listing first lacked it, in milliseconds."""
+
+
 class ViewAnswer(NamedTuple):
     """A balancer's view, for another balancer whose view is outdated."""
 
@@ -281,10 +295,13 @@
     removed: tuple[str, ...] = ()
     """The names of the entries that were removed since that listing."""
 
-    former: tuple[BackendServer, ...] = ()
+    former: tuple[DepartedServer, ...] = ()
     """The servers that have left the listing within the lifetime of a flow, if the
     requesting balancer asked for them."""
 
+    former_known_for_ms: int = 0
+    """For how long the balancer has known each of these, in milliseconds."""
+
 
 class ViewOffer(NamedTuple):
     """An agent offers its copy of the view to a balancer that sends no heartbeats."""
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -22,6 +22,7 @@
     ListingHistory,
     apply_difference,
 )
+from citronwinch.coordination.flows._messages import DepartedServer
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
 from citronwinch.coordination.flows._route_history import RouteHistory
 from citronwinch.coordination.flows._store_position import (
@@ -44,10 +45,6 @@
 adopted, in milliseconds. It is many times the delay of a message, so that two balancers
 do not extend each other's grace time."""
 
-FORMER_RETENTION_MS = 60_000
-"""How long the agents of former backend servers are still queried about flows, in
-milliseconds; the platform's longest lifetime of a flow."""
-
 
 class DeploymentView:
     """The newest configuration and listing that this process has received.
@@ -160,6 +157,8 @@
             self.confirmed_ms is not None
             and confirmed_ms - self.confirmed_ms > OUTAGE_GAP_MS
         )
+        if follows_outage:
+            self.former_knowledge.restart()
         if follows_outage or self.has_failed_read:
             self.has_failed_read = False
             self.grace_until_ms = now_ms + OUTAGE_GRACE_MS
@@ -274,16 +273,21 @@
             and former.server.address.ip not in listed
         ]
 
-    def accept_former(self, servers: Iterable[BackendServer], source: str = "") -> None:
-        """Add the servers that have left according to an older balancer."""
-        self.former.record_missing(
-            server for server in servers if server.name not in self.listing.servers
+    def accept_former(
+        self, departed: Iterable[DepartedServer], source: str, known_for_ms: int
+    ) -> None:
+        """Add the servers that have left according to another balancer.
+
+        `known_for_ms` is for how long that balancer has known each of them.
+        """
+        self.former.record_learned(
+            each for each in departed if each.server.name not in self.listing.servers
         )
         self.former.source = source
-        self.former_knowledge.record_fetched()
+        self.former_knowledge.record_fetched(source, known_for_ms)
 
     def remove_former(self, ips: Collection[str], reason: RemovalReason) -> set[str]:
-        """Remove the former servers at some addresses whose agents do not answer.
+        """Remove the former servers at some addresses for a reason.
 
         Returns the addresses that have no listed server: the servers there are gone for
         good. While the listing is not settled, nothing is removed.
@@ -316,12 +320,6 @@
             dropped = list(self.retained.values())
             self.retained.clear()
             self._rebuild_by_service()
-        expired = [
-            name
-            for name, former in self.former.items()
-            if now_ms - former.missing_since_ms > FORMER_RETENTION_MS
-        ]
-        self.former.remove(expired, RemovalReason.EXPIRED)
         self.route_history.expire()
         return dropped
 
--- a/citronwinch/coordination/flows/tests/test_reset_records.py
+++ b/citronwinch/coordination/flows/tests/test_reset_records.py
@@ -10,6 +10,7 @@
 from citronwinch.coordination.flows import (
     Action,
     BalancerFlows,
+    DepartedServer,
     DeploymentView,
     FlowAnswer,
     Record,
@@ -53,7 +54,7 @@
 def test_a_reset_records_the_former_servers_that_were_left_out(
     balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
 ) -> None:
-    view.accept_former([make_server(9)], "10.1.0.5")
+    view.accept_former([DepartedServer(make_server(9), 100)], "10.1.0.5", 60_000)
     view.remove_former({"10.0.0.9"}, RemovalReason.SERVER_ENDED)
     clock.advance(40)
     fields = find_record(deny_everywhere(balancer, 4002), "dead_flow_reset")
--- a/citronwinch/coordination/flows/tests/test_silent_agents.py
+++ b/citronwinch/coordination/flows/tests/test_silent_agents.py
@@ -13,6 +13,7 @@
 from citronwinch.coordination.flows import (
     Action,
     BalancerFlows,
+    DepartedServer,
     DeploymentView,
     FlowAnswer,
     LoadReport,
@@ -47,7 +48,7 @@
     view = DeploymentView(clock)
     view.accept_configuration(make_configuration())
     view.accept_listing(make_listing(10, LISTED), clock.now_ms())
-    view.accept_former([LEFT])
+    view.accept_former([DepartedServer(LEFT, 1_000)], "10.1.0.2", 60_000)
     return BalancerFlows(view, ServerSelector("a", clock, random.Random(7)), clock)
 
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -124,6 +124,7 @@
     body.serverSlots = message.server_slots
     body.serverWarmupLeftMs = message.server_warmup_left_ms
     body.warmupPerS = message.warmup_per_s
+    body.formerKnownForMs = message.former_known_for_ms
     return _pack(builder)
 
 
@@ -298,6 +299,7 @@
             body.serverSlots,
             body.serverWarmupLeftMs,
             body.warmupPerS,
+            body.formerKnownForMs,
         )
     if kind == "loadReport":
         body = reader.loadReport
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -13,6 +13,7 @@
 from citronwinch.coordination.flows import (
     BackendServer,
     Configuration,
+    DepartedServer,
     Route,
     ServerListing,
     ServerState,
@@ -71,7 +72,9 @@
     builder.listingAgeMs = view.listing_age_ms
     _fill_servers(builder, "servers", view.listing.servers.values())
     _fill_servers(builder, "retained", view.retained)
-    _fill_servers(builder, "former", view.former)
+    _fill_servers(builder, "former", [each.server for each in view.former])
+    builder.formerMissingMs = [each.missing_ms for each in view.former]
+    builder.formerKnownForMs = view.former_known_for_ms
     builder.configuration = configuration
     builder.configurationVersion = view.configuration_version
     builder.configurationEra = view.configuration_position.era
@@ -152,12 +155,22 @@
             StorePosition(reader.configurationEra, reader.configurationRevision),
             reader.baseDigest,
             tuple(reader.removed),
-            tuple(_read_server(body) for body in reader.former),
+            _read_former(reader),
+            reader.formerKnownForMs,
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
 
 
+def _read_former(reader: Any) -> tuple[DepartedServer, ...]:
+    # A balancer of an earlier version does not state since when servers are missing.
+    missing_ms = list(reader.formerMissingMs) or [0] * len(reader.former)
+    return tuple(
+        DepartedServer(_read_server(body), each_ms)
+        for body, each_ms in zip(reader.former, missing_ms, strict=True)
+    )
+
+
 def _decode_configuration(data: bytes) -> Configuration:
     packed = _decompress(data, "configuration")
     reader = SCHEMA.Configuration.from_bytes_packed(
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -22,6 +22,7 @@
   serverSlots @15 :UInt32;
   serverWarmupLeftMs @16 :UInt32;
   warmupPerS @17 :Float32;
+  formerKnownForMs @18 :UInt32;
 }
 
 struct ZoneEvacuation {
@@ -157,4 +158,7 @@
   removed @10 :List(Text);
   # Sent to balancers that have just started.
   former @11 :List(Server);
+  # One number for each of them, and for how long all of them are known.
+  formerMissingMs @12 :List(UInt32);
+  formerKnownForMs @13 :UInt32;
 }
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -106,7 +106,7 @@
         self.view = DeploymentView(self.clock)
         self.view.former.set_stop_timeout(settings.stop_timeout_s * 1_000)
         if not settings.is_first_start:
-            self.view.former_knowledge.start(self.incarnation)
+            self.view.former_knowledge.start(settings.ip)
         self.rng = random.Random(settings.name)
         self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
         self.flows = BalancerFlows(
@@ -232,6 +232,7 @@
         lost = self.members.expire()
         for ip in lost:
             log.info("balancer_lost", balancer=ip)
+            self.view.former_knowledge.forget(ip)
         if lost:
             self.balancer_pace.retain(self.members.list_heartbeat_targets())
         self._update_isolation()
@@ -366,6 +367,7 @@
             view.configuration_position,
             interval_ms,
             view.evacuations.list_entries(),
+            former_known_for_ms=view.former_knowledge.known_for_ms,
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -80,8 +80,6 @@
         self.configuration_watch = ConfigurationWatch(self)
         self.is_catching_up = False
         self.retained_sources: set[str] = set()
-        self.former_sources: set[str] = set()
-        """The older balancers from which former servers can be fetched."""
         self.rng = random.Random(process.settings.name)
         self.offers = ViewOffers(self.clock, self.rng)
         self.server = ViewServer(self.view, process.settings.link_mbps)
@@ -213,9 +211,7 @@
         if may_lack_retained:
             self.retained_sources.add(sender)
         lacks_configuration = heartbeat.configuration_version > version
-        lacks_former = view.former_knowledge.must_fetch_from(heartbeat)
-        if lacks_former:
-            self.former_sources.add(sender)
+        lacks_former = view.former_knowledge.record_heartbeat(heartbeat, sender)
         lacks_servers = lacks_listing or may_lack_retained or lacks_former
         if (lacks_servers or lacks_configuration) and not self.is_catching_up:
             self.is_catching_up = True
@@ -234,7 +230,7 @@
         try:
             while source := self._choose_source(failed):
                 await self._fetch_view(source)
-                if source in list_view_sources(self.view, self.process.members.members):
+                if self._is_source(source):
                     failed.add(source)
                     await trio.sleep(self.rng.uniform(*FETCH_RETRY_DELAY_S))
                 if self.clock.now_ms() - fetching_since_ms > CATCH_UP_TIMEOUT_MS:
@@ -244,13 +240,17 @@
         finally:
             self.is_catching_up = False
 
+    def _is_source(self, ip: str) -> bool:
+        """Return whether a balancer still has something that the own view lacks."""
+        members = self.process.members.members
+        is_former_source = ip in self.view.former_knowledge.sources and ip in members
+        return is_former_source or ip in list_view_sources(self.view, members)
+
     def _choose_source(self, failed: set[str]) -> str | None:
         members = self.process.members.members
-        if self.view.former_knowledge.has_learned:
-            self.former_sources.clear()
         sources = {*list_view_sources(self.view, members), *self.retained_sources}
         # Former servers come first: searches for flows wait for them.
-        sources = self.former_sources & members.keys() or sources
+        sources = self.view.former_knowledge.sources & members.keys() or sources
         sources &= members.keys()
         if sources and sources <= failed:
             failed.clear()
@@ -286,8 +286,7 @@
         """
         version = self.view.configuration.version if self.view.configuration else 0
         self.retained_sources.discard(ip)
-        asks_former = ip in self.former_sources
-        self.former_sources.discard(ip)
+        asks_former = ip in self.view.former_knowledge.sources
         endpoint = self.process.make_peer_endpoint(ip)
         requested_ms = self.clock.now_ms()
         try:
@@ -306,8 +305,14 @@
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
         if asks_former:
-            self.view.accept_former(answer.former, ip)
-            log.info("former_servers_learned", source=ip, servers=len(answer.former))
+            known_for_ms = answer.former_known_for_ms
+            self.view.accept_former(answer.former, ip, known_for_ms)
+            log.info(
+                "former_servers_learned",
+                source=ip,
+                servers=len(answer.former),
+                known_for_ms=known_for_ms,
+            )
         configuration = answer.configuration
         if configuration is not None and self.view.accept_configuration(configuration):
             self.handle_newer_configuration(ip)
--- a/citronwinch/forwarder/_view_server.py
+++ b/citronwinch/forwarder/_view_server.py
@@ -1,7 +1,6 @@
 """Answers other processes that fetch the view of a balancer."""
 
 from citronwinch.coordination.flows import (
-    BackendServer,
     DeploymentView,
     ViewAnswer,
     ViewAnswerPacing,
@@ -37,7 +36,8 @@
             retained,
             version,
             view.configuration_position,
-            former=self._list_former() if "former" in request.query else (),
+            former=view.former.list_departed() if "former" in request.query else (),
+            former_known_for_ms=view.former_knowledge.known_for_ms,
         )
         # A balancer of an earlier version neither states its listing nor accepts a
         # compressed view.
@@ -55,9 +55,6 @@
             return HttpResponse(503, b'{"error":"ask another balancer"}')
         return HttpResponse(200, encoded, content_type)
 
-    def _list_former(self) -> tuple[BackendServer, ...]:
-        return tuple(former.server for former in self.view.former.values())
-
     def _shorten(self, answer: ViewAnswer, base_digest: int) -> ViewAnswer:
         """Replace the listing by the difference to one that the requester has."""
         difference = self.view.history.make_difference(
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -128,15 +128,15 @@
         await start_small_deployment(deployment, balancers=1)
         existing = deployment.processes[11]
         assert isinstance(existing, BalancerProcess)
-        existing.incarnation -= 10_000_000_000
+        existing.view.former_knowledge.known_since_ms -= 60_000
         [server, *_] = existing.view.list_ready("gauging")
-        existing.view.accept_former([server._replace(name="i-left")])
+        existing.view.former.record_missing([server._replace(name="i-left")])
         deployment.add_balancer(13)
         joiner = deployment.processes[13]
         assert isinstance(joiner, BalancerProcess)
         with trio.fail_after(1.5):
             await deployment.wait_for(lambda: "i-left" in joiner.view.former)
-        assert joiner.view.former_knowledge.has_learned
+        assert joiner.view.former_knowledge.is_complete
 
     run_scenario(scenario, 114)
 
