Let a silent or restarted balancer prove nothing about a flow at a new server

Cause: the balancer that opened the flow is asked before a reset, but its silence counted as a denial after 15 ms, and so did the answer of one that had restarted meanwhile and forgotten the flow.

Why the fix works: a flow's server was listed before the flow was opened, so a listing that the store had after the flow's packet arrived contains it. If a balancer of the zone is silent, or has started within 1.5 s, as long as a listing may lag, a reset now needs such a listing. Otherwise flows end as before.

--- a/citronwinch/coordination/flows/_flow_directory.py
+++ b/citronwinch/coordination/flows/_flow_directory.py
@@ -37,6 +37,10 @@
 LOCATIONS_PER_MESSAGE = 16
 """The most locations in one message, which then fits into one packet."""
 
+LISTING_LAG_MS = 1_500
+"""By how much the listing of a balancer may lag, in milliseconds; it is not used for
+resets when it is older."""
+
 HANDOVER_LIMIT = 4_000
 """The most locations that a balancer hands over at a change of the zone's balancers."""
 
@@ -65,6 +69,8 @@
         """The live balancers of the zone, with this one unless it is stopping."""
         self.silent: set[str] = set()
         """The balancers that have left a lookup unanswered."""
+        self.started_ms: dict[str, int] = {}
+        """When balancers that have started lately were first heard."""
         self.stored: OrderedDict[FlowKey, StoredLocation] = OrderedDict()
         self.unregistered: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows whose keeper does not know them, with the time at which each was
@@ -90,6 +96,21 @@
                 by_keeper.setdefault(keeper, []).append(location)
         return _make_messages(by_keeper)
 
+    def record_start(self, balancer: str) -> None:
+        """Record that a balancer has started: it has forgotten the flows it opened."""
+        self.started_ms[balancer] = self.clock.now_ms()
+
+    def list_recently_started(self) -> set[str]:
+        """Return the balancers that may have forgotten a flow at a server that the
+        listing of another balancer still lacks."""
+        latest_ms = self.clock.now_ms() - LISTING_LAG_MS
+        self.started_ms = {
+            ip: since_ms
+            for ip, since_ms in self.started_ms.items()
+            if since_ms > latest_ms
+        }
+        return set(self.started_ms)
+
     def find_keeper(self, flow: FlowKey) -> str:
         """Return the address of a flow's keeper, empty without a balancer."""
         candidates = self.balancers - self.silent or self.balancers
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -117,7 +117,8 @@
         self.asked_balancers: frozenset[str] = frozenset()
         """The balancers of the zone whose answers the search has awaited."""
         self.unanswered_balancers: set[str] = set()
-        """Those of them that did not answer in time."""
+        """The balancers of the zone that did not answer in time, or whose answers prove
+        nothing because they have started lately."""
         self.silent_balancers: frozenset[str] = frozenset()
         """The balancers that had left an earlier lookup unanswered when asked."""
         self.has_asked_balancers = False
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -180,6 +180,7 @@
         silent = others & self.directory.silent
         search.ask_balancers(others - self.unresponsive_balancers, silent)
         search.unanswered_balancers |= others & self.unresponsive_balancers
+        search.unanswered_balancers |= others & self.directory.list_recently_started()
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
     def _give_up_balancers(self, search: FlowSearch) -> None:
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -38,18 +38,22 @@
     Agents of other services do not count, nor do those whose servers are lost. Denials
     prove nothing while the listing is not settled, before a starting balancer knows the
     servers that have left, or while an agent that became known during the search has
-    not been asked.
+    not been asked. The listing may lack a server that has just registered: if a
+    balancer that might know it is silent, or has started since, the listing has to be
+    newer than the search.
     """
     holders = {s.address.ip for s in view.list_possible_holders(services)}
     holders -= list_ended_agents(view, selector, services)
     silent = search.list_silent(services) & holders
     uncertain = search.list_uncertain(services) & holders
     unasked = holders - search.verdicts.keys()
+    is_listing_newer = (view.confirmed_ms or 0) >= search.started_ms
     is_dead = (
         not silent
         and not uncertain
         and not unasked
         and view.is_settled()
+        and (is_listing_newer or not search.unanswered_balancers)
         and view.former_knowledge.is_complete
     )
     return SearchEvidence(silent, uncertain, unasked, len(holders), is_dead)
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -184,6 +184,7 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
         self.flows.directory.silent.discard(sender)
         if self.members.handle_heartbeat(sender, heartbeat):
+            self.flows.directory.record_start(sender)
             log.info(
                 "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
             )
