Let a starting balancer learn the former services of routes

Callers may see a flow reset whose route the operators have moved to another service, by a balancer that started after the edit, while the agent of the flow's server is silent.

Cause: a reset depends on the agents of the services that a route has or had. A balancer that has just started does not know the services of before; their agents are asked, but their silence counted as nothing.

Why the fix works: the former services travel with the former servers, and until these are learned no flow is reset.

--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -266,6 +266,19 @@
     """How long ago the listing first lacked it, in milliseconds."""
 
 
+class FormerRoute(NamedTuple):
+    """A service to which a route sent flows before the operators changed it."""
+
+    address: bytes
+    """The service address of the route, packed as in a flow key."""
+
+    service: str
+    """The name of the service."""
+
+    changed_ms: int
+    """How long ago the route was last changed, in milliseconds."""
+
+
 class ViewAnswer(NamedTuple):
     """A balancer's view, for another balancer whose view is outdated."""
 
@@ -302,6 +315,10 @@
     former_known_for_ms: int = 0
     """For how long the balancer has known each of these, in milliseconds."""
 
+    former_routes: tuple[FormerRoute, ...] = ()
+    """The services that routes had within the lifetime of a flow, if the requesting
+    balancer asked for former servers."""
+
 
 class ViewOffer(NamedTuple):
     """An agent offers its copy of the view to a balancer that sends no heartbeats."""
--- a/citronwinch/coordination/flows/_route_history.py
+++ b/citronwinch/coordination/flows/_route_history.py
@@ -1,7 +1,10 @@
 """The services that routes had before, whose flows are still open."""
 
+from collections.abc import Iterable
+
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._deployment import Configuration
+from citronwinch.coordination.flows._messages import FormerRoute
 
 ROUTE_HISTORY_MS = 60_000
 """How long the former services of a route are kept, in milliseconds; the platform's
@@ -26,6 +29,22 @@
             for share in route.shares:
                 self.changed_ms[address, share.service] = now_ms
 
+    def list_former_routes(self) -> tuple[FormerRoute, ...]:
+        """Return the former services of routes, for another balancer."""
+        now_ms = self.clock.now_ms()
+        return tuple(
+            FormerRoute(address, service, now_ms - changed_ms)
+            for (address, service), changed_ms in self.changed_ms.items()
+        )
+
+    def record_learned(self, former_routes: Iterable[FormerRoute]) -> None:
+        """Record the former services of routes that another balancer knows."""
+        now_ms = self.clock.now_ms()
+        for address, service, changed_ms_ago in former_routes:
+            changed_ms = now_ms - changed_ms_ago
+            known_ms = self.changed_ms.get((address, service), changed_ms)
+            self.changed_ms[address, service] = max(known_ms, changed_ms)
+
     def list_services(self, address: bytes) -> set[str]:
         """Return the services that a route had within the lifetime of a flow."""
         since_ms = self.clock.now_ms() - ROUTE_HISTORY_MS
--- a/citronwinch/coordination/flows/tests/test_searches.py
+++ b/citronwinch/coordination/flows/tests/test_searches.py
@@ -376,3 +376,27 @@
         clock.advance(60)
         actions += balancer.tick()
     assert "10.0.0.7" in list_questions(actions)
+
+
+# A balancer that starts after the change of a route learns where it sent flows before.
+@pytest.mark.parametrize("has_learned", [True, False])
+def test_a_former_service_of_a_route_counts_after_a_restart_of_the_balancer(
+    balancer: BalancerFlows,
+    view: DeploymentView,
+    clock: ManualClock,
+    has_learned: bool,
+) -> None:
+    older = DeploymentView(clock)
+    older.accept_configuration(make_configuration())
+    route_to_former_service(older)
+    if has_learned:
+        former_routes = older.route_history.list_former_routes()
+        view.route_history.record_learned(former_routes)
+    actions = send_verdicts(
+        balancer, make_packet(payload=10), dict.fromkeys((1, 2, 3), Verdict.ABSENT)
+    )
+    for _ in range(20):
+        clock.advance(20)
+        view.confirm_listing(StorePosition(1, 10), clock.now_ms())
+        actions += balancer.tick()
+    assert has_reset(actions) is not has_learned
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -14,6 +14,7 @@
     BackendServer,
     Configuration,
     DepartedServer,
+    FormerRoute,
     Route,
     ServerListing,
     ServerState,
@@ -75,6 +76,9 @@
     _fill_servers(builder, "former", [each.server for each in view.former])
     builder.formerMissingMs = [each.missing_ms for each in view.former]
     builder.formerKnownForMs = view.former_known_for_ms
+    bodies = builder.init("formerRoutes", len(view.former_routes))
+    for body, route in zip(bodies, view.former_routes, strict=True):
+        body.address, body.service, body.changedMs = route
     builder.configuration = configuration
     builder.configurationVersion = view.configuration_version
     builder.configurationEra = view.configuration_position.era
@@ -157,6 +161,10 @@
             tuple(reader.removed),
             _read_former(reader),
             reader.formerKnownForMs,
+            tuple(
+                FormerRoute(bytes(body.address), body.service, body.changedMs)
+                for body in reader.formerRoutes
+            ),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -161,4 +161,11 @@
   # One number for each of them, and for how long all of them are known.
   formerMissingMs @12 :List(UInt32);
   formerKnownForMs @13 :UInt32;
+  formerRoutes @14 :List(FormerRoute);
+}
+
+struct FormerRoute {
+  address @0 :Data;
+  service @1 :Text;
+  changedMs @2 :UInt32;
 }
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -306,6 +306,7 @@
             return
         if asks_former:
             known_for_ms = answer.former_known_for_ms
+            self.view.route_history.record_learned(answer.former_routes)
             self.view.accept_former(answer.former, ip, known_for_ms)
             log.info(
                 "former_servers_learned",
--- a/citronwinch/forwarder/_view_server.py
+++ b/citronwinch/forwarder/_view_server.py
@@ -28,6 +28,7 @@
         if version <= known_version:
             configuration = None
         age_ms = view.age_ms
+        asks_former = "former" in request.query
         retained = tuple(view.retained.values())
         answer = ViewAnswer(
             view.listing,
@@ -36,8 +37,11 @@
             retained,
             version,
             view.configuration_position,
-            former=view.former.list_departed() if "former" in request.query else (),
+            former=view.former.list_departed() if asks_former else (),
             former_known_for_ms=view.former_knowledge.known_for_ms,
+            former_routes=view.route_history.list_former_routes()
+            if asks_former
+            else (),
         )
         # A balancer of an earlier version neither states its listing nor accepts a
         # compressed view.
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from citronwinch.coordination.flows import ViewAnswer
+from citronwinch.coordination.flows import FormerRoute, ViewAnswer, pack_route_address
 from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._view_server import ViewServer
 from citronwinch.forwarder.tests.conftest import (
@@ -141,6 +141,30 @@
     run_scenario(scenario, 114)
 
 
+# A flow may be at a service to which its route no longer sends new flows.
+def test_a_joining_balancer_fetches_the_former_services_of_routes(
+    run_scenario: RunScenario,
+) -> None:
+    async def scenario(deployment: LoopbackDeployment) -> None:
+        await start_small_deployment(deployment, balancers=1)
+        existing = deployment.processes[11]
+        assert isinstance(existing, BalancerProcess)
+        existing.view.former_knowledge.known_since_ms -= 60_000
+        address = pack_route_address(ROUTE_ADDRESS)
+        former_route = FormerRoute(address, "i-former", 5_000)
+        existing.view.route_history.record_learned([former_route])
+        deployment.add_balancer(13)
+        joiner = deployment.processes[13]
+        assert isinstance(joiner, BalancerProcess)
+        view = joiner.view
+        with trio.fail_after(1.5):
+            await deployment.wait_for(
+                lambda: "i-former" in view.list_current_and_former_services(address)
+            )
+
+    run_scenario(scenario, 118)
+
+
 def test_a_joining_balancer_fetches_the_retained_servers(
     run_scenario: RunScenario,
 ) -> None:
