End a search as soon as the listing is newer than it

Callers of dead flows waited for a pause of 120 ms and a further round of questions after the listing had been read again, and in the first 1.5 s of a fleet every balancer counted as restarted.

A search that lacks only a newer listing now checks for it every 10 ms and asks nobody again. Only a balancer that comes back while it still counts as live has lately forgotten flows; one that was lost before opened them long enough ago.

--- a/citronwinch/coordination/flows/_flow_directory.py
+++ b/citronwinch/coordination/flows/_flow_directory.py
@@ -69,8 +69,8 @@
         """The live balancers of the zone, with this one unless it is stopping."""
         self.silent: set[str] = set()
         """The balancers that have left a lookup unanswered."""
-        self.started_ms: dict[str, int] = {}
-        """When balancers that have started lately were first heard."""
+        self.restarted_ms: dict[str, int] = {}
+        """When balancers that have restarted lately were heard again."""
         self.stored: OrderedDict[FlowKey, StoredLocation] = OrderedDict()
         self.unregistered: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows whose keeper does not know them, with the time at which each was
@@ -96,20 +96,24 @@
                 by_keeper.setdefault(keeper, []).append(location)
         return _make_messages(by_keeper)
 
-    def record_start(self, balancer: str) -> None:
-        """Record that a balancer has started: it has forgotten the flows it opened."""
-        self.started_ms[balancer] = self.clock.now_ms()
+    def record_restart(self, balancer: str) -> None:
+        """Record that a balancer has restarted: it has forgotten its flows.
 
-    def list_recently_started(self) -> set[str]:
+        One that was lost before it came back opened them so long ago that their servers
+        are listed.
+        """
+        self.restarted_ms[balancer] = self.clock.now_ms()
+
+    def list_recently_restarted(self) -> set[str]:
         """Return the balancers that may have forgotten a flow at a server that the
         listing of another balancer still lacks."""
         latest_ms = self.clock.now_ms() - LISTING_LAG_MS
-        self.started_ms = {
+        self.restarted_ms = {
             ip: since_ms
-            for ip, since_ms in self.started_ms.items()
+            for ip, since_ms in self.restarted_ms.items()
             if since_ms > latest_ms
         }
-        return set(self.started_ms)
+        return set(self.restarted_ms)
 
     def find_keeper(self, flow: FlowKey) -> str:
         """Return the address of a flow's keeper, empty without a balancer."""
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -19,6 +19,9 @@
 """How long agents of other zones may take to answer, in milliseconds; several round
 trips between zones."""
 
+LISTING_CHECK_INTERVAL_MS = 10
+"""How often a search that needs a newer listing checks for it, in milliseconds."""
+
 RETRY_PAUSE_MS = 120
 """How long a search waits before it queries uncertain and silent agents again, in
 milliseconds; callers retransmit only after 200 to 1,600 ms."""
@@ -125,7 +128,8 @@
         self.balancers_deadline_ms = self.started_ms
         """Until when the balancers may answer."""
         self.is_awaiting_balancers = False
-        """Whether all agents have ruled the flow out; only balancers are awaited."""
+        """Whether all agents have ruled the flow out; only balancers, or a newer
+        listing, are awaited."""
         self.round = SearchRound((), 0, frozenset())
         self.round_agents: list[str] = []
         self.awaited_agents: set[str] = set()
@@ -192,6 +196,11 @@
         self.is_awaiting_balancers = True
         self.deadline_ms = self.balancers_deadline_ms
 
+    def await_listing(self) -> None:
+        """Wait for the next listing before the search ends."""
+        self.is_awaiting_balancers = True
+        self.deadline_ms = self.clock.now_ms() + LISTING_CHECK_INTERVAL_MS
+
     def get_answer_timeout_ms(self, agent: str) -> int:
         """Return how long an agent may take to answer, in milliseconds."""
         if agent in self.local_agents:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -180,7 +180,7 @@
         silent = others & self.directory.silent
         search.ask_balancers(others - self.unresponsive_balancers, silent)
         search.unanswered_balancers |= others & self.unresponsive_balancers
-        search.unanswered_balancers |= others & self.directory.list_recently_started()
+        search.unanswered_balancers |= others & self.directory.list_recently_restarted()
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
     def _give_up_balancers(self, search: FlowSearch) -> None:
@@ -374,6 +374,9 @@
         if is_dead and search.pending_balancers:
             search.await_balancers()
             return [*lookups]
+        if evidence.needs_newer_listing and search.has_time_left():
+            search.await_listing()
+            return []
         if not is_dead and search.has_time_left():
             search.pause()
             return []
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -23,6 +23,9 @@
     holders: int
     """The number of servers that might have held the flow."""
 
+    needs_newer_listing: bool
+    """Whether only a listing that is newer than the search is missing for a proof."""
+
     is_dead: bool
     """Whether the flow certainly does not exist."""
 
@@ -39,7 +42,7 @@
     prove nothing while the listing is not settled, before a starting balancer knows the
     servers that have left, or while an agent that became known during the search has
     not been asked. The listing may lack a server that has just registered: if a
-    balancer that might know it is silent, or has started since, the listing has to be
+    balancer that might know it is silent, or has restarted, the listing has to be
     newer than the search.
     """
     holders = {s.address.ip for s in view.list_possible_holders(services)}
@@ -47,13 +50,20 @@
     silent = search.list_silent(services) & holders
     uncertain = search.list_uncertain(services) & holders
     unasked = holders - search.verdicts.keys()
-    is_listing_newer = (view.confirmed_ms or 0) >= search.started_ms
-    is_dead = (
+    is_denied = (
         not silent
         and not uncertain
         and not unasked
         and view.is_settled()
-        and (is_listing_newer or not search.unanswered_balancers)
         and view.former_knowledge.is_complete
     )
-    return SearchEvidence(silent, uncertain, unasked, len(holders), is_dead)
+    is_listing_newer = (view.confirmed_ms or 0) >= search.started_ms
+    needs_newer_listing = bool(search.unanswered_balancers) and not is_listing_newer
+    return SearchEvidence(
+        silent,
+        uncertain,
+        unasked,
+        len(holders),
+        needs_newer_listing=is_denied and needs_newer_listing,
+        is_dead=is_denied and not needs_newer_listing,
+    )
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -183,8 +183,10 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
         self.flows.directory.silent.discard(sender)
+        was_member = sender in self.members.members
         if self.members.handle_heartbeat(sender, heartbeat):
-            self.flows.directory.record_start(sender)
+            if was_member:
+                self.flows.directory.record_restart(sender)
             log.info(
                 "balancer_joined", balancer=sender, zone=heartbeat.availability_zone
             )
