Do not reset an open flow whose route a balancer does not know yet

Callers may see an open flow reset right after an edit that adds its route.

Cause: the routes that a balancer knows may be incomplete, and were taken as complete. The flow is opened by one balancer under the newest configuration; its packets come to another one that lacks that version, which took any packet to an address without a route for one of a removed route and reset the flow.

Why the fix works: a packet of an open flow is reset only if its route is known to have been removed, by this balancer or by the one from which it learned the former services at its start. Openings are refused as before.

Evidence: test_a_flow_of_a_route_that_is_not_known_yet_is_not_reset failed before; flows of removed routes are reset as before, also after a restart.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -235,7 +235,7 @@
             packet.flow not in self.searches
             and self.admission.find_route(packet) is None
         ):
-            return self.admission.refuse_unknown_address(packet)
+            return self.admission.end_flow_without_route(packet)
         if is_upload_flow(self.view, packet.flow):
             self.uploads.record_data(packet)
         queued = self.pacing.take_queued(packet.flow)
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -186,6 +186,17 @@
         )
         return [ResetFlow(packet), refusal]
 
+    def end_flow_without_route(self, packet: Packet) -> list[Action]:
+        """Reset the flow of a packet if its route is known to have been removed.
+
+        Otherwise another balancer has opened the flow by a newer configuration, which
+        this balancer will have when the caller sends the packet again.
+        """
+        if self.view.route_history.list_services(extract_service_endpoint(packet.flow)):
+            return self.refuse_unknown_address(packet)
+        self.counters["unknown_address_ignored"] += 1
+        return []
+
     def find_route(self, packet: Packet) -> Route | None:
         """Return the route of a packet's service address, if any."""
         configuration = self.view.configuration
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -123,7 +123,7 @@
     "tables_ignored_total": "tables that were not newer than the one in force",
     "trials_put_off_total": "trials at uncertain agents that waited for the link",
     "tun_device_errors_total": "times that the TUN device could not be opened",
-    "unknown_address_ignored_total": "packets to unknown addresses under an old view",
+    "unknown_address_ignored_total": "packets to addresses that a newer view may have",
     "unknown_address_refused_total": "new flows to addresses without a route",
     "view_age_ms": "age of the listing of backend servers, milliseconds",
     "view_copies_fetched_total": "copies of a view that were fetched from agents",
