Let a balancer that was without a listing ask for former servers at once

A balancer that was paused or cut off may miss servers that came and went. It counted its knowledge as complete until the next heartbeat of a balancer that knows more, which comes only every 12 s on a large fleet; and a confirmation of an unchanged listing did not count as the end of such a time.

What each balancer has stated is kept now, so that the sources are known when the listing is current again.

Evidence: test_a_balancer_without_a_current_listing_learns_the_former_servers_again fails on the parent in both cases.

--- a/citronwinch/coordination/flows/_former_knowledge.py
+++ b/citronwinch/coordination/flows/_former_knowledge.py
@@ -59,14 +59,12 @@
         """From when on each server that left is known, in milliseconds."""
         self.first_heard_ms: int | None = None
         """When the first heartbeat of another balancer arrived since the start."""
-        self.heard: set[str] = set()
-        """The balancers whose heartbeats have arrived since the start."""
+        self.stated_since_ms: dict[str, int] = {}
+        """From when on each other balancer knows all departures, as it has stated."""
         self.unheard: set[str] = set()
         """The balancers that heartbeats have named, but that have not been heard."""
-        self.sources: set[str] = set()
-        """The balancers that know more and have not sent the former servers yet."""
         self.answered: set[str] = set()
-        """Those that have sent them."""
+        """The balancers that have sent the former servers that they know."""
 
     def start(self, own_ip: str) -> None:
         """Begin to wait for balancers that know more, at the start of a process."""
@@ -83,6 +81,18 @@
         """For how long each server that left is known, up to the retention, in ms."""
         return min(self.clock.now_ms() - self.known_since_ms, FORMER_RETENTION_MS)
 
+    @property
+    def sources(self) -> set[str]:
+        """The balancers that know more and have not sent the former servers yet."""
+        if self.known_for_ms >= FORMER_RETENTION_MS:
+            return set()
+        latest_ms = self.known_since_ms - MIN_GAIN_MS
+        return {
+            ip
+            for ip, since_ms in self.stated_since_ms.items()
+            if since_ms <= latest_ms and ip not in self.answered
+        }
+
     @property
     def is_complete(self) -> bool:
         """Whether no live balancer is known, or may be expected, to know more."""
@@ -112,37 +122,28 @@
         )
 
     def record_heartbeat(self, heartbeat: Heartbeat, sender: str) -> bool:
-        """Record how much a balancer knows; return whether to fetch it from there."""
+        """Record how much a balancer knows; return whether there is more to fetch."""
+        now_ms = self.clock.now_ms()
+        if heartbeat.configuration_version:
+            # A balancer of an earlier version does not state how much it knows.
+            known_for_ms = heartbeat.former_known_for_ms or FORMER_RETENTION_MS
+            self.stated_since_ms[sender] = now_ms - known_for_ms
+            if self.first_heard_ms is None:
+                self.first_heard_ms = now_ms
         if self.known_for_ms >= FORMER_RETENTION_MS:
-            self.sources.clear()
-            return False
-        if self.started_ms is not None:
-            self.heard.add(sender)
-            self.unheard |= {*heartbeat.balancers} - self.heard - {self.own_ip}
-            self.unheard.discard(sender)
-        if not heartbeat.configuration_version:
+            self.unheard.clear()
             return False
-        if self.first_heard_ms is None:
-            self.first_heard_ms = self.clock.now_ms()
-        if sender in self.answered or not self._knows_more(heartbeat):
-            self.sources.discard(sender)
-            return False
-        self.sources.add(sender)
-        return True
-
-    def _knows_more(self, heartbeat: Heartbeat) -> bool:
-        # A balancer of an earlier version does not state how much it knows.
-        known_for_ms = heartbeat.former_known_for_ms or FORMER_RETENTION_MS
-        return known_for_ms >= self.known_for_ms + MIN_GAIN_MS
+        named = {*heartbeat.balancers, *self.unheard}
+        self.unheard = named - self.stated_since_ms.keys() - {self.own_ip, sender}
+        return bool(self.sources)
 
     def record_fetched(self, source: str, known_for_ms: int) -> None:
         """Record that a balancer has sent the former servers that it knows."""
         known_since_ms = self.clock.now_ms() - known_for_ms
         self.known_since_ms = min(self.known_since_ms, known_since_ms)
-        self.sources.discard(source)
         self.answered.add(source)
 
     def forget(self, balancer: str) -> None:
         """Expect nothing more from a balancer that is lost."""
-        self.sources.discard(balancer)
+        self.stated_since_ms.pop(balancer, None)
         self.unheard.discard(balancer)
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -309,6 +309,8 @@
         if self.confirmed_ms is None or position < self.listing.position:
             return
         self._detect_restore(position)
+        if confirmed_ms - self.confirmed_ms > OUTAGE_GAP_MS:
+            self.former_knowledge.restart()
         self.listing = self.listing._replace(position=position)
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
 
--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -247,16 +247,22 @@
 
 
 # Servers may have come and gone while a balancer was paused or cut off.
+@pytest.mark.parametrize("is_changed", [True, False])
 def test_a_balancer_without_a_current_listing_learns_the_former_servers_again(
-    started_view: DeploymentView, clock: ManualClock
+    started_view: DeploymentView, clock: ManualClock, is_changed: bool
 ) -> None:
     knowledge = started_view.former_knowledge
     started_view.accept_former([], OLDER, FORMER_RETENTION_MS)
     assert knowledge.is_complete
+    knowledge.record_heartbeat(make_heartbeat(FORMER_RETENTION_MS), OLDER)
     clock.advance(8_000)
-    started_view.accept_listing(make_listing(14, LISTED), clock.now_ms())
-    assert knowledge.record_heartbeat(make_heartbeat(FORMER_RETENTION_MS), OLDER)
+    if is_changed:
+        started_view.accept_listing(make_listing(14, LISTED), clock.now_ms())
+    else:
+        started_view.confirm_listing(StorePosition(1, 14), clock.now_ms())
     assert not knowledge.is_complete
+    assert knowledge.record_heartbeat(make_heartbeat(1), OTHER)
+    assert knowledge.sources == {OLDER}
 
 
 def test_listed_servers_are_not_former_ones(started_view: DeploymentView) -> None:
