Do not reset flows of a service while its first listed servers are expected

Callers may see all their flows reset when all balancers were killed while the entries of live servers had lapsed from the store: the first listing has no server of their service, and with nobody to deny a flow it counted as denied.

Evidence: test_no_flow_is_reset_while_the_first_listing_lacks_all_servers_of_a_service failed before. A first listing that lacks only some of a service's live servers is not covered.

--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -41,20 +41,21 @@
     Agents of other services do not count, nor do those whose servers are lost. Denials
     prove nothing while the listing is not settled, before a starting balancer knows the
     servers that have left, or while an agent that became known during the search has
-    not been asked. The listing may lack a server that has just registered: if a
-    balancer that might know it is silent, or has restarted, the listing has to be
-    newer than the search.
+    not been asked, or while no server is listed and some are expected. The listing may
+    lack a server that has just registered: if a balancer that might know it is silent,
+    or has restarted, the listing has to be newer than the search.
     """
     holders = {s.address.ip for s in view.list_possible_holders(services)}
     holders -= list_ended_agents(view, selector, services)
     silent = search.list_silent(services) & holders
     uncertain = search.list_uncertain(services) & holders
     unasked = holders - search.verdicts.keys()
-    is_denied = (
+    is_denied = bool(
         not silent
         and not uncertain
         and not unasked
         and view.is_settled()
+        and (holders or not view.expects_servers())
         and view.former_knowledge.is_complete
     )
     is_listing_newer = (view.confirmed_ms or 0) >= search.started_ms
--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -294,3 +294,23 @@
     started.view.confirm_listing(StorePosition(1, 10), clock.now_ms())
     started.tick()
     assert (LEFT.name in started.view.former) is is_kept
+
+
+# All balancers and the store were away, and entries of live servers have lapsed.
+def test_no_flow_is_reset_while_the_first_listing_lacks_all_servers_of_a_service(
+    clock: ManualClock,
+) -> None:
+    view = DeploymentView(clock)
+    view.former_knowledge.start(OWN_IP)
+    view.accept_configuration(make_configuration())
+    view.accept_listing(make_listing(10), clock.now_ms())
+    balancer = BalancerFlows(view, ServerSelector("a", clock, random.Random(7)), clock)
+    view.former_knowledge.record_heartbeat(make_heartbeat(1), OTHER)
+    clock.advance(NAMED_BALANCER_WAIT_MS)
+    view.confirm_listing(StorePosition(1, 10), clock.now_ms())
+    actions = balancer.handle_packet(make_packet(payload=10))
+    actions += tick_until(balancer, clock, 1_000)
+    assert not has_reset(actions)
+    view.accept_listing(make_listing(11, LISTED), clock.now_ms())
+    questions = list_questions(tick_until(balancer, clock, 300))
+    assert questions == [LISTED.address.ip]
