--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -247,16 +247,22 @@
 
 
 # Servers may have come and gone while a balancer was paused or cut off.
+@pytest.mark.parametrize("is_changed", [True, False])
 def test_a_balancer_without_a_current_listing_learns_the_former_servers_again(
-    started_view: DeploymentView, clock: ManualClock
+    started_view: DeploymentView, clock: ManualClock, is_changed: bool
 ) -> None:
     knowledge = started_view.former_knowledge
     started_view.accept_former([], OLDER, FORMER_RETENTION_MS)
     assert knowledge.is_complete
+    knowledge.record_heartbeat(make_heartbeat(FORMER_RETENTION_MS), OLDER)
     clock.advance(8_000)
-    started_view.accept_listing(make_listing(14, LISTED), clock.now_ms())
-    assert knowledge.record_heartbeat(make_heartbeat(FORMER_RETENTION_MS), OLDER)
+    if is_changed:
+        started_view.accept_listing(make_listing(14, LISTED), clock.now_ms())
+    else:
+        started_view.confirm_listing(StorePosition(1, 14), clock.now_ms())
     assert not knowledge.is_complete
+    assert knowledge.record_heartbeat(make_heartbeat(1), OTHER)
+    assert knowledge.sources == {OLDER}
 
 
 def test_listed_servers_are_not_former_ones(started_view: DeploymentView) -> None:
@@ -288,3 +294,23 @@
     started.view.confirm_listing(StorePosition(1, 10), clock.now_ms())
     started.tick()
     assert (LEFT.name in started.view.former) is is_kept
+
+
+# All balancers and the store were away, and entries of live servers have lapsed.
+def test_no_flow_is_reset_while_the_first_listing_lacks_all_servers_of_a_service(
+    clock: ManualClock,
+) -> None:
+    view = DeploymentView(clock)
+    view.former_knowledge.start(OWN_IP)
+    view.accept_configuration(make_configuration())
+    view.accept_listing(make_listing(10), clock.now_ms())
+    balancer = BalancerFlows(view, ServerSelector("a", clock, random.Random(7)), clock)
+    view.former_knowledge.record_heartbeat(make_heartbeat(1), OTHER)
+    clock.advance(NAMED_BALANCER_WAIT_MS)
+    view.confirm_listing(StorePosition(1, 10), clock.now_ms())
+    actions = balancer.handle_packet(make_packet(payload=10))
+    actions += tick_until(balancer, clock, 1_000)
+    assert not has_reset(actions)
+    view.accept_listing(make_listing(11, LISTED), clock.now_ms())
+    questions = list_questions(tick_until(balancer, clock, 300))
+    assert questions == [LISTED.address.ip]
