Keep a former server with open flows also between two paced heartbeats

With many former servers their agents get a heartbeat only every few seconds, and the last report counted for 5 s: a server with open flows could be dropped between two of them, 60 s after it had left. A silent agent is dealt with separately, so the age of the report does not matter here.

--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -130,14 +130,10 @@
         return agent is not None and agent.last_message_ms >= since_ms
 
     def has_open_flows(self, ip: str) -> bool:
-        """Return whether an agent has lately reported open flows of its server."""
+        """Return whether an agent's last report told of open flows of its server."""
         agent = self.agents.get(ip)
-        return (
-            agent is not None
-            and agent.report is not None
-            and agent.report.open_flows > 0
-            and self.clock.now_ms() - agent.last_message_ms <= self.remote_timeout_ms
-        )
+        report = agent.report if agent is not None else None
+        return report is not None and report.open_flows > 0
 
     def has_unreachable_server(self, ip: str) -> bool:
         """Return whether an agent has lately reported that its server is unreachable.
