Drop a former server whose address another one uses after a flow's lifetime

A balancer kept such servers for ever: their address is listed, so that they were not removed, and the agent there reports flows of the present server. Each was asked about flows of its former service, and the list grew with every replaced server.

--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -12,7 +12,10 @@
     ServerState,
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
-from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
+from citronwinch.coordination.flows._former_knowledge import (
+    FORMER_RETENTION_MS,
+    FormerKnowledge,
+)
 from citronwinch.coordination.flows._former_servers import (
     FormerServers,
     RemovalReason,
@@ -322,9 +325,26 @@
             dropped = list(self.retained.values())
             self.retained.clear()
             self._rebuild_by_service()
+        self._expire_former()
         self.route_history.expire()
         return dropped
 
+    def _expire_former(self) -> None:
+        """Remove servers that left long ago and whose address another one uses."""
+        latest_ms = self.clock.now_ms() - FORMER_RETENTION_MS
+        expired = [
+            name
+            for name, former in self.former.items()
+            if former.missing_since_ms < latest_ms
+        ]
+        if not expired:
+            return
+        listed = {server.address.ip for server in self.list_servers()}
+        self.former.remove(
+            [name for name in expired if self.former[name].server.address.ip in listed],
+            RemovalReason.EXPIRED,
+        )
+
     def list_ready(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service that accept new flows.
 
--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -314,3 +314,20 @@
     view.accept_listing(make_listing(11, LISTED), clock.now_ms())
     questions = list_questions(tick_until(balancer, clock, 300))
     assert questions == [LISTED.address.ip]
+
+
+# The agent at the address reports the flows of the server that is there now.
+def test_a_former_server_whose_address_is_used_again_does_not_stay_for_ever(
+    started: BalancerFlows, clock: ManualClock
+) -> None:
+    successor = LISTED._replace(name="s10", address=LEFT.address)
+    started.view.accept_former([DEPARTED], OLDER, FORMER_RETENTION_MS)
+    started.view.accept_listing(make_listing(11, LISTED, successor), clock.now_ms())
+    report = LoadReport("gauging", 5, 0, 0, 0.0, accepts_flows=True)
+    for _ in range(0, FORMER_RETENTION_MS, 500):
+        clock.advance(500)
+        started.selector.record_message(LEFT.address.ip, report)
+        started.view.confirm_listing(StorePosition(1, 11), clock.now_ms())
+        started.tick()
+        started.view.expire()
+    assert not started.view.former
