--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -55,6 +55,7 @@
 from citronwinch.coordination.flows._evacuations import Evacuations, ZoneEvacuation
 from citronwinch.coordination.flows._flow_directory import FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
+from citronwinch.coordination.flows._former_servers import FormerServers
 from citronwinch.coordination.flows._link import DEFAULT_LINK_MBPS
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
@@ -161,6 +162,7 @@
     "FlowQuestion",
     "FlowQuestions",
     "FormerRoute",
+    "FormerServers",
     "FlowSearch",
     "ForwardedOpening",
     "ForwardedPacket",
--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -1,12 +1,13 @@
 """The backend servers that have left the listing and may still hold flows."""
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._former_knowledge import FORMER_RETENTION_MS
 from citronwinch.coordination.flows._messages import DepartedServer
 
 REMEMBERED_REMOVALS = 16
@@ -158,6 +159,30 @@
             self.unreported_removals.append(removal)
             self.removal_counts[reason] += 1
 
+    def remove_at(self, addresses: Collection[str], reason: RemovalReason) -> None:
+        """Remove the servers at some addresses."""
+        self.remove(
+            [
+                name
+                for name, former in self.items()
+                if former.server.address.ip in addresses
+            ],
+            reason,
+        )
+
+    def list_outdated(self) -> list[FormerServer]:
+        """Return the servers that left longer ago than a flow may last."""
+        latest_ms = self.clock.now_ms() - FORMER_RETENTION_MS
+        return [each for each in self.values() if each.missing_since_ms < latest_ms]
+
+    def list_elsewhere(self, addresses: Collection[str]) -> list[BackendServer]:
+        """Return the servers that are not at some addresses."""
+        return [
+            former.server
+            for former in self.values()
+            if former.server.address.ip not in addresses
+        ]
+
     def take_unreported_removals(self) -> list[FormerRemoval]:
         """Return the removals since the last call, the latest ones if they are many."""
         removals = list(self.unreported_removals)
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -12,10 +12,7 @@
     ServerState,
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
-from citronwinch.coordination.flows._former_knowledge import (
-    FORMER_RETENTION_MS,
-    FormerKnowledge,
-)
+from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
 from citronwinch.coordination.flows._former_servers import (
     FormerServers,
     RemovalReason,
@@ -262,19 +259,11 @@
         services = {share.service for route in routes for share in route.shares}
         return not services <= self.by_service.keys()
 
-    def list_former(self, missing_for_ms: int = 0) -> list[BackendServer]:
-        """Return the servers that have been missing for at least `missing_for_ms`.
-
-        Servers whose address is listed again are left out.
-        """
-        latest_ms = self.clock.now_ms() - missing_for_ms
-        listed = {server.address.ip for server in self.list_servers()}
-        return [
-            former.server
-            for former in self.former.values()
-            if former.missing_since_ms <= latest_ms
-            and former.server.address.ip not in listed
-        ]
+    def list_former(self) -> list[BackendServer]:
+        """Return the servers that have left, but for those at listed addresses."""
+        if not self.former:
+            return []
+        return self.former.list_elsewhere(self._list_addresses())
 
     def accept_former(
         self, departed: Iterable[DepartedServer], source: str, known_for_ms: int
@@ -297,14 +286,8 @@
         """
         if not self.is_settled():
             return set()
-        listed = {server.address.ip for server in self.list_servers()}
-        dropped = set(ips) - listed
-        names = [
-            name
-            for name, former in self.former.items()
-            if former.server.address.ip in dropped
-        ]
-        self.former.remove(names, reason)
+        dropped = set(ips) - self._list_addresses()
+        self.former.remove_at(dropped, reason)
         return dropped
 
     def confirm_listing(self, position: StorePosition, confirmed_ms: int) -> None:
@@ -325,26 +308,14 @@
             dropped = list(self.retained.values())
             self.retained.clear()
             self._rebuild_by_service()
-        self._expire_former()
+        if outdated := self.former.list_outdated():
+            # The agent at an address that is used again tells of another server.
+            listed = self._list_addresses()
+            reused = [f.server.name for f in outdated if f.server.address.ip in listed]
+            self.former.remove(reused, RemovalReason.EXPIRED)
         self.route_history.expire()
         return dropped
 
-    def _expire_former(self) -> None:
-        """Remove servers that left long ago and whose address another one uses."""
-        latest_ms = self.clock.now_ms() - FORMER_RETENTION_MS
-        expired = [
-            name
-            for name, former in self.former.items()
-            if former.missing_since_ms < latest_ms
-        ]
-        if not expired:
-            return
-        listed = {server.address.ip for server in self.list_servers()}
-        self.former.remove(
-            [name for name in expired if self.former[name].server.address.ip in listed],
-            RemovalReason.EXPIRED,
-        )
-
     def list_ready(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service that accept new flows.
 
@@ -406,6 +377,10 @@
             former.server.service for former in self.former.values()
         }
 
+    def _list_addresses(self) -> set[str]:
+        """Return the addresses of the listed and retained servers."""
+        return {server.address.ip for server in self.list_servers()}
+
     def list_servers(self) -> list[BackendServer]:
         """Return the backend servers that are listed or retained."""
         return [server for group in self.by_service.values() for server in group]
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -30,6 +30,7 @@
 )
 from citronwinch.forwarder._agent_heartbeats import AgentHeartbeats
 from citronwinch.forwarder._evacuation_log import EvacuationLog
+from citronwinch.forwarder._former_server_log import record_former_servers
 from citronwinch.forwarder._process import ForwarderProcess, OpenSocket
 from citronwinch.forwarder._settings import ForwarderSettings
 from citronwinch.forwarder._view_exchange import ViewExchange
@@ -231,7 +232,7 @@
         self.apply_actions(self.flows.tick())
         for server in self.view.expire():
             log.info("server_gone", server=server.name, service=server.service)
-        self._record_former_servers()
+        record_former_servers(self.view.former, self.metrics)
         lost = self.members.expire()
         for ip in lost:
             log.info("balancer_lost", balancer=ip)
@@ -248,22 +249,6 @@
         self.metrics.set_gauge("cold_servers", self.view.cold_servers.count_limited())
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
 
-    def _record_former_servers(self) -> None:
-        """Log the former servers that are not asked about flows any more; count all."""
-        former = self.view.former
-        for removal in former.take_unreported_removals():
-            log.info(
-                "former_server_removed",
-                server=removal.server.name,
-                agent=removal.server.address.ip,
-                service=removal.server.service,
-                reason=removal.reason.value,
-            )
-        for reason, count in former.removal_counts.items():
-            key = MetricKey("former_servers_removed_total", reason.value)
-            self.metrics.counters[key] = count
-        self.metrics.set_gauge("former_servers", len(former))
-
     def _update_directory(self) -> None:
         """Tell the directory which balancers of the zone are live."""
         balancers = self.members.list_live_in_zone(self.settings.availability_zone)
