End flows of an unreachable server only after its agent has failed repeatedly

Callers may see the flows of a server that has left the listing reset after one connection attempt of its agent got no answer in 300 ms, as on a slow instance.

Cause: a single silent attempt counted as a lost server once the server had been missing for 1.5 s. The agent tries every 0.5 s; now its reports have to say for 1.5 s that the server is unreachable.

Evidence: test_one_failed_attempt_of_an_agent_to_reach_its_server_ends_no_flow failed before; the case of test_lost_servers with a dead server passes as it was.

--- a/citronwinch/coordination/flows/_agent_state.py
+++ b/citronwinch/coordination/flows/_agent_state.py
@@ -17,9 +17,22 @@
         self.last_message_ms = last_message_ms
         self.placed_ms: deque[int] = deque(maxlen=MAX_PLACED_FLOWS)
         """When recent flows were placed at the server; cleared by each report."""
+        self.unreachable_since_ms: int | None = None
+        """Since when its reports say that its server is unreachable; None if the last
+        one does not."""
         self.unconfirmed_flows = 0
         """The flows since the last report that the agent did not confirm in time."""
 
+    def record_report(self, report: LoadReport, now_ms: int) -> None:
+        """Replace the report; flows placed before it are part of it."""
+        self.report = report
+        self.placed_ms.clear()
+        self.unconfirmed_flows = 0
+        if not report.is_server_unreachable:
+            self.unreachable_since_ms = None
+        elif self.unreachable_since_ms is None:
+            self.unreachable_since_ms = now_ms
+
     def count_placed_flows(self, since_ms: int) -> int:
         """Discard flows placed up to `since_ms`; return the number of later ones."""
         while self.placed_ms and self.placed_ms[0] <= since_ms:
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -21,8 +21,9 @@
 from citronwinch.coordination.flows._view import DeploymentView
 
 UNREACHABLE_SERVER_TIMEOUT_MS = 1_500
-"""How long a backend server that its agent does not reach must be missing from the
-listing before its flows are considered dead, in milliseconds."""
+"""How long a backend server must be missing from the listing, and its agent fail to
+reach it, before its flows are considered dead, in milliseconds; the agent tries several
+times in this time."""
 
 
 RESTARTED_AGENT_WAIT_MS = 1_500
@@ -78,8 +79,10 @@
     missing_ms = now_ms - former.missing_since_ms
     if missing_ms > FORMER_RETENTION_MS and not selector.has_open_flows(agent):
         return RemovalReason.EXPIRED
-    if selector.has_unreachable_server(agent):
-        is_lost = missing_ms >= UNREACHABLE_SERVER_TIMEOUT_MS
+    unreachable_since_ms = selector.find_unreachable_since_ms(agent)
+    if unreachable_since_ms is not None:
+        since_ms = max(former.missing_since_ms, unreachable_since_ms)
+        is_lost = now_ms - since_ms >= UNREACHABLE_SERVER_TIMEOUT_MS
         return RemovalReason.SERVER_UNREACHABLE if is_lost else None
     last_message_ms = selector.get_last_message_ms(agent)
     if not last_message_ms and _has_waited_for_restarted_agents(view):
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -94,9 +94,7 @@
             agent = self.agents[ip] = AgentState(now_ms)
         agent.last_message_ms = self.last_message_ms = now_ms
         if report is not None:
-            agent.report = report
-            agent.placed_ms.clear()
-            agent.unconfirmed_flows = 0
+            agent.record_report(report, now_ms)
             self.opening_rooms.record_report(ip, report)
 
     def record_unconfirmed_flow(self, ip: str) -> None:
@@ -135,18 +133,17 @@
         report = agent.report if agent is not None else None
         return report is not None and report.open_flows > 0
 
-    def has_unreachable_server(self, ip: str) -> bool:
-        """Return whether an agent has lately reported that its server is unreachable.
+    def find_unreachable_since_ms(self, ip: str) -> int | None:
+        """Return since when an agent has reported that its server is unreachable.
 
-        An agent that stops accepts no flows either, but its server may live.
+        None if it does not, or is silent. An agent that stops accepts no flows either,
+        but its server may live.
         """
         agent = self.agents.get(ip)
-        return (
-            agent is not None
-            and agent.report is not None
-            and agent.report.is_server_unreachable
-            and self.clock.now_ms() - agent.last_message_ms <= LOCAL_AGENT_TIMEOUT_MS
-        )
+        if agent is None:
+            return None
+        is_silent = self.clock.now_ms() - agent.last_message_ms > LOCAL_AGENT_TIMEOUT_MS
+        return None if is_silent else agent.unreachable_since_ms
 
     def has_ended(self, server: BackendServer) -> bool:
         """Return whether the agent of a server said at its stop that it has ended."""
--- a/citronwinch/coordination/flows/tests/test_silent_agents.py
+++ b/citronwinch/coordination/flows/tests/test_silent_agents.py
@@ -21,6 +21,7 @@
     StorePosition,
     Verdict,
 )
+from citronwinch.coordination.flows._lost_servers import UNREACHABLE_SERVER_TIMEOUT_MS
 from citronwinch.coordination.flows.tests.conftest import (
     has_reset,
     list_forwards,
@@ -145,3 +146,16 @@
     ended = AGENT_STOPS._replace(ended_server_ms=LEFT.started_ms)
     with_flow.selector.record_message(LEFT.address.ip, ended)
     assert has_reset(run(with_flow, clock, TICK_MS))
+
+
+# A slow agent may find its server silent once, and reach it at the next attempt.
+def test_one_failed_attempt_of_an_agent_to_reach_its_server_ends_no_flow(
+    with_flow: BalancerFlows, clock: ManualClock
+) -> None:
+    unreachable = SERVER_UP._replace(accepts_flows=False, is_server_unreachable=True)
+    actions = run(with_flow, clock, UNREACHABLE_SERVER_TIMEOUT_MS)
+    with_flow.selector.record_message(LEFT.address.ip, unreachable)
+    actions += run(with_flow, clock, 500)
+    with_flow.selector.record_message(LEFT.address.ip, SERVER_UP)
+    actions += run(with_flow, clock, 500)
+    assert not has_reset(actions)
