--- a/citronwinch/coordination/flows/tests/small_fleet_events.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_events.py
@@ -163,7 +163,7 @@
         if agent.is_running:
             agent.kill()
             fleet.extend_faults(down_ms)
-            fleet.schedule(down_ms, lambda: _start_agent(agent))
+            fleet.schedule(down_ms, lambda: _start_agent(fleet, agent))
 
     return apply
 
@@ -174,13 +174,15 @@
         if agent.is_running and not agent.is_stopping:
             agent.stop(AGENT_STOP_MS)
             fleet.extend_faults(AGENT_STOP_MS + down_ms, is_planned=True)
-            fleet.schedule(AGENT_STOP_MS + down_ms, lambda: _start_agent(agent))
+            fleet.schedule(AGENT_STOP_MS + down_ms, lambda: _start_agent(fleet, agent))
 
     return apply
 
 
-def _start_agent(agent: AgentProcess) -> None:
-    if not agent.is_gone:
+def _start_agent(fleet: SmallFleet, agent: AgentProcess) -> None:
+    if agent.is_running and agent.is_stopping:
+        fleet.schedule(START_CHECK_MS, lambda: _start_agent(fleet, agent))
+    elif not agent.is_gone:
         agent.start()
 
 
