Look flows up at the only other balancer of the zone also while stopping

Callers may see a flow reset by a balancer that stops, although the other balancer of its zone knows where the flow is.

Cause: a stopping balancer is not in the set of the zone's balancers, and a set of one member was taken for itself alone.

Evidence: test_a_stopping_balancer_looks_flows_up_before_it_resets_them failed before (found by reading beside the search over small fleets).

--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -367,7 +367,7 @@
         )
         evidence = gather_evidence(self.view, self.selector, search, services)
         is_dead = evidence.is_dead
-        has_peers = len(self.directory.balancers) > 1
+        has_peers = bool(self.directory.balancers - {self.directory.own_ip})
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
             lookups = self._ask_balancers(key, search)
