Learn former servers from each balancer that was there before

Callers may see a flow reset by a balancer that has been restarted after an outage of the store, or right after another one, while its server's agent is restarted.

Cause: which balancers know more was read from the time for which they know all departures. An outage of the store ends that time for all of them at once, so that a starting one counted the fleet as restarted, fetched nothing and waited 1.5 s for agents in place of the time of a restart. And a balancer that had started up to two seconds earlier was not asked at all.

Why it works: heartbeats also state for how long a balancer has run, by its steady clock. A starting balancer asks each that has run half a second longer or knows half a second more, and the fleet has restarted only if no one has.

--- a/citronwinch/coordination/flows/_former_knowledge.py
+++ b/citronwinch/coordination/flows/_former_knowledge.py
@@ -22,10 +22,10 @@
 """How long a starting balancer waits for balancers of which it hears nothing, in
 milliseconds; as long as a balancer without heartbeats is considered live."""
 
-MIN_GAIN_MS = 2_000
-"""By how much longer another balancer must know the former servers to be asked, in
-milliseconds. After a loss of power or of the store all know them for about the same
-time, and nobody has to wait."""
+MIN_GAIN_MS = 500
+"""By how much longer another balancer must know the former servers, or run, to be asked
+for them, in milliseconds. After a loss of power all start within about this time, and
+nobody has to wait."""
 
 FLEET_RESTART_PERIOD_MS = 10_000
 """For how long after its start a balancer counts as restarted with the whole fleet, in
@@ -53,6 +53,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.own_ip = ""
+        self.created_ms = clock.now_ms()
+        """When the process started."""
         self.started_ms: int | None = None
         """When the process started, if it may have missed departures before."""
         self.known_since_ms = clock.now_ms() - FORMER_RETENTION_MS
@@ -61,6 +63,8 @@
         """When the first heartbeat of another balancer arrived since the start."""
         self.stated_since_ms: dict[str, int] = {}
         """From when on each other balancer knows all departures, as it has stated."""
+        self.peers_started_ms: dict[str, int] = {}
+        """When each other balancer started, as it has stated, in milliseconds."""
         self.unheard: set[str] = set()
         """The balancers that heartbeats have named, but that have not been heard."""
         self.answered: set[str] = set()
@@ -87,11 +91,23 @@
         if self.known_for_ms >= FORMER_RETENTION_MS:
             return set()
         latest_ms = self.known_since_ms - MIN_GAIN_MS
-        return {
-            ip
-            for ip, since_ms in self.stated_since_ms.items()
-            if since_ms <= latest_ms and ip not in self.answered
-        }
+        more = {ip for ip, ms in self.stated_since_ms.items() if ms <= latest_ms}
+        return (more | self._list_older()) - self.answered
+
+    def _list_older(self) -> set[str]:
+        """Return the balancers that were there before this one, if it has restarted.
+
+        They may know more even if they had no current listing for some time.
+        """
+        if self.started_ms is None:
+            return set()
+        latest_ms = self.started_ms - MIN_GAIN_MS
+        return {ip for ip, ms in self.peers_started_ms.items() if ms <= latest_ms}
+
+    @property
+    def uptime_ms(self) -> int:
+        """How long the process has run, in milliseconds."""
+        return self.clock.now_ms() - self.created_ms
 
     @property
     def is_complete(self) -> bool:
@@ -117,7 +133,7 @@
         return (
             self.started_ms is not None
             and self.clock.now_ms() < self.started_ms + FLEET_RESTART_PERIOD_MS
-            and not self.answered
+            and not self._list_older()
             and self.is_complete
         )
 
@@ -128,6 +144,8 @@
             # A balancer of an earlier version does not state how much it knows.
             known_for_ms = heartbeat.former_known_for_ms or FORMER_RETENTION_MS
             self.stated_since_ms[sender] = now_ms - known_for_ms
+            uptime_ms = heartbeat.uptime_ms or FORMER_RETENTION_MS
+            self.peers_started_ms[sender] = now_ms - uptime_ms
             if self.first_heard_ms is None:
                 self.first_heard_ms = now_ms
         if self.known_for_ms >= FORMER_RETENTION_MS:
@@ -146,4 +164,5 @@
     def forget(self, balancer: str) -> None:
         """Expect nothing more from a balancer that is lost."""
         self.stated_since_ms.pop(balancer, None)
+        self.peers_started_ms.pop(balancer, None)
         self.unheard.discard(balancer)
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -81,6 +81,9 @@
     """For how long the balancer has known each server that left the listing, in
     milliseconds; 0 if it does not state that."""
 
+    uptime_ms: int = 0
+    """How long the balancer has run, in milliseconds; 0 if it does not state that."""
+
 
 class LoadReport(NamedTuple):
     """An agent reports the load of its backend server to balancers."""
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -149,6 +149,7 @@
             remaining_grace_ms=view.remaining_grace_ms,
             interval_ms=interval_ms,
             former_known_for_ms=view.former_knowledge.known_for_ms,
+            uptime_ms=view.former_knowledge.uptime_ms,
         )
 
     def _read_listing_if_due(self) -> None:
--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -73,7 +73,10 @@
 
 
 def make_heartbeat(
-    known_for_ms: int, version: int = 1, balancers: tuple[str, ...] = ()
+    known_for_ms: int,
+    version: int = 1,
+    balancers: tuple[str, ...] = (),
+    uptime_ms: int | None = None,
 ) -> Heartbeat:
     position = StorePosition(1, 10)
     return Heartbeat(
@@ -86,6 +89,7 @@
         version,
         balancers,
         former_known_for_ms=known_for_ms,
+        uptime_ms=known_for_ms if uptime_ms is None else uptime_ms,
     )
 
 
@@ -173,6 +177,9 @@
         pytest.param(make_heartbeat(MIN_GAIN_MS - 1), False, id="as little"),
         pytest.param(make_heartbeat(60_000, 0), False, id="without a view"),
         pytest.param(make_heartbeat(0), True, id="of an earlier version"),
+        pytest.param(
+            make_heartbeat(1, uptime_ms=MIN_GAIN_MS), True, id="was without a listing"
+        ),
     ],
 )
 def test_former_servers_are_fetched_from_balancers_that_know_more(
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -125,6 +125,7 @@
     body.serverWarmupLeftMs = message.server_warmup_left_ms
     body.warmupPerS = message.warmup_per_s
     body.formerKnownForMs = message.former_known_for_ms
+    body.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
     return _pack(builder)
 
 
@@ -300,6 +301,7 @@
             body.serverWarmupLeftMs,
             body.warmupPerS,
             body.formerKnownForMs,
+            body.uptimeMs,
         )
     if kind == "loadReport":
         body = reader.loadReport
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -23,6 +23,7 @@
   serverWarmupLeftMs @16 :UInt32;
   warmupPerS @17 :Float32;
   formerKnownForMs @18 :UInt32;
+  uptimeMs @19 :UInt32;
 }
 
 struct ZoneEvacuation {
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -356,6 +356,7 @@
             interval_ms,
             view.evacuations.list_entries(),
             former_known_for_ms=view.former_knowledge.known_for_ms,
+            uptime_ms=view.former_knowledge.uptime_ms,
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
