Do not follow a location to a server that was removed as lost

Callers of a dead flow waited for their deadlines: the last lookup before a reset returned the location that another balancer still had, at a server which the asking balancer had removed as lost. It stored the flow as known, and nothing ended it any more.

Addresses of removed servers are remembered, 4,096 at most. A location there counts only if the agent has been heard since, or its server is listed or former again.

--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -21,6 +21,7 @@
     KnownFlows,
     forward_to_agent,
 )
+from citronwinch.coordination.flows._lost_servers import is_server_lost
 from citronwinch.coordination.flows._messages import (
     FlowLocation,
     FlowLookup,
@@ -203,7 +204,8 @@
             extract_service_endpoint(key)
         )
         is_new = bool(location.agent) and location.agent not in search.verdicts
-        if is_new and location.service in services:
+        is_lost = is_server_lost(self.view, self.selector, location.agent)
+        if is_new and location.service in services and not is_lost:
             search.services[location.agent] = location.service
             return self._finish_found(key, search, location.agent)
         if search.pending_balancers or not search.is_awaiting_balancers:
--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -1,6 +1,6 @@
 """The backend servers that have left the listing and may still hold flows."""
 
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -28,6 +28,10 @@
 state it."""
 
 
+REMEMBERED_ADDRESSES = 4_096
+"""The most addresses of removed servers that are kept."""
+
+
 class RemovalReason(Enum):
     """Why a former server is no longer a possible holder of flows."""
 
@@ -92,6 +96,8 @@
         super().__init__()
         self.clock = clock
         self.removal_counts: Counter[RemovalReason] = Counter()
+        self.removed_ms: OrderedDict[str, int] = OrderedDict()
+        """When servers at addresses were removed, the latest ones last."""
         self.latest_removals: deque[FormerRemoval] = deque(maxlen=REMEMBERED_REMOVALS)
         self.unreported_removals: deque[FormerRemoval] = deque(
             maxlen=REMEMBERED_REMOVALS
@@ -155,10 +161,17 @@
         now_ms = self.clock.now_ms()
         for name in names:
             removal = FormerRemoval(self.pop(name).server, reason, now_ms)
+            self._record_removed_address(removal.server.address.ip)
             self.latest_removals.append(removal)
             self.unreported_removals.append(removal)
             self.removal_counts[reason] += 1
 
+    def _record_removed_address(self, address: str) -> None:
+        self.removed_ms[address] = self.clock.now_ms()
+        self.removed_ms.move_to_end(address)
+        while len(self.removed_ms) > REMEMBERED_ADDRESSES:
+            self.removed_ms.popitem(last=False)
+
     def remove_at(self, addresses: Collection[str], reason: RemovalReason) -> None:
         """Remove the servers at some addresses."""
         self.remove(
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -56,6 +56,16 @@
     return actions
 
 
+def is_server_lost(view: DeploymentView, selector: ServerSelector, agent: str) -> bool:
+    """Return whether the server of an agent was removed as lost, and stays silent."""
+    removed_ms = view.former.removed_ms.get(agent)
+    if removed_ms is None or selector.has_message_since(agent, removed_ms):
+        return False
+    services = view.list_services()
+    holders = view.list_possible_holders(services)
+    return all(server.address.ip != agent for server in holders)
+
+
 def _find_lost(
     view: DeploymentView, selector: ServerSelector
 ) -> dict[RemovalReason, set[str]]:
