Limit trials while an agent that may hold the flow restarts

What callers saw: a flow's packets reached the servers of all uncertain agents of the zone, and none its own, while the agent beside its own server was restarted (1 to 2.5 s, up to 10 s on a slow instance). With three uncertain agents one packet is enough.

Cause: a search made its trials as soon as the own zone had answered or was overdue. It did not matter whether an agent that may hold the flow was still silent, there or in another zone, and each pause and each retransmission began again.

Change: a trial without a limit needs an answer, since the search began or was resumed, of every agent that may hold the flow. The holder's agent is then one of those that get the packets. Before, other zones are asked first, and all trials of the flow within 10 s send two packets at most (TrialRecords, kept across searches). An agent that has been silent for 10 s counts as lost and is not waited for; nor is anyone after a restart of the whole fleet, where one lost instance would keep most flows from being found.

The two tests in test_searches.py that changed had expected trials while the agent of the other zone had not answered, which is the fault; they now expect no packet until then, and the same packets after.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -3,13 +3,14 @@
 A balancer searches for a flow that it does not know.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import Verdict
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._trial_records import LIMITED_TRIAL_PACKETS
 
 LOCAL_ANSWER_TIMEOUT_MS = 15
 """How long agents of the balancer's own zone may take to answer, in milliseconds; many
@@ -71,10 +72,12 @@
     """The search for one flow, in rounds: own zone, other zones, other services.
 
     Each round queries its agents. Agents that are uncertain then get the held packets
-    as a trial: a backend server bounces packets of flows that it does not hold, so a
-    trial at the wrong server costs a few packets and has no other effect. The last
-    round queries agents of other services, because an earlier configuration may have
-    sent the flow there; it makes no trials.
+    as a trial: a backend server bounces packets of flows that it does not hold. Trials
+    begin when every agent that may hold the flow has answered, so that the holder gets
+    the packets as well. If one of them stays silent, a trial is limited to a few
+    packets in all: the silent agent may be the holder's. The last round queries agents
+    of other services, because an earlier configuration may have sent the flow there; it
+    makes no trials.
 
     A search in a single step has one round with the agents of all three: a flow that is
     presumed dead needs the verdicts of all of them.
@@ -108,6 +111,14 @@
         self.services: dict[str, str] = {}
         """The service of each agent's backend server, by the agent's address."""
         self.rounds: list[SearchRound] = []
+        self.untried_groups: list[tuple[str, ...]] = []
+        """The queried agents that a trial has not reached yet, by round."""
+        self.list_possible_holders: Callable[[], frozenset[str]] = frozenset
+        """Returns the agents whose answers a trial without a limit needs."""
+        self.answered_agents: set[str] = set()
+        """The agents that have answered since the search began or was resumed."""
+        self.trial_room = LIMITED_TRIAL_PACKETS
+        """How many packets a trial may send before all possible holders answered."""
         self._plan_rounds(route_servers, other_servers)
         self.is_paused = False
         self.keeper = ""
@@ -203,7 +214,7 @@
         self.asked_agents.add(agent)
         has_sent_all = not self.unsent_agents
         if has_sent_all and self.round_agents and not self.is_awaiting_balancers:
-            self._set_deadline()
+            self._set_deadline(self.round.answer_timeout_ms)
 
     def start(self) -> SearchStep:
         """Start the first round."""
@@ -215,6 +226,7 @@
         if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
+        self.answered_agents.add(agent)
         if not self.is_in_trial or verdict is not Verdict.UNCERTAIN:
             self.awaited_agents.discard(agent)
         if self.keeper or self.is_awaiting_balancers:
@@ -249,6 +261,8 @@
         The balancers are asked again as well: the first answers may have been lost.
         """
         self.is_paused = self.has_asked_balancers = False
+        self.untried_groups.clear()
+        self.answered_agents.clear()
         self.pending_balancers = set()
         self._plan_rounds(route_servers, other_servers)
         return self._start_next_round()
@@ -262,13 +276,20 @@
             and (received is not None or ip not in self.expendable_agents)
         ]
 
+    def list_unanswered(self) -> set[str]:
+        """Return the possible holders that have neither answered nor denied the flow.
+
+        An answer from before a pause does not count: its agent may have stopped since.
+        """
+        return {
+            ip
+            for ip in self.list_possible_holders() - self.answered_agents
+            if self.verdicts.get(ip) is not Verdict.ABSENT
+        }
+
     def handle_timeout(self) -> SearchStep:
         """Continue without the agents that have not answered in time."""
-        if not self.is_in_trial:
-            uncertain = self._list_trial_agents()
-            if uncertain:
-                return self._start_trial(uncertain)
-        return self._start_next_round()
+        return self._proceed()
 
     def list_by_verdict(self, verdict: Verdict) -> list[str]:
         """Return the agents whose latest verdict is the given one."""
@@ -292,31 +313,42 @@
         }
 
     def _continue_round(self) -> SearchStep:
-        if not self.round_agents:
-            return SearchStep()
-        if self.awaited_agents:
+        if not self.round_agents or self.awaited_agents:
             return SearchStep()
-        uncertain = self._list_trial_agents()
-        return self._start_trial(uncertain) if uncertain else self._start_next_round()
+        return self._proceed()
 
-    def _list_trial_agents(self) -> list[str]:
-        return [
-            ip
-            for ip in self.round_agents
-            if ip in self.round.trial_agents and self.verdicts[ip] is Verdict.UNCERTAIN
-        ]
+    def _proceed(self) -> SearchStep:
+        """Start the next trial, or the next round while answers are missing."""
+        self.is_in_trial = False
+        groups = [self._list_uncertain(group) for group in self.untried_groups]
+        is_limited = any(groups) and bool(self.list_unanswered())
+        if is_limited and self.rounds:
+            return self._start_next_round()
+        while groups:
+            uncertain = groups.pop(0)
+            del self.untried_groups[0]
+            if is_limited:
+                uncertain = uncertain[: self.trial_room]
+            if uncertain:
+                return self._start_trial(uncertain, is_limited=is_limited)
+        return self._start_next_round()
+
+    def _list_uncertain(self, agents: Sequence[str]) -> list[str]:
+        return [ip for ip in agents if self.verdicts[ip] is Verdict.UNCERTAIN]
 
     def put_off_trial(self, wait_ms: int) -> None:
         """Return to the state before a trial, and try it again after some time."""
         self.is_in_trial = False
+        self.untried_groups.insert(0, tuple(self.trial_packet_counts))
         self.trial_packet_counts.clear()
         self.deadline_ms = self.clock.now_ms() + wait_ms
 
-    def _start_trial(self, agents: list[str]) -> SearchStep:
+    def _start_trial(self, agents: list[str], *, is_limited: bool) -> SearchStep:
         self.is_in_trial = True
         self.awaited_agents.update(agents)
-        self.trial_packet_counts |= dict.fromkeys(agents, len(self.held_packets))
-        self._set_deadline()
+        packets = 1 if is_limited else len(self.held_packets)
+        self.trial_packet_counts |= dict.fromkeys(agents, packets)
+        self._set_deadline(max(map(self.get_answer_timeout_ms, agents)))
         return SearchStep(trial_agents=tuple(agents))
 
     def _start_next_round(self) -> SearchStep:
@@ -336,9 +368,14 @@
                 )
                 self.verdicts |= dict.fromkeys(self.round_agents)
                 self.awaited_agents = set(self.round_agents) - self.expendable_agents
-                self._set_deadline()
+                self.untried_groups.append(
+                    tuple(
+                        ip for ip in self.round_agents if ip in self.round.trial_agents
+                    )
+                )
+                self._set_deadline(self.round.answer_timeout_ms)
                 return SearchStep(tuple(self.round_agents), silent_agents=silent)
         return SearchStep(is_exhausted=True)
 
-    def _set_deadline(self) -> None:
-        self.deadline_ms = self.clock.now_ms() + self.round.answer_timeout_ms
+    def _set_deadline(self, answer_timeout_ms: int) -> None:
+        self.deadline_ms = self.clock.now_ms() + answer_timeout_ms
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -36,6 +36,7 @@
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
 from citronwinch.coordination.flows._searched_servers import (
     list_optional_agents,
+    list_restarting_agents,
     list_servers_to_query,
     list_silent_agents,
 )
@@ -45,6 +46,7 @@
     TrialBudget,
     compute_trial_bytes,
 )
+from citronwinch.coordination.flows._trial_records import TrialRecords
 from citronwinch.coordination.flows._upload_admission import (
     UploadAdmission,
     is_upload_flow,
@@ -101,6 +103,8 @@
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.trials = TrialBudget(clock, link_mbps)
+        self.trial_records = TrialRecords(clock)
+        self.started_ms = clock.now_ms()
         self.unresponsive_balancers: set[str] = set()
         """The balancers that have left two lookups in a row unanswered. They are asked,
         but not waited for until they send a message."""
@@ -126,6 +130,7 @@
             is_single_step=self.outcomes.presume_dead(),
         )
         search.expendable_agents = self._list_expendable(key, other_servers)
+        self._plan_trials(key, search)
         search.hold_packet(packet)
         self[key] = search
         self.counters["searches"] += 1
@@ -225,6 +230,7 @@
         """Advance searches past their deadline; expire entries of flows not found."""
         self.batches.give_up_overdue()
         self.batches.expire()
+        self.trial_records.expire()
         actions: list[Action] = [*self._send_questions()]
         now_ms = self.clock.now_ms()
         for key, search in list(self.items()):
@@ -277,6 +283,13 @@
         optional = list_optional_agents(self.view, key, servers)
         return list_silent_agents(self.selector, self.batches, optional)
 
+    def _plan_trials(self, key: FlowKey, search: FlowSearch) -> None:
+        """State whose answers trials need, and how many packets are sent without."""
+        search.list_possible_holders = lambda: list_restarting_agents(
+            self.view, self.selector, self.batches, key, self.started_ms
+        )
+        search.trial_room = self.trial_records.count_room(key)
+
     def _apply_step(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
@@ -306,16 +319,19 @@
         self, key: FlowKey, search: FlowSearch, agents: tuple[str, ...]
     ) -> list[Action]:
         """Send the held packets to uncertain agents, if the link has room for them."""
-        size_bytes = compute_trial_bytes(search.held_packets, len(agents))
+        packets = search.held_packets[: search.trial_packet_counts[agents[0]]]
+        size_bytes = compute_trial_bytes(packets, len(agents))
         if not self.trials.try_spend(size_bytes):
             self.counters["trials_put_off"] += 1
             search.put_off_trial(TRIAL_RETRY_MS)
             return [] if search.has_time_left() else self._finish_not_found(key, search)
         search.deadline_ms += self.trials.compute_transfer_ms(size_bytes)
+        self.trial_records.record(key, len(agents) * len(packets))
+        search.trial_room = self.trial_records.count_room(key)
         return [
             forward_to_agent(ip, search.services[ip], packet)
             for ip in agents
-            for packet in search.held_packets
+            for packet in packets
         ]
 
     def _spend_questions(self, search: FlowSearch, step: SearchStep) -> bool:
--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -7,6 +7,7 @@
 from citronwinch.coordination.flows._flow_search import REMOTE_ANSWER_TIMEOUT_MS
 from citronwinch.coordination.flows._question_batches import QuestionBatches
 from citronwinch.coordination.flows._server_selector import ServerSelector
+from citronwinch.coordination.flows._trial_records import AGENT_RESTART_LIMIT_MS
 from citronwinch.coordination.flows._view import DeploymentView
 
 UNRELATED_SERVERS_LIMIT = 200
@@ -70,3 +71,37 @@
         and since_ms <= latest_ms
         and not selector.has_message_since(ip, since_ms)
     )
+
+
+def list_restarting_agents(
+    view: DeploymentView,
+    selector: ServerSelector,
+    batches: QuestionBatches,
+    key: FlowKey,
+    started_ms: int,
+) -> frozenset[str]:
+    """Return the agents that may hold a flow and that may answer within a restart.
+
+    Those that have been silent for longer are left out, so that an instance that is
+    lost does not delay all flows. The silence of an agent of which nothing is known
+    begins with its first unanswered question, and not before this balancer started.
+    After a restart of the whole fleet no agent is waited for: all have been killed, and
+    with one lost instance no flow would be found.
+    """
+    if view.former_knowledge.is_fleet_restarted:
+        return frozenset()
+    services = view.list_current_and_former_services(extract_service_endpoint(key))
+    holders = {server.address.ip for server in view.list_possible_holders(services)}
+    now_ms = batches.clock.now_ms()
+    return frozenset(
+        ip
+        for ip in holders - list_ended_agents(view, selector, services)
+        if now_ms
+        - max(
+            started_ms,
+            selector.get_last_message_ms(ip)
+            or batches.find_unanswered_since_ms(ip)
+            or now_ms,
+        )
+        < AGENT_RESTART_LIMIT_MS
+    )
--- /dev/null
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -0,0 +1,229 @@
+"""A flow's packets reach servers that do not hold it, while its own gets none.
+
+An agent that has started after its server does not know the server's flows, so that a
+search sends it packets as a trial. Guards against searches, locations and denials that
+send three or more packets of a flow to other servers while its holder lives.
+"""
+
+import random
+
+import pytest
+
+from citronwinch.coordination import FlowKey, ManualClock
+from citronwinch.coordination.flows import (
+    Action,
+    AgentFlows,
+    BalancerFlows,
+    DeliverToServer,
+    DeploymentView,
+    FlowAnswer,
+    ForwardedPacket,
+    Packet,
+    ReturnedPacket,
+    SendMessage,
+    ServerSelector,
+    StorePosition,
+)
+from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
+from citronwinch.coordination.flows._question_batches import list_questions
+from citronwinch.coordination.flows.tests.conftest import (
+    make_configuration,
+    make_listing,
+    make_packet,
+    make_server,
+)
+
+BALANCER_IP = "10.9.0.1"
+HOLDER = "10.0.0.1"
+RETRANSMISSIONS_MS = (0, 200, 600, 1_400, 3_000, 4_600, 6_200, 7_800)
+MAX_PACKETS_AT_OTHERS = 2
+
+
+class SmallFleet:
+    """One balancer, agents beside their servers, and one flow at the first server.
+
+    Messages arrive at once, those to a silent agent do not arrive.
+    """
+
+    def __init__(self, agents: int, zones: str = "a") -> None:
+        self.clock = ManualClock(100_000)
+        self.servers = [
+            make_server(n, zone=zones[n % len(zones)]) for n in range(1, agents + 1)
+        ]
+        self.agents = {
+            server.address.ip: AgentFlows("gauging", self.clock, knows_all_flows=False)
+            for server in self.servers
+        }
+        self.silent: set[str] = set()
+        self.holders: dict[FlowKey, str] = {}
+        self.at_others: list[int] = []
+        """When packets reached servers that do not hold the flow."""
+        self.at_holder: list[int] = []
+        """When packets reached the server that holds the flow."""
+        self.packets: dict[bytes, Packet] = {}
+        self.view = DeploymentView(self.clock)
+        self.view.accept_configuration(make_configuration())
+        listing = make_listing(10, *self.servers)
+        self.view.accept_listing(listing, self.clock.now_ms())
+        self.selector = ServerSelector("a", self.clock, random.Random(7))
+        self.restart_balancer()
+
+    def restart_balancer(self) -> None:
+        """Replace the balancer by one that knows no flows and has heard all agents."""
+        for ip in self.agents:
+            self.selector.record_message(ip)
+        self.balancer = BalancerFlows(
+            self.view, self.selector, self.clock, own_ip=BALANCER_IP
+        )
+
+    def restart_agent(self, ip: str) -> None:
+        """Replace an agent by one that does not know the flows of its server."""
+        self.agents[ip] = AgentFlows("gauging", self.clock, knows_all_flows=False)
+        self.silent.discard(ip)
+
+    def hold(self, packet: Packet, *, is_known: bool = False) -> None:
+        """Let the first server hold a packet's flow; its agent may know that."""
+        self.holders[packet.flow] = HOLDER
+        if is_known:
+            entry = FlowEntry(FlowState.OPEN, self.clock.now_ms())
+            self.agents[HOLDER].flows[packet.flow] = entry
+
+    def send(self, packet: Packet) -> None:
+        """Let a packet of a caller arrive at the balancer."""
+        self.packets[packet.raw] = packet
+        self.apply(self.balancer.handle_packet(packet))
+
+    def run(self, for_ms: int, step_ms: int = 10) -> None:
+        """Let time pass; the listing is confirmed, and live agents send reports."""
+        for _ in range(0, for_ms, step_ms):
+            self.clock.advance(step_ms)
+            self.view.confirm_listing(StorePosition(1, 10), self.clock.now_ms())
+            for ip in self.agents.keys() - self.silent:
+                self.selector.record_message(ip)
+            self.apply(self.balancer.tick())
+
+    def retransmit(self, packet: Packet, until_ms: int) -> None:
+        """Let a caller send a packet and its retransmissions until it is served."""
+        start_ms = self.clock.now_ms()
+        for at_ms in (*RETRANSMISSIONS_MS, until_ms):
+            wait_ms = start_ms + min(at_ms, until_ms) - self.clock.now_ms()
+            self.run(wait_ms)
+            if not self.at_holder and at_ms < until_ms:
+                self.send(packet)
+
+    def apply(self, actions: list[Action]) -> None:
+        """Carry out the actions of the balancer, and their consequences."""
+        for action in actions:
+            if isinstance(action, SendMessage) and action.ip not in self.silent:
+                self._deliver(action.ip, action)
+
+    def _deliver(self, ip: str, action: SendMessage) -> None:
+        agent = self.agents[ip]
+        answers: list[Action] = []
+        if list_questions(action.message):
+            answers = [
+                SendMessage(BALANCER_IP, agent.answer_question(question))
+                for question in list_questions(action.message)
+            ]
+        elif isinstance(action.message, ForwardedPacket):
+            packet = self.packets[action.message.raw]
+            answers = agent.handle_forwarded(action.message, packet, BALANCER_IP)
+            for delivery in [a for a in answers if isinstance(a, DeliverToServer)]:
+                answers += self._serve(ip, self.packets[delivery.raw])
+        for answer in answers:
+            if isinstance(answer, SendMessage):
+                self._receive(ip, answer)
+
+    def _serve(self, ip: str, packet: Packet) -> list[Action]:
+        is_held = self.holders.get(packet.flow) == ip
+        (self.at_holder if is_held else self.at_others).append(self.clock.now_ms())
+        answer = packet._replace(is_bounced=not is_held)
+        return self.agents[ip].handle_from_server(answer)
+
+    def _receive(self, ip: str, answer: SendMessage) -> None:
+        if isinstance(answer.message, FlowAnswer):
+            self.apply(self.balancer.handle_answer(answer.message, ip))
+        elif isinstance(answer.message, ReturnedPacket):
+            packet = self.packets[answer.message.raw]
+            self.apply(self.balancer.handle_returned(packet, ip))
+
+
+def keep_silent(fleet: SmallFleet, for_ms: int) -> None:
+    """Let a caller send a packet while the holder's agent restarts for some time."""
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.silent.add(HOLDER)
+    fleet.retransmit(packet, for_ms)
+    fleet.restart_agent(HOLDER)
+    fleet.retransmit(packet, 4_000)
+
+
+SILENCES = {
+    "two_others_in_the_zone": (3, "a", 1_000),
+    "four_others_in_the_zone": (5, "a", 2_500),
+    "twenty_others_on_a_slow_instance": (21, "a", 8_000),
+    "others_in_three_zones": (12, "abc", 2_500),
+    "the_holder_in_another_zone": (12, "bac", 2_500),
+}
+
+
+# A search sent packets to all uncertain agents while the holder's agent restarted.
+@pytest.mark.parametrize("case", SILENCES)
+def test_trials_are_limited_while_the_agent_of_the_holder_restarts(case: str) -> None:
+    agents, zones, silence_ms = SILENCES[case]
+    fleet = SmallFleet(agents, zones)
+    keep_silent(fleet, silence_ms)
+    reached_ms = fleet.at_holder[0]
+    before = [at_ms for at_ms in fleet.at_others if at_ms < reached_ms]
+    assert len(before) <= MAX_PACKETS_AT_OTHERS
+
+
+# Each retransmission started a search, and each search sent packets to the others.
+def test_the_limit_of_trials_lasts_over_several_searches() -> None:
+    fleet = SmallFleet(21)
+    packets = [make_packet(payload=10, sequence=10 * n) for n in range(12)]
+    fleet.hold(packets[0])
+    fleet.silent.add(HOLDER)
+    for packet in packets:
+        fleet.send(packet)
+        fleet.run(700)
+    assert fleet.balancer.counters["searches"] >= 3
+    assert len(fleet.at_others) <= MAX_PACKETS_AT_OTHERS
+
+
+# An instance that is lost but still listed must not keep flows from being found.
+def test_flows_are_found_although_a_lost_instance_is_listed() -> None:
+    fleet = SmallFleet(21)
+    fleet.silent.add("10.0.0.20")
+    fleet.run(10_000)
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.send(packet)
+    fleet.run(100)
+    assert fleet.at_holder
+
+
+# After a kill of all processes, flows must not wait for an instance that is lost.
+def test_flows_are_found_after_a_restart_of_the_fleet_without_an_instance() -> None:
+    fleet = SmallFleet(21)
+    fleet.silent.add("10.0.0.20")
+    fleet.view.former_knowledge.start(BALANCER_IP)
+    fleet.run(3_500)
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.send(packet)
+    fleet.run(100)
+    assert fleet.at_holder
+
+
+# The packets of a search that began during the restart have to arrive afterwards.
+def test_a_flow_is_found_when_the_agent_of_its_holder_has_restarted() -> None:
+    fleet = SmallFleet(21)
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.silent.add(HOLDER)
+    fleet.send(packet)
+    fleet.run(1_500)
+    fleet.restart_agent(HOLDER)
+    fleet.run(250)
+    assert fleet.at_holder
--- a/citronwinch/coordination/flows/tests/test_searches.py
+++ b/citronwinch/coordination/flows/tests/test_searches.py
@@ -78,7 +78,9 @@
     balancer.handle_packet(make_packet(payload=10, sequence=10))
     uncertain = FlowAnswer(packet.flow, Verdict.UNCERTAIN)
     balancer.handle_answer(uncertain, "10.0.0.1")
-    forwards = list_forwards(balancer.handle_answer(uncertain, "10.0.0.2"))
+    assert not list_forwards(balancer.handle_answer(uncertain, "10.0.0.2"))
+    absent = FlowAnswer(packet.flow, Verdict.ABSENT)
+    forwards = list_forwards(balancer.handle_answer(absent, "10.0.0.3"))
     assert [ip for ip, _ in forwards] == ["10.0.0.1"] * 2 + ["10.0.0.2"] * 2
     held = FlowAnswer(packet.flow, Verdict.HELD)
     assert not list_forwards(balancer.handle_answer(held, "10.0.0.2"))
@@ -350,6 +352,8 @@
     balancer.handle_packet(first)
     for number in (1, 2):
         balancer.handle_answer(uncertain, f"10.0.0.{number}")
+    absent = FlowAnswer(first.flow, Verdict.ABSENT)
+    balancer.handle_answer(absent, "10.0.0.3")
     balancer.handle_packet(second)
     held = FlowAnswer(first.flow, Verdict.HELD)
     actions = balancer.handle_answer(held, "10.0.0.2")
