Let few packets of an unknown flow reach a server before it answers

What callers saw: a balancer with an outdated location (a location of the directory, a flow that it knows from an earlier use of the caller's port) forwarded all packets that a caller had in flight, up to 16, to the wrong server before the first one came back. While the agent of the flow's own server was restarted, none reached that one. All of these packets but the first were lost: the agent returned only the first bounced packet, and the balancer's search dropped what else came back.

Cause: an agent delivers each packet of a flow that it does not know. After the first bounce it kept the flow as absent without the balancer to which the next bounced packets belong.

Change: an agent delivers two packets of such a flow, and holds up to 16 others until its server has answered, at most 30 ms; a server bounces at once. When it bounces, the held packets are returned; when it answers, or after 30 ms, they are delivered. The balancer counts the two as trials of the flow, and its search holds all returned packets. No message is added.

The tests of flows and forwarder pass.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -20,6 +20,7 @@
     FlowState,
     has_accepted,
 )
+from citronwinch.coordination.flows._held_trials import HeldTrials
 from citronwinch.coordination.flows._load_reporting import round_share
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
@@ -103,6 +104,7 @@
             clock, self.server_liveness, holds_requests=holds_requests
         )
         self.opening_limit = OpeningRateLimit(clock)
+        self.held_trials = HeldTrials(clock)
 
     @property
     def waiting_requests(self) -> OrderedDict[FlowKey, int]:
@@ -126,6 +128,10 @@
             ]
         if packet.is_opening:
             return self._handle_opening(message, packet, balancer)
+        return self._handle_data(packet, balancer)
+
+    def _handle_data(self, packet: Packet, balancer: str) -> list[Action]:
+        """Deliver a packet of a flow, unless the backend server does not hold it."""
         flow = self.flows.get(packet.flow)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
@@ -187,7 +193,27 @@
             flow = self._add_flow(packet.flow, FlowState.TRIED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
-        return self.requests.deliver_trial(packet, flow)
+        if flow.must_wait_for_trial(self.clock.now_ms()):
+            self.held_trials.hold(packet, balancer)
+            return []
+        flow.trial_packets += 1
+        return [
+            *self._release_trial(packet.flow),
+            *self.requests.deliver_trial(packet, flow),
+        ]
+
+    def release_overdue_trials(self) -> list[Action]:
+        """Deliver packets that have waited long enough for the server's answer."""
+        due = self.held_trials.list_due()
+        return [action for key in due for action in self._release_trial(key)]
+
+    def _release_trial(self, key: FlowKey) -> list[Action]:
+        """Handle the held packets of a flow by what is known about it now."""
+        return [
+            action
+            for packet, balancer in self.held_trials.take(key)
+            for action in self._handle_data(packet, balancer)
+        ]
 
     def _deliver(self, packet: Packet, balancer: str, flow: FlowEntry) -> list[Action]:
         informing: list[Action] = []
@@ -223,6 +249,8 @@
         """Handle a packet that the backend server has sent or bounced."""
         self.server_liveness.mark_alive()
         actions = self._handle_from_server(packet)
+        if packet.flow in self.held_trials.held:
+            actions += self._release_trial(packet.flow)
         if self.requests.queue.held:
             actions += self.requests.release()
         return actions
@@ -284,7 +312,8 @@
         balancer = flow.balancer if flow is not None else ""
         self._remove_flow(packet.flow)
         if not packet.is_opening:
-            self._add_flow(packet.flow, FlowState.ABSENT)
+            # The balancer gets the other packets of the flow, too.
+            self._add_flow(packet.flow, FlowState.ABSENT).balancer = balancer
         if not balancer:
             return [record("bounce_without_balancer", packet)]
         return [SendMessage(balancer, ReturnedPacket(packet.raw))]
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -12,6 +12,7 @@
     MIN_AGENTS,
     FlowDirectory,
 )
+from citronwinch.coordination.flows._flow_entry import DELIVERED_TRIAL_PACKETS
 from citronwinch.coordination.flows._flow_searches import FlowSearches
 from citronwinch.coordination.flows._known_flows import (
     KnownFlows,
@@ -134,6 +135,7 @@
                 packet, route, known.times, known.tried_agents
             )
         if packet.flow in self.searches:
+            self.searches[packet.flow].hold_packet(packet)
             return self.searches.handle_verdict(packet.flow, agent, Verdict.ABSENT)
         if known is not None and known.agent != agent:
             if packet.raw in known.tried_packets:
@@ -141,6 +143,8 @@
             return [forward_to_agent(known.agent, known.service, packet)]
         self.flows.pop(packet.flow, None)
         self.counters["hints_withdrawn"] += 1
+        # The agent has delivered as many, and their caller may have sent more.
+        self.searches.trial_records.record(packet.flow, DELIVERED_TRIAL_PACKETS)
         return self._search_flow(packet, absent_at=agent)
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -13,6 +13,14 @@
 """How far beyond the backend server's first sequence number a caller's acknowledgement
 may be to confirm that server's acceptance, in sequence numbers."""
 
+DELIVERED_TRIAL_PACKETS = 2
+"""The packets of an unknown flow that are delivered before the backend server has
+answered; it acknowledges every second packet."""
+
+TRIAL_ANSWER_TIMEOUT_MS = 30
+"""How long the other packets wait for the answer, in milliseconds. A backend server
+bounces a packet at once, but leaves some packets of its own flows unanswered."""
+
 
 def compute_sequence_distance(sequence: int, start: int) -> int:
     """Return how far a sequence number is after another one; negative if before.
@@ -64,7 +72,11 @@
 
     def __init__(self, state: FlowState, now_ms: int) -> None:
         self.state = state
+        self.since_ms = now_ms
+        """When the agent learned of the flow."""
         self.last_packet_ms = now_ms
+        self.trial_packets = 0
+        """The packets delivered to find out whether the backend server holds it."""
         self.balancer = ""
         """The balancer that sent the flow's latest packet, empty if none has."""
         self.informed_balancer = ""
@@ -92,6 +104,15 @@
         distance = (acknowledged - self.server_first_sequence) % SEQUENCE_RANGE
         return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
 
+    def must_wait_for_trial(self, now_ms: int) -> bool:
+        """Return whether packets wait until the backend server answers earlier ones.
+
+        A balancer with an outdated location sends all packets that a caller has in
+        flight before the first one is returned.
+        """
+        is_recent = now_ms - self.since_ms < TRIAL_ANSWER_TIMEOUT_MS
+        return is_recent and self.trial_packets >= DELIVERED_TRIAL_PACKETS
+
     def may_include(self, packet: Packet) -> bool:
         """Return whether a caller's packet may belong to this flow.
 
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -17,6 +17,7 @@
     DeliverToServer,
     DeploymentView,
     FlowAnswer,
+    FlowLocation,
     ForwardedPacket,
     Packet,
     ReturnedPacket,
@@ -25,6 +26,7 @@
     StorePosition,
 )
 from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
+from citronwinch.coordination.flows._known_flows import KnownFlow
 from citronwinch.coordination.flows._question_batches import list_questions
 from citronwinch.coordination.flows.tests.conftest import (
     make_configuration,
@@ -42,7 +44,8 @@
 class SmallFleet:
     """One balancer, agents beside their servers, and one flow at the first server.
 
-    Messages arrive at once, those to a silent agent do not arrive.
+    Messages arrive at once, those to a silent agent do not arrive. Servers answer at
+    once, or when time passes.
     """
 
     def __init__(self, agents: int, zones: str = "a") -> None:
@@ -55,6 +58,10 @@
             for server in self.servers
         }
         self.silent: set[str] = set()
+        self.is_answer_late = False
+        """Whether the servers answer when time passes."""
+        self.unanswered: list[tuple[str, Packet]] = []
+        """The packets that servers have received and not answered."""
         self.holders: dict[FlowKey, str] = {}
         self.at_others: list[int] = []
         """When packets reached servers that do not hold the flow."""
@@ -97,6 +104,11 @@
         """Let time pass; the listing is confirmed, and live agents send reports."""
         for _ in range(0, for_ms, step_ms):
             self.clock.advance(step_ms)
+            answered, self.unanswered = self.unanswered, []
+            for ip, packet in answered:
+                self._carry(ip, self._answer(ip, packet))
+            for ip, agent in self.agents.items():
+                self._carry(ip, agent.release_overdue_trials())
             self.view.confirm_listing(StorePosition(1, 10), self.clock.now_ms())
             for ip in self.agents.keys() - self.silent:
                 self.selector.record_message(ip)
@@ -119,24 +131,31 @@
 
     def _deliver(self, ip: str, action: SendMessage) -> None:
         agent = self.agents[ip]
-        answers: list[Action] = []
         if list_questions(action.message):
-            answers = [
-                SendMessage(BALANCER_IP, agent.answer_question(question))
-                for question in list_questions(action.message)
-            ]
+            for question in list_questions(action.message):
+                answer = agent.answer_question(question)
+                self._receive(ip, SendMessage(BALANCER_IP, answer))
         elif isinstance(action.message, ForwardedPacket):
             packet = self.packets[action.message.raw]
-            answers = agent.handle_forwarded(action.message, packet, BALANCER_IP)
-            for delivery in [a for a in answers if isinstance(a, DeliverToServer)]:
-                answers += self._serve(ip, self.packets[delivery.raw])
-        for answer in answers:
-            if isinstance(answer, SendMessage):
-                self._receive(ip, answer)
-
-    def _serve(self, ip: str, packet: Packet) -> list[Action]:
+            self._carry(ip, agent.handle_forwarded(action.message, packet, BALANCER_IP))
+
+    def _carry(self, ip: str, actions: list[Action]) -> None:
+        """Carry out the actions of an agent."""
+        for action in actions:
+            if isinstance(action, DeliverToServer):
+                packet = self.packets[action.raw]
+                is_held = self.holders.get(packet.flow) == ip
+                reached = self.at_holder if is_held else self.at_others
+                reached.append(self.clock.now_ms())
+                if self.is_answer_late:
+                    self.unanswered.append((ip, packet))
+                else:
+                    self._carry(ip, self._answer(ip, packet))
+            elif isinstance(action, SendMessage):
+                self._receive(ip, action)
+
+    def _answer(self, ip: str, packet: Packet) -> list[Action]:
         is_held = self.holders.get(packet.flow) == ip
-        (self.at_holder if is_held else self.at_others).append(self.clock.now_ms())
         answer = packet._replace(is_bounced=not is_held)
         return self.agents[ip].handle_from_server(answer)
 
@@ -227,3 +246,71 @@
     fleet.restart_agent(HOLDER)
     fleet.run(250)
     assert fleet.at_holder
+
+
+def store_location(fleet: SmallFleet, flow: FlowKey, agent: str) -> None:
+    fleet.balancer.directory.store(FlowLocation(flow, agent, "gauging"))
+
+
+def store_known_flow(fleet: SmallFleet, flow: FlowKey, agent: str) -> None:
+    now_ms = fleet.clock.now_ms()
+    fleet.balancer.flows.store(flow, KnownFlow(agent, "gauging", now_ms))
+
+
+OUTDATED = {
+    "location_of_the_directory": store_location,
+    "known_flow_of_a_port_that_is_used_again": store_known_flow,
+}
+
+
+# All packets in flight reached the wrong server before the first one was returned.
+@pytest.mark.parametrize("is_complete", [False, True], ids=["uncertain", "complete"])
+@pytest.mark.parametrize("case", OUTDATED)
+def test_an_outdated_location_brings_few_packets_to_its_server(
+    case: str, *, is_complete: bool
+) -> None:
+    fleet = SmallFleet(21)
+    fleet.agents["10.0.0.2"].knows_all_flows = is_complete
+    fleet.is_answer_late = True
+    packets = [make_packet(payload=10, sequence=10 * n) for n in range(16)]
+    fleet.hold(packets[0])
+    fleet.silent.add(HOLDER)
+    OUTDATED[case](fleet, packets[0].flow, "10.0.0.2")
+    for packet in packets:
+        fleet.send(packet)
+    fleet.run(2_500)
+    assert len(fleet.at_others) <= MAX_PACKETS_AT_OTHERS
+    fleet.restart_agent(HOLDER)
+    for packet in packets:
+        fleet.send(packet)
+    fleet.run(250)
+    before = [at_ms for at_ms in fleet.at_others if at_ms < fleet.at_holder[0]]
+    assert len(before) <= MAX_PACKETS_AT_OTHERS
+
+
+# The search dropped all returned packets but the first one.
+def test_all_packets_that_an_outdated_location_returns_reach_the_holder() -> None:
+    fleet = SmallFleet(21)
+    fleet.is_answer_late = True
+    packets = [make_packet(payload=10, sequence=10 * n) for n in range(16)]
+    fleet.hold(packets[0], is_known=True)
+    store_known_flow(fleet, packets[0].flow, "10.0.0.2")
+    for packet in packets:
+        fleet.send(packet)
+    fleet.run(20)
+    assert len(fleet.at_holder) == len(packets)
+
+
+# Packets of a flow that its server leaves unanswered must not be held for long.
+def test_packets_reach_a_holder_that_does_not_answer_them() -> None:
+    fleet = SmallFleet(1)
+    packets = [make_packet(sequence=10 * n) for n in range(6)]
+    fleet.hold(packets[0])
+    fleet.is_answer_late = True
+    store_known_flow(fleet, packets[0].flow, HOLDER)
+    for packet in packets:
+        fleet.send(packet)
+    assert len(fleet.at_holder) == 2
+    fleet.unanswered.clear()
+    fleet.run(30)
+    assert len(fleet.at_holder) == len(packets)
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -107,7 +107,7 @@
             has_many = balancers > ALL_CHANGES_RECEIVERS
             return AGENT_SLOW_TICK_MS if has_many else AGENT_IDLE_TICK_MS
         report_ms = compute_interval_ms(REPORT_INTERVAL_MS, balancers, REPORTS_PER_S)
-        has_held = bool(self.flows.requests.queue.held)
+        has_held = bool(self.flows.requests.queue.held or self.flows.held_trials.held)
         return min(report_ms, HELD_REQUESTS_TICK_MS if has_held else AGENT_IDLE_TICK_MS)
 
     def is_ready(self) -> bool:
@@ -174,6 +174,7 @@
         if self.flows.server_liveness.start_check_if_due():
             self.nursery.start_soon(self._check_server)
         self.apply_actions(self.flows.requests.release())
+        self.apply_actions(self.flows.release_overdue_trials())
         self.flows.expire_idle()
         report = self.flows.make_load_report()
         self.metrics.set_gauge("open_flows", report.open_flows)
@@ -210,7 +211,7 @@
     def has_pending_work(self) -> bool:
         """Return whether requests wait, or the backend server is cold or silent."""
         return (
-            bool(self.flows.waiting_requests)
+            bool(self.flows.waiting_requests or self.flows.held_trials.held)
             or self.flows.opening_limit.is_filling
             or self.flows.server_liveness.first_unanswered_ms is not None
             or self.flows.server_liveness.is_down
