Make the limited trial when no other agents are left to ask

What callers saw: while one agent that may hold a flow was silent, a search whose zone was the only one with agents made no trial at all, so that a flow at one of two servers was not found until the other's agent answered.

Change: the limited trial follows when no round is left.

Evidence: test_a_limited_trial_is_made_when_no_other_agents_are_left_to_ask failed before.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -322,8 +322,10 @@
         self.is_in_trial = False
         groups = [self._list_uncertain(group) for group in self.untried_groups]
         is_limited = any(groups) and bool(self.list_unanswered())
-        if is_limited and self.rounds:
-            return self._start_next_round()
+        if is_limited:
+            next_round = self._start_next_round()
+            if not next_round.is_exhausted:
+                return next_round
         while groups:
             uncertain = groups.pop(0)
             del self.untried_groups[0]
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -210,6 +210,17 @@
     assert len(fleet.at_others) <= MAX_PACKETS_AT_OTHERS
 
 
+# A search with no other agents to ask made no trial at all while one was silent.
+def test_a_limited_trial_is_made_when_no_other_agents_are_left_to_ask() -> None:
+    fleet = SmallFleet(2)
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.silent.add("10.0.0.2")
+    fleet.send(packet)
+    fleet.run(100)
+    assert fleet.at_holder
+
+
 # An instance that is lost but still listed must not keep flows from being found.
 def test_flows_are_found_although_a_lost_instance_is_listed() -> None:
     fleet = SmallFleet(21)
