Ask the agent that a location names before later packets

What callers saw: after a flow had moved to another balancer, the location of its keeper was outdated and named a silent agent. All of the flow's packets vanished there, for as long as its caller sent some: nothing ever returned them.

Cause: a location of the directory became a known flow without an answer of its agent.

Change: packets are forwarded to a named agent for 100 ms. For a later one (callers retransmit after 200 ms) its agent is asked alone, and the packet waits for the answer. A moved flow that goes on costs one question; flows that move and send packets for less than 100 ms cost none, as before (test_rotation_changes.py).

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -105,6 +105,9 @@
         # Another balancer may have placed a copy of the opening that is held here.
         self.held_openings.remove(packet.flow)
         self.held_uploads.remove(packet.flow)
+        if known is not None and known.must_be_confirmed(self.clock.now_ms()):
+            del self.flows[packet.flow]
+            return self._search_flow(packet, likely_at=known.agent)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
@@ -165,12 +168,14 @@
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
             if answer.verdict in (Verdict.OPENING, Verdict.HELD):
+                known.located_ms = None
                 # The server accepted an earlier copy of a returned opening.
                 self.held_openings.remove(answer.flow)
                 self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
             known.agent, known.unconfirmed_since_ms = agent, None
+            known.located_ms = None
         return []
 
     def answer_lookup(self, lookup: FlowLookup) -> FlowLocations:
@@ -230,7 +235,9 @@
         actions += self.admission.held_placement.tick()
         return actions + self.held_uploads.tick()
 
-    def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
+    def _search_flow(
+        self, packet: Packet, absent_at: str = "", likely_at: str = ""
+    ) -> list[Action]:
         """Search for a packet's flow; its queued packets wait for the result as well.
 
         A packet that `absent_at` returned was sent before the queued ones.
@@ -248,7 +255,7 @@
         for waiting in packets:
             known = self.flows.get(packet.flow)
             if known is None:
-                actions += self.searches.search(waiting, absent_at)
+                actions += self.searches.search(waiting, absent_at, likely_at)
             else:
                 actions += self.pacing.forward(known, waiting)
         return actions
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -173,6 +173,13 @@
                 SearchRound(everyone, REMOTE_ANSWER_TIMEOUT_MS, trial_agents)
             ]
 
+    def ask_first(self, agent: str) -> None:
+        """Ask one agent alone before the first round."""
+        likely = SearchRound(
+            (agent,), self.get_answer_timeout_ms(agent), self.rounds[0].trial_agents
+        )
+        self.rounds.insert(0, likely)
+
     def hold_packet(self, packet: Packet) -> None:
         """Hold a packet until the flow is found; drop copies, and others at the limit.
 
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -109,10 +109,13 @@
         """The balancers that have left two lookups in a row unanswered. They are asked,
         but not waited for until they send a message."""
 
-    def search(self, packet: Packet, absent_at: str = "") -> list[Action]:
+    def search(
+        self, packet: Packet, absent_at: str = "", likely_at: str = ""
+    ) -> list[Action]:
         """Hold a packet and search for its flow.
 
-        `absent_at` is an agent that has already ruled the flow out, if any.
+        `absent_at` is an agent that has already ruled the flow out, `likely_at` one
+        that a location names, if any.
         """
         key = packet.flow
         search = self.get(key)
@@ -136,6 +139,9 @@
         self.counters["searches"] += 1
         if absent_at:
             search.handle_verdict(absent_at, Verdict.ABSENT)
+        if likely_at in search.services:
+            search.ask_first(likely_at)
+            return self._apply_step(key, search, search.start())
         if search.is_single_step:
             return self._start_single_step(key, search)
         if not absent_at and len(search.rounds[0].agents) > MIN_AGENTS:
@@ -167,7 +173,7 @@
             return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
-            return self._finish_found(location.flow, search, location.agent)
+            return self._finish_located(search, location)
         return self._apply_step(location.flow, search, search.start())
 
     def is_awaiting_location(self, key: FlowKey) -> bool:
@@ -422,6 +428,13 @@
         self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
+    def _finish_located(
+        self, search: FlowSearch, location: FlowLocation
+    ) -> list[Action]:
+        actions = self._finish_found(location.flow, search, location.agent)
+        self.flows[location.flow].located_ms = self.clock.now_ms()
+        return actions
+
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -13,6 +13,10 @@
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 
+LOCATION_TRUST_MS = 100
+"""How long packets are forwarded to an agent that another balancer has named, in
+milliseconds. For a later packet the agent is asked: callers retransmit after 200 ms."""
+
 LAST_CHOICE_ATTEMPT = 3
 """From this attempt to place an opening on, its agent should not return it for lack of
 room: load reports were misleading twice, and the caller waits."""
@@ -36,6 +40,8 @@
         found by a search."""
         self.unconfirmed_since_ms: int | None = None
         """When an unconfirmed opening was forwarded; None for other flows."""
+        self.located_ms: int | None = None
+        """When another balancer named the agent; None once the agent has confirmed."""
         self.may_be_accepted = False
         """Whether a server may accept a copy of the unconfirmed opening other than the
         one forwarded last: an earlier one was not answered, or another one is on its
@@ -52,6 +58,13 @@
         self.is_last_choice = False
         """Whether no agent should return the opening any more for lack of room."""
 
+    def must_be_confirmed(self, now_ms: int) -> bool:
+        """Return whether the agent is to be asked before it gets another packet."""
+        return (
+            self.located_ms is not None
+            and now_ms - self.located_ms >= LOCATION_TRUST_MS
+        )
+
 
 class KnownFlows(OrderedDict[FlowKey, KnownFlow]):
     """The known flows in the order in which they are next checked for expiry."""
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -325,3 +325,42 @@
     fleet.unanswered.clear()
     fleet.run(30)
     assert len(fleet.at_holder) == len(packets)
+
+
+# Packets of a flow vanished for as long as its caller sent some.
+@pytest.mark.parametrize("is_fleet_uncertain", [False, True])
+def test_a_location_at_a_silent_agent_is_given_up(*, is_fleet_uncertain: bool) -> None:
+    fleet = SmallFleet(21)
+    packet = make_packet(payload=10)
+    fleet.hold(packet, is_known=not is_fleet_uncertain)
+    store_location(fleet, packet.flow, "10.0.0.2")
+    fleet.silent.add("10.0.0.2")
+    fleet.run(10_000)
+    started_ms = fleet.clock.now_ms()
+    fleet.retransmit(packet, 1_000)
+    assert fleet.at_holder[0] - started_ms <= 300
+
+
+# A location that is right costs one question, and no search of all agents.
+def test_a_location_is_confirmed_with_one_question() -> None:
+    fleet = SmallFleet(21)
+    packets = [make_packet(payload=10, sequence=10 * n) for n in range(10)]
+    fleet.hold(packets[0], is_known=True)
+    store_location(fleet, packets[0].flow, HOLDER)
+    for packet in packets:
+        fleet.send(packet)
+        fleet.run(50)
+    assert len(fleet.at_holder) == len(packets)
+    assert fleet.balancer.counters["questions"] == 1
+
+
+# The address of a location belongs to a server of another service by now.
+def test_a_location_at_a_server_of_another_service_brings_it_no_packet() -> None:
+    fleet = SmallFleet(21)
+    packet = make_packet(payload=10)
+    fleet.hold(packet, is_known=True)
+    store_location(fleet, packet.flow, "10.0.0.2")
+    fleet.agents["10.0.0.2"].service = "reporting"
+    fleet.send(packet)
+    assert fleet.at_holder
+    assert not fleet.at_others
