Keep accepted flows as long as open ones at their agent

What callers saw: a caller that paused for more than 5 s between the acceptance of its flow and its first packet could be reset, if that packet came through another balancer: the flow's own agent had forgotten it and denied it.

Cause: an agent removed accepted flows after 5 s like flows that the server does not hold, and an agent that knows all flows denies those that it does not find.

Change: an accepted flow is kept for 60 s like an open one. An entry that was not confirmed for 5 s stands only for packets that do confirm it; any other packet or question, and a new opening, is handled as if the entry were not there, as before.

Evidence: test_an_agent_does_not_deny_an_idle_flow_of_its_server failed before in accepted_and_not_confirmed, accepted_until_the_longest_lifetime and accepted_after_a_withheld_reset. Its cases of open flows, flows that one side has finished and flows opened after a bounce passed before: they are ruled out. Two more tests guard what the longer time could break: a port that is used again, and a late copy of an opening at a restarted agent; both failed on the commit before as well, where the entry lasted until it was removed.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -14,6 +14,7 @@
 )
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._flow_entry import (
+    OTHER_FLOW_TIMEOUT_MS,
     STATES_AFTER_CONFIRMATION,
     STATES_BEFORE_OPENING,
     FlowEntry,
@@ -41,13 +42,9 @@
 )
 from citronwinch.coordination.flows._server_requests import ServerRequests
 
-OPEN_FLOW_TIMEOUT_MS = 60_000
-"""An open flow without packets for this long is removed, in milliseconds; the
-platform's longest lifetime of a flow."""
-
-UNOPENED_FLOW_TIMEOUT_MS = 5_000
-"""A flow in any other state than open is removed after this long without packets, in
-milliseconds; longer than the callers' longest interval between retransmissions."""
+HELD_FLOW_TIMEOUT_MS = 60_000
+"""An accepted or open flow without packets for this long is removed, in milliseconds;
+the platform's longest lifetime of a flow."""
 
 LEARNING_PERIOD_MS = 60_000
 """How long after the agent's start its backend server may hold flows that the agent
@@ -132,7 +129,7 @@
 
     def _handle_data(self, packet: Packet, balancer: str) -> list[Action]:
         """Deliver a packet of a flow, unless the backend server does not hold it."""
-        flow = self.flows.get(packet.flow)
+        flow = self._find_flow(packet.flow, packet.acknowledged)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
         if flow.state is FlowState.ABSENT or not flow.may_include(packet):
@@ -145,6 +142,10 @@
         """Deliver an opening, or return it if its requests would wait too long here."""
         if self.server_liveness.is_down:
             return self._return_opening(packet, balancer)
+        flow = self.flows.get(packet.flow)
+        if flow is not None and flow.is_never_confirmed(self.clock.now_ms()):
+            # The port is used again.
+            self._remove_flow(packet.flow)
         if self.is_evacuated and not has_accepted(self.flows.get(packet.flow)):
             self.returned_openings["evacuated"] += 1
             returned = record(
@@ -362,7 +363,7 @@
 
     def answer_question(self, question: FlowQuestion) -> FlowAnswer:
         """Return the verdict whether the backend server holds a flow."""
-        flow = self.flows.get(question.flow)
+        flow = self._find_flow(question.flow, question.acknowledged)
         if flow is not None:
             verdict = flow.find_verdict(question.acknowledged)
         else:
@@ -404,15 +405,26 @@
         for _ in range(self.expiry_pass.count_due(len(self.flows))):
             key, flow = next(iter(self.flows.items()))
             timeout_ms = (
-                OPEN_FLOW_TIMEOUT_MS
-                if flow.state is FlowState.OPEN
-                else UNOPENED_FLOW_TIMEOUT_MS
+                HELD_FLOW_TIMEOUT_MS
+                if flow.state in (FlowState.ACCEPTED, FlowState.OPEN)
+                else OTHER_FLOW_TIMEOUT_MS
             )
             if now_ms - flow.last_packet_ms > timeout_ms:
                 self._remove_flow(key)
             else:
                 self.flows.move_to_end(key)
 
+    def _find_flow(self, key: FlowKey, acknowledged: int) -> FlowEntry | None:
+        """Return the flow of a caller's packet, None for an earlier one of its port."""
+        flow = self.flows.get(key)
+        if (
+            flow is None
+            or flow.is_confirmed_by(acknowledged)
+            or not flow.is_never_confirmed(self.clock.now_ms())
+        ):
+            return flow
+        return None
+
     def _add_flow(self, key: FlowKey, state: FlowState) -> FlowEntry:
         self._remove_flow(key)
         flow = self.flows[key] = FlowEntry(state, self.clock.now_ms())
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -13,6 +13,10 @@
 """How far beyond the backend server's first sequence number a caller's acknowledgement
 may be to confirm that server's acceptance, in sequence numbers."""
 
+OTHER_FLOW_TIMEOUT_MS = 5_000
+"""A flow that is neither accepted nor open is removed after this long without packets,
+in milliseconds; longer than the callers' longest interval between retransmissions."""
+
 DELIVERED_TRIAL_PACKETS = 2
 """The packets of an unknown flow that are delivered before the backend server has
 answered; it acknowledges every second packet."""
@@ -113,6 +117,14 @@
         is_recent = now_ms - self.since_ms < TRIAL_ANSWER_TIMEOUT_MS
         return is_recent and self.trial_packets >= DELIVERED_TRIAL_PACKETS
 
+    def is_never_confirmed(self, now_ms: int) -> bool:
+        """Return whether the flow was accepted long ago, without the caller's reply.
+
+        It probably was confirmed at another server, unless the caller pauses.
+        """
+        is_old = now_ms - self.last_packet_ms > OTHER_FLOW_TIMEOUT_MS
+        return is_old and self.state is FlowState.ACCEPTED
+
     def may_include(self, packet: Packet) -> bool:
         """Return whether a caller's packet may belong to this flow.
 
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -18,12 +18,14 @@
     DeploymentView,
     FlowAnswer,
     FlowLocation,
+    FlowQuestion,
     ForwardedPacket,
     Packet,
     ReturnedPacket,
     SendMessage,
     ServerSelector,
     StorePosition,
+    Verdict,
 )
 from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
 from citronwinch.coordination.flows._known_flows import KnownFlow
@@ -364,3 +366,97 @@
     fleet.send(packet)
     assert fleet.at_holder
     assert not fleet.at_others
+
+
+FIRST_SEQUENCE = 500
+ACKNOWLEDGED = FIRST_SEQUENCE + 1
+
+
+def forward(agent: AgentFlows, packet: Packet) -> list[Action]:
+    """Let a packet of a caller arrive at an agent."""
+    message = ForwardedPacket("gauging", packet.raw)
+    return agent.handle_forwarded(message, packet, BALANCER_IP)
+
+
+def accept(agent: AgentFlows) -> None:
+    """Let the server beside an agent accept a flow."""
+    forward(agent, make_packet(opening=True))
+    agent.handle_from_server(make_packet(opening=True, sequence=FIRST_SEQUENCE))
+
+
+def open_flow(agent: AgentFlows) -> None:
+    """Let the server beside an agent accept a flow, and its caller confirm that."""
+    accept(agent)
+    forward(agent, make_packet(payload=10, acknowledged=ACKNOWLEDGED))
+
+
+def finish_at_caller(agent: AgentFlows) -> None:
+    open_flow(agent)
+    forward(agent, make_packet(finishing=True, acknowledged=ACKNOWLEDGED))
+
+
+def finish_at_server(agent: AgentFlows) -> None:
+    open_flow(agent)
+    agent.handle_from_server(make_packet(finishing=True))
+
+
+def accept_after_a_withheld_reset(agent: AgentFlows) -> None:
+    forward(agent, make_packet(opening=True))
+    agent.handle_from_server(make_packet(reset=True))
+    agent.handle_from_server(make_packet(opening=True, sequence=FIRST_SEQUENCE))
+
+
+def open_after_a_bounce(agent: AgentFlows) -> None:
+    forward(agent, make_packet(payload=10))
+    agent.handle_from_server(make_packet(payload=10, bounced=True))
+    open_flow(agent)
+
+
+IDLE_FLOWS = {
+    "accepted_and_not_confirmed": (accept, 14_000),
+    "accepted_until_the_longest_lifetime": (accept, 59_000),
+    "open_until_the_longest_lifetime": (open_flow, 59_000),
+    "finished_by_the_caller": (finish_at_caller, 59_000),
+    "finished_by_the_server": (finish_at_server, 59_000),
+    "accepted_after_a_withheld_reset": (accept_after_a_withheld_reset, 14_000),
+    "opened_after_a_bounce": (open_after_a_bounce, 59_000),
+}
+
+
+# An agent forgot a flow that its server held, and denied it.
+@pytest.mark.parametrize("case", IDLE_FLOWS)
+def test_an_agent_does_not_deny_an_idle_flow_of_its_server(
+    clock: ManualClock, case: str
+) -> None:
+    begin, idle_ms = IDLE_FLOWS[case]
+    agent = AgentFlows("gauging", clock, knows_all_flows=True)
+    begin(agent)
+    for _ in range(idle_ms // 500):
+        clock.advance(500)
+        agent.expire_idle()
+    question = FlowQuestion(make_packet().flow, ACKNOWLEDGED)
+    assert agent.answer_question(question).verdict is Verdict.HELD
+
+
+# A port that is used again must not count as accepted where it never was confirmed.
+def test_an_opening_after_an_unconfirmed_flow_is_a_new_one(clock: ManualClock) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=True)
+    accept(agent)
+    clock.advance(5_001)
+    agent.is_evacuated = True
+    opening = make_packet(opening=True)
+    assert not any(isinstance(a, DeliverToServer) for a in forward(agent, opening))
+    assert agent.returned_openings["evacuated"] == 1
+
+
+# A restarted agent took a late copy of an opening for the flow that its server holds.
+def test_a_flow_accepted_long_ago_does_not_stand_for_another_one(
+    clock: ManualClock,
+) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=False)
+    accept(agent)
+    clock.advance(5_001)
+    later = make_packet(payload=10, acknowledged=ACKNOWLEDGED + 100)
+    question = FlowQuestion(later.flow, later.acknowledged)
+    assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
+    assert DeliverToServer(later.raw) in forward(agent, later)
