Show that an agent denies flows by its time of day

An agent takes its server to be younger than itself when the listed start is later than its own start minus 1,000 ms, and then denies flows that it does not know. An agent whose time of day was behind when it was restarted denies flows that its server holds, and so does one that was restarted within a second of its server's start, although its predecessor may have carried flows.

Not mended here. Neither a later incarnation while the agent runs is proof, since the listing may be older than the agent, nor the wall clock. A refused connection at the agent's start is, but a server that already listens stays uncertain for 60 s. The rule needs a statement that does not depend on time of day, such as a balancer that says in its heartbeat whether it had heard an agent of this incarnation before.

test_an_agent_older_than_its_server_knows_all_flows expects the present rule in its cases "both have just started" and "the server restarted"; it has to change with it.

--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -460,3 +460,32 @@
     question = FlowQuestion(later.flow, later.acknowledged)
     assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
     assert DeliverToServer(later.raw) in forward(agent, later)
+
+
+# The agent's time of day was 5 s behind when it was restarted after its server.
+def test_an_agent_whose_time_of_day_was_behind_does_not_deny_flows(
+    clock: ManualClock,
+) -> None:
+    server_started_ms = 60_000
+    agent = AgentFlows(
+        "gauging",
+        clock,
+        knows_all_flows=False,
+        started_unix_ms=server_started_ms - 2_000,
+    )
+    agent.handle_server_start(server_started_ms)
+    question = FlowQuestion(make_packet().flow, ACKNOWLEDGED)
+    assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
+
+
+# The server had opened flows in the half second before its agent was restarted.
+def test_an_agent_that_starts_soon_after_its_server_does_not_deny_flows(
+    clock: ManualClock,
+) -> None:
+    server_started_ms = 60_000
+    agent = AgentFlows(
+        "gauging", clock, knows_all_flows=False, started_unix_ms=server_started_ms + 500
+    )
+    agent.handle_server_start(server_started_ms)
+    question = FlowQuestion(make_packet().flow, ACKNOWLEDGED)
+    assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
