--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -37,6 +37,7 @@
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
 from citronwinch.coordination.flows._searched_servers import (
     list_optional_agents,
+    list_restarting_agents,
     list_servers_to_query,
     list_silent_agents,
 )
@@ -46,6 +47,7 @@
     TrialBudget,
     compute_trial_bytes,
 )
+from citronwinch.coordination.flows._trial_records import TrialRecords
 from citronwinch.coordination.flows._upload_admission import (
     UploadAdmission,
     is_upload_flow,
@@ -102,14 +104,19 @@
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.trials = TrialBudget(clock, link_mbps)
+        self.trial_records = TrialRecords(clock)
+        self.started_ms = clock.now_ms()
         self.unresponsive_balancers: set[str] = set()
         """The balancers that have left two lookups in a row unanswered. They are asked,
         but not waited for until they send a message."""
 
-    def search(self, packet: Packet, absent_at: str = "") -> list[Action]:
+    def search(
+        self, packet: Packet, absent_at: str = "", likely_at: str = ""
+    ) -> list[Action]:
         """Hold a packet and search for its flow.
 
-        `absent_at` is an agent that has already ruled the flow out, if any.
+        `absent_at` is an agent that has already ruled the flow out, `likely_at` one
+        that a location names, if any.
         """
         key = packet.flow
         search = self.get(key)
@@ -127,11 +134,15 @@
             is_single_step=self.outcomes.presume_dead(),
         )
         search.expendable_agents = self._list_expendable(key, other_servers)
+        self._plan_trials(key, search)
         search.hold_packet(packet)
         self[key] = search
         self.counters["searches"] += 1
         if absent_at:
             search.handle_verdict(absent_at, Verdict.ABSENT)
+        if likely_at in search.services:
+            search.ask_first(likely_at)
+            return self._apply_step(key, search, search.start())
         if search.is_single_step:
             return self._start_single_step(key, search)
         if not absent_at and len(search.rounds[0].agents) > MIN_AGENTS:
@@ -163,7 +174,7 @@
             return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
-            return self._finish_found(location.flow, search, location.agent)
+            return self._finish_located(search, location)
         return self._apply_step(location.flow, search, search.start())
 
     def is_awaiting_location(self, key: FlowKey) -> bool:
@@ -228,6 +239,7 @@
         """Advance searches past their deadline; expire entries of flows not found."""
         self.batches.give_up_overdue()
         self.batches.expire()
+        self.trial_records.expire()
         actions: list[Action] = [*self._send_questions()]
         now_ms = self.clock.now_ms()
         for key, search in list(self.items()):
@@ -280,6 +292,13 @@
         optional = list_optional_agents(self.view, key, servers)
         return list_silent_agents(self.selector, self.batches, optional)
 
+    def _plan_trials(self, key: FlowKey, search: FlowSearch) -> None:
+        """State whose answers trials need, and how many packets are sent without."""
+        search.list_possible_holders = lambda: list_restarting_agents(
+            self.view, self.selector, self.batches, key, self.started_ms
+        )
+        search.trial_room = self.trial_records.count_room(key)
+
     def _apply_step(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
@@ -309,16 +328,19 @@
         self, key: FlowKey, search: FlowSearch, agents: tuple[str, ...]
     ) -> list[Action]:
         """Send the held packets to uncertain agents, if the link has room for them."""
-        size_bytes = compute_trial_bytes(search.held_packets, len(agents))
+        packets = search.held_packets[: search.trial_packet_counts[agents[0]]]
+        size_bytes = compute_trial_bytes(packets, len(agents))
         if not self.trials.try_spend(size_bytes):
             self.counters["trials_put_off"] += 1
             search.put_off_trial(TRIAL_RETRY_MS)
             return [] if search.has_time_left() else self._finish_not_found(key, search)
         search.deadline_ms += self.trials.compute_transfer_ms(size_bytes)
+        self.trial_records.record(key, len(agents) * len(packets))
+        search.trial_room = self.trial_records.count_room(key)
         return [
             forward_to_agent(ip, search.services[ip], packet)
             for ip in agents
-            for packet in search.held_packets
+            for packet in packets
         ]
 
     def _spend_questions(self, search: FlowSearch, step: SearchStep) -> bool:
@@ -412,6 +434,13 @@
         self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
+    def _finish_located(
+        self, search: FlowSearch, location: FlowLocation
+    ) -> list[Action]:
+        actions = self._finish_found(location.flow, search, location.agent)
+        self.flows[location.flow].located_ms = self.clock.now_ms()
+        return actions
+
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
