Count the majority that may replace an owner as the others count it

Callers could have one flow served by two backend servers, and the late packets of either answered by a server that does not know them.

Cause: an owner computes until when no majority of the members can count it as gone, and delivers without asking until then. It always counted itself as one of the members. The others do not count it when it has left the table (a former member), nor when the platform does not list it and it is silent. With one member left, or two of three, the others replaced the owner while the owner stayed certain for good. A member that the platform does not list was counted as well, although the others leave it out when it is silent to them.

Evidence: four cases of a cut between two parts of a group, without network (test_evidence_of_absence.py); all four had two owners before.

The owner now counts itself only when it is in the table and listed, and takes the earliest end over all sets of unlisted members that may be left out. Members that are silent and unlisted to the owner itself are left out as before. A second test, which also passed before, shows that the owners stay certain when another member is lost, listed or not.

Not covered: an owner that cannot read from the platform that it is not listed any more, while the others can.

--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -44,6 +44,16 @@
 """A time that is never reached, in milliseconds."""
 
 
+def find_majority_end(ends: list[int], own_votes: int) -> int:
+    """Return the earliest time at which a majority of members may count one as silent.
+
+    `ends` are the times from which each other member may do so. `own_votes` is 1 if
+    the member itself counts, 0 otherwise.
+    """
+    majority_index = (len(ends) + own_votes) // 2
+    return sorted(ends)[majority_index] if majority_index < len(ends) else NEVER_MS
+
+
 class ReceivedLease(NamedTuple):
     """A lease that another member has granted to this member."""
 
@@ -318,19 +328,31 @@
 
         Afterwards the other members may have chosen new owners for this member's
         flows, so this member has to query them before it delivers packets again.
+
+        This member itself counts only if it is in the table and the platform lists it.
+        A member that the platform does not list may be silent to the others, which
+        then leave it out of the majority.
         """
         others = (
             self.current_members - self.list_silent_unlisted_members() - {self.name}
         )
-        ends = sorted(
-            (self.member(name).answered_ms or self.started_ms) + SILENT_MS
-            for name in others
-        )
-        majority_index = (len(others) + 1) // 2
-        self.ownership_certain_until_ms = (
-            ends[majority_index] if majority_index < len(ends) else NEVER_MS
+        own_votes = int(self.name in self.current_members - self.unlisted)
+        listed = [self.find_certainty_end(name) for name in others - self.unlisted]
+        unlisted = sorted(map(self.find_certainty_end, others & self.unlisted))
+        self.ownership_certain_until_ms = min(
+            find_majority_end([*listed, *unlisted[:count]], own_votes)
+            for count in range(len(unlisted) + 1)
         )
 
+    def find_certainty_end(self, name: str) -> int:
+        """Return when a member may count this member as silent, in milliseconds."""
+        return (self.member(name).answered_ms or self.started_ms) + SILENT_MS
+
+    def accept_unlisted(self, unlisted: frozenset[str]) -> None:
+        """Replace the members that the platform does not list."""
+        self.unlisted = unlisted
+        self.update_ownership_certainty()
+
     def list_silent_unlisted_members(self) -> set[str]:
         """Return the silent current members that the platform no longer lists."""
         return {name for name in self.unlisted - {self.name} if self.is_silent(name)}
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -156,7 +156,7 @@
             names |= leases.former_members
         self.unlisted = frozenset(names - listed)
         for leases in self.leases.values():
-            leases.unlisted = self.unlisted
+            leases.accept_unlisted(self.unlisted)
 
     def leases_of(self, service: str) -> ServiceLeases:
         """Return the leases of a service, created on first use."""
--- /dev/null
+++ b/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
@@ -0,0 +1,117 @@
+"""The silence of an agent is not taken as proof that it owns no flow.
+
+A flow whose server lives would be ended, or be opened at a second server, because a
+message was lost or an agent was paused or cut off for some seconds.
+"""
+
+import pytest
+
+from citronwinch.coordination import Endpoint, Instance, InstanceRole
+from citronwinch.coordination.steering.tests.conftest import (
+    NAMES,
+    Group,
+    make_key,
+    make_row,
+)
+
+FOURTH = "gauging-4"
+
+
+def list_instances(names):
+    return tuple(
+        Instance(name, InstanceRole.AGENT, "zone-0", Endpoint("198.51.100.9", 1))
+        for name in names
+    )
+
+
+def settle_with_cut(group, duration_ms, parts):
+    """Advance the time while messages between two parts of the group are lost."""
+    for _ in range(duration_ms // 100):
+        group.tick()
+        while group.in_transit:
+            sent = group.in_transit.pop(0)
+            if all({sent.sender, sent.receiver} & part for part in parts):
+                continue
+            group.receive(sent)
+
+
+CUT_OFF_OWNERS = {
+    "an only member counts a former member as gone": (
+        [make_row(NAMES[0]), make_row(NAMES[1])],
+        [make_row(NAMES[0])],
+        NAMES,
+        ({NAMES[0]}, {NAMES[1]}),
+    ),
+    "two of three members count a former member as gone": (
+        [make_row(name) for name in (*NAMES, FOURTH)],
+        [make_row(name) for name in (NAMES[0], NAMES[2], FOURTH)],
+        (*NAMES, FOURTH),
+        ({NAMES[0], FOURTH}, {NAMES[1], NAMES[2]}),
+    ),
+    "the platform does not list the owner": (
+        [make_row(NAMES[0]), make_row(NAMES[1])],
+        None,
+        [NAMES[0]],
+        ({NAMES[0]}, {NAMES[1]}),
+    ),
+    "the platform does not list a member that only the owner hears": (
+        [make_row(name) for name in (*NAMES, FOURTH)],
+        None,
+        [NAMES[0], NAMES[1], FOURTH],
+        ({NAMES[0], FOURTH}, {NAMES[1], NAMES[2]}),
+    ),
+}
+"""The rows before and after the flow is opened, the listed agents and the parts."""
+
+
+@pytest.mark.parametrize("name", CUT_OFF_OWNERS)
+def test_owner_that_may_count_as_gone_is_not_certain(name):
+    """Two agents would serve one flow: the owner, and the one chosen in its place."""
+    before, after, listed, parts = CUT_OFF_OWNERS[name]
+    group = Group(before)
+    home, owner = NAMES[0], NAMES[1]
+    flow = next(
+        key
+        for key in map(make_key, range(500))
+        if group.home(key, seen_by=home) == owner
+    )
+    group.deliver_packet(owner, flow)
+    assert group.owners(flow) == [owner]
+    if after is not None:
+        group.publish(after)
+    group.settle()
+    for agent in group.agents.values():
+        agent.accept_instances(list_instances(listed))
+    settle_with_cut(group, 6_000, parts)
+    group.deliver_packet(home, flow, packet=b"second")
+    settle_with_cut(group, 300, parts)
+    group.deliver_packet(owner, flow, packet=b"third")
+    settle_with_cut(group, 6_000, parts)
+    assert len(group.owners(flow)) <= 1
+    assert [agent for agent, _ in group.delivered].count(owner) == 1
+    group.settle(8_000)
+    assert len(group.owners(flow)) == 1
+
+
+@pytest.mark.parametrize("count", [2, 3])
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_owner_stays_certain_when_another_member_is_lost(count, is_listed):
+    """Flows of the remaining servers would wait for the answers of a lost agent."""
+    names = NAMES[:count]
+    group = Group([make_row(name) for name in names])
+    owner, lost = NAMES[:2]
+    flow = next(
+        key
+        for key in map(make_key, range(500))
+        if group.home(key, seen_by=owner) == owner
+    )
+    group.deliver_packet(owner, flow)
+    del group.agents[lost]
+    for agent in group.agents.values():
+        agent.accept_instances(
+            list_instances(names if is_listed else {*names} - {lost})
+        )
+    group.settle(12_000)
+    assert group.owners(flow) == [owner]
+    group.deliver_packet(owner, flow, packet=b"second")
+    assert len(group.delivered) == 2
