Wait for the peers that still have a restarted agent's flows

Callers lost their flows at a planned restart while their backend server was running, when one peer of the agent was paused or cut off for some seconds.

Cause: a started agent took 3 s without a majority for proof that it had no flows, and voided the transfer at once at all peers. With three members both others have to return it; one of them silent for 3 s ended all flows of the agent, although both had them for 30 s.

Once a receiver has returned the transfer, the agent waits for the others as long as a majority may still return it, 20 s from the listing at most. After 3 s only packets of the listed flows are dropped; before, all. Two majorities share a member as before, so the proof is the same; the flows are registered before other agents may own them (30 s).

Cost: if a receiver is gone for good, the agent is ready after up to 20 s from the listing instead of 3 s, and the flows end then.

Open: if no peer answers for 3 s, the agent still gives up.

--- a/citronwinch/coordination/steering/_flow_handover.py
+++ b/citronwinch/coordination/steering/_flow_handover.py
@@ -4,7 +4,9 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
+from citronwinch.coordination.steering._held_transfers import TRANSFER_RETURN_MS
 from citronwinch.coordination.steering._messages import (
     FlowsQuery,
     FlowTransfer,
@@ -34,7 +36,7 @@
 """
 
 RESTORATION_TIMEOUT_MS = 3_000
-"""How long a started agent waits for the flows of its previous run, in milliseconds.
+"""How long a started agent waits for a first transfer to be returned, in milliseconds.
 
 As long as it learns of former members at most: it decides on no flow before that.
 """
@@ -148,6 +150,11 @@
     no run in between can have restored the same transfer, and a peer that was cut off
     cannot bring back an outdated one.
 
+    After `RESTORATION_TIMEOUT_MS` without any returned transfer there is none. Once a
+    receiver has returned one, the agent waits for the others as long as they return it,
+    since a receiver that is paused or cut off for some seconds still has it. Only the
+    flows of that transfer wait meanwhile.
+
     `returned` is the transfer; it is None until then, and stays None without one.
     """
 
@@ -159,11 +166,14 @@
         self.peers: frozenset[str] = frozenset()
         self.started_ms: int | None = None
         self.queried_ms: int | None = None
+        self.is_late = False
         self.answered: set[str] = set()
         self.voters: defaultdict[tuple[int, int], set[str]] = defaultdict(set)
         self.parts: defaultdict[tuple[int, int], dict[int, FlowTransfer]] = defaultdict(
             dict
         )
+        self.returned_until_ms: dict[tuple[int, int], int] = {}
+        self.awaited_flows: dict[tuple[int, int], set[FlowKey]] = defaultdict(set)
 
     def list_due_queries(self, peers: Sequence[str]) -> list[tuple[str, FlowsQuery]]:
         """Return the queries to send now; without peers the restoration ends."""
@@ -171,8 +181,9 @@
         if self.started_ms is None:
             self.started_ms = now_ms
         self.peers = frozenset(peers)
-        is_late = now_ms - self.started_ms >= RESTORATION_TIMEOUT_MS
-        if is_late or self.peers <= self.answered:
+        self.is_late = now_ms - self.started_ms >= RESTORATION_TIMEOUT_MS
+        is_over = self.is_late and not self.may_get_majority()
+        if is_over or self.peers <= self.answered:
             self.is_finished = True
         is_waiting = (
             self.queried_ms is not None and now_ms - self.queried_ms < QUERY_RETRY_MS
@@ -183,6 +194,34 @@
         query = FlowsQuery(self.incarnation, self.find_missing_part())
         return [(name, query) for name in peers if name not in self.answered]
 
+    def may_get_majority(self) -> bool:
+        """Return whether a majority may still return the latest returned transfer."""
+        if not self.parts:
+            return False
+        version = max(self.parts)
+        first_part = next(iter(self.parts[version].values()))
+        receivers = {name for name, _ in first_part.receivers}
+        voters = self.voters[version] | (receivers - self.answered)
+        return self.clock.now_ms() <= self.returned_until_ms[version] and 2 * len(
+            voters
+        ) > len(receivers)
+
+    def may_restore(self, flow: FlowKey) -> bool:
+        """Return whether a flow may still be restored.
+
+        That is each flow until `RESTORATION_TIMEOUT_MS`, later those of the latest
+        transfer that was returned.
+        """
+        if self.is_finished:
+            return False
+        if not self.is_late or not self.parts:
+            return True
+        version = max(self.parts)
+        is_listed = flow in self.awaited_flows[version]
+        parts = self.parts[version]
+        has_all_parts = len(parts) == next(iter(parts.values())).part_count
+        return is_listed or not has_all_parts
+
     def find_missing_part(self) -> int:
         """Return the first missing part of the latest transfer that was returned."""
         if not self.parts:
@@ -207,6 +246,10 @@
         self.voters[version].add(sender)
         parts = self.parts[version]
         parts[message.part] = message
+        self.awaited_flows[version].update(found.flow for found in message.flows)
+        self.returned_until_ms[version] = (
+            self.clock.now_ms() + TRANSFER_RETURN_MS - message.age_ms
+        )
         has_majority = 2 * len(self.voters[version]) > len(receivers)
         if has_majority and len(parts) == message.part_count:
             flows = [flow for _, part in sorted(parts.items()) for flow in part.flows]
--- a/citronwinch/coordination/steering/_held_transfers.py
+++ b/citronwinch/coordination/steering/_held_transfers.py
@@ -28,9 +28,10 @@
 TRANSFER_RETURN_MS = 20_000
 """The age up to which a transfer is returned to the next run, in milliseconds.
 
-The difference to `TRANSFER_MS` is longer than a lease (5 s) and the restoration (3 s)
-together: by the time another agent may own the flow, its home has either heard of the
-next run's ownership or no lease of that run.
+An agent that got it from some peers waits as long for the others. The difference to
+`TRANSFER_MS` is longer than a lease (5 s) and the time to register the flows: by the
+time another agent may own the flow, its home has either heard of the next run's
+ownership or no lease of that run.
 """
 
 TRANSFERRED_FLOWS_LIMIT = 65_536
--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -56,9 +56,8 @@
     def is_restoring(self) -> bool:
         """Whether flows of the previous run may still be restored.
 
-        Until then packets of flows that this agent does not own are dropped, as they
-        were while no run of this agent was there. That ends at most
-        `RESTORATION_TIMEOUT_MS` after the first table. Without a table it ends after
+        That ends at most `RESTORATION_TIMEOUT_MS` after the first table, or when the
+        peers do not return a transfer any more. Without a table it ends after
         `TABLE_WAIT_MS`; such an agent accepts no flows, but answers.
         """
         waited_ms = self.process.clock.now_ms() - self.started_ms
@@ -66,6 +65,14 @@
             self.process.table.revision > 0 or waited_ms < TABLE_WAIT_MS
         )
 
+    def may_restore(self, flow: FlowKey) -> bool:
+        """Return whether a flow that this agent does not own may still be restored.
+
+        Until then its packets are dropped, as they were while no run of this agent was
+        there.
+        """
+        return self.is_restoring and self.process.steering.restoration.may_restore(flow)
+
     def find_local_port(self, flow: FlowKey) -> int:
         """Return the local port of a flow's UDP socket, 0 without one."""
         delivery = self.process.udp_delivery
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -201,7 +201,8 @@
 
     def handle_forward(self, message: Forward) -> None:
         """Handle a forwarded packet as a request if possible, else by steering."""
-        if self.flow_handler.is_restoring and message.flow not in self.steering.owned:
+        is_owned = message.flow in self.steering.owned
+        if not is_owned and self.flow_handler.may_restore(message.flow):
             self.metrics.count("packets_dropped_total", "restoring")
             return
         if self.request_handler.intercept(message):
