Go on asking for a restarted agent's flows when no peer answers at first

Callers lost their flows at a planned restart when the agent was cut off from its peers for the first 3 s, although the peers kept the flows for 30 s.

It is ready after 3 s as before, and handles packets of flows that it does not know, so that a first start without peers answers its callers as before. A packet that a peer sends to it as the flow's owner is dropped until then: if it were declined, the peer would give the flow to another owner, and the next answer would restore it here, too.

--- a/citronwinch/coordination/steering/_agent_handover.py
+++ b/citronwinch/coordination/steering/_agent_handover.py
@@ -25,6 +25,7 @@
     FlowTransfer,
     FlowTransferAck,
     FlowTransferEnd,
+    Forward,
     TransferredFlow,
 )
 
@@ -244,6 +245,17 @@
         message = FlowTransferEnd(self.incarnation, 0, False)
         return [Send(name, message) for name in self.find_receivers()]
 
+    def may_restore(self, message: Forward) -> bool:
+        """Return whether the flow of a packet may still be restored.
+
+        Until then the packet has to be dropped, as it was while no run of this agent
+        was there.
+        """
+        return message.flow not in self.flows.owned and self.restoration.may_restore(
+            message.flow,
+            is_sent_to_owner=bool(message.decider) and not message.decision,
+        )
+
     def restore_flow(self, transferred: TransferredFlow, service: str) -> None:
         """Own a flow of the previous run again, and register it with its home."""
         if transferred.flow in self.flows.owned:
--- a/citronwinch/coordination/steering/_flow_handover.py
+++ b/citronwinch/coordination/steering/_flow_handover.py
@@ -36,11 +36,14 @@
 """
 
 RESTORATION_TIMEOUT_MS = 3_000
-"""How long a started agent waits for a first transfer to be returned, in milliseconds.
+"""How long a started agent drops packets until a transfer is returned, in milliseconds.
 
 As long as it learns of former members at most: it decides on no flow before that.
 """
 
+LATE_QUERY_RETRY_MS = 500
+"""How soon the next query is sent after `RESTORATION_TIMEOUT_MS`, in milliseconds."""
+
 
 class OutgoingTransfer:
     """The transfer of a stopping agent's flows to its peers.
@@ -150,10 +153,9 @@
     no run in between can have restored the same transfer, and a peer that was cut off
     cannot bring back an outdated one.
 
-    After `RESTORATION_TIMEOUT_MS` without any returned transfer there is none. Once a
-    receiver has returned one, the agent waits for the others as long as they return it,
-    since a receiver that is paused or cut off for some seconds still has it. Only the
-    flows of that transfer wait meanwhile.
+    After `RESTORATION_TIMEOUT_MS` the agent still waits as long as a majority may
+    return a transfer, since a peer that is paused or cut off for some seconds still has
+    it. Only the flows of a transfer that a receiver has returned wait meanwhile.
 
     `returned` is the transfer; it is None until then, and stays None without one.
     """
@@ -182,40 +184,50 @@
             self.started_ms = now_ms
         self.peers = frozenset(peers)
         self.is_late = now_ms - self.started_ms >= RESTORATION_TIMEOUT_MS
-        is_over = self.is_late and not self.may_get_majority()
+        is_over = self.is_late and not self.may_get_majority(now_ms, self.started_ms)
         if is_over or self.peers <= self.answered:
             self.is_finished = True
-        is_waiting = (
-            self.queried_ms is not None and now_ms - self.queried_ms < QUERY_RETRY_MS
-        )
+        retry_ms = LATE_QUERY_RETRY_MS if self.is_late else QUERY_RETRY_MS
+        is_waiting = self.queried_ms is not None and now_ms - self.queried_ms < retry_ms
         if self.is_finished or is_waiting:
             return []
         self.queried_ms = now_ms
         query = FlowsQuery(self.incarnation, self.find_missing_part())
         return [(name, query) for name in peers if name not in self.answered]
 
-    def may_get_majority(self) -> bool:
-        """Return whether a majority may still return the latest returned transfer."""
+    def may_get_majority(self, now_ms: int, started_ms: int) -> bool:
+        """Return whether a majority may still return a transfer.
+
+        Without any returned transfer, each peer may be a receiver.
+        """
         if not self.parts:
-            return False
+            silent = self.peers - self.answered
+            is_recent = now_ms - started_ms <= TRANSFER_RETURN_MS
+            return is_recent and 2 * len(silent) > len(self.peers)
         version = max(self.parts)
         first_part = next(iter(self.parts[version].values()))
         receivers = {name for name, _ in first_part.receivers}
         voters = self.voters[version] | (receivers - self.answered)
-        return self.clock.now_ms() <= self.returned_until_ms[version] and 2 * len(
-            voters
-        ) > len(receivers)
+        is_recent = now_ms <= self.returned_until_ms[version]
+        return is_recent and 2 * len(voters) > len(receivers)
 
-    def may_restore(self, flow: FlowKey) -> bool:
+    @property
+    def is_expected(self) -> bool:
+        """Whether a transfer may be returned soon, or a peer has returned one."""
+        return not self.is_finished and (not self.is_late or bool(self.parts))
+
+    def may_restore(self, flow: FlowKey, *, is_sent_to_owner: bool) -> bool:
         """Return whether a flow may still be restored.
 
         That is each flow until `RESTORATION_TIMEOUT_MS`, later those of the latest
-        transfer that was returned.
+        transfer that was returned. Without any returned transfer it is each flow whose
+        packet another agent sent to this agent as the flow's owner: if this agent
+        declined it, that agent would give the flow to another owner.
         """
-        if self.is_finished:
-            return False
-        if not self.is_late or not self.parts:
-            return True
+        if self.is_finished or not self.is_late:
+            return not self.is_finished
+        if not self.parts:
+            return is_sent_to_owner
         version = max(self.parts)
         is_listed = flow in self.awaited_flows[version]
         parts = self.parts[version]
--- a/citronwinch/coordination/steering/tests/_handover_group.py
+++ b/citronwinch/coordination/steering/tests/_handover_group.py
@@ -30,12 +30,7 @@
             return
         is_packet = isinstance(sent.message, Forward)
         is_restoring = sent.receiver not in self.restored
-        if (
-            is_packet
-            and is_restoring
-            and sent.message.flow not in agent.owned
-            and agent.restoration.may_restore(sent.message.flow)
-        ):
+        if is_packet and is_restoring and agent.may_restore(sent.message):
             return
         super().receive(sent)
 
--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -15,6 +15,7 @@
 )
 from citronwinch.coordination import FlowKey, TransportProtocol
 from citronwinch.coordination.steering import (
+    Forward,
     LeftFlows,
     ReturnedTransfer,
     TransferredFlow,
@@ -54,24 +55,24 @@
 
     @property
     def is_restoring(self) -> bool:
-        """Whether flows of the previous run may still be restored.
+        """Whether flows of the previous run are still expected.
 
         That ends at most `RESTORATION_TIMEOUT_MS` after the first table, or when the
         peers do not return a transfer any more. Without a table it ends after
         `TABLE_WAIT_MS`; such an agent accepts no flows, but answers.
         """
+        return self.is_waiting() and self.process.steering.restoration.is_expected
+
+    def is_waiting(self) -> bool:
+        """Return whether the restoration has not ended."""
         waited_ms = self.process.clock.now_ms() - self.started_ms
         return not self.has_restored and (
             self.process.table.revision > 0 or waited_ms < TABLE_WAIT_MS
         )
 
-    def may_restore(self, flow: FlowKey) -> bool:
-        """Return whether a flow that this agent does not own may still be restored.
-
-        Until then its packets are dropped, as they were while no run of this agent was
-        there.
-        """
-        return self.is_restoring and self.process.steering.restoration.may_restore(flow)
+    def may_restore(self, message: Forward) -> bool:
+        """Return whether the flow of a packet may still be restored."""
+        return self.is_waiting() and self.process.steering.may_restore(message)
 
     def find_local_port(self, flow: FlowKey) -> int:
         """Return the local port of a flow's UDP socket, 0 without one."""
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -201,8 +201,7 @@
 
     def handle_forward(self, message: Forward) -> None:
         """Handle a forwarded packet as a request if possible, else by steering."""
-        is_owned = message.flow in self.steering.owned
-        if not is_owned and self.flow_handler.may_restore(message.flow):
+        if self.flow_handler.may_restore(message):
             self.metrics.count("packets_dropped_total", "restoring")
             return
         if self.request_handler.intercept(message):
