Do not end flows of a service that a new balancer does not know

Callers of a removed service lost their open flows when a balancer started after the removal; any caller lost its flow when a packet reached a balancer that had no table yet: a TCP reset or an ICMP error, while the server ran.

Cause: an empty or short list of former services was taken for proof that the packet belongs to no flow.

Later ones are refused as before, so that dead flows still end.

--- a/citronwinch/coordination/steering/_balancer.py
+++ b/citronwinch/coordination/steering/_balancer.py
@@ -144,6 +144,19 @@
         former = self.former_services.find(packet.flow)
         return former.name if former is not None else None
 
+    def may_be_established(self, packet: Packet) -> bool:
+        """Return whether a packet without a service may belong to an established flow.
+
+        Its service may have been removed from the table before this balancer started.
+        Such a packet must not be refused, since that would end the flow. Any packet is
+        such before the first table, and a TCP packet that opens no flow as long as
+        former services may be unknown.
+        """
+        if not self.table.revision:
+            return True
+        is_tcp = packet.flow[0] == TransportProtocol.TCP
+        return is_tcp and not packet.opens and not self.former_services.is_complete()
+
     def find_rows(self, flow: FlowKey, service: str) -> tuple[TableRow, ...]:
         """Return the rows of a service; for a removed service, its last rows."""
         rows = self.table.rows_by_service.get(service)
--- a/citronwinch/coordination/steering/_former_services.py
+++ b/citronwinch/coordination/steering/_former_services.py
@@ -32,15 +32,21 @@
 
     Established flows outlive the removal of their service: their packets still go to
     the agents of its last rows, which deliver them but open no new flows.
+
+    Services that were removed before `complete_since_ms` may be missing: this process
+    had no table yet, or there was no room.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.complete_since_ms = clock.now_ms()
         self.by_endpoint: OrderedDict[bytes, FormerService] = OrderedDict()
 
     def update(self, old: Table, new: Table) -> None:
         """Record the services that a newer table lacks, and drop those that it has."""
         now_ms = self.clock.now_ms()
+        if not old.revision:
+            self.complete_since_ms = now_ms
         for endpoint, name in old.service_by_endpoint.items():
             rows = old.rows_by_service[name]
             if endpoint not in new.service_by_endpoint:
@@ -48,7 +54,12 @@
         for endpoint in new.service_by_endpoint:
             self.by_endpoint.pop(endpoint, None)
         while len(self.by_endpoint) > FORMER_SERVICES_LIMIT:
-            self.by_endpoint.popitem(last=False)
+            _, evicted = self.by_endpoint.popitem(last=False)
+            self.complete_since_ms = max(self.complete_since_ms, evicted.removed_ms)
+
+    def is_complete(self) -> bool:
+        """Return whether all services are known that are kept after their removal."""
+        return self.clock.now_ms() - self.complete_since_ms >= FORMER_SERVICE_MS
 
     def find(self, flow: FlowKey) -> FormerService | None:
         """Return the former service of a flow, None when none is known."""
--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -127,6 +127,9 @@
         service = self.steering.find_service(packet)
         routed = self.steering.forward(packet, service) if service else None
         if routed is None:
+            if frame.request is None and self.steering.may_be_established(packet):
+                self.metrics.count("packets_dropped_total", "no_service")
+                return
             self.metrics.count("packets_refused_total", "no_service")
             self.refuse(frame.packet, datagram)
             return
