Register the flows of a departed home before the next home decides

Callers lost flows at each planned stop of an agent that was the home of flows of other agents: the next home answered a packet of such a flow with a reset, or opened the flow at a second server, while the owner's server was running.

Cause: a member that has departed is gone at once, so that the next home takes over its flows. The next home relied on complete leases of the owners from before the departure, valid for up to 5 s. They said that it knew all flows that concern it, which did not include those of the departed home. The owners register these at their next tick, or after 5.5 s if the message of the departure was lost. The same happened for up to one tick after a lost home became silent: the owner named it silent in a lease and called its flows complete before it registered them with the next home.

Evidence: test_evidence_of_absence.py, four cases of a departure and one of a silent home. Before, the flow was delivered by another server, or refused.

A lease now also names departed members. After a departure, a lease counts as complete only if it was requested afterwards and names the departed members of the table; leases are renewed at once. A grantor calls its flows complete only when it has registered the flows of all members that it names. Until then the next home queries each flow, one round trip.

The meaning of a field changes, no field is added: an older grantor names no departed member, and is queried until it counts the member as silent.

--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -67,7 +67,10 @@
     """Whether this member, as a home, knows all of its flows that the grantor owns."""
 
     silent: tuple[str, ...]
-    """The members that the grantor counts as silent and grants no lease."""
+    """The members that the grantor counts as silent or departed."""
+
+    requested_ms: int
+    """When it was requested, by this member's clock, in milliseconds."""
 
 
 class LeaseMember:
@@ -77,7 +80,8 @@
     `no_grant_until_ms` the end of the promise to grant it none. `requested_ms` is when
     the latest lease request was sent to that member; None makes a request due at once.
     `answered_ms` is not when an answer arrived, but when the latest answered request
-    was sent. Both are by this member's clock.
+    was sent. `departed_ms` is when its latest departure became known. All are by this
+    member's clock.
     """
 
     def __init__(self, now_ms: int) -> None:
@@ -88,6 +92,7 @@
         self.last_received_ms = now_ms
         self.is_leaving = False
         self.has_departed = False
+        self.departed_ms = 0
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
         self.unanswered_requests = 0
@@ -260,7 +265,7 @@
             self.raise_fence(request.revision, sender)
             member.last_granted_ms = now_ms
             member.has_grant = True
-        silent = self.withhold_leases_from_silent(sender) if is_granted else ()
+        silent = self.list_unavailable(sender) if is_granted else ()
         return LeaseAnswer(
             self.service,
             self.fence_revision,
@@ -272,17 +277,21 @@
             is_learning=self.is_learning,
         )
 
-    def withhold_leases_from_silent(self, receiver: str) -> tuple[str, ...]:
-        """Return the silent members, and grant them no lease for `SILENT_MS`."""
+    def list_unavailable(self, receiver: str) -> tuple[str, ...]:
+        """Return the silent and departed members for a lease to the receiver.
+
+        The silent ones are granted no lease for `SILENT_MS`.
+        """
         now_ms = self.clock.now_ms()
-        silent = [
+        unavailable = [
             name
             for name in self.list_other_members()
-            if name != receiver and self.is_silent(name)
+            if name != receiver and self.is_unavailable(name)
         ]
-        for name in silent:
-            self.member(name).no_grant_until_ms = now_ms + SILENT_MS
-        return tuple(silent)
+        for name in unavailable:
+            if self.is_silent(name):
+                self.member(name).no_grant_until_ms = now_ms + SILENT_MS
+        return tuple(unavailable)
 
     def accept_answer(self, sender: str, answer: LeaseAnswer) -> None:
         """Record the answer of a member and the lease in it."""
@@ -290,7 +299,9 @@
         member.is_leaving = answer.is_leaving
         if answer.has_departed:
             member.has_departed = answer.sent_ms >= member.last_request_sent_ms
+            member.departed_ms = self.clock.now_ms()
             member.lease = None
+            self.renew_all()
             self.raise_fence(answer.revision, sender)
             return
         if answer.sent_ms < (member.answered_ms or 0):
@@ -314,6 +325,7 @@
             answer.revision,
             answer.is_complete,
             answer.silent,
+            answer.sent_ms,
         )
         if (
             sender in self.former_members
@@ -431,8 +443,25 @@
 
     def list_blocking_members(self) -> list[str]:
         """Return the members that have to be queried before a new flow is opened."""
+        others = self.current_members - {self.name}
+        departed = [name for name in others if self.member(name).has_departed]
         return [
             name
             for name in self.list_other_members()
-            if not self.has_complete_lease(name) and not self.is_confirmed_gone(name)
+            if not (self.has_complete_lease(name) and self.covers(name, departed))
+            and not self.is_confirmed_gone(name)
         ]
+
+    def covers(self, grantor: str, departed: list[str]) -> bool:
+        """Return whether a complete lease includes the flows of departed homes.
+
+        The grantor registers these flows with their next homes when it knows of the
+        departures, which the lease then names. One that was requested before may stem
+        from an earlier departure.
+        """
+        lease = self.member(grantor).lease
+        return lease is not None and all(
+            name in lease.silent and lease.requested_ms >= self.member(name).departed_ms
+            for name in departed
+            if name != grantor
+        )
--- a/citronwinch/coordination/steering/_messages.py
+++ b/citronwinch/coordination/steering/_messages.py
@@ -125,7 +125,7 @@
     """Whether the sender is stopping and decides nothing more."""
 
     silent: tuple[str, ...] = ()
-    """The members that get no lease from the sender while this one lasts."""
+    """The departed members, and those that get no lease while this one lasts."""
 
     former: tuple[str, ...] = ()
     """Former members that may still own flows of the service."""
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -239,7 +239,14 @@
             sender, message.service
         ) and self.transfers.is_informed(sender, message.incarnation, message.service)
         answer = leases.answer_request(sender, message, is_complete=is_complete)
+        # The flows of a home that has just become unavailable are registered with their
+        # next homes at the next tick.
+        is_current = all(
+            (message.service, name) in self.unavailable_members
+            for name in answer.silent
+        )
         answer = answer._replace(
+            is_complete=answer.is_complete and is_current,
             is_leaving=self.is_leaving or self.is_backend_failing,
             owns_flows=self.flows.has_flows(message.service),
         )
--- a/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
+++ b/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
@@ -7,6 +7,7 @@
 import pytest
 
 from citronwinch.coordination import Endpoint, Instance, InstanceRole
+from citronwinch.coordination._placement import find_home
 from citronwinch.coordination.steering.tests.conftest import (
     NAMES,
     Group,
@@ -115,3 +116,79 @@
     assert group.owners(flow) == [owner]
     group.deliver_packet(owner, flow, packet=b"second")
     assert len(group.delivered) == 2
+
+
+DEPARTURES = {
+    "all members know it, the packet is first": (NAMES[1:], True),
+    "a packet that opens no flow is first": (NAMES[1:], False),
+    "the owner does not know it": (NAMES[2:], True),
+    "the owner does not know it, and no packet opens the flow": (NAMES[2:], False),
+}
+"""The members that hear of the departure, and whether the packet may open a flow."""
+
+
+@pytest.mark.parametrize("name", DEPARTURES)
+def test_flow_of_a_departed_home_stays_with_its_owner(group, name):
+    """The next home had complete leases from before, and took the flow for new."""
+    informed, opens = DEPARTURES[name]
+    departed, owner, next_home = NAMES
+    flow = find_flow_with_homes(group, departed, next_home)
+    open_at_owner(group, flow, owner)
+    group.agents[departed].begin_stop()
+    group.settle(300)
+    actions = [
+        action
+        for action in group.agents[departed].depart()
+        if action.receiver in informed
+    ]
+    del group.agents[departed]
+    group.apply_actions(departed, actions)
+    group.flush()
+    group.deliver_packet(next_home, flow, opens=opens, declined=(departed,))
+    group.settle(1_500)
+    assert [agent for agent, key in group.delivered if key == flow] == [owner]
+    assert group.owners(flow) == [owner]
+    assert not group.refused
+
+
+def test_flow_of_a_silent_home_stays_with_its_owner(group):
+    """A member named its home silent and its flows complete before it registered."""
+    silent, owner, next_home = NAMES
+    flow = find_flow_with_homes(group, silent, next_home)
+    open_at_owner(group, flow, owner)
+    del group.agents[silent]
+    owner_agent, home_agent = group.agents[owner], group.agents[next_home]
+    while not all(
+        agent.leases["gauging"].is_silent(silent) for agent in (owner_agent, home_agent)
+    ):
+        group.flush()
+        group.tick(10, paused=frozenset([owner]))
+        due = group.clock.now_ms() % 100 == 0
+        if due and not owner_agent.leases["gauging"].is_silent(silent):
+            group.apply_actions(owner, owner_agent.tick())
+    home_agent.leases["gauging"].renew_all()
+    group.apply_actions(next_home, home_agent.tick())
+    group.flush()
+    group.deliver_packet(next_home, flow, opens=False, declined=(silent,))
+    group.settle(1_500)
+    assert [agent for agent, key in group.delivered if key == flow] == [owner]
+    assert not group.refused
+
+
+def find_flow_with_homes(group, home, next_home):
+    """Return a flow with a home, and another one if that home is gone."""
+    rows = group.table.rows_by_service["gauging"]
+    present = [row for row in rows if row.backend_server != home]
+    return next(
+        key
+        for key in map(make_key, range(500))
+        if group.home(key) == home and find_home(key, present) == next_home
+    )
+
+
+def open_at_owner(group, flow, owner):
+    """Let an agent own a flow that another agent is the home of."""
+    agent = group.agents[owner]
+    agent.flows.open(flow, "gauging")
+    agent.update_home(flow, "gauging")
+    group.settle()
