Keep a former member's flows when the only member of a service restarts

Callers of a flow whose server had left the service got another server, and two servers served the flow from then on, after the only member of the service restarted.

Cause: a started agent that knows no other member takes 3 s without a lease request for proof that no former member owns flows. A former member repeated its request to a silent agent every 2 s, so that one lost message was enough; one that was paused for 3 s asked too late, and stayed the owner for good, since it took itself for certain.

A former member now repeats its request every 0.7 s, at least four times in 3 s. One that learns of the restart by an answer of an agent that has finished learning marks its flows as uncertain: it asks before it delivers, and ends a flow that was opened again.

Open: the flow of a former member that is silent for the whole 3 s, or whose four requests are lost, still moves to another server.

--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -30,6 +30,12 @@
 RETRY_MS = 400
 """How soon an unanswered lease request is repeated, in milliseconds."""
 
+FORMER_RETRY_MS = 700
+"""How soon a former member repeats a lease request to a silent member, in ms.
+
+Several requests reach a restarted member within `LEARNING_MS`.
+"""
+
 LEARNING_MS = 3_000
 """How long a started member waits at most to learn of former members, in milliseconds.
 
@@ -213,7 +219,8 @@
             return True
         waited_ms = now_ms - member.requested_ms
         if name in self.unlisted or self.is_silent(name):
-            return waited_ms >= HEARTBEAT_MS
+            is_member = self.name in self.current_members
+            return waited_ms >= (HEARTBEAT_MS if is_member else FORMER_RETRY_MS)
         lease = member.lease
         if lease is None or lease.revision < self.revision or not lease.is_complete:
             return waited_ms >= RETRY_MS
@@ -365,6 +372,15 @@
         self.unlisted = unlisted
         self.update_ownership_certainty()
 
+    def is_former_member_known(self, restarted: str) -> bool:
+        """Return whether a restarted member knew this one before it could decide.
+
+        It knows the current members from the table, but learns of a former member from
+        that member's lease requests only. Its first answer says whether that was while
+        it was learning.
+        """
+        return self.name in self.current_members or self.member(restarted).is_learning
+
     def list_silent_unlisted_members(self) -> set[str]:
         """Return the silent current members that the platform no longer lists."""
         return {name for name in self.unlisted - {self.name} if self.is_silent(name)}
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -233,6 +233,8 @@
         if is_restarted:
             self.registrations.discard_home(sender)
             self.owner_registry.discard_owners([sender])
+            if not leases.is_former_member_known(sender):
+                self.mark_service_uncertain(message.service)
         if leases.mark_alive(sender) or is_restarted:
             self.update_homes()
         is_complete = self.registrations.is_complete(
@@ -379,9 +381,14 @@
             if self.flows.flow_counts[service]
             and now_ms >= leases.ownership_certain_until_ms
         }
-        for flow, owned in self.flows.owned.items() if uncertain_services else ():
-            if owned.service in uncertain_services:
-                self.uncertain_flows.add(flow)
+        for service in uncertain_services:
+            self.mark_service_uncertain(service)
+
+    def mark_service_uncertain(self, service: str) -> None:
+        """Mark the owned flows of a service as uncertain."""
+        self.uncertain_flows |= {
+            flow for flow, owned in self.flows.owned.items() if owned.service == service
+        }
 
     def is_ownership_uncertain(self, flow: FlowKey, service: str) -> bool:
         """Return whether another agent may have become the owner of an owned flow.
