Tell an agent's steering whether the platform lists the agent itself

Two servers could serve one flow when the platform did not list an owner that was cut off from its peers: they leave it out of the majority, and the owner counted itself, since a process counts itself among the instances in any case.

The agent's process now passes on whether the newest list has the agent; before the first list it counts as listed.

Evidence: test_addresses.py, which had no such state before; the case of the decision is in test_evidence_of_absence.py.

--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -48,8 +48,9 @@
     `registrations` registers this agent's flows with their homes, and `owner_registry`
     has the owners of flows that other agents own. `leaving` are the agents that the
     platform lists as leaving. `unlisted` are the agents of the table, and the former
-    members of a service, that the platform does not list. `query_grants` has, for each
-    queried flow, the member that may decide on the flow and when that right expires.
+    members of a service, that the platform does not list; this agent may be one of
+    them. `query_grants` has, for each queried flow, the member that may decide on the
+    flow and when that right expires.
     `uncertain_flows` are owned flows that other members may have given another owner.
     `transfers` has the flows of stopped agents, which are kept for their next runs.
     """
@@ -63,6 +64,7 @@
         self.is_stopping = False
         self.leaving: frozenset[str] = frozenset()
         self.unlisted: frozenset[str] = frozenset()
+        self.is_listed = True
         self.flows = OwnedFlows(clock, backend_server, incarnation)
         self.leases: dict[str, ServiceLeases] = {}
         self.registrations = Registrations(clock, incarnation)
@@ -132,8 +134,15 @@
             for name in leases.list_other_members()
         ]
 
-    def accept_instances(self, instances: tuple[Instance, ...]) -> None:
-        """Replace the platform's list of instances."""
+    def accept_instances(
+        self, instances: tuple[Instance, ...], *, is_listed: bool = True
+    ) -> None:
+        """Replace the known instances.
+
+        `is_listed` is whether the platform lists this agent itself; a process counts
+        itself among the instances in any case.
+        """
+        self.is_listed = is_listed
         self.balancers = tuple(
             sorted(
                 instance.name
@@ -154,7 +163,9 @@
         names = {row.backend_server for row in self.table.rows}
         for leases in self.leases.values():
             names |= leases.former_members
-        self.unlisted = frozenset(names - listed)
+        own = frozenset({self.backend_server})
+        unlisted = frozenset(names - listed)
+        self.unlisted = unlisted - own if is_listed else unlisted | own
         for leases in self.leases.values():
             leases.accept_unlisted(self.unlisted)
 
--- a/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
+++ b/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
@@ -82,7 +82,8 @@
         group.publish(after)
     group.settle()
     for agent in group.agents.values():
-        agent.accept_instances(list_instances(listed))
+        is_listed = agent.backend_server in listed
+        agent.accept_instances(list_instances(listed), is_listed=is_listed)
     settle_with_cut(group, 6_000, parts)
     group.deliver_packet(home, flow, packet=b"second")
     settle_with_cut(group, 300, parts)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -184,7 +184,7 @@
         elif isinstance(event, ReplyArrived):
             self.handle_reply(event.reply)
         elif isinstance(event, InstancesChanged):
-            self.steering.accept_instances(event.instances)
+            self.accept_instances()
         elif isinstance(event, StopRequested):
             self.steering.begin_stop()
             self.request_handler.begin_stop()
@@ -192,6 +192,8 @@
             self.flow_handler.begin_stop()
             self.flow_handler.advance()
         elif isinstance(event, Tick):
+            if self.steering.is_listed != self.gossip.is_listed:
+                self.accept_instances()
             self.apply_actions(self.steering.tick())
             self.flow_handler.advance()
             self.apply_actions(self.steering.end_idle_flows(self.settings.flow_idle_ms))
@@ -199,6 +201,13 @@
             self.service_levels.tick(self.flow_count)
             self.export_metrics()
 
+    def accept_instances(self) -> None:
+        """Pass on the known instances, and whether the platform lists this one."""
+        self.steering.accept_instances(
+            tuple(self.instances.values()),
+            is_listed=self.gossip.is_listed,
+        )
+
     def handle_forward(self, message: Forward) -> None:
         """Handle a forwarded packet as a request if possible, else by steering."""
         if self.flow_handler.may_restore(message):
--- a/citronwinch/daemon/_gossip_driver.py
+++ b/citronwinch/daemon/_gossip_driver.py
@@ -101,6 +101,11 @@
         """
         return self.node.served_table if self.follower.has_list else EMPTY_TABLE
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the newest list of instances has this process; true before a list."""
+        return self.node.membership.is_listed or not self.follower.has_list
+
     def handle(self, event: Event) -> None:
         """Handle messages of peers and results of reads from the platform."""
         if isinstance(event, PeerBatch):
--- a/citronwinch/daemon/tests/test_addresses.py
+++ b/citronwinch/daemon/tests/test_addresses.py
@@ -14,7 +14,7 @@
 )
 from citronwinch.coordination.steering import LeaseRequest
 from citronwinch.daemon import AgentProcess
-from citronwinch.daemon._events import InstancesChanged, PeerBatch
+from citronwinch.daemon._events import InstancesChanged, PeerBatch, Tick
 from citronwinch.daemon.tests.test_agent_requests import SETTINGS, make_row
 from citronwinch.network import Datagram
 from citronwinch.operators import parse_settings
@@ -70,3 +70,19 @@
     assert gossip.table.revision == 0
     gossip.follower.has_list = True
     assert gossip.table.revision == 1
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_agent_knows_whether_the_platform_lists_it(process, is_listed):
+    """The others replace an owner that is silent and not listed; it must know that."""
+    process.apply_table(Table(1, [make_row("gauging-1"), make_row("gauging-2")]))
+    own = process.gossip.node.own
+    process.gossip.follower.has_list = True
+    process.gossip.node.accept_listing([own, LISTED_AGENT] if is_listed else [])
+    process.instances = process.gossip.read_instances()
+    process.handle(InstancesChanged(tuple(process.instances.values())))
+    assert own.name in process.instances
+    assert (own.name in process.steering.unlisted) is not is_listed
+    process.gossip.node.accept_listing([LISTED_AGENT] if is_listed else [own])
+    process.handle(Tick(process.clock.now_ms()))
+    assert (own.name in process.steering.unlisted) is is_listed
