Withdraw a flow from a home that has moved only after its leases expired

Callers had a flow served by a second server, or reset, after the flow's home had been cut off from all members and came back to the owner first.

Cause: while the home was away, the owner had registered the flow with the next home. Once the home was back, the owner registered the flow there and withdrew it from the next home at once. The next home had not heard from the returned home yet; it still held the owner's lease, which named that home silent and called its knowledge complete, for up to 5 s, and took the flow for new.

Evidence: test_evidence_of_absence.py, with a packet that opens a flow and one that does not; before, the flow was delivered by another server, or refused.

A flow whose home has moved is withdrawn after 5.5 s, when no such lease is valid. Until then the former home knows the true owner, which does no harm. A flow that has ended is withdrawn as before.

--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -225,7 +225,7 @@
         ]
         home = find_home(flow, present)
         if home is None or home == self.backend_server:
-            self.registrations.withdraw(service, flow)
+            self.registrations.withdraw_moved(service, flow)
         else:
             self.registrations.register(service, flow, home)
 
--- a/citronwinch/coordination/steering/_registrations.py
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -24,6 +24,13 @@
 WITHDRAWAL_DELAY_MS = 5_000
 """How long withdrawals wait to be sent in one message, in milliseconds."""
 
+MOVED_WITHDRAWAL_DELAY_MS = 5_500
+"""How long a home keeps a flow after its home has moved, in milliseconds.
+
+It exceeds the validity of a lease: a lease from before the move says that the home
+knows all flows, and it may still take itself for the flow's home.
+"""
+
 REGISTER_BURST_BYTES = 65_536
 """The burst size of the rate limit on registrations, in bytes."""
 
@@ -57,6 +64,7 @@
     has the home that each flow is registered with, or will be once the messages have
     arrived. `pending` has the flows to send by home and service: true for a flow to
     register, false for a flow to withdraw because this agent no longer owns it or its
+    home has moved. `moved` has, by home and service, when to withdraw the flows whose
     home has moved.
     """
 
@@ -65,6 +73,7 @@
         self.next_number = first_number
         self.homes: dict[FlowKey, str] = {}
         self.pending: dict[tuple[str, str], dict[FlowKey, bool]] = {}
+        self.moved: dict[tuple[str, str], dict[FlowKey, int]] = {}
         self.unacknowledged: dict[int, SentRegistration] = {}
         self.last_sent_ms: dict[str, int] = {}
         self.budget = ByteBudget(clock, REGISTER_BURST_BYTES, REGISTER_BYTES_PER_SECOND)
@@ -77,8 +86,8 @@
         known = self.homes.get(flow)
         if known == home:
             return
-        if known is not None:
-            self.withdraw(service, flow)
+        self.withdraw_moved(service, flow)
+        self.moved.get((home, service), {}).pop(flow, None)
         self.homes[flow] = home
         self.pending.setdefault((home, service), {})[flow] = True
 
@@ -89,11 +98,17 @@
         """
         self.homes[flow] = home
 
-    def withdraw(self, service: str, flow: FlowKey) -> None:
-        """Withdraw a flow from the home that it is registered with.
+    def withdraw_moved(self, service: str, flow: FlowKey) -> None:
+        """Withdraw an owned flow whose home has moved, after a delay."""
+        home = self.homes.pop(flow, None)
+        if home is not None:
+            due_ms = self.clock.now_ms() + MOVED_WITHDRAWAL_DELAY_MS
+            flows = self.moved.setdefault((home, service), {})
+            flows.pop(flow, None)
+            flows[flow] = due_ms
 
-        Either this agent no longer owns the flow, or the flow's home has moved.
-        """
+    def withdraw(self, service: str, flow: FlowKey) -> None:
+        """Withdraw a flow that this agent no longer owns from its home."""
         home = self.homes.pop(flow, None)
         if home is not None:
             self.pending.setdefault((home, service), {})[flow] = False
@@ -102,6 +117,8 @@
         """Discard the registrations at a home that was restarted or is unavailable."""
         for key in [key for key in self.pending if key[0] == home]:
             del self.pending[key]
+        for key in [key for key in self.moved if key[0] == home]:
+            del self.moved[key]
         for number in [
             number
             for number, registration in self.unacknowledged.items()
@@ -144,10 +161,22 @@
             ):
                 self.unacknowledged[number] = registration._replace(sent_ms=now_ms)
                 sending.append((registration.home, registration.message))
+        self.withdraw_due(now_ms)
         for home, service in list(self.pending):
             sending += self.send_pending(home, service)
         return sending
 
+    def withdraw_due(self, now_ms: int) -> None:
+        """Withdraw the flows whose homes moved long ago; the oldest ones are first."""
+        for key, flows in list(self.moved.items()):
+            for flow, due_ms in list(flows.items()):
+                if due_ms > now_ms:
+                    break
+                del flows[flow]
+                self.pending.setdefault(key, {})[flow] = False
+            if not flows:
+                del self.moved[key]
+
     def send_pending(self, home: str, service: str) -> list[tuple[str, Register]]:
         """Return the pending registrations for one home, within the rate limit."""
         pending = self.pending[home, service]
--- a/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
+++ b/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
@@ -199,3 +199,20 @@
     agent.flows.open(flow, "gauging")
     agent.update_home(flow, "gauging")
     group.settle()
+
+
+@pytest.mark.parametrize("opens", [True, False])
+def test_flow_stays_with_its_owner_when_its_home_returns_to_the_owner(group, opens):
+    """The owner withdrew the flow from a home that still held a complete lease."""
+    returning, owner, home = NAMES
+    flow = find_flow_with_homes(group, returning, home)
+    open_at_owner(group, flow, owner)
+    settle_with_cut(group, 9_000, ({returning}, {owner, home}))
+    assert group.agents[home].owner_registry.owners[flow] == owner
+    for _ in range(80):
+        settle_with_cut(group, 100, ({returning}, {home}))
+        packet = b"%d" % group.clock.now_ms()
+        group.deliver_packet(home, flow, opens=opens, packet=packet)
+    settle_with_cut(group, 1_000, ({returning}, {home}))
+    assert {agent for agent, key in group.delivered if key == flow} <= {owner}
+    assert not any(refusal.is_certain for _, refusal in group.refused)
