Send packets to an agent that has left the list of instances

Callers of a flow got no answer when the platform's list no longer had the agent of the flow's server, although both were running: an agent that is known from the list only leaves the known instances at once, and the balancer dropped its packets. It also counted probes that it could not send as unanswered. With other agents in the service, packets took a detour after 2 s; with none, they were dropped for good.

The balancer now uses the source address of the agent's last message then, as agents do, for packets and probes. The list has priority, and an agent that does not answer probes is unreachable as before.

--- a/citronwinch/daemon/_balancer_process.py
+++ b/citronwinch/daemon/_balancer_process.py
@@ -101,10 +101,10 @@
         Export the number of unreachable agents and of flows whose owner is cached.
         """
         for agent in self.steering.tick():
-            instance = self.instances.get(agent)
-            if instance is not None:
+            address = self.find_address(agent)
+            if address is not None:
                 self.metrics.count("probes_total")
-                self.peers.send(Probe(is_answer=False), instance.address)
+                self.peers.send(Probe(is_answer=False), address)
         unreachable = len(self.steering.reachability.unreachable)
         self.metrics.set_gauge("agents_unreachable", unreachable)
         self.metrics.set_gauge("owners_cached", len(self.steering.owner_routes))
@@ -134,12 +134,12 @@
             self.refuse(frame.packet, datagram)
             return
         agent, message = routed
-        instance = self.instances.get(agent)
-        if instance is None:
+        address = self.find_address(agent)
+        if address is None:
             self.metrics.count("packets_dropped_total", "unknown_agent")
             return
         self.metrics.count("packets_forwarded_total")
-        self.peers.send(message._replace(request=frame.request), instance.address)
+        self.peers.send(message._replace(request=frame.request), address)
 
     def refuse(self, packet: bytes, datagram: Datagram) -> None:
         """Refuse a packet for which no agent was found.
--- a/citronwinch/daemon/_process.py
+++ b/citronwinch/daemon/_process.py
@@ -178,7 +178,8 @@
         """Return the peer address of an instance; None if it is unknown.
 
         An instance that has just joined may send messages before it is in the list of
-        instances; until then the source address of its last message is returned.
+        instances, and one may leave the list before it ends; the source address of its
+        last message is returned then.
         """
         instance = self.instances.get(name)
         if instance is not None:
