Keep what a restarted owner has registered before its first lease request

Callers had a flow served by two servers after the restart of an agent.

Cause: a home learns of an owner's restart from the owner's lease request, and then discarded all flows that were registered for that owner. If a registration of the new run came first, it was discarded too. The owner had its acknowledgement and called its flows complete, and the home took the flow for new.

Evidence: a run of the state machine (test_protocol.py) with CITRONWINCH_STATEFUL_EXAMPLES=6000 failed in teardown: a packet of a flow of gauging-2 was delivered by gauging-3. A replay of its steps shows the sequence. The named test in test_evidence_of_absence.py failed before.

A run numbers its registrations from its incarnation on, so that the home keeps those of the new run.

--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -243,7 +243,7 @@
             return []
         if is_restarted:
             self.registrations.discard_home(sender)
-            self.owner_registry.discard_owners([sender])
+            self.owner_registry.discard_former_run(sender, message.incarnation)
             if not leases.is_former_member_known(sender):
                 self.mark_service_uncertain(message.service)
         if leases.mark_alive(sender) or is_restarted:
--- a/citronwinch/coordination/steering/_registrations.py
+++ b/citronwinch/coordination/steering/_registrations.py
@@ -300,8 +300,20 @@
             self.owners.get(flow) == sender and self.registration_numbers[flow] > number
         )
 
+    def discard_former_run(self, owner: str, incarnation: int) -> None:
+        """Remove the flows that a restarted owner has not registered since its start.
+
+        A run numbers its registrations from its incarnation on.
+        """
+        for flow in [
+            flow
+            for flow, known in self.owners.items()
+            if known == owner and self.registration_numbers[flow] < incarnation
+        ]:
+            self.discard(flow)
+
     def discard_owners(self, gone: Iterable[str]) -> None:
-        """Remove the flows of owners that are gone or restarted."""
+        """Remove the flows of owners that are gone."""
         names = {name for name in gone if self.flow_counts[name]}
         if names:
             for flow in [flow for flow, owner in self.owners.items() if owner in names]:
--- a/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
+++ b/citronwinch/coordination/steering/tests/test_evidence_of_absence.py
@@ -8,6 +8,7 @@
 
 from citronwinch.coordination import Endpoint, Instance, InstanceRole
 from citronwinch.coordination._placement import find_home
+from citronwinch.coordination.steering import Register
 from citronwinch.coordination.steering.tests.conftest import (
     NAMES,
     Group,
@@ -193,12 +194,12 @@
     )
 
 
-def open_at_owner(group, flow, owner):
+def open_at_owner(group, flow, owner, settle_ms=1_500):
     """Let an agent own a flow that another agent is the home of."""
     agent = group.agents[owner]
     agent.flows.open(flow, "gauging")
     agent.update_home(flow, "gauging")
-    group.settle()
+    group.settle(settle_ms)
 
 
 @pytest.mark.parametrize("opens", [True, False])
@@ -216,3 +217,25 @@
     settle_with_cut(group, 1_000, ({returning}, {home}))
     assert {agent for agent, key in group.delivered if key == flow} <= {owner}
     assert not any(refusal.is_certain for _, refusal in group.refused)
+
+
+def test_registration_that_overtakes_the_news_of_a_restart_is_kept(group):
+    """The home discarded the flows of the new run with those of the former one."""
+    home, owner = NAMES[:2]
+    flow = group.find_flow(home)
+    group.start(owner)
+    requests = [sent for sent in group.in_transit if sent.sender == owner]
+    group.in_transit.clear()
+    open_at_owner(group, flow, owner, settle_ms=0)
+    group.tick()
+    registrations = [
+        sent for sent in group.in_transit if isinstance(sent.message, Register)
+    ]
+    group.in_transit.clear()
+    for sent in [*registrations, *requests]:
+        group.receive(sent)
+    group.settle()
+    group.deliver_packet(home, flow)
+    group.settle()
+    assert [agent for agent, key in group.delivered if key == flow] == [owner]
+    assert group.owners(flow) == [owner]
