Need a newer listing also beside a balancer that is not waited for

A balancer that has left two lookups in a row unanswered is not waited for. The evidence was gathered before the lookups went out, so that its silence did not count if no other balancer was asked, and the flow was reset at once.

Evidence: test_a_balancer_that_is_not_waited_for_proves_nothing_either failed before. Introduced with the rule of the newer listing, found by reading.

--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -395,12 +395,14 @@
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
             lookups = self._ask_balancers(key, search)
-        if is_dead and search.pending_balancers:
+            evidence = gather_evidence(self.view, self.selector, search, services)
+            is_dead = evidence.is_dead
+        if search.pending_balancers and (is_dead or evidence.needs_newer_listing):
             search.await_balancers()
             return [*lookups]
         if evidence.needs_newer_listing and search.has_time_left():
             search.await_listing()
-            return []
+            return [*lookups]
         if not is_dead and search.has_time_left():
             search.pause()
             return []
--- a/citronwinch/coordination/flows/tests/test_newest_server.py
+++ b/citronwinch/coordination/flows/tests/test_newest_server.py
@@ -126,3 +126,23 @@
     balancer.selector.record_message(LISTED.address.ip)
     actions = balancer.handle_packet(PACKET)
     assert has_reset(answer(balancer, actions, is_opener_silent=False))
+
+
+# A balancer that is silent for longer is not waited for, but may still know the flow.
+def test_a_balancer_that_is_not_waited_for_proves_nothing_either(
+    balancer: BalancerFlows, clock: ManualClock
+) -> None:
+    for port in range(5_000, 5_003):
+        packet = make_packet(port, payload=10)
+        balancer.handle_packet(packet)
+        denial = FlowAnswer(packet.flow, Verdict.ABSENT)
+        balancer.handle_answer(denial, LISTED.address.ip)
+        clock.advance(TICK_MS)
+        balancer.view.confirm_listing(StorePosition(1, 10), clock.now_ms())
+        balancer.selector.record_message(LISTED.address.ip)
+        balancer.tick()
+    clock.advance(TICK_MS)
+    actions = answer(balancer, balancer.handle_packet(PACKET), is_opener_silent=True)
+    assert not has_reset(actions)
+    balancer.view.confirm_listing(StorePosition(1, 10), clock.now_ms())
+    assert has_reset(run(balancer, clock, 200, is_opener_silent=True))
