--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -13,6 +13,7 @@
     record,
 )
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
+from citronwinch.coordination.flows._balancer_lookups import BalancerLookups
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._flow_directory import MIN_AGENTS, FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
@@ -35,6 +36,7 @@
 )
 from citronwinch.coordination.flows._search_evidence import gather_evidence
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
+from citronwinch.coordination.flows._search_records import record_without_holder
 from citronwinch.coordination.flows._searched_servers import (
     list_optional_agents,
     list_restarting_agents,
@@ -63,9 +65,6 @@
 """How long collected questions wait at most for the next check whether the budgets
 allow them, in milliseconds; in a surge, answers and packets cause most checks."""
 
-LOGGED_AGENTS_LIMIT = 8
-"""The most agents in a list of a log line about a search without a result."""
-
 EXACT_DEADLINES_LIMIT = 16
 """Up to this many running searches are advanced exactly at their deadlines."""
 
@@ -106,9 +105,7 @@
         self.trials = TrialBudget(clock, link_mbps)
         self.trial_records = TrialRecords(clock)
         self.started_ms = clock.now_ms()
-        self.unresponsive_balancers: set[str] = set()
-        """The balancers that have left two lookups in a row unanswered. They are asked,
-        but not waited for until they send a message."""
+        self.lookups = BalancerLookups(directory, clock, counters)
 
     def search(
         self, packet: Packet, absent_at: str = "", likely_at: str = ""
@@ -155,7 +152,7 @@
         location = self.directory.find_location(key)
         if location is not None and location.agent not in search.verdicts:
             return self.handle_location(location)
-        lookups = self._ask_balancers(key, search)
+        lookups = self.lookups.ask(key, search)
         return [*lookups, *self._apply_step(key, search, search.start())]
 
     def _look_up(self, key: FlowKey, search: FlowSearch) -> list[Action]:
@@ -182,30 +179,6 @@
         search = self.get(key)
         return search is not None and bool(search.keeper or search.has_asked_balancers)
 
-    def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[SendMessage]:
-        """Look a flow up at all balancers of the zone before it counts as dead.
-
-        Its backend server may have just registered, and be missing from the listing.
-        """
-        others = self.directory.balancers - {self.directory.own_ip}
-        self.unresponsive_balancers &= others & self.directory.silent
-        silent = others & self.directory.silent
-        search.ask_balancers(others - self.unresponsive_balancers, silent)
-        search.unanswered_balancers |= others & self.unresponsive_balancers
-        search.unanswered_balancers |= others & self.directory.list_recently_restarted()
-        return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
-
-    def _give_up_balancers(self, search: FlowSearch) -> None:
-        """Stop waiting for balancers that have not answered in time."""
-        if self.clock.now_ms() < search.balancers_deadline_ms:
-            return
-        pending, search.pending_balancers = search.pending_balancers, set()
-        search.unanswered_balancers |= pending
-        self.counters["lookups_unanswered"] += len(pending)
-        still_silent = search.silent_balancers & self.directory.silent
-        self.unresponsive_balancers |= pending & still_silent
-        self.directory.silent |= pending
-
     def _handle_last_lookup(
         self, search: FlowSearch, location: FlowLocation, sender: str
     ) -> list[Action]:
@@ -376,15 +349,10 @@
     def _finish_not_found(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Pause or end a search without a result; reset the flow if it cannot exist.
 
-        The flow certainly does not exist if every agent that could hold it has ruled it
-        out; the silence of an agent that stopped after its backend server rules the
-        flow out as well. If another agent is silent or uncertain, the flow is not
-        reset: its caller retransmits, which starts another search. Only agents of
-        services that the route has or had before count. Agents of unrelated services
-        are queried as well, because this balancer may have started after a change of
-        the route, but the reset does not depend on their verdicts.
+        `gather_evidence` tells what proves that. Otherwise the flow is not reset: its
+        caller retransmits, which starts another search.
         """
-        self._give_up_balancers(search)
+        self.lookups.give_up_overdue(search)
         packet = search.held_packets[0]
         services = self.view.list_current_and_former_services(
             extract_service_endpoint(packet.flow)
@@ -394,7 +362,7 @@
         has_peers = bool(self.directory.balancers - {self.directory.own_ip})
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
-            lookups = self._ask_balancers(key, search)
+            lookups = self.lookups.ask(key, search)
             evidence = gather_evidence(self.view, self.selector, search, services)
             is_dead = evidence.is_dead
         if search.pending_balancers and (is_dead or evidence.needs_newer_listing):
@@ -412,24 +380,7 @@
         if is_dead and packet.is_reset:
             return [*lookups]
         self.counters["flows_reset" if is_dead else "searches_failed"] += 1
-        outcome = record(
-            "dead_flow_reset" if is_dead else "flow_not_found",
-            packet,
-            absent=len(search.list_by_verdict(Verdict.ABSENT)),
-            silent=sorted(evidence.silent),
-            uncertain=sorted(evidence.uncertain),
-            searched_ms=self.clock.now_ms() - search.started_ms,
-            view_age_ms=self.view.age_ms,
-            unasked=sorted(evidence.unasked)[:LOGGED_AGENTS_LIMIT],
-            holders=evidence.holders,
-            removed=self.view.former.describe_removals(services, LOGGED_AGENTS_LIMIT),
-            former=len(self.view.former),
-            former_source=self.view.former.source,
-            is_former_complete=self.view.former_knowledge.is_complete,
-            listing=tuple(self.view.listing.position),
-            balancers_asked=len(search.asked_balancers),
-            balancers_silent=sorted(search.unanswered_balancers),
-        )
+        outcome = record_without_holder(self.view, search, evidence, services)
         if not is_dead:
             return [*lookups, outcome]
         self.attempt_ages.record_ended(key, search.started_ms)
--- a/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
+++ b/citronwinch/coordination/flows/tests/test_open_flows_in_a_crowd.py
@@ -118,7 +118,7 @@
         load.send_packet(3_000 + number, 10)
     load.run(60)
     assert len(load.reset_ms) == 10
-    assert not load.balancer.searches.unresponsive_balancers
+    assert not load.balancer.searches.lookups.unresponsive
 
 
 def test_a_slow_agent_of_an_unrelated_service_is_waited_for() -> None:
--- a/citronwinch/coordination/flows/tests/test_reset_records.py
+++ b/citronwinch/coordination/flows/tests/test_reset_records.py
@@ -17,12 +17,12 @@
     StorePosition,
     Verdict,
 )
-from citronwinch.coordination.flows._flow_searches import LOGGED_AGENTS_LIMIT
 from citronwinch.coordination.flows._former_servers import (
     REMEMBERED_REMOVALS,
     FormerServers,
     RemovalReason,
 )
+from citronwinch.coordination.flows._search_records import LOGGED_AGENTS_LIMIT
 from citronwinch.coordination.flows.tests.conftest import make_packet, make_server
 
 
