--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -14,12 +14,14 @@
 )
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
 from citronwinch.coordination.flows._flow_entry import (
+    OTHER_FLOW_TIMEOUT_MS,
     STATES_AFTER_CONFIRMATION,
     STATES_BEFORE_OPENING,
     FlowEntry,
     FlowState,
     has_accepted,
 )
+from citronwinch.coordination.flows._held_trials import HeldTrials
 from citronwinch.coordination.flows._load_reporting import round_share
 from citronwinch.coordination.flows._messages import (
     FlowAnswer,
@@ -40,13 +42,9 @@
 )
 from citronwinch.coordination.flows._server_requests import ServerRequests
 
-OPEN_FLOW_TIMEOUT_MS = 60_000
-"""An open flow without packets for this long is removed, in milliseconds; the
-platform's longest lifetime of a flow."""
-
-UNOPENED_FLOW_TIMEOUT_MS = 5_000
-"""A flow in any other state than open is removed after this long without packets, in
-milliseconds; longer than the callers' longest interval between retransmissions."""
+HELD_FLOW_TIMEOUT_MS = 60_000
+"""An accepted or open flow without packets for this long is removed, in milliseconds;
+the platform's longest lifetime of a flow."""
 
 LEARNING_PERIOD_MS = 60_000
 """How long after the agent's start its backend server may hold flows that the agent
@@ -103,6 +101,7 @@
             clock, self.server_liveness, holds_requests=holds_requests
         )
         self.opening_limit = OpeningRateLimit(clock)
+        self.held_trials = HeldTrials(clock)
 
     @property
     def waiting_requests(self) -> OrderedDict[FlowKey, int]:
@@ -126,7 +125,11 @@
             ]
         if packet.is_opening:
             return self._handle_opening(message, packet, balancer)
-        flow = self.flows.get(packet.flow)
+        return self._handle_data(packet, balancer)
+
+    def _handle_data(self, packet: Packet, balancer: str) -> list[Action]:
+        """Deliver a packet of a flow, unless the backend server does not hold it."""
+        flow = self._find_flow(packet.flow, packet.acknowledged)
         if flow is None or flow.state is FlowState.TRIED:
             return self._deliver_trial(packet, balancer, flow)
         if flow.state is FlowState.ABSENT or not flow.may_include(packet):
@@ -139,6 +142,10 @@
         """Deliver an opening, or return it if its requests would wait too long here."""
         if self.server_liveness.is_down:
             return self._return_opening(packet, balancer)
+        flow = self.flows.get(packet.flow)
+        if flow is not None and flow.is_never_confirmed(self.clock.now_ms()):
+            # The port is used again.
+            self._remove_flow(packet.flow)
         if self.is_evacuated and not has_accepted(self.flows.get(packet.flow)):
             self.returned_openings["evacuated"] += 1
             returned = record(
@@ -187,7 +194,27 @@
             flow = self._add_flow(packet.flow, FlowState.TRIED)
         flow.balancer = balancer
         self._touch(packet.flow, flow)
-        return self.requests.deliver_trial(packet, flow)
+        if flow.must_wait_for_trial(self.clock.now_ms()):
+            self.held_trials.hold(packet, balancer)
+            return []
+        flow.trial_packets += 1
+        return [
+            *self._release_trial(packet.flow),
+            *self.requests.deliver_trial(packet, flow),
+        ]
+
+    def release_overdue_trials(self) -> list[Action]:
+        """Deliver packets that have waited long enough for the server's answer."""
+        due = self.held_trials.list_due()
+        return [action for key in due for action in self._release_trial(key)]
+
+    def _release_trial(self, key: FlowKey) -> list[Action]:
+        """Handle the held packets of a flow by what is known about it now."""
+        return [
+            action
+            for packet, balancer in self.held_trials.take(key)
+            for action in self._handle_data(packet, balancer)
+        ]
 
     def _deliver(self, packet: Packet, balancer: str, flow: FlowEntry) -> list[Action]:
         informing: list[Action] = []
@@ -223,6 +250,8 @@
         """Handle a packet that the backend server has sent or bounced."""
         self.server_liveness.mark_alive()
         actions = self._handle_from_server(packet)
+        if packet.flow in self.held_trials.held:
+            actions += self._release_trial(packet.flow)
         if self.requests.queue.held:
             actions += self.requests.release()
         return actions
@@ -284,7 +313,8 @@
         balancer = flow.balancer if flow is not None else ""
         self._remove_flow(packet.flow)
         if not packet.is_opening:
-            self._add_flow(packet.flow, FlowState.ABSENT)
+            # The balancer gets the other packets of the flow, too.
+            self._add_flow(packet.flow, FlowState.ABSENT).balancer = balancer
         if not balancer:
             return [record("bounce_without_balancer", packet)]
         return [SendMessage(balancer, ReturnedPacket(packet.raw))]
@@ -333,7 +363,7 @@
 
     def answer_question(self, question: FlowQuestion) -> FlowAnswer:
         """Return the verdict whether the backend server holds a flow."""
-        flow = self.flows.get(question.flow)
+        flow = self._find_flow(question.flow, question.acknowledged)
         if flow is not None:
             verdict = flow.find_verdict(question.acknowledged)
         else:
@@ -375,15 +405,26 @@
         for _ in range(self.expiry_pass.count_due(len(self.flows))):
             key, flow = next(iter(self.flows.items()))
             timeout_ms = (
-                OPEN_FLOW_TIMEOUT_MS
-                if flow.state is FlowState.OPEN
-                else UNOPENED_FLOW_TIMEOUT_MS
+                HELD_FLOW_TIMEOUT_MS
+                if flow.state in (FlowState.ACCEPTED, FlowState.OPEN)
+                else OTHER_FLOW_TIMEOUT_MS
             )
             if now_ms - flow.last_packet_ms > timeout_ms:
                 self._remove_flow(key)
             else:
                 self.flows.move_to_end(key)
 
+    def _find_flow(self, key: FlowKey, acknowledged: int) -> FlowEntry | None:
+        """Return the flow of a caller's packet, None for an earlier one of its port."""
+        flow = self.flows.get(key)
+        if (
+            flow is None
+            or flow.is_confirmed_by(acknowledged)
+            or not flow.is_never_confirmed(self.clock.now_ms())
+        ):
+            return flow
+        return None
+
     def _add_flow(self, key: FlowKey, state: FlowState) -> FlowEntry:
         self._remove_flow(key)
         flow = self.flows[key] = FlowEntry(state, self.clock.now_ms())
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -12,6 +12,7 @@
     MIN_AGENTS,
     FlowDirectory,
 )
+from citronwinch.coordination.flows._flow_entry import DELIVERED_TRIAL_PACKETS
 from citronwinch.coordination.flows._flow_searches import FlowSearches
 from citronwinch.coordination.flows._known_flows import (
     KnownFlows,
@@ -104,6 +105,9 @@
         # Another balancer may have placed a copy of the opening that is held here.
         self.held_openings.remove(packet.flow)
         self.held_uploads.remove(packet.flow)
+        if known is not None and known.must_be_confirmed(self.clock.now_ms()):
+            del self.flows[packet.flow]
+            return self._search_flow(packet, likely_at=known.agent)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
             known.acknowledged = packet.acknowledged
@@ -134,6 +138,7 @@
                 packet, route, known.times, known.tried_agents
             )
         if packet.flow in self.searches:
+            self.searches[packet.flow].hold_packet(packet)
             return self.searches.handle_verdict(packet.flow, agent, Verdict.ABSENT)
         if known is not None and known.agent != agent:
             if packet.raw in known.tried_packets:
@@ -141,6 +146,8 @@
             return [forward_to_agent(known.agent, known.service, packet)]
         self.flows.pop(packet.flow, None)
         self.counters["hints_withdrawn"] += 1
+        # The agent has delivered as many, and their caller may have sent more.
+        self.searches.trial_records.record(packet.flow, DELIVERED_TRIAL_PACKETS)
         return self._search_flow(packet, absent_at=agent)
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
@@ -161,12 +168,14 @@
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
             if answer.verdict in (Verdict.OPENING, Verdict.HELD):
+                known.located_ms = None
                 # The server accepted an earlier copy of a returned opening.
                 self.held_openings.remove(answer.flow)
                 self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
             known.agent, known.unconfirmed_since_ms = agent, None
+            known.located_ms = None
         return []
 
     def answer_lookup(self, lookup: FlowLookup) -> FlowLocations:
@@ -226,7 +235,9 @@
         actions += self.admission.held_placement.tick()
         return actions + self.held_uploads.tick()
 
-    def _search_flow(self, packet: Packet, absent_at: str = "") -> list[Action]:
+    def _search_flow(
+        self, packet: Packet, absent_at: str = "", likely_at: str = ""
+    ) -> list[Action]:
         """Search for a packet's flow; its queued packets wait for the result as well.
 
         A packet that `absent_at` returned was sent before the queued ones.
@@ -244,7 +255,7 @@
         for waiting in packets:
             known = self.flows.get(packet.flow)
             if known is None:
-                actions += self.searches.search(waiting, absent_at)
+                actions += self.searches.search(waiting, absent_at, likely_at)
             else:
                 actions += self.pacing.forward(known, waiting)
         return actions
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -13,6 +13,7 @@
     record,
 )
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
+from citronwinch.coordination.flows._balancer_lookups import BalancerLookups
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._flow_directory import MIN_AGENTS, FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
@@ -21,6 +22,7 @@
     KnownFlows,
     forward_to_agent,
 )
+from citronwinch.coordination.flows._lost_servers import is_server_lost
 from citronwinch.coordination.flows._messages import (
     FlowLocation,
     FlowLookup,
@@ -34,8 +36,10 @@
 )
 from citronwinch.coordination.flows._search_evidence import gather_evidence
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
+from citronwinch.coordination.flows._search_records import record_without_holder
 from citronwinch.coordination.flows._searched_servers import (
     list_optional_agents,
+    list_restarting_agents,
     list_servers_to_query,
     list_silent_agents,
 )
@@ -45,6 +49,7 @@
     TrialBudget,
     compute_trial_bytes,
 )
+from citronwinch.coordination.flows._trial_records import TrialRecords
 from citronwinch.coordination.flows._upload_admission import (
     UploadAdmission,
     is_upload_flow,
@@ -60,9 +65,6 @@
 """How long collected questions wait at most for the next check whether the budgets
 allow them, in milliseconds; in a surge, answers and packets cause most checks."""
 
-LOGGED_AGENTS_LIMIT = 8
-"""The most agents in a list of a log line about a search without a result."""
-
 EXACT_DEADLINES_LIMIT = 16
 """Up to this many running searches are advanced exactly at their deadlines."""
 
@@ -101,14 +103,17 @@
         self.outcomes = SearchOutcomes()
         self.batches = QuestionBatches(clock, link_mbps, counters, self._is_wanted)
         self.trials = TrialBudget(clock, link_mbps)
-        self.unresponsive_balancers: set[str] = set()
-        """The balancers that have left two lookups in a row unanswered. They are asked,
-        but not waited for until they send a message."""
+        self.trial_records = TrialRecords(clock)
+        self.started_ms = clock.now_ms()
+        self.lookups = BalancerLookups(directory, clock, counters)
 
-    def search(self, packet: Packet, absent_at: str = "") -> list[Action]:
+    def search(
+        self, packet: Packet, absent_at: str = "", likely_at: str = ""
+    ) -> list[Action]:
         """Hold a packet and search for its flow.
 
-        `absent_at` is an agent that has already ruled the flow out, if any.
+        `absent_at` is an agent that has already ruled the flow out, `likely_at` one
+        that a location names, if any.
         """
         key = packet.flow
         search = self.get(key)
@@ -126,11 +131,15 @@
             is_single_step=self.outcomes.presume_dead(),
         )
         search.expendable_agents = self._list_expendable(key, other_servers)
+        self._plan_trials(key, search)
         search.hold_packet(packet)
         self[key] = search
         self.counters["searches"] += 1
         if absent_at:
             search.handle_verdict(absent_at, Verdict.ABSENT)
+        if likely_at in search.services:
+            search.ask_first(likely_at)
+            return self._apply_step(key, search, search.start())
         if search.is_single_step:
             return self._start_single_step(key, search)
         if not absent_at and len(search.rounds[0].agents) > MIN_AGENTS:
@@ -143,7 +152,7 @@
         location = self.directory.find_location(key)
         if location is not None and location.agent not in search.verdicts:
             return self.handle_location(location)
-        lookups = self._ask_balancers(key, search)
+        lookups = self.lookups.ask(key, search)
         return [*lookups, *self._apply_step(key, search, search.start())]
 
     def _look_up(self, key: FlowKey, search: FlowSearch) -> list[Action]:
@@ -162,7 +171,7 @@
             return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
-            return self._finish_found(location.flow, search, location.agent)
+            return self._finish_located(search, location)
         return self._apply_step(location.flow, search, search.start())
 
     def is_awaiting_location(self, key: FlowKey) -> bool:
@@ -170,30 +179,6 @@
         search = self.get(key)
         return search is not None and bool(search.keeper or search.has_asked_balancers)
 
-    def _ask_balancers(self, key: FlowKey, search: FlowSearch) -> list[SendMessage]:
-        """Look a flow up at all balancers of the zone before it counts as dead.
-
-        Its backend server may have just registered, and be missing from the listing.
-        """
-        others = self.directory.balancers - {self.directory.own_ip}
-        self.unresponsive_balancers &= others & self.directory.silent
-        silent = others & self.directory.silent
-        search.ask_balancers(others - self.unresponsive_balancers, silent)
-        search.unanswered_balancers |= others & self.unresponsive_balancers
-        search.unanswered_balancers |= others & self.directory.list_recently_restarted()
-        return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
-
-    def _give_up_balancers(self, search: FlowSearch) -> None:
-        """Stop waiting for balancers that have not answered in time."""
-        if self.clock.now_ms() < search.balancers_deadline_ms:
-            return
-        pending, search.pending_balancers = search.pending_balancers, set()
-        search.unanswered_balancers |= pending
-        self.counters["lookups_unanswered"] += len(pending)
-        still_silent = search.silent_balancers & self.directory.silent
-        self.unresponsive_balancers |= pending & still_silent
-        self.directory.silent |= pending
-
     def _handle_last_lookup(
         self, search: FlowSearch, location: FlowLocation, sender: str
     ) -> list[Action]:
@@ -203,7 +188,8 @@
             extract_service_endpoint(key)
         )
         is_new = bool(location.agent) and location.agent not in search.verdicts
-        if is_new and location.service in services:
+        is_lost = is_server_lost(self.view, self.selector, location.agent)
+        if is_new and location.service in services and not is_lost:
             search.services[location.agent] = location.service
             return self._finish_found(key, search, location.agent)
         if search.pending_balancers or not search.is_awaiting_balancers:
@@ -226,6 +212,7 @@
         """Advance searches past their deadline; expire entries of flows not found."""
         self.batches.give_up_overdue()
         self.batches.expire()
+        self.trial_records.expire()
         actions: list[Action] = [*self._send_questions()]
         now_ms = self.clock.now_ms()
         for key, search in list(self.items()):
@@ -278,6 +265,13 @@
         optional = list_optional_agents(self.view, key, servers)
         return list_silent_agents(self.selector, self.batches, optional)
 
+    def _plan_trials(self, key: FlowKey, search: FlowSearch) -> None:
+        """State whose answers trials need, and how many packets are sent without."""
+        search.list_possible_holders = lambda: list_restarting_agents(
+            self.view, self.selector, self.batches, key, self.started_ms
+        )
+        search.trial_room = self.trial_records.count_room(key)
+
     def _apply_step(
         self, key: FlowKey, search: FlowSearch, step: SearchStep
     ) -> list[Action]:
@@ -307,16 +301,19 @@
         self, key: FlowKey, search: FlowSearch, agents: tuple[str, ...]
     ) -> list[Action]:
         """Send the held packets to uncertain agents, if the link has room for them."""
-        size_bytes = compute_trial_bytes(search.held_packets, len(agents))
+        packets = search.held_packets[: search.trial_packet_counts[agents[0]]]
+        size_bytes = compute_trial_bytes(packets, len(agents))
         if not self.trials.try_spend(size_bytes):
             self.counters["trials_put_off"] += 1
             search.put_off_trial(TRIAL_RETRY_MS)
             return [] if search.has_time_left() else self._finish_not_found(key, search)
         search.deadline_ms += self.trials.compute_transfer_ms(size_bytes)
+        self.trial_records.record(key, len(agents) * len(packets))
+        search.trial_room = self.trial_records.count_room(key)
         return [
             forward_to_agent(ip, search.services[ip], packet)
             for ip in agents
-            for packet in search.held_packets
+            for packet in packets
         ]
 
     def _spend_questions(self, search: FlowSearch, step: SearchStep) -> bool:
@@ -352,31 +349,28 @@
     def _finish_not_found(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Pause or end a search without a result; reset the flow if it cannot exist.
 
-        The flow certainly does not exist if every agent that could hold it has ruled it
-        out; the silence of an agent that stopped after its backend server rules the
-        flow out as well. If another agent is silent or uncertain, the flow is not
-        reset: its caller retransmits, which starts another search. Only agents of
-        services that the route has or had before count. Agents of unrelated services
-        are queried as well, because this balancer may have started after a change of
-        the route, but the reset does not depend on their verdicts.
+        `gather_evidence` tells what proves that. Otherwise the flow is not reset: its
+        caller retransmits, which starts another search.
         """
-        self._give_up_balancers(search)
+        self.lookups.give_up_overdue(search)
         packet = search.held_packets[0]
         services = self.view.list_current_and_former_services(
             extract_service_endpoint(packet.flow)
         )
         evidence = gather_evidence(self.view, self.selector, search, services)
         is_dead = evidence.is_dead
-        has_peers = len(self.directory.balancers) > 1
+        has_peers = bool(self.directory.balancers - {self.directory.own_ip})
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
-            lookups = self._ask_balancers(key, search)
-        if is_dead and search.pending_balancers:
+            lookups = self.lookups.ask(key, search)
+            evidence = gather_evidence(self.view, self.selector, search, services)
+            is_dead = evidence.is_dead
+        if search.pending_balancers and (is_dead or evidence.needs_newer_listing):
             search.await_balancers()
             return [*lookups]
         if evidence.needs_newer_listing and search.has_time_left():
             search.await_listing()
-            return []
+            return [*lookups]
         if not is_dead and search.has_time_left():
             search.pause()
             return []
@@ -386,30 +380,20 @@
         if is_dead and packet.is_reset:
             return [*lookups]
         self.counters["flows_reset" if is_dead else "searches_failed"] += 1
-        outcome = record(
-            "dead_flow_reset" if is_dead else "flow_not_found",
-            packet,
-            absent=len(search.list_by_verdict(Verdict.ABSENT)),
-            silent=sorted(evidence.silent),
-            uncertain=sorted(evidence.uncertain),
-            searched_ms=self.clock.now_ms() - search.started_ms,
-            view_age_ms=self.view.age_ms,
-            unasked=sorted(evidence.unasked)[:LOGGED_AGENTS_LIMIT],
-            holders=evidence.holders,
-            removed=self.view.former.describe_removals(services, LOGGED_AGENTS_LIMIT),
-            former=len(self.view.former),
-            former_source=self.view.former.source,
-            is_former_complete=self.view.former_knowledge.is_complete,
-            listing=tuple(self.view.listing.position),
-            balancers_asked=len(search.asked_balancers),
-            balancers_silent=sorted(search.unanswered_balancers),
-        )
+        outcome = record_without_holder(self.view, search, evidence, services)
         if not is_dead:
             return [*lookups, outcome]
         self.attempt_ages.record_ended(key, search.started_ms)
         self.uploads.remove(key)
         return [*lookups, ResetFlow(packet), outcome]
 
+    def _finish_located(
+        self, search: FlowSearch, location: FlowLocation
+    ) -> list[Action]:
+        actions = self._finish_found(location.flow, search, location.agent)
+        self.flows[location.flow].located_ms = self.clock.now_ms()
+        return actions
+
     def _finish_found(
         self, key: FlowKey, search: FlowSearch, holder: str
     ) -> list[Action]:
--- a/citronwinch/coordination/steering/_leases.py
+++ b/citronwinch/coordination/steering/_leases.py
@@ -30,6 +30,12 @@
 RETRY_MS = 400
 """How soon an unanswered lease request is repeated, in milliseconds."""
 
+FORMER_RETRY_MS = 700
+"""How soon a former member repeats a lease request to a silent member, in ms.
+
+Several requests reach a restarted member within `LEARNING_MS`.
+"""
+
 LEARNING_MS = 3_000
 """How long a started member waits at most to learn of former members, in milliseconds.
 
@@ -44,6 +50,16 @@
 """A time that is never reached, in milliseconds."""
 
 
+def find_majority_end(ends: list[int], own_votes: int) -> int:
+    """Return the earliest time at which a majority of members may count one as silent.
+
+    `ends` are the times from which each other member may do so. `own_votes` is 1 if
+    the member itself counts, 0 otherwise.
+    """
+    majority_index = (len(ends) + own_votes) // 2
+    return sorted(ends)[majority_index] if majority_index < len(ends) else NEVER_MS
+
+
 class ReceivedLease(NamedTuple):
     """A lease that another member has granted to this member."""
 
@@ -57,7 +73,10 @@
     """Whether this member, as a home, knows all of its flows that the grantor owns."""
 
     silent: tuple[str, ...]
-    """The members that the grantor counts as silent and grants no lease."""
+    """The members that the grantor counts as silent or departed."""
+
+    requested_ms: int
+    """When it was requested, by this member's clock, in milliseconds."""
 
 
 class LeaseMember:
@@ -67,7 +86,8 @@
     `no_grant_until_ms` the end of the promise to grant it none. `requested_ms` is when
     the latest lease request was sent to that member; None makes a request due at once.
     `answered_ms` is not when an answer arrived, but when the latest answered request
-    was sent. Both are by this member's clock.
+    was sent. `departed_ms` is when its latest departure became known. All are by this
+    member's clock.
     """
 
     def __init__(self, now_ms: int) -> None:
@@ -78,6 +98,7 @@
         self.last_received_ms = now_ms
         self.is_leaving = False
         self.has_departed = False
+        self.departed_ms = 0
         self.requested_ms: int | None = None
         self.answered_ms: int | None = None
         self.unanswered_requests = 0
@@ -198,7 +219,8 @@
             return True
         waited_ms = now_ms - member.requested_ms
         if name in self.unlisted or self.is_silent(name):
-            return waited_ms >= HEARTBEAT_MS
+            is_member = self.name in self.current_members
+            return waited_ms >= (HEARTBEAT_MS if is_member else FORMER_RETRY_MS)
         lease = member.lease
         if lease is None or lease.revision < self.revision or not lease.is_complete:
             return waited_ms >= RETRY_MS
@@ -250,7 +272,7 @@
             self.raise_fence(request.revision, sender)
             member.last_granted_ms = now_ms
             member.has_grant = True
-        silent = self.withhold_leases_from_silent(sender) if is_granted else ()
+        silent = self.list_unavailable(sender) if is_granted else ()
         return LeaseAnswer(
             self.service,
             self.fence_revision,
@@ -262,17 +284,21 @@
             is_learning=self.is_learning,
         )
 
-    def withhold_leases_from_silent(self, receiver: str) -> tuple[str, ...]:
-        """Return the silent members, and grant them no lease for `SILENT_MS`."""
+    def list_unavailable(self, receiver: str) -> tuple[str, ...]:
+        """Return the silent and departed members for a lease to the receiver.
+
+        The silent ones are granted no lease for `SILENT_MS`.
+        """
         now_ms = self.clock.now_ms()
-        silent = [
+        unavailable = [
             name
             for name in self.list_other_members()
-            if name != receiver and self.is_silent(name)
+            if name != receiver and self.is_unavailable(name)
         ]
-        for name in silent:
-            self.member(name).no_grant_until_ms = now_ms + SILENT_MS
-        return tuple(silent)
+        for name in unavailable:
+            if self.is_silent(name):
+                self.member(name).no_grant_until_ms = now_ms + SILENT_MS
+        return tuple(unavailable)
 
     def accept_answer(self, sender: str, answer: LeaseAnswer) -> None:
         """Record the answer of a member and the lease in it."""
@@ -280,7 +306,9 @@
         member.is_leaving = answer.is_leaving
         if answer.has_departed:
             member.has_departed = answer.sent_ms >= member.last_request_sent_ms
+            member.departed_ms = self.clock.now_ms()
             member.lease = None
+            self.renew_all()
             self.raise_fence(answer.revision, sender)
             return
         if answer.sent_ms < (member.answered_ms or 0):
@@ -304,6 +332,7 @@
             answer.revision,
             answer.is_complete,
             answer.silent,
+            answer.sent_ms,
         )
         if (
             sender in self.former_members
@@ -318,19 +347,40 @@
 
         Afterwards the other members may have chosen new owners for this member's
         flows, so this member has to query them before it delivers packets again.
+
+        This member itself counts only if it is in the table and the platform lists it.
+        A member that the platform does not list may be silent to the others, which
+        then leave it out of the majority.
         """
         others = (
             self.current_members - self.list_silent_unlisted_members() - {self.name}
         )
-        ends = sorted(
-            (self.member(name).answered_ms or self.started_ms) + SILENT_MS
-            for name in others
-        )
-        majority_index = (len(others) + 1) // 2
-        self.ownership_certain_until_ms = (
-            ends[majority_index] if majority_index < len(ends) else NEVER_MS
+        own_votes = int(self.name in self.current_members - self.unlisted)
+        listed = [self.find_certainty_end(name) for name in others - self.unlisted]
+        unlisted = sorted(map(self.find_certainty_end, others & self.unlisted))
+        self.ownership_certain_until_ms = min(
+            find_majority_end([*listed, *unlisted[:count]], own_votes)
+            for count in range(len(unlisted) + 1)
         )
 
+    def find_certainty_end(self, name: str) -> int:
+        """Return when a member may count this member as silent, in milliseconds."""
+        return (self.member(name).answered_ms or self.started_ms) + SILENT_MS
+
+    def accept_unlisted(self, unlisted: frozenset[str]) -> None:
+        """Replace the members that the platform does not list."""
+        self.unlisted = unlisted
+        self.update_ownership_certainty()
+
+    def is_former_member_known(self, restarted: str) -> bool:
+        """Return whether a restarted member knew this one before it could decide.
+
+        It knows the current members from the table, but learns of a former member from
+        that member's lease requests only. Its first answer says whether that was while
+        it was learning.
+        """
+        return self.name in self.current_members or self.member(restarted).is_learning
+
     def list_silent_unlisted_members(self) -> set[str]:
         """Return the silent current members that the platform no longer lists."""
         return {name for name in self.unlisted - {self.name} if self.is_silent(name)}
@@ -409,8 +459,25 @@
 
     def list_blocking_members(self) -> list[str]:
         """Return the members that have to be queried before a new flow is opened."""
+        others = self.current_members - {self.name}
+        departed = [name for name in others if self.member(name).has_departed]
         return [
             name
             for name in self.list_other_members()
-            if not self.has_complete_lease(name) and not self.is_confirmed_gone(name)
+            if not (self.has_complete_lease(name) and self.covers(name, departed))
+            and not self.is_confirmed_gone(name)
         ]
+
+    def covers(self, grantor: str, departed: list[str]) -> bool:
+        """Return whether a complete lease includes the flows of departed homes.
+
+        The grantor registers these flows with their next homes when it knows of the
+        departures, which the lease then names. One that was requested before may stem
+        from an earlier departure.
+        """
+        lease = self.member(grantor).lease
+        return lease is not None and all(
+            name in lease.silent and lease.requested_ms >= self.member(name).departed_ms
+            for name in departed
+            if name != grantor
+        )
--- a/citronwinch/coordination/steering/_protocol.py
+++ b/citronwinch/coordination/steering/_protocol.py
@@ -48,8 +48,9 @@
     `registrations` registers this agent's flows with their homes, and `owner_registry`
     has the owners of flows that other agents own. `leaving` are the agents that the
     platform lists as leaving. `unlisted` are the agents of the table, and the former
-    members of a service, that the platform does not list. `query_grants` has, for each
-    queried flow, the member that may decide on the flow and when that right expires.
+    members of a service, that the platform does not list; this agent may be one of
+    them. `query_grants` has, for each queried flow, the member that may decide on the
+    flow and when that right expires.
     `uncertain_flows` are owned flows that other members may have given another owner.
     `transfers` has the flows of stopped agents, which are kept for their next runs.
     """
@@ -63,6 +64,7 @@
         self.is_stopping = False
         self.leaving: frozenset[str] = frozenset()
         self.unlisted: frozenset[str] = frozenset()
+        self.is_listed = True
         self.flows = OwnedFlows(clock, backend_server, incarnation)
         self.leases: dict[str, ServiceLeases] = {}
         self.registrations = Registrations(clock, incarnation)
@@ -132,8 +134,15 @@
             for name in leases.list_other_members()
         ]
 
-    def accept_instances(self, instances: tuple[Instance, ...]) -> None:
-        """Replace the platform's list of instances."""
+    def accept_instances(
+        self, instances: tuple[Instance, ...], *, is_listed: bool = True
+    ) -> None:
+        """Replace the known instances.
+
+        `is_listed` is whether the platform lists this agent itself; a process counts
+        itself among the instances in any case.
+        """
+        self.is_listed = is_listed
         self.balancers = tuple(
             sorted(
                 instance.name
@@ -154,9 +163,11 @@
         names = {row.backend_server for row in self.table.rows}
         for leases in self.leases.values():
             names |= leases.former_members
-        self.unlisted = frozenset(names - listed)
+        own = frozenset({self.backend_server})
+        unlisted = frozenset(names - listed)
+        self.unlisted = unlisted - own if is_listed else unlisted | own
         for leases in self.leases.values():
-            leases.unlisted = self.unlisted
+            leases.accept_unlisted(self.unlisted)
 
     def leases_of(self, service: str) -> ServiceLeases:
         """Return the leases of a service, created on first use."""
@@ -214,7 +225,7 @@
         ]
         home = find_home(flow, present)
         if home is None or home == self.backend_server:
-            self.registrations.withdraw(service, flow)
+            self.registrations.withdraw_moved(service, flow)
         else:
             self.registrations.register(service, flow, home)
 
@@ -232,14 +243,23 @@
             return []
         if is_restarted:
             self.registrations.discard_home(sender)
-            self.owner_registry.discard_owners([sender])
+            self.owner_registry.discard_former_run(sender, message.incarnation)
+            if not leases.is_former_member_known(sender):
+                self.mark_service_uncertain(message.service)
         if leases.mark_alive(sender) or is_restarted:
             self.update_homes()
         is_complete = self.registrations.is_complete(
             sender, message.service
         ) and self.transfers.is_informed(sender, message.incarnation, message.service)
         answer = leases.answer_request(sender, message, is_complete=is_complete)
+        # The flows of a home that has just become unavailable are registered with their
+        # next homes at the next tick.
+        is_current = all(
+            (message.service, name) in self.unavailable_members
+            for name in answer.silent
+        )
         answer = answer._replace(
+            is_complete=answer.is_complete and is_current,
             is_leaving=self.is_leaving or self.is_backend_failing,
             owns_flows=self.flows.has_flows(message.service),
         )
@@ -372,9 +392,14 @@
             if self.flows.flow_counts[service]
             and now_ms >= leases.ownership_certain_until_ms
         }
-        for flow, owned in self.flows.owned.items() if uncertain_services else ():
-            if owned.service in uncertain_services:
-                self.uncertain_flows.add(flow)
+        for service in uncertain_services:
+            self.mark_service_uncertain(service)
+
+    def mark_service_uncertain(self, service: str) -> None:
+        """Mark the owned flows of a service as uncertain."""
+        self.uncertain_flows |= {
+            flow for flow, owned in self.flows.owned.items() if owned.service == service
+        }
 
     def is_ownership_uncertain(self, flow: FlowKey, service: str) -> bool:
         """Return whether another agent may have become the owner of an owned flow.
