--- a/citronwinch/coordination/flows/tests/small_fleet_events.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_events.py
@@ -162,6 +162,7 @@
         agent = get(fleet)
         if agent.is_running:
             agent.kill()
+            agent.record_unplanned(down_ms)
             fleet.extend_faults(down_ms)
             fleet.schedule(down_ms, lambda: _start_agent(fleet, agent))
 
@@ -187,7 +188,10 @@
 
 
 def _pause_agent(fleet: SmallFleet) -> None:
+    if not fleet.holder.is_running:
+        return
     fleet.holder.paused_until_ms = fleet.clock.now_ms() + 1_500
+    fleet.holder.record_unplanned(1_500)
     fleet.extend_faults(1_500)
 
 
--- a/citronwinch/coordination/flows/tests/small_fleet_processes.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_processes.py
@@ -33,6 +33,10 @@
 AGENT_TICK_MS = 200
 REPORTED_BALANCER_TIMEOUT_MS = 2_000
 SERVER_ANSWER_MS = 5
+RECENT_FAULT_MS = 4_000
+"""How long after a fault or a start a process may be excused, in milliseconds; the
+shortest such time of the deployments."""
+
 SERVER_SEQUENCE = 700
 
 
@@ -155,6 +159,18 @@
         """Whether the backend server has accepted the flow."""
         self.is_gone = False
         """Whether the instance has ended, so that the agent does not return."""
+        self.unplanned_ms = (0, 0)
+        """When the last kill or pause of the agent began and ended, in milliseconds."""
+
+    def record_unplanned(self, for_ms: int) -> None:
+        """Record that the agent is killed or paused now for some time."""
+        now_ms = self.clock.now_ms()
+        self.unplanned_ms = (now_ms, now_ms + for_ms)
+
+    def was_faulty(self, at_ms: int) -> bool:
+        """Return whether the agent was killed or paused at a time or just before."""
+        began_ms, ended_ms = self.unplanned_ms
+        return began_ms <= at_ms < ended_ms + RECENT_FAULT_MS
 
     def reset_state(self, is_first_start: bool) -> None:
         clock = self.clock
--- a/citronwinch/coordination/flows/tests/test_small_fleet_faults.py
+++ b/citronwinch/coordination/flows/tests/test_small_fleet_faults.py
@@ -48,9 +48,9 @@
         assert outcome is None, describe(moved, outcome)
 
 
-# After an outage of the store, all balancers state that they know the former servers
-# for a short time only. A starting one takes this for a restart of the whole fleet, and
-# the silence of an agent that is being restarted for the end of its server.
+# After an outage of the store or a pause, a balancer states that it has known former
+# servers for a short time only. A starting one takes this for a restart of the whole
+# fleet, and the silence of an agent that is being restarted for the end of its server.
 @pytest.mark.parametrize(
     ("events", "fleet"),
     [
@@ -74,6 +74,17 @@
             FLEETS[1],
             id="after the outage",
         ),
+        pytest.param(
+            (
+                FleetEvent(50, "the flow's balancer is killed for 700 ms"),
+                FleetEvent(700, "the holder leaves the listing"),
+                FleetEvent(0, "the other balancer is paused for 3,000 ms"),
+                FleetEvent(100, "the flow's balancer is killed for 700 ms"),
+                FleetEvent(1_400, "the flow's balancer reads no listing"),
+            ),
+            FLEETS[0],
+            id="a pause instead of an outage, and no agent is silent",
+        ),
     ],
 )
 def test_an_outage_of_the_store_is_no_restart_of_the_whole_fleet(
