Learn former servers also from a listing that is older than the own one

A source that has not read the listing since a server left still lists it. Its answer had no former server then, and the starting balancer counted as asked.

--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -266,14 +266,23 @@
         return self.former.list_elsewhere(self._list_addresses())
 
     def accept_former(
-        self, departed: Iterable[DepartedServer], source: str, known_for_ms: int
+        self,
+        departed: Iterable[DepartedServer],
+        source: str,
+        known_for_ms: int,
+        listed: Iterable[BackendServer] = (),
     ) -> None:
         """Add the servers that have left according to another balancer.
 
-        `known_for_ms` is for how long that balancer has known each of them.
+        `known_for_ms` is for how long that balancer has known each of them, and
+        `listed` are the servers that it lists. Its listing may be older than the first
+        one of this balancer, which then lacks a server that left in between.
         """
+        missing = (DepartedServer(server, 0) for server in listed)
         self.former.record_learned(
-            each for each in departed if each.server.name not in self.listing.servers
+            each
+            for each in (*departed, *missing)
+            if each.server.name not in self.listing.servers
         )
         self.former.source = source
         self.former_knowledge.record_fetched(source, known_for_ms)
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -270,7 +270,8 @@
 
         def accept() -> None:
             if asks_former:
-                self.view.accept_former(departed, source, known_for_ms)
+                listed = listing.servers.values()
+                self.view.accept_former(departed, source, known_for_ms, listed)
             if configuration is not None:
                 self.view.accept_configuration(configuration)
             if age_ms is not None:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -307,7 +307,8 @@
         if asks_former:
             known_for_ms = answer.former_known_for_ms
             self.view.route_history.record_learned(answer.former_routes)
-            self.view.accept_former(answer.former, ip, known_for_ms)
+            listed = () if answer.base_digest else answer.listing.servers.values()
+            self.view.accept_former(answer.former, ip, known_for_ms, listed)
             log.info(
                 "former_servers_learned",
                 source=ip,
