Include late answers in a trial that was put off

Cause: a trial that had to wait for the link came back with the agents that had answered before it, not with all of its round, so that answers delayed by the link were left out until the search resumed. It also came back with agents of earlier trials.

Change: the whole round is considered again, as before.

Evidence: test_a_trial_that_was_put_off_includes_late_answers failed before.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -112,7 +112,9 @@
         """The service of each agent's backend server, by the agent's address."""
         self.rounds: list[SearchRound] = []
         self.untried_groups: list[tuple[str, ...]] = []
-        """The queried agents that a trial has not reached yet, by round."""
+        """The queried agents that no trial has reached yet, by round."""
+        self.trial_group: tuple[str, ...] = ()
+        """The agents of the round of the latest trial."""
         self.list_possible_holders: Callable[[], frozenset[str]] = frozenset
         """Returns the agents whose answers a trial without a limit needs."""
         self.answered_agents: set[str] = set()
@@ -335,7 +337,7 @@
                 return next_round
         while groups:
             uncertain = groups.pop(0)
-            del self.untried_groups[0]
+            self.trial_group = self.untried_groups.pop(0)
             if is_limited:
                 uncertain = uncertain[: self.trial_room]
             if uncertain:
@@ -345,11 +347,13 @@
     def _list_uncertain(self, agents: Sequence[str]) -> list[str]:
         return [ip for ip in agents if self.verdicts[ip] is Verdict.UNCERTAIN]
 
-    def put_off_trial(self, wait_ms: int) -> None:
+    def put_off_trial(self, agents: tuple[str, ...], wait_ms: int) -> None:
         """Return to the state before a trial, and try it again after some time."""
         self.is_in_trial = False
-        self.untried_groups.insert(0, tuple(self.trial_packet_counts))
-        self.trial_packet_counts.clear()
+        # Answers that arrive meanwhile count as well.
+        self.untried_groups.insert(0, self.trial_group)
+        for ip in agents:
+            del self.trial_packet_counts[ip]
         self.deadline_ms = self.clock.now_ms() + wait_ms
 
     def _start_trial(self, agents: list[str], *, is_limited: bool) -> SearchStep:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -329,7 +329,7 @@
         size_bytes = compute_trial_bytes(packets, len(agents))
         if not self.trials.try_spend(size_bytes):
             self.counters["trials_put_off"] += 1
-            search.put_off_trial(TRIAL_RETRY_MS)
+            search.put_off_trial(agents, TRIAL_RETRY_MS)
             return [] if search.has_time_left() else self._finish_not_found(key, search)
         search.deadline_ms += self.trials.compute_transfer_ms(size_bytes)
         self.trial_records.record(key, len(agents) * len(packets))
--- a/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
+++ b/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
@@ -18,6 +18,7 @@
     Packet,
     ReturnedPacket,
     SendMessage,
+    Verdict,
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch
 from citronwinch.coordination.flows._known_flows import KnownFlow
@@ -27,7 +28,7 @@
     TRIAL_HEADER_BYTES,
     TrialBudget,
 )
-from citronwinch.coordination.flows.tests.conftest import make_packet
+from citronwinch.coordination.flows.tests.conftest import make_packet, make_server
 from citronwinch.coordination.flows.tests.search_load import Network, SearchLoad
 
 LINK_MBPS = 5
@@ -146,6 +147,19 @@
     assert search.held_packets == [packet, other]
 
 
+# An answer that arrived while a trial waited for the link was left out of the trial.
+def test_a_trial_that_was_put_off_includes_late_answers(clock: ManualClock) -> None:
+    servers = [make_server(number) for number in (1, 2)]
+    search = FlowSearch("a", servers, [], clock)
+    search.hold_packet(make_packet(payload=10))
+    search.start()
+    search.handle_verdict("10.0.0.1", Verdict.UNCERTAIN)
+    assert search.handle_timeout().trial_agents == ("10.0.0.1",)
+    search.put_off_trial(("10.0.0.1",), 10)
+    search.handle_verdict("10.0.0.2", Verdict.UNCERTAIN)
+    assert search.handle_timeout().trial_agents == ("10.0.0.1", "10.0.0.2")
+
+
 def test_returned_copies_of_a_found_flow_are_not_forwarded_again() -> None:
     load = RestartedLoad()
     packet = make_packet(payload=10)
