Let all balancers choose the same agents for limited trials

What callers saw: while the agent of a flow's server was restarted, each balancer that the flow moved to tried two other servers. After three balancers six packets had reached servers that do not hold the flow.

Cause: TrialRecords are kept by one balancer, and the second one found the agents that had denied the flow to the first and went on to the next two.

Change: a limited trial goes only to the two agents of the route with the lowest rendezvous hash for the flow.

Evidence: test_the_limit_of_trials_lasts_over_a_restart_of_the_balancer failed before with 6 packets at others. The tests of flows and forwarder pass.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -10,7 +10,10 @@
 from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import Verdict
 from citronwinch.coordination.flows._packets import Packet
-from citronwinch.coordination.flows._trial_records import LIMITED_TRIAL_PACKETS
+from citronwinch.coordination.flows._trial_records import (
+    LIMITED_TRIAL_PACKETS,
+    choose_limited_agents,
+)
 
 LOCAL_ANSWER_TIMEOUT_MS = 15
 """How long agents of the balancer's own zone may take to answer, in milliseconds; many
@@ -110,6 +113,8 @@
         """Whether the link had no room for its questions at some time."""
         self.services: dict[str, str] = {}
         """The service of each agent's backend server, by the agent's address."""
+        self.route_agents: list[str] = []
+        """The agents of the route's present services, in all zones."""
         self.rounds: list[SearchRound] = []
         self.untried_groups: list[tuple[str, ...]] = []
         """The queried agents that no trial has reached yet, by round."""
@@ -159,7 +164,7 @@
         self.local_agents = {
             s.address.ip for s in servers if s.availability_zone == self.zone
         }
-        route_agents = [s.address.ip for s in route_servers]
+        self.route_agents = route_agents = [s.address.ip for s in route_servers]
         other_agents = [s.address.ip for s in other_servers]
         local = [ip for ip in route_agents if ip in self.local_agents]
         remote = [ip for ip in route_agents if ip not in self.local_agents]
@@ -177,10 +182,9 @@
 
     def ask_first(self, agent: str) -> None:
         """Ask one agent alone before the first round."""
-        likely = SearchRound(
-            (agent,), self.get_answer_timeout_ms(agent), self.rounds[0].trial_agents
-        )
-        self.rounds.insert(0, likely)
+        timeout_ms = self.get_answer_timeout_ms(agent)
+        trial_agents = self.rounds[0].trial_agents
+        self.rounds.insert(0, SearchRound((agent,), timeout_ms, trial_agents))
 
     def hold_packet(self, packet: Packet) -> None:
         """Hold a packet until the flow is found; drop copies, and others at the limit.
@@ -290,11 +294,10 @@
 
         An answer from before a pause does not count: its agent may have stopped since.
         """
-        return {
-            ip
-            for ip in self.list_possible_holders() - self.answered_agents
-            if self.verdicts.get(ip) is not Verdict.ABSENT
-        }
+        absent = self.list_by_verdict(Verdict.ABSENT)
+        return set(self.list_possible_holders() - self.answered_agents).difference(
+            absent
+        )
 
     def handle_timeout(self) -> SearchStep:
         """Continue without the agents that have not answered in time."""
@@ -331,19 +334,21 @@
         self.is_in_trial = False
         groups = [self._list_uncertain(group) for group in self.untried_groups]
         is_limited = any(groups) and bool(self.list_unanswered())
-        if is_limited:
-            next_round = self._start_next_round()
-            if not next_round.is_exhausted:
-                return next_round
+        if is_limited and not (step := self._start_next_round()).is_exhausted:
+            return step
         while groups:
             uncertain = groups.pop(0)
             self.trial_group = self.untried_groups.pop(0)
             if is_limited:
-                uncertain = uncertain[: self.trial_room]
+                uncertain = self._limit_trial(uncertain)
             if uncertain:
                 return self._start_trial(uncertain, is_limited=is_limited)
         return self._start_next_round()
 
+    def _limit_trial(self, agents: Sequence[str]) -> list[str]:
+        allowed = choose_limited_agents(self.held_packets[0].flow, self.route_agents)
+        return [ip for ip in agents if ip in allowed][: self.trial_room]
+
     def _list_uncertain(self, agents: Sequence[str]) -> list[str]:
         return [ip for ip in agents if self.verdicts[ip] is Verdict.UNCERTAIN]
 
--- a/citronwinch/coordination/flows/_trial_records.py
+++ b/citronwinch/coordination/flows/_trial_records.py
@@ -1,9 +1,13 @@
 """Bounds the packets of one flow that reach servers which do not hold it."""
 
 from collections import Counter, deque
+from collections.abc import Iterable
+
+import xxhash
 
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
+from citronwinch.coordination._placement import hash_seed
 
 AGENT_RESTART_LIMIT_MS = 10_000
 """How long the restart of an agent may take on a slow instance, in milliseconds."""
@@ -55,3 +59,15 @@
             self.counts[flow] -= packets
             if self.counts[flow] <= 0:
                 del self.counts[flow]
+
+
+def choose_limited_agents(flow: FlowKey, agents: Iterable[str]) -> set[str]:
+    """Return the agents that a limited trial of a flow may use.
+
+    Every balancer chooses the same ones: a flow's retransmissions may come through
+    other balancers, to which these agents deny it.
+    """
+    by_rank = sorted(
+        agents, key=lambda ip: (xxhash.xxh3_64_intdigest(flow, hash_seed(ip)), ip)
+    )
+    return set(by_rank[:LIMITED_TRIAL_PACKETS])
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -212,6 +212,20 @@
     assert len(fleet.at_others) <= MAX_PACKETS_AT_OTHERS
 
 
+# Each balancer that a flow moved to sent packets to other servers than the one before.
+def test_the_limit_of_trials_lasts_over_a_restart_of_the_balancer() -> None:
+    fleet = SmallFleet(21)
+    packet = make_packet(payload=10)
+    fleet.hold(packet)
+    fleet.silent.add(HOLDER)
+    for _ in range(3):
+        fleet.send(packet)
+        fleet.run(200)
+        fleet.restart_balancer()
+        fleet.run(200)
+    assert len(fleet.at_others) <= MAX_PACKETS_AT_OTHERS
+
+
 # A search with no other agents to ask made no trial at all while one was silent.
 def test_a_limited_trial_is_made_when_no_other_agents_are_left_to_ask() -> None:
     fleet = SmallFleet(2)
