--- a/citronwinch/coordination/flows/tests/test_restart_during_release.py
+++ b/citronwinch/coordination/flows/tests/test_restart_during_release.py
@@ -338,3 +338,13 @@
         started.tick()
         started.view.expire()
     assert not started.view.former
+
+
+# The source has not read the listing since the server left.
+def test_a_server_that_a_source_still_lists_is_a_former_one(
+    started_view: DeploymentView,
+) -> None:
+    listed = (LISTED, LEFT)
+    started_view.accept_former([], OLDER, FORMER_RETENTION_MS, listed)
+    assert list(started_view.former) == [LEFT.name]
+    assert started_view.list_possible_holders(["gauging"]) == [LISTED, LEFT]
