List the case of an owner that skipped the last table of its service

Packets of open flows of a removed service are dropped for good when the owner went from a table with several rows of the service to one with none: it is registered nowhere, and the service's last row does not know it.

--- a/citronwinch/coordination/steering/tests/test_removed_services.py
+++ b/citronwinch/coordination/steering/tests/test_removed_services.py
@@ -18,7 +18,7 @@
     FORMER_SERVICE_MS,
     FORMER_SERVICES_LIMIT,
 )
-from citronwinch.coordination.steering.tests.conftest import make_row
+from citronwinch.coordination.steering.tests.conftest import make_key, make_row
 
 REMOVED = Endpoint("192.0.2.9", 9000)
 
@@ -91,3 +91,22 @@
     steering.accept_table(Table(8, [make_row("gauging-1")]))
     assert steering.find_service(packet) is None
     assert steering.may_be_established(packet)
+
+
+def test_owner_that_missed_a_table_is_found_after_its_service_is_removed(group):
+    """Balancers send the flow to the service's last row, which knows no owner of it."""
+    owner, last = "reporting-1", "reporting-2"
+    flow = next(
+        key
+        for key in (make_key(number, "reporting") for number in range(99))
+        if group.home(key, "reporting") == owner
+    )
+    group.deliver_packet(owner, flow, service="reporting")
+    rows = [row for row in group.table.rows if row.service == "gauging"]
+    group.publish([*rows, make_row(owner), make_row(last, "reporting")], only=[last])
+    group.settle(0)
+    group.publish([*rows, make_row(owner), make_row(last)])
+    group.settle(8_000)
+    group.deliver_packet(last, flow, service="reporting", packet=b"second")
+    group.settle()
+    assert group.delivered == [(owner, flow)] * 2
