Remember that a balancer was there before this one

Callers may see a flow reset whose server's agent is restarted, by a balancer that takes the fleet for restarted: the one that was there before has been killed since, and its new, short uptime replaced the old statement.

--- a/citronwinch/coordination/flows/_former_knowledge.py
+++ b/citronwinch/coordination/flows/_former_knowledge.py
@@ -65,6 +65,8 @@
         """From when on each other balancer knows all departures, as it has stated."""
         self.peers_started_ms: dict[str, int] = {}
         """When each other balancer started, as it has stated, in milliseconds."""
+        self.has_heard_older = False
+        """Whether a balancer that was there before this one has ever been heard."""
         self.unheard: set[str] = set()
         """The balancers that heartbeats have named, but that have not been heard."""
         self.answered: set[str] = set()
@@ -133,7 +135,7 @@
         return (
             self.started_ms is not None
             and self.clock.now_ms() < self.started_ms + FLEET_RESTART_PERIOD_MS
-            and not self._list_older()
+            and not self.has_heard_older
             and self.is_complete
         )
 
@@ -146,6 +148,7 @@
             self.stated_since_ms[sender] = now_ms - known_for_ms
             uptime_ms = heartbeat.uptime_ms or FORMER_RETENTION_MS
             self.peers_started_ms[sender] = now_ms - uptime_ms
+            self.has_heard_older |= sender in self._list_older()
             if self.first_heard_ms is None:
                 self.first_heard_ms = now_ms
         if self.known_for_ms >= FORMER_RETENTION_MS:
--- a/citronwinch/coordination/flows/tests/test_small_fleet_faults.py
+++ b/citronwinch/coordination/flows/tests/test_small_fleet_faults.py
@@ -85,6 +85,16 @@
             FLEETS[0],
             id="a pause instead of an outage, and no agent is silent",
         ),
+        pytest.param(
+            (
+                FleetEvent(400, "the other balancer is restarted in turn"),
+                FleetEvent(3_000, "the holder's agent is killed for 7,000 ms"),
+                FleetEvent(700, "the holder leaves the listing"),
+                FleetEvent(5_100, "the other balancer is killed for 700 ms"),
+            ),
+            FLEETS[0],
+            id="the balancer that was there before restarts as well",
+        ),
     ],
 )
 def test_an_outage_of_the_store_is_no_restart_of_the_whole_fleet(
