Play faults between balancers and agents, and releases in turn, in the soak

New kinds of faults, appended to the others: messages between an agent and one balancer or all of them are lost, late (and so reordered) or lost one way, both UDP and HTTP; and a release in turn: a replaced server serves its open flows for up to 8 s without an entry, while balancers and agents are stopped or killed one after the other and messages of its agent are disturbed. Processes are started by _faulty_launch.py, which wraps their sockets after the early binding; the product is unchanged.

Resets are observed when they reach the caller. A new check, "own server", reports three packets of an open flow that reach other servers within 2 s while none reaches its own for 2 s.

--- a/citronwinch/soak/_checks.py
+++ b/citronwinch/soak/_checks.py
@@ -34,6 +34,9 @@
         """Each execution of a request: backend server, its service, and the request."""
         self.live_flow_resets: list[str] = []
         """Resets that a caller received while a backend server still held the flow."""
+        self.astray_flows: list[str] = []
+        """Open flows of which several packets in a row reached other servers than the
+        one that held the flow."""
         self.openings_at_draining_servers: list[tuple[str, float]] = []
         """Flows opened at a draining backend server, each with the seconds since the
         server was marked as draining."""
@@ -83,6 +86,7 @@
     violations += [
         Violation("live flows", text) for text in observations.live_flow_resets
     ]
+    violations += [Violation("own server", text) for text in observations.astray_flows]
     violations += [
         Violation("leaving servers", f"{text} after {seconds:.1f} s")
         for text, seconds in observations.openings_at_draining_servers
--- a/citronwinch/soak/_fault_injection.py
+++ b/citronwinch/soak/_fault_injection.py
@@ -8,12 +8,12 @@
 
 from citronwinch.coordination import Endpoint
 from citronwinch.platform.standins import DEAF_PERIOD_MS, FlowOutcome, StoreFault
-from citronwinch.soak._checks import DRAIN_EFFECT_LIMIT_S
 from citronwinch.soak._evacuation import evacuate_zone, rewrite_evacuations
-from citronwinch.soak._faults import Fault, FaultKind
+from citronwinch.soak._faults import MESSAGE_FAULT_KINDS, Fault, FaultKind
+from citronwinch.soak._leaving_servers import release_in_turn, replace_server
 from citronwinch.soak._link import LinkFault
-from citronwinch.soak._probe_flows import open_probe_flows
-from citronwinch.soak._services import ADDED_ROUTE_BASE_PORT, SERVICES
+from citronwinch.soak._message_faults import disturb_messages
+from citronwinch.soak._services import ADDED_ROUTE_BASE_PORT
 
 if TYPE_CHECKING:
     from citronwinch.soak._run import Soak
@@ -61,7 +61,11 @@
     elif kind is FaultKind.EDIT:
         await _edit_routes(soak)
     elif kind is FaultKind.SERVER_LEAVES:
-        await _replace_server(soak, fault)
+        await replace_server(soak, fault)
+    elif kind is FaultKind.RELEASE_IN_TURN:
+        await release_in_turn(soak, fault)
+    elif kind in MESSAGE_FAULT_KINDS:
+        await disturb_messages(soak, fault)
     elif kind is FaultKind.STORE_RESTORED:
         await _restore_store(soak, fault)
     elif kind is FaultKind.STORE_HISTORY_DROPPED:
@@ -215,23 +219,3 @@
         soak.observations.served_removed_routes.append(
             f"{removed_addresses} after version {soak.configuration_version}"
         )
-
-
-async def _replace_server(soak: "Soak", fault: Fault) -> None:
-    """Start a new backend server, drain an old one, and remove that one afterwards."""
-    candidates = [
-        number
-        for number in soak.service_by_server
-        if number not in soak.draining_since_s
-    ]
-    number = candidates[fault.target_index % len(candidates)]
-    soak.add_server(max(soak.servers) + 1, soak.service_by_server[number])
-    soak.write_server(number, "draining")
-    soak.draining_since_s[number] = time.monotonic()
-    await trio.sleep(DRAIN_EFFECT_LIMIT_S + 0.3)
-    await open_probe_flows(soak, SERVICES[soak.service_by_server[number]])
-    soak.store.delete(f"servers/{soak.servers[number].name}")
-    soak.server_scopes[number].cancel()
-    soak.servers[number].flows.clear()
-    soak.gone_servers.add(number)
-    soak.fleet.remove(f"agent-{number}")
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -42,6 +42,15 @@
     """The operators evacuate a zone for some seconds."""
     BALANCERS_KILLED_STORE_AWAY = "balancers killed while the store is away"
     """The store is silent, and all balancers are killed half a second later."""
+    MESSAGES_LOST = "messages of an agent are lost"
+    """Messages between an agent and one balancer, or all of them, are lost."""
+    MESSAGES_LATE = "messages of an agent are late"
+    """Such messages are late, each by another time, so that they are reordered."""
+    MESSAGES_LOST_ONE_WAY = "messages of an agent are lost one way"
+    """Such messages are lost in one direction only."""
+    RELEASE_IN_TURN = "release in turn"
+    """A replaced server serves on without an entry, while balancers and agents are
+    restarted in turn and messages of its agent are disturbed."""
 
 
 FAULT_KINDS = tuple(FaultKind)
@@ -60,6 +69,13 @@
 KINDS_BEFORE_KILLED_BALANCERS = FAULT_KINDS[:23]
 """The kinds up to `EVACUATION`, from which the next ones were drawn."""
 
+KINDS_BEFORE_MESSAGE_FAULTS = FAULT_KINDS[:24]
+"""The kinds up to `BALANCERS_KILLED_STORE_AWAY`, from which the next ones were drawn.
+"""
+
+MESSAGE_FAULT_KINDS = FAULT_KINDS[24:27]
+"""The kinds that disturb messages between balancers and agents."""
+
 MEAN_FAULT_INTERVAL_S = 1.2
 """The mean time between the starts of two faults, in seconds.
 
@@ -89,7 +105,7 @@
     duration_s: float
     """How long the fault lasts, in seconds.
 
-    Only pauses and faults of the store and of links use it.
+    Only pauses and faults of the store, of links and of messages use it.
     """
 
 
--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -10,6 +10,8 @@
 import trio
 
 from citronwinch.coordination import Endpoint
+from citronwinch.soak import _faulty_launch
+from citronwinch.soak._faulty_launch import FAULTS_VARIABLE, PEER_PORT
 
 RESTART_DELAY_S = 0.3
 """The delay before a process that has exited is started again, in seconds."""
@@ -17,8 +19,11 @@
 SETTINGS_VARIABLE = "CITRONWINCH_SOAK_SETTINGS"
 """The environment variable that holds the path of a process's settings file."""
 
-PEER_PORT = 23_200
-"""The port of a balancer or an agent for messages of other instances."""
+LAUNCHER = ("-P", _faulty_launch.__file__)
+"""The arguments of the interpreter that start a process with faults of its messages."""
+
+REPOSITORY = Path(_faulty_launch.__file__).parents[2]
+"""The directory from which processes import citronwinch."""
 
 READY_PORT = 23_167
 """The HTTP port of a balancer or an agent for readiness checks."""
@@ -69,11 +74,11 @@
 class Fleet:
     """Starts, signals and restarts processes; signals only those that it started."""
 
-    def __init__(
-        self, directory: Path, program: tuple[str, ...] = ("citronwinch.launch",)
-    ) -> None:
+    def __init__(self, directory: Path, program: tuple[str, ...] = LAUNCHER) -> None:
         self.directory = directory
         self.program = program
+        """The arguments of the interpreter in front of the name of the variable."""
+        self.message_faults_file = directory / "message_faults"
         self.instances: dict[str, Instance] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.expected_exits: set[str] = set()
@@ -111,11 +116,16 @@
         file.write_text(text + instance.role_settings)
         with (self.directory / f"{name}.log").open("ab") as output:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", *self.program, SETTINGS_VARIABLE],
+                [sys.executable, *self.program, SETTINGS_VARIABLE],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env={SETTINGS_VARIABLE: str(file), "PATH": "/usr/bin:/bin"},
+                env={
+                    SETTINGS_VARIABLE: str(file),
+                    FAULTS_VARIABLE: str(self.message_faults_file),
+                    "PATH": "/usr/bin:/bin",
+                    "PYTHONPATH": str(REPOSITORY),
+                },
             )
 
     def signal(self, name: str, number: signal.Signals) -> None:
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -8,14 +8,8 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from citronwinch.coordination import Endpoint, Flow, FlowKey, TransportProtocol
-from citronwinch.platform.standins import (
-    Caller,
-    FlowOutcome,
-    Router,
-    StandInServer,
-    StandInStore,
-)
+from citronwinch.coordination import Endpoint
+from citronwinch.platform.standins import FlowOutcome, Router, StandInStore
 from citronwinch.soak._checks import (
     Observations,
     Violation,
@@ -25,6 +19,7 @@
 from citronwinch.soak._fault_injection import inject_fault
 from citronwinch.soak._faults import RECOVERY_PERIOD_S, Fault, generate_faults
 from citronwinch.soak._fleet import (
+    LAUNCHER,
     OUTBOUND_PORT,
     PACKET_PORT,
     READY_PORT,
@@ -33,7 +28,9 @@
     make_agent,
     make_balancer,
 )
+from citronwinch.soak._flow_watch import FlowWatch, WatchedCaller, WatchedServer
 from citronwinch.soak._link import Link
+from citronwinch.soak._message_faults import MessageFaults
 from citronwinch.soak._services import SERVICES
 
 FLOWS_PER_SERVICE = 8
@@ -71,8 +68,8 @@
     faults: tuple[Fault, ...] | None = None
     """The faults to inject; None generates them from the seed."""
 
-    program: tuple[str, ...] = ("citronwinch.launch",)
-    """The module that a process runs, followed by its first arguments."""
+    program: tuple[str, ...] = LAUNCHER
+    """The arguments of the interpreter that start a process."""
 
 
 class SoakResult(NamedTuple):
@@ -113,11 +110,14 @@
         self.rng = random.Random(seed + 1)
         self.address_prefix = f"127.{options.network}.0"
         self.fleet = Fleet(directory, options.program)
+        self.message_faults = MessageFaults(self.fleet.message_faults_file)
         self.store = StandInStore(Endpoint(f"{self.address_prefix}.1", 23_169))
         self.router = Router({})
         caller = Endpoint(f"{self.address_prefix}.2", PACKET_PORT)
-        self.caller = Caller(caller, self.router)
-        self.servers: dict[int, StandInServer] = {}
+        self.observations = Observations()
+        self.flow_watch = FlowWatch(self.observations)
+        self.caller = WatchedCaller(caller, self.router, self.flow_watch)
+        self.servers: dict[int, WatchedServer] = {}
         """The backend servers by number, which is the last octet of their addresses."""
         self.service_by_server: dict[int, str] = {}
         """The service of each backend server, by number."""
@@ -133,7 +133,6 @@
         """The last octets of the addresses of the balancers."""
         self.server_scopes: dict[int, trio.CancelScope] = {}
         """The scope whose cancellation ends the backend server, by number."""
-        self.observations = Observations()
         self.answer_times_ms = HdrHistogram(1, 60_000, 2)
         self.requests = self.served = self.requests_in_flight = 0
         self.is_ending = False
@@ -166,8 +165,7 @@
                 await self._wait_until_ready()
                 self.traffic_started_s = time.monotonic()
                 for service in SERVICES:
-                    for _ in range(FLOWS_PER_SERVICE):
-                        nursery.start_soon(self._run_flow, service)
+                    self.start_flows(service, FLOWS_PER_SERVICE)
                 for fault in faults:
                     nursery.start_soon(inject_fault, self, fault)
                 await trio.sleep(self.options.seconds)
@@ -216,8 +214,11 @@
     def add_server(self, number: int, service: str) -> None:
         """Start a backend server and its agent, and list the server as ready."""
         ip, zone = f"{self.address_prefix}.{number}", "ab"[number % 2]
-        server = StandInServer(
-            f"i-{number}", Endpoint(ip, SERVER_PORT), Endpoint(ip, OUTBOUND_PORT)
+        server = WatchedServer(
+            f"i-{number}",
+            Endpoint(ip, SERVER_PORT),
+            Endpoint(ip, OUTBOUND_PORT),
+            self.flow_watch,
         )
         self.servers[number], self.service_by_server[number] = server, service
         self.started_ms[number] = time.time_ns() // 1_000_000
@@ -231,6 +232,15 @@
         self.fleet.add(make_agent(number, ip, zone, service))
         self.write_server(number, "ready")
 
+    def make_ip(self, number: int) -> str:
+        """Return the IP address of the instance with a number."""
+        return f"{self.address_prefix}.{number}"
+
+    def is_in_rotation(self, name: str) -> bool:
+        """Return whether the router regards a balancer as ready."""
+        ready_address = Endpoint(self.fleet.instances[name].ip, READY_PORT)
+        return self.router.balancers[ready_address] in self.router.rotation
+
     def write_server(self, number: int, state: str) -> None:
         """Write the record of a backend server, with a state, to the store."""
         server = self.servers[number]
@@ -261,7 +271,12 @@
         self.last_allocated_port += 1
         return self.last_allocated_port
 
-    async def _run_flow(self, service: str) -> None:
+    def start_flows(self, service: str, count: int, *, are_kept: bool = False) -> None:
+        """Use some flows of a service at the same time; kept ones are not closed."""
+        for _ in range(count):
+            self.nursery.start_soon(self._run_flow, service, are_kept)
+
+    async def _run_flow(self, service: str, is_kept: bool) -> None:
         """Send requests on a flow, and open a new one when it ends, until cancelled."""
         address = SERVICES[service]
         while True:
@@ -271,10 +286,8 @@
                 if self.is_ending:
                     return
                 outcome = await self._send_request(port, service, address)
-                if outcome is FlowOutcome.RESET:
-                    self._record_reset(port, address)
                 await trio.sleep(self.rng.uniform(0.5, 1.5) * MEAN_REQUEST_PAUSE_S)
-                if self.rng.random() < 0.03:
+                if not is_kept and self.rng.random() < 0.03:
                     self.caller.close(port, address)
                     break
             await trio.sleep(0.05)
@@ -287,7 +300,7 @@
         """
         opened_s = time.monotonic()
         outcome = await self.caller.open(port, address)
-        key = self.make_flow_key(port, address)
+        key = self.caller.make_flow_key(port, address)
         record_evacuated_opening(self, key, opened_s)
         for number, drain_started_s in self.draining_since_s.items():
             flow = self.servers[number].flows.get(key)
@@ -327,22 +340,9 @@
         )
         return outcome
 
-    def _record_reset(self, port: int, address: Endpoint) -> None:
-        """Record the reset of a flow if a backend server still has the flow open."""
-        key = self.make_flow_key(port, address)
-        for server in self.servers.values():
-            flow = server.flows.get(key)
-            if flow is not None and flow.is_open:
-                text = f"port {port} held by {server.name}"
-                self.observations.live_flow_resets.append(text)
-
-    def make_flow_key(self, port: int, address: Endpoint) -> FlowKey:
-        """Return the key of the flow from a port of the caller to a service address."""
-        caller = Endpoint(self.caller.address.ip, port)
-        return Flow(TransportProtocol.TCP, caller, address).key
-
     def _make_result(self, faults: tuple[Fault, ...]) -> SoakResult:
         """Complete the observations and return the outcome of the run."""
+        self.flow_watch.end(time.monotonic())
         self.observations.unexpected_exits = self.fleet.unexpected_exits
         for number, server in self.servers.items():
             for _, payload in server.requests:
--- a/citronwinch/soak/tests/broken_launch.py
+++ b/citronwinch/soak/tests/broken_launch.py
@@ -11,16 +11,20 @@
 from collections.abc import Callable
 from typing import Any
 
-from citronwinch import launch
 from citronwinch.coordination.flows import (
     AgentFlows,
     BalancerFlows,
+    DeliverToServer,
     DeploymentView,
     Evacuations,
     FlowAnswer,
+    ForwardedPacket,
     Verdict,
 )
+from citronwinch.forwarder._balancer_process import BalancerProcess
 from citronwinch.forwarder._process import ForwarderProcess
+from citronwinch.platform import decode_caller_packet
+from citronwinch.soak import _faulty_launch
 
 HEALTHY_S = 4.0
 """How long a process works before it exits or stops forwarding, in seconds."""
@@ -101,6 +105,33 @@
     BalancerFlows.handle_packet = handle_until_failure  # type: ignore[method-assign]
 
 
+def mix_agents() -> None:
+    """Make balancers send packets of open flows to any agent, and agents deliver them.
+
+    Openings go where they belong.
+    """
+    deliver_to_agent = BalancerProcess.send
+
+    def send_anywhere(self: BalancerProcess, ip: str, message: Any) -> None:
+        agents = [server.address.ip for server in self.view.list_servers()]
+        if type(message) is ForwardedPacket and agents:
+            packet = decode_caller_packet(message.raw)
+            others = [agent for agent in agents if agent != ip]
+            if not packet.is_opening and packet.payload_bytes:
+                ip = self.rng.choice(others)
+        deliver_to_agent(self, ip, message)
+
+    handle = AgentFlows.handle_forwarded
+
+    def deliver(self: AgentFlows, message: Any, packet: Any, balancer: str) -> Any:
+        if packet.is_opening or not packet.payload_bytes:
+            return handle(self, message, packet, balancer)
+        return [DeliverToServer(packet.raw)]
+
+    BalancerProcess.send = send_anywhere  # type: ignore[assignment,method-assign]
+    AgentFlows.handle_forwarded = deliver  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "live flows": deny_every_flow,
     "leaving servers": use_draining_servers,
@@ -109,6 +140,7 @@
     "whole answers": corrupt_answers,
     "processes": exit_unexpectedly,
     "recovery": stop_forwarding,
+    "own server": mix_agents,
     "evacuated zones": ignore_evacuations,
 }
 """The defect that breaks each promise.
@@ -121,4 +153,4 @@
 
 if __name__ == "__main__":
     DEFECTS[sys.argv[1]]()
-    sys.exit(launch.main(sys.argv[2:]))
+    sys.exit(_faulty_launch.main(sys.argv[2:]))
--- a/citronwinch/soak/tests/test_broken_daemons.py
+++ b/citronwinch/soak/tests/test_broken_daemons.py
@@ -17,7 +17,7 @@
 SECONDS = 9.0
 """The duration of the traffic of each run, in seconds."""
 
-CONCURRENT_RUNS = 4
+CONCURRENT_RUNS = 5
 """The number of runs that are in progress at a time."""
 
 FAULTS = {
@@ -42,7 +42,7 @@
         seconds=SECONDS,
         network=FIRST_NETWORK + list(DEFECTS).index(promise),
         faults=tuple(faults),
-        program=("citronwinch.soak.tests.broken_launch", promise),
+        program=("-m", "citronwinch.soak.tests.broken_launch", promise),
     )
     result = run_seed(1, options, directory)
     return {violation.promise for violation in result.violations}
--- a/citronwinch/soak/tests/test_checks.py
+++ b/citronwinch/soak/tests/test_checks.py
@@ -34,6 +34,7 @@
         ("i-1", "gauging", "reporting 9")
     ),
     "live flows": lambda observations: observations.live_flow_resets.append("port 7"),
+    "own server": lambda observations: observations.astray_flows.append("port 7"),
     "leaving servers": lambda observations: (
         observations.openings_at_draining_servers.append(("i-1", 3.1))
     ),
