--- a/citronwinch/soak/__main__.py
+++ b/citronwinch/soak/__main__.py
@@ -8,6 +8,12 @@
 
 from citronwinch.soak import SoakOptions, SoakResult, run_seed
 
+MAX_BALANCERS = 80
+"""The most balancers at the start of a run, in which further ones may join."""
+
+MIN_AGENTS, MAX_AGENTS = 6, 1_000
+"""The fewest and the most agents at the start of a run."""
+
 
 def parse_seeds(text: str) -> list[int]:
     """Parse a list of seeds and ranges of seeds, such as `1-5,9`.
@@ -54,8 +60,22 @@
     parser.add_argument("--seeds", type=parse_seeds, default=[1, 2, 3])
     parser.add_argument("--seconds-each", type=float, default=SoakOptions().seconds)
     parser.add_argument("--network", type=int, default=SoakOptions().network)
+    parser.add_argument("--balancers", type=int, default=SoakOptions().balancers)
+    parser.add_argument(
+        "--agents", type=int, default=SoakOptions().servers, help="and backend servers"
+    )
     parser.add_argument("--logs", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
+    if not 1 <= options.balancers <= MAX_BALANCERS:
+        parser.error(
+            f"--balancers {options.balancers}: expected 1 to {MAX_BALANCERS}, "
+            "since the addresses of further ones belong to links"
+        )
+    if not MIN_AGENTS <= options.agents <= MAX_AGENTS:
+        parser.error(
+            f"--agents {options.agents}: expected {MIN_AGENTS} to {MAX_AGENTS}, "
+            "of which every third one belongs to the smaller service"
+        )
     # On SIGTERM, as on SIGINT, KeyboardInterrupt unwinds the run, which ends the
     # balancers and agents that it has started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -65,7 +85,10 @@
         shutil.rmtree(directory, ignore_errors=True)
         directory.mkdir(parents=True)
         soak_options = SoakOptions(
-            seconds=options.seconds_each, network=options.network
+            seconds=options.seconds_each,
+            balancers=options.balancers,
+            servers=options.agents,
+            network=options.network,
         )
         result = run_seed(seed, soak_options, directory)
         print(format_result(result), flush=True)
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -73,6 +73,9 @@
 """The kinds up to `BALANCERS_KILLED_STORE_AWAY`, from which the next ones were drawn.
 """
 
+KINDS_UP_TO_RELEASES = FAULT_KINDS[:28]
+"""The kinds up to `RELEASE_IN_TURN`, from which the next ones were drawn."""
+
 MESSAGE_FAULT_KINDS = FAULT_KINDS[24:27]
 """The kinds that disturb messages between balancers and agents."""
 
--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -28,6 +28,9 @@
 READY_PORT = 23_167
 """The HTTP port of a balancer or an agent for readiness checks."""
 
+UNPLANNED_SIGNALS = (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT)
+"""The signals that impair an instance; SIGTERM and SIGHUP are planned work."""
+
 PACKET_PORT = 23_172
 """The port of the balancers, the links and the callers for packets."""
 
@@ -87,6 +90,11 @@
         """Descriptions of exits without such a signal."""
         self.restart_due_s: dict[str, float] = {}
         """When the process of each exited instance is to be started again, by name."""
+        self.impaired_s: dict[str, float] = {}
+        """When an instance was killed, paused, continued or started after a kill, or
+        had a fault of its messages, for the last time, by IP address."""
+        self.killed: set[str] = set()
+        """Names of instances that were killed and have not been started again."""
         self.is_closing = False
         """Whether `close` was called; exits are no longer handled then."""
 
@@ -103,6 +111,9 @@
     def start(self, name: str) -> None:
         """Start the process of an instance; its output is appended to the log file."""
         instance = self.instances[name]
+        if name in self.killed:
+            self.killed.remove(name)
+            self.impaired_s[instance.ip] = time.monotonic()
         file = self.directory / f"{name}.ini"
         text = _COMMON_SETTINGS.format(
             name=name,
@@ -135,6 +146,10 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self.expected_exits.add(name)
+        if number == signal.SIGKILL:
+            self.killed.add(name)
+        if number in UNPLANNED_SIGNALS and name in self.instances:
+            self.impaired_s[self.instances[name].ip] = time.monotonic()
         process.send_signal(number)
 
     def list_names(self, role: str) -> list[str]:
--- a/citronwinch/soak/_flow_watch.py
+++ b/citronwinch/soak/_flow_watch.py
@@ -38,8 +38,13 @@
 class FlowWatch:
     """Records resets of open flows, and packets of theirs that reach other servers."""
 
-    def __init__(self, observations: Observations) -> None:
+    def __init__(
+        self, observations: Observations, impaired_s: dict[str, float]
+    ) -> None:
         self.observations = observations
+        self.impaired_s = impaired_s
+        """When the agent of each server was impaired for the last time, by IP address;
+        planned stops are no impairment."""
         self.servers: list[StandInServer] = []
         self.used_flows: set[FlowKey] = set()
         """The flows that the caller has opened and has not closed."""
@@ -85,9 +90,14 @@
         """Record whether packets of a flow went astray until now.
 
         Copies that a balancer sends to uncertain agents in a short search do not count:
-        the flow's own server gets a packet soon after.
+        the flow's own server gets a packet soon after. Nor do packets before the end of
+        an impairment, during which none can reach the own server.
         """
         strays = self.stray_packets.pop(key, [])
+        holder = self.find_holder(key)
+        if holder is not None:
+            impaired_s = self.impaired_s.get(holder.address.ip, -1.0)
+            strays = [stray for stray in strays if stray.time_s > impaired_s]
         for first, last in zip(strays, strays[STRAY_PACKET_LIMIT - 1 :], strict=False):
             is_long = now_s - first.time_s >= STRAY_PERIOD_S
             if is_long and last.time_s - first.time_s <= STRAY_PERIOD_S:
--- a/citronwinch/soak/_message_faults.py
+++ b/citronwinch/soak/_message_faults.py
@@ -82,4 +82,7 @@
     with soak.message_faults.disturb(faults), trio.move_on_after(seconds):
         while True:
             soak.last_disruption_s = time.monotonic()
+            for fault in faults:
+                for ip in (fault.sender, fault.receiver):
+                    soak.fleet.impaired_s[ip] = soak.last_disruption_s
             await trio.sleep(0.05)
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -33,14 +33,18 @@
 from citronwinch.soak._message_faults import MessageFaults
 from citronwinch.soak._services import SERVICES
 
-FLOWS_PER_SERVICE = 8
-"""The number of flows of each service that are open at a time."""
+MIN_FLOWS_PER_SERVICE = 8
+"""The least number of flows of each service that are open at a time; one for each four
+servers if that is more."""
+
+FIRST_BALANCER, FIRST_SERVER = 11, 331
+"""The numbers of the first balancer and of the first server."""
 
 MEAN_REQUEST_PAUSE_S = 0.15
 """The mean pause between an answer and the next request of a flow, in seconds."""
 
 LINK_ADDRESS_OFFSET = 100
-"""The last octet of a link's address minus that of its balancer's address."""
+"""The number of a link minus that of its balancer."""
 
 LAST_ANSWERS_LIMIT_S = 2.0
 """How long after the traffic a run waits for answers to the last requests, in seconds;
@@ -49,6 +53,9 @@
 STARTUP_LIMIT_S = 20.0
 """How long the balancers may take to become ready at the start, in seconds."""
 
+STARTUP_LIMIT_FOR_EACH_S = 0.4
+"""How much longer that is for each balancer and agent, in seconds."""
+
 
 class SoakOptions(NamedTuple):
     """The parameters of a run."""
@@ -108,17 +115,16 @@
         self.seed = seed
         self.options = options
         self.rng = random.Random(seed + 1)
-        self.address_prefix = f"127.{options.network}.0"
         self.fleet = Fleet(directory, options.program)
         self.message_faults = MessageFaults(self.fleet.message_faults_file)
-        self.store = StandInStore(Endpoint(f"{self.address_prefix}.1", 23_169))
+        self.store = StandInStore(Endpoint(self.make_ip(1), 23_169))
         self.router = Router({})
-        caller = Endpoint(f"{self.address_prefix}.2", PACKET_PORT)
+        caller = Endpoint(self.make_ip(2), PACKET_PORT)
         self.observations = Observations()
-        self.flow_watch = FlowWatch(self.observations)
+        self.flow_watch = FlowWatch(self.observations, self.fleet.impaired_s)
         self.caller = WatchedCaller(caller, self.router, self.flow_watch)
         self.servers: dict[int, WatchedServer] = {}
-        """The backend servers by number, which is the last octet of their addresses."""
+        """The backend servers by number, from which their addresses derive."""
         self.service_by_server: dict[int, str] = {}
         """The service of each backend server, by number."""
         self.started_ms: dict[int, int] = {}
@@ -130,7 +136,7 @@
         self.gone_servers: set[int] = set()
         """The numbers of the backend servers that were removed after draining."""
         self.balancer_numbers: list[int] = []
-        """The last octets of the addresses of the balancers."""
+        """The numbers of the balancers, from which their addresses derive."""
         self.server_scopes: dict[int, trio.CancelScope] = {}
         """The scope whose cancellation ends the backend server, by number."""
         self.answer_times_ms = HdrHistogram(1, 60_000, 2)
@@ -165,7 +171,8 @@
                 await self._wait_until_ready()
                 self.traffic_started_s = time.monotonic()
                 for service in SERVICES:
-                    self.start_flows(service, FLOWS_PER_SERVICE)
+                    flows = max(MIN_FLOWS_PER_SERVICE, self.options.servers // 4)
+                    self.start_flows(service, flows)
                 for fault in faults:
                     nursery.start_soon(inject_fault, self, fault)
                 await trio.sleep(self.options.seconds)
@@ -188,22 +195,21 @@
         for task in (self.store.run, self.router.run, self.caller.run):
             self.nursery.start_soon(task)
         self.nursery.start_soon(self.fleet.supervise)
-        for number in range(11, 11 + self.options.balancers):
-            self.add_balancer(number)
-        for number in range(31, 31 + self.options.servers):
+        for index in range(self.options.balancers):
+            self.add_balancer(FIRST_BALANCER + index)
+        for index in range(self.options.servers):
+            number = FIRST_SERVER + index
             self.add_server(number, "reporting" if number % 3 == 0 else "gauging")
 
     def add_balancer(self, number: int) -> None:
         """Start a balancer, and the link that carries the callers' packets to it."""
         self.balancer_numbers.append(number)
-        ip = f"{self.address_prefix}.{number}"
+        ip = self.make_ip(number)
         zone = "ab"[number % 2]
-        seed = f"{self.address_prefix}.11"
+        seed = self.make_ip(FIRST_BALANCER)
         self.fleet.add(make_balancer(number, ip, zone, self.store.endpoint, seed))
         link = Link(
-            Endpoint(
-                f"{self.address_prefix}.{number + LINK_ADDRESS_OFFSET}", PACKET_PORT
-            ),
+            Endpoint(self.make_ip(number + LINK_ADDRESS_OFFSET), PACKET_PORT),
             Endpoint(ip, PACKET_PORT),
             self.seed + number,
         )
@@ -213,7 +219,7 @@
 
     def add_server(self, number: int, service: str) -> None:
         """Start a backend server and its agent, and list the server as ready."""
-        ip, zone = f"{self.address_prefix}.{number}", "ab"[number % 2]
+        ip, zone = self.make_ip(number), "ab"[number % 2]
         server = WatchedServer(
             f"i-{number}",
             Endpoint(ip, SERVER_PORT),
@@ -234,7 +240,7 @@
 
     def make_ip(self, number: int) -> str:
         """Return the IP address of the instance with a number."""
-        return f"{self.address_prefix}.{number}"
+        return f"127.{self.options.network}.{number // 256}.{number % 256}"
 
     def is_in_rotation(self, name: str) -> bool:
         """Return whether the router regards a balancer as ready."""
@@ -261,7 +267,8 @@
         self.store.write_configuration(self.configuration_version, routes)
 
     async def _wait_until_ready(self) -> None:
-        with trio.fail_after(STARTUP_LIMIT_S):
+        processes = self.options.balancers + self.options.servers
+        with trio.fail_after(STARTUP_LIMIT_S + STARTUP_LIMIT_FOR_EACH_S * processes):
             while len(self.router.rotation) < self.options.balancers:
                 await trio.sleep(0.05)
         await trio.sleep(1.0)
