--- a/citronwinch/soak/_flow_watch.py
+++ b/citronwinch/soak/_flow_watch.py
@@ -21,6 +21,9 @@
 STRAY_PERIOD_S = 2.0
 """The period for STRAY_PACKET_LIMIT, in seconds."""
 
+NAMED_SERVERS_LIMIT = 4
+"""The most servers that are named in a violation."""
+
 
 class StrayPacket(NamedTuple):
     """A packet of an open flow that reached another server than its own."""
@@ -102,8 +105,12 @@
             is_long = now_s - first.time_s >= STRAY_PERIOD_S
             if is_long and last.time_s - first.time_s <= STRAY_PERIOD_S:
                 port = unpack_flow_key(key).caller.port
-                names = ", ".join(stray.server for stray in strays)
-                text = f"port {port} held by {first.holder}, packets at {names}"
+                servers = sorted({stray.server for stray in strays})
+                names = ", ".join(servers[:NAMED_SERVERS_LIMIT])
+                text = (
+                    f"port {port} held by {first.holder}, {len(strays)} packets at "
+                    f"{len(servers)} others: {names}"
+                )
                 self.observations.astray_flows.append(text)
                 return
 
