Let the soak's caller acknowledge the server's acceptance with data

The agent denies the flow then, as it must while several servers may have accepted the opening. TCP acknowledges in each packet what it has received, and so does the soak's caller now.

--- a/citronwinch/soak/_flow_watch.py
+++ b/citronwinch/soak/_flow_watch.py
@@ -12,6 +12,7 @@
 )
 from citronwinch.coordination.flows import Packet
 from citronwinch.platform.standins import Caller, FlowOutcome, Router, StandInServer
+from citronwinch.platform.standins._wire import ACK
 from citronwinch.soak._checks import Observations
 
 STRAY_PACKET_LIMIT = 3
@@ -142,6 +143,8 @@
     def __init__(self, address: Endpoint, router: Router, watch: FlowWatch) -> None:
         super().__init__(address, router)
         self.watch = watch
+        self.acknowledged: dict[tuple[int, Endpoint], int] = {}
+        """What the caller has acknowledged of each flow, by its port and service."""
 
     async def open(self, port: int, service: Endpoint) -> FlowOutcome:
         """Open a flow, and have it observed when it is open."""
@@ -160,6 +163,28 @@
         caller = Endpoint(self.address.ip, port)
         return Flow(TransportProtocol.TCP, caller, service).key
 
+    def _send(
+        self,
+        port: int,
+        service: Endpoint,
+        flags: int,
+        sequence: int,
+        acknowledged: int,
+        payload: bytes = b"",
+    ) -> None:
+        """Send a packet that acknowledges what the caller has received before.
+
+        The base class acknowledges only 1 with data, which confirms no server's
+        acceptance: a request that overtakes the confirmation would not belong to the
+        flow.
+        """
+        key = (port, service)
+        if flags == ACK and not payload:
+            self.acknowledged[key] = acknowledged
+        elif flags & ACK:
+            acknowledged = self.acknowledged[key]
+        super()._send(port, service, flags, sequence, acknowledged, payload)
+
     def _deliver(self, packet: Packet) -> None:
         if packet.is_reset:
             self.watch.record_reset(packet.flow)
--- a/citronwinch/soak/tests/test_flow_watch.py
+++ b/citronwinch/soak/tests/test_flow_watch.py
@@ -4,10 +4,12 @@
 
 from citronwinch.coordination import Endpoint, Flow, TransportProtocol
 from citronwinch.coordination.flows._packets import make_placeholder_packet
-from citronwinch.platform.standins import StandInServer
+from citronwinch.platform import decode_caller_packet
+from citronwinch.platform.standins import Router, StandInServer
 from citronwinch.platform.standins._server import ServerFlowState
+from citronwinch.platform.standins._wire import ACK, FIN, SYN
 from citronwinch.soak import Observations
-from citronwinch.soak._flow_watch import FlowWatch
+from citronwinch.soak._flow_watch import FlowWatch, WatchedCaller
 
 SERVICE = Endpoint("198.18.0.1", 443)
 CALLER = Endpoint("127.0.0.2", 2001)
@@ -92,3 +94,23 @@
     watch.used_flows.clear()
     watch.record_reset(KEY)
     assert watch.observations.live_flow_resets == []
+
+
+# Requests that overtook the confirmation of their flow were denied by its agent, since
+# they acknowledged nothing, and the flow was reset.
+def test_each_packet_acknowledges_what_the_caller_has_confirmed(
+    watch: FlowWatch, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller = WatchedCaller(Endpoint("127.0.0.2", 0), Router({}), watch)
+    caller.router.rotation = [Endpoint("127.0.0.3", 9)]
+    sent: list[bytes] = []
+    monkeypatch.setattr(
+        caller.datagram_socket, "send", lambda data, receiver: sent.append(data)
+    )
+    caller._send(2001, SERVICE, SYN, 0, 2)
+    caller._send(2001, SERVICE, ACK, 1, 7_001)
+    caller._send(2001, SERVICE, ACK, 1, 1, b"request")
+    caller._send(2001, SERVICE, FIN | ACK, 8, 1)
+    caller.datagram_socket.close()
+    packets = [decode_caller_packet(data) for data in sent]
+    assert [packet.acknowledged for packet in packets] == [2, 7_001, 7_001, 7_001]
