--- a/citronwinch/soak/_fleet.py
+++ b/citronwinch/soak/_fleet.py
@@ -10,6 +10,8 @@
 import trio
 
 from citronwinch.coordination import Endpoint
+from citronwinch.soak import _faulty_launch
+from citronwinch.soak._faulty_launch import FAULTS_VARIABLE, PEER_PORT
 
 RESTART_DELAY_S = 0.3
 """The delay before a process that has exited is started again, in seconds."""
@@ -17,12 +19,18 @@
 SETTINGS_VARIABLE = "CITRONWINCH_SOAK_SETTINGS"
 """The environment variable that holds the path of a process's settings file."""
 
-PEER_PORT = 23_200
-"""The port of a balancer or an agent for messages of other instances."""
+LAUNCHER = ("-P", _faulty_launch.__file__)
+"""The arguments of the interpreter that start a process with faults of its messages."""
+
+REPOSITORY = Path(_faulty_launch.__file__).parents[2]
+"""The directory from which processes import citronwinch."""
 
 READY_PORT = 23_167
 """The HTTP port of a balancer or an agent for readiness checks."""
 
+UNPLANNED_SIGNALS = (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT)
+"""The signals that impair an instance; SIGTERM and SIGHUP are planned work."""
+
 PACKET_PORT = 23_172
 """The port of the balancers, the links and the callers for packets."""
 
@@ -69,11 +77,11 @@
 class Fleet:
     """Starts, signals and restarts processes; signals only those that it started."""
 
-    def __init__(
-        self, directory: Path, program: tuple[str, ...] = ("citronwinch.launch",)
-    ) -> None:
+    def __init__(self, directory: Path, program: tuple[str, ...] = LAUNCHER) -> None:
         self.directory = directory
         self.program = program
+        """The arguments of the interpreter in front of the name of the variable."""
+        self.message_faults_file = directory / "message_faults"
         self.instances: dict[str, Instance] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.expected_exits: set[str] = set()
@@ -82,6 +90,11 @@
         """Descriptions of exits without such a signal."""
         self.restart_due_s: dict[str, float] = {}
         """When the process of each exited instance is to be started again, by name."""
+        self.impaired_s: dict[str, float] = {}
+        """When an instance was killed, paused, continued or started after a kill, or
+        had a fault of its messages, for the last time, by IP address."""
+        self.killed: set[str] = set()
+        """Names of instances that were killed and have not been started again."""
         self.is_closing = False
         """Whether `close` was called; exits are no longer handled then."""
 
@@ -98,6 +111,9 @@
     def start(self, name: str) -> None:
         """Start the process of an instance; its output is appended to the log file."""
         instance = self.instances[name]
+        if name in self.killed:
+            self.killed.remove(name)
+            self.impaired_s[instance.ip] = time.monotonic()
         file = self.directory / f"{name}.ini"
         text = _COMMON_SETTINGS.format(
             name=name,
@@ -111,11 +127,16 @@
         file.write_text(text + instance.role_settings)
         with (self.directory / f"{name}.log").open("ab") as output:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", *self.program, SETTINGS_VARIABLE],
+                [sys.executable, *self.program, SETTINGS_VARIABLE],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env={SETTINGS_VARIABLE: str(file), "PATH": "/usr/bin:/bin"},
+                env={
+                    SETTINGS_VARIABLE: str(file),
+                    FAULTS_VARIABLE: str(self.message_faults_file),
+                    "PATH": "/usr/bin:/bin",
+                    "PYTHONPATH": str(REPOSITORY),
+                },
             )
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -125,6 +146,10 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self.expected_exits.add(name)
+        if number == signal.SIGKILL:
+            self.killed.add(name)
+        if number in UNPLANNED_SIGNALS and name in self.instances:
+            self.impaired_s[self.instances[name].ip] = time.monotonic()
         process.send_signal(number)
 
     def list_names(self, role: str) -> list[str]:
--- a/citronwinch/soak/_run.py
+++ b/citronwinch/soak/_run.py
@@ -8,14 +8,8 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from citronwinch.coordination import Endpoint, Flow, FlowKey, TransportProtocol
-from citronwinch.platform.standins import (
-    Caller,
-    FlowOutcome,
-    Router,
-    StandInServer,
-    StandInStore,
-)
+from citronwinch.coordination import Endpoint
+from citronwinch.platform.standins import FlowOutcome, Router, StandInStore
 from citronwinch.soak._checks import (
     Observations,
     Violation,
@@ -25,6 +19,7 @@
 from citronwinch.soak._fault_injection import inject_fault
 from citronwinch.soak._faults import RECOVERY_PERIOD_S, Fault, generate_faults
 from citronwinch.soak._fleet import (
+    LAUNCHER,
     OUTBOUND_PORT,
     PACKET_PORT,
     READY_PORT,
@@ -33,17 +28,23 @@
     make_agent,
     make_balancer,
 )
+from citronwinch.soak._flow_watch import FlowWatch, WatchedCaller, WatchedServer
 from citronwinch.soak._link import Link
+from citronwinch.soak._message_faults import MessageFaults
 from citronwinch.soak._services import SERVICES
 
-FLOWS_PER_SERVICE = 8
-"""The number of flows of each service that are open at a time."""
+MIN_FLOWS_PER_SERVICE = 8
+"""The least number of flows of each service that are open at a time; one for each four
+servers if that is more."""
+
+FIRST_BALANCER, FIRST_SERVER = 11, 331
+"""The numbers of the first balancer and of the first server."""
 
 MEAN_REQUEST_PAUSE_S = 0.15
 """The mean pause between an answer and the next request of a flow, in seconds."""
 
 LINK_ADDRESS_OFFSET = 100
-"""The last octet of a link's address minus that of its balancer's address."""
+"""The number of a link minus that of its balancer."""
 
 LAST_ANSWERS_LIMIT_S = 2.0
 """How long after the traffic a run waits for answers to the last requests, in seconds;
@@ -52,6 +53,9 @@
 STARTUP_LIMIT_S = 20.0
 """How long the balancers may take to become ready at the start, in seconds."""
 
+STARTUP_LIMIT_FOR_EACH_S = 0.4
+"""How much longer that is for each balancer and agent, in seconds."""
+
 
 class SoakOptions(NamedTuple):
     """The parameters of a run."""
@@ -71,8 +75,8 @@
     faults: tuple[Fault, ...] | None = None
     """The faults to inject; None generates them from the seed."""
 
-    program: tuple[str, ...] = ("citronwinch.launch",)
-    """The module that a process runs, followed by its first arguments."""
+    program: tuple[str, ...] = LAUNCHER
+    """The arguments of the interpreter that start a process."""
 
 
 class SoakResult(NamedTuple):
@@ -111,14 +115,16 @@
         self.seed = seed
         self.options = options
         self.rng = random.Random(seed + 1)
-        self.address_prefix = f"127.{options.network}.0"
         self.fleet = Fleet(directory, options.program)
-        self.store = StandInStore(Endpoint(f"{self.address_prefix}.1", 23_169))
+        self.message_faults = MessageFaults(self.fleet.message_faults_file)
+        self.store = StandInStore(Endpoint(self.make_ip(1), 23_169))
         self.router = Router({})
-        caller = Endpoint(f"{self.address_prefix}.2", PACKET_PORT)
-        self.caller = Caller(caller, self.router)
-        self.servers: dict[int, StandInServer] = {}
-        """The backend servers by number, which is the last octet of their addresses."""
+        caller = Endpoint(self.make_ip(2), PACKET_PORT)
+        self.observations = Observations()
+        self.flow_watch = FlowWatch(self.observations, self.fleet.impaired_s)
+        self.caller = WatchedCaller(caller, self.router, self.flow_watch)
+        self.servers: dict[int, WatchedServer] = {}
+        """The backend servers by number, from which their addresses derive."""
         self.service_by_server: dict[int, str] = {}
         """The service of each backend server, by number."""
         self.started_ms: dict[int, int] = {}
@@ -130,10 +136,9 @@
         self.gone_servers: set[int] = set()
         """The numbers of the backend servers that were removed after draining."""
         self.balancer_numbers: list[int] = []
-        """The last octets of the addresses of the balancers."""
+        """The numbers of the balancers, from which their addresses derive."""
         self.server_scopes: dict[int, trio.CancelScope] = {}
         """The scope whose cancellation ends the backend server, by number."""
-        self.observations = Observations()
         self.answer_times_ms = HdrHistogram(1, 60_000, 2)
         self.requests = self.served = self.requests_in_flight = 0
         self.is_ending = False
@@ -166,8 +171,8 @@
                 await self._wait_until_ready()
                 self.traffic_started_s = time.monotonic()
                 for service in SERVICES:
-                    for _ in range(FLOWS_PER_SERVICE):
-                        nursery.start_soon(self._run_flow, service)
+                    flows = max(MIN_FLOWS_PER_SERVICE, self.options.servers // 4)
+                    self.start_flows(service, flows)
                 for fault in faults:
                     nursery.start_soon(inject_fault, self, fault)
                 await trio.sleep(self.options.seconds)
@@ -190,22 +195,21 @@
         for task in (self.store.run, self.router.run, self.caller.run):
             self.nursery.start_soon(task)
         self.nursery.start_soon(self.fleet.supervise)
-        for number in range(11, 11 + self.options.balancers):
-            self.add_balancer(number)
-        for number in range(31, 31 + self.options.servers):
+        for index in range(self.options.balancers):
+            self.add_balancer(FIRST_BALANCER + index)
+        for index in range(self.options.servers):
+            number = FIRST_SERVER + index
             self.add_server(number, "reporting" if number % 3 == 0 else "gauging")
 
     def add_balancer(self, number: int) -> None:
         """Start a balancer, and the link that carries the callers' packets to it."""
         self.balancer_numbers.append(number)
-        ip = f"{self.address_prefix}.{number}"
+        ip = self.make_ip(number)
         zone = "ab"[number % 2]
-        seed = f"{self.address_prefix}.11"
+        seed = self.make_ip(FIRST_BALANCER)
         self.fleet.add(make_balancer(number, ip, zone, self.store.endpoint, seed))
         link = Link(
-            Endpoint(
-                f"{self.address_prefix}.{number + LINK_ADDRESS_OFFSET}", PACKET_PORT
-            ),
+            Endpoint(self.make_ip(number + LINK_ADDRESS_OFFSET), PACKET_PORT),
             Endpoint(ip, PACKET_PORT),
             self.seed + number,
         )
@@ -215,9 +219,12 @@
 
     def add_server(self, number: int, service: str) -> None:
         """Start a backend server and its agent, and list the server as ready."""
-        ip, zone = f"{self.address_prefix}.{number}", "ab"[number % 2]
-        server = StandInServer(
-            f"i-{number}", Endpoint(ip, SERVER_PORT), Endpoint(ip, OUTBOUND_PORT)
+        ip, zone = self.make_ip(number), "ab"[number % 2]
+        server = WatchedServer(
+            f"i-{number}",
+            Endpoint(ip, SERVER_PORT),
+            Endpoint(ip, OUTBOUND_PORT),
+            self.flow_watch,
         )
         self.servers[number], self.service_by_server[number] = server, service
         self.started_ms[number] = time.time_ns() // 1_000_000
@@ -231,6 +238,15 @@
         self.fleet.add(make_agent(number, ip, zone, service))
         self.write_server(number, "ready")
 
+    def make_ip(self, number: int) -> str:
+        """Return the IP address of the instance with a number."""
+        return f"127.{self.options.network}.{number // 256}.{number % 256}"
+
+    def is_in_rotation(self, name: str) -> bool:
+        """Return whether the router regards a balancer as ready."""
+        ready_address = Endpoint(self.fleet.instances[name].ip, READY_PORT)
+        return self.router.balancers[ready_address] in self.router.rotation
+
     def write_server(self, number: int, state: str) -> None:
         """Write the record of a backend server, with a state, to the store."""
         server = self.servers[number]
@@ -251,7 +267,8 @@
         self.store.write_configuration(self.configuration_version, routes)
 
     async def _wait_until_ready(self) -> None:
-        with trio.fail_after(STARTUP_LIMIT_S):
+        processes = self.options.balancers + self.options.servers
+        with trio.fail_after(STARTUP_LIMIT_S + STARTUP_LIMIT_FOR_EACH_S * processes):
             while len(self.router.rotation) < self.options.balancers:
                 await trio.sleep(0.05)
         await trio.sleep(1.0)
@@ -261,7 +278,12 @@
         self.last_allocated_port += 1
         return self.last_allocated_port
 
-    async def _run_flow(self, service: str) -> None:
+    def start_flows(self, service: str, count: int, *, are_kept: bool = False) -> None:
+        """Use some flows of a service at the same time; kept ones are not closed."""
+        for _ in range(count):
+            self.nursery.start_soon(self._run_flow, service, are_kept)
+
+    async def _run_flow(self, service: str, is_kept: bool) -> None:
         """Send requests on a flow, and open a new one when it ends, until cancelled."""
         address = SERVICES[service]
         while True:
@@ -271,10 +293,8 @@
                 if self.is_ending:
                     return
                 outcome = await self._send_request(port, service, address)
-                if outcome is FlowOutcome.RESET:
-                    self._record_reset(port, address)
                 await trio.sleep(self.rng.uniform(0.5, 1.5) * MEAN_REQUEST_PAUSE_S)
-                if self.rng.random() < 0.03:
+                if not is_kept and self.rng.random() < 0.03:
                     self.caller.close(port, address)
                     break
             await trio.sleep(0.05)
@@ -287,7 +307,7 @@
         """
         opened_s = time.monotonic()
         outcome = await self.caller.open(port, address)
-        key = self.make_flow_key(port, address)
+        key = self.caller.make_flow_key(port, address)
         record_evacuated_opening(self, key, opened_s)
         for number, drain_started_s in self.draining_since_s.items():
             flow = self.servers[number].flows.get(key)
@@ -327,22 +347,9 @@
         )
         return outcome
 
-    def _record_reset(self, port: int, address: Endpoint) -> None:
-        """Record the reset of a flow if a backend server still has the flow open."""
-        key = self.make_flow_key(port, address)
-        for server in self.servers.values():
-            flow = server.flows.get(key)
-            if flow is not None and flow.is_open:
-                text = f"port {port} held by {server.name}"
-                self.observations.live_flow_resets.append(text)
-
-    def make_flow_key(self, port: int, address: Endpoint) -> FlowKey:
-        """Return the key of the flow from a port of the caller to a service address."""
-        caller = Endpoint(self.caller.address.ip, port)
-        return Flow(TransportProtocol.TCP, caller, address).key
-
     def _make_result(self, faults: tuple[Fault, ...]) -> SoakResult:
         """Complete the observations and return the outcome of the run."""
+        self.flow_watch.end(time.monotonic())
         self.observations.unexpected_exits = self.fleet.unexpected_exits
         for number, server in self.servers.items():
             for _, payload in server.requests:
