Fetch the whole listing with former servers, and other views beside them

Callers may see a flow reset whose server left between the listing of a source and that of the balancer that asked it, if the source answered with a difference; and a balancer whose only source of former servers had been killed fetched no newer listing or configuration until that one was forgotten.

--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -249,11 +249,12 @@
     def _choose_source(self, failed: set[str]) -> str | None:
         members = self.process.members.members
         sources = {*list_view_sources(self.view, members), *self.retained_sources}
-        # Former servers come first: searches for flows wait for them.
-        sources = self.view.former_knowledge.sources & members.keys() or sources
-        sources &= members.keys()
+        former_sources = self.view.former_knowledge.sources & members.keys()
+        sources = sources & members.keys() | former_sources
         if sources and sources <= failed:
             failed.clear()
+        # Former servers come first: searches for flows wait for them.
+        sources = former_sources - failed or sources
         zone = self.process.settings.availability_zone
         return choose_view_source(sources - failed, members, zone, self.rng)
 
@@ -290,7 +291,8 @@
         endpoint = self.process.make_peer_endpoint(ip)
         requested_ms = self.clock.now_ms()
         try:
-            digest = self.view.listing_digest
+            # The whole listing shows which servers the source has not seen leave yet.
+            digest = 0 if asks_former else self.view.listing_digest
             former = "&former=1" if asks_former else ""
             target = f"{VIEW_PATH}?after={version}&listing={digest}{former}"
             response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
@@ -307,7 +309,7 @@
         if asks_former:
             known_for_ms = answer.former_known_for_ms
             self.view.route_history.record_learned(answer.former_routes)
-            listed = () if answer.base_digest else answer.listing.servers.values()
+            listed = answer.listing.servers.values()
             self.view.accept_former(answer.former, ip, known_for_ms, listed)
             log.info(
                 "former_servers_learned",
