Do not deny a flow for a late copy of its opening

A restarted agent that delivers a late copy of an opening knows of the copy only. Its server may hold the flow since before; the agent said that it does not.

Evidence: test_a_late_copy_of_an_opening_does_not_let_a_restarted_agent_deny_the_flow (review) failed before.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -364,13 +364,14 @@
     def answer_question(self, question: FlowQuestion) -> FlowAnswer:
         """Return the verdict whether the backend server holds a flow."""
         flow = self._find_flow(question.flow, question.acknowledged)
-        if flow is not None:
-            verdict = flow.find_verdict(question.acknowledged)
-        else:
-            may_hold = not self.knows_all_flows and (
-                self.clock.now_ms() - self.started_ms < LEARNING_PERIOD_MS
-            )
+        may_hold = not self.knows_all_flows and (
+            self.clock.now_ms() - self.started_ms < LEARNING_PERIOD_MS
+        )
+        # A copy of an opening says nothing of a flow that was open before.
+        if flow is None or (may_hold and flow.state is FlowState.ASKED):
             verdict = Verdict.UNCERTAIN if may_hold else Verdict.ABSENT
+        else:
+            verdict = flow.find_verdict(question.acknowledged)
         return FlowAnswer(question.flow, verdict)
 
     def answer_questions(self, batch: FlowQuestions) -> FlowAnswers:
