Reset flows of a removed route only right after its removal

A route may be removed and added again; a balancer that lacks the newer configuration took its flows for those of a removed route for 60 s. It now resets them for 3 s, as long as a configuration may take to reach all, and drops their packets later.

--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -187,12 +187,14 @@
         return [ResetFlow(packet), refusal]
 
     def end_flow_without_route(self, packet: Packet) -> list[Action]:
-        """Reset the flow of a packet if its route is known to have been removed.
+        """Reset the flow of a packet if its route has just been removed.
 
-        Otherwise another balancer has opened the flow by a newer configuration, which
-        this balancer will have when the caller sends the packet again.
+        Otherwise another balancer may have opened the flow by a newer configuration,
+        which has added the route, or added it again. This balancer will have it when
+        the caller sends the packet again.
         """
-        if self.view.route_history.list_services(extract_service_endpoint(packet.flow)):
+        address = extract_service_endpoint(packet.flow)
+        if self.view.route_history.has_just_changed(address):
             return self.refuse_unknown_address(packet)
         self.counters["unknown_address_ignored"] += 1
         return []
--- a/citronwinch/coordination/flows/_route_history.py
+++ b/citronwinch/coordination/flows/_route_history.py
@@ -11,6 +11,10 @@
 longest lifetime of a flow."""
 
 
+CONFIGURATION_LAG_MS = 3_000
+"""How long a configuration may take to reach all balancers, in milliseconds."""
+
+
 class RouteHistory:
     """The former services of routes; the flows that they have are kept open."""
 
@@ -54,6 +58,14 @@
             if route_address == address and changed_ms >= since_ms
         }
 
+    def has_just_changed(self, address: bytes) -> bool:
+        """Return whether a route was changed within CONFIGURATION_LAG_MS."""
+        since_ms = self.clock.now_ms() - CONFIGURATION_LAG_MS
+        return any(
+            route_address == address and changed_ms >= since_ms
+            for (route_address, _), changed_ms in self.changed_ms.items()
+        )
+
     def expire(self) -> None:
         """Remove services whose flows have ended."""
         since_ms = self.clock.now_ms() - ROUTE_HISTORY_MS
