Let a former server that counted as lost hold flows again

Callers saw a flow reset whose server's agent had been away for over 10 s, or had not reached the server for 1.5 s, and was back: the removal was for good, and nobody asked the agent any more.

A server that was removed for a silence, or as unreachable, is kept aside for the lifetime of a flow. Its agent gets heartbeats, other balancers learn it as a former server, and it is a possible holder again once the agent is heard and reaches it. Two neighbouring faults of the same removal: servers are removed by name, so that the end of an earlier one at an address does not remove a later one; and a server counts as unreachable only after two reports in a row, since answers to questions do not repeat the report.

--- a/citronwinch/coordination/flows/_agent_state.py
+++ b/citronwinch/coordination/flows/_agent_state.py
@@ -20,6 +20,8 @@
         self.unreachable_since_ms: int | None = None
         """Since when its reports say that its server is unreachable; None if the last
         one does not."""
+        self.unreachable_reports = 0
+        """How many reports in a row have said so."""
         self.unconfirmed_flows = 0
         """The flows since the last report that the agent did not confirm in time."""
 
@@ -29,8 +31,10 @@
         self.placed_ms.clear()
         self.unconfirmed_flows = 0
         if not report.is_server_unreachable:
-            self.unreachable_since_ms = None
-        elif self.unreachable_since_ms is None:
+            self.unreachable_since_ms, self.unreachable_reports = None, 0
+            return
+        self.unreachable_reports += 1
+        if self.unreachable_since_ms is None:
             self.unreachable_since_ms = now_ms
 
     def count_placed_flows(self, since_ms: int) -> int:
--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -1,6 +1,6 @@
 """The backend servers that have left the listing and may still hold flows."""
 
-from collections import Counter, OrderedDict, deque
+from collections import Counter, deque
 from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -28,10 +28,6 @@
 state it."""
 
 
-REMEMBERED_ADDRESSES = 4_096
-"""The most addresses of removed servers that are kept."""
-
-
 class RemovalReason(Enum):
     """Why a former server is no longer a possible holder of flows."""
 
@@ -61,6 +57,20 @@
     """From when on a silence of its agent counts, in milliseconds."""
 
 
+REVOCABLE_REASONS = (RemovalReason.AGENT_SILENT, RemovalReason.SERVER_UNREACHABLE)
+"""The reasons that end when the agent is back, or reaches its server again."""
+
+
+class LostServer(NamedTuple):
+    """A former server that counts as lost."""
+
+    former: FormerServer
+    """The server as it was known before."""
+
+    lost_ms: int
+    """Since when it counts as lost, in milliseconds."""
+
+
 class FormerRemoval(NamedTuple):
     """A former server that is not asked about flows any more."""
 
@@ -96,8 +106,8 @@
         super().__init__()
         self.clock = clock
         self.removal_counts: Counter[RemovalReason] = Counter()
-        self.removed_ms: OrderedDict[str, int] = OrderedDict()
-        """When servers at addresses were removed, the latest ones last."""
+        self.lost: dict[str, LostServer] = {}
+        """The servers that were removed although they may come back, by name."""
         self.latest_removals: deque[FormerRemoval] = deque(maxlen=REMEMBERED_REMOVALS)
         self.unreported_removals: deque[FormerRemoval] = deque(
             maxlen=REMEMBERED_REMOVALS
@@ -128,9 +138,10 @@
     def list_departed(self) -> tuple[DepartedServer, ...]:
         """Return the servers that have left, for another balancer."""
         now_ms = self.clock.now_ms()
+        known = [*self.values(), *(lost.former for lost in self.lost.values())]
         return tuple(
             DepartedServer(former.server, now_ms - former.missing_since_ms)
-            for former in self.values()
+            for former in known
         )
 
     def set_stop_timeout(self, timeout_ms: int) -> None:
@@ -155,44 +166,49 @@
         """Remove the servers that are listed again."""
         for name in names:
             self.pop(name, None)
+            self.lost.pop(name, None)
 
     def remove(self, names: Iterable[str], reason: RemovalReason) -> None:
         """Remove servers that cannot hold flows any more, and record why."""
         now_ms = self.clock.now_ms()
         for name in names:
-            removal = FormerRemoval(self.pop(name).server, reason, now_ms)
-            self._record_removed_address(removal.server.address.ip)
+            former = self.pop(name)
+            if reason in REVOCABLE_REASONS:
+                self.lost[name] = LostServer(former, now_ms)
+            removal = FormerRemoval(former.server, reason, now_ms)
             self.latest_removals.append(removal)
             self.unreported_removals.append(removal)
             self.removal_counts[reason] += 1
 
-    def _record_removed_address(self, address: str) -> None:
-        self.removed_ms[address] = self.clock.now_ms()
-        self.removed_ms.move_to_end(address)
-        while len(self.removed_ms) > REMEMBERED_ADDRESSES:
-            self.removed_ms.popitem(last=False)
-
-    def remove_at(self, addresses: Collection[str], reason: RemovalReason) -> None:
-        """Remove the servers at some addresses."""
-        self.remove(
-            [
-                name
-                for name, former in self.items()
-                if former.server.address.ip in addresses
-            ],
-            reason,
+    def is_lost(self, address: str) -> bool:
+        """Return whether the last server known at an address counts as lost."""
+        latest_ms = self.clock.now_ms() - FORMER_RETENTION_MS
+        return any(
+            lost.former.server.address.ip == address
+            for lost in self.lost.values()
+            if lost.former.missing_since_ms >= latest_ms
         )
 
+    def readmit(self, name: str) -> None:
+        """Let a server that counted as lost hold flows again."""
+        self[name] = self.lost.pop(name).former
+
     def list_outdated(self) -> list[FormerServer]:
         """Return the servers that left longer ago than a flow may last."""
         latest_ms = self.clock.now_ms() - FORMER_RETENTION_MS
+        self.lost = {
+            name: lost
+            for name, lost in self.lost.items()
+            if lost.former.missing_since_ms >= latest_ms
+        }
         return [each for each in self.values() if each.missing_since_ms < latest_ms]
 
     def list_elsewhere(self, addresses: Collection[str]) -> list[BackendServer]:
-        """Return the servers that are not at some addresses."""
+        """Return the servers, also lost ones, that are not at some addresses."""
+        known = [*self.values(), *(lost.former for lost in self.lost.values())]
         return [
             former.server
-            for former in self.values()
+            for former in known
             if former.server.address.ip not in addresses
         ]
 
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -46,35 +46,36 @@
     if selector.is_isolated():
         view.former.restart_probes()
         return []
+    _readmit_returned(view, selector)
     if not view.former or not view.is_settled():
         return []
     actions: list[Action] = []
-    for reason, agents in _find_lost(view, selector).items():
-        lost_agents = view.remove_former(agents, reason)
-        if lost_agents and reason is not RemovalReason.EXPIRED:
-            actions += _end_flows(view, flows, counters, lost_agents, reason)
+    for reason, names in _find_lost(view, selector).items():
+        agents = view.remove_former(names, reason)
+        if agents and reason is not RemovalReason.EXPIRED:
+            actions += _end_flows(view, flows, counters, agents, reason)
     return actions
 
 
-def is_server_lost(view: DeploymentView, selector: ServerSelector, agent: str) -> bool:
-    """Return whether the server of an agent was removed as lost, and stays silent."""
-    removed_ms = view.former.removed_ms.get(agent)
-    if removed_ms is None or selector.has_message_since(agent, removed_ms):
-        return False
-    services = view.list_services()
-    holders = view.list_possible_holders(services)
-    return all(server.address.ip != agent for server in holders)
+def _readmit_returned(view: DeploymentView, selector: ServerSelector) -> None:
+    """Let lost servers hold flows again whose agents are back, or reach them again."""
+    for name, lost in list(view.former.lost.items()):
+        agent = lost.former.server.address.ip
+        if selector.has_message_since(agent, lost.lost_ms + 1) and (
+            selector.reaches_server(agent)
+        ):
+            view.former.readmit(name)
 
 
 def _find_lost(
     view: DeploymentView, selector: ServerSelector
-) -> dict[RemovalReason, set[str]]:
-    """Return the agents of lost servers, by the reason why these count as lost."""
-    lost: dict[RemovalReason, set[str]] = {}
-    for former in view.former.values():
+) -> dict[RemovalReason, list[str]]:
+    """Return the names of lost servers, by the reason why these count as lost."""
+    lost: dict[RemovalReason, list[str]] = {}
+    for name, former in view.former.items():
         reason = _find_reason(view, selector, former)
         if reason is not None:
-            lost.setdefault(reason, set()).add(former.server.address.ip)
+            lost.setdefault(reason, []).append(name)
     return lost
 
 
@@ -87,7 +88,7 @@
     if selector.has_ended(former.server):
         return RemovalReason.SERVER_ENDED
     missing_ms = now_ms - former.missing_since_ms
-    if missing_ms > FORMER_RETENTION_MS and not selector.has_open_flows(agent):
+    if missing_ms > FORMER_RETENTION_MS and selector.has_no_open_flows(agent):
         return RemovalReason.EXPIRED
     unreachable_since_ms = selector.find_unreachable_since_ms(agent)
     if unreachable_since_ms is not None:
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -52,6 +52,10 @@
 HEARTBEAT_ANSWER_MARGIN_MS = 200
 """The time for delays of a heartbeat and its answer, in milliseconds."""
 
+MIN_UNREACHABLE_REPORTS = 2
+"""The fewest reports in a row after which a backend server counts as unreachable; one
+connection attempt of a slow agent may fail."""
+
 OUTLIER_MARGIN = 0.15
 """By how much a server's share of failed requests must exceed the median of the
 candidates for the server to be an outlier, which gets new flows only when no other
@@ -127,23 +131,29 @@
         agent = self.agents.get(ip)
         return agent is not None and agent.last_message_ms >= since_ms
 
-    def has_open_flows(self, ip: str) -> bool:
-        """Return whether an agent's last report told of open flows of its server."""
+    def has_no_open_flows(self, ip: str) -> bool:
+        """Return whether an agent's last report told of no open flow of its server."""
         agent = self.agents.get(ip)
         report = agent.report if agent is not None else None
-        return report is not None and report.open_flows > 0
+        return report is not None and report.open_flows == 0
+
+    def reaches_server(self, ip: str) -> bool:
+        """Return whether an agent is known and does not miss its server."""
+        agent = self.agents.get(ip)
+        return agent is not None and agent.unreachable_since_ms is None
 
     def find_unreachable_since_ms(self, ip: str) -> int | None:
         """Return since when an agent has reported that its server is unreachable.
 
-        None if it does not, or is silent. An agent that stops accepts no flows either,
-        but its server may live.
+        None if it does not, has done so too few times, or is silent. An agent that
+        stops accepts no flows either, but its server may live.
         """
         agent = self.agents.get(ip)
         if agent is None:
             return None
         is_silent = self.clock.now_ms() - agent.last_message_ms > LOCAL_AGENT_TIMEOUT_MS
-        return None if is_silent else agent.unreachable_since_ms
+        is_sure = agent.unreachable_reports >= MIN_UNREACHABLE_REPORTS
+        return agent.unreachable_since_ms if is_sure and not is_silent else None
 
     def has_ended(self, server: BackendServer) -> bool:
         """Return whether the agent of a server said at its stop that it has ended."""
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -166,6 +166,7 @@
         self.listing, self.listing_digest = listing, listing.digest
         self.history.record(self.listing_digest, listing.servers)
         self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
+        self.former_knowledge.current_until_ms = self.confirmed_ms + OUTAGE_GAP_MS
         known = previous | self.retained
         missing = {k: v for k, v in known.items() if k not in listing.servers}
         self.former.record_missing(missing.values())
@@ -260,8 +261,11 @@
         return not services <= self.by_service.keys()
 
     def list_former(self) -> list[BackendServer]:
-        """Return the servers that have left, but for those at listed addresses."""
-        if not self.former:
+        """Return the servers that have left, but for those at listed addresses.
+
+        Those that count as lost are among them: their agents may come back.
+        """
+        if not self.former and not self.former.lost:
             return []
         return self.former.list_elsewhere(self._list_addresses())
 
@@ -287,17 +291,19 @@
         self.former.source = source
         self.former_knowledge.record_fetched(source, known_for_ms)
 
-    def remove_former(self, ips: Collection[str], reason: RemovalReason) -> set[str]:
-        """Remove the former servers at some addresses for a reason.
+    def remove_former(self, names: Collection[str], reason: RemovalReason) -> set[str]:
+        """Remove former servers for a reason, while the listing is settled.
 
-        Returns the addresses that have no listed server: the servers there are gone for
-        good. While the listing is not settled, nothing is removed.
+        Those at listed addresses stay. Returns the addresses at which none is left.
         """
         if not self.is_settled():
             return set()
-        dropped = set(ips) - self._list_addresses()
-        self.former.remove_at(dropped, reason)
-        return dropped
+        listed = self._list_addresses()
+        by_name = {name: self.former[name].server.address.ip for name in names}
+        removed = {name: ip for name, ip in by_name.items() if ip not in listed}
+        self.former.remove(removed, reason)
+        remaining = {former.server.address.ip for former in self.former.values()}
+        return set(removed.values()) - remaining
 
     def confirm_listing(self, position: StorePosition, confirmed_ms: int) -> None:
         """Record that the listing was still the current one at a later position."""
@@ -308,6 +314,7 @@
             self.former_knowledge.restart()
         self.listing = self.listing._replace(position=position)
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self.former_knowledge.current_until_ms = self.confirmed_ms + OUTAGE_GAP_MS
 
     def expire(self) -> list[BackendServer]:
         """Remove outdated entries; return the servers whose grace time has ended."""
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -148,7 +148,7 @@
             known,
             remaining_grace_ms=view.remaining_grace_ms,
             interval_ms=interval_ms,
-            former_known_for_ms=view.former_knowledge.known_for_ms,
+            former_known_for_ms=max(1, view.former_knowledge.known_for_ms),
             uptime_ms=view.former_knowledge.uptime_ms,
         )
 
@@ -180,7 +180,7 @@
 
     def _announce_view(self) -> None:
         known = [server.address.ip for server in self.view.list_servers()]
-        known += [gone.server.address.ip for gone in self.view.former.values()]
+        known += [server.address.ip for server in self.view.list_former()]
         self.selector.retain_agents(known)
         self.agent_pace.retain(known)
         self._send_heartbeats(self.members.list_heartbeat_targets())
--- a/citronwinch/coordination/flows/tests/test_reset_records.py
+++ b/citronwinch/coordination/flows/tests/test_reset_records.py
@@ -55,7 +55,7 @@
     balancer: BalancerFlows, view: DeploymentView, clock: ManualClock
 ) -> None:
     view.accept_former([DepartedServer(make_server(9), 100)], "10.1.0.5", 60_000)
-    view.remove_former({"10.0.0.9"}, RemovalReason.SERVER_ENDED)
+    view.remove_former(["s9"], RemovalReason.SERVER_ENDED)
     clock.advance(40)
     fields = find_record(deny_everywhere(balancer, 4002), "dead_flow_reset")
     assert fields["removed"] == ["10.0.0.9 server_ended 40"]
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -324,7 +324,7 @@
         retained or former server are removed from the server selector.
         """
         known = [server.address.ip for server in self.view.list_servers()]
-        known += [former.server.address.ip for former in self.view.former.values()]
+        known += [server.address.ip for server in self.view.list_former()]
         self.selector.retain_agents(known)
         self.agent_heartbeats.pace.retain(known)
         self.send_balancer_heartbeat(
@@ -355,7 +355,7 @@
             view.configuration_position,
             interval_ms,
             view.evacuations.list_entries(),
-            former_known_for_ms=view.former_knowledge.known_for_ms,
+            former_known_for_ms=max(1, view.former_knowledge.known_for_ms),
             uptime_ms=view.former_knowledge.uptime_ms,
         )
 
