State nothing about departures without a current listing; ask four at most

A balancer that was cut off went on stating that it knows all departures. After an outage of the store a restarted balancer asked each older one, 58 on the large fleet.

--- a/citronwinch/coordination/flows/_former_knowledge.py
+++ b/citronwinch/coordination/flows/_former_knowledge.py
@@ -27,6 +27,10 @@
 for them, in milliseconds. After a loss of power all start within about this time, and
 nobody has to wait."""
 
+MAX_SOURCES = 4
+"""How many balancers are asked at most. After an outage of the store none knows all
+departures, and asking each would cost more with each balancer."""
+
 FLEET_RESTART_PERIOD_MS = 10_000
 """For how long after its start a balancer counts as restarted with the whole fleet, in
 milliseconds."""
@@ -59,6 +63,8 @@
         """When the process started, if it may have missed departures before."""
         self.known_since_ms = clock.now_ms() - FORMER_RETENTION_MS
         """From when on each server that left is known, in milliseconds."""
+        self.current_until_ms: int | None = None
+        """Until when the listing is current, in milliseconds; None without one."""
         self.first_heard_ms: int | None = None
         """When the first heartbeat of another balancer arrived since the start."""
         self.stated_since_ms: dict[str, int] = {}
@@ -84,13 +90,20 @@
 
     @property
     def known_for_ms(self) -> int:
-        """For how long each server that left is known, up to the retention, in ms."""
-        return min(self.clock.now_ms() - self.known_since_ms, FORMER_RETENTION_MS)
+        """For how long each server that left is known, up to the retention, in ms.
+
+        It is 0 while the listing is not current.
+        """
+        now_ms = self.clock.now_ms()
+        if self.current_until_ms is not None and now_ms > self.current_until_ms:
+            return 0
+        return min(now_ms - self.known_since_ms, FORMER_RETENTION_MS)
 
     @property
     def sources(self) -> set[str]:
         """The balancers that know more and have not sent the former servers yet."""
-        if self.known_for_ms >= FORMER_RETENTION_MS:
+        has_asked_enough = len(self.answered) >= MAX_SOURCES
+        if self.known_for_ms >= FORMER_RETENTION_MS or has_asked_enough:
             return set()
         latest_ms = self.known_since_ms - MIN_GAIN_MS
         more = {ip for ip, ms in self.stated_since_ms.items() if ms <= latest_ms}
