Trust a denial of another balancer only for flows that it would know

Callers may see a flow reset that has just been opened at a server which the asking balancer does not list, although another balancer knows it: - the agent's confirmation was lost, and the opener denied the flow; - the opener stops in turn and was not asked any more; - the opener has restarted, and answers before its first heartbeat arrives; - it names a service that the route has got by a newer configuration; - it names a server at an address at which another one was lost.

Answers to lookups state how long their sender has run, name unconfirmed openings too, and are used for any service unless the agent is known to belong to another one. A balancer that has left the zone is asked for four seconds more. Searches that wait for a newer listing collect their evidence once, not every 10 ms.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -61,6 +61,7 @@
         self.clock = clock
         self.flows = KnownFlows(clock)
         self.counters: Counter[str] = Counter()
+        self.started_ms = clock.now_ms()
         self.directory = FlowDirectory(own_ip, clock)
         self.searches = FlowSearches(
             view,
@@ -181,13 +182,14 @@
     def answer_lookup(self, lookup: FlowLookup) -> FlowLocations:
         """Return the location of a flow that this balancer keeps or forwards."""
         known = self.flows.get(lookup.flow)
-        if known is not None and known.unconfirmed_since_ms is None:
+        location = self.directory.find_location(lookup.flow)
+        if known is not None:
+            # Also an opening that no agent has confirmed: the confirmation may be lost.
             location = FlowLocation(lookup.flow, known.agent, known.service)
-        else:
-            location = self.directory.find_location(lookup.flow) or FlowLocation(
-                lookup.flow, "", ""
-            )
-        return FlowLocations((location,))
+        uptime_ms = self.clock.now_ms() - self.started_ms
+        return FlowLocations(
+            (location or FlowLocation(lookup.flow, "", ""),), max(1, uptime_ms)
+        )
 
     def handle_locations(self, message: FlowLocations, sender: str) -> list[Action]:
         """Apply the answer to a lookup, or keep the locations of other balancers."""
@@ -195,7 +197,9 @@
         actions = self.pacing.forward_due()
         for location in message.locations:
             if self.searches.is_awaiting_location(location.flow):
-                actions += self.searches.handle_location(location, sender)
+                actions += self.searches.handle_location(
+                    location, sender, message.uptime_ms
+                )
             elif location.agent:
                 self.directory.store(location)
         return actions
--- a/citronwinch/coordination/flows/_balancer_lookups.py
+++ b/citronwinch/coordination/flows/_balancer_lookups.py
@@ -28,7 +28,7 @@
 
         Its backend server may have just registered, and be missing from the listing.
         """
-        others = self.directory.balancers - {self.directory.own_ip}
+        others = frozenset(self.directory.list_peers())
         self.unresponsive &= others & self.directory.silent
         silent = others & self.directory.silent
         search.ask_balancers(others - self.unresponsive, silent)
--- a/citronwinch/coordination/flows/_flow_directory.py
+++ b/citronwinch/coordination/flows/_flow_directory.py
@@ -41,6 +41,11 @@
 """By how much the listing of a balancer may lag, in milliseconds; it is not used for
 resets when it is older."""
 
+LEAVING_BALANCER_MS = 4_000
+"""For how long a balancer that has left the zone is still asked about flows, in
+milliseconds: while it forwards before its exit, and until the servers of its last flows
+are listed."""
+
 HANDOVER_LIMIT = 4_000
 """The most locations that a balancer hands over at a change of the zone's balancers."""
 
@@ -71,6 +76,8 @@
         """The balancers that have left a lookup unanswered."""
         self.restarted_ms: dict[str, int] = {}
         """When balancers that have restarted lately were heard again."""
+        self.left_ms: dict[str, int] = {}
+        """When balancers that have left the zone lately did so."""
         self.stored: OrderedDict[FlowKey, StoredLocation] = OrderedDict()
         self.unregistered: OrderedDict[FlowKey, int] = OrderedDict()
         """The flows whose keeper does not know them, with the time at which each was
@@ -83,6 +90,8 @@
         stopping, which is missing from `balancers`, hands over all of its own.
         """
         former, self.balancers = self.balancers, frozenset(balancers)
+        now_ms = self.clock.now_ms()
+        self.left_ms |= dict.fromkeys(former - self.balancers, now_ms)
         self.silent &= self.balancers
         joined = self.balancers - former
         is_stopping = self.own_ip in former and self.own_ip not in self.balancers
@@ -115,6 +124,19 @@
         }
         return set(self.restarted_ms)
 
+    def list_peers(self) -> set[str]:
+        """Return the other balancers that may have opened a flow of the zone lately.
+
+        Those that have just left are among them: a stopping balancer still forwards.
+        """
+        latest_ms = self.clock.now_ms() - LEAVING_BALANCER_MS
+        self.left_ms = {
+            ip: since_ms
+            for ip, since_ms in self.left_ms.items()
+            if since_ms > latest_ms and ip not in self.balancers
+        }
+        return {*self.balancers, *self.left_ms} - {self.own_ip}
+
     def find_keeper(self, flow: FlowKey) -> str:
         """Return the address of a flow's keeper, empty without a balancer."""
         candidates = self.balancers - self.silent or self.balancers
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -145,6 +145,8 @@
         self.has_asked_balancers = False
         self.balancers_deadline_ms = self.started_ms
         """Until when the balancers may answer."""
+        self.is_awaiting_listing = False
+        """Whether only a newer listing is awaited."""
         self.is_awaiting_balancers = False
         """Whether all agents have ruled the flow out; only balancers, or a newer
         listing, are awaited."""
@@ -222,7 +224,7 @@
 
     def await_listing(self) -> None:
         """Wait for the next listing before the search ends."""
-        self.is_awaiting_balancers = True
+        self.is_awaiting_balancers = self.is_awaiting_listing = True
         self.deadline_ms = self.clock.now_ms() + LISTING_CHECK_INTERVAL_MS
 
     def get_answer_timeout_ms(self, agent: str) -> int:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -22,7 +22,6 @@
     KnownFlows,
     forward_to_agent,
 )
-from citronwinch.coordination.flows._lost_servers import is_server_lost
 from citronwinch.coordination.flows._messages import (
     FlowLocation,
     FlowLookup,
@@ -164,10 +163,18 @@
         location = self.directory.find_location(key) or FlowLocation(key, "", "")
         return self.handle_location(location)
 
-    def handle_location(self, location: FlowLocation, sender: str = "") -> list[Action]:
-        """Apply an answer to a lookup: forward there, or continue the search."""
+    def handle_location(
+        self, location: FlowLocation, sender: str = "", uptime_ms: int = 0
+    ) -> list[Action]:
+        """Apply an answer to a lookup: forward there, or continue the search.
+
+        `uptime_ms` is how long the sender has run, 0 if unknown.
+        """
         search = self[location.flow]
         if search.has_asked_balancers:
+            started_ms = self.clock.now_ms() - uptime_ms
+            if uptime_ms and (self.view.confirmed_ms or 0) < started_ms:
+                search.unanswered_balancers.add(sender)
             return self._handle_last_lookup(search, location, sender)
         if search.services.get(location.agent) == location.service:
             self.counters["searches_by_directory"] += 1
@@ -184,14 +191,14 @@
     ) -> list[Action]:
         key = location.flow
         search.pending_balancers.discard(sender)
-        services = self.view.list_current_and_former_services(
-            extract_service_endpoint(key)
-        )
-        is_new = bool(location.agent) and location.agent not in search.verdicts
-        is_lost = is_server_lost(self.view, self.selector, location.agent)
-        if is_new and location.service in services and not is_lost:
-            search.services[location.agent] = location.service
-            return self._finish_found(key, search, location.agent)
+        agent, service = location.agent, location.service
+        is_open = bool(agent) and search.verdicts.get(agent) is not Verdict.ABSENT
+        is_lost = agent not in search.services and self.view.former.is_lost(agent)
+        # The service may be one that the route has got by a newer configuration.
+        is_possible = search.services.get(agent, service) == service and not is_lost
+        if is_open and is_possible:
+            search.services[agent] = service
+            return self._finish_located(search, location)
         if search.pending_balancers or not search.is_awaiting_balancers:
             return []
         return self._finish_not_found(key, search)
@@ -241,7 +248,13 @@
 
     def _advance(self, key: FlowKey, search: FlowSearch) -> list[Action]:
         """Advance a search past its deadline."""
+        if search.is_awaiting_listing and search.has_time_left():
+            confirmed_ms = self.view.confirmed_ms or 0
+            if confirmed_ms < search.started_ms:
+                search.await_listing()
+                return []
         if search.is_awaiting_balancers:
+            search.is_awaiting_listing = False
             return self._finish_not_found(key, search)
         if search.keeper:
             self.directory.silent.add(search.keeper)
@@ -359,7 +372,7 @@
         )
         evidence = gather_evidence(self.view, self.selector, search, services)
         is_dead = evidence.is_dead
-        has_peers = bool(self.directory.balancers - {self.directory.own_ip})
+        has_peers = bool(self.directory.list_peers())
         lookups: list[SendMessage] = []
         if is_dead and has_peers and not search.has_asked_balancers:
             lookups = self.lookups.ask(key, search)
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -213,9 +213,13 @@
     locations: tuple[FlowLocation, ...]
     """The locations."""
 
+    uptime_ms: int = 0
+    """In an answer, how long the sender has run, in milliseconds; 0 if unknown. It has
+    forgotten the flows that it opened before."""
+
 
 class FlowLookup(NamedTuple):
-    """A balancer asks the keeper of a flow for the flow's location."""
+    """A balancer asks another one for the location of a flow."""
 
     flow: FlowKey
     """The flow."""
--- a/citronwinch/coordination/flows/tests/test_incomplete_evidence.py
+++ b/citronwinch/coordination/flows/tests/test_incomplete_evidence.py
@@ -93,7 +93,7 @@
         elif isinstance(action.message, FlowLookup):
             further += balancer.handle_locations(location, OPENER)
     if further:
-        further += answer(balancer, further, location)
+        further = answer(balancer, further, location)
     return [*actions, *further]
 
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -207,6 +207,7 @@
     bodies = builder.init("locations", len(message.locations))
     for body, location in zip(bodies, message.locations, strict=True):
         body.flow, body.agent, body.service = location
+    builder.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
     return _pack(builder)
 
 
@@ -333,7 +334,8 @@
             tuple(
                 FlowLocation(FlowKey(bytes(body.flow)), body.agent, body.service)
                 for body in reader.locations
-            )
+            ),
+            reader.uptimeMs,
         )
     if kind == "viewOffer":
         body = reader.viewOffer
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -101,6 +101,8 @@
     answers @7 :FlowAnswers;
     viewOffer @8 :ViewOffer;
   }
+  # With locations: how long the sender has run.
+  uptimeMs @9 :UInt32;
 }
 
 struct Server {
