--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -13,13 +13,11 @@
 REMEMBERED_REMOVALS = 16
 """How many of the latest removals are kept for logs."""
 
-
 MAX_CHECK_GAP_MS = 1_000
 """The longest time between two checks of the former servers in normal operation, in
 milliseconds. After a longer gap this process has been paused itself, and the silence of
 agents in that time says nothing about them."""
 
-
 AGENT_START_MS = 4_000
 """How long the start of an agent may take, in milliseconds, also on a slow instance."""
 
@@ -122,8 +120,7 @@
         """The balancer from which this one has learned former servers, if any."""
 
     def record_missing(self, servers: Iterable[BackendServer]) -> None:
-        """Record that the listing lacks some servers; those known before keep their
-        time."""
+        """Record that the listing lacks some servers, unless that is known."""
         now_ms = self.clock.now_ms()
         for server in servers:
             self.setdefault(server.name, FormerServer(server, now_ms, now_ms))
@@ -155,8 +152,10 @@
             self[name] = former._replace(probed_since_ms=now_ms)
 
     def record_check(self) -> None:
-        """Record that the agents' silence is checked now; after a pause of this process
-        it counts from now on."""
+        """Record that the agents' silence is checked now.
+
+        After a pause of this process it counts from now on.
+        """
         now_ms = self.clock.now_ms()
         if now_ms - self.checked_ms > MAX_CHECK_GAP_MS:
             self.restart_probes()
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -25,7 +25,6 @@
 reach it, before its flows are considered dead, in milliseconds; the agent tries several
 times in this time."""
 
-
 RESTARTED_AGENT_WAIT_MS = 1_500
 """How long after its first listing a balancer that has restarted with the whole fleet
 waits for agents of which it has heard nothing, in milliseconds."""
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -39,11 +39,12 @@
     """Return what the answers of the agents of a route's services prove.
 
     Agents of other services do not count, nor do those whose servers are lost. Denials
-    prove nothing while the listing is not settled, before a starting balancer knows the
-    servers that have left, or while an agent that became known during the search has
-    not been asked, or while no server is listed and some are expected. The listing may
-    lack a server that has just registered: if a balancer that might know it is silent,
-    or has restarted, the listing has to be newer than the search.
+    prove nothing while the listing is not settled, while no server is listed and some
+    are expected, before a starting balancer knows the servers that have left, or while
+    an agent that became known during the search has not been asked.
+
+    The listing may lack a server that has just registered. If a balancer that might
+    know it is silent, or has restarted, the listing has to be newer than the search.
     """
     holders = {s.address.ip for s in view.list_possible_holders(services)}
     holders -= list_ended_agents(view, selector, services)
