--- a/citronwinch/soak/_leaving_servers.py
+++ b/citronwinch/soak/_leaving_servers.py
@@ -157,10 +157,10 @@
 
 
 async def _wait_for_agent(soak: "Soak", name: str) -> None:
-    """Wait until an agent answers that it is ready."""
-    address = Endpoint(soak.fleet.instances[name].ip, READY_PORT)
+    """Wait until an agent answers that it is ready, or its instance is removed."""
     status = 0
-    while status != 200:
+    while status != 200 and name in soak.fleet.instances:
+        address = Endpoint(soak.fleet.instances[name].ip, READY_PORT)
         await trio.sleep(0.05)
         with suppress(HttpError):
             status = (await fetch(address, READY_PATH, READINESS_TIMEOUT_MS)).status
