--- a/citronwinch/soak/_flow_watch.py
+++ b/citronwinch/soak/_flow_watch.py
@@ -48,7 +48,7 @@
         self.observations = observations
         self.impaired_s = impaired_s
         """When the agent of each server was impaired for the last time, by IP address;
-        planned stops are no impairment."""
+        planned stops do not count."""
         self.servers: list[StandInServer] = []
         self.used_flows: set[FlowKey] = set()
         """The flows that the caller has opened and has not closed."""
@@ -95,7 +95,7 @@
 
         Copies that a balancer sends to uncertain agents in a short search do not count:
         the flow's own server gets a packet soon after. Nor do packets before the end of
-        an impairment, during which none can reach the own server.
+        a fault of its agent, during which none can reach the own server.
         """
         strays = self.stray_packets.pop(key, [])
         holder = self.find_holder(key)
