Review: a foreign entry makes every balancer end at each start

Case 1, rule Fault (and mostly RECOVER): an entry of another writer with a 64-bit concurrency raises an exception in the tasks of a starting balancer, which nothing guards. After a kill of all processes the balancers end by themselves again and again.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,105 @@
+"""Own ends and recovery after a kill while the store has a foreign entry."""
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+from harness import BOUNDS, run_case
+
+ROUTE, LATER_ROUTE = ("198.18.0.1", 443), ("198.18.0.2", 443)
+FLOWS_PER_S = 60
+BEFORE_S = 8.0
+AFTER_S = 20.0
+
+
+async def play(case):
+    await case.start(
+        ["zone-a", "zone-a", "zone-b"],
+        [("gauging", "zone-a"), ("gauging", "zone-a"), ("gauging", "zone-b")]
+        + [("reporting", "zone-b")],
+        {ROUTE: "gauging"},
+        consumers=2,
+    )
+    outcomes = []
+
+    async def send_one(consumer):
+        flow = consumer.new_flow(ROUTE)
+        sent = time.monotonic()
+        outcome = await flow.open()
+        if outcome == "open":
+            outcome = await flow.request(f"a-{consumer.ip}-{flow.port}", 2.0)
+            flow.close()
+        outcomes.append((sent, outcome))
+
+    async def send_all():
+        number = 0
+        while True:
+            number += 1
+            case.spawn(send_one(case.consumers[number % 2]))
+            await asyncio.sleep(1 / FLOWS_PER_S)
+
+    if case.trouble:
+        # Another program writes under the same prefix: its service is named nowhere,
+        # fields are missing, and its `concurrency` is not of the page's type, but a
+        # 64-bit number that means "no limit".
+        entry = {
+            "service": "archive-export",
+            "address": f"{case.ip(90)}:9100",
+            "zone": "zone-a",
+            "version": "7",
+            "concurrency": 2**63 - 1,
+            "state": "ready",
+        }
+        case.store.write("servers/archive-export-1", json.dumps(entry).encode())
+        case.record.write("entry of another writer:", json.dumps(entry))
+    traffic = case.spawn(send_all())
+    await asyncio.sleep(BEFORE_S)
+    # The final fault: all processes of the system are killed right after the
+    # acknowledgement of a change.
+    case.write_configuration({ROUTE: "gauging", LATER_ROUTE: "reporting"}, 3)
+    killed = time.monotonic()
+    processes = [*case.balancers.values(), *case.agents.values()]
+    for process in processes:
+        process.signal(signal.SIGKILL)
+    await case.wait_for(lambda: all(p.starts >= 2 for p in processes), 10)
+    back = time.monotonic()
+    case.record.write("all machines are back")
+    begin = back + BOUNDS["recovery_s"]
+    await asyncio.sleep(begin + AFTER_S - time.monotonic())
+    traffic.cancel()
+    await asyncio.sleep(4)
+
+    def count(since, until):
+        found = [o for sent, o in outcomes if since <= sent < until]
+        return found.count("served"), len(found)
+
+    served_before, sent_before = count(killed - BEFORE_S, killed - 2)
+    served, sent = count(begin, begin + AFTER_S)
+    # An end within a second of an impairment on the machine does not count.
+    own_ends = {
+        p.name: len([at for at in p.own_ends if at > killed + 1]) for p in processes
+    }
+    case.record.write("served before the final fault:", served_before, "of", sent_before)
+    case.record.write("served from recovery_s on:", served, "of", sent)
+    case.record.write("ends by themselves after the fault:", own_ends)
+    broken = []
+    often = [name for name, count in own_ends.items() if count >= 3]
+    if len(often) >= max(2, len(processes) / 10):
+        broken.append(
+            f"Fault: the processes of {len(often)} of {len(processes)} machines ended "
+            f"by themselves three times or more, {sum(own_ends.values())} times in all"
+        )
+    if 4 * served_before >= sent_before and 4 * served < sent:
+        broken.append(
+            f"RECOVER: {served} of {sent} requests sent later than "
+            f"{BOUNDS['recovery_s']} s after the machines were back are served; "
+            f"{served_before} of {sent_before} were before"
+        )
+    return broken
+
+
+run_case(Path(__file__).resolve().parent, play)
