Ignore store values that messages between processes cannot hold

Cause: the decoders of the store accepted any whole number that is not negative, any length of a service's name and any IP address. The messages between processes have 32 bits for slots and warm-ups, one byte for the length of a service's name and so on, so that each heartbeat and each view with such an entry raised an exception. An entry of another program with a concurrency of 2^63 - 1 was enough.

Evidence: the logs of the case have KjException "Value out-of-range" from `serverSlots` in AgentHeartbeats.send_due, below _read_listing and _fetch_view, right before each end of a process, and from `slots` in ViewEncoder for each request of /view.

Why this works: an entry is decoded once into values that every message can hold; what does not fit names no backend server and is logged with the reason, at most 200 characters of it. Durations and priorities of a valid configuration that are larger than a message can hold count as the largest. The same cause on related paths: warm-ups after rounding, starts, ports, revisions and eras of the store, whose header could have had thousands of digits.

That one exception ends the process is a fault of its own and not changed here.

--- a/citronwinch/coordination/_address.py
+++ b/citronwinch/coordination/_address.py
@@ -52,8 +52,8 @@
             ip = str(ipaddress.ip_address(host))
         except ValueError:
             raise ValueError(f"expected an IP number, found {host!r}") from None
-        if not (port_text.isascii() and port_text.isdigit()):
-            raise ValueError(f"expected a port number, found {port_text!r}")
+        if not (port_text.isascii() and port_text.isdigit() and len(port_text) <= 5):
+            raise ValueError(f"expected a port number, found {port_text!r:.20}")
         port = int(port_text)
         if port > 65535:
             raise ValueError(f"expected a port up to 65535, found {port}")
--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -41,6 +41,7 @@
 )
 from citronwinch.coordination.flows._deployment import (
     EMPTY_LISTING,
+    WARMUP_STEP_MS,
     BackendServer,
     Configuration,
     Route,
@@ -192,6 +193,7 @@
     "UNLIMITED_OPENINGS",
     "Verdict",
     "ViewAnswer",
+    "WARMUP_STEP_MS",
     "ZoneEvacuation",
     "compute_read_age_ms",
     "compute_read_retry_ms",
--- /dev/null
+++ b/citronwinch/forwarder/tests/test_entries_of_other_writers.py
@@ -0,0 +1,191 @@
+"""Other programs write into the store beside the backend servers.
+
+Guards against an entry that is accepted although its values do not fit into the
+messages between balancers and agents: each heartbeat and each view that includes it
+fails, and balancers end by themselves or follow the listing no more.
+"""
+
+import json
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import example, given, settings, strategies as st
+
+from citronwinch.coordination.flows import (
+    Configuration,
+    ForwardedPacket,
+    Heartbeat,
+    ServerListing,
+    StorePosition,
+    ViewAnswer,
+    pack_route_address,
+)
+from citronwinch.flow_peers import (
+    ViewEncoder,
+    decode_flow_message,
+    decode_view,
+    encode_flow_message,
+)
+from citronwinch.platform._entries import decode_configuration, decode_server
+
+ENTRY = {
+    "service": "gauging",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "concurrency": 1,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "198.18.0.1",
+    "prefix": "/8443/",
+    "type": "idempotent",
+    "timeout_ms": 1_000,
+    "target_latency_ms": 120,
+    "priority": 2,
+    "service": "gauging",
+    "max_attempts": 2,
+}
+DECLARED_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+"""What the decoders of the store raise for a malformed value."""
+POSITION = StorePosition(1, 7)
+
+numbers = st.one_of(
+    st.integers(-1, 3),
+    st.integers(-(1 << 70), 1 << 70),
+    st.sampled_from(
+        [(1 << bits) + step for bits in (16, 31, 32, 63, 64) for step in (-1, 0)]
+    ),
+)
+values = st.recursive(
+    st.one_of(st.none(), st.booleans(), numbers, st.floats(), st.text()),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+def dump(body: Any) -> bytes:
+    """Return JSON; the standard library writes integers of any size, unlike orjson."""
+    return json.dumps(body).encode()
+
+
+def check_messages_hold(name: str, value: bytes) -> None:
+    """Check that an accepted entry passes unchanged through every message."""
+    try:
+        server = decode_server(name, value)
+    except DECLARED_ERRORS:
+        return
+    listing = ServerListing(POSITION, {name: server})
+    view = ViewAnswer(listing, 0, None, (server,))
+    assert decode_view(ViewEncoder().encode(view)) == view
+    heartbeat = Heartbeat(
+        1,
+        server.availability_zone,
+        False,
+        POSITION,
+        listing.digest,
+        0,
+        1,
+        (),
+        server_started_ms=server.started_ms,
+        server_slots=server.slots,
+        server_warmup_left_ms=server.warmup_left_ms,
+    )
+    assert decode_flow_message(encode_flow_message(heartbeat)) == heartbeat
+    packet = ForwardedPacket(server.service, b"packet")
+    assert decode_flow_message(encode_flow_message(packet)) == packet
+    assert 0 < server.address.port <= 0xFFFF
+
+
+# A concurrency of 64 bits ended every balancer at each start.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        pytest.param("concurrency", 2**63 - 1, id="64-bit concurrency"),
+        pytest.param("concurrency", 2**32, id="concurrency of 33 bits"),
+        pytest.param("warmup_left_ms", 2**32 - 1, id="warm-up that is rounded up"),
+        pytest.param("born", 2**63, id="start after the year 9999"),
+        pytest.param("service", "x" * 256, id="long service"),
+        pytest.param("zone", "é" * 33, id="long zone"),
+        pytest.param("address", "10.0.0.9:0", id="port 0"),
+        pytest.param("address", "10.0.0.9:65536", id="port out of range"),
+        pytest.param("address", f"10.0.0.9:{'9' * 5_000}", id="port of 5,000 digits"),
+        pytest.param("address", "[::1]:80", id="IPv6 address"),
+        pytest.param("address", "0.0.0.0:80", id="address of no instance"),
+        pytest.param("address", "224.0.0.1:80", id="multicast address"),
+    ],
+)
+def test_an_entry_that_messages_cannot_hold_names_no_server(
+    field: str, value: Any
+) -> None:
+    with pytest.raises(ValueError, match="expected"):
+        decode_server("i-1", dump(ENTRY | {field: value}))
+
+
+@pytest.mark.parametrize("depth", [50, 1_000, 100_000])
+def test_a_deeply_nested_entry_names_no_server(depth: int) -> None:
+    nested = b'{"a":' * depth + b"1" + b"}" * depth
+    with pytest.raises(DECLARED_ERRORS):
+        decode_server("i-1", nested)
+    value = dump(ENTRY)[:-1] + b',"labels":' + nested + b"}"
+    check_messages_hold("i-1", value)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(changes=st.dictionaries(st.sampled_from(sorted(ENTRY)), values), name=st.text())
+@example(changes={"concurrency": 2**63 - 1}, name="i-1")
+def test_messages_hold_every_entry_that_is_accepted(
+    changes: dict[str, Any], name: str
+) -> None:
+    check_messages_hold(name, dump(ENTRY | changes))
+
+
+@settings(max_examples=200, derandomize=True, deadline=None, database=None)
+@given(value=st.binary(max_size=40))
+def test_bytes_that_are_no_entry_raise_declared_errors_only(value: bytes) -> None:
+    check_messages_hold("i-1", value)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(
+    changes=st.dictionaries(st.sampled_from(sorted(ROUTE)), values),
+    version=numbers,
+    idle_ms=numbers,
+    rate=st.one_of(numbers, st.floats()),
+)
+@example(changes={"timeout_ms": 2**40}, version=1, idle_ms=2**40, rate=0)
+def test_views_hold_every_configuration_that_is_accepted(
+    changes: dict[str, Any], version: int, idle_ms: int, rate: float
+) -> None:
+    body = {
+        "version": version,
+        "routes": [ROUTE | changes],
+        "services": [{"name": "gauging", "warmup_per_s": rate}],
+        "limits": {"idle_timeout_ms": idle_ms},
+    }
+    try:
+        configuration = decode_configuration(dump(body))
+    except DECLARED_ERRORS:
+        return
+    view = ViewAnswer(ServerListing(POSITION, {}), 0, configuration)
+    decoded = decode_view(ViewEncoder().encode(view)).configuration
+    assert decoded is not None
+    assert decoded._replace(services={}) == configuration._replace(services={})
+    assert decoded.services.keys() == configuration.services.keys()
+
+
+def test_a_timeout_longer_than_a_message_can_hold_counts_as_the_longest() -> None:
+    body = {
+        "version": 1,
+        "routes": [ROUTE | {"timeout_ms": 2**40}],
+        "limits": {"idle_timeout_ms": 2**40},
+    }
+    configuration: Configuration = decode_configuration(orjson.dumps(body))
+    [route] = configuration.routes.values()
+    assert pack_route_address(route.address) in configuration.routes
+    assert (route.timeout_ms, configuration.flow_idle_ms) == (2**32 - 1, 2**32 - 1)
--- a/citronwinch/platform/_evacuation_keys.py
+++ b/citronwinch/platform/_evacuation_keys.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from citronwinch.coordination.flows import StorePosition, ZoneEvacuation
+from citronwinch.platform._revisions import parse_revision
 
 EVACUATION_PREFIX = "op/evacuate/"
 """Prefix of the keys that request an evacuation; the name of the zone follows."""
@@ -37,7 +38,7 @@
         if zone is None:
             continue
         changed = position._replace(
-            revision=int(item.get("revision", position.revision))
+            revision=parse_revision(item.get("revision", position.revision))
         )
         evacuations[zone] = ZoneEvacuation(zone, not item.get("deleted"), changed)
     return tuple(evacuations.values())
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -18,6 +18,7 @@
 from citronwinch.network import HttpError, fetch
 from citronwinch.platform._entries import decode_configuration, decode_server
 from citronwinch.platform._evacuation_keys import decode_evacuations
+from citronwinch.platform._revisions import parse_era, parse_revision
 
 CONFIGURATION_KEY = "op/config"
 """The key that holds the operators' configuration."""
@@ -40,6 +41,10 @@
 TEMPORARY_STATUSES = (429, 503)
 """HTTP statuses of rejected calls that may succeed when they are retried."""
 
+MAX_REASON_LENGTH = 200
+"""The most characters of the reason why an entry is ignored; the reason quotes the
+entry, which may be as long as the store allows."""
+
 WATCH_MARGIN_MS = 500
 """Added to the wait time of a watch to give the timeout of its HTTP request."""
 
@@ -145,7 +150,7 @@
             try:
                 page = body["items"]
                 # Keeps the first page's position: the next read shows later changes.
-                position = position or StorePosition(era, int(body["at"]))
+                position = position or StorePosition(era, parse_revision(body["at"]))
                 items += page
                 if era != position.era:
                     reason = f"era {position.era} became {era} between two pages"
@@ -186,7 +191,7 @@
             return Error(answer.error)
         body, era = answer.ok
         try:
-            position = StorePosition(era, int(body["at"]))
+            position = StorePosition(era, parse_revision(body["at"]))
             return self._decode_operator_items(step, position, body["events"])
         except (KeyError, TypeError, ValueError) as error:
             return Error(self._make_error(step, f"malformed answer: {error!r}"))
@@ -228,10 +233,10 @@
         except HttpError as error:
             return Error(self._make_error(step, error.reason, is_temporary=True))
         era_text = response.headers.get(ERA_HEADER, "0")
-        if not era_text.isdecimal():
-            reason = f"{ERA_HEADER}: expected a whole number, found {era_text!r:.40}"
-            return Error(self._make_error(step, reason))
-        era = int(era_text)
+        try:
+            era = parse_era(era_text)
+        except ValueError as error:
+            return Error(self._make_error(step, f"{ERA_HEADER}: {error}"))
         self.era = max(self.era, era)
         if response.status != 200:
             refusal = self._make_error(
@@ -262,5 +267,5 @@
             value = base64.b64decode(item["value"], validate=True)
             servers[name] = decode_server(name, value)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            rejected.append(f"{name}: {error!r}")
+            rejected.append(f"{name}: {error!r:.{MAX_REASON_LENGTH}}")
     return ListingRead(ServerListing(position, servers), tuple(rejected))
--- a/citronwinch/platform/tests/test_store_contract.py
+++ b/citronwinch/platform/tests/test_store_contract.py
@@ -190,7 +190,7 @@
     run_with_store(check)
 
 
-@pytest.mark.parametrize("era", ["", "-1", "1.5", "two"])
+@pytest.mark.parametrize("era", ["", "-1", "1.5", "two", str(1 << 32), "9" * 5_000])
 def test_malformed_era_is_an_error(era: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def check(store: StandInStore, client: StoreClient) -> None:
         monkeypatch.setattr(store, "era", era)
@@ -341,3 +341,26 @@
         assert answer.error.step == "watch configuration"
 
     run_with_store(check)
+
+
+# Positions are part of every heartbeat, which could not be encoded.
+@pytest.mark.parametrize("revision", [-1, str(1 << 64), 1e30, "x", None])
+def test_a_revision_that_messages_cannot_hold_is_an_error(
+    revision: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        monkeypatch.setattr(store, "revision", revision)
+        for answer in (await client.read_servers(), await client.read_configuration()):
+            assert answer.is_error()
+            assert "malformed answer" in answer.error.reason
+
+    run_with_store(check)
+
+
+def test_the_reason_for_an_ignored_entry_is_bounded() -> None:
+    async def check(store: StandInStore, client: StoreClient) -> None:
+        store.write("servers/i-2", orjson.dumps(ENTRY | {"state": "x" * 100_000}))
+        [reason] = (await client.read_servers()).ok.rejected
+        assert reason.startswith("i-2: ") and len(reason) < 300
+
+    run_with_store(check)
