Let an unexpected exception cost one step, not the process

Cause: only `handle_event` caught exceptions. The tasks that read the listing, watch the configuration and fetch views ran in the nursery of the process, so that one exception in any of them ended it. Within an event, one bad datagram cost the rest of its batch of up to 64, and in a tick the heartbeats to agents came before the read of the store: while a heartbeat failed, the listing was never read again.

Why this works: each step of a tick, each datagram and each run of a task is confined by InternalErrors. The servers of HTTP pages are left as they were: each request was guarded, and a port that cannot be bound ends the process as before.

Open: the tasks of the first interface (daemon/_process.py, _gossip_driver.py) have the same structure and are not changed.

--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -119,6 +119,10 @@
         self.nursery = nursery
         self.view_copy_exchange.start_tasks(nursery)
 
+    def _start_server_check(self) -> None:
+        run_task = self.internal_errors.run_task
+        self.nursery.start_soon(run_task, "check server", self._check_server)
+
     async def _check_server(self) -> None:
         address = self.settings.server_address
         assert address is not None
@@ -172,7 +176,7 @@
     def tick(self) -> None:
         """Check the backend server, expire idle flows and report a changed load."""
         if self.flows.server_liveness.start_check_if_due():
-            self.nursery.start_soon(self._check_server)
+            self._start_server_check()
         self.apply_actions(self.flows.requests.release())
         self.apply_actions(self.flows.release_overdue_trials())
         self.flows.expire_idle()
@@ -242,7 +246,7 @@
         self.send_to_all(self.local_balancers, self.flows.make_load_report())
         # An agent is often stopped because its backend server has exited. If the check
         # finds it down, the agent doesn't wait for requests in progress (`can_exit`).
-        self.nursery.start_soon(self._check_server)
+        self._start_server_check()
 
     def _send_last_reports(self) -> None:
         """Tell all known balancers whether the backend server has ended.
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -227,21 +227,37 @@
                 )
 
     def tick(self) -> None:
-        """Apply timeouts, send the heartbeats that are due and update the metrics."""
-        self._update_directory()
+        """Apply timeouts, send the heartbeats that are due and update the metrics.
+
+        A step that fails does not prevent the next ones.
+        """
+        run_step = self.internal_errors.run_step
+        run_step("tick directory", self._update_directory)
+        run_step("tick flows", self._tick_flows)
+        run_step("tick view", self._expire_view)
+        run_step("tick members", self._expire_members)
+        run_step("tick isolation", self._update_isolation)
+        run_step("tick heartbeats", self._send_due_heartbeats)
+        run_step("tick store", self.view_exchange.tick)
+        run_step("tick metrics", self._update_metrics)
+
+    def _tick_flows(self) -> None:
         self.apply_actions(self.flows.tick())
+
+    def _expire_view(self) -> None:
         for server in self.view.expire():
             log.info("server_gone", server=server.name, service=server.service)
         record_former_servers(self.view.former, self.metrics)
+
+    def _expire_members(self) -> None:
         lost = self.members.expire()
         for ip in lost:
             log.info("balancer_lost", balancer=ip)
             self.view.former_knowledge.forget(ip)
         if lost:
             self.balancer_pace.retain(self.members.list_heartbeat_targets())
-        self._update_isolation()
-        self._send_due_heartbeats()
-        self.view_exchange.tick()
+
+    def _update_metrics(self) -> None:
         for name, count in self.flows.counters.items():
             self.metrics.counters[MetricKey(f"{name}_total")] = count
         self.metrics.set_gauge("known_flows", len(self.flows.flows))
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -32,6 +32,7 @@
 )
 from citronwinch.forwarder._decision_log import DecisionLog
 from citronwinch.forwarder._http_pages import serve_metrics, serve_readiness
+from citronwinch.forwarder._internal_errors import InternalErrors
 from citronwinch.forwarder._settings import (
     ForwarderSettings,
     parse_forwarder_settings,
@@ -109,6 +110,7 @@
         self.started_ms = self.clock.now_ms()
         self.incarnation = time.time_ns()
         self.metrics = Metrics()
+        self.internal_errors = InternalErrors(self.clock, self.metrics)
         self.decision_log = DecisionLog(self.clock)
         self.packet_socket = open_socket(packet_address)
         self.peer_socket = open_socket(Endpoint(settings.ip, settings.peer_port))
@@ -186,10 +188,17 @@
         settings = self.settings
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_signals)
-            nursery.start_soon(self._receive, self.peer_socket, PeerBatch)
-            nursery.start_soon(self._receive, self.packet_socket, PacketBatch)
-            nursery.start_soon(self._tick)
-            nursery.start_soon(self._watch_settings)
+            run_forever = self.internal_errors.run_forever
+            for batch, datagram_socket in (
+                (PeerBatch, self.peer_socket),
+                (PacketBatch, self.packet_socket),
+            ):
+                kind = f"receive {batch.__name__}"
+                nursery.start_soon(
+                    run_forever, kind, self._receive, datagram_socket, batch
+                )
+            nursery.start_soon(run_forever, "tick", self._tick)
+            nursery.start_soon(run_forever, "settings", self._watch_settings)
             nursery.start_soon(serve_readiness, self)
             if settings.metrics_port:
                 nursery.start_soon(serve_metrics, self)
@@ -212,15 +221,14 @@
 
     def handle_event(self, event: Event) -> None:
         """Handle an event; log an error instead of raising it."""
+        # Exiting here would break every flow because of a single event.
         try:
             self._handle_event(event)
             is_stopping = self.stop_requested_ms is not None
             if self.is_idle and (is_stopping or self.has_pending_work()):
                 self.tick_requested.set()
         except Exception:
-            # Exiting here would break every flow because of a single event.
-            self.metrics.count("internal_errors_total", type(event).__name__)
-            log.exception("event_not_handled", kind=type(event).__name__)
+            self.internal_errors.record(type(event).__name__)
         if self.stop_requested_ms is not None and self.can_exit():
             self.is_finished.set()
 
@@ -280,6 +288,8 @@
             self.handle_packet(datagram.data)
         except MalformedMessageError as error:
             self._count_malformed("packet", datagram, error)
+        except Exception:
+            self.internal_errors.record("packet")
 
     def _handle_peer_datagram(self, datagram: Datagram) -> None:
         try:
@@ -287,6 +297,8 @@
             self.handle_message(message, datagram.sender[0])
         except MalformedMessageError as error:
             self._count_malformed("message", datagram, error)
+        except Exception:
+            self.internal_errors.record("message")
 
     def _count_malformed(
         self, kind: str, datagram: Datagram, error: MalformedMessageError
--- a/citronwinch/forwarder/_view_copy_exchange.py
+++ b/citronwinch/forwarder/_view_copy_exchange.py
@@ -50,7 +50,8 @@
         """Fetch a newer copy if that is due, or offer the copy to silent balancers."""
         source = self.copy.start_fetch()
         if source is not None:
-            self.nursery.start_soon(self._fetch_copy, source)
+            run_task = self.process.internal_errors.run_task
+            self.nursery.start_soon(run_task, "fetch copy", self._fetch_copy, source)
         seeds = [seed.ip for seed in self.process.settings.seeds]
         receivers = self.copy.list_offer_receivers(seeds)
         if not receivers:
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -90,7 +90,11 @@
         self.nursery = nursery
         endpoint = self.process.make_peer_endpoint(self.process.settings.ip)
         nursery.start_soon(serve, endpoint, self.server.answer)
-        nursery.start_soon(self.configuration_watch.run)
+        nursery.start_soon(
+            self.process.internal_errors.run_forever,
+            "watch configuration",
+            self.configuration_watch.run,
+        )
 
     def tick(self) -> None:
         """Read the store when it is this balancer's turn."""
@@ -99,7 +103,7 @@
         age_ms = self.view.age_ms
         if age_ms is None or age_ms >= self._compute_read_age_ms(age_ms):
             self.is_reading_listing = True
-            self.nursery.start_soon(self._read_listing)
+            self.nursery.start_soon(self._run_listing_read)
 
     def _compute_read_age_ms(self, age_ms: int) -> int:
         """Return the age of the listing at which this balancer reads it again."""
@@ -111,16 +115,25 @@
         turn = compute_read_turn(self.process.settings.ip, members)
         return compute_read_age_ms(turn, expects_servers=expects_servers)
 
+    async def _run_listing_read(self) -> None:
+        errors = self.process.internal_errors
+        if not await errors.run_task("read listing", self._read_listing):
+            self._delay_listing_read()
+        self.is_reading_listing = False
+
+    def _delay_listing_read(self) -> None:
+        """Set when a failed read of the listing is repeated."""
+        balancers = 1 + len(self.process.members.members)
+        retry_ms = compute_read_retry_ms(balancers)
+        jitter = self.rng.uniform(*READ_RETRY_JITTER)
+        self.listing_retry_at_ms = self.clock.now_ms() + round(retry_ms * jitter)
+
     async def _read_listing(self) -> None:
         requested_ms = self.clock.now_ms()
         result = await self.store.read_servers()
-        self.is_reading_listing = False
         self.process.metrics.set_gauge("store_calls", self.store.calls)
         if result.is_error():
-            balancers = 1 + len(self.process.members.members)
-            retry_ms = compute_read_retry_ms(balancers)
-            jitter = self.rng.uniform(*READ_RETRY_JITTER)
-            self.listing_retry_at_ms = self.clock.now_ms() + round(retry_ms * jitter)
+            self._delay_listing_read()
             self.record_read_failure(result.error)
             return
         self.record_read_success()
@@ -215,7 +228,8 @@
         lacks_servers = lacks_listing or may_lack_retained or lacks_former
         if (lacks_servers or lacks_configuration) and not self.is_catching_up:
             self.is_catching_up = True
-            self.nursery.start_soon(self._catch_up)
+            run_task = self.process.internal_errors.run_task
+            self.nursery.start_soon(run_task, "fetch views", self._catch_up)
 
     async def _catch_up(self) -> None:
         """Fetch views from one balancer at a time until the own view is up to date.
@@ -263,7 +277,8 @@
         self.offers.record(agent, offer)
         if not self.is_catching_up and self._choose_copy() is not None:
             self.is_catching_up = True
-            self.nursery.start_soon(self._fetch_copies)
+            run_task = self.process.internal_errors.run_task
+            self.nursery.start_soon(run_task, "fetch view copies", self._fetch_copies)
 
     def _choose_copy(self) -> str | None:
         return self.offers.choose(self.view, is_store_lost=self.is_store_lost)
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -28,7 +28,7 @@
     "hints_withdrawn_total": "remembered flows that their agent did not hold",
     "http_errors_total": "HTTP requests that got no answer, by reason",
     "http_requests_total": "HTTP requests that were read",
-    "internal_errors_total": "events that failed inside the process, by kind of event",
+    "internal_errors_total": "events, messages and steps of tasks that failed, by kind",
     "known_flows": "flows whose agent this balancer remembers",
     "load_concurrency_limit": "requests that the backend server may work on at once",
     "load_flows": "flows in this agent's load report",
