Leave out entries of services that the operators do not name

Cause: a balancer keeps one server for each IP address of the listing, the one that started last, whatever its service. Another program on a backend server's instance that registers at a port of its own, under a service of its own, so replaced the backend server in the view. A search then asked the agent as one of the other service. It answered that it holds the flow, the balancer forwarded the packet in the name of the other service, the agent returned it, and the balancer took the return for a denial. No other holder was known, so that the flow was reset.

Evidence: for each reset flow the logs have `flow_found` with the agent, `packet_for_another_service` with meant host-metrics and own gauging at that agent, and 3 to 6 ms later `dead_flow_reset` with holders 2 of 3.

Why this works: an entry whose service the operators do not name is left out of the view before servers are compared by address. Named are the services that the configuration lists or routes to, and those that a route had within a flow's lifetime, so that open flows keep their servers when a service loses its route. The names are handed on with the configuration. Until a balancer knows one, it sends no heartbeats to agents, since it could not say which entry describes an agent's server.

The same cause on related paths: the heartbeat told the agent the other program's start and slots, from which the agent concludes that it knows all flows of its server; the entry became a former server when it left, and hid the departed server at its address. `listing_changed` names the entries that are left out, and `ignored_entries` counts them.

--- a/citronwinch/coordination/flows/_deployment.py
+++ b/citronwinch/coordination/flows/_deployment.py
@@ -82,6 +82,9 @@
     services: Mapping[str, ServiceLimits] = MappingProxyType({})
     """The limits of services by name; a service without any is left out."""
 
+    other_services: frozenset[str] = frozenset()
+    """The names of the services that the operators list without a route or a limit."""
+
 
 class ServerState(IntEnum):
     """Whether a backend server accepts new flows."""
@@ -140,6 +143,21 @@
 """The listing of a process that has not received any."""
 
 
+def list_named_services(configuration: Configuration) -> frozenset[str]:
+    """Return the names of all services that a configuration has.
+
+    Example::
+
+        >>> sorted(list_named_services(
+        ...     Configuration(1, {}, 0, {"a": ServiceLimits(1.0)}, frozenset({"b"}))
+        ... ))
+        ['a', 'b']
+    """
+    routes = configuration.routes.values()
+    routed = {share.service for route in routes for share in route.shares}
+    return configuration.other_services.union(configuration.services, routed)
+
+
 def pack_route_address(address: Endpoint) -> bytes:
     """Return the key of a route: its address, packed as in a flow key."""
     return pack_service_endpoint(TransportProtocol.TCP, address)
--- a/citronwinch/coordination/flows/_route_history.py
+++ b/citronwinch/coordination/flows/_route_history.py
@@ -58,6 +58,15 @@
             if route_address == address and changed_ms >= since_ms
         }
 
+    def list_all_services(self) -> set[str]:
+        """Return the services that any route had within the lifetime of a flow."""
+        since_ms = self.clock.now_ms() - ROUTE_HISTORY_MS
+        return {
+            service
+            for (_, service), changed_ms in self.changed_ms.items()
+            if changed_ms >= since_ms
+        }
+
     def has_just_changed(self, address: bytes) -> bool:
         """Return whether a route was changed within CONFIGURATION_LAG_MS."""
         since_ms = self.clock.now_ms() - CONFIGURATION_LAG_MS
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -10,6 +10,7 @@
     Configuration,
     ServerListing,
     ServerState,
+    list_named_services,
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
 from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
@@ -17,6 +18,10 @@
     FormerServers,
     RemovalReason,
 )
+from citronwinch.coordination.flows._listed_servers import (
+    NO_LISTED_SERVERS,
+    group_listed_servers,
+)
 from citronwinch.coordination.flows._listing_history import (
     ListingDifference,
     ListingHistory,
@@ -80,7 +85,11 @@
         self.retained: dict[str, BackendServer] = {}
         """The missing servers that count as listed during the grace time, by name."""
         self.by_service: dict[str, list[BackendServer]] = {}
-        """The listed and retained servers by service."""
+        """The listed and retained servers to use, by service."""
+        self.listed = NO_LISTED_SERVERS
+        """The listed and retained entries by their use."""
+        self.named_services: frozenset[str] = frozenset()
+        """The services that the configuration names."""
         self.cold_servers = ColdServers(clock)
         self.route_history = RouteHistory(clock)
         self.evacuations = Evacuations(clock)
@@ -106,10 +115,24 @@
         if current is not None:
             self.route_history.record_change(current, configuration)
         self.configuration = configuration
+        self.named_services = list_named_services(configuration)
         self.cold_servers.limits = configuration.services
         self.configuration_position = UNKNOWN_POSITION
+        for name, former in list(self.former.items()):
+            if not self.is_named(former.server.service):
+                del self.former[name]
+        self._rebuild_by_service()
         return True
 
+    def is_named(self, service: str) -> bool:
+        """Return whether the operators name a service, or did in a flow's lifetime.
+
+        Before the first configuration every service counts as named.
+        """
+        if self.configuration is None or service in self.named_services:
+            return True
+        return service in self.route_history.list_all_services()
+
     def confirm_configuration(self, version: int, position: StorePosition) -> None:
         """Record that a version was still the newest at a position of the store.
 
@@ -168,7 +191,11 @@
         self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
         self.former_knowledge.current_until_ms = self.confirmed_ms + OUTAGE_GAP_MS
         known = previous | self.retained
-        missing = {k: v for k, v in known.items() if k not in listing.servers}
+        missing = {
+            name: server
+            for name, server in known.items()
+            if name not in listing.servers and self.is_named(server.service)
+        }
         self.former.record_missing(missing.values())
         if now_ms < self.grace_until_ms:
             self.retained |= missing
@@ -287,7 +314,10 @@
             each
             for each in (*departed, *missing)
             if each.server.name not in self.listing.servers
+            and self.is_named(each.server.service)
         )
+        # The former routes of that balancer may name more services.
+        self._rebuild_by_service()
         self.former.source = source
         self.former_knowledge.record_fetched(source, known_for_ms)
 
@@ -402,16 +432,8 @@
         return [server for group in self.by_service.values() for server in group]
 
     def _rebuild_by_service(self) -> None:
-        """Group the listed and retained servers by service.
-
-        Of several servers at one address, only the one that started last is live.
-        """
-        newest: dict[str, BackendServer] = {}
-        for server in (self.retained | self.listing.servers).values():
-            other = newest.get(server.address.ip)
-            if other is None or server.started_ms >= other.started_ms:
-                newest[server.address.ip] = server
-        self.cold_servers.update(newest.values())
-        self.by_service = {}
-        for server in newest.values():
-            self.by_service.setdefault(server.service, []).append(server)
+        """Group the listed and retained servers by service."""
+        servers = (self.retained | self.listing.servers).values()
+        self.listed = group_listed_servers(servers, self.is_named)
+        self.by_service = self.listed.by_service
+        self.cold_servers.update(self.list_servers())
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -111,6 +111,7 @@
         services, configuration.services.items(), strict=True
     ):
         body.name, body.warmupPerS = name, limits.warmup_per_s
+    builder.otherServices = sorted(configuration.other_services)
     routes = builder.init("routes", len(configuration.routes))
     for body, route in zip(routes, configuration.routes.values(), strict=True):
         body.name = route.name
@@ -232,4 +233,5 @@
     services = {
         limits.name: ServiceLimits(limits.warmupPerS) for limits in body.services
     }
-    return Configuration(body.version, routes, body.flowIdleMs, services)
+    others = frozenset(body.otherServices)
+    return Configuration(body.version, routes, body.flowIdleMs, services, others)
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -143,6 +143,8 @@
   routes @1 :List(Route);
   flowIdleMs @2 :UInt32;
   services @3 :List(ServiceLimits);
+  # Without those that have a route or a limit.
+  otherServices @4 :List(Text);
 }
 
 struct View {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -149,10 +149,12 @@
         warmup_left_ms=1_500,
     )
     services = {"gauging": ServiceLimits(2.5)}
+    others = frozenset({"billing", "reporting"})
+    configuration = Configuration(3, routes, 15_000, services, others)
     view = ViewAnswer(
         ServerListing(StorePosition(4, 9), {"i-1": server}),
         450,
-        Configuration(3, routes, 15_000, services) if with_configuration else None,
+        configuration if with_configuration else None,
         (server._replace(name="i-2"),),
         3,
         StorePosition(3, 77),
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -131,9 +131,11 @@
                 self.process.send(ip, self._make_heartbeat(ip, interval_ms))
 
     def _find_targets(self) -> AgentTargets:
-        """Return the agents that get heartbeats; they change with the listing only.
+        """Return the agents that get heartbeats; they change with the view only.
 
-        An isolated balancer probes all agents as often as those of its own zone.
+        An isolated balancer probes all agents as often as those of its own zone. One
+        without a configuration probes none: it cannot tell which of several entries at
+        the address of an agent describes the agent's server.
         """
         targets = self.targets
         if (
@@ -143,7 +145,7 @@
             return targets
         local: list[str] = []
         remote: list[str] = []
-        servers = self.view.list_servers()
+        servers = self.view.list_servers() if self.view.configuration else []
         for server in servers:
             zone = server.availability_zone
             is_local = (
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -264,6 +264,13 @@
         self.metrics.set_gauge("uploads_in_progress", self.flows.uploads.count())
         self.metrics.set_gauge("cold_servers", self.view.cold_servers.count_limited())
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
+        self.metrics.set_gauge("ignored_entries", self._count_ignored_entries())
+
+    def _count_ignored_entries(self) -> int:
+        """Return how many entries of the store name no backend server to use."""
+        listed = self.view.listed
+        rejected = len(self.view_exchange.rejected_entries)
+        return rejected + len(listed.unnamed) + len(listed.superseded)
 
     def _update_directory(self) -> None:
         """Tell the directory which balancers of the zone are live."""
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -55,6 +55,9 @@
 from the store, in milliseconds: a third of the shortest time within which a balancer
 must apply a new configuration."""
 
+LOGGED_ENTRIES_LIMIT = 8
+"""The most entries of one kind that a log line names."""
+
 log = structlog.get_logger()
 
 
@@ -140,7 +143,8 @@
         self.configuration_watch.record_listing_read()
         if result.ok.rejected != self.rejected_entries:
             self.rejected_entries = result.ok.rejected
-            log.warning("entries_ignored", entries=list(self.rejected_entries[:8]))
+            entries = list(self.rejected_entries[:LOGGED_ENTRIES_LIMIT])
+            log.warning("entries_ignored", entries=entries)
         if self.view.accept_listing(result.ok.listing, requested_ms):
             self.log_listing("store")
         self.process.handle_early_packets()
@@ -177,6 +181,8 @@
             servers=len(servers),
             leaving=[name for name, server in servers.items() if server.state],
             kept=sorted(self.view.retained),
+            unnamed=list(self.view.listed.unnamed[:LOGGED_ENTRIES_LIMIT]),
+            superseded=list(self.view.listed.superseded[:LOGGED_ENTRIES_LIMIT]),
         )
 
     def handle_newer_configuration(self, source: str) -> None:
--- a/citronwinch/forwarder/tests/test_agent_heartbeats.py
+++ b/citronwinch/forwarder/tests/test_agent_heartbeats.py
@@ -27,8 +27,12 @@
     return BackendServer("s1", "gauging", address, "a", ready, slots, started_ms)
 
 
+def make_configuration(services):
+    return Configuration(1, {}, 15_000, services, frozenset({"gauging"}))
+
+
 def list_server(process, server, revision=1, services=None):
-    process.view.accept_configuration(Configuration(1, {}, 15_000, services or {}))
+    process.view.accept_configuration(make_configuration(services or {}))
     listing = ServerListing(StorePosition(1, revision), {server.name: server})
     process.view.accept_listing(listing, process.clock.now_ms())
 
@@ -73,7 +77,7 @@
         for n in range(1, 100)
     }
     services = {"gauging": ServiceLimits(9.0)}
-    process.view.accept_configuration(Configuration(1, {}, 15_000, services))
+    process.view.accept_configuration(make_configuration(services))
     for revision, left_ms in ((1, 0), (2, 2_000)):
         listed = {
             name: server._replace(warmup_left_ms=left_ms)
@@ -83,3 +87,35 @@
         process.view.accept_listing(listing, process.clock.now_ms())
         sent = send_due_heartbeats(process)
     assert URGENT_HEARTBEATS_PER_S <= len(sent) < 2 * URGENT_HEARTBEATS_PER_S
+
+
+# The agent would take the start of another program for that of its server, and deny
+# flows that the server holds.
+def test_a_heartbeat_does_not_describe_another_program_at_the_agents_address(
+    open_sockets,
+):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    server = make_server(slots=2, started_ms=1_234)
+    other = server._replace(
+        name="m1",
+        service="host-metrics",
+        address=Endpoint(AGENT_IP, 9_100),
+        slots=9,
+        started_ms=5_000,
+    )
+    process.view.accept_configuration(make_configuration({}))
+    listing = ServerListing(StorePosition(1, 1), {"s1": server, "m1": other})
+    process.view.accept_listing(listing, process.clock.now_ms())
+    [(ip, heartbeat)] = send_due_heartbeats(process)
+    assert (ip, heartbeat.server_slots) == (AGENT_IP, 2)
+    assert heartbeat.server_started_ms == 1_234
+
+
+def test_no_heartbeat_describes_a_server_before_the_services_are_known(open_sockets):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    server = make_server()
+    listing = ServerListing(StorePosition(1, 1), {"s1": server})
+    process.view.accept_listing(listing, process.clock.now_ms())
+    assert not send_due_heartbeats(process)
+    process.view.accept_configuration(make_configuration({}))
+    assert [ip for ip, _ in send_due_heartbeats(process)] == [AGENT_IP]
--- a/citronwinch/forwarder/tests/test_entries_of_other_writers.py
+++ b/citronwinch/forwarder/tests/test_entries_of_other_writers.py
@@ -2,16 +2,21 @@
 
 Guards against an entry that is accepted although its values do not fit into the
 messages between balancers and agents: each heartbeat and each view that includes it
-fails, and balancers end by themselves or follow the listing no more.
+fails, and balancers end by themselves or follow the listing no more. It also guards
+against an entry of another program that is taken for the backend server on the same
+instance, whose live flows are then reset.
 """
 
 import json
+import time
 from typing import Any
 
 import orjson
 import pytest
+import trio
 from hypothesis import example, given, settings, strategies as st
 
+from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
     Configuration,
     ForwardedPacket,
@@ -27,7 +32,14 @@
     decode_view,
     encode_flow_message,
 )
+from citronwinch.forwarder.tests.conftest import (
+    LoopbackDeployment,
+    RunScenario,
+    start_small_deployment,
+)
+from citronwinch.forwarder.tests.test_whole_path import open_flows, send_requests
 from citronwinch.platform._entries import decode_configuration, decode_server
+from citronwinch.platform.standins import FlowOutcome
 
 ENTRY = {
     "service": "gauging",
@@ -189,3 +201,35 @@
     [route] = configuration.routes.values()
     assert pack_route_address(route.address) in configuration.routes
     assert (route.timeout_ms, configuration.flow_idle_ms) == (2**32 - 1, 2**32 - 1)
+
+
+# Flows that a planned stop moved to another balancer were reset.
+def test_flows_survive_a_stop_while_another_program_has_an_entry_at_their_server(
+    run_scenario: RunScenario,
+) -> None:
+    async def scenario(deployment: LoopbackDeployment) -> None:
+        await start_small_deployment(deployment)
+        await open_flows(deployment, range(4000, 4016))
+        for number in (31, 32):
+            address = Endpoint(f"{deployment.prefix}.{number}", 9_100)
+            started_ms = time.time_ns() // 1_000_000
+            deployment.store.write_server(
+                f"host-metrics-{number}",
+                "host-metrics",
+                address,
+                "a",
+                started_ms=started_ms,
+            )
+
+        def is_listed() -> bool:
+            views = [deployment.processes[number].view for number in (11, 12)]  # type: ignore[attr-defined]
+            return all(len(view.listing.servers) == 5 for view in views)
+
+        await deployment.wait_for(is_listed)
+        await deployment.stop(11)
+        await trio.sleep(3)
+        outcomes = await send_requests(deployment, range(4000, 4016))
+        assert outcomes == {FlowOutcome.DONE}
+        await open_flows(deployment, range(4020, 4024))
+
+    run_scenario(scenario, 126)
--- a/citronwinch/platform/_entries.py
+++ b/citronwinch/platform/_entries.py
@@ -14,6 +14,7 @@
     ServerState,
     ServiceLimits,
     ServiceShare,
+    list_named_services,
     pack_route_address,
     round_up_warmup_ms,
 )
@@ -56,7 +57,13 @@
         routes[pack_route_address(route.address)] = route
     idle_ms = _read_capped_int(fields["limits"], "idle_timeout_ms")
     version = _read_int(fields, "version", _MAX_UINT64)
-    return Configuration(version, routes, idle_ms, _decode_services(fields))
+    configuration = Configuration(version, routes, idle_ms, _decode_services(fields))
+    names = {
+        _read_string(item, "name", _MAX_SERVICE_BYTES)
+        for item in fields.get("services", ())
+    }
+    others = names - list_named_services(configuration)
+    return configuration._replace(other_services=frozenset(others))
 
 
 def _decode_services(fields: dict[str, Any]) -> dict[str, ServiceLimits]:
--- a/citronwinch/platform/tests/test_store_contract.py
+++ b/citronwinch/platform/tests/test_store_contract.py
@@ -13,7 +13,7 @@
 from expression import Result
 
 from citronwinch.coordination import Endpoint
-from citronwinch.coordination.flows import ServerState
+from citronwinch.coordination.flows import ServerState, list_named_services
 from citronwinch.network import fetch
 from citronwinch.platform import StoreClient, StoreError
 from citronwinch.platform._entries import decode_configuration, decode_server
@@ -172,12 +172,19 @@
         "traffic_split": split,
         "max_attempts": 2,
     }
-    body = {"version": 7, "routes": [route], "limits": {"idle_timeout_ms": 15_000}}
+    body = {
+        "version": 7,
+        "routes": [route],
+        "services": [{"name": "a"}, {"name": "c"}, {"name": "d", "warmup_per_s": 2}],
+        "limits": {"idle_timeout_ms": 15_000},
+    }
     configuration = decode_configuration(orjson.dumps(body))
     [decoded] = configuration.routes.values()
     assert decoded.address == Endpoint("198.18.0.1", 8443)
     assert [tuple(share) for share in decoded.shares] == [("a", 90), ("b", 10)]
     assert (configuration.version, configuration.flow_idle_ms) == (7, 15_000)
+    assert configuration.other_services == {"c"}
+    assert list_named_services(configuration) == {"a", "b", "c", "d"}
 
 
 def test_answers_have_the_position_of_the_store_with_its_era() -> None:
