Require all fields of an entry, and let a leaving server's copy not decide

Cause: another program had a copy of the server's entry as it was before, without its sequence. The decoder never looked at sequence and version, and took a missing warm-up for 0, so that the copy named a server. Of two entries with the same address and start, the last one in the order of their keys decided: the copy's "ready".

Evidence: the entry of the case against decode_server, which accepted it, and its key servers/inventory-i-00, which comes after servers/i-00.

Why this works: an entry names a server only if all fields that the platform writes are there, with their types. The start is optional, since the platform's own example of an entry lacks it. If there are two entries of one start all the same, a server that one of them calls leaving is leaving, in whatever order they come.

--- a/citronwinch/coordination/flows/_listed_servers.py
+++ b/citronwinch/coordination/flows/_listed_servers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._deployment import BackendServer, ServerState
 
 
 class ListedServers(NamedTuple):
@@ -30,13 +30,13 @@
     """Group the servers to use by service; `is_named` tells which services exist.
 
     An instance runs one backend server. Of several entries with its IP address, only
-    the one that started last is live. Entries of services that do not exist name no
-    backend server, so that they supersede none.
+    the one that started last is live; of entries of the same start, one is a copy, and
+    a server that one of them calls leaving is leaving. Entries of services that do not
+    exist name no backend server, so that they supersede none.
 
     Example::
 
         >>> from citronwinch.coordination import Endpoint
-        >>> from citronwinch.coordination.flows import ServerState
         >>> server = BackendServer(
         ...     "s", "gauging", Endpoint("10.0.0.1", 80), "a", ServerState.READY, 1, 5
         ... )
@@ -52,7 +52,7 @@
             unnamed.append(server.name)
             continue
         other = newest.get(server.address.ip)
-        if other is not None and server.started_ms < other.started_ms:
+        if other is not None and _rank(server) < _rank(other):
             superseded.append(server.name)
             continue
         if other is not None:
@@ -62,3 +62,7 @@
     for server in newest.values():
         by_service.setdefault(server.service, []).append(server)
     return ListedServers(by_service, tuple(sorted(unnamed)), tuple(sorted(superseded)))
+
+
+def _rank(server: BackendServer) -> tuple[int, ServerState]:
+    return server.started_ms, server.state
--- a/citronwinch/platform/_entries.py
+++ b/citronwinch/platform/_entries.py
@@ -121,6 +121,9 @@
         raise ValueError(
             f"expected a state from {list(_SERVER_STATES)}, found {state!r}"
         )
+    # These two are not used; an entry without them is that of another program.
+    _read_string(fields, "version")
+    _read_int(fields, "sequence", _MAX_UINT64)
     return BackendServer(
         name,
         _read_string(fields, "service", _MAX_SERVICE_BYTES),
@@ -135,8 +138,6 @@
 
 
 def _read_warmup_ms(fields: dict[str, Any]) -> int:
-    if "warmup_left_ms" not in fields:
-        return 0
     longest_ms = _MAX_UINT32 - WARMUP_STEP_MS
     return round_up_warmup_ms(_read_int(fields, "warmup_left_ms", longest_ms))
 
--- a/citronwinch/platform/tests/test_store_contract.py
+++ b/citronwinch/platform/tests/test_store_contract.py
@@ -147,8 +147,14 @@
         ("concurrency", "1"),
         ("concurrency", True),
         ("born", 1.5),
+        ("version", 7),
+        ("sequence", "4"),
+        ("sequence", None),
+        ("sequence", -1),
+        ("warmup_left_ms", 0.5),
     ],
 )
+# A copy of an entry without its sequence kept a leaving server in use.
 def test_malformed_server_entry_is_rejected(field: str, value: Any) -> None:
     entry = ENTRY | {field: value}
     with pytest.raises((ValueError, KeyError, TypeError)):
