Accept a fraction as the stop timeout

Cause: the templates fill `[stop] timeout_s` with a figure of the platform, which may be a fraction. The parser took digits only, so that 6.5 and 6.0 were refused, and one figure that only bounds a stop kept every process from starting. Running processes refused the same reload as a whole.

Evidence: each start of the case ends with exit code 2 and "[stop] timeout_s: found '6.5', expected a whole number of seconds from 1 to 3600".

Why this works: any number of seconds that is not negative is accepted and kept in milliseconds; more than 3600 s counts as 3600 s. It is the last figure of the templates that may be a fraction: the bandwidth of the link was accepted before. A changed timeout now also applies to how long a balancer waits for the silent agents of servers that have left, which kept the value of the start.

--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -105,7 +105,7 @@
         super().__init__(settings, settings.packet_address, open_socket)
         self.early_packets: deque[Packet] = deque(maxlen=MAX_EARLY_PACKETS)
         self.view = DeploymentView(self.clock)
-        self.view.former.set_stop_timeout(settings.stop_timeout_s * 1_000)
+        self.view.former.set_stop_timeout(settings.stop_timeout_ms)
         if not settings.is_first_start:
             self.view.former_knowledge.start(settings.ip)
         self.rng = random.Random(settings.name)
@@ -383,8 +383,9 @@
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
-        """Replace the seeds of the balancer's members."""
+        """Replace the seeds of the members and the stop timeout of agents."""
         self.members.set_seeds(seed.ip for seed in settings.seeds)
+        self.view.former.set_stop_timeout(settings.stop_timeout_ms)
 
     def begin_stop(self) -> None:
         """Announce the stop to the other balancers and continue to forward.
@@ -401,7 +402,7 @@
     def can_exit(self) -> bool:
         """Return whether the routers have had time to switch to other balancers."""
         assert self.stop_requested_ms is not None
-        limit_ms = self.settings.stop_timeout_s * 1000 - STOP_MARGIN_MS
+        limit_ms = self.settings.stop_timeout_ms - STOP_MARGIN_MS
         wait_ms = min(STOP_MS, limit_ms)
         return self.clock.now_ms() - self.stop_requested_ms >= wait_ms
 
--- a/citronwinch/forwarder/_settings.py
+++ b/citronwinch/forwarder/_settings.py
@@ -24,6 +24,12 @@
 MAX_LINK_MBPS = 1_000_000
 """The highest link bandwidth that settings may have, in megabits a second."""
 
+DEFAULT_STOP_TIMEOUT_MS = 6_000
+"""The stop timeout of settings that do not state it, in milliseconds."""
+
+MAX_STOP_TIMEOUT_MS = 3_600_000
+"""The longest stop timeout, in milliseconds; longer ones count as this one."""
+
 
 class ForwarderSettings(NamedTuple):
     """The validated settings of one process."""
@@ -68,8 +74,8 @@
     outbound_address: Endpoint | None
     """The address to which an agent's backend server sends packets."""
 
-    stop_timeout_s: int
-    """How long after the stop request the process is killed, in seconds."""
+    stop_timeout_ms: int
+    """How long after the stop request the process is killed, in milliseconds."""
 
     metrics_port: int
     """The port that serves metrics; 0 disables them."""
@@ -105,6 +111,17 @@
     return max(1, mbps)
 
 
+def _parse_stop_timeout_ms(value: str) -> int:
+    # The platform may state fractions; a process never takes the longest time to stop.
+    try:
+        timeout_ms = round(1_000 * float(value))
+    except (ValueError, OverflowError) as error:
+        raise SettingValueError("a number of seconds, such as 6 or 6.5") from error
+    if timeout_ms < 0:
+        raise SettingValueError("a number of seconds that is not negative")
+    return min(timeout_ms, MAX_STOP_TIMEOUT_MS)
+
+
 def _parse_seeds(value: str) -> tuple[Endpoint, ...]:
     return parse_endpoints(value) if value else ()
 
@@ -127,7 +144,11 @@
     SettingSpec("server", "address", "server_address", parse_endpoint, None),
     SettingSpec("server", "outbound", "outbound_address", parse_endpoint, None),
     SettingSpec(
-        "stop", "timeout_s", "stop_timeout_s", parse_number(1, 3_600, "seconds"), 6
+        "stop",
+        "timeout_s",
+        "stop_timeout_ms",
+        _parse_stop_timeout_ms,
+        DEFAULT_STOP_TIMEOUT_MS,
     ),
     SettingSpec("limits", "link_mbps", "link_mbps", _parse_link, DEFAULT_LINK_MBPS),
     SettingSpec("requests", "queue", "holds_requests", _parse_flag, False),
--- a/citronwinch/forwarder/tests/test_settings.py
+++ b/citronwinch/forwarder/tests/test_settings.py
@@ -2,11 +2,13 @@
 
 import re
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from citronwinch.coordination import Endpoint, InstanceRole
 from citronwinch.forwarder import parse_forwarder_settings
+from citronwinch.forwarder.tests.conftest import make_balancer
 from citronwinch.launch import bind_early
 
 TEMPLATES = Path(__file__).parents[2] / "platform"
@@ -58,6 +60,10 @@
         ("balancer", "link_mbps = 5.2", "link_mbps = fast", "[limits] link_mbps"),
         ("balancer", "link_mbps = 5.2", "link_mbps = nan", "[limits] link_mbps"),
         ("balancer", "link_mbps = 5.2", "link_mbps = -1", "[limits] link_mbps"),
+        ("balancer", "timeout_s = 6", "timeout_s = soon", "[stop] timeout_s"),
+        ("balancer", "timeout_s = 6", "timeout_s = -1", "[stop] timeout_s"),
+        ("agent", "timeout_s = 6", "timeout_s = nan", "[stop] timeout_s"),
+        ("agent", "timeout_s = 6", "timeout_s = inf", "[stop] timeout_s"),
         ("agent", "service = huvo11a", "", "[server] service"),
         ("agent", "role = agent", "role = judge", "[instance] role"),
         ("agent", "timeout_s = 6", "timeout_s = 6\nspeed = 9", "[stop] speed"),
@@ -91,6 +97,38 @@
     assert parse_forwarder_settings(text, "local.ini").ok.link_mbps == link_mbps
 
 
+# With 6.5 seconds, which the platform may state, no process started any more.
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+@pytest.mark.parametrize(
+    ("stated", "timeout_ms"),
+    [
+        ("6", 6_000),
+        ("6.0", 6_000),
+        ("6.5", 6_500),
+        ("0.25", 250),
+        ("1e1", 10_000),
+        ("0", 0),
+        ("86400", 3_600_000),
+    ],
+)
+def test_the_stop_timeout_may_be_any_number_of_seconds(
+    role: str, stated: str, timeout_ms: int
+) -> None:
+    text = fill_template(role).replace("timeout_s = 6", f"timeout_s = {stated}")
+    settings = parse_forwarder_settings(text, "local.ini").ok
+    assert settings.stop_timeout_ms == timeout_ms
+
+
+def test_a_changed_stop_timeout_bounds_how_long_silent_agents_are_waited_for(
+    open_sockets: Any,
+) -> None:
+    process = make_balancer(open_sockets, "127.95.0.12")
+    before_ms = process.view.former.agent_restart_ms
+    longer_ms = process.settings.stop_timeout_ms + 3_500
+    process.apply_settings(process.settings._replace(stop_timeout_ms=longer_ms))
+    assert process.view.former.agent_restart_ms == before_ms + 3_500
+
+
 @pytest.mark.parametrize(
     "text",
     [
