Hand on servers that have left with the silence of their agents

Cause: a balancer that starts learns the servers that have left, lost ones among them, from another balancer. It took the silence of their agents as beginning with its own start, so that for 10 s each counted as an agent that restarts and may hold any flow. Meanwhile only two agents are tried for a flow that agents do not know after a restart. With restarts in turn there is always a balancer that has just started.

Why this works: each server is handed on with how long its agent has been silent, since it was last heard or could have been heard. The receiver counts on from there, when it limits trials and when it decides that the server is lost. An agent that is heard again ends the silence, as before.

--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -52,7 +52,9 @@
     """When the listing first lacked it."""
 
     probed_since_ms: int
-    """From when on a silence of its agent counts, in milliseconds."""
+    """From when on a silence of its agent counts, in milliseconds: since the agent was
+    last heard, or since this process could have heard it. A balancer that has told of
+    the server may have seen the silence begin before this process started."""
 
 
 REVOCABLE_REASONS = (RemovalReason.AGENT_SILENT, RemovalReason.SERVER_UNREACHABLE)
@@ -128,19 +130,47 @@
     def record_learned(self, departed: Iterable[DepartedServer]) -> None:
         """Record servers that have left according to another balancer."""
         now_ms = self.clock.now_ms()
-        for server, missing_ms in departed:
-            former = FormerServer(server, now_ms - missing_ms, now_ms)
+        for server, missing_ms, silent_ms in departed:
+            former = FormerServer(server, now_ms - missing_ms, now_ms - silent_ms)
             self.setdefault(server.name, former)
 
     def list_departed(self) -> tuple[DepartedServer, ...]:
-        """Return the servers that have left, for another balancer."""
+        """Return the servers that have left, for another balancer.
+
+        With the silence of their agents, it does not wait anew for agents that are
+        lost.
+        """
         now_ms = self.clock.now_ms()
         known = [*self.values(), *(lost.former for lost in self.lost.values())]
         return tuple(
-            DepartedServer(former.server, now_ms - former.missing_since_ms)
+            DepartedServer(
+                former.server,
+                now_ms - former.missing_since_ms,
+                now_ms - former.probed_since_ms,
+            )
             for former in known
         )
 
+    def find_silence_start_ms(self, address: str) -> int | None:
+        """Return from when on the silence of the agent at an address counts, in ms.
+
+        None if no former server was at that address.
+        """
+        return max(
+            (
+                former.probed_since_ms
+                for former in self.values()
+                if former.server.address.ip == address
+            ),
+            default=None,
+        )
+
+    def record_sign(self, name: str, heard_ms: int) -> None:
+        """Record when the agent of a server was last heard."""
+        former = self[name]
+        if heard_ms > former.probed_since_ms:
+            self[name] = former._replace(probed_since_ms=heard_ms)
+
     def set_stop_timeout(self, timeout_ms: int) -> None:
         """Set how long an agent that is stopped may go on, in milliseconds."""
         self.agent_restart_ms = timeout_ms + AGENT_START_MS
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -45,6 +45,7 @@
     if selector.is_isolated():
         view.former.restart_probes()
         return []
+    _record_signs(view, selector)
     _readmit_returned(view, selector)
     if not view.former or not view.is_settled():
         return []
@@ -56,6 +57,13 @@
     return actions
 
 
+def _record_signs(view: DeploymentView, selector: ServerSelector) -> None:
+    """Record when the agents of former servers were last heard."""
+    for name, former in list(view.former.items()):
+        heard_ms = selector.get_last_message_ms(former.server.address.ip)
+        view.former.record_sign(name, heard_ms)
+
+
 def _readmit_returned(view: DeploymentView, selector: ServerSelector) -> None:
     """Let lost servers hold flows again whose agents are back, or reach them again."""
     for name, lost in list(view.former.lost.items()):
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -272,6 +272,9 @@
     missing_ms: int
     """How long ago the listing first lacked it, in milliseconds."""
 
+    silent_ms: int = 0
+    """For how long its agent has been silent, in milliseconds; 0 if that is unknown."""
+
 
 class FormerRoute(NamedTuple):
     """A service to which a route sent flows before the operators changed it."""
--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -84,7 +84,8 @@
 
     Those that have been silent for longer are left out, so that an instance that is
     lost does not delay all flows. The silence of an agent of which nothing is known
-    begins with its first unanswered question, and not before this balancer started.
+    begins with its first unanswered question, and not before this balancer started,
+    unless another balancer has stated the silence with a server that has left.
     After a restart of the whole fleet no agent is waited for: all have been killed, and
     with one lost instance no flow would be found.
     """
@@ -96,12 +97,23 @@
     return frozenset(
         ip
         for ip in holders - list_ended_agents(view, selector, services)
-        if now_ms
-        - max(
-            started_ms,
-            selector.get_last_message_ms(ip)
-            or batches.find_unanswered_since_ms(ip)
-            or now_ms,
-        )
+        if now_ms - _find_silence_start_ms(view, selector, batches, ip, started_ms)
         < AGENT_RESTART_LIMIT_MS
     )
+
+
+def _find_silence_start_ms(
+    view: DeploymentView,
+    selector: ServerSelector,
+    batches: QuestionBatches,
+    agent: str,
+    started_ms: int,
+) -> int:
+    """Return since when an agent has been silent, in milliseconds; now if unknown."""
+    if last_message_ms := selector.get_last_message_ms(agent):
+        return max(started_ms, last_message_ms)
+    stated_ms = view.former.find_silence_start_ms(agent)
+    if stated_ms is not None and stated_ms < started_ms:
+        return stated_ms
+    now_ms = batches.clock.now_ms()
+    return max(started_ms, batches.find_unanswered_since_ms(agent) or now_ms)
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -75,6 +75,7 @@
     _fill_servers(builder, "retained", view.retained)
     _fill_servers(builder, "former", [each.server for each in view.former])
     builder.formerMissingMs = [each.missing_ms for each in view.former]
+    builder.formerSilentMs = [each.silent_ms for each in view.former]
     builder.formerKnownForMs = view.former_known_for_ms
     bodies = builder.init("formerRoutes", len(view.former_routes))
     for body, route in zip(bodies, view.former_routes, strict=True):
@@ -172,11 +173,13 @@
 
 
 def _read_former(reader: Any) -> tuple[DepartedServer, ...]:
-    # A balancer of an earlier version does not state since when servers are missing.
-    missing_ms = list(reader.formerMissingMs) or [0] * len(reader.former)
+    # A balancer of an earlier version states neither of the durations.
+    unknown = [0] * len(reader.former)
+    missing_ms = list(reader.formerMissingMs) or unknown
+    silent_ms = list(reader.formerSilentMs) or unknown
     return tuple(
-        DepartedServer(_read_server(body), each_ms)
-        for body, each_ms in zip(reader.former, missing_ms, strict=True)
+        DepartedServer(_read_server(body), *durations)
+        for body, *durations in zip(reader.former, missing_ms, silent_ms, strict=True)
     )
 
 
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -167,6 +167,8 @@
   formerMissingMs @12 :List(UInt32);
   formerKnownForMs @13 :UInt32;
   formerRoutes @14 :List(FormerRoute);
+  # For how long the agent of each former server has been silent.
+  formerSilentMs @15 :List(UInt32);
 }
 
 struct FormerRoute {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -10,6 +10,7 @@
 from citronwinch.coordination.flows import (
     BackendServer,
     Configuration,
+    DepartedServer,
     FlowAnswer,
     FlowAnswers,
     FlowLocation,
@@ -160,6 +161,8 @@
         StorePosition(3, 77),
         (1 << 64) - 1,
         ("i-7", "i-8"),
+        (DepartedServer(server._replace(name="i-9"), 4_000, 2_500),),
+        60_000,
     )
     encoder = ViewEncoder()
     assert decode_view(encoder.encode(view)) == view
