Show odd entries of other writers beside running and starting balancers

Operators of similar systems reported one odd entry (deeply nested, a number too large, a port out of range) that ended the processes that read the list, or kept them from following it.

The test writes 17 odd entries before the start and kills all balancers.

--- a/citronwinch/forwarder/tests/test_entries_of_other_writers.py
+++ b/citronwinch/forwarder/tests/test_entries_of_other_writers.py
@@ -33,6 +33,7 @@
     encode_flow_message,
 )
 from citronwinch.forwarder.tests.conftest import (
+    ROUTE_ADDRESS,
     LoopbackDeployment,
     RunScenario,
     start_small_deployment,
@@ -233,3 +234,63 @@
         await open_flows(deployment, range(4020, 4024))
 
     run_scenario(scenario, 126)
+
+
+ODD_ENTRIES = {
+    "no JSON": b"\xff\x00",
+    "empty": b"",
+    "null": b"null",
+    "list": b"[]",
+    "deeply nested": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "deeply nested list": b"[" * 100_000,
+    "nested field": json.dumps(ENTRY | {"zone": {"a": {"b": ["c"]}}}).encode(),
+    "64-bit concurrency": json.dumps(ENTRY | {"concurrency": 2**63 - 1}).encode(),
+    "100-digit start": json.dumps(ENTRY | {"born": 10**99}).encode(),
+    "number without an end": json.dumps(ENTRY)[:-1].encode() + b',"n":1e999}',
+    "port out of range": json.dumps(ENTRY | {"address": "10.0.0.9:70000"}).encode(),
+    "port 0": json.dumps(ENTRY | {"address": "10.0.0.9:0"}).encode(),
+    "64-bit warm-up": json.dumps(ENTRY | {"warmup_left_ms": 2**63}).encode(),
+    "negative sequence": json.dumps(ENTRY | {"sequence": -1}).encode(),
+    "long zone": json.dumps(ENTRY | {"zone": "z" * 200_000}).encode(),
+    "unknown state": json.dumps(ENTRY | {"state": "resting"}).encode(),
+    "unnamed service": json.dumps(ENTRY | {"service": "archive"}).encode(),
+}
+
+
+# Operators of similar systems saw one odd entry end the processes that read the list,
+# or keep them from following it.
+def test_balancers_start_and_follow_the_listing_beside_odd_entries(
+    run_scenario: RunScenario,
+) -> None:
+    async def scenario(deployment: LoopbackDeployment) -> None:
+        for name, value in ODD_ENTRIES.items():
+            deployment.store.write(f"servers/{name}", value)
+        for number in (11, 12):
+            deployment.add_balancer(number)
+        for number in (31, 32):
+            deployment.add_server(number)
+
+        def follows(number: int) -> bool:
+            view = deployment.processes[number].view  # type: ignore[attr-defined]
+            names = {server.name for server in view.list_servers()}
+            configuration = view.configuration
+            is_current = configuration is not None and configuration.version == version
+            return is_current and names == {f"i-{each}" for each in deployment.servers}
+
+        version = 1
+        await deployment.wait_for(lambda: follows(11) and follows(12))
+        await deployment.wait_for(lambda: len(deployment.router.rotation) == 2)
+        await open_flows(deployment, range(4000, 4008))
+        for number in (11, 12):
+            await deployment.kill(number)
+        for number in (11, 12):
+            deployment.add_balancer(number)
+        deployment.add_server(33)
+        version = 2
+        deployment.store.write_configuration(version, {ROUTE_ADDRESS: "gauging"})
+        await deployment.wait_for(lambda: follows(11) and follows(12))
+        await deployment.wait_for(lambda: len(deployment.router.rotation) == 2)
+        outcomes = await send_requests(deployment, range(4000, 4008))
+        assert outcomes == {FlowOutcome.DONE}
+
+    run_scenario(scenario, 128)
