--- a/citronwinch/soak/_fault_injection.py
+++ b/citronwinch/soak/_fault_injection.py
@@ -10,6 +10,7 @@
 from citronwinch.platform.standins import DEAF_PERIOD_MS, FlowOutcome, StoreFault
 from citronwinch.soak._evacuation import evacuate_zone, rewrite_evacuations
 from citronwinch.soak._faults import MESSAGE_FAULT_KINDS, Fault, FaultKind
+from citronwinch.soak._foreign_entries import write_foreign_entries
 from citronwinch.soak._leaving_servers import release_in_turn, replace_server
 from citronwinch.soak._link import LinkFault
 from citronwinch.soak._message_faults import disturb_messages
@@ -74,6 +75,8 @@
         soak.add_balancer(max(soak.balancer_numbers) + 1)
     elif kind is FaultKind.EVACUATION:
         await evacuate_zone(soak, fault)
+    elif kind is FaultKind.FOREIGN_ENTRIES:
+        await write_foreign_entries(soak, fault)
     elif kind is FaultKind.BALANCERS_KILLED_STORE_AWAY:
         await _kill_balancers_without_store(soak, fault)
     else:
--- a/citronwinch/soak/_faults.py
+++ b/citronwinch/soak/_faults.py
@@ -51,6 +51,8 @@
     RELEASE_IN_TURN = "release in turn"
     """A replaced server serves on without an entry, while balancers and agents are
     restarted in turn and messages of its agent are disturbed."""
+    FOREIGN_ENTRIES = "entries of other programs"
+    """Other programs write entries into the store, some with a server's address."""
 
 
 FAULT_KINDS = tuple(FaultKind)
--- a/citronwinch/soak/tests/test_soak.py
+++ b/citronwinch/soak/tests/test_soak.py
@@ -77,6 +77,19 @@
             Fault(6.5, FaultKind.SERVER_LEAVES, 1, 0.0),
         ),
     ),
+    # An entry of another program hid the server at its address, or ended balancers.
+    "entries of other programs": SoakCase(
+        7,
+        126,
+        (
+            Fault(0.5, FaultKind.FOREIGN_ENTRIES, 0, 3.0),
+            Fault(1.0, FaultKind.FOREIGN_ENTRIES, 1, 3.0),
+            Fault(2.0, FaultKind.STOP_BALANCER, 0, 0.0),
+            Fault(2.5, FaultKind.SERVER_LEAVES, 1, 0.0),
+            Fault(5.5, FaultKind.KILL_ALL, 0, 0.0),
+            Fault(7.5, FaultKind.STOP_BALANCER, 1, 0.0),
+        ),
+    ),
     "an evacuation amid faults": SoakCase(
         7,
         128,
