Ask the agent of a server that another balancer states as lost

A balancer that is cut off from an agent for longer than a restart takes counts its server as lost. Since a balancer that starts and learns the server from it did so too, in its first tick, although it may reach the agent: for the round trip of its first heartbeat it could reset live flows.

A stated silence is now at least 500 ms too short for a loss when it arrives. In this time the agent gets a heartbeat and a repeated one, and its answer ends the silence.

Test: test_an_agent_that_answers_this_balancer_holds_its_flows_all_along; before, the server was lost in the first tick.

--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -26,6 +26,11 @@
 state it."""
 
 
+STATED_SILENCE_MARGIN_MS = 500
+"""How long the agent of a server that another balancer has stated as lost may still
+answer this one, in milliseconds: a heartbeat to it, and a repeated one."""
+
+
 class RemovalReason(Enum):
     """Why a former server is no longer a possible holder of flows."""
 
@@ -128,10 +133,17 @@
             self.setdefault(server.name, FormerServer(server, now_ms, now_ms))
 
     def record_learned(self, departed: Iterable[DepartedServer]) -> None:
-        """Record servers that have left according to another balancer."""
+        """Record servers that have left according to another balancer.
+
+        The other balancer may have been cut off from an agent that this one reaches. No
+        silence that it states is long enough for a loss, therefore, before the agent
+        has had the time to answer this balancer.
+        """
         now_ms = self.clock.now_ms()
+        longest_ms = self.agent_restart_ms - STATED_SILENCE_MARGIN_MS
         for server, missing_ms, silent_ms in departed:
-            former = FormerServer(server, now_ms - missing_ms, now_ms - silent_ms)
+            silent_since_ms = now_ms - max(0, min(silent_ms, longest_ms))
+            former = FormerServer(server, now_ms - missing_ms, silent_since_ms)
             self.setdefault(server.name, former)
 
     def list_departed(self) -> tuple[DepartedServer, ...]:
