--- a/citronwinch/platform/_entries.py
+++ b/citronwinch/platform/_entries.py
@@ -1,6 +1,7 @@
 """Decoders for the store's values: configuration and entries of backend servers."""
 
 import ipaddress
+from functools import lru_cache
 from typing import Any
 
 import orjson
@@ -25,6 +26,10 @@
 # The type of the routes on which callers send files.
 _UPLOAD_TYPE = "ingress"
 
+_MAX_CACHED_ADDRESSES = 16_384
+"""How many addresses are kept in parsed form: those of all servers of the target, since
+every read of the listing has them again."""
+
 _MAX_UINT32 = 0xFFFFFFFF
 """The largest number of a 32-bit field of the messages between processes."""
 
@@ -142,6 +147,7 @@
     return round_up_warmup_ms(_read_int(fields, "warmup_left_ms", longest_ms))
 
 
+@lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
 def _parse_address(text: str) -> Endpoint:
     """Read `address:port`; the platform's packets have room for IPv4 only."""
     endpoint = Endpoint.parse(text)
