--- a/citronwinch/coordination/flows/_former_servers.py
+++ b/citronwinch/coordination/flows/_former_servers.py
@@ -149,8 +149,8 @@
     def list_departed(self) -> tuple[DepartedServer, ...]:
         """Return the servers that have left, for another balancer.
 
-        With the silence of their agents, it does not wait anew for agents that are
-        lost.
+        Each is stated with the silence of its agent, so that the other balancer does
+        not wait anew for agents that are lost.
         """
         now_ms = self.clock.now_ms()
         known = [*self.values(), *(lost.former for lost in self.lost.values())]
--- a/citronwinch/coordination/flows/_listed_servers.py
+++ b/citronwinch/coordination/flows/_listed_servers.py
@@ -17,7 +17,8 @@
     other programs, which may run on the instance of a backend server."""
 
     superseded: tuple[str, ...]
-    """The names of the entries at whose address another server has started later."""
+    """The names of the entries at whose address another server has started later, or
+    that are copies of the entry in use."""
 
 
 NO_LISTED_SERVERS = ListedServers({}, (), ())
--- a/citronwinch/forwarder/_internal_errors.py
+++ b/citronwinch/forwarder/_internal_errors.py
@@ -25,9 +25,9 @@
 class InternalErrors:
     """Counts and logs unexpected exceptions, so that each costs one step only.
 
-    Every exception is counted in `internal_errors_total` by its kind. Log lines have
-    the traceback; there is at most one a kind in LOG_INTERVAL_MS, which states how many
-    were left out before it.
+    Every exception is counted in `internal_errors_total` by its kind. A log line has
+    the traceback. Each kind has at most one line in LOG_INTERVAL_MS, which states how
+    many were left out before it.
 
     Example::
 
