--- a/citronwinch/coordination/flows/tests/test_copied_entries.py
+++ b/citronwinch/coordination/flows/tests/test_copied_entries.py
@@ -11,6 +11,7 @@
 from citronwinch.coordination.flows.tests.conftest import make_listing, make_server
 
 
+# A leaving server got new flows, since the copy came last in the order of keys.
 @pytest.mark.parametrize("copy_name", ["a-copy", "z-copy"])
 @pytest.mark.parametrize("copy_state", list(ServerState))
 def test_a_server_that_one_of_two_entries_calls_leaving_is_leaving(
--- a/citronwinch/coordination/flows/tests/test_stated_silence.py
+++ b/citronwinch/coordination/flows/tests/test_stated_silence.py
@@ -121,6 +121,7 @@
     assert LEFT.name in balancer.view.former
 
 
+# Packets of open flows reached two other servers only, for up to 10 s a balancer.
 def test_the_agent_that_holds_the_flow_is_tried_although_a_lost_server_is_learned(
     clock: ManualClock,
 ) -> None:
--- a/citronwinch/forwarder/tests/test_unexpected_exceptions.py
+++ b/citronwinch/forwarder/tests/test_unexpected_exceptions.py
@@ -100,6 +100,7 @@
 """The kind that is counted, where the failing method is, and its name."""
 
 
+# An exception in a task ended the process, again and again at each start.
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_process_goes_on_when_a_step_fails(
     run_scenario: RunScenario, failure: str
