--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -37,6 +37,9 @@
 RESTART_S = 0.5
 """How long after its end a process is started again, in seconds."""
 
+DRAIN_S = 3.0
+"""`drain_ms`: how long a backend serves after it is known to be draining, in seconds."""
+
 IDLE_TIMEOUT_MS = 60_000
 HISTORY_S = 20
 
@@ -245,9 +248,10 @@
         self.flows: dict[tuple, dict] = {}
         self.state = "ready"
         self.sequence = 0
-        self.born = int(time.time() * 1000)
+        self.born = 0
 
-    async def start(self) -> None:
+    async def start(self, born_ahead_ms: int = 0) -> None:
+        self.born = int(time.time() * 1000) + born_ahead_ms
         port = self.world.ports["app"]
         self.transport = await open_udp(self.ip, port, self.handle)
 
@@ -268,6 +272,13 @@
         self.tcp = await asyncio.start_server(health, self.ip, port)
         self.register()
 
+    def end(self) -> None:
+        """Exit: the flows end, and the entry is removed."""
+        self.flows.clear()
+        self.transport.close()
+        self.tcp.close()
+        self.world.store.delete(f"servers/{self.name}")
+
     def register(self) -> None:
         self.sequence += 1
         entry = {
@@ -507,7 +518,13 @@
 class World:
     """A deployment on loopback addresses with its surroundings."""
 
-    def __init__(self, folder: Path, balancers: int, servers: dict[str, int]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        balancers: int,
+        servers: dict[str, int],
+        has_stale_seeds: bool = False,
+    ) -> None:
         self.record = Record(folder / "record.txt")
         self.directory = Path(tempfile.mkdtemp(prefix="citronwinch-review-"))
         self.network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
@@ -521,10 +538,12 @@
         self.runs: list[tuple[str, str]] = []
         self.foreign_packets: list[tuple[str, bytes]] = []
         self.next_port = 40_000
+        self.has_stale_seeds = has_stale_seeds
         self.version = 0
         self.balancer_ips = [f"{self.network}.{10 + n}" for n in range(balancers)]
         self.servers: list[BackendServer] = []
         self.programs: dict[str, Program] = {}
+        self.removed: list[Program] = []
         for n, ip in enumerate(self.balancer_ips):
             self._add_program(f"edge-{n + 1}", "balancer", ip)
         for service, count in servers.items():
@@ -534,6 +553,32 @@
                 self.servers.append(BackendServer(self, name, service, "zone-a", ip))
                 self._add_program(f"side-{len(self.servers)}", "agent", ip, service)
 
+    def add_server(self, service: str) -> BackendServer:
+        """Add a backend server, which the case starts, and start the agent beside it."""
+        number = len(self.servers) + 1
+        ip = f"{self.network}.{99 + number}"
+        server = BackendServer(self, f"i-{service}-{number}", service, "zone-a", ip)
+        self.servers.append(server)
+        self._add_program(f"side-{number}", "agent", ip, service)
+        program = self.programs[f"side-{number}"]
+        program.has_started = True
+        program.start()
+        return server
+
+    async def remove_server(self, server: BackendServer) -> None:
+        """Drain a backend server, let it leave, then stop its agent."""
+        server.state = "draining"
+        server.register()
+        self.record.write(f"{server.name} drains")
+        await asyncio.sleep(DRAIN_S + 1.0)
+        server.end()
+        self.record.write(f"{server.name} has left")
+        for name, program in list(self.programs.items()):
+            if program.fields["ip"] == server.ip and program.process is not None:
+                del self.programs[name]
+                self.removed.append(program)
+                program.process.send_signal(signal.SIGTERM)
+
     def _find_ports(self) -> dict[str, int]:
         names = ("store", "ready", "datagram", "control", "app", "outbound", "peer")
         ports: dict[str, int] = {}
@@ -549,7 +594,11 @@
 
     def _add_program(self, name: str, role: str, ip: str, service: str = "") -> None:
         ports = self.ports
-        seeds = [f"{seed}:{ports['control']}" for seed in self.balancer_ips[:3]]
+        # Nothing listens at the stale addresses.
+        machines = [f"{self.network}.{200 + n}" for n in range(3)]
+        if not self.has_stale_seeds:
+            machines = self.balancer_ips[:3]
+        seeds = [f"{seed}:{ports['control']}" for seed in machines]
         fields = {
             "node_name": name,
             "zone": "zone-a",
@@ -634,10 +683,11 @@
         return CallerFlow(self, self.next_port, route)
 
     def close(self) -> None:
-        for program in self.programs.values():
+        programs = [*self.programs.values(), *self.removed]
+        for program in programs:
             if program.process is not None and program.process.poll() is None:
                 program.process.kill()
-        for program in self.programs.values():
+        for program in programs:
             if program.process is not None:
                 program.process.wait(10)
         if os.environ.get("KEEP_LOGS"):
@@ -678,16 +728,21 @@
     balancers: int,
     servers: dict[str, int],
     routes: dict[tuple[str, int], dict[str, int]],
+    *,
+    stale_seeds: bool = False,
 ) -> None:
     """Run a case; exit with 1 if it returns broken rules, 0 if none, 2 if it cannot run."""
 
     async def play() -> int:
-        world = World(folder, balancers, servers)
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        world = World(folder, balancers, servers, stale_seeds and trouble)
+        playing = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         try:
             async with asyncio.timeout(110):
                 await world.start(routes)
-                broken = await case(world, os.environ.get("TROUBLE", "1") != "0")
-        except (CannotRun, OSError, TimeoutError) as error:
+                broken = await case(world, trouble)
+        except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
             world.record.write(f"cannot run: {error!r}")
             print(f"cannot run: {error!r}")
             return 2
