--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from stand_ins_2 import CannotRun, World, run  # noqa: E402
 
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.255.0.1", 8443)
 ROUTES = {ROUTE: {"gauging": 90, "reporting": 10}}
 CONTACT_S = 4.0
 
