Try packets at servers of services that the route had before

Cause: a search had two groups of servers, those of the route's present services and others. The others were servers of former services and of services that the route never had; only the first group got trials. An agent that has restarted answers "uncertain" and learns of its server's flows from trials only.

The balancers knew the service and did not try it.

Why this works: searches tell present, former and unrelated services apart. Trials go to the first two, in a single step and after a location as well.

--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -7,22 +7,20 @@
 from typing import NamedTuple
 
 from citronwinch.coordination._clock import Clock
-from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._messages import Verdict
 from citronwinch.coordination.flows._packets import Packet
+from citronwinch.coordination.flows._search_rounds import (
+    LOCAL_ANSWER_TIMEOUT_MS,
+    REMOTE_ANSWER_TIMEOUT_MS,
+    SearchedServers,
+    SearchRound,
+    plan_rounds,
+)
 from citronwinch.coordination.flows._trial_records import (
     LIMITED_TRIAL_PACKETS,
     choose_limited_agents,
 )
 
-LOCAL_ANSWER_TIMEOUT_MS = 15
-"""How long agents of the balancer's own zone may take to answer, in milliseconds; many
-times the round trip within a zone."""
-
-REMOTE_ANSWER_TIMEOUT_MS = 60
-"""How long agents of other zones may take to answer, in milliseconds; several round
-trips between zones."""
-
 LISTING_CHECK_INTERVAL_MS = 10
 """How often a search that needs a newer listing checks for it, in milliseconds."""
 
@@ -61,19 +59,6 @@
     """Whether no agent is left to query."""
 
 
-class SearchRound(NamedTuple):
-    """A group of agents that are queried at the same time."""
-
-    agents: tuple[str, ...]
-    """The addresses of the agents."""
-
-    answer_timeout_ms: int
-    """How long the agents may take to answer, in milliseconds."""
-
-    trial_agents: frozenset[str]
-    """The agents that get the held packets as a trial if they are uncertain."""
-
-
 class FlowSearch:
     """The search for one flow, in rounds: own zone, other zones, other services.
 
@@ -82,8 +67,8 @@
     begin when every agent that may hold the flow has answered, so that the holder gets
     the packets as well. If one of them stays silent, a trial is limited to a few
     packets in all: the silent agent may be the holder's. The last round queries agents
-    of other services, because an earlier configuration may have sent the flow there; it
-    makes no trials.
+    of other services, because an earlier configuration may have sent the flow there.
+    Trials go to agents of services that the route has or had, and to no others.
 
     A search in a single step has one round with the agents of all three: a flow that is
     presumed dead needs the verdicts of all of them.
@@ -92,8 +77,7 @@
     def __init__(
         self,
         zone: str,
-        route_servers: Sequence[BackendServer],
-        other_servers: Sequence[BackendServer],
+        servers: SearchedServers,
         clock: Clock,
         *,
         is_single_step: bool = False,
@@ -116,8 +100,10 @@
         """Whether the link had no room for its questions at some time."""
         self.services: dict[str, str] = {}
         """The service of each agent's backend server, by the agent's address."""
-        self.route_agents: list[str] = []
-        """The agents of the route's present services, in all zones."""
+        self.limited_candidates: list[str] = []
+        """The agents from which those of a limited trial are chosen."""
+        self.trial_agents: frozenset[str] = frozenset()
+        """The agents that get the held packets as a trial if they are uncertain."""
         self.rounds: list[SearchRound] = []
         self.untried_groups: list[tuple[str, ...]] = []
         """The queried agents that no trial has reached yet, by round."""
@@ -129,7 +115,7 @@
         """The agents that have answered since the search began or was resumed."""
         self.trial_room = LIMITED_TRIAL_PACKETS
         """How many packets a trial may send before all possible holders answered."""
-        self._plan_rounds(route_servers, other_servers)
+        self._plan_rounds(servers)
         self.is_paused = False
         self.keeper = ""
         """The keeper whose answer the search awaits before its first round, if any."""
@@ -150,7 +136,7 @@
         self.is_awaiting_balancers = False
         """Whether all agents have ruled the flow out; only balancers, or a newer
         listing, are awaited."""
-        self.round = SearchRound((), 0, frozenset())
+        self.round = SearchRound((), 0)
         self.round_agents: list[str] = []
         self.awaited_agents: set[str] = set()
         """The agents that the round still waits for."""
@@ -161,37 +147,27 @@
         """The number of held packets that each agent has received in a trial."""
         self.held_packets: list[Packet] = []
 
-    def _plan_rounds(
-        self,
-        route_servers: Sequence[BackendServer],
-        other_servers: Sequence[BackendServer],
-    ) -> None:
-        servers = (*other_servers, *route_servers)
-        self.services |= {server.address.ip: server.service for server in servers}
+    def _plan_rounds(self, servers: SearchedServers) -> None:
+        everyone = (*servers.unrelated, *servers.former, *servers.route)
+        self.services |= {server.address.ip: server.service for server in everyone}
         self.local_agents = {
-            s.address.ip for s in servers if s.availability_zone == self.zone
+            s.address.ip for s in everyone if s.availability_zone == self.zone
         }
-        self.route_agents = route_agents = [s.address.ip for s in route_servers]
-        other_agents = [s.address.ip for s in other_servers]
-        local = [ip for ip in route_agents if ip in self.local_agents]
-        remote = [ip for ip in route_agents if ip not in self.local_agents]
-        trial_agents = frozenset(route_agents)
-        self.rounds = [
-            SearchRound(tuple(local), LOCAL_ANSWER_TIMEOUT_MS, trial_agents),
-            SearchRound(tuple(remote), REMOTE_ANSWER_TIMEOUT_MS, trial_agents),
-            SearchRound(tuple(other_agents), REMOTE_ANSWER_TIMEOUT_MS, frozenset()),
+        self.trial_agents = frozenset(
+            s.address.ip for s in (*servers.route, *servers.former)
+        )
+        # Balancers may know different former services, but have to choose alike.
+        self.limited_candidates = [
+            s.address.ip for s in servers.route or servers.former
         ]
-        if self.is_single_step:
-            everyone = tuple(dict.fromkeys((*local, *remote, *other_agents)))
-            self.rounds = [
-                SearchRound(everyone, REMOTE_ANSWER_TIMEOUT_MS, trial_agents)
-            ]
+        self.rounds = plan_rounds(
+            servers, self.zone, is_single_step=self.is_single_step
+        )
 
     def ask_first(self, agent: str) -> None:
         """Ask one agent alone before the first round."""
         timeout_ms = self.get_answer_timeout_ms(agent)
-        trial_agents = self.rounds[0].trial_agents
-        self.rounds.insert(0, SearchRound((agent,), timeout_ms, trial_agents))
+        self.rounds.insert(0, SearchRound((agent,), timeout_ms))
 
     def hold_packet(self, packet: Packet) -> None:
         """Hold a packet until the flow is found; drop copies, and others at the limit.
@@ -276,11 +252,7 @@
         self.trial_packet_counts.clear()
         self.deadline_ms = self.clock.now_ms() + RETRY_PAUSE_MS
 
-    def resume(
-        self,
-        route_servers: Sequence[BackendServer],
-        other_servers: Sequence[BackendServer],
-    ) -> SearchStep:
+    def resume(self, servers: SearchedServers) -> SearchStep:
         """Start the rounds again after a pause, with servers listed in the meantime.
 
         The balancers are asked again as well: the first answers may have been lost.
@@ -289,7 +261,7 @@
         self.untried_groups.clear()
         self.answered_agents.clear()
         self.pending_balancers = set()
-        self._plan_rounds(route_servers, other_servers)
+        self._plan_rounds(servers)
         return self._start_next_round()
 
     def list_unresolved(self) -> list[str]:
@@ -358,7 +330,8 @@
         return self._start_next_round()
 
     def _limit_trial(self, agents: Sequence[str]) -> list[str]:
-        allowed = choose_limited_agents(self.held_packets[0].flow, self.route_agents)
+        flow = self.held_packets[0].flow
+        allowed = choose_limited_agents(flow, self.limited_candidates)
         return [ip for ip in agents if ip in allowed][: self.trial_room]
 
     def _list_uncertain(self, agents: Sequence[str]) -> list[str]:
@@ -399,9 +372,7 @@
                 self.verdicts |= dict.fromkeys(self.round_agents)
                 self.awaited_agents = set(self.round_agents) - self.expendable_agents
                 self.untried_groups.append(
-                    tuple(
-                        ip for ip in self.round_agents if ip in self.round.trial_agents
-                    )
+                    tuple(ip for ip in self.round_agents if ip in self.trial_agents)
                 )
                 self._set_deadline(self.round.answer_timeout_ms)
                 return SearchStep(tuple(self.round_agents), silent_agents=silent)
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -1,7 +1,6 @@
 """The running searches of a balancer for flows that it does not know."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Collection
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
 from citronwinch.coordination._clock import Clock
@@ -14,7 +13,6 @@
 )
 from citronwinch.coordination.flows._attempt_ages import AttemptAges
 from citronwinch.coordination.flows._balancer_lookups import BalancerLookups
-from citronwinch.coordination.flows._deployment import BackendServer
 from citronwinch.coordination.flows._flow_directory import MIN_AGENTS, FlowDirectory
 from citronwinch.coordination.flows._flow_search import FlowSearch, SearchStep
 from citronwinch.coordination.flows._known_flows import (
@@ -36,8 +34,8 @@
 from citronwinch.coordination.flows._search_evidence import gather_evidence
 from citronwinch.coordination.flows._search_outcomes import SearchOutcomes
 from citronwinch.coordination.flows._search_records import record_without_holder
+from citronwinch.coordination.flows._search_rounds import SearchedServers
 from citronwinch.coordination.flows._searched_servers import (
-    list_optional_agents,
     list_restarting_agents,
     list_servers_to_query,
     list_silent_agents,
@@ -121,15 +119,14 @@
             return []
         if key in self.not_found:
             return []
-        route_servers, other_servers = list_servers_to_query(self.view, key)
+        servers = list_servers_to_query(self.view, key)
         search = FlowSearch(
             self.selector.zone,
-            route_servers,
-            other_servers,
+            servers,
             self.clock,
             is_single_step=self.outcomes.presume_dead(),
         )
-        search.expendable_agents = self._list_expendable(key, other_servers)
+        search.expendable_agents = self._list_expendable(servers)
         self._plan_trials(key, search)
         search.hold_packet(packet)
         self[key] = search
@@ -261,9 +258,9 @@
             self.counters["lookups_unanswered"] += 1
             step = search.start()
         elif search.is_paused:
-            route_servers, other_servers = list_servers_to_query(self.view, key)
-            search.expendable_agents = self._list_expendable(key, other_servers)
-            step = search.resume(route_servers, other_servers)
+            servers = list_servers_to_query(self.view, key)
+            search.expendable_agents = self._list_expendable(servers)
+            step = search.resume(servers)
         elif not search.unsent_agents:
             step = search.handle_timeout()
         elif search.has_time_left():
@@ -272,10 +269,9 @@
             return self._finish_not_found(key, search)
         return self._apply_step(key, search, step)
 
-    def _list_expendable(
-        self, key: FlowKey, servers: Collection[BackendServer]
-    ) -> frozenset[str]:
-        optional = list_optional_agents(self.view, key, servers)
+    def _list_expendable(self, servers: SearchedServers) -> frozenset[str]:
+        # A reset does not depend on the agents of unrelated services.
+        optional = [server.address.ip for server in servers.unrelated]
         return list_silent_agents(self.selector, self.batches, optional)
 
     def _plan_trials(self, key: FlowKey, search: FlowSearch) -> None:
--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -3,9 +3,11 @@
 from collections.abc import Collection, Iterable
 
 from citronwinch.coordination._address import FlowKey, extract_service_endpoint
-from citronwinch.coordination.flows._deployment import BackendServer
-from citronwinch.coordination.flows._flow_search import REMOTE_ANSWER_TIMEOUT_MS
 from citronwinch.coordination.flows._question_batches import QuestionBatches
+from citronwinch.coordination.flows._search_rounds import (
+    REMOTE_ANSWER_TIMEOUT_MS,
+    SearchedServers,
+)
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._trial_records import AGENT_RESTART_LIMIT_MS
 from citronwinch.coordination.flows._view import DeploymentView
@@ -16,38 +18,24 @@
 they find."""
 
 
-def list_servers_to_query(
-    view: DeploymentView, key: FlowKey
-) -> tuple[list[BackendServer], list[BackendServer]]:
-    """Return the servers of the route's services, and other servers to query.
+def list_servers_to_query(view: DeploymentView, key: FlowKey) -> SearchedServers:
+    """Return the servers to query about a flow.
 
-    The other servers are those of services that the route had before and, unless they
-    are too many, those of unrelated services.
+    Servers of unrelated services are left out if they are too many.
     """
     address = extract_service_endpoint(key)
     configuration = view.configuration
     route = configuration.routes.get(address) if configuration else None
     services = {share.service for share in route.shares} if route else set()
     former_services = view.list_current_and_former_services(address) - services
-    route_servers = view.list_possible_holders(services)
-    other_servers = view.list_possible_holders(former_services)
-    unrelated_servers = view.list_possible_holders(
+    unrelated = view.list_possible_holders(
         view.list_services() - services - former_services
     )
-    if len(unrelated_servers) <= UNRELATED_SERVERS_LIMIT:
-        other_servers += unrelated_servers
-    return route_servers, other_servers
-
-
-def list_optional_agents(
-    view: DeploymentView, key: FlowKey, servers: Iterable[BackendServer]
-) -> list[str]:
-    """Return the agents among those of `servers` that a reset does not depend on.
-
-    They belong to services that the route is not known to have ever had.
-    """
-    needed = view.list_current_and_former_services(extract_service_endpoint(key))
-    return [server.address.ip for server in servers if server.service not in needed]
+    return SearchedServers(
+        view.list_possible_holders(services),
+        view.list_possible_holders(former_services),
+        unrelated if len(unrelated) <= UNRELATED_SERVERS_LIMIT else (),
+    )
 
 
 def list_ended_agents(
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -5,171 +5,33 @@
 send three or more packets of a flow to other servers while its holder lives.
 """
 
-import random
-
 import pytest
 
 from citronwinch.coordination import FlowKey, ManualClock
 from citronwinch.coordination.flows import (
     Action,
     AgentFlows,
-    BalancerFlows,
     DeliverToServer,
-    DeploymentView,
-    FlowAnswer,
     FlowLocation,
     FlowQuestion,
     ForwardedPacket,
     Packet,
-    ReturnedPacket,
-    SendMessage,
-    ServerSelector,
-    StorePosition,
     Verdict,
 )
-from citronwinch.coordination.flows._flow_entry import FlowEntry, FlowState
 from citronwinch.coordination.flows._known_flows import KnownFlow
-from citronwinch.coordination.flows._question_batches import list_questions
 from citronwinch.coordination.flows.tests.conftest import (
-    make_configuration,
-    make_listing,
     make_packet,
-    make_server,
+)
+from citronwinch.coordination.flows.tests.trial_fleet import (
+    BALANCER_IP,
+    HOLDER,
+    TrialFleet,
 )
 
-BALANCER_IP = "10.9.0.1"
-HOLDER = "10.0.0.1"
-RETRANSMISSIONS_MS = (0, 200, 600, 1_400, 3_000, 4_600, 6_200, 7_800)
 MAX_PACKETS_AT_OTHERS = 2
 
 
-class SmallFleet:
-    """One balancer, agents beside their servers, and one flow at the first server.
-
-    Messages arrive at once, those to a silent agent do not arrive. Servers answer at
-    once, or when time passes.
-    """
-
-    def __init__(self, agents: int, zones: str = "a") -> None:
-        self.clock = ManualClock(100_000)
-        self.servers = [
-            make_server(n, zone=zones[n % len(zones)]) for n in range(1, agents + 1)
-        ]
-        self.agents = {
-            server.address.ip: AgentFlows("gauging", self.clock, knows_all_flows=False)
-            for server in self.servers
-        }
-        self.silent: set[str] = set()
-        self.is_answer_late = False
-        """Whether the servers answer when time passes."""
-        self.unanswered: list[tuple[str, Packet]] = []
-        """The packets that servers have received and not answered."""
-        self.holders: dict[FlowKey, str] = {}
-        self.at_others: list[int] = []
-        """When packets reached servers that do not hold the flow."""
-        self.at_holder: list[int] = []
-        """When packets reached the server that holds the flow."""
-        self.packets: dict[bytes, Packet] = {}
-        self.view = DeploymentView(self.clock)
-        self.view.accept_configuration(make_configuration())
-        listing = make_listing(10, *self.servers)
-        self.view.accept_listing(listing, self.clock.now_ms())
-        self.selector = ServerSelector("a", self.clock, random.Random(7))
-        self.restart_balancer()
-
-    def restart_balancer(self) -> None:
-        """Replace the balancer by one that knows no flows and has heard all agents."""
-        for ip in self.agents:
-            self.selector.record_message(ip)
-        self.balancer = BalancerFlows(
-            self.view, self.selector, self.clock, own_ip=BALANCER_IP
-        )
-
-    def restart_agent(self, ip: str) -> None:
-        """Replace an agent by one that does not know the flows of its server."""
-        self.agents[ip] = AgentFlows("gauging", self.clock, knows_all_flows=False)
-        self.silent.discard(ip)
-
-    def hold(self, packet: Packet, *, is_known: bool = False) -> None:
-        """Let the first server hold a packet's flow; its agent may know that."""
-        self.holders[packet.flow] = HOLDER
-        if is_known:
-            entry = FlowEntry(FlowState.OPEN, self.clock.now_ms())
-            self.agents[HOLDER].flows[packet.flow] = entry
-
-    def send(self, packet: Packet) -> None:
-        """Let a packet of a caller arrive at the balancer."""
-        self.packets[packet.raw] = packet
-        self.apply(self.balancer.handle_packet(packet))
-
-    def run(self, for_ms: int, step_ms: int = 10) -> None:
-        """Let time pass; the listing is confirmed, and live agents send reports."""
-        for _ in range(0, for_ms, step_ms):
-            self.clock.advance(step_ms)
-            answered, self.unanswered = self.unanswered, []
-            for ip, packet in answered:
-                self._carry(ip, self._answer(ip, packet))
-            for ip, agent in self.agents.items():
-                self._carry(ip, agent.release_overdue_trials())
-            self.view.confirm_listing(StorePosition(1, 10), self.clock.now_ms())
-            for ip in self.agents.keys() - self.silent:
-                self.selector.record_message(ip)
-            self.apply(self.balancer.tick())
-
-    def retransmit(self, packet: Packet, until_ms: int) -> None:
-        """Let a caller send a packet and its retransmissions until it is served."""
-        start_ms = self.clock.now_ms()
-        for at_ms in (*RETRANSMISSIONS_MS, until_ms):
-            wait_ms = start_ms + min(at_ms, until_ms) - self.clock.now_ms()
-            self.run(wait_ms)
-            if not self.at_holder and at_ms < until_ms:
-                self.send(packet)
-
-    def apply(self, actions: list[Action]) -> None:
-        """Carry out the actions of the balancer, and their consequences."""
-        for action in actions:
-            if isinstance(action, SendMessage) and action.ip not in self.silent:
-                self._deliver(action.ip, action)
-
-    def _deliver(self, ip: str, action: SendMessage) -> None:
-        agent = self.agents[ip]
-        if list_questions(action.message):
-            for question in list_questions(action.message):
-                answer = agent.answer_question(question)
-                self._receive(ip, SendMessage(BALANCER_IP, answer))
-        elif isinstance(action.message, ForwardedPacket):
-            packet = self.packets[action.message.raw]
-            self._carry(ip, agent.handle_forwarded(action.message, packet, BALANCER_IP))
-
-    def _carry(self, ip: str, actions: list[Action]) -> None:
-        """Carry out the actions of an agent."""
-        for action in actions:
-            if isinstance(action, DeliverToServer):
-                packet = self.packets[action.raw]
-                is_held = self.holders.get(packet.flow) == ip
-                reached = self.at_holder if is_held else self.at_others
-                reached.append(self.clock.now_ms())
-                if self.is_answer_late:
-                    self.unanswered.append((ip, packet))
-                else:
-                    self._carry(ip, self._answer(ip, packet))
-            elif isinstance(action, SendMessage):
-                self._receive(ip, action)
-
-    def _answer(self, ip: str, packet: Packet) -> list[Action]:
-        is_held = self.holders.get(packet.flow) == ip
-        answer = packet._replace(is_bounced=not is_held)
-        return self.agents[ip].handle_from_server(answer)
-
-    def _receive(self, ip: str, answer: SendMessage) -> None:
-        if isinstance(answer.message, FlowAnswer):
-            self.apply(self.balancer.handle_answer(answer.message, ip))
-        elif isinstance(answer.message, ReturnedPacket):
-            packet = self.packets[answer.message.raw]
-            self.apply(self.balancer.handle_returned(packet, ip))
-
-
-def keep_silent(fleet: SmallFleet, for_ms: int) -> None:
+def keep_silent(fleet: TrialFleet, for_ms: int) -> None:
     """Let a caller send a packet while the holder's agent restarts for some time."""
     packet = make_packet(payload=10)
     fleet.hold(packet)
@@ -192,7 +54,7 @@
 @pytest.mark.parametrize("case", SILENCES)
 def test_trials_are_limited_while_the_agent_of_the_holder_restarts(case: str) -> None:
     agents, zones, silence_ms = SILENCES[case]
-    fleet = SmallFleet(agents, zones)
+    fleet = TrialFleet(agents, zones)
     keep_silent(fleet, silence_ms)
     reached_ms = fleet.at_holder[0]
     before = [at_ms for at_ms in fleet.at_others if at_ms < reached_ms]
@@ -201,7 +63,7 @@
 
 # Each retransmission started a search, and each search sent packets to the others.
 def test_the_limit_of_trials_lasts_over_several_searches() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packets = [make_packet(payload=10, sequence=10 * n) for n in range(12)]
     fleet.hold(packets[0])
     fleet.silent.add(HOLDER)
@@ -214,7 +76,7 @@
 
 # Each balancer that a flow moved to sent packets to other servers than the one before.
 def test_the_limit_of_trials_lasts_over_a_restart_of_the_balancer() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packet = make_packet(payload=10)
     fleet.hold(packet)
     fleet.silent.add(HOLDER)
@@ -228,7 +90,7 @@
 
 # A search with no other agents to ask made no trial at all while one was silent.
 def test_a_limited_trial_is_made_when_no_other_agents_are_left_to_ask() -> None:
-    fleet = SmallFleet(2)
+    fleet = TrialFleet(2)
     packet = make_packet(payload=10)
     fleet.hold(packet)
     fleet.silent.add("10.0.0.2")
@@ -239,7 +101,7 @@
 
 # An instance that is lost but still listed must not keep flows from being found.
 def test_flows_are_found_although_a_lost_instance_is_listed() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     fleet.silent.add("10.0.0.20")
     fleet.run(10_000)
     packet = make_packet(payload=10)
@@ -251,7 +113,7 @@
 
 # After a kill of all processes, flows must not wait for an instance that is lost.
 def test_flows_are_found_after_a_restart_of_the_fleet_without_an_instance() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     fleet.silent.add("10.0.0.20")
     fleet.view.former_knowledge.start(BALANCER_IP)
     fleet.run(3_500)
@@ -264,7 +126,7 @@
 
 # The packets of a search that began during the restart have to arrive afterwards.
 def test_a_flow_is_found_when_the_agent_of_its_holder_has_restarted() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packet = make_packet(payload=10)
     fleet.hold(packet)
     fleet.silent.add(HOLDER)
@@ -275,11 +137,11 @@
     assert fleet.at_holder
 
 
-def store_location(fleet: SmallFleet, flow: FlowKey, agent: str) -> None:
+def store_location(fleet: TrialFleet, flow: FlowKey, agent: str) -> None:
     fleet.balancer.directory.store(FlowLocation(flow, agent, "gauging"))
 
 
-def store_known_flow(fleet: SmallFleet, flow: FlowKey, agent: str) -> None:
+def store_known_flow(fleet: TrialFleet, flow: FlowKey, agent: str) -> None:
     now_ms = fleet.clock.now_ms()
     fleet.balancer.flows.store(flow, KnownFlow(agent, "gauging", now_ms))
 
@@ -296,7 +158,7 @@
 def test_an_outdated_location_brings_few_packets_to_its_server(
     case: str, *, is_complete: bool
 ) -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     fleet.agents["10.0.0.2"].knows_all_flows = is_complete
     fleet.is_answer_late = True
     packets = [make_packet(payload=10, sequence=10 * n) for n in range(16)]
@@ -317,7 +179,7 @@
 
 # The search dropped all returned packets but the first one.
 def test_all_packets_that_an_outdated_location_returns_reach_the_holder() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     fleet.is_answer_late = True
     packets = [make_packet(payload=10, sequence=10 * n) for n in range(16)]
     fleet.hold(packets[0], is_known=True)
@@ -330,7 +192,7 @@
 
 # Packets of a flow that its server leaves unanswered must not be held for long.
 def test_packets_reach_a_holder_that_does_not_answer_them() -> None:
-    fleet = SmallFleet(1)
+    fleet = TrialFleet(1)
     packets = [make_packet(sequence=10 * n) for n in range(6)]
     fleet.hold(packets[0])
     fleet.is_answer_late = True
@@ -346,7 +208,7 @@
 # Packets of a flow vanished for as long as its caller sent some.
 @pytest.mark.parametrize("is_fleet_uncertain", [False, True])
 def test_a_location_at_a_silent_agent_is_given_up(*, is_fleet_uncertain: bool) -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packet = make_packet(payload=10)
     fleet.hold(packet, is_known=not is_fleet_uncertain)
     store_location(fleet, packet.flow, "10.0.0.2")
@@ -359,7 +221,7 @@
 
 # A location that is right costs one question, and no search of all agents.
 def test_a_location_is_confirmed_with_one_question() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packets = [make_packet(payload=10, sequence=10 * n) for n in range(10)]
     fleet.hold(packets[0], is_known=True)
     store_location(fleet, packets[0].flow, HOLDER)
@@ -372,7 +234,7 @@
 
 # The address of a location belongs to a server of another service by now.
 def test_a_location_at_a_server_of_another_service_brings_it_no_packet() -> None:
-    fleet = SmallFleet(21)
+    fleet = TrialFleet(21)
     packet = make_packet(payload=10)
     fleet.hold(packet, is_known=True)
     store_location(fleet, packet.flow, "10.0.0.2")
--- a/citronwinch/coordination/flows/tests/test_search_waits.py
+++ b/citronwinch/coordination/flows/tests/test_search_waits.py
@@ -11,6 +11,7 @@
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import FlowQuestion, LoadReport, Message
 from citronwinch.coordination.flows._flow_search import FlowSearch
+from citronwinch.coordination.flows._search_rounds import SearchedServers
 from citronwinch.coordination.flows.tests.conftest import make_server
 from citronwinch.coordination.flows.tests.search_load import (
     PEER_IPS,
@@ -121,8 +122,8 @@
 ) -> None:
     """Guards against single questions, three times as large, after a put-off."""
     servers = [make_server(number) for number in (1, 2)]
-    search = FlowSearch("a", servers, [], clock)
+    search = FlowSearch("a", SearchedServers(servers), clock)
     search.start()
     search.record_sent("10.0.0.1")
     search.pause()
-    assert search.resume(servers, []).silent_agents == {"10.0.0.1"}
+    assert search.resume(SearchedServers(servers)).silent_agents == {"10.0.0.1"}
--- a/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
+++ b/citronwinch/coordination/flows/tests/test_trials_on_thin_link.py
@@ -22,6 +22,7 @@
 )
 from citronwinch.coordination.flows._flow_search import FlowSearch
 from citronwinch.coordination.flows._known_flows import KnownFlow
+from citronwinch.coordination.flows._search_rounds import SearchedServers
 from citronwinch.coordination.flows._trial_budget import (
     MIN_TRIAL_BURST_BYTES,
     TRIAL_BANDWIDTH_SHARE,
@@ -139,7 +140,7 @@
 
 
 def test_copies_of_a_held_packet_are_not_held(clock: ManualClock) -> None:
-    search = FlowSearch("a", [], [], clock)
+    search = FlowSearch("a", SearchedServers(), clock)
     packet = make_packet(payload=10)
     other = make_packet(payload=10, sequence=10)
     for held in (packet, packet, other, packet):
@@ -150,7 +151,7 @@
 # An answer that arrived while a trial waited for the link was left out of the trial.
 def test_a_trial_that_was_put_off_includes_late_answers(clock: ManualClock) -> None:
     servers = [make_server(number) for number in (1, 2)]
-    search = FlowSearch("a", servers, [], clock)
+    search = FlowSearch("a", SearchedServers(servers), clock)
     search.hold_packet(make_packet(payload=10))
     search.start()
     search.handle_verdict("10.0.0.1", Verdict.UNCERTAIN)
