State how far back the services of routes are known

Cause: a balancer knows the former services of routes from its own memory or from an older balancer. After a kill of all processes the history was empty and counted as complete. The agents of the service answered "uncertain" as agents of an unrelated service, whose answers do not count for a reset.

Evidence: all flows that were reset are at the former service. A view that has just started, with agents that have all restarted, resets them in a test. The record of a reset could not tell an agent that was not asked from one whose answer did not count; it has routes_known_for_ms now.

Why this works: a history of routes states from when on it knows each change, and hands that on with itself. Until that covers the lifetime of a flow, each service may hold the flow: all are asked and tried, and a reset needs their denials.

Related paths: a watch that answered with two versions dropped the first one; a balancer that fetches or reads a configuration may miss a version in between. Its history has a gap then, until a balancer that has followed all versions closes it. Views with a configuration carry the history for that.

--- a/citronwinch/coordination/flows/_configuration_follower.py
+++ b/citronwinch/coordination/flows/_configuration_follower.py
@@ -1,5 +1,6 @@
 """Decides how a balancer that may read the store follows the configuration there."""
 
+from collections.abc import Sequence
 from enum import Enum
 
 from citronwinch.coordination.flows._deployment import Configuration
@@ -76,27 +77,39 @@
         reports the version that the operators write again.
         """
         is_newer = self._accept(configuration)
+        self._confirm(position)
+        return is_newer
+
+    def _confirm(self, position: StorePosition) -> None:
+        """Record that the view has the newest version at a position of the store."""
         current = self.view.configuration
         if self.era is None or position.era >= self.era:
             self.must_read = False
             if current is not None:
                 self.view.confirm_configuration(current.version, position)
-        return is_newer
 
     def handle_watch(
         self,
-        configuration: Configuration | None,
+        configurations: Sequence[Configuration],
         position: StorePosition,
         watched_from: StorePosition,
     ) -> bool:
         """Apply the answer to a watch; return whether it has a newer version.
 
-        An answer of a later era than the watched position may lack changes.
+        `configurations` are all versions that were written since the watched position,
+        in order. An answer of a later era than that position may lack some.
         """
         if position.era != watched_from.era:
             self.must_read = True
-            return self._accept(configuration)
-        return self.handle_read(configuration, position)
+            newest = configurations[-1] if configurations else None
+            return self._accept(newest)
+        is_newer = False
+        for configuration in configurations:
+            is_newer |= self.view.accept_configuration(
+                configuration, is_next_version=True
+            )
+        self._confirm(position)
+        return is_newer
 
     def handle_lost_history(self, watched_from: StorePosition) -> None:
         """Record that the store has no history from a watched position."""
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -115,7 +115,9 @@
         """The agents that have answered since the search began or was resumed."""
         self.trial_room = LIMITED_TRIAL_PACKETS
         """How many packets a trial may send before all possible holders answered."""
-        self._plan_rounds(servers)
+        self.searched = servers
+        """The servers that the search asks for now."""
+        self._plan_rounds()
         self.is_paused = False
         self.keeper = ""
         """The keeper whose answer the search awaits before its first round, if any."""
@@ -147,7 +149,8 @@
         """The number of held packets that each agent has received in a trial."""
         self.held_packets: list[Packet] = []
 
-    def _plan_rounds(self, servers: SearchedServers) -> None:
+    def _plan_rounds(self) -> None:
+        servers = self.searched
         everyone = (*servers.unrelated, *servers.former, *servers.route)
         self.services |= {server.address.ip: server.service for server in everyone}
         self.local_agents = {
@@ -261,7 +264,8 @@
         self.untried_groups.clear()
         self.answered_agents.clear()
         self.pending_balancers = set()
-        self._plan_rounds(servers)
+        self.searched = servers
+        self._plan_rounds()
         return self._start_next_round()
 
     def list_unresolved(self) -> list[str]:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -276,9 +276,16 @@
 
     def _plan_trials(self, key: FlowKey, search: FlowSearch) -> None:
         """State whose answers trials need, and how many packets are sent without."""
-        search.list_possible_holders = lambda: list_restarting_agents(
-            self.view, self.selector, self.batches, key, self.started_ms
-        )
+
+        def list_possible_holders() -> frozenset[str]:
+            address = extract_service_endpoint(key)
+            services = self.view.list_current_and_former_services(address)
+            services |= {server.service for server in search.searched.former}
+            return list_restarting_agents(
+                self.view, self.selector, self.batches, services, self.started_ms
+            )
+
+        search.list_possible_holders = list_possible_holders
         search.trial_room = self.trial_records.count_room(key)
 
     def _apply_step(
@@ -363,7 +370,7 @@
         """
         self.lookups.give_up_overdue(search)
         packet = search.held_packets[0]
-        services = self.view.list_current_and_former_services(
+        services = self.view.list_possible_services(
             extract_service_endpoint(packet.flow)
         )
         evidence = gather_evidence(self.view, self.selector, search, services)
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -327,7 +327,11 @@
 
     former_routes: tuple[FormerRoute, ...] = ()
     """The services that routes had within the lifetime of a flow, if the requesting
-    balancer asked for former servers."""
+    balancer asked for former servers, or gets a configuration."""
+
+    routes_known_for_ms: int = 0
+    """For how long the balancer has known each change of a route, in milliseconds; 0 if
+    it does not state that."""
 
 
 class ViewOffer(NamedTuple):
--- a/citronwinch/coordination/flows/_search_records.py
+++ b/citronwinch/coordination/flows/_search_records.py
@@ -32,6 +32,7 @@
         former=len(view.former),
         former_source=view.former.source,
         is_former_complete=view.former_knowledge.is_complete,
+        routes_known_for_ms=view.route_history.known_for_ms,
         listing=tuple(view.listing.position),
         balancers_asked=len(search.asked_balancers),
         balancers_silent=sorted(search.unanswered_balancers),
--- a/citronwinch/coordination/flows/_searched_servers.py
+++ b/citronwinch/coordination/flows/_searched_servers.py
@@ -21,21 +21,24 @@
 def list_servers_to_query(view: DeploymentView, key: FlowKey) -> SearchedServers:
     """Return the servers to query about a flow.
 
-    Servers of unrelated services are left out if they are too many.
+    Servers of services that the route is not known to have ever had are left out if
+    they are too many. The route may have had them while changes may have been missed.
     """
     address = extract_service_endpoint(key)
     configuration = view.configuration
     route = configuration.routes.get(address) if configuration else None
     services = {share.service for share in route.shares} if route else set()
     former_services = view.list_current_and_former_services(address) - services
-    unrelated = view.list_possible_holders(
+    route_servers = view.list_possible_holders(services)
+    former = view.list_possible_holders(former_services)
+    others = view.list_possible_holders(
         view.list_services() - services - former_services
     )
-    return SearchedServers(
-        view.list_possible_holders(services),
-        view.list_possible_holders(former_services),
-        unrelated if len(unrelated) <= UNRELATED_SERVERS_LIMIT else (),
-    )
+    if len(others) > UNRELATED_SERVERS_LIMIT:
+        return SearchedServers(route_servers, former)
+    if view.route_history.is_complete:
+        return SearchedServers(route_servers, former, others)
+    return SearchedServers(route_servers, [*former, *others])
 
 
 def list_ended_agents(
@@ -65,10 +68,10 @@
     view: DeploymentView,
     selector: ServerSelector,
     batches: QuestionBatches,
-    key: FlowKey,
+    services: Collection[str],
     started_ms: int,
 ) -> frozenset[str]:
-    """Return the agents that may hold a flow and that may answer within a restart.
+    """Return the agents of services that may answer within a restart.
 
     Those that have been silent for longer are left out, so that an instance that is
     lost does not delay all flows. The silence of an agent of which nothing is known
@@ -79,7 +82,6 @@
     """
     if view.former_knowledge.is_fleet_restarted:
         return frozenset()
-    services = view.list_current_and_former_services(extract_service_endpoint(key))
     holders = {server.address.ip for server in view.list_possible_holders(services)}
     now_ms = batches.clock.now_ms()
     return frozenset(
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -27,9 +27,12 @@
     ListingHistory,
     apply_difference,
 )
-from citronwinch.coordination.flows._messages import DepartedServer
+from citronwinch.coordination.flows._messages import DepartedServer, FormerRoute
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
-from citronwinch.coordination.flows._route_history import RouteHistory
+from citronwinch.coordination.flows._route_history import (
+    CONFIGURATION_LAG_MS,
+    RouteHistory,
+)
 from citronwinch.coordination.flows._store_position import (
     RESTORED_DISTRUST_MS,
     UNKNOWN_POSITION,
@@ -62,6 +65,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.configuration: Configuration | None = None
+        self.configuration_accepted_ms = 0
+        """When the configuration was accepted, in milliseconds."""
         self.configuration_position = UNKNOWN_POSITION
         """The latest position of the store known to have no newer configuration."""
         self.forgotten_position = UNKNOWN_POSITION
@@ -107,14 +112,28 @@
         """Whether both a configuration and a listing are known."""
         return self.configuration is not None and self.confirmed_ms is not None
 
-    def accept_configuration(self, configuration: Configuration) -> bool:
-        """Replace the configuration by a newer one; return whether it was newer."""
+    def start_after_others(self, own_ip: str) -> None:
+        """Record that other processes may know of changes from before this start."""
+        self.former_knowledge.start(own_ip)
+        self.route_history.start()
+
+    def accept_configuration(
+        self, configuration: Configuration, *, is_next_version: bool = False
+    ) -> bool:
+        """Replace the configuration by a newer one; return whether it was newer.
+
+        `is_next_version` tells that the operators wrote no version in between.
+        """
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return False
         if current is not None:
+            if not is_next_version:
+                since_ms = self.configuration_accepted_ms - CONFIGURATION_LAG_MS
+                self.route_history.record_gap(since_ms)
             self.route_history.record_change(current, configuration)
         self.configuration = configuration
+        self.configuration_accepted_ms = self.clock.now_ms()
         self.named_services = list_named_services(configuration)
         self.cold_servers.limits = configuration.services
         self.configuration_position = UNKNOWN_POSITION
@@ -152,8 +171,32 @@
         if self.configuration_position <= self.forgotten_position:
             self.configuration_position = UNKNOWN_POSITION
 
+    def accept_route_history(
+        self, version: int, former_routes: Iterable[FormerRoute], known_for_ms: int
+    ) -> None:
+        """Add the former services of routes that another balancer knows.
+
+        `version` is that of its configuration. A balancer with an older one has not
+        seen the changes since.
+        """
+        own_version = self.configuration.version if self.configuration else 0
+        is_behind = version < own_version
+        self.route_history.record_learned(
+            former_routes, 0 if is_behind else known_for_ms
+        )
+
+    def list_possible_services(self, address: bytes) -> set[str]:
+        """Return the services that may hold flows of a route.
+
+        While changes of routes may have been missed, that is every service.
+        """
+        services = self.list_current_and_former_services(address)
+        if self.route_history.is_complete:
+            return services
+        return services | self.list_services()
+
     def list_current_and_former_services(self, address: bytes) -> set[str]:
-        """Return the services that a route has or had within a flow's lifetime."""
+        """Return the services that a route is known to have, or to have had lately."""
         services = self.route_history.list_services(address)
         route = self.configuration.routes.get(address) if self.configuration else None
         if route is not None:
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -53,7 +53,7 @@
         self.view = DeploymentView(clock)
         self.view.former.set_stop_timeout(STOP_TIMEOUT_MS)
         if not is_first_start:
-            self.view.former_knowledge.start(self.ip)
+            self.view.start_after_others(self.ip)
         rng = random.Random(f"{self.ip} {self.run}")
         self.rng = rng
         self.selector = ServerSelector(ZONE, clock, rng)
--- a/citronwinch/coordination/flows/tests/test_flows_without_route.py
+++ b/citronwinch/coordination/flows/tests/test_flows_without_route.py
@@ -14,6 +14,7 @@
     DeploymentView,
     StorePosition,
 )
+from citronwinch.coordination.flows._route_history import ROUTE_HISTORY_MS
 from citronwinch.coordination.flows.tests.conftest import (
     GAUGING,
     REPORTING,
@@ -58,7 +59,8 @@
         older.accept_configuration(make_larger_configuration(2))
         older.accept_configuration(make_configuration(3))
         view.accept_configuration(make_configuration(3))
-        view.route_history.record_learned(older.route_history.list_former_routes())
+        former_routes = older.route_history.list_former_routes()
+        view.route_history.record_learned(former_routes, ROUTE_HISTORY_MS)
     else:
         view.accept_configuration(make_larger_configuration(2))
         view.accept_configuration(make_configuration(3))
--- a/citronwinch/coordination/flows/tests/test_reset_records.py
+++ b/citronwinch/coordination/flows/tests/test_reset_records.py
@@ -49,6 +49,7 @@
     assert (fields["holders"], fields["unasked"], fields["removed"]) == (3, [], [])
     assert fields["listing"] == tuple(StorePosition(1, 10))
     assert fields["is_former_complete"] is True
+    assert fields["routes_known_for_ms"] == 60_000
 
 
 def test_a_reset_records_the_former_servers_that_were_left_out(
--- a/citronwinch/coordination/flows/tests/test_restored_store.py
+++ b/citronwinch/coordination/flows/tests/test_restored_store.py
@@ -170,7 +170,7 @@
     view: DeploymentView, follower: ConfigurationFollower
 ) -> None:
     follower.handle_watch(
-        make_configuration(5), StorePosition(1, 20), StorePosition(1, 10)
+        [make_configuration(5)], StorePosition(1, 20), StorePosition(1, 10)
     )
     follower.record_era(2)
     assert not follower.handle_read(make_configuration(1), StorePosition(2, 12))
@@ -183,7 +183,7 @@
 def test_an_answer_of_a_later_era_than_the_watch_leads_to_a_read(
     follower: ConfigurationFollower,
 ) -> None:
-    follower.handle_watch(None, StorePosition(2, 40), StorePosition(1, 10))
+    follower.handle_watch([], StorePosition(2, 40), StorePosition(1, 10))
     assert follower.choose_step() is StoreStep.READ
 
 
@@ -242,12 +242,12 @@
         elif not store.history_start <= watched_from.revision <= store.revision:
             self.follower.handle_lost_history(watched_from)
         else:
-            is_changed = store.copies[-1][0] > watched_from.revision
-            self.follower.handle_watch(
-                make_configuration(store.version) if is_changed else None,
-                store.position,
-                watched_from,
-            )
+            written = [
+                make_configuration(version)
+                for revision, version in store.copies
+                if revision > watched_from.revision
+            ]
+            self.follower.handle_watch(written, store.position, watched_from)
         self.versions.append(self.version)
 
     def hear(self, other: "ModelBalancer") -> None:
--- a/citronwinch/coordination/flows/tests/test_searches.py
+++ b/citronwinch/coordination/flows/tests/test_searches.py
@@ -18,6 +18,7 @@
     StorePosition,
     Verdict,
 )
+from citronwinch.coordination.flows._route_history import ROUTE_HISTORY_MS
 from citronwinch.coordination.flows.tests.conftest import (
     GAUGING,
     REPORTING,
@@ -395,7 +396,7 @@
     route_to_former_service(older)
     if has_learned:
         former_routes = older.route_history.list_former_routes()
-        view.route_history.record_learned(former_routes)
+        view.route_history.record_learned(former_routes, ROUTE_HISTORY_MS)
     actions = send_verdicts(
         balancer, make_packet(payload=10), dict.fromkeys((1, 2, 3), Verdict.ABSENT)
     )
--- a/citronwinch/coordination/flows/tests/test_stated_silence.py
+++ b/citronwinch/coordination/flows/tests/test_stated_silence.py
@@ -69,7 +69,7 @@
         balancer.view,
         balancer.selector,
         searches.batches,
-        PACKET.flow,
+        {LEFT.service},
         started_ms,
     )
 
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -80,6 +80,7 @@
     bodies = builder.init("formerRoutes", len(view.former_routes))
     for body, route in zip(bodies, view.former_routes, strict=True):
         body.address, body.service, body.changedMs = route
+    builder.routesKnownForMs = view.routes_known_for_ms
     builder.configuration = configuration
     builder.configurationVersion = view.configuration_version
     builder.configurationEra = view.configuration_position.era
@@ -167,6 +168,7 @@
                 FormerRoute(bytes(body.address), body.service, body.changedMs)
                 for body in reader.formerRoutes
             ),
+            reader.routesKnownForMs,
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error) as error:
         raise MalformedMessageError(f"view: {error}") from error
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -169,6 +169,8 @@
   formerRoutes @14 :List(FormerRoute);
   # For how long the agent of each former server has been silent.
   formerSilentMs @15 :List(UInt32);
+  # For how long each change of a route is known.
+  routesKnownForMs @16 :UInt32;
 }
 
 struct FormerRoute {
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -107,7 +107,7 @@
         self.view = DeploymentView(self.clock)
         self.view.former.set_stop_timeout(settings.stop_timeout_ms)
         if not settings.is_first_start:
-            self.view.former_knowledge.start(settings.ip)
+            self.view.start_after_others(settings.ip)
         self.rng = random.Random(settings.name)
         self.selector = ServerSelector(settings.availability_zone, self.clock, self.rng)
         self.flows = BalancerFlows(
@@ -265,6 +265,8 @@
         self.metrics.set_gauge("cold_servers", self.view.cold_servers.count_limited())
         self.metrics.set_gauge("view_age_ms", self.view.age_ms or 0)
         self.metrics.set_gauge("ignored_entries", self._count_ignored_entries())
+        known_for_ms = self.view.route_history.known_for_ms
+        self.metrics.set_gauge("route_history_ms", known_for_ms)
 
     def _count_ignored_entries(self) -> int:
         """Return how many entries of the store name no backend server to use."""
--- a/citronwinch/forwarder/_configuration_watch.py
+++ b/citronwinch/forwarder/_configuration_watch.py
@@ -167,7 +167,7 @@
             await self._handle_watch_error(answer.configuration_error, position)
             return
         self.watch_retry_delay_s = WATCH_RETRY_DELAY_S
-        if self.follower.handle_watch(answer.configuration, answer.position, position):
+        if self.follower.handle_watch(answer.configurations, answer.position, position):
             self.exchange.handle_newer_configuration("store")
 
     async def _handle_watch_error(
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -315,7 +315,7 @@
             # The whole listing shows which servers the source has not seen leave yet.
             digest = 0 if asks_former else self.view.listing_digest
             former = "&former=1" if asks_former else ""
-            target = f"{VIEW_PATH}?after={version}&listing={digest}{former}"
+            target = f"{VIEW_PATH}?after={version}&listing={digest}&routes=1{former}"
             response = await fetch(endpoint, target, FETCH_TIMEOUT_MS)
             if response.status != 200:
                 self.process.metrics.count("view_fetches_put_off_total")
@@ -327,9 +327,18 @@
             self.process.metrics.count("view_fetch_errors_total")
             log.info("view_not_fetched", balancer=ip, reason=str(error))
             return
+        configuration = answer.configuration
+        is_newer = configuration is not None and self.view.accept_configuration(
+            configuration
+        )
+        if listing_age_ms is None:
+            self.view.accept_route_history(
+                answer.configuration_version,
+                answer.former_routes,
+                answer.routes_known_for_ms,
+            )
         if asks_former:
             known_for_ms = answer.former_known_for_ms
-            self.view.route_history.record_learned(answer.former_routes)
             listed = answer.listing.servers.values()
             self.view.accept_former(answer.former, ip, known_for_ms, listed)
             log.info(
@@ -337,9 +346,9 @@
                 source=ip,
                 servers=len(answer.former),
                 known_for_ms=known_for_ms,
+                routes_known_for_ms=self.view.route_history.known_for_ms,
             )
-        configuration = answer.configuration
-        if configuration is not None and self.view.accept_configuration(configuration):
+        if is_newer:
             self.handle_newer_configuration(ip)
         self.view.confirm_configuration(
             answer.configuration_version, self._find_watchable_position(ip, answer)
--- a/citronwinch/forwarder/_view_server.py
+++ b/citronwinch/forwarder/_view_server.py
@@ -29,6 +29,11 @@
             configuration = None
         age_ms = view.age_ms
         asks_former = "former" in request.query
+        # Agents, whose copies grow old, do not ask for it.
+        needs_routes = asks_former or (
+            configuration is not None and "routes" in request.query
+        )
+        history = view.route_history
         retained = tuple(view.retained.values())
         answer = ViewAnswer(
             view.listing,
@@ -39,9 +44,8 @@
             view.configuration_position,
             former=view.former.list_departed() if asks_former else (),
             former_known_for_ms=view.former_knowledge.known_for_ms,
-            former_routes=view.route_history.list_former_routes()
-            if asks_former
-            else (),
+            former_routes=history.list_former_routes() if needs_routes else (),
+            routes_known_for_ms=history.known_for_ms if needs_routes else 0,
         )
         # A balancer of an earlier version neither states its listing nor accepts a
         # compressed view.
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -152,7 +152,7 @@
         existing.view.former_knowledge.known_since_ms -= 60_000
         address = pack_route_address(ROUTE_ADDRESS)
         former_route = FormerRoute(address, "i-former", 5_000)
-        existing.view.route_history.record_learned([former_route])
+        existing.view.route_history.record_learned([former_route], 60_000)
         deployment.add_balancer(13)
         joiner = deployment.processes[13]
         assert isinstance(joiner, BalancerProcess)
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -28,6 +28,7 @@
     "hints_withdrawn_total": "remembered flows that their agent did not hold",
     "http_errors_total": "HTTP requests that got no answer, by reason",
     "http_requests_total": "HTTP requests that were read",
+    "route_history_ms": "for how long each change of a route is known, milliseconds",
     "ignored_entries": "entries of the store that name no backend server to use",
     "internal_errors_total": "events, messages and steps of tasks that failed, by kind",
     "known_flows": "flows whose agent this balancer remembers",
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -85,9 +85,10 @@
     position: StorePosition
     """The store's position at the read, after which the next watch continues."""
 
-    configuration: Configuration | None
-    """The configuration; None when it has not changed, its key does not exist or its
-    value could not be decoded."""
+    configurations: tuple[Configuration, ...]
+    """The configuration in a read, all versions since the position in a watch, in
+    order; empty if it has not changed, its key does not exist or a value could not be
+    decoded."""
 
     evacuations: tuple[ZoneEvacuation, ...] = ()
     """All requested evacuations in a read, the changed ones in a watch."""
@@ -96,6 +97,11 @@
     """Why the configuration could not be decoded. The evacuations are valid all the
     same."""
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The newest of the configurations, None without one."""
+        return self.configurations[-1] if self.configurations else None
+
 
 class StoreAnswer(NamedTuple):
     """The decoded body of a successful call."""
@@ -209,16 +215,16 @@
             ]
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Error(self._make_error(step, f"malformed answer: {error!r}"))
-        if not found:
-            return Ok(ConfigurationRead(position, None, evacuations))
         try:
-            value = base64.b64decode(found[-1]["value"], validate=True)
-            configuration = decode_configuration(value)
+            configurations = tuple(
+                decode_configuration(base64.b64decode(item["value"], validate=True))
+                for item in found
+            )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             reason = f"malformed answer: {error!r}"
             failure = self._make_error("decode configuration", reason)
-            return Ok(ConfigurationRead(position, None, evacuations, failure))
-        return Ok(ConfigurationRead(position, configuration, evacuations))
+            return Ok(ConfigurationRead(position, (), evacuations, failure))
+        return Ok(ConfigurationRead(position, configurations, evacuations))
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_ms: int
--- a/citronwinch/soak/tests/broken_launch.py
+++ b/citronwinch/soak/tests/broken_launch.py
@@ -53,7 +53,9 @@
     """Make balancers ignore all configurations but the first."""
     accept = DeploymentView.accept_configuration
 
-    def accept_first(self: DeploymentView, configuration: Any) -> bool:
+    def accept_first(
+        self: DeploymentView, configuration: Any, *, is_next_version: bool = False
+    ) -> bool:
         return self.configuration is None and accept(self, configuration)
 
     DeploymentView.accept_configuration = accept_first  # type: ignore[method-assign]
