Let balancers with outdated seeds find each other, and wait if they do not

Cause: balancers found each other at seeds alone. One that knew no other asked nobody before a reset. That no balancer is silent is true of an empty set, so that its own listing counted, which may be 0.7 s old and lack the server.

Why this works: while a balancer knows no other one, or has been told of one that it has not heard, a reset needs a listing that is newer than the packet. Agents name the balancers that send them heartbeats to one that asks: every balancer finds all agents in the store's listing. It asks with each heartbeat while it knows nobody, and once in 3 s later, so that groups with different seeds meet.

--- a/citronwinch/coordination/flows/_balancer_lookups.py
+++ b/citronwinch/coordination/flows/_balancer_lookups.py
@@ -34,6 +34,7 @@
         search.ask_balancers(others - self.unresponsive, silent)
         search.unanswered_balancers |= others & self.unresponsive
         search.unanswered_balancers |= others & self.directory.list_recently_restarted()
+        search.may_lack_balancers = self.directory.may_lack_balancers
         return [SendMessage(ip, FlowLookup(key)) for ip in sorted(others)]
 
     def give_up_overdue(self, search: FlowSearch) -> None:
--- a/citronwinch/coordination/flows/_flow_directory.py
+++ b/citronwinch/coordination/flows/_flow_directory.py
@@ -72,6 +72,8 @@
         self.clock = clock
         self.balancers: frozenset[str] = frozenset((own_ip,))
         """The live balancers of the zone, with this one unless it is stopping."""
+        self.may_lack_balancers = False
+        """Whether live balancers are likely to be unknown."""
         self.silent: set[str] = set()
         """The balancers that have left a lookup unanswered."""
         self.restarted_ms: dict[str, int] = {}
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -128,6 +128,8 @@
         self.unanswered_balancers: set[str] = set()
         """The balancers of the zone that did not answer in time, or whose answers prove
         nothing because they have started lately."""
+        self.may_lack_balancers = False
+        """Whether balancers that the search could not ask may know the flow."""
         self.silent_balancers: frozenset[str] = frozenset()
         """The balancers that had left an earlier lookup unanswered when asked."""
         self.has_asked_balancers = False
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -375,9 +375,8 @@
         )
         evidence = gather_evidence(self.view, self.selector, search, services)
         is_dead = evidence.is_dead
-        has_peers = bool(self.directory.list_peers())
         lookups: list[SendMessage] = []
-        if is_dead and has_peers and not search.has_asked_balancers:
+        if is_dead and not search.has_asked_balancers:
             lookups = self.lookups.ask(key, search)
             evidence = gather_evidence(self.view, self.selector, search, services)
             is_dead = evidence.is_dead
--- a/citronwinch/coordination/flows/_members.py
+++ b/citronwinch/coordination/flows/_members.py
@@ -39,7 +39,11 @@
 
 
 class BalancerMembers:
-    """Tracks the live balancers, discovered from seed addresses and heartbeats."""
+    """Tracks the live balancers, discovered from seed addresses and heartbeats.
+
+    Agents name balancers as well: each balancer finds the agents in the store's
+    listing, so that balancers find each other there even if all seeds are outdated.
+    """
 
     def __init__(self, own_ip: str, seeds: Iterable[str], clock: Clock) -> None:
         self.own_ip = own_ip
@@ -47,7 +51,7 @@
         self.set_seeds(seeds)
         self.members: dict[str, BalancerMember] = {}
         self.named_addresses_ms: dict[str, int] = {}
-        """The addresses that members' heartbeats have named but from which no heartbeat
+        """The addresses that members or agents have named but from which no heartbeat
         has arrived, with the time at which each was first named."""
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
@@ -65,11 +69,29 @@
             return False
         self.members[ip] = BalancerMember(heartbeat, now_ms)
         self.named_addresses_ms.pop(ip, None)
-        for other in heartbeat.balancers:
-            if other != self.own_ip and other not in self.members:
-                self.named_addresses_ms.setdefault(other, now_ms)
+        self.record_named(heartbeat.balancers)
         return known is None or heartbeat.incarnation > known.heartbeat.incarnation
 
+    def record_named(self, addresses: Iterable[str]) -> list[str]:
+        """Record balancers that another process has named; return the unknown ones."""
+        unknown = [
+            ip
+            for ip in addresses
+            if ip not in (self.own_ip, *self.members, *self.named_addresses_ms)
+        ]
+        self.named_addresses_ms |= dict.fromkeys(unknown, self.clock.now_ms())
+        return unknown
+
+    def may_lack_balancers(self) -> bool:
+        """Return whether live balancers are likely to be unknown.
+
+        Either none is known, since seeds may be outdated, or one was named a short time
+        ago and has not been heard.
+        """
+        latest_ms = self.clock.now_ms() - MIN_MEMBER_TIMEOUT_MS
+        named_ms = self.named_addresses_ms.values()
+        return not self.members or any(since_ms > latest_ms for since_ms in named_ms)
+
     def expire(self) -> list[str]:
         """Remove silent members and return their addresses.
 
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -84,6 +84,16 @@
     uptime_ms: int = 0
     """How long the balancer has run, in milliseconds; 0 if it does not state that."""
 
+    asks_for_balancers: bool = False
+    """In heartbeats to an agent, whether it should name the balancers that it knows."""
+
+
+class KnownBalancers(NamedTuple):
+    """An agent names the balancers that have sent it heartbeats lately."""
+
+    addresses: tuple[str, ...]
+    """Their addresses."""
+
 
 class LoadReport(NamedTuple):
     """An agent reports the load of its backend server to balancers."""
@@ -352,6 +362,7 @@
 
 Message = (
     Heartbeat
+    | KnownBalancers
     | LoadReport
     | FlowQuestion
     | FlowAnswer
--- a/citronwinch/coordination/flows/_search_evidence.py
+++ b/citronwinch/coordination/flows/_search_evidence.py
@@ -44,7 +44,8 @@
     an agent that became known during the search has not been asked.
 
     The listing may lack a server that has just registered. If a balancer that might
-    know it is silent, or has restarted, the listing has to be newer than the search.
+    know it is silent, unknown, or has restarted, the listing has to be newer than the
+    search.
     """
     holders = {s.address.ip for s in view.list_possible_holders(services)}
     holders -= list_ended_agents(view, selector, services)
@@ -60,7 +61,8 @@
         and view.former_knowledge.is_complete
     )
     is_listing_newer = (view.confirmed_ms or 0) >= search.started_ms
-    needs_newer_listing = bool(search.unanswered_balancers) and not is_listing_newer
+    has_asked_all = not search.unanswered_balancers and not search.may_lack_balancers
+    needs_newer_listing = not has_asked_all and not is_listing_newer
     return SearchEvidence(
         silent,
         uncertain,
--- a/citronwinch/coordination/flows/tests/small_fleet.py
+++ b/citronwinch/coordination/flows/tests/small_fleet.py
@@ -18,6 +18,7 @@
     FlowQuestion,
     FlowQuestions,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     Message,
     Packet,
@@ -94,7 +95,7 @@
     """Return the kind of a message, by the process boundary that it crosses."""
     if isinstance(message, FlowQuestion | FlowQuestions | FlowAnswer | FlowAnswers):
         return "questions"
-    if isinstance(message, Heartbeat | LoadReport):
+    if isinstance(message, Heartbeat | KnownBalancers | LoadReport):
         return "heartbeats"
     if isinstance(message, FlowLookup | FlowLocations):
         return "lookups"
@@ -106,7 +107,9 @@
 
     STORE_IP = "store"
 
-    def __init__(self, balancers: int = 2, servers: int = 3) -> None:
+    def __init__(
+        self, balancers: int = 2, servers: int = 3, *, has_seeds: bool = True
+    ) -> None:
         self.clock = ManualClock(START_MS)
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.scheduled = 0
@@ -114,6 +117,8 @@
         self.disturbances: list[Disturbance] = []
         self.revision = 10
         self.balancers = [f"10.1.0.{n + 1}" for n in range(balancers)]
+        self.seeds = self.balancers if has_seeds else ["10.1.0.99"]
+        """The seeds of all balancers; without live ones nobody is there."""
         self.servers = [make_server(n + 1) for n in range(servers)]
         self.listed = {server.name: server for server in self.servers}
         self.agents = {s.address.ip: AgentProcess(self, s) for s in self.servers}
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -16,6 +16,7 @@
     FlowLocations,
     FlowLookup,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     Message,
     MessagePace,
@@ -39,6 +40,7 @@
 READER_TICK_MS = 100
 IDLE_TICK_MS = 250
 MEMBERS_INTERVAL_MS = 3_000
+BALANCERS_QUESTION_INTERVAL_MS = 3_000
 STORE_READ_MS = 20
 FETCH_MS = 3
 FETCH_TIMEOUT_MS = 300
@@ -58,7 +60,8 @@
         self.rng = rng
         self.selector = ServerSelector(ZONE, clock, rng)
         self.flows = BalancerFlows(self.view, self.selector, clock, own_ip=self.ip)
-        self.members = BalancerMembers(self.ip, self.fleet.balancers, clock)
+        self.members = BalancerMembers(self.ip, self.fleet.seeds, clock)
+        self.asked_ms = clock.now_ms()
         self.balancer_pace, self.agent_pace = MessagePace(clock), MessagePace(clock)
         self.members_sent_ms = clock.now_ms()
         self.is_reading = self.is_catching_up = False
@@ -98,7 +101,9 @@
         balancers = self.members.list_live_in_zone(ZONE)
         if not self.is_stopping:
             balancers.append(self.ip)
-        self.apply([*self.flows.directory.set_balancers(balancers)])
+        directory = self.flows.directory
+        directory.may_lack_balancers = self.members.may_lack_balancers()
+        self.apply([*directory.set_balancers(balancers)])
 
     def _send_due_heartbeats(self) -> None:
         targets = self.members.list_heartbeat_targets()
@@ -118,6 +123,11 @@
         for ips, each_ms in (((*servers,), interval_ms), (former, former_ms)):
             for ip in self.agent_pace.list_due(ips, each_ms):
                 heartbeat = self.make_heartbeat((), each_ms)
+                is_due = now_ms - self.asked_ms >= BALANCERS_QUESTION_INTERVAL_MS
+                if is_due:
+                    self.asked_ms = now_ms
+                asks = is_due or not self.members.members
+                heartbeat = heartbeat._replace(asks_for_balancers=asks)
                 if ip in servers:
                     heartbeat = heartbeat._replace(
                         server_started_ms=servers[ip].started_ms,
@@ -217,6 +227,9 @@
             self.selector.record_message(sender, message)
         elif isinstance(message, Heartbeat):
             self._handle_heartbeat(message, sender)
+        elif isinstance(message, KnownBalancers):
+            unknown = self.members.record_named(message.addresses)
+            self._send_heartbeats(unknown, with_members=True)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, sender: str) -> None:
         self.flows.directory.silent.discard(sender)
--- a/citronwinch/coordination/flows/tests/small_fleet_events.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_events.py
@@ -33,10 +33,14 @@
 
 
 def play(
-    events: Iterable[FleetEvent], balancers: int = 2, servers: int = 3
+    events: Iterable[FleetEvent],
+    balancers: int = 2,
+    servers: int = 3,
+    *,
+    has_seeds: bool = True,
 ) -> str | None:
     """Play events; return which promise was broken and when, None if none was."""
-    fleet = SmallFleet(balancers, servers)
+    fleet = SmallFleet(balancers, servers, has_seeds=has_seeds)
     began_ms = fleet.clock.now_ms()
     try:
         for event in events:
--- a/citronwinch/coordination/flows/tests/small_fleet_processes.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_processes.py
@@ -18,6 +18,7 @@
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
+    KnownBalancers,
     LoadReporting,
     Message,
     ResetFlow,
@@ -242,6 +243,11 @@
             slots.slots = message.server_slots or slots.slots
             self.flows.opening_limit.apply_heartbeat(message)
             self.send(sender, self.flows.make_load_report())
+            now_ms = self.clock.now_ms()
+            live = [ip for ip, until_ms in self.balancers.items() if until_ms >= now_ms]
+            others = tuple(ip for ip in live if ip != sender)
+            if message.asks_for_balancers and others:
+                self.send(sender, KnownBalancers(others))
 
     def deliver_to_server(self, raw: bytes) -> None:
         packet = self.fleet.packets[raw]
--- a/citronwinch/coordination/flows/tests/test_small_fleets.py
+++ b/citronwinch/coordination/flows/tests/test_small_fleets.py
@@ -31,6 +31,14 @@
     assert outcome is None, describe(events, outcome)
 
 
+# Balancers whose seeds are all outdated find each other through the agents.
+@pytest.mark.parametrize("name", [pytest.param(name, id=name) for name in EVENTS])
+def test_no_event_breaks_the_promise_if_all_seeds_are_outdated(name: str) -> None:
+    events = [FleetEvent(0, name)]
+    outcome = play(events, has_seeds=False)
+    assert outcome is None, describe(events, outcome)
+
+
 def test_no_pair_of_events_breaks_the_promise_about_a_flow() -> None:
     for events in list_sequences(2, (SEARCHED_OFFSET_MS,)):
         outcome = play(events)
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -24,6 +24,7 @@
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     Message,
     ReturnedPacket,
@@ -126,6 +127,14 @@
     body.warmupPerS = message.warmup_per_s
     body.formerKnownForMs = message.former_known_for_ms
     body.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
+    body.asksForBalancers = message.asks_for_balancers
+    return _pack(builder)
+
+
+@encode_flow_message.register
+def _(message: KnownBalancers) -> bytes:
+    builder = SCHEMA.FlowMessage.new_message()
+    builder.knownBalancers = list(message.addresses)
     return _pack(builder)
 
 
@@ -303,7 +312,10 @@
             body.warmupPerS,
             body.formerKnownForMs,
             body.uptimeMs,
+            body.asksForBalancers,
         )
+    if kind == "knownBalancers":
+        return KnownBalancers(tuple(reader.knownBalancers))
     if kind == "loadReport":
         body = reader.loadReport
         return LoadReport(
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -24,6 +24,7 @@
   warmupPerS @17 :Float32;
   formerKnownForMs @18 :UInt32;
   uptimeMs @19 :UInt32;
+  asksForBalancers @20 :Bool;
 }
 
 struct ZoneEvacuation {
@@ -100,6 +101,7 @@
     questions @6 :FlowQuestions;
     answers @7 :FlowAnswers;
     viewOffer @8 :ViewOffer;
+    knownBalancers @10 :List(Text);
   }
   # With locations: how long the sender has run.
   uptimeMs @9 :UInt32;
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -18,9 +18,11 @@
     FlowLookup,
     FlowQuestion,
     FlowQuestions,
+    FormerRoute,
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     Message,
     ReturnedPacket,
@@ -69,7 +71,11 @@
         2,
         1_500,
         12.5,
+        60_000,
+        700,
+        asks_for_balancers=True,
     ),
+    KnownBalancers(("10.0.0.1", "10.0.0.2")),
     LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292, 69, 2, 0),
     LoadReport("gauging", 40, 3, 17, 0.625, True),
     ForwardedOpening("gauging", RouteClass(1, 400, 13_614), True, bytes(36)),
@@ -163,6 +169,8 @@
         ("i-7", "i-8"),
         (DepartedServer(server._replace(name="i-9"), 4_000, 2_500),),
         60_000,
+        (FormerRoute(bytes(range(6)), "reporting", 4_000),),
+        30_000,
     )
     encoder = ViewEncoder()
     assert decode_view(encoder.encode(view)) == view
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -20,6 +20,9 @@
 """The most heartbeats per second that are sent before their turn to agents that do not
 know whether their server is cold; as many as regular ones to agents of the own zone."""
 
+BALANCERS_QUESTION_INTERVAL_MS = 3_000
+"""How often one agent is asked for the balancers that it knows, in milliseconds."""
+
 if TYPE_CHECKING:
     from citronwinch.forwarder._balancer_process import BalancerProcess
 
@@ -53,6 +56,8 @@
         self.targets = AgentTargets({}, False, (), (), {})
         self.urgent: set[str] = set()
         """The agents that should receive a heartbeat before their turn."""
+        self.asked_ms = process.clock.now_ms()
+        """When an agent was last asked for balancers, in milliseconds."""
         self.urgent_sent_ms: deque[int] = deque(maxlen=URGENT_HEARTBEATS_PER_S)
 
     def send_due(self) -> None:
@@ -105,6 +110,8 @@
         if server is None:
             return self.process.make_heartbeat((), 0, interval_ms)
         heartbeat = self.process.make_heartbeat((), server.started_ms, interval_ms)
+        if self._ask_for_balancers():
+            heartbeat = heartbeat._replace(asks_for_balancers=True)
         warmup = self.view.cold_servers.get_warmup(server)
         return heartbeat._replace(
             server_slots=server.slots,
@@ -112,6 +119,18 @@
             warmup_per_s=warmup.per_s,
         )
 
+    def _ask_for_balancers(self) -> bool:
+        """Return whether the next heartbeat asks for balancers, and record that.
+
+        Each does while no other balancer is known. Later ones find balancers that have
+        other seeds.
+        """
+        now_ms = self.process.clock.now_ms()
+        is_due = now_ms - self.asked_ms >= BALANCERS_QUESTION_INTERVAL_MS
+        if is_due:
+            self.asked_ms = now_ms
+        return is_due or not self.process.members.members
+
     def send_to_zones(self, zones: Collection[str]) -> None:
         """Send heartbeats to the agents of some zones now."""
         targets = self._find_targets()
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -1,5 +1,7 @@
 """The agent process: forwards packets between balancers, its server and callers."""
 
+import random
+
 import trio
 
 from citronwinch.coordination.flows import (
@@ -14,6 +16,7 @@
     ForwardedOpening,
     ForwardedPacket,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     LoadReporting,
     Message,
@@ -52,6 +55,9 @@
 BALANCER_TIMEOUT_INTERVALS = 3
 """For how many of its heartbeat intervals a balancer still receives load reports."""
 
+NAMED_BALANCERS_LIMIT = 24
+"""The most balancers that an agent names to another one, chosen at random."""
+
 BUSY_STOP_MS = 1_000
 """How long a stopping agent forwards at most while requests are in progress, in
 milliseconds. Requests usually take 20 ms, and all but the busiest servers have a moment
@@ -87,6 +93,7 @@
         self.evacuation_log = EvacuationLog(self.evacuations, self.metrics)
         self.view_copy_exchange = ViewCopyExchange(self)
         self.reporting = LoadReporting(self.clock)
+        self.rng = random.Random(settings.name)
         self.local_balancers: dict[str, int] = {}
         """The balancers of the own zone, with the time until which they get reports."""
         self.all_balancers: dict[str, int] = {}
@@ -161,6 +168,16 @@
             slots.slots = message.server_slots or slots.slots
             self.flows.opening_limit.apply_heartbeat(message)
             self.send(sender, self.flows.make_load_report())
+            if message.asks_for_balancers:
+                self._name_balancers(sender)
+
+    def _name_balancers(self, receiver: str) -> None:
+        """Name the other live balancers to one that may not know them."""
+        self._discard_silent(self.all_balancers)
+        others = sorted(self.all_balancers.keys() - {receiver})
+        if others:
+            named = self.rng.sample(others, min(len(others), NAMED_BALANCERS_LIMIT))
+            self.send(receiver, KnownBalancers(tuple(named)))
 
     def _apply_evacuations(self, heartbeat: Heartbeat, sender: str) -> None:
         if heartbeat.evacuations and self.evacuations.merge(heartbeat.evacuations):
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -19,6 +19,7 @@
     FlowLocations,
     FlowLookup,
     Heartbeat,
+    KnownBalancers,
     LoadReport,
     Message,
     MessagePace,
@@ -176,6 +177,8 @@
             self.selector.record_message(sender, message)
         elif isinstance(message, Heartbeat):
             self._handle_heartbeat(message, sender)
+        elif isinstance(message, KnownBalancers):
+            self._handle_named_balancers(message, sender)
         elif isinstance(message, ViewOffer):
             if message.evacuations:
                 self.view.evacuations.merge(message.evacuations)
@@ -197,6 +200,13 @@
             self.handle_evacuations(sender)
         self.view_exchange.handle_heartbeat(heartbeat, sender)
 
+    def _handle_named_balancers(self, message: KnownBalancers, agent: str) -> None:
+        """Send a heartbeat to the balancers that were unknown."""
+        unknown = self.members.record_named(message.addresses)
+        if unknown:
+            log.info("balancers_named", agent=agent, balancers=unknown)
+            self.send_balancer_heartbeat(unknown, with_members=True)
+
     def handle_evacuations(self, source: str) -> None:
         """Announce a change of the evacuated zones to balancers and to their agents."""
         changed = self.evacuation_log.record_changes(source)
@@ -279,7 +289,9 @@
         balancers = self.members.list_live_in_zone(self.settings.availability_zone)
         if self.stop_requested_ms is None:
             balancers.append(self.settings.ip)
-        self.apply_actions([*self.flows.directory.set_balancers(balancers)])
+        directory = self.flows.directory
+        directory.may_lack_balancers = self.members.may_lack_balancers()
+        self.apply_actions([*directory.set_balancers(balancers)])
 
     def compute_tick_ms(self, *, is_idle: bool) -> int:
         """Return the time until the next tick, in milliseconds."""
--- a/citronwinch/forwarder/tests/conftest.py
+++ b/citronwinch/forwarder/tests/conftest.py
@@ -106,10 +106,10 @@
         for task in (self.store.run, self.router.run, self.caller.run):
             self.nursery.start_soon(task)
 
-    def add_balancer(self, number: int, zone: str = "a") -> None:
+    def add_balancer(self, number: int, zone: str = "a", seed: int = 11) -> None:
         """Start a balancer."""
         ip = f"{self.prefix}.{number}"
-        text = self.format_balancer(number, zone)
+        text = self.format_balancer(number, zone, seed)
         self.router.balancers[Endpoint(ip, 21_167)] = Endpoint(ip, 21_172)
         settings = parse_forwarder_settings(text, "balancer.ini").ok
         self._start_process(number, BalancerProcess(settings))
--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -153,6 +153,7 @@
         address = pack_route_address(ROUTE_ADDRESS)
         former_route = FormerRoute(address, "i-former", 5_000)
         existing.view.route_history.record_learned([former_route], 60_000)
+        assert existing.view.route_history.is_complete
         deployment.add_balancer(13)
         joiner = deployment.processes[13]
         assert isinstance(joiner, BalancerProcess)
@@ -161,6 +162,7 @@
             await deployment.wait_for(
                 lambda: "i-former" in view.list_current_and_former_services(address)
             )
+        assert view.route_history.is_complete
 
     run_scenario(scenario, 118)
 
