Estimate the rate of placements at one reading of the clock

What callers saw: nothing that was noticed.

Cause: PlacementRates.estimate_most_per_s read the clock twice. A placement that was exactly one window old counted at the first reading; at the second no one was left, and min() of nothing raised ValueError.

Why this works: one reading decides which placements count, and all figures are derived from these.

Test: test_a_rate_is_estimated_while_the_only_placement_leaves_the_window failed before with that exception.

--- a/citronwinch/coordination/flows/_placement_rates.py
+++ b/citronwinch/coordination/flows/_placement_rates.py
@@ -86,9 +86,7 @@
         long enough.
         """
         placed, observed_ms = self.count_placed(services)
-        if observed_ms < MIN_OBSERVATION_MS:
-            return math.inf
-        return 1_000 * (placed + 1) / observed_ms
+        return _compute_per_s(placed, observed_ms)
 
     def estimate_most_per_s(
         self, services: Collection[str], capacity_per_s: float
@@ -100,39 +98,49 @@
         says nothing about the rate afterwards; the observation therefore begins with
         the first placement. Without any for a whole window, the servers stand still.
         """
-        placed, waited_ms = self.count_placed(services)
-        per_s = self.estimate_per_s(services)
-        if not placed:
-            is_standstill = waited_ms >= RATE_WINDOW_MS
-            return per_s if is_standstill else max(per_s, capacity_per_s)
         now_ms = self.clock.now_ms()
-        first_ms = min(
-            placed_ms
-            for service in services
-            for placed_ms in self.placed_ms.get(service, ())
-            if placed_ms >= now_ms - waited_ms
-        )
-        observed_ms = now_ms - first_ms
+        since_ms = self._find_start_ms(services, now_ms)
+        placed_ms = self._list_placed_ms(services, since_ms)
+        per_s = _compute_per_s(len(placed_ms), now_ms - since_ms)
+        if not placed_ms:
+            is_standstill = now_ms - since_ms >= RATE_WINDOW_MS
+            return per_s if is_standstill else max(per_s, capacity_per_s)
+        observed_ms = now_ms - min(placed_ms)
         if observed_ms < MIN_OBSERVATION_MS:
             return max(per_s, capacity_per_s)
-        return 1_000 * (placed + 1) / observed_ms
+        return _compute_per_s(len(placed_ms), observed_ms)
 
     def count_placed(self, services: Collection[str]) -> tuple[int, int]:
         """Return how many openings were placed, and in how many milliseconds."""
         now_ms = self.clock.now_ms()
+        since_ms = self._find_start_ms(services, now_ms)
+        return len(self._list_placed_ms(services, since_ms)), now_ms - since_ms
+
+    def _find_start_ms(self, services: Collection[str], now_ms: int) -> int:
+        """Return when the observation of some services began, in milliseconds."""
         since_ms = max(
             (self.waiting_since_ms.get(service, now_ms) for service in services),
             default=now_ms,
         )
-        since_ms = max(since_ms, now_ms - RATE_WINDOW_MS)
-        placed = sum(
-            placed_ms >= since_ms
+        return max(since_ms, now_ms - RATE_WINDOW_MS)
+
+    def _list_placed_ms(self, services: Collection[str], since_ms: int) -> list[int]:
+        """Return when openings were placed since some time, in milliseconds."""
+        return [
+            placed_ms
             for service in services
             for placed_ms in self.placed_ms.get(service, ())
-        )
-        return placed, now_ms - since_ms
+            if placed_ms >= since_ms
+        ]
 
     def _remove_old(self, placed_ms: deque[int]) -> None:
         oldest_ms = self.clock.now_ms() - RATE_WINDOW_MS
         while placed_ms and placed_ms[0] < oldest_ms:
             placed_ms.popleft()
+
+
+def _compute_per_s(placed: int, observed_ms: int) -> float:
+    """Return a rate with one more opening; infinite for too short an observation."""
+    if observed_ms < MIN_OBSERVATION_MS:
+        return math.inf
+    return 1_000 * (placed + 1) / observed_ms
--- a/citronwinch/coordination/flows/tests/test_hold_times.py
+++ b/citronwinch/coordination/flows/tests/test_hold_times.py
@@ -140,6 +140,26 @@
     assert has_reset(balancer.handle_packet(make_packet(60_000, opening=True)))
 
 
+class RunningClock(ManualClock):
+    """A clock that goes on by 1 ms with each reading."""
+
+    def now_ms(self) -> int:
+        self.advance(1)
+        return super().now_ms()
+
+
+# A placement was in the window at one reading of the clock and not at the next one; a
+# tick of all flows was lost by the exception.
+def test_a_rate_is_estimated_while_the_only_placement_leaves_the_window() -> None:
+    for age_ms in range(RATE_WINDOW_MS - 10, RATE_WINDOW_MS + 10):
+        clock = RunningClock(5_000)
+        rates = PlacementRates(clock)
+        rates.update_waiting({"gauging"})
+        rates.record_placed("gauging")
+        clock.advance(age_ms)
+        assert rates.estimate_most_per_s({"gauging"}, 50.0) > 0
+
+
 def test_a_pause_of_the_balancer_is_no_standstill_of_the_servers(
     clock: ManualClock,
 ) -> None:
