--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -72,6 +72,7 @@
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
     UNLIMITED_OPENINGS,
+    AgentRun,
     DepartedServer,
     FlowAnswer,
     FlowAnswers,
@@ -144,6 +145,7 @@
     "list_view_sources",
     "Action",
     "AgentFlows",
+    "AgentRun",
     "BackendServer",
     "BalancerFlows",
     "BalancerMembers",
