--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -379,13 +379,13 @@
     def handle_server_absence(
         self, absence_ms: int, reported_run: AgentRun
     ) -> list[Action]:
-        """Apply how long before a report the store lacked the server, by a balancer.
+        """Apply how long ago the store lacked the backend server, as a balancer says.
 
         0 says nothing. No balancer sent openings to the server before it was listed, so
         that an agent which was there has seen the opening of every flow.
 
-        The uptime is that of the report. The heartbeat may be late, after a freeze for
-        example, and the present uptime would be too high.
+        The uptime is the one that the agent had reported before. The heartbeat may be
+        late, after a freeze for example, and the present uptime would be too high.
         """
         is_older = reported_run.uptime_ms >= absence_ms - MIN_AGENT_RESTART_MS
         is_proof = is_older and reported_run.number == self.run_number
--- a/citronwinch/coordination/flows/_agent_state.py
+++ b/citronwinch/coordination/flows/_agent_state.py
@@ -16,8 +16,6 @@
         self.report: LoadReport | None = None
         self.run = NO_AGENT_RUN
         """The run that its reports have stated last."""
-        self.run_reported_ms = 0
-        """When the report that stated the run arrived, in milliseconds."""
         self.last_message_ms = last_message_ms
         self.placed_ms: deque[int] = deque(maxlen=MAX_PLACED_FLOWS)
         """When recent flows were placed at the server; cleared by each report."""
@@ -33,7 +31,7 @@
         """Replace the report; flows placed before it are part of it."""
         self.report = report
         if report.agent_run != NO_AGENT_RUN:
-            self.run, self.run_reported_ms = report.agent_run, now_ms
+            self.run = report.agent_run
         self.placed_ms.clear()
         self.unconfirmed_flows = 0
         if not report.is_server_unreachable:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -102,13 +102,12 @@
     """In heartbeats to an agent, whether it should name the balancers that it knows."""
 
     server_absence_ms: int = 0
-    """In heartbeats to an agent, how long before the report of `reported_run` the store
-    lacked its backend server, which has registered lately, in milliseconds; 0 if that
-    is unknown."""
+    """In heartbeats to an agent, how long ago the store lacked its backend server, if
+    that has registered lately, in milliseconds; 0 if it is unknown."""
 
     reported_run: AgentRun = NO_AGENT_RUN
-    """With `server_absence_ms`, the run that the agent's latest report stated. It began
-    at least as long before the report arrived, however late that was."""
+    """With `server_absence_ms`, the run that the agent's latest report stated. It has
+    run for at least as long now, however late messages are."""
 
 
 class KnownBalancers(NamedTuple):
--- a/citronwinch/coordination/flows/_new_servers.py
+++ b/citronwinch/coordination/flows/_new_servers.py
@@ -30,8 +30,7 @@
         >>> new_servers = NewServers(clock)
         >>> new_servers.record([server], set(), clock.now_ms())
         >>> clock.advance(300)
-        >>> now_ms = clock.now_ms()
-        >>> [new_servers.compute_absence_ms(f"10.0.0.{n}", now_ms) for n in (9, 8)]
+        >>> [new_servers.get_absence_ms(ip) for ip in ("10.0.0.9", "10.0.0.8")]
         [300, 0]
     """
 
@@ -51,13 +50,13 @@
             if server.address.ip not in known:
                 self.absent_ms.setdefault(server.address.ip, absent_ms)
 
-    def compute_absence_ms(self, ip: str, until_ms: int) -> int:
-        """Return how long before some time the store lacked a server, in milliseconds.
+    def get_absence_ms(self, ip: str) -> int:
+        """Return how long ago the store lacked a server at an address, in ms.
 
-        0 if that is unknown, or no earlier.
+        0 if that is unknown.
         """
         absent_ms = self.absent_ms.get(ip)
-        return max(0, until_ms - absent_ms) if absent_ms is not None else 0
+        return self.clock.now_ms() - absent_ms if absent_ms is not None else 0
 
     def expire(self) -> None:
         """Remove the servers that are not new any more."""
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -141,15 +141,10 @@
         report = agent.report if agent is not None else None
         return report is not None and report.open_flows == 0
 
-    def get_agent_run(self, ip: str) -> tuple[AgentRun, int]:
-        """Return the run that an agent has stated last, and when that arrived, in ms.
-
-        NO_AGENT_RUN if it has not stated one.
-        """
+    def get_agent_run(self, ip: str) -> AgentRun:
+        """Return the run that an agent has stated last, NO_AGENT_RUN without one."""
         agent = self.agents.get(ip)
-        if agent is None:
-            return NO_AGENT_RUN, 0
-        return agent.run, agent.run_reported_ms
+        return agent.run if agent is not None else NO_AGENT_RUN
 
     def reaches_server(self, ip: str) -> bool:
         """Return whether an agent is known and does not miss its server."""
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -113,10 +113,10 @@
         if self._ask_for_balancers():
             heartbeat = heartbeat._replace(asks_for_balancers=True)
         warmup = self.view.cold_servers.get_warmup(server)
-        run, reported_ms = self.process.selector.get_agent_run(ip)
-        if absence_ms := self.view.new_servers.compute_absence_ms(ip, reported_ms):
+        if absence_ms := self.view.new_servers.get_absence_ms(ip):
             heartbeat = heartbeat._replace(
-                server_absence_ms=absence_ms, reported_run=run
+                server_absence_ms=absence_ms,
+                reported_run=self.process.selector.get_agent_run(ip),
             )
         return heartbeat._replace(
             server_slots=server.slots,
