--- a/citronwinch/coordination/flows/__init__.py
+++ b/citronwinch/coordination/flows/__init__.py
@@ -72,7 +72,6 @@
 from citronwinch.coordination.flows._members import BalancerMembers
 from citronwinch.coordination.flows._messages import (
     UNLIMITED_OPENINGS,
-    AgentRun,
     DepartedServer,
     FlowAnswer,
     FlowAnswers,
@@ -145,7 +144,6 @@
     "list_view_sources",
     "Action",
     "AgentFlows",
-    "AgentRun",
     "BackendServer",
     "BalancerFlows",
     "BalancerMembers",
--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -25,7 +25,6 @@
 from citronwinch.coordination.flows._held_trials import HeldTrials
 from citronwinch.coordination.flows._load_reporting import round_share
 from citronwinch.coordination.flows._messages import (
-    AgentRun,
     FlowAnswer,
     FlowAnswers,
     FlowQuestion,
@@ -75,15 +74,12 @@
         clock: Clock,
         *,
         knows_all_flows: bool,
-        run_number: int = 0,
         holds_requests: bool = True,
     ) -> None:
         self.service = service
         self.clock = clock
         self.started_ms = clock.now_ms()
         """When the agent started, by `clock`, in milliseconds."""
-        self.run_number = run_number
-        """The number of this run of the agent; another run has another one."""
         self.server_started_unix_ms = 0
         """The backend server's incarnation: its start in Unix time, in milliseconds; 0
         if unknown."""
@@ -368,34 +364,19 @@
             )
         ]
 
-    def make_heartbeat_answer(self) -> LoadReport:
-        """Return a load report that states the agent's run if that is of use."""
-        report = self.make_load_report()
-        if not self.may_hold_unknown_flows:
-            return report
-        uptime_ms = self.clock.now_ms() - self.started_ms
-        return report._replace(agent_run=AgentRun(self.run_number, uptime_ms))
-
-    def handle_server_absence(
-        self, absence_ms: int, reported_run: AgentRun
-    ) -> list[Action]:
+    def handle_server_absence(self, absence_ms: int) -> list[Action]:
         """Apply how long ago the store lacked the backend server, as a balancer says.
 
         0 says nothing. No balancer sent openings to the server before it was listed, so
         that an agent which was there has seen the opening of every flow.
-
-        The uptime is the one that the agent had reported before. The heartbeat may be
-        late, after a freeze for example, and the present uptime would be too high.
         """
-        is_older = reported_run.uptime_ms >= absence_ms - MIN_AGENT_RESTART_MS
-        is_proof = is_older and reported_run.number == self.run_number
-        if self.knows_all_flows or not absence_ms or not is_proof:
+        uptime_ms = self.clock.now_ms() - self.started_ms
+        is_older = uptime_ms >= absence_ms - MIN_AGENT_RESTART_MS
+        if self.knows_all_flows or not absence_ms or not is_older:
             return []
         self.knows_all_flows = True
         known = record(
-            "all_flows_known",
-            uptime_ms=reported_run.uptime_ms,
-            server_absence_ms=absence_ms,
+            "all_flows_known", uptime_ms=uptime_ms, server_absence_ms=absence_ms
         )
         return [known]
 
--- a/citronwinch/coordination/flows/_agent_state.py
+++ b/citronwinch/coordination/flows/_agent_state.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from citronwinch.coordination.flows._messages import NO_AGENT_RUN, LoadReport
+from citronwinch.coordination.flows._messages import LoadReport
 
 MAX_PLACED_FLOWS = 64
 """The most placed flows that are counted per agent between two reports; further ones
@@ -14,8 +14,6 @@
 
     def __init__(self, last_message_ms: int) -> None:
         self.report: LoadReport | None = None
-        self.run = NO_AGENT_RUN
-        """The run that its reports have stated last."""
         self.last_message_ms = last_message_ms
         self.placed_ms: deque[int] = deque(maxlen=MAX_PLACED_FLOWS)
         """When recent flows were placed at the server; cleared by each report."""
@@ -30,8 +28,6 @@
     def record_report(self, report: LoadReport, now_ms: int) -> None:
         """Replace the report; flows placed before it are part of it."""
         self.report = report
-        if report.agent_run != NO_AGENT_RUN:
-            self.run = report.agent_run
         self.placed_ms.clear()
         self.unconfirmed_flows = 0
         if not report.is_server_unreachable:
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -21,20 +21,6 @@
 load."""
 
 
-class AgentRun(NamedTuple):
-    """One run of an agent, at the time of one of its reports."""
-
-    number: int
-    """The number of the run; another run has another one. 0 for no run."""
-
-    uptime_ms: int
-    """How long it had run, in milliseconds."""
-
-
-NO_AGENT_RUN = AgentRun(0, 0)
-"""The run of a report or a heartbeat that states none."""
-
-
 class Heartbeat(NamedTuple):
     """A balancer informs balancers and agents of its state and its view."""
 
@@ -105,10 +91,6 @@
     """In heartbeats to an agent, how long ago the store lacked its backend server, if
     that has registered lately, in milliseconds; 0 if it is unknown."""
 
-    reported_run: AgentRun = NO_AGENT_RUN
-    """With `server_absence_ms`, the run that the agent's latest report stated. It has
-    run for at least as long now, however late messages are."""
-
 
 class KnownBalancers(NamedTuple):
     """An agent names the balancers that have sent it heartbeats lately."""
@@ -160,10 +142,6 @@
     is_server_unreachable: bool = False
     """Whether the agent's last attempt to connect to its backend server failed."""
 
-    agent_run: AgentRun = NO_AGENT_RUN
-    """In the answer to a heartbeat, the agent's run, while its backend server may hold
-    flows that the agent does not know."""
-
 
 class Verdict(IntEnum):
     """Whether the backend server of an agent holds a flow."""
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -16,11 +16,7 @@
     make_choice_without_room,
 )
 from citronwinch.coordination.flows._deployment import BackendServer
-from citronwinch.coordination.flows._messages import (
-    NO_AGENT_RUN,
-    AgentRun,
-    LoadReport,
-)
+from citronwinch.coordination.flows._messages import LoadReport
 from citronwinch.coordination.flows._opening_rooms import OpeningRooms
 from citronwinch.coordination.flows._server_scoring import (
     compute_medians,
@@ -141,11 +137,6 @@
         report = agent.report if agent is not None else None
         return report is not None and report.open_flows == 0
 
-    def get_agent_run(self, ip: str) -> AgentRun:
-        """Return the run that an agent has stated last, NO_AGENT_RUN without one."""
-        agent = self.agents.get(ip)
-        return agent.run if agent is not None else NO_AGENT_RUN
-
     def reaches_server(self, ip: str) -> bool:
         """Return whether an agent is known and does not miss its server."""
         agent = self.agents.get(ip)
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -14,7 +14,6 @@
 
 from citronwinch.coordination import FlowKey
 from citronwinch.coordination.flows import (
-    AgentRun,
     FlowAnswer,
     FlowAnswers,
     FlowLocation,
@@ -130,7 +129,6 @@
     body.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
     body.asksForBalancers = message.asks_for_balancers
     body.serverAbsenceMs = message.server_absence_ms
-    body.reportedRun, body.reportedUptimeMs = message.reported_run
     return _pack(builder)
 
 
@@ -173,7 +171,6 @@
     body.queued = message.queued
     body.openingRoom = message.opening_room
     body.isServerUnreachable = message.is_server_unreachable
-    body.agentRun, body.agentUptimeMs = message.agent_run
     return _pack(builder)
 
 
@@ -318,7 +315,6 @@
             body.uptimeMs,
             body.asksForBalancers,
             body.serverAbsenceMs,
-            AgentRun(body.reportedRun, body.reportedUptimeMs),
         )
     if kind == "knownBalancers":
         return KnownBalancers(tuple(reader.knownBalancers))
@@ -337,7 +333,6 @@
             body.queued,
             body.openingRoom,
             body.isServerUnreachable,
-            AgentRun(body.agentRun, body.agentUptimeMs),
         )
     if kind == "question":
         body = reader.question
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -26,8 +26,6 @@
   uptimeMs @19 :UInt32;
   asksForBalancers @20 :Bool;
   serverAbsenceMs @21 :UInt32;
-  reportedRun @22 :UInt64;
-  reportedUptimeMs @23 :UInt32;
 }
 
 struct ZoneEvacuation {
@@ -50,8 +48,6 @@
   queued @9 :UInt32;
   openingRoom @10 :UInt16 = 65535;
   isServerUnreachable @11 :Bool;
-  agentRun @12 :UInt64;
-  agentUptimeMs @13 :UInt32;
 }
 
 struct FlowQuestion {
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -113,12 +113,8 @@
         if self._ask_for_balancers():
             heartbeat = heartbeat._replace(asks_for_balancers=True)
         warmup = self.view.cold_servers.get_warmup(server)
-        if absence_ms := self.view.new_servers.get_absence_ms(ip):
-            heartbeat = heartbeat._replace(
-                server_absence_ms=absence_ms,
-                reported_run=self.process.selector.get_agent_run(ip),
-            )
         return heartbeat._replace(
+            server_absence_ms=self.view.new_servers.get_absence_ms(ip),
             server_slots=server.slots,
             server_warmup_left_ms=warmup.left_ms,
             warmup_per_s=warmup.per_s,
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -85,7 +85,6 @@
             settings.service,
             self.clock,
             knows_all_flows=settings.is_first_start,
-            run_number=self.incarnation,
             holds_requests=settings.holds_requests,
         )
         self.flows.opening_limit.await_heartbeat()
@@ -164,15 +163,13 @@
                 self.flows.handle_server_start(message.server_started_ms)
             )
             self.apply_actions(
-                self.flows.handle_server_absence(
-                    message.server_absence_ms, message.reported_run
-                )
+                self.flows.handle_server_absence(message.server_absence_ms)
             )
             # A balancer whose listing lacks the server does not state its slots.
             slots = self.flows.requests.slots
             slots.slots = message.server_slots or slots.slots
             self.flows.opening_limit.apply_heartbeat(message)
-            self.send(sender, self.flows.make_heartbeat_answer())
+            self.send(sender, self.flows.make_load_report())
             if message.asks_for_balancers:
                 self._name_balancers(sender)
 
