--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -51,9 +51,9 @@
 """How long after the agent's start its backend server may hold flows that the agent
 does not know, in milliseconds; the platform's longest lifetime of a flow."""
 
-MIN_AGENT_RESTART_MS = 500
-"""The shortest time from an opening that an agent delivers to its next start, in
-milliseconds: the stop, the pause before the start, and the start of the program."""
+SERVER_START_MARGIN_MS = 1_000
+"""A backend server that started at most this long before its agent has not received
+any flow yet, in milliseconds; an agent takes about half of this to start."""
 
 _STATES_RESET_ON_SERVER_DEATH = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
 """The states whose flows are reset when the backend server has died. In any other state
@@ -74,12 +74,16 @@
         clock: Clock,
         *,
         knows_all_flows: bool,
+        started_unix_ms: int = 0,
         holds_requests: bool = True,
     ) -> None:
         self.service = service
         self.clock = clock
         self.started_ms = clock.now_ms()
         """When the agent started, by `clock`, in milliseconds."""
+        self.started_unix_ms = started_unix_ms
+        """When the agent started, in Unix time, in milliseconds; 0 if unknown, which
+        counts as before the start of any backend server."""
         self.server_started_unix_ms = 0
         """The backend server's incarnation: its start in Unix time, in milliseconds; 0
         if unknown."""
@@ -351,11 +355,16 @@
         """Apply the backend server's incarnation, sent by a balancer in a heartbeat.
 
         Balancers read it from the listing; it is the server's start time.
+
+        The agent has seen the opening of every flow of a backend server that started
+        after the agent, and such a server holds no flow from before its start.
         """
         if server_started_unix_ms <= self.server_started_unix_ms:
             return []
         self.server_started_unix_ms = server_started_unix_ms
         self.requests.service_times.reset()
+        if server_started_unix_ms >= self.started_unix_ms - SERVER_START_MARGIN_MS:
+            self.knows_all_flows = True
         return [
             record(
                 "server_started",
@@ -364,22 +373,6 @@
             )
         ]
 
-    def handle_server_absence(self, absence_ms: int) -> list[Action]:
-        """Apply how long ago the store lacked the backend server, as a balancer says.
-
-        0 says nothing. No balancer sent openings to the server before it was listed, so
-        that an agent which was there has seen the opening of every flow.
-        """
-        uptime_ms = self.clock.now_ms() - self.started_ms
-        is_older = uptime_ms >= absence_ms - MIN_AGENT_RESTART_MS
-        if self.knows_all_flows or not absence_ms or not is_older:
-            return []
-        self.knows_all_flows = True
-        known = record(
-            "all_flows_known", uptime_ms=uptime_ms, server_absence_ms=absence_ms
-        )
-        return [known]
-
     def answer_question(self, question: FlowQuestion) -> FlowAnswer:
         """Return the verdict whether the backend server holds a flow."""
         flow = self._find_flow(question.flow, question.acknowledged)
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -87,10 +87,6 @@
     asks_for_balancers: bool = False
     """In heartbeats to an agent, whether it should name the balancers that it knows."""
 
-    server_absence_ms: int = 0
-    """In heartbeats to an agent, how long ago the store lacked its backend server, if
-    that has registered lately, in milliseconds; 0 if it is unknown."""
-
 
 class KnownBalancers(NamedTuple):
     """An agent names the balancers that have sent it heartbeats lately."""
--- a/citronwinch/coordination/flows/_view.py
+++ b/citronwinch/coordination/flows/_view.py
@@ -13,10 +13,7 @@
     list_named_services,
 )
 from citronwinch.coordination.flows._evacuations import Evacuations
-from citronwinch.coordination.flows._former_knowledge import (
-    FORMER_RETENTION_MS,
-    FormerKnowledge,
-)
+from citronwinch.coordination.flows._former_knowledge import FormerKnowledge
 from citronwinch.coordination.flows._former_servers import (
     FormerServers,
     RemovalReason,
@@ -31,7 +28,6 @@
     apply_difference,
 )
 from citronwinch.coordination.flows._messages import DepartedServer, FormerRoute
-from citronwinch.coordination.flows._new_servers import NewServers
 from citronwinch.coordination.flows._restored_listing import correct_restored_listing
 from citronwinch.coordination.flows._route_history import (
     CONFIGURATION_LAG_MS,
@@ -100,7 +96,6 @@
         self.named_services: frozenset[str] = frozenset()
         """The services that the configuration names."""
         self.cold_servers = ColdServers(clock)
-        self.new_servers = NewServers(clock)
         self.route_history = RouteHistory(clock)
         self.evacuations = Evacuations(clock)
         self.former_knowledge = FormerKnowledge(clock)
@@ -228,8 +223,6 @@
             self.confirmed_ms is not None
             and confirmed_ms - self.confirmed_ms > OUTAGE_GAP_MS
         )
-        if self._lacks_nothing(now_ms) and not follows_outage:
-            self._record_new_servers(listing)
         if follows_outage:
             self.former_knowledge.restart()
         if follows_outage or self.has_failed_read:
@@ -255,25 +248,6 @@
         self._rebuild_by_service()
         return self.listing_digest != previous_digest
 
-    def _lacks_nothing(self, now_ms: int) -> bool:
-        """Return whether the listing and the former servers are all that were there."""
-        is_undisturbed = now_ms >= max(self.grace_until_ms, self.restored_until_ms)
-        knows_former = self.former_knowledge.known_for_ms >= FORMER_RETENTION_MS
-        return is_undisturbed and not self.has_failed_read and knows_former
-
-    def _record_new_servers(self, listing: ServerListing) -> None:
-        """Record the servers that a listing has, and the current one lacks."""
-        if self.confirmed_ms is None:
-            return
-        previous = self.listing.servers
-        added = [each for name, each in listing.servers.items() if name not in previous]
-        if added:
-            known = {server.address.ip for server in previous.values()}
-            known |= {each.server.address.ip for each in self.former.values()}
-            lost = self.former.lost.values()
-            known |= {each.former.server.address.ip for each in lost}
-            self.new_servers.record(added, known, self.confirmed_ms)
-
     def _detect_restore(self, position: StorePosition) -> None:
         """Start the times in which a listing may lack or revert entries.
 
@@ -429,7 +403,6 @@
             reused = [f.server.name for f in outdated if f.server.address.ip in listed]
             self.former.remove(reused, RemovalReason.EXPIRED)
         self.route_history.expire()
-        self.new_servers.expire()
         return dropped
 
     def list_ready(self, service: str) -> list[BackendServer]:
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -131,7 +131,6 @@
                 if ip in servers:
                     heartbeat = heartbeat._replace(
                         server_started_ms=servers[ip].started_ms,
-                        server_absence_ms=self.view.new_servers.get_absence_ms(ip),
                         server_slots=servers[ip].slots,
                     )
                 self.send(ip, heartbeat)
--- a/citronwinch/coordination/flows/tests/small_fleet_processes.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_processes.py
@@ -179,6 +179,7 @@
             self.server.service,
             clock,
             knows_all_flows=is_first_start,
+            started_unix_ms=clock.now_ms(),
         )
         self.flows.opening_limit.await_heartbeat()
         self.reporting = LoadReporting(clock)
@@ -238,7 +239,6 @@
             until_ms = self.clock.now_ms() + REPORTED_BALANCER_TIMEOUT_MS
             self.balancers[sender] = until_ms
             self.apply(self.flows.handle_server_start(message.server_started_ms))
-            self.apply(self.flows.handle_server_absence(message.server_absence_ms))
             slots = self.flows.requests.slots
             slots.slots = message.server_slots or slots.slots
             self.flows.opening_limit.apply_heartbeat(message)
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -161,20 +161,20 @@
 
 
 @pytest.mark.parametrize(
-    ("absence_ms", "verdict"),
+    ("server_starts_ms", "verdict"),
     [
-        pytest.param(0, Verdict.UNCERTAIN, id="nothing is known"),
-        pytest.param(900, Verdict.ABSENT, id="the server was listed later"),
-        pytest.param(1_500, Verdict.ABSENT, id="too soon for an earlier run"),
-        pytest.param(1_501, Verdict.UNCERTAIN, id="an earlier run is possible"),
-        pytest.param(30_000, Verdict.UNCERTAIN, id="the agent has restarted"),
+        pytest.param([5_000], Verdict.UNCERTAIN, id="the server is older"),
+        pytest.param([59_500], Verdict.ABSENT, id="both have just started"),
+        pytest.param([5_000, 90_000], Verdict.ABSENT, id="the server restarted"),
+        pytest.param([0], Verdict.UNCERTAIN, id="nothing is known"),
     ],
 )
-def test_an_agent_that_was_there_before_its_server_was_listed_knows_all_flows(
-    agent: AgentFlows, clock: ManualClock, absence_ms: int, verdict: Verdict
+def test_an_agent_older_than_its_server_knows_all_flows(
+    clock: ManualClock, server_starts_ms: list[int], verdict: Verdict
 ) -> None:
-    clock.advance(1_000)
-    agent.handle_server_absence(absence_ms)
+    agent = AgentFlows("gauging", clock, knows_all_flows=False, started_unix_ms=60_000)
+    for started_ms in server_starts_ms:
+        agent.handle_server_start(started_ms)
     assert query_verdict(agent) is verdict
 
 
--- a/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
+++ b/citronwinch/coordination/flows/tests/test_packets_at_other_servers.py
@@ -18,9 +18,10 @@
     Packet,
     Verdict,
 )
-from citronwinch.coordination.flows._agent_flows import MIN_AGENT_RESTART_MS
 from citronwinch.coordination.flows._known_flows import KnownFlow
-from citronwinch.coordination.flows.tests.conftest import make_packet
+from citronwinch.coordination.flows.tests.conftest import (
+    make_packet,
+)
 from citronwinch.coordination.flows.tests.trial_fleet import (
     BALANCER_IP,
     HOLDER,
@@ -337,12 +338,18 @@
     assert DeliverToServer(later.raw) in forward(agent, later)
 
 
-# The agent's time of day was behind when it was restarted after its server.
+# The agent's time of day was 5 s behind when it was restarted after its server.
 def test_an_agent_whose_time_of_day_was_behind_does_not_deny_flows(
     clock: ManualClock,
 ) -> None:
-    agent = AgentFlows("gauging", clock, knows_all_flows=False)
-    agent.handle_server_start(60_000)
+    server_started_ms = 60_000
+    agent = AgentFlows(
+        "gauging",
+        clock,
+        knows_all_flows=False,
+        started_unix_ms=server_started_ms - 2_000,
+    )
+    agent.handle_server_start(server_started_ms)
     question = FlowQuestion(make_packet().flow, ACKNOWLEDGED)
     assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
 
@@ -351,8 +358,10 @@
 def test_an_agent_that_starts_soon_after_its_server_does_not_deny_flows(
     clock: ManualClock,
 ) -> None:
-    agent = AgentFlows("gauging", clock, knows_all_flows=False)
-    agent.handle_server_start(60_000)
-    agent.handle_server_absence(MIN_AGENT_RESTART_MS + 1)
+    server_started_ms = 60_000
+    agent = AgentFlows(
+        "gauging", clock, knows_all_flows=False, started_unix_ms=server_started_ms + 500
+    )
+    agent.handle_server_start(server_started_ms)
     question = FlowQuestion(make_packet().flow, ACKNOWLEDGED)
     assert agent.answer_question(question).verdict is Verdict.UNCERTAIN
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -128,7 +128,6 @@
     body.formerKnownForMs = message.former_known_for_ms
     body.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
     body.asksForBalancers = message.asks_for_balancers
-    body.serverAbsenceMs = message.server_absence_ms
     return _pack(builder)
 
 
@@ -314,7 +313,6 @@
             body.formerKnownForMs,
             body.uptimeMs,
             body.asksForBalancers,
-            body.serverAbsenceMs,
         )
     if kind == "knownBalancers":
         return KnownBalancers(tuple(reader.knownBalancers))
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -25,7 +25,6 @@
   formerKnownForMs @18 :UInt32;
   uptimeMs @19 :UInt32;
   asksForBalancers @20 :Bool;
-  serverAbsenceMs @21 :UInt32;
 }
 
 struct ZoneEvacuation {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -74,7 +74,6 @@
         60_000,
         700,
         asks_for_balancers=True,
-        server_absence_ms=450,
     ),
     KnownBalancers(("10.0.0.1", "10.0.0.2")),
     LoadReport("gauging", 40, 3, 17, 0.625, False, 0.35, 1_771_472_094_292, 69, 2, 0),
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -114,7 +114,6 @@
             heartbeat = heartbeat._replace(asks_for_balancers=True)
         warmup = self.view.cold_servers.get_warmup(server)
         return heartbeat._replace(
-            server_absence_ms=self.view.new_servers.get_absence_ms(ip),
             server_slots=server.slots,
             server_warmup_left_ms=warmup.left_ms,
             warmup_per_s=warmup.per_s,
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -85,6 +85,7 @@
             settings.service,
             self.clock,
             knows_all_flows=settings.is_first_start,
+            started_unix_ms=self.incarnation // 1_000_000,
             holds_requests=settings.holds_requests,
         )
         self.flows.opening_limit.await_heartbeat()
@@ -162,9 +163,6 @@
             self.apply_actions(
                 self.flows.handle_server_start(message.server_started_ms)
             )
-            self.apply_actions(
-                self.flows.handle_server_absence(message.server_absence_ms)
-            )
             # A balancer whose listing lacks the server does not state its slots.
             slots = self.flows.requests.slots
             slots.slots = message.server_slots or slots.slots
