Check messages of several segments before the library reads them

What callers saw: nothing yet. A mutated datagram of 20 bytes ended the test process with SIGABRT, and would end a balancer or an agent, which a caller sees as lost flows.

Cause: Cap'n Proto reads the segments of a packed message as they are used, and the rest in a destructor. If the data ends before, the destructor throws, which ends the process; no handler can catch it.

Change: read_packed_message checks that all words of the segments are there, and that no run crosses the end of one, before the library reads several segments. Messages of one segment, which datagrams have, are read as before. Why it works: the library reads a message of one segment in the constructor, whose errors become exceptions; the destructor of others finds what it needs.

--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -35,7 +35,7 @@
     ZoneEvacuation,
 )
 from citronwinch.flow_peers._schema import MAX_MESSAGE_WORDS, SCHEMA
-from citronwinch.network import MalformedMessageError
+from citronwinch.network import MalformedMessageError, read_packed_message
 
 # The kinds of messages; a control message is packed Cap'n Proto.
 KIND_FORWARDED = 1
@@ -287,9 +287,7 @@
 
 
 def _decode_control(data: bytes) -> Message:
-    reader = SCHEMA.FlowMessage.from_bytes_packed(
-        data, traversal_limit_in_words=MAX_MESSAGE_WORDS
-    )
+    reader = read_packed_message(SCHEMA.FlowMessage, data, MAX_MESSAGE_WORDS)
     kind = str(reader.which())
     if kind == "heartbeat":
         body = reader.heartbeat
--- a/citronwinch/flow_peers/_view_codec.py
+++ b/citronwinch/flow_peers/_view_codec.py
@@ -25,7 +25,7 @@
     pack_route_address,
 )
 from citronwinch.flow_peers._schema import MAX_MESSAGE_WORDS, SCHEMA
-from citronwinch.network import MalformedMessageError
+from citronwinch.network import MalformedMessageError, read_packed_message
 
 COMPRESSION_LEVEL = 1
 """The zlib level for configurations and views, 1 to 9; higher ones cost time and save
@@ -143,9 +143,7 @@
 def decode_view(data: bytes) -> ViewAnswer:
     """Decode a view; raise MalformedMessageError if it is malformed."""
     try:
-        reader = SCHEMA.View.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
-        )
+        reader = read_packed_message(SCHEMA.View, data, MAX_MESSAGE_WORDS)
         servers = {body.name: _read_server(body) for body in reader.servers}
         configuration = None
         if reader.configuration:
@@ -187,9 +185,7 @@
 
 def _decode_configuration(data: bytes) -> Configuration:
     packed = _decompress(data, "configuration")
-    reader = SCHEMA.Configuration.from_bytes_packed(
-        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS
-    )
+    reader = read_packed_message(SCHEMA.Configuration, packed, MAX_MESSAGE_WORDS)
     return _read_configuration(reader)
 
 
--- a/citronwinch/network/__init__.py
+++ b/citronwinch/network/__init__.py
@@ -9,6 +9,7 @@
 )
 from citronwinch.network._http import HttpError, HttpRequest, HttpResponse, fetch, serve
 from citronwinch.network._malformed import MalformedMessageError
+from citronwinch.network._packed_messages import read_packed_message
 
 __all__ = [
     "BATCH_LIMIT",
@@ -20,6 +21,7 @@
     "HttpResponse",
     "MalformedMessageError",
     "fetch",
+    "read_packed_message",
     "serve",
     "try_connection",
 ]
--- a/citronwinch/peers/_envelope.py
+++ b/citronwinch/peers/_envelope.py
@@ -13,7 +13,7 @@
 from citronwinch.coordination.spread import SpreadMessage
 from citronwinch.coordination.steering import Forward, SteeringMessage
 from citronwinch.fabric import MalformedFrameError, decode_request, encode_request
-from citronwinch.network import MalformedMessageError
+from citronwinch.network import MalformedMessageError, read_packed_message
 from citronwinch.peers._codec import SCHEMA, fill_message
 from citronwinch.peers._load_codec import read_load_report
 from citronwinch.peers._requests_codec import read_requests_message
@@ -173,7 +173,7 @@
 
 def _decode_header(header: bytes) -> tuple[str, int, PeerMessage]:
     try:
-        reader = SCHEMA.Envelope.from_bytes_packed(header)
+        reader = read_packed_message(SCHEMA.Envelope, header)
         message_type = str(reader.which())
         message = _READERS[message_type](getattr(reader, message_type))
         return reader.sender, reader.incarnation, message
