Take a flow for open at an agent only by its word or the caller's

Cause: the frozen balancer places late copies of openings when it wakes. Some go to the leaving server, which accepts them. The balancer took the agent's answer to such an opening for a statement that the flow is open there. It forwarded the caller's next packet to the agent, which had ended, and reset the flow by that packet's number.

Evidence: the record of the case: the opening taken by the open flow's server as copy 2, and later as copy 0 by the leaving one; opening_placed twice; servers_lost with flows_reset at the time of the reset. The agent's own reset of that flow, 0.6 s before, had no valid number.

Change: the agent states the number with which its server accepted. A flow is open at an agent if the agent has said that it is held, or if a packet of the caller acknowledges that number. Another packet begins a search, which is not ended by such an answer unless its packet fits. Flows that are not open there are dropped with a lost server, and not reset. Why it works: a caller confirms one acceptance, and the balancer now compares it.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -283,7 +283,7 @@
             flow.has_caller_finished = flow.has_server_finished = False
             if flow.balancer and flow.state is FlowState.ACCEPTED:
                 flow.informed_balancer = flow.balancer
-                answer = FlowAnswer(packet.flow, Verdict.OPENING)
+                answer = FlowAnswer(packet.flow, Verdict.OPENING, packet.sequence)
                 actions.append(SendMessage(flow.balancer, answer))
             return actions
         if flow is None:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -106,12 +106,14 @@
         # Another balancer may have placed a copy of the opening that is held here.
         self.held_openings.remove(packet.flow)
         self.held_uploads.remove(packet.flow)
-        if known is not None and known.must_be_confirmed(self.clock.now_ms()):
+        if known is not None and known.must_be_confirmed(
+            packet.acknowledged, self.clock.now_ms()
+        ):
             del self.flows[packet.flow]
             return self._search_flow(packet, likely_at=known.agent)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
-            known.acknowledged = packet.acknowledged
+            known.record_acknowledged(packet.acknowledged)
             if packet.raw not in known.tried_packets:
                 known.tried_packets = ()
             if known.has_large_request:
@@ -160,7 +162,7 @@
     def _apply_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
         """Apply an agent's verdict on a flow to its search or its hint."""
         if answer.flow in self.searches:
-            return self.searches.handle_verdict(answer.flow, agent, answer.verdict)
+            return self.searches.handle_answer(answer, agent)
         known = self.flows.get(answer.flow)
         if known is None:
             return []
@@ -168,15 +170,18 @@
             del self.flows[answer.flow]
             self.counters["hints_withdrawn"] += 1
         elif known.agent == agent:
+            if answer.verdict is Verdict.HELD:
+                known.record_holder(agent)
+            if answer.verdict is Verdict.OPENING:
+                known.record_acceptance(answer.server_first_sequence)
             if answer.verdict in (Verdict.OPENING, Verdict.HELD):
-                known.located_ms = None
                 # The server accepted an earlier copy of a returned opening.
                 self.held_openings.remove(answer.flow)
                 self.directory.request_registration(answer.flow)
             return confirm_opening(known, self.clock.now_ms())
         elif answer.verdict is Verdict.HELD:
-            known.agent, known.unconfirmed_since_ms = agent, None
-            known.located_ms = None
+            known.unconfirmed_since_ms = None
+            known.record_holder(agent)
         return []
 
     def answer_lookup(self, lookup: FlowLookup) -> FlowLocations:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -5,13 +5,11 @@
 from citronwinch.coordination.flows._messages import Verdict
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
-
-SEQUENCE_RANGE = 1 << 32
-"""Sequence numbers have 32 bits and wrap around at this value."""
-
-CALLER_CONFIRMATION_MAX_DISTANCE = 2
-"""How far beyond the backend server's first sequence number a caller's acknowledgement
-may be to confirm that server's acceptance, in sequence numbers."""
+from citronwinch.coordination.flows._sequence_numbers import (
+    SEQUENCE_RANGE,
+    compute_sequence_distance,
+    confirms_acceptance,
+)
 
 OTHER_FLOW_TIMEOUT_MS = 5_000
 """A flow that is neither accepted nor open is removed after this long without packets,
@@ -26,20 +24,6 @@
 bounces a packet at once, but leaves some packets of its own flows unanswered."""
 
 
-def compute_sequence_distance(sequence: int, start: int) -> int:
-    """Return how far a sequence number is after another one; negative if before.
-
-    Example::
-
-        >>> compute_sequence_distance(5, SEQUENCE_RANGE - 5)
-        10
-        >>> compute_sequence_distance(100, 150)
-        -50
-    """
-    half = SEQUENCE_RANGE // 2
-    return (sequence - start + half) % SEQUENCE_RANGE - half
-
-
 class FlowState(IntEnum):
     """What the agent knows about a flow at its backend server."""
 
@@ -108,8 +92,7 @@
 
     def is_confirmed_by(self, acknowledged: int) -> bool:
         """Return whether a caller's acknowledgement confirms the acceptance."""
-        distance = (acknowledged - self.server_first_sequence) % SEQUENCE_RANGE
-        return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
+        return confirms_acceptance(acknowledged, self.server_first_sequence)
 
     def must_wait_for_trial(self, now_ms: int) -> bool:
         """Return whether packets wait until the backend server answers earlier ones.
--- a/citronwinch/coordination/flows/_flow_search.py
+++ b/citronwinch/coordination/flows/_flow_search.py
@@ -229,7 +229,7 @@
 
     def handle_verdict(self, agent: str, verdict: Verdict) -> SearchStep:
         """Apply an agent's verdict and return the next step."""
-        if verdict in (Verdict.HELD, Verdict.OPENING) and agent in self.services:
+        if verdict is Verdict.HELD and agent in self.services:
             return SearchStep(holder=agent)
         self.verdicts[agent] = verdict
         self.answered_agents.add(agent)
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -21,6 +21,7 @@
     forward_to_agent,
 )
 from citronwinch.coordination.flows._messages import (
+    FlowAnswer,
     FlowLocation,
     FlowLookup,
     FlowQuestion,
@@ -40,6 +41,7 @@
     list_servers_to_query,
     list_silent_agents,
 )
+from citronwinch.coordination.flows._sequence_numbers import confirms_acceptance
 from citronwinch.coordination.flows._server_selector import ServerSelector
 from citronwinch.coordination.flows._trial_budget import (
     TRIAL_RETRY_MS,
@@ -205,6 +207,23 @@
         self.batches.record_answer(agent, key)
         return [*self._send_questions()]
 
+    def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
+        """Apply an agent's answer to the search for a flow.
+
+        A server that has accepted a copy of the flow's opening holds the flow only if
+        the caller's packet acknowledges that acceptance.
+        """
+        verdict = answer.verdict
+        if verdict is Verdict.OPENING:
+            acknowledged = self[answer.flow].held_packets[0].acknowledged
+            first_sequence = answer.server_first_sequence
+            if first_sequence is None or not confirms_acceptance(
+                acknowledged, first_sequence
+            ):
+                return []
+            verdict = Verdict.HELD
+        return self.handle_verdict(answer.flow, agent, verdict)
+
     def handle_verdict(
         self, key: FlowKey, agent: str, verdict: Verdict
     ) -> list[Action]:
@@ -406,7 +425,8 @@
         self, search: FlowSearch, location: FlowLocation
     ) -> list[Action]:
         actions = self._finish_found(location.flow, search, location.agent)
-        self.flows[location.flow].located_ms = self.clock.now_ms()
+        known = self.flows[location.flow]
+        known.located_ms, known.is_open = self.clock.now_ms(), False
         return actions
 
     def _finish_found(
@@ -418,6 +438,7 @@
         service = search.services[holder]
         flow = KnownFlow(holder, service, now_ms)
         flow.acknowledged = search.held_packets[-1].acknowledged
+        flow.is_open = True
         flow.has_large_request = is_upload_flow(self.view, key)
         if search.trial_packet_counts:
             flow.tried_packets = tuple(packet.raw for packet in search.held_packets)
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -12,6 +12,7 @@
 from citronwinch.coordination.flows._opening_times import OpeningTimes
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
+from citronwinch.coordination.flows._sequence_numbers import confirms_acceptance
 
 LOCATION_TRUST_MS = 100
 """How long packets are forwarded to an agent that another balancer has named, in
@@ -42,6 +43,14 @@
         """When an unconfirmed opening was forwarded; None for other flows."""
         self.located_ms: int | None = None
         """When another balancer named the agent; None once the agent has confirmed."""
+        self.server_first_sequence: int | None = None
+        """The sequence number with which the agent's server accepted the opening; None
+        if the agent has not stated it."""
+        self.is_open = False
+        """Whether the flow is open at the agent's server: the agent has stated that, or
+        the caller has acknowledged the acceptance. An opening and the server's answer
+        to it do not show that, because copies of the opening may be accepted elsewhere,
+        and the caller confirms one of them."""
         self.may_be_accepted = False
         """Whether a server may accept a copy of the unconfirmed opening other than the
         one forwarded last: an earlier one was not answered, or another one is on its
@@ -58,13 +67,45 @@
         self.is_last_choice = False
         """Whether no agent should return the opening any more for lack of room."""
 
-    def must_be_confirmed(self, now_ms: int) -> bool:
-        """Return whether the agent is to be asked before it gets another packet."""
+    def must_be_confirmed(self, acknowledged: int, now_ms: int) -> bool:
+        """Return whether the agent is to be asked before it gets a caller's packet.
+
+        It is if another balancer has named it some time ago, or if the packet does not
+        acknowledge the acceptance by the agent's server.
+        """
+        if self.located_ms is not None:
+            return now_ms - self.located_ms >= LOCATION_TRUST_MS
         return (
-            self.located_ms is not None
-            and now_ms - self.located_ms >= LOCATION_TRUST_MS
+            not self.is_open
+            and self.server_first_sequence is not None
+            and not confirms_acceptance(acknowledged, self.server_first_sequence)
         )
 
+    def record_acknowledged(self, acknowledged: int) -> None:
+        """Record the acknowledgement number of a caller's packet for the agent."""
+        self.acknowledged = acknowledged
+        self._compare_acceptance()
+
+    def record_acceptance(self, server_first_sequence: int | None) -> None:
+        """Record that the agent's server has accepted the opening.
+
+        A packet of the caller may have been forwarded before.
+        """
+        self.server_first_sequence = server_first_sequence
+        self._compare_acceptance()
+
+    def record_holder(self, agent: str) -> None:
+        """Record that an agent has stated that its server holds the flow."""
+        self.agent, self.located_ms, self.is_open = agent, None, True
+
+    def _compare_acceptance(self) -> None:
+        if self.is_open or self.located_ms is not None:
+            return
+        if self.server_first_sequence is not None:
+            self.is_open = confirms_acceptance(
+                self.acknowledged, self.server_first_sequence
+            )
+
 
 class KnownFlows(OrderedDict[FlowKey, KnownFlow]):
     """The known flows in the order in which they are next checked for expiry."""
--- a/citronwinch/coordination/flows/_lost_servers.py
+++ b/citronwinch/coordination/flows/_lost_servers.py
@@ -135,17 +135,26 @@
     agents: set[str],
     reason: RemovalReason,
 ) -> list[Action]:
-    reset_flows = flows.pop_by_agents(agents)
-    counters["flows_reset"] += len(reset_flows)
+    """Reset the flows that were open at lost servers.
+
+    Other records are dropped: the flow may be open at a server that has accepted
+    another copy of its opening. Its next packet begins a search.
+    """
+    known_flows = flows.pop_by_agents(agents)
     resets = [
         ResetFlow(make_placeholder_packet(key, flow.acknowledged))
-        for key, flow in reset_flows.items()
+        for key, flow in known_flows.items()
+        if flow.is_open
     ]
+    dropped = len(known_flows) - len(resets)
+    counters["flows_reset"] += len(resets)
+    counters["unproved_flows_dropped"] += dropped
     lost_servers = record(
         "servers_lost",
         agents=sorted(agents),
         reason=reason.value,
-        flows_reset=len(reset_flows),
+        flows_reset=len(resets),
+        flows_dropped=dropped,
         view_age_ms=view.age_ms,
     )
     return [*resets, lost_servers]
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -180,6 +180,10 @@
     verdict: Verdict
     """Whether its backend server holds the flow."""
 
+    server_first_sequence: int | None = None
+    """With the verdict OPENING, the sequence number with which the backend server
+    accepted the flow; None if the agent does not state it."""
+
 
 class FlowQuestions(NamedTuple):
     """A balancer asks an agent about several flows with one message."""
--- a/citronwinch/coordination/flows/_request_queue.py
+++ b/citronwinch/coordination/flows/_request_queue.py
@@ -6,13 +6,13 @@
 from citronwinch.coordination._address import FlowKey
 from citronwinch.coordination._clock import Clock
 from citronwinch.coordination.flows._caller_shares import CallerShares, extract_caller
-from citronwinch.coordination.flows._flow_entry import (
-    FlowEntry,
-    compute_sequence_distance,
-)
+from citronwinch.coordination.flows._flow_entry import FlowEntry
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._queue_overload import QueueLength, QueueOverload
 from citronwinch.coordination.flows._route_class import RouteClass
+from citronwinch.coordination.flows._sequence_numbers import (
+    compute_sequence_distance,
+)
 from citronwinch.coordination.flows._server_slots import ServerSlots
 from citronwinch.coordination.flows._service_times import ServiceTimes
 
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -85,7 +85,7 @@
     accepted = make_packet(opening=True, sequence=500)
     actions = agent.handle_from_server(accepted)
     assert actions[0] == DeliverToCaller(accepted)
-    answer = FlowAnswer(accepted.flow, Verdict.OPENING)
+    answer = FlowAnswer(accepted.flow, Verdict.OPENING, 500)
     assert actions[1] == SendMessage(BALANCER, answer)
 
 
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -188,6 +188,9 @@
     body = builder.init("answer")
     body.flow = message.flow
     body.verdict = int(message.verdict)
+    if message.server_first_sequence is not None:
+        body.statesSequence = True
+        body.serverFirstSequence = message.server_first_sequence
     return _pack(builder)
 
 
@@ -358,7 +361,11 @@
     if kind == "lookup":
         return FlowLookup(FlowKey(bytes(reader.lookup.flow)))
     body = reader.answer
-    return FlowAnswer(FlowKey(bytes(body.flow)), Verdict(body.verdict))
+    return FlowAnswer(
+        FlowKey(bytes(body.flow)),
+        Verdict(body.verdict),
+        body.serverFirstSequence if body.statesSequence else None,
+    )
 
 
 def _decode_questions(body: Any) -> FlowQuestions:
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -57,6 +57,9 @@
 struct FlowAnswer {
   flow @0 :Data;
   verdict @1 :UInt8;
+  # With an opening that the server has accepted: whether serverFirstSequence is set.
+  statesSequence @2 :Bool;
+  serverFirstSequence @3 :UInt32;
 }
 
 struct FlowQuestions {
--- a/citronwinch/flow_peers/tests/test_codec.py
+++ b/citronwinch/flow_peers/tests/test_codec.py
@@ -90,6 +90,8 @@
     ),
     FlowAnswers(7, (Verdict.HELD, Verdict.ABSENT)),
     FlowAnswer(FlowKey(bytes(range(13))), Verdict.UNCERTAIN),
+    FlowAnswer(FlowKey(bytes(range(13))), Verdict.OPENING, 0),
+    FlowAnswer(FlowKey(bytes(range(13))), Verdict.OPENING, 0xFFFFFFFF),
     FlowLocations(
         (
             FlowLocation(FlowKey(bytes(13)), "10.0.0.1", "gauging"),
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -127,6 +127,7 @@
     "tun_device_errors_total": "times that the TUN device could not be opened",
     "unknown_address_ignored_total": "packets to addresses that a newer view may have",
     "unknown_address_refused_total": "new flows to addresses without a route",
+    "unproved_flows_dropped_total": "flows of lost servers that may be open elsewhere",
     "view_age_ms": "age of the listing of backend servers, milliseconds",
     "view_copies_fetched_total": "copies of a view that were fetched from agents",
     "view_copy_bytes": "size of the copy of the view that the agent keeps",
