Do not reset openings when an agent's server has died

Cause: a copy of an opening that was lost or late leaves a record at an agent. When its server ended, the agent reset it like an open flow.

Change: only open flows are reset; other openings are forgotten, and counted in server_down. A packet of a flow that the caller had confirmed at the moment of the end is returned, in place of being tried at the dead server, so that its balancer searches and resets it. Why it works: a flow is open at a server once its agent has delivered the confirmation, and the agent knows that.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -55,9 +55,8 @@
 """A backend server that started at most this long before its agent has not received
 any flow yet, in milliseconds; an agent takes about half of this to start."""
 
-_STATES_RESET_ON_SERVER_DEATH = (FlowState.ASKED, FlowState.ACCEPTED, FlowState.OPEN)
-"""The states whose flows are reset when the backend server has died. In any other state
-the backend server does not hold the flow, or is not known to hold it."""
+STATES_ENDED_WITH_SERVER = (*STATES_OF_OPENINGS, FlowState.OPEN)
+"""The states whose flows are removed when the backend server has died."""
 
 
 class AgentFlows:
@@ -138,6 +137,8 @@
         """Deliver a packet of a flow, unless the backend server does not hold it."""
         flow = self._find_flow(packet.flow, packet.acknowledged)
         if flow is None or flow.state is FlowState.TRIED:
+            if self.server_liveness.is_down:
+                return [SendMessage(balancer, ReturnedPacket(packet.raw))]
             return self._deliver_trial(packet, balancer, flow)
         if flow.state is FlowState.ABSENT:
             return [SendMessage(balancer, ReturnedPacket(packet.raw))]
@@ -338,16 +339,25 @@
         if check is not ServerCheck.REFUSED:
             return [record("server_checked", outcome=check.name.lower())]
         self.opening_limit.expect_restart()
-        keys = [
-            key
+        ended = {
+            key: flow
             for key, flow in self.flows.items()
-            if flow.state in _STATES_RESET_ON_SERVER_DEATH
+            if flow.state in STATES_ENDED_WITH_SERVER
+        }
+        # A copy of an opening may be accepted, and the flow open, at another server.
+        actions: list[Action] = [
+            ResetFlow(make_placeholder_packet(key, flow.acknowledged))
+            for key, flow in ended.items()
+            if flow.state is FlowState.OPEN
         ]
-        actions: list[Action] = [_make_reset(key, self.flows[key]) for key in keys]
-        for key in keys:
+        for key in ended:
             self._remove_flow(key)
-        if not was_down or keys:
-            actions.append(record("server_down", flows_reset=len(keys)))
+        if not was_down or ended:
+            resets = len(actions)
+            dropped = len(ended) - resets
+            actions.append(
+                record("server_down", flows_reset=resets, openings_dropped=dropped)
+            )
         self.knows_all_flows = True
         return actions
 
@@ -462,10 +472,3 @@
     def _touch(self, key: FlowKey, flow: FlowEntry) -> None:
         # `expire_idle` removes a flow some time after its last packet.
         flow.last_packet_ms = self.clock.now_ms()
-
-
-def _make_reset(key: FlowKey, flow: FlowEntry) -> ResetFlow:
-    is_opening = flow.state is FlowState.ASKED
-    return ResetFlow(
-        make_placeholder_packet(key, flow.acknowledged, is_opening=is_opening)
-    )
--- a/citronwinch/coordination/flows/_packets.py
+++ b/citronwinch/coordination/flows/_packets.py
@@ -41,18 +41,15 @@
     the same request is likely to follow."""
 
 
-def make_placeholder_packet(
-    flow: FlowKey, acknowledged: int, *, is_opening: bool = False
-) -> Packet:
+def make_placeholder_packet(flow: FlowKey, acknowledged: int) -> Packet:
     """Return a stand-in for the caller's last packet, for a reset to answer.
 
-    A flow is reset in this way when none of its packets is available. `acknowledged` is
-    the caller's latest acknowledgement number; `is_opening` tells that the flow is not
-    open yet.
+    An open flow is reset in this way when none of its packets is available.
+    `acknowledged` is the caller's latest acknowledgement number.
     """
     return Packet(
         flow,
-        is_opening=is_opening,
+        is_opening=False,
         is_finishing=False,
         is_reset=False,
         is_bounced=False,
--- a/citronwinch/coordination/flows/tests/test_openings_accepted_elsewhere.py
+++ b/citronwinch/coordination/flows/tests/test_openings_accepted_elsewhere.py
@@ -1,8 +1,9 @@
-"""Openings whose copies several servers have accepted, at a balancer.
+"""Openings whose copies several servers have accepted, at balancers and agents.
 
 A balancer that wakes from a freeze places late copies of openings whose flows are open
 by then. Guards against balancers that take the agent's answer to such a copy for the
 flow: they forwarded packets there, and reset the open flow when that server ended.
+Agents did the same, by a number that callers of open flows pass over.
 """
 
 import pytest
@@ -10,14 +11,19 @@
 from citronwinch.coordination import ManualClock
 from citronwinch.coordination.flows import (
     Action,
+    AgentFlows,
     BalancerFlows,
     DeploymentView,
     FlowAnswer,
     FlowLocation,
     FlowLocations,
+    ForwardedPacket,
     LoadReport,
     Packet,
     ResetFlow,
+    ReturnedPacket,
+    SendMessage,
+    ServerCheck,
     Verdict,
 )
 from citronwinch.coordination.flows.tests.conftest import (
@@ -30,6 +36,7 @@
 
 FIRST_SEQUENCE = 500
 OPENING = make_packet(opening=True)
+SERVER_ACCEPTANCE = make_packet(opening=True, sequence=FIRST_SEQUENCE)
 CONFIRMATION = make_packet(acknowledged=FIRST_SEQUENCE + 1)
 PACKET_OF_OPEN_FLOW = make_packet(payload=10, acknowledged=90_000)
 """A packet of the caller, which has confirmed another server's acceptance."""
@@ -141,3 +148,46 @@
     actions = balancer.handle_locations(FlowLocations((location,)), "10.0.1.2")
     assert list_forwards(actions) == [("10.0.0.1", "gauging")]
     assert not end_server(balancer, view, clock, "10.0.0.1")
+
+
+def forward(agent: AgentFlows, packet: Packet) -> list[Action]:
+    message = ForwardedPacket("gauging", packet.raw)
+    return agent.handle_forwarded(message, packet, "10.0.1.1")
+
+
+@pytest.fixture
+def agent(clock: ManualClock) -> AgentFlows:
+    return AgentFlows("gauging", clock, knows_all_flows=True)
+
+
+# Callers of open flows got a reset with number 0 from the agent of another server.
+@pytest.mark.parametrize(
+    ("packets", "acknowledged"),
+    [
+        pytest.param([OPENING], None, id="asked"),
+        pytest.param([OPENING, SERVER_ACCEPTANCE], None, id="accepted"),
+        pytest.param([OPENING, SERVER_ACCEPTANCE, CONFIRMATION], 501, id="open"),
+    ],
+)
+def test_an_agent_resets_only_open_flows_of_a_dead_server(
+    agent: AgentFlows, packets: list[Packet], acknowledged: int | None
+) -> None:
+    for packet in packets:
+        if packet is SERVER_ACCEPTANCE:
+            agent.handle_from_server(packet)
+        else:
+            forward(agent, packet)
+    resets = list_resets(agent.handle_server_check(ServerCheck.REFUSED))
+    expected = [] if acknowledged is None else [acknowledged]
+    assert [packet.acknowledged for packet in resets] == expected
+
+
+# A caller's packet on a flow that had opened at the dead server got no answer.
+def test_the_agent_of_a_dead_server_returns_packets_of_unknown_flows(
+    agent: AgentFlows,
+) -> None:
+    forward(agent, OPENING)
+    agent.handle_from_server(SERVER_ACCEPTANCE)
+    agent.handle_server_check(ServerCheck.REFUSED)
+    returned = SendMessage("10.0.1.1", ReturnedPacket(CONFIRMATION.raw))
+    assert forward(agent, CONFIRMATION) == [returned]
