Know a flow by its sequence numbers, not by its port alone

Cause: an agent remembers a closed flow for some seconds, by addresses and ports. It stated that its server held the later flow, delivered its packets and passed the server's reset on. A balancer kept the closed flow as well.

The tests show both forms.

Change: an agent keeps the range of numbers that its server has sent on a flow, and returns or denies what acknowledges something else. A server that accepts with a new number has ended the earlier flow. A balancer asks the agent first if a packet's numbers are far from the last ones. Why it works: both ends begin each flow at a random number.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -144,7 +144,7 @@
             return [SendMessage(balancer, ReturnedPacket(packet.raw))]
         if flow.may_include(packet):
             return self._deliver(packet, balancer, flow)
-        if self.may_hold_unknown_flows:
+        if flow.state is FlowState.ACCEPTED and self.may_hold_unknown_flows:
             # The server may have answered a late copy of the opening of an open flow.
             return self._deliver_trial(packet, balancer, None)
         return [SendMessage(balancer, ReturnedPacket(packet.raw))]
@@ -277,11 +277,11 @@
         if packet.is_reset:
             return self._handle_reset(packet, flow)
         if packet.is_opening:
-            if flow is None or flow.state not in (FlowState.ACCEPTED, FlowState.OPEN):
-                flow = flow or self._add_flow(packet.flow, FlowState.ACCEPTED)
-                flow.state = FlowState.ACCEPTED
-            flow.server_first_sequence = packet.sequence
-            flow.has_caller_finished = flow.has_server_finished = False
+            if flow is None or flow.is_replaced_by(packet):
+                balancer = flow.balancer if flow is not None else ""
+                flow = self._add_flow(packet.flow, FlowState.ACCEPTED)
+                flow.balancer = balancer
+            flow.record_acceptance(packet)
             if flow.balancer and flow.state is FlowState.ACCEPTED:
                 flow.informed_balancer = flow.balancer
                 answer = FlowAnswer(packet.flow, Verdict.OPENING, packet.sequence)
@@ -296,6 +296,7 @@
                 answer = FlowAnswer(packet.flow, Verdict.HELD)
                 actions.append(SendMessage(flow.balancer, answer))
         self._touch(packet.flow, flow)
+        flow.record_server_packet(packet)
         if packet.payload_bytes:
             actions += self.requests.record_answer(packet.flow, flow)
         if packet.is_finishing:
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -106,14 +106,12 @@
         # Another balancer may have placed a copy of the opening that is held here.
         self.held_openings.remove(packet.flow)
         self.held_uploads.remove(packet.flow)
-        if known is not None and known.must_be_confirmed(
-            packet.acknowledged, self.clock.now_ms()
-        ):
+        if known is not None and known.must_be_confirmed(packet, self.clock.now_ms()):
             del self.flows[packet.flow]
             return self._search_flow(packet, likely_at=known.agent)
         if known is not None:
             known.last_packet_ms = self.clock.now_ms()
-            known.record_acknowledged(packet.acknowledged)
+            known.record_packet(packet)
             if packet.raw not in known.tried_packets:
                 known.tried_packets = ()
             if known.has_large_request:
--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -6,9 +6,12 @@
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 from citronwinch.coordination.flows._sequence_numbers import (
+    MAX_BYTES_IN_FLIGHT,
+    MAX_FLOW_STEP_BYTES,
     SEQUENCE_RANGE,
     compute_sequence_distance,
     confirms_acceptance,
+    may_be_same_flow,
 )
 
 OTHER_FLOW_TIMEOUT_MS = 5_000
@@ -72,8 +75,14 @@
         """The balancer that sent the flow's latest packet, empty if none has."""
         self.informed_balancer = ""
         """The balancer that knows from this agent where the flow is, empty if none."""
-        self.server_first_sequence = 0
-        """The sequence number with which the backend server accepted the flow."""
+        self.server_first_sequence: int | None = None
+        """The sequence number with which the backend server accepted the flow; None if
+        the agent has not seen that."""
+        self.server_start: int | None = None
+        """The lowest sequence number of the backend server that is known, None before
+        its first packet."""
+        self.server_end = 0
+        """The end of what the backend server has sent, as a sequence number."""
         self.acknowledged = 0
         """The caller's latest acknowledgement number, which a reset has to match."""
         self.request_ms: int | None = None
@@ -92,7 +101,52 @@
 
     def is_confirmed_by(self, acknowledged: int) -> bool:
         """Return whether a caller's acknowledgement confirms the acceptance."""
-        return confirms_acceptance(acknowledged, self.server_first_sequence)
+        return self.server_first_sequence is not None and confirms_acceptance(
+            acknowledged, self.server_first_sequence
+        )
+
+    def is_replaced_by(self, packet: Packet) -> bool:
+        """Return whether an acceptance is that of a later flow from the same port."""
+        return self.state is FlowState.OPEN and self.server_first_sequence not in (
+            None,
+            packet.sequence,
+        )
+
+    def record_acceptance(self, packet: Packet) -> None:
+        """Record the packet with which the backend server accepts the flow.
+
+        It sends that again for each copy of the opening, also while the flow is open.
+        """
+        if self.state is not FlowState.OPEN:
+            self.state = FlowState.ACCEPTED
+            self.server_start = packet.sequence
+            self.server_end = (packet.sequence + 1) % SEQUENCE_RANGE
+        self.server_first_sequence = packet.sequence
+        self.has_caller_finished = self.has_server_finished = False
+
+    def record_server_packet(self, packet: Packet) -> None:
+        """Record the numbers of another packet of the backend server."""
+        end = packet.sequence + packet.payload_bytes + packet.is_finishing
+        end %= SEQUENCE_RANGE
+        if self.server_start is None or not may_be_same_flow(end, self.server_end):
+            self.server_start, self.server_end = packet.sequence, end
+        elif compute_sequence_distance(end, self.server_end) > 0:
+            self.server_end = end
+
+    def includes(self, acknowledged: int) -> bool:
+        """Return whether a caller's acknowledgement is one of what the server has sent.
+
+        A caller may have packets on their way that acknowledge less than the first one
+        that this run of the agent has seen, or more than the latest.
+        """
+        if self.server_start is None:
+            return True
+        margin = MAX_BYTES_IN_FLIGHT
+        if self.server_first_sequence is None:
+            margin = MAX_FLOW_STEP_BYTES
+        sent = compute_sequence_distance(self.server_end, self.server_start)
+        distance = compute_sequence_distance(acknowledged, self.server_start)
+        return -margin <= distance <= sent + MAX_BYTES_IN_FLIGHT
 
     def must_wait_for_trial(self, now_ms: int) -> bool:
         """Return whether packets wait until the backend server answers earlier ones.
@@ -115,16 +169,17 @@
         """Return whether a caller's packet may belong to this flow.
 
         While the flow is only accepted, a packet that confirms another backend server's
-        acceptance of the same opening does not belong to it.
+        acceptance of the same opening does not belong to it. Later, a packet that
+        acknowledges what this server has not sent belongs to another flow of the port.
         """
         if self.state is FlowState.ACCEPTED:
             return self.is_confirmed_by(packet.acknowledged)
-        return True
+        return packet.is_reset or self.includes(packet.acknowledged)
 
     def find_verdict(self, acknowledged: int) -> Verdict:
         """Return whether the backend server holds the flow of a balancer's question."""
         if self.state in STATES_AFTER_CONFIRMATION:
-            return Verdict.HELD
+            return Verdict.HELD if self.includes(acknowledged) else Verdict.ABSENT
         if self.state is FlowState.ACCEPTED and self.is_confirmed_by(acknowledged):
             return Verdict.HELD
         if self.state is FlowState.TRIED:
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -437,7 +437,7 @@
         now_ms = self.clock.now_ms()
         service = search.services[holder]
         flow = KnownFlow(holder, service, now_ms)
-        flow.acknowledged = search.held_packets[-1].acknowledged
+        flow.record_packet(search.held_packets[-1])
         flow.is_open = True
         flow.has_large_request = is_upload_flow(self.view, key)
         if search.trial_packet_counts:
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -12,7 +12,10 @@
 from citronwinch.coordination.flows._opening_times import OpeningTimes
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
-from citronwinch.coordination.flows._sequence_numbers import confirms_acceptance
+from citronwinch.coordination.flows._sequence_numbers import (
+    confirms_acceptance,
+    may_be_same_flow,
+)
 
 LOCATION_TRUST_MS = 100
 """How long packets are forwarded to an agent that another balancer has named, in
@@ -36,6 +39,9 @@
         self.last_packet_ms = now_ms
         self.acknowledged = 0
         """The caller's latest acknowledgement number, which a reset has to match."""
+        self.caller_sequence: int | None = None
+        """The sequence number of the caller's latest packet with that number, None
+        before the first."""
         self.times = OpeningTimes(now_ms, now_ms)
         """When the caller sent the opening; the time of discovery for a flow that was
         found by a search."""
@@ -67,23 +73,31 @@
         self.is_last_choice = False
         """Whether no agent should return the opening any more for lack of room."""
 
-    def must_be_confirmed(self, acknowledged: int, now_ms: int) -> bool:
+    def must_be_confirmed(self, packet: Packet, now_ms: int) -> bool:
         """Return whether the agent is to be asked before it gets a caller's packet.
 
-        It is if another balancer has named it some time ago, or if the packet does not
-        acknowledge the acceptance by the agent's server.
+        It is if another balancer has named it some time ago, if the packet does not
+        acknowledge the acceptance by the agent's server, or if its numbers are those of
+        another flow of the same port.
         """
         if self.located_ms is not None:
             return now_ms - self.located_ms >= LOCATION_TRUST_MS
-        return (
-            not self.is_open
-            and self.server_first_sequence is not None
-            and not confirms_acceptance(acknowledged, self.server_first_sequence)
+        if self.is_open:
+            return not packet.is_reset and not self._may_include(packet)
+        return self.server_first_sequence is not None and not confirms_acceptance(
+            packet.acknowledged, self.server_first_sequence
         )
 
-    def record_acknowledged(self, acknowledged: int) -> None:
-        """Record the acknowledgement number of a caller's packet for the agent."""
-        self.acknowledged = acknowledged
+    def _may_include(self, packet: Packet) -> bool:
+        return self.caller_sequence is None or (
+            may_be_same_flow(packet.acknowledged, self.acknowledged)
+            and may_be_same_flow(packet.sequence, self.caller_sequence)
+        )
+
+    def record_packet(self, packet: Packet) -> None:
+        """Record the numbers of a caller's packet for the agent."""
+        self.acknowledged = packet.acknowledged
+        self.caller_sequence = packet.sequence
         self._compare_acceptance()
 
     def record_acceptance(self, server_first_sequence: int | None) -> None:
--- a/citronwinch/coordination/flows/_sequence_numbers.py
+++ b/citronwinch/coordination/flows/_sequence_numbers.py
@@ -7,6 +7,13 @@
 """How far beyond the backend server's first sequence number a caller's acknowledgement
 may be to confirm that server's acceptance, in sequence numbers."""
 
+MAX_BYTES_IN_FLIGHT = 16 * 1_200
+"""The most data that one end of a flow sends before it is acknowledged, in bytes."""
+
+MAX_FLOW_STEP_BYTES = 1 << 24
+"""How far apart numbers of one flow are assumed to be at most, in bytes, if a process
+has not seen the packets between them. Ends of flows begin at random numbers."""
+
 
 def compute_sequence_distance(sequence: int, start: int) -> int:
     """Return how far a sequence number is after another one; negative if before.
@@ -37,3 +44,16 @@
     """
     distance = (acknowledged - server_first_sequence) % SEQUENCE_RANGE
     return distance <= CALLER_CONFIRMATION_MAX_DISTANCE
+
+
+def may_be_same_flow(number: int, earlier: int) -> bool:
+    """Return whether two numbers may be those of one end of one flow.
+
+    Example::
+
+        >>> may_be_same_flow(70_000, earlier=500)
+        True
+        >>> may_be_same_flow(1 << 30, earlier=500)
+        False
+    """
+    return abs(compute_sequence_distance(number, earlier)) <= MAX_FLOW_STEP_BYTES
