Admit openings from used ports like any other opening

Cause: a balancer took each opening from the port of a flow that it knew for a copy of that flow's opening, and forwarded it to the flow's agent without a look at the listing or the routes.

Change: the balancer keeps the number of the opening; another number is a new flow, which is admitted like any other. Why it works: copies of an opening have its number, and each flow begins at a random one.

--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -128,7 +128,7 @@
     def _handle_returned(self, packet: Packet, agent: str) -> list[Action]:
         known = self.flows.get(packet.flow)
         if packet.is_opening:
-            if known is None or known.agent != agent:
+            if known is None or known.agent != agent or not known.is_opened_by(packet):
                 return []
             route = self.admission.find_route(packet)
             if route is None:
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -13,6 +13,8 @@
 from citronwinch.coordination.flows._packets import Packet
 from citronwinch.coordination.flows._route_class import RouteClass
 from citronwinch.coordination.flows._sequence_numbers import (
+    MAX_FLOW_STEP_BYTES,
+    compute_sequence_distance,
     confirms_acceptance,
     may_be_same_flow,
 )
@@ -39,6 +41,9 @@
         self.last_packet_ms = now_ms
         self.acknowledged = 0
         """The caller's latest acknowledgement number, which a reset has to match."""
+        self.opening_sequence: int | None = None
+        """The sequence number of the opening; None for a flow that was found by a
+        search."""
         self.caller_sequence: int | None = None
         """The sequence number of the caller's latest packet with that number, None
         before the first."""
@@ -73,6 +78,18 @@
         self.is_last_choice = False
         """Whether no agent should return the opening any more for lack of room."""
 
+    def is_opened_by(self, opening: Packet) -> bool:
+        """Return whether an opening is a copy of the one that began this flow.
+
+        Otherwise the caller uses the port of an earlier flow again.
+        """
+        if self.opening_sequence is not None:
+            return opening.sequence == self.opening_sequence
+        if self.caller_sequence is None:
+            return True
+        sent = compute_sequence_distance(self.caller_sequence, opening.sequence)
+        return 0 <= sent <= MAX_FLOW_STEP_BYTES
+
     def must_be_confirmed(self, packet: Packet, now_ms: int) -> bool:
         """Return whether the agent is to be asked before it gets a caller's packet.
 
--- a/citronwinch/coordination/flows/_opening_admission.py
+++ b/citronwinch/coordination/flows/_opening_admission.py
@@ -73,7 +73,7 @@
     def handle_opening(self, packet: Packet) -> list[Action]:
         """Forward, hold or refuse an opening of a caller."""
         now_ms = self.clock.now_ms()
-        known = self.flows.get(packet.flow)
+        known = self._find_attempt(packet)
         is_overdue = False
         if known is not None:
             is_overdue = (
@@ -102,6 +102,20 @@
         tried_agents = known.tried_agents if known else set()
         return self.place_opening(packet, route, times, tried_agents)
 
+    def _find_attempt(self, packet: Packet) -> KnownFlow | None:
+        """Return the flow that an opening is a copy of, None for a new one.
+
+        An earlier flow of the same port is forgotten. The new one is admitted like any
+        other: the server and the route of the earlier one may have gone since.
+        """
+        known = self.flows.get(packet.flow)
+        if known is None or known.is_opened_by(packet):
+            return known
+        del self.flows[packet.flow]
+        self.placement.uploads.remove(packet.flow)
+        self.counters["ports_used_again"] += 1
+        return None
+
     def _place_admitted_upload(self, held: HeldOpening) -> list[Action]:
         return self.place_opening(held.packet, held.route, held.times, set())
 
--- a/citronwinch/coordination/flows/_opening_placement.py
+++ b/citronwinch/coordination/flows/_opening_placement.py
@@ -127,6 +127,7 @@
         now_ms = self.clock.now_ms()
         flow = KnownFlow(chosen.server.address.ip, chosen.server.service, now_ms)
         flow.times, flow.tried_agents = times, tried_agents
+        flow.opening_sequence = packet.sequence
         flow.unconfirmed_since_ms = now_ms
         flow.has_large_request = route.has_large_requests
         previous = self.flows.get(packet.flow)
--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -72,6 +72,7 @@
     "peer_rejected_total": "messages between processes that were rejected, by reason",
     "platform_errors_total": "reads of the platform that failed, by what was read",
     "platform_reads_total": "reads of the platform, by what was read",
+    "ports_used_again_total": "new flows from ports whose earlier flow was known",
     "probes_total": "probes that this balancer sent to quiet agents",
     "query_grants": "promises not to decide about a flow, given to other agents",
     "question_answers_ignored_total": "answers to unknown or old batches of questions",
