Number the answers of the stand-ins as the protocol does

The stand-in server sent each answer with sequence number 1, and the caller acknowledged 1, whatever number the flow began with. PROTOCOL.md: the flow opens at the server 'whose seq is acknowledged', and each end acknowledges what it has received. Server and caller count what they send and receive now. The checks of the tests are unchanged.

--- a/citronwinch/platform/standins/_caller.py
+++ b/citronwinch/platform/standins/_caller.py
@@ -48,6 +48,8 @@
         ] = {}
         self.inboxes: dict[tuple[int, Endpoint], trio.MemoryReceiveChannel[Packet]] = {}
         self.next_sequences: dict[tuple[int, Endpoint], int] = {}
+        self.acknowledged: dict[tuple[int, Endpoint], int] = {}
+        """What the caller has acknowledged of each flow, by its port and service."""
         self.unmatched_packets = 0
 
     async def run(self) -> None:
@@ -79,7 +81,8 @@
                 packet = await self.inboxes[key].receive()
                 if packet.is_reset:
                     return FlowOutcome.RESET
-                self._send(port, service, ACK, 1, packet.sequence + 1)
+                self.acknowledged[key] = packet.sequence + 1
+                self._send(port, service, ACK, 1, self.acknowledged[key])
                 self.next_sequences[key] = 1
                 return FlowOutcome.DONE
         return FlowOutcome.SILENCE
@@ -93,20 +96,24 @@
         for count in range(MAX_SENDS):
             # The acknowledgement is repeated in each copy, since another balancer may
             # handle the flow by then.
-            self._send(port, service, ACK, sequence, 1, payload)
+            acknowledged = self.acknowledged[key]
+            self._send(port, service, ACK, sequence, acknowledged, payload)
             with trio.move_on_after(FIRST_RESEND_GAP_SECONDS * 2**count):
                 async for packet in self.inboxes[key]:
                     if packet.is_reset:
                         return FlowOutcome.RESET, b""
                     if packet.acknowledged == sequence + len(payload):
                         self.next_sequences[key] += len(payload)
+                        self.acknowledged[key] = packet.sequence + packet.payload_bytes
                         return FlowOutcome.DONE, read_payload(packet)
         return FlowOutcome.SILENCE, b""
 
     def close(self, port: int, service: Endpoint) -> None:
         """Send the packet that closes a flow."""
-        self._send(port, service, FIN | ACK, self.next_sequences[(port, service)], 1)
-        del self.inbox_senders[(port, service)]
+        key = (port, service)
+        sequence, acknowledged = self.next_sequences[key], self.acknowledged[key]
+        self._send(port, service, FIN | ACK, sequence, acknowledged)
+        del self.inbox_senders[key]
 
     def _send(
         self,
--- a/citronwinch/platform/standins/_server.py
+++ b/citronwinch/platform/standins/_server.py
@@ -28,6 +28,14 @@
     is_open: bool
     """Whether the caller has acknowledged that sequence number."""
 
+    sent_bytes: int = 0
+    """The length of the answers sent so far, in bytes."""
+
+    @property
+    def next_sequence(self) -> int:
+        """The sequence number of the next answer."""
+        return self.first_sequence + 1 + self.sent_bytes
+
 
 class StandInServer:
     """Holds flows, answers requests and bounces packets of flows that it does not hold.
@@ -40,7 +48,9 @@
         self.address = address
         self.outbound = outbound
         self.flows: dict[FlowKey, ServerFlowState] = {}
-        self.answers: dict[tuple[FlowKey, int], bytes] = {}
+        self.answers: dict[tuple[FlowKey, int], tuple[int, bytes]] = {}
+        """The sequence number and the text of each answer, by the request's flow and
+        sequence number."""
         self.requests: list[tuple[FlowKey, bytes]] = []
         self.bounced_packets = 0
         self.accepts_flows = True
@@ -82,7 +92,8 @@
             self.flows[packet.flow] = server_flow._replace(is_open=True)
         if packet.is_finishing:
             del self.flows[packet.flow]
-            return [encode_from_ends(ends, FIN | ACK, 0, packet.sequence + 1)]
+            sequence = server_flow.next_sequence
+            return [encode_from_ends(ends, FIN | ACK, sequence, packet.sequence + 1)]
         if not packet.payload_bytes:
             return []
         return [self._answer(packet, ends)]
@@ -110,9 +121,15 @@
         if key not in self.answers:
             payload = read_payload(packet)
             self.requests.append((packet.flow, payload))
-            self.answers[key] = self.name.encode() + b":" + payload.upper()
+            answer = self.name.encode() + b":" + payload.upper()
+            server_flow = self.flows[packet.flow]
+            self.answers[key] = server_flow.next_sequence, answer
+            self.flows[packet.flow] = server_flow._replace(
+                sent_bytes=server_flow.sent_bytes + len(answer)
+            )
+        sequence, answer = self.answers[key]
         acknowledged = packet.sequence + packet.payload_bytes
-        return encode_from_ends(ends, ACK, 1, acknowledged, self.answers[key])
+        return encode_from_ends(ends, ACK, sequence, acknowledged, answer)
 
 
 async def _close_connection(stream: trio.SocketStream) -> None:
--- a/citronwinch/soak/_flow_watch.py
+++ b/citronwinch/soak/_flow_watch.py
@@ -143,8 +143,6 @@
     def __init__(self, address: Endpoint, router: Router, watch: FlowWatch) -> None:
         super().__init__(address, router)
         self.watch = watch
-        self.acknowledged: dict[tuple[int, Endpoint], int] = {}
-        """What the caller has acknowledged of each flow, by its port and service."""
 
     async def open(self, port: int, service: Endpoint) -> FlowOutcome:
         """Open a flow, and have it observed when it is open."""
@@ -172,12 +170,7 @@
         acknowledged: int,
         payload: bytes = b"",
     ) -> None:
-        """Send a packet that acknowledges what the caller has received before.
-
-        The base class acknowledges only 1 with data, which confirms no server's
-        acceptance: a request that overtakes the confirmation would not belong to the
-        flow.
-        """
+        """Send a packet that acknowledges what the caller has received before."""
         key = (port, service)
         if flags == ACK and not payload:
             self.acknowledged[key] = acknowledged
