Let balancers state earlier runs of an agent beside its server

Evidence: dead_flow_reset on names no silent and no uncertain agent, and server_started of the second run says knows_all_flows.

Change: balancers remember since when they hear an agent beside each incarnation of a server and state that in heartbeats. An agent that has run for less has a predecessor and is uncertain. Why it works: who has opened a flow at a server has heard its agent, and durations need no common time of day.

Four cases of test_an_agent_older_than_its_server_knows_all_flows called the agent with the server's start alone, which is no statement of a balancer; they have one now, beside seven further cases, under the name test_the_first_agent_beside_its_server_knows_all_flows.

--- a/citronwinch/coordination/flows/_agent_flows.py
+++ b/citronwinch/coordination/flows/_agent_flows.py
@@ -13,6 +13,7 @@
     record,
 )
 from citronwinch.coordination.flows._expiry_pass import ExpiryPass
+from citronwinch.coordination.flows._first_run import FirstRun
 from citronwinch.coordination.flows._flow_entry import (
     OTHER_FLOW_TIMEOUT_MS,
     STATES_AFTER_CONFIRMATION,
@@ -51,10 +52,6 @@
 """How long after the agent's start its backend server may hold flows that the agent
 does not know, in milliseconds; the platform's longest lifetime of a flow."""
 
-SERVER_START_MARGIN_MS = 1_000
-"""A backend server that started at most this long before its agent has not received
-any flow yet, in milliseconds; an agent takes about half of this to start."""
-
 STATES_ENDED_WITH_SERVER = (*STATES_OF_OPENINGS, FlowState.OPEN)
 """The states whose flows are removed when the backend server has died."""
 
@@ -80,14 +77,10 @@
         self.clock = clock
         self.started_ms = clock.now_ms()
         """When the agent started, by `clock`, in milliseconds."""
-        self.started_unix_ms = started_unix_ms
-        """When the agent started, in Unix time, in milliseconds; 0 if unknown, which
-        counts as before the start of any backend server."""
-        self.server_started_unix_ms = 0
-        """The backend server's incarnation: its start in Unix time, in milliseconds; 0
-        if unknown."""
+        self.first_run = FirstRun(clock, started_unix_ms)
         self.knows_all_flows = knows_all_flows
-        """Whether the backend server holds only flows that the agent knows."""
+        """Whether the backend server holds only flows that the agent knows, whether or
+        not this is the first run beside it."""
         self.flows: OrderedDict[FlowKey, FlowEntry] = OrderedDict()
         self.expiry_pass = ExpiryPass(clock)
         self.open_flows = 0
@@ -107,7 +100,8 @@
     def may_hold_unknown_flows(self) -> bool:
         """Whether the backend server may hold flows from before the agent's start."""
         uptime_ms = self.clock.now_ms() - self.started_ms
-        return not self.knows_all_flows and uptime_ms < LEARNING_PERIOD_MS
+        is_learning = uptime_ms < LEARNING_PERIOD_MS and not self.knows_all_flows
+        return is_learning and not self.first_run.is_first
 
     @property
     def waiting_requests(self) -> OrderedDict[FlowKey, int]:
@@ -362,25 +356,35 @@
         self.knows_all_flows = True
         return actions
 
-    def handle_server_start(self, server_started_unix_ms: int) -> list[Action]:
-        """Apply the backend server's incarnation, sent by a balancer in a heartbeat.
-
-        Balancers read it from the listing; it is the server's start time.
+    def handle_server_start(
+        self,
+        server_started_unix_ms: int,
+        *,
+        balancer_uptime_ms: int = 0,
+        heard_ms: int = 0,
+    ) -> list[Action]:
+        """Apply what a balancer states of the backend server in a heartbeat.
 
-        The agent has seen the opening of every flow of a backend server that started
-        after the agent, and such a server holds no flow from before its start.
+        Balancers read the server's incarnation, its start time, from the listing.
+        `heard_ms` is for how long the balancer has heard an agent beside it.
         """
-        if server_started_unix_ms <= self.server_started_unix_ms:
+        first_run = self.first_run
+        incarnation, had_predecessor = (
+            first_run.server_started_unix_ms,
+            first_run.has_predecessor,
+        )
+        first_run.record_statement(server_started_unix_ms, balancer_uptime_ms, heard_ms)
+        is_later = first_run.server_started_unix_ms > incarnation
+        if is_later:
+            self.requests.service_times.reset()
+        if not is_later and first_run.has_predecessor == had_predecessor:
             return []
-        self.server_started_unix_ms = server_started_unix_ms
-        self.requests.service_times.reset()
-        if server_started_unix_ms >= self.started_unix_ms - SERVER_START_MARGIN_MS:
-            self.knows_all_flows = True
         return [
             record(
                 "server_started",
-                incarnation=server_started_unix_ms,
-                knows_all_flows=self.knows_all_flows,
+                incarnation=first_run.server_started_unix_ms,
+                knows_all_flows=not self.may_hold_unknown_flows,
+                has_earlier_run=first_run.has_predecessor,
             )
         ]
 
@@ -414,7 +418,7 @@
             round_share(requests.busy_meter.read_busy_share()),
             not self.is_leaving and self.server_liveness.accepts_flows,
             round_share(requests.outcome_meter.read_failed_share()),
-            self.server_started_unix_ms
+            self.first_run.server_started_unix_ms
             if self.is_leaving and self.server_liveness.is_down
             else 0,
             requests.service_times.service_ms,
--- a/citronwinch/coordination/flows/_messages.py
+++ b/citronwinch/coordination/flows/_messages.py
@@ -87,6 +87,10 @@
     asks_for_balancers: bool = False
     """In heartbeats to an agent, whether it should name the balancers that it knows."""
 
+    agent_heard_ms: int = 0
+    """In heartbeats to an agent, for how long the balancer has heard an agent beside
+    the listed incarnation of its backend server, in milliseconds; 0 if it has not."""
+
 
 class KnownBalancers(NamedTuple):
     """An agent names the balancers that have sent it heartbeats lately."""
--- a/citronwinch/coordination/flows/_server_selector.py
+++ b/citronwinch/coordination/flows/_server_selector.py
@@ -16,6 +16,7 @@
     make_choice_without_room,
 )
 from citronwinch.coordination.flows._deployment import BackendServer
+from citronwinch.coordination.flows._heard_agents import HeardAgents
 from citronwinch.coordination.flows._messages import LoadReport
 from citronwinch.coordination.flows._opening_rooms import OpeningRooms
 from citronwinch.coordination.flows._server_scoring import (
@@ -75,6 +76,7 @@
         self.rng = rng
         self.agents: dict[str, AgentState] = {}
         self.opening_rooms = OpeningRooms(clock)
+        self.heard_agents = HeardAgents(clock)
         self.last_message_ms: int | None = None
         """When the latest message of any agent arrived, None before the first."""
         self.local_timeout_ms = LOCAL_AGENT_TIMEOUT_MS
@@ -97,6 +99,7 @@
         if agent is None:
             agent = self.agents[ip] = AgentState(now_ms)
         agent.last_message_ms = self.last_message_ms = now_ms
+        self.heard_agents.record_message(ip)
         if report is not None:
             agent.record_report(report, now_ms)
             self.opening_rooms.record_report(ip, report)
--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -132,6 +132,9 @@
                     heartbeat = heartbeat._replace(
                         server_started_ms=servers[ip].started_ms,
                         server_slots=servers[ip].slots,
+                        agent_heard_ms=self.selector.heard_agents.get_heard_ms(
+                            servers[ip]
+                        ),
                     )
                 self.send(ip, heartbeat)
 
@@ -189,8 +192,9 @@
         self._announce_view()
 
     def _announce_view(self) -> None:
-        known = [server.address.ip for server in self.view.list_servers()]
-        known += [server.address.ip for server in self.view.list_former()]
+        servers = [*self.view.list_former(), *self.view.list_servers()]
+        self.selector.heard_agents.set_servers(servers)
+        known = [server.address.ip for server in servers]
         self.selector.retain_agents(known)
         self.agent_pace.retain(known)
         self._send_heartbeats(self.members.list_heartbeat_targets())
--- a/citronwinch/coordination/flows/tests/small_fleet_processes.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_processes.py
@@ -238,7 +238,13 @@
         elif isinstance(message, Heartbeat):
             until_ms = self.clock.now_ms() + REPORTED_BALANCER_TIMEOUT_MS
             self.balancers[sender] = until_ms
-            self.apply(self.flows.handle_server_start(message.server_started_ms))
+            self.apply(
+                self.flows.handle_server_start(
+                    message.server_started_ms,
+                    balancer_uptime_ms=message.uptime_ms,
+                    heard_ms=message.agent_heard_ms,
+                )
+            )
             slots = self.flows.requests.slots
             slots.slots = message.server_slots or slots.slots
             self.flows.opening_limit.apply_heartbeat(message)
--- a/citronwinch/coordination/flows/tests/test_agent_flows.py
+++ b/citronwinch/coordination/flows/tests/test_agent_flows.py
@@ -26,6 +26,7 @@
     ServerCheck,
     Verdict,
 )
+from citronwinch.coordination.flows._first_run import BALANCERS_WAIT_MS
 from citronwinch.coordination.flows.tests.conftest import make_packet
 
 BALANCER = "10.0.1.1"
@@ -160,24 +161,83 @@
     assert (agent.make_load_report().open_flows, len(agent.flows)) == (0, 0)
 
 
+OLDER_BALANCER_MS = 90_000
+"""How long a balancer has run that started before the agent."""
+
+
 @pytest.mark.parametrize(
-    ("server_starts_ms", "verdict"),
+    ("statements", "verdict"),
     [
-        pytest.param([5_000], Verdict.UNCERTAIN, id="the server is older"),
-        pytest.param([59_500], Verdict.ABSENT, id="both have just started"),
-        pytest.param([5_000, 90_000], Verdict.ABSENT, id="the server restarted"),
-        pytest.param([0], Verdict.UNCERTAIN, id="nothing is known"),
+        pytest.param([(5_000, 0)], Verdict.UNCERTAIN, id="the server is older"),
+        pytest.param([(59_500, 0)], Verdict.ABSENT, id="both have just started"),
+        pytest.param(
+            [(5_000, 0), (90_000, 0)], Verdict.ABSENT, id="the server restarted"
+        ),
+        pytest.param([(0, 0)], Verdict.UNCERTAIN, id="nothing is known"),
+        pytest.param([(59_500, 700)], Verdict.ABSENT, id="heard since its start"),
+        pytest.param([(59_500, 701)], Verdict.UNCERTAIN, id="an earlier run was heard"),
+        pytest.param(
+            [(62_400, 1_500)], Verdict.UNCERTAIN, id="the server's clock was ahead"
+        ),
+        pytest.param(
+            [(59_500, 0), (59_500, 1_500)],
+            Verdict.UNCERTAIN,
+            id="one of two balancers heard an earlier run",
+        ),
+        pytest.param(
+            [(59_500, 1_500), (59_500, 0)],
+            Verdict.UNCERTAIN,
+            id="one of two balancers did not hear the earlier run",
+        ),
+        pytest.param(
+            [(59_500, 1_500), (90_000, 200)],
+            Verdict.ABSENT,
+            id="the server restarted after the earlier run",
+        ),
+        pytest.param(
+            [(90_000, 200), (59_500, 1_500)],
+            Verdict.ABSENT,
+            id="a late statement of the server before",
+        ),
     ],
 )
-def test_an_agent_older_than_its_server_knows_all_flows(
-    clock: ManualClock, server_starts_ms: list[int], verdict: Verdict
+def test_the_first_agent_beside_its_server_knows_all_flows(
+    clock: ManualClock, statements: list[tuple[int, int]], verdict: Verdict
 ) -> None:
     agent = AgentFlows("gauging", clock, knows_all_flows=False, started_unix_ms=60_000)
-    for started_ms in server_starts_ms:
-        agent.handle_server_start(started_ms)
+    clock.advance(700)
+    for started_ms, heard_ms in statements:
+        agent.handle_server_start(
+            started_ms, balancer_uptime_ms=OLDER_BALANCER_MS, heard_ms=heard_ms
+        )
     assert query_verdict(agent) is verdict
 
 
+# Balancers that have started with the agent have not heard an earlier run either.
+@pytest.mark.parametrize("balancer_uptime_ms", [0, 700])
+def test_an_agent_waits_for_balancers_that_ran_before_it(
+    clock: ManualClock, balancer_uptime_ms: int
+) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=False, started_unix_ms=60_000)
+    clock.advance(700)
+    agent.handle_server_start(59_500, balancer_uptime_ms=balancer_uptime_ms)
+    assert query_verdict(agent) is Verdict.UNCERTAIN
+    clock.advance(BALANCERS_WAIT_MS)
+    assert query_verdict(agent) is Verdict.ABSENT
+    agent.handle_server_start(59_500, balancer_uptime_ms=9_000, heard_ms=1_701)
+    assert query_verdict(agent) is Verdict.UNCERTAIN
+
+
+# A dead server proves more than what balancers have heard.
+def test_an_earlier_run_does_not_matter_once_the_server_has_died(
+    clock: ManualClock,
+) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=False, started_unix_ms=60_000)
+    agent.handle_server_check(ServerCheck.REFUSED)
+    agent.handle_server_start(59_500, balancer_uptime_ms=9_000, heard_ms=9_000)
+    assert query_verdict(agent) is Verdict.ABSENT
+
+
 def test_a_silent_server_is_checked_and_its_flows_reset_if_it_is_dead(
     agent: AgentFlows, clock: ManualClock
 ) -> None:
--- a/citronwinch/flow_peers/_codec.py
+++ b/citronwinch/flow_peers/_codec.py
@@ -128,6 +128,7 @@
     body.formerKnownForMs = message.former_known_for_ms
     body.uptimeMs = min(message.uptime_ms, 0xFFFFFFFF)
     body.asksForBalancers = message.asks_for_balancers
+    body.agentHeardMs = min(message.agent_heard_ms, 0xFFFFFFFF)
     return _pack(builder)
 
 
@@ -314,6 +315,7 @@
             body.formerKnownForMs,
             body.uptimeMs,
             body.asksForBalancers,
+            body.agentHeardMs,
         )
     if kind == "knownBalancers":
         return KnownBalancers(tuple(reader.knownBalancers))
--- a/citronwinch/flow_peers/flows.capnp
+++ b/citronwinch/flow_peers/flows.capnp
@@ -25,6 +25,8 @@
   formerKnownForMs @18 :UInt32;
   uptimeMs @19 :UInt32;
   asksForBalancers @20 :Bool;
+  # In heartbeats to an agent: for how long an agent is heard beside its server.
+  agentHeardMs @21 :UInt32;
 }
 
 struct ZoneEvacuation {
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -117,6 +117,7 @@
             server_slots=server.slots,
             server_warmup_left_ms=warmup.left_ms,
             warmup_per_s=warmup.per_s,
+            agent_heard_ms=self.process.selector.heard_agents.get_heard_ms(server),
         )
 
     def _ask_for_balancers(self) -> bool:
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -161,7 +161,11 @@
             self._apply_evacuations(message, sender)
             self.view_copy_exchange.handle_heartbeat(message, sender)
             self.apply_actions(
-                self.flows.handle_server_start(message.server_started_ms)
+                self.flows.handle_server_start(
+                    message.server_started_ms,
+                    balancer_uptime_ms=message.uptime_ms,
+                    heard_ms=message.agent_heard_ms,
+                )
             )
             # A balancer whose listing lacks the server does not state its slots.
             slots = self.flows.requests.slots
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -360,8 +360,9 @@
         They receive a heartbeat with its version or position. Agents without a listed,
         retained or former server are removed from the server selector.
         """
-        known = [server.address.ip for server in self.view.list_servers()]
-        known += [server.address.ip for server in self.view.list_former()]
+        servers = [*self.view.list_former(), *self.view.list_servers()]
+        known = [server.address.ip for server in servers]
+        self.selector.heard_agents.set_servers(servers)
         self.selector.retain_agents(known)
         self.agent_heartbeats.pace.retain(known)
         self.send_balancer_heartbeat(
