Apply a changed address of the store without a restart

Cause: a running process kept the address at its start; a reload applied the seeds and the stop timeout alone. When the former address ended, a balancer followed no configuration and no listing any more.

Change: a reload sets the client's address and ends a watch that waits at the former one. Why it works: each call opens a connection of its own, so that the next one goes to the new address.

--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -398,7 +398,9 @@
         )
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
-        """Replace the seeds of the members and the stop timeout of agents."""
+        """Replace the seeds, the stop timeout of agents and the store's address."""
+        if settings.store_address is not None:
+            self.view_exchange.set_store_address(settings.store_address)
         self.members.set_seeds(seed.ip for seed in settings.seeds)
         self.view.former.set_stop_timeout(settings.stop_timeout_ms)
 
--- a/citronwinch/forwarder/_process.py
+++ b/citronwinch/forwarder/_process.py
@@ -52,7 +52,7 @@
 SETTINGS_CHECK_MS = 2_000
 """How often a process checks its settings file for changes, in milliseconds."""
 
-RELOADABLE_SETTINGS = frozenset({"seeds", "stop_timeout_ms"})
+RELOADABLE_SETTINGS = frozenset({"seeds", "stop_timeout_ms", "store_address"})
 """The settings that a running process applies; all others require a restart."""
 
 log = structlog.get_logger()
--- a/citronwinch/forwarder/_view_exchange.py
+++ b/citronwinch/forwarder/_view_exchange.py
@@ -6,6 +6,7 @@
 import structlog
 import trio
 
+from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
     UNKNOWN_POSITION,
     Heartbeat,
@@ -99,6 +100,19 @@
             self.configuration_watch.run,
         )
 
+    def set_store_address(self, address: Endpoint) -> None:
+        """Call the store at an address from now on.
+
+        A watch that waits at the former address is ended: that address may not serve
+        changes any more, and nothing tells when it ends. Calls under way are answered.
+        """
+        if address == self.store.address:
+            return
+        log.info("store_moved", former=str(self.store.address), address=str(address))
+        self.store.address = address
+        self.listing_retry_at_ms = 0
+        self.configuration_watch.watch_scope.cancel()
+
     def tick(self) -> None:
         """Read the store when it is this balancer's turn."""
         if self.is_reading_listing or self.clock.now_ms() < self.listing_retry_at_ms:
--- a/citronwinch/forwarder/tests/test_whole_path.py
+++ b/citronwinch/forwarder/tests/test_whole_path.py
@@ -135,7 +135,7 @@
         await start_small_deployment(deployment)
         processes = [deployment.processes[number] for number in (11, 12)]
         refused = processes[0]
-        refused.view_exchange.store.store = deployment.servers[31].address  # type: ignore[attr-defined]
+        refused.view_exchange.store.address = deployment.servers[31].address  # type: ignore[attr-defined]
         deployment.store.write_configuration(7, {ROUTE_ADDRESS: "reporting"})
 
         def has_arrived() -> bool:
--- a/citronwinch/platform/_store.py
+++ b/citronwinch/platform/_store.py
@@ -130,8 +130,9 @@
     the highest era that any answer had, refusals included.
     """
 
-    def __init__(self, store: Endpoint) -> None:
-        self.store = store
+    def __init__(self, address: Endpoint) -> None:
+        self.address = address
+        """The address at which the next call reaches the store."""
         self.calls = 0
         self.era = 0
 
@@ -234,7 +235,7 @@
         step = f"GET {path}"
         try:
             response = await fetch(
-                self.store, f"{path}?{urlencode(query, safe='/')}", timeout_ms
+                self.address, f"{path}?{urlencode(query, safe='/')}", timeout_ms
             )
         except HttpError as error:
             return Error(self._make_error(step, error.reason, is_temporary=True))
@@ -260,7 +261,7 @@
     def _make_error(
         self, step: str, reason: str, *, is_temporary: bool = False
     ) -> StoreError:
-        return StoreError(step, self.store, reason, is_temporary)
+        return StoreError(step, self.address, reason, is_temporary)
 
 
 def _decode_listing(position: StorePosition, items: list[Any]) -> ListingRead:
