Choose a caller whose derived port is free in the test of a taken port

By reading: the port is derived from a caller's port that the kernel chooses, and another socket of the machine may have it. Which one had it is not known, and it was not reproduced here.

The test takes another caller then, up to 20, and asserts that it has bound the derived port. What it checks of the agent is unchanged.

--- a/citronwinch/daemon/tests/test_derived_ports.py
+++ b/citronwinch/daemon/tests/test_derived_ports.py
@@ -308,13 +308,27 @@
     run_lone_agent(check)
 
 
+PORT_TRIES = 20
+"""How many callers are tried until the derived port of one is free."""
+
+
 async def take_port(lone):
-    """Open a second flow whose derived port another socket has."""
-    caller = DeploymentCaller(lone.deployment, SERVICE)
-    await caller.socket.bind((lone.deployment.host, 0))
-    port = lone.process.udp_delivery.derive_local_port(lone.find_flow(caller))
+    """Open a second flow whose derived port another socket has.
+
+    The kernel chooses the caller's port, and may have given the port that is derived
+    from it to a socket of another program.
+    """
     other = open_socket()
-    other.bind(("", port))
+    for _ in range(PORT_TRIES):
+        caller = DeploymentCaller(lone.deployment, SERVICE)
+        await caller.socket.bind((lone.deployment.host, 0))
+        port = lone.process.udp_delivery.derive_local_port(lone.find_flow(caller))
+        try:
+            other.bind(("", port))
+        except OSError:
+            continue
+        break
+    assert other.getsockname()[1] == port
     await caller.send_request("taken")
     assert lone.find_port(caller) not in (0, port)
     lone.callers.append(caller)
