--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -11,7 +11,6 @@
     SEQUENCE_RANGE,
     compute_sequence_distance,
     confirms_acceptance,
-    may_be_same_flow,
 )
 
 OTHER_FLOW_TIMEOUT_MS = 5_000
@@ -127,11 +126,14 @@
     def record_server_packet(self, packet: Packet) -> None:
         """Record the numbers of another packet of the backend server."""
         end = packet.sequence + packet.payload_bytes + packet.is_finishing
-        end %= SEQUENCE_RANGE
-        if self.server_start is None or not may_be_same_flow(end, self.server_end):
-            self.server_start, self.server_end = packet.sequence, end
-        elif compute_sequence_distance(end, self.server_end) > 0:
-            self.server_end = end
+        advance = (end - self.server_end) % SEQUENCE_RANGE
+        if self.server_start is None:
+            self.server_start, self.server_end = packet.sequence, end % SEQUENCE_RANGE
+        elif advance <= MAX_FLOW_STEP_BYTES:
+            self.server_end = end % SEQUENCE_RANGE
+        elif advance < SEQUENCE_RANGE - MAX_FLOW_STEP_BYTES:
+            # The server has replaced the flow, unseen by this run of the agent.
+            self.server_start, self.server_end = packet.sequence, end % SEQUENCE_RANGE
 
     def includes(self, acknowledged: int) -> bool:
         """Return whether a caller's acknowledgement is one of what the server has sent.
@@ -144,9 +146,9 @@
         margin = MAX_BYTES_IN_FLIGHT
         if self.server_first_sequence is None:
             margin = MAX_FLOW_STEP_BYTES
-        sent = compute_sequence_distance(self.server_end, self.server_start)
-        distance = compute_sequence_distance(acknowledged, self.server_start)
-        return -margin <= distance <= sent + MAX_BYTES_IN_FLIGHT
+        sent = (self.server_end - self.server_start) % SEQUENCE_RANGE
+        distance = (acknowledged - self.server_start + margin) % SEQUENCE_RANGE
+        return distance <= margin + sent + MAX_BYTES_IN_FLIGHT
 
     def must_wait_for_trial(self, now_ms: int) -> bool:
         """Return whether packets wait until the backend server answers earlier ones.
--- a/citronwinch/coordination/flows/_known_flows.py
+++ b/citronwinch/coordination/flows/_known_flows.py
@@ -97,25 +97,26 @@
         acknowledge the acceptance by the agent's server, or if its numbers are those of
         another flow of the same port.
         """
+        if self.is_open:
+            return self.caller_sequence is not None and not (
+                (
+                    may_be_same_flow(packet.acknowledged, self.acknowledged)
+                    and may_be_same_flow(packet.sequence, self.caller_sequence)
+                )
+                or packet.is_reset
+            )
         if self.located_ms is not None:
             return now_ms - self.located_ms >= LOCATION_TRUST_MS
-        if self.is_open:
-            return not packet.is_reset and not self._may_include(packet)
         return self.server_first_sequence is not None and not confirms_acceptance(
             packet.acknowledged, self.server_first_sequence
         )
 
-    def _may_include(self, packet: Packet) -> bool:
-        return self.caller_sequence is None or (
-            may_be_same_flow(packet.acknowledged, self.acknowledged)
-            and may_be_same_flow(packet.sequence, self.caller_sequence)
-        )
-
     def record_packet(self, packet: Packet) -> None:
         """Record the numbers of a caller's packet for the agent."""
         self.acknowledged = packet.acknowledged
         self.caller_sequence = packet.sequence
-        self._compare_acceptance()
+        if not self.is_open:
+            self._compare_acceptance()
 
     def record_acceptance(self, server_first_sequence: int | None) -> None:
         """Record that the agent's server has accepted the opening.
@@ -130,10 +131,8 @@
         self.agent, self.located_ms, self.is_open = agent, None, True
 
     def _compare_acceptance(self) -> None:
-        if self.is_open or self.located_ms is not None:
-            return
-        if self.server_first_sequence is not None:
-            self.is_open = confirms_acceptance(
+        if self.located_ms is None and self.server_first_sequence is not None:
+            self.is_open |= confirms_acceptance(
                 self.acknowledged, self.server_first_sequence
             )
 
--- a/citronwinch/coordination/flows/_sequence_numbers.py
+++ b/citronwinch/coordination/flows/_sequence_numbers.py
@@ -56,4 +56,5 @@
         >>> may_be_same_flow(1 << 30, earlier=500)
         False
     """
-    return abs(compute_sequence_distance(number, earlier)) <= MAX_FLOW_STEP_BYTES
+    step = (number - earlier + MAX_FLOW_STEP_BYTES) % SEQUENCE_RANGE
+    return step <= 2 * MAX_FLOW_STEP_BYTES
