Know the servers of agents also from fetched listings

Found by reading again: a balancer set the servers beside which it hears agents when it read the listing itself, or accepted a configuration. One that fetched the listing from another balancer, as most do, heard no agent there, and stated no earlier run.

The servers are set with the targets of heartbeats, which follow the view however it has changed. test_a_heartbeat_states_for_how_long_the_agent_is_heard failed before: 0 in place of 10 ms.

--- a/citronwinch/coordination/flows/tests/small_fleet_balancer.py
+++ b/citronwinch/coordination/flows/tests/small_fleet_balancer.py
@@ -117,6 +117,9 @@
         interval_ms = compute_interval_ms(
             AGENT_HEARTBEAT_MS, len(servers), AGENT_HEARTBEATS_PER_S
         )
+        self.selector.heard_agents.set_servers(
+            [*self.view.list_former(), *servers.values()]
+        )
         self.selector.set_heartbeat_intervals(interval_ms, 2_000)
         former = [server.address.ip for server in self.view.list_former()]
         former_ms = compute_former_interval_ms(len(former))
@@ -192,9 +195,8 @@
         self._announce_view()
 
     def _announce_view(self) -> None:
-        servers = [*self.view.list_former(), *self.view.list_servers()]
-        self.selector.heard_agents.set_servers(servers)
-        known = [server.address.ip for server in servers]
+        known = [server.address.ip for server in self.view.list_servers()]
+        known += [server.address.ip for server in self.view.list_former()]
         self.selector.retain_agents(known)
         self.agent_pace.retain(known)
         self._send_heartbeats(self.members.list_heartbeat_targets())
--- a/citronwinch/forwarder/_agent_heartbeats.py
+++ b/citronwinch/forwarder/_agent_heartbeats.py
@@ -166,6 +166,8 @@
         local: list[str] = []
         remote: list[str] = []
         servers = self.view.list_servers() if self.view.configuration else []
+        heard_agents = self.process.selector.heard_agents
+        heard_agents.set_servers([*self.view.list_former(), *servers])
         for server in servers:
             zone = server.availability_zone
             is_local = (
--- a/citronwinch/forwarder/_balancer_process.py
+++ b/citronwinch/forwarder/_balancer_process.py
@@ -360,9 +360,8 @@
         They receive a heartbeat with its version or position. Agents without a listed,
         retained or former server are removed from the server selector.
         """
-        servers = [*self.view.list_former(), *self.view.list_servers()]
-        known = [server.address.ip for server in servers]
-        self.selector.heard_agents.set_servers(servers)
+        known = [server.address.ip for server in self.view.list_servers()]
+        known += [server.address.ip for server in self.view.list_former()]
         self.selector.retain_agents(known)
         self.agent_heartbeats.pace.retain(known)
         self.send_balancer_heartbeat(
--- a/citronwinch/forwarder/tests/test_agent_heartbeats.py
+++ b/citronwinch/forwarder/tests/test_agent_heartbeats.py
@@ -5,6 +5,8 @@
 guards against heartbeats before their turn whose number grows with the fleet.
 """
 
+import time
+
 from citronwinch.coordination import Endpoint
 from citronwinch.coordination.flows import (
     BackendServer,
@@ -53,6 +55,23 @@
     assert heartbeat.server_started_ms == 1_234
 
 
+# A balancer that had fetched its listing from another one heard no agent.
+def test_a_heartbeat_states_for_how_long_the_agent_is_heard(open_sockets):
+    process = make_balancer(open_sockets, "127.95.0.12")
+    server = make_server(started_ms=1_234)
+    list_server(process, server)
+    [(_, heartbeat)] = send_due_heartbeats(process)
+    assert heartbeat.agent_heard_ms == 0
+    process.selector.record_message(AGENT_IP)
+    time.sleep(0.01)
+    restarted = server._replace(started_ms=2_000)
+    heard_agents = process.selector.heard_agents
+    assert heard_agents.get_heard_ms(server) >= 10
+    list_server(process, restarted, revision=2)
+    process.agent_heartbeats.send_due()
+    assert heard_agents.get_heard_ms(restarted) == 0
+
+
 def test_a_server_that_becomes_cold_is_announced_to_its_agent_at_once(open_sockets):
     process = make_balancer(open_sockets, "127.95.0.12")
     services = {"gauging": ServiceLimits(9.0)}
