Keep the beginning of a flow that a late copy of its opening shows

Found by reading again: an agent that has restarted beside an open flow allows for 16 MiB below the first number that it has seen. Its server's answer to a late copy of the opening ended that allowance, but the range still began at that number, so that late packets of the flow were denied. The range begins at the answer's number now.

test_a_late_copy_of_an_opening_shows_where_a_flow_began failed before.

--- a/citronwinch/coordination/flows/_flow_entry.py
+++ b/citronwinch/coordination/flows/_flow_entry.py
@@ -120,6 +120,9 @@
             self.state = FlowState.ACCEPTED
             self.server_start = packet.sequence
             self.server_end = (packet.sequence + 1) % SEQUENCE_RANGE
+        elif self.server_first_sequence is None:
+            # The agent has restarted while the flow was open.
+            self.server_start = packet.sequence
         self.server_first_sequence = packet.sequence
         self.has_caller_finished = self.has_server_finished = False
 
--- a/citronwinch/coordination/flows/tests/test_ports_used_again.py
+++ b/citronwinch/coordination/flows/tests/test_ports_used_again.py
@@ -142,6 +142,16 @@
     assert query_verdict(agent, FIRST_SEQUENCE + 201) is Verdict.HELD
 
 
+# Its late packets were denied by an agent that had not seen the numbers in between.
+def test_a_late_copy_of_an_opening_shows_where_a_flow_began(clock: ManualClock) -> None:
+    agent = AgentFlows("gauging", clock, knows_all_flows=False)
+    agent.handle_from_server(make_packet(payload=200, sequence=50_000_000))
+    forward(agent, OPENING)
+    agent.handle_from_server(ACCEPTANCE)
+    assert query_verdict(agent, 45_000_000) is Verdict.HELD
+    assert query_verdict(agent, LATER_REQUEST.acknowledged) is Verdict.ABSENT
+
+
 def learn_flow(balancer: BalancerFlows) -> str:
     """Let a balancer find a flow; return the agent."""
     [agent, *_] = list_questions(balancer.handle_packet(REQUEST))
