Count the calls of a restored store from when the watches are open

Nothing of the product was at fault.

Cause: the test began to count as soon as the three balancers had version 7. Each of them then opens its next watch, which waits 2 s. If these three calls came before the count, it was 9 (the balancers read the disputed listing every 200 ms, then every 700 ms); if they came after it, 12.

The test now begins to count when the store has three open watches.

--- a/citronwinch/forwarder/tests/test_view_exchange.py
+++ b/citronwinch/forwarder/tests/test_view_exchange.py
@@ -245,6 +245,8 @@
         with trio.fail_after(2.5):
             for balancer in balancers:
                 await wait_for_version(deployment, balancer, 7)
+            # Each balancer goes on with a watch, which is not a repeated call.
+            await deployment.wait_for(lambda: store.open_watches == len(balancers))
         calls = store.calls
         await trio.sleep(2)
         assert store.calls - calls < 12
--- a/citronwinch/platform/standins/_store.py
+++ b/citronwinch/platform/standins/_store.py
@@ -85,6 +85,8 @@
         """How far the answers to reads with `allow_stale` lag, in milliseconds."""
         self.fault = StoreFault.NONE
         self.calls = 0
+        self.open_watches = 0
+        """How many watches wait for a change."""
         self.reads_by_second: dict[int, int] = {}
         self.is_deaf = False
         """Whether watches report no changes."""
@@ -249,12 +251,16 @@
             return HttpResponse(410, b'{"error":"history is gone"}')
         cut_watches = self.cut_watches
         events: list[dict[str, Any]] = []
-        with trio.move_on_after(int(query["wait_ms"]) / 1000):
-            while not cut_watches.is_set():
-                events = self._find_changes(prefix, after)
-                if events:
-                    break
-                await _wait_for_any(self.changed, cut_watches)
+        self.open_watches += 1
+        try:
+            with trio.move_on_after(int(query["wait_ms"]) / 1000):
+                while not cut_watches.is_set():
+                    events = self._find_changes(prefix, after)
+                    if events:
+                        break
+                    await _wait_for_any(self.changed, cut_watches)
+        finally:
+            self.open_watches -= 1
         if cut_watches.is_set():
             return HttpResponse(503, b'{"error":"the watch was cut"}')
         return _json_response({"events": events, "at": self.revision})
