Restore returned flows with the answer that returns them

Cause: the peer's answer ended the restoration at once, but the flows were opened at the next tick (100 ms). In between, the agent neither awaited the flows nor owned them.

Why this works: the flows are restored while the answer is handled, before the next message of its batch, so that no packet and no status can come in between. test_returned_flow_is_restored_before_the_next_packet failed before (no flow was opened).

--- a/citronwinch/daemon/_agent_flows.py
+++ b/citronwinch/daemon/_agent_flows.py
@@ -136,9 +136,19 @@
             steering.advance_transfer(self.path, self.find_local_port)
         )
         process.apply_actions(steering.void_transfers())
-        if self.has_restored or not process.table.revision:
+        if not self.has_restored and process.table.revision:
+            process.apply_actions(steering.query_flows())
+            self.try_end_restoration()
+
+    def try_end_restoration(self) -> None:
+        """Restore the returned flows once no further answer is awaited.
+
+        The next packet may be of one of these flows, so that they are not left until
+        the next tick.
+        """
+        steering = self.process.steering
+        if self.has_restored or not self.process.table.revision:
             return
-        process.apply_actions(steering.query_flows())
         if steering.restoration.is_finished or steering.row is None:
             self.has_restored = True
             self.restore(steering.restoration.returned)
--- a/citronwinch/daemon/_agent_process.py
+++ b/citronwinch/daemon/_agent_process.py
@@ -177,6 +177,7 @@
                     self.apply_actions(
                         self.steering.handle(envelope.message, envelope.sender)
                     )
+                    self.flow_handler.try_end_restoration()
                 elif isinstance(envelope.message, RequestsMessage):
                     self.request_handler.handle_message(envelope, envelope.message)
                 elif isinstance(envelope.message, LoadReport):
--- a/citronwinch/daemon/tests/test_flow_handover.py
+++ b/citronwinch/daemon/tests/test_flow_handover.py
@@ -225,6 +225,18 @@
     assert len(started.delivery.sent) == 1
 
 
+# A packet that came between the peer's answer and the next tick was for an agent that
+# no longer awaited the flow and did not own it yet.
+def test_returned_flow_is_restored_before_the_next_packet(started):
+    started.receive(make_returned(started))
+    assert started.delivery.opened == [(FLOW.key, 40_000)]
+    assert FLOW.key in started.process.steering.owned
+    started.forward()
+    assert (started.sent_kinds(), len(started.delivery.sent)) == ([], 1)
+    tick(started)
+    assert started.count("flows_restored_total") == 1
+
+
 MOVED_ADDRESS = FLOW._replace(service=Endpoint("192.0.2.8", 7_000)).key
 TCP_FLOW = FLOW._replace(protocol=TransportProtocol.TCP).key
 
