Tell unasked agents from silent ones in failed searches

A caller whose flow a balancer does not find gets no answer until it gives up. flow_not_found named the silent agents, but not why: an agent that got no question, since the link had no room for it, looked like one that did not answer.

No decision changes. flow_not_found and dead_flow_reset state how many silent agents were not asked (questions_unsent), whether the search had to wait for the link (is_put_off), and what the other questions wait for (backlog: questions to agents that owe an answer or none, free bytes and messages); seven numbers. Counters tell late answers (flow_answers_unused_total of flow_answers_total) and lost ones (questions_answered_total of the agents against questions_total and flow_answers_total of the balancers).

test_failed_search_tells_unasked_agents_from_silent_ones failed before: the record had no such field.

--- a/citronwinch/coordination/_byte_budget.py
+++ b/citronwinch/coordination/_byte_budget.py
@@ -43,3 +43,9 @@
             self.available_bytes = min(
                 self.burst_bytes, self.available_bytes + earned_bytes
             )
+
+    def count_available_bytes(self) -> int:
+        """Return how many bytes `try_spend` would allow now, without a refill."""
+        elapsed_ms = self.clock.now_ms() - self.refilled_ms
+        earned_bytes = elapsed_ms * self.bytes_per_second // 1_000
+        return min(self.burst_bytes, self.available_bytes + earned_bytes)
--- a/citronwinch/coordination/flows/_balancer_flows.py
+++ b/citronwinch/coordination/flows/_balancer_flows.py
@@ -153,6 +153,7 @@
 
     def handle_answer(self, answer: FlowAnswer, agent: str) -> list[Action]:
         """Apply an agent's verdict on a flow; send the questions that waited for it."""
+        self.counters["flow_answers"] += 1
         actions = self.pacing.forward_due()
         actions += self._apply_answer(answer, agent)
         return actions + self.searches.record_answer(answer.flow, agent)
@@ -163,6 +164,7 @@
             return self.searches.handle_answer(answer, agent)
         known = self.flows.get(answer.flow)
         if known is None:
+            self.counters["flow_answers_unused"] += 1
             return []
         if known.agent == agent and answer.verdict is Verdict.ABSENT:
             del self.flows[answer.flow]
--- a/citronwinch/coordination/flows/_flow_searches.py
+++ b/citronwinch/coordination/flows/_flow_searches.py
@@ -414,7 +414,9 @@
         if is_dead and packet.is_reset:
             return [*lookups]
         self.counters["flows_reset" if is_dead else "searches_failed"] += 1
-        outcome = record_without_holder(self.view, search, evidence, services)
+        outcome = record_without_holder(
+            self.view, search, evidence, services, self.batches
+        )
         if not is_dead:
             return [*lookups, outcome]
         self.attempt_ages.record_ended(key, search.started_ms)
--- a/citronwinch/coordination/flows/tests/test_search_storms.py
+++ b/citronwinch/coordination/flows/tests/test_search_storms.py
@@ -23,7 +23,9 @@
     StorePosition,
     Verdict,
 )
+from citronwinch.coordination.flows._actions import Record
 from citronwinch.coordination.flows._question_batches import (
+    BATCH_LIMIT,
     compute_bytes,
     list_questions,
 )
@@ -61,6 +63,7 @@
         self.selector = ServerSelector("a", clock, random.Random(7))
         self.flows = BalancerFlows(self.view, self.selector, clock, link_mbps)
         self.question_bytes = 0
+        self.failed_searches: list[Record] = []
         self.next_port = 2_000
 
     def run_for(self, for_ms: int, *, agents_answer: bool) -> int:
@@ -83,6 +86,8 @@
     def _answer(self, actions: list[Action], *, agents_answer: bool) -> list[Action]:
         replies: list[Action] = []
         for action in actions:
+            if isinstance(action, Record) and action.event == "flow_not_found":
+                self.failed_searches.append(action)
             if not isinstance(action, SendMessage):
                 continue
             questions = list_questions(action.message)
@@ -146,3 +151,20 @@
     fast_link = LimitedLinkBalancer(clock, 1_000)
     fast_link.run_for(OUTAGE_MS, agents_answer=False)
     assert fast_link.flows.counters["searches_put_off"] == 0
+
+
+# "silent" meant both an agent that did not answer and one that was never asked.
+@pytest.mark.parametrize(("link_mbps", "is_link_full"), [(5, True), (1_000, False)])
+def test_failed_search_tells_unasked_agents_from_silent_ones(
+    clock: ManualClock, link_mbps: int, is_link_full: bool
+) -> None:
+    balancer = LimitedLinkBalancer(clock, link_mbps, packets_per_tick=20)
+    balancer.run_for(OUTAGE_MS, agents_answer=False)
+    failed = [dict(record.fields) for record in balancer.failed_searches]
+    assert failed
+    assert any(fields["questions_unsent"] for fields in failed) is is_link_full
+    assert any(fields["is_put_off"] for fields in failed) is is_link_full
+    backlog = failed[-1]["backlog"]
+    assert isinstance(backlog, dict)
+    is_budget_spent = backlog["free_bytes"] < compute_bytes(BATCH_LIMIT)
+    assert is_budget_spent is is_link_full
--- a/citronwinch/forwarder/_agent_process.py
+++ b/citronwinch/forwarder/_agent_process.py
@@ -149,8 +149,11 @@
                 self.opening_balancers[sender] = until_ms
             self.apply_actions(self.flows.handle_forwarded(message, packet, sender))
         elif isinstance(message, FlowQuestion):
+            self.metrics.count("questions_answered_total")
             self.send(sender, self.flows.answer_question(message))
         elif isinstance(message, FlowQuestions):
+            amount = len(message.questions)
+            self.metrics.count("questions_answered_total", amount=amount)
             self.send(sender, self.flows.answer_questions(message))
         elif isinstance(message, Heartbeat):
             intervals_ms = BALANCER_TIMEOUT_INTERVALS * message.interval_ms
