--- a/citronwinch/operators/_metric_help.py
+++ b/citronwinch/operators/_metric_help.py
@@ -10,7 +10,7 @@
     "datagrams_not_sent": "datagrams that the kernel did not take, since the start",
     "evacuated_zones": "availability zones that get no new flows",
     "flow_answers_total": "answers of agents about flows, with or without a question",
-    "flow_answers_unused_total": "of these, those that came after the search had ended",
+    "flow_answers_unused_total": "of these, those about flows neither known nor sought",
     "flow_tombstones": "ended flows that are remembered for a while",
     "flows_handed_over_total": "flows handed over for the next run of this agent",
     "flows_held": "flows whose packets wait until their owner is known",
